Add the thin whole path: host, stand-ins, platform client, demo

Cause: nothing served yet; every later part needs a path to attach to. Change: shared errors, ids, clock, logs and metrics; stand-ins of the platform service, a model engine and a plain service; typed tables and keys; a host that loads its tables from the platform and relays requests; make demo, test, lint. Before: no request could be served. Conclusion: the path stands; the decisions are still naive (random runner, no limits, no batch) and follow slice by slice.

--- /dev/null
+++ b/src/primroseford/batch/__init__.py
@@ -0,0 +1,3 @@
+"""Batch jobs: files, chunks, scheduling, results."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/primroseford/cli/__init__.py
@@ -0,0 +1,3 @@
+"""The command-line tool."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/primroseford/clock.py
@@ -0,0 +1,39 @@
+"""Local time that includes suspension of the host."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+
+Clock = Callable[[], float]
+
+
+def boottime() -> float:
+    """Return seconds since boot.
+
+    CLOCK_BOOTTIME goes on while the host is suspended, so a lease cannot appear
+    valid after a long suspension.
+
+    :returns: seconds, comparable only within this host
+    """
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+class ManualClock:
+    """A clock for tests that moves only when told to.
+
+    :param now: initial time in seconds
+    """
+
+    def __init__(self, now: float = 0.0) -> None:
+        self.now = now
+
+    def __call__(self) -> float:
+        return self.now
+
+    def advance(self, seconds: float) -> None:
+        """Move the time forward.
+
+        :param seconds: how far, in seconds
+        """
+        self.now += seconds
--- /dev/null
+++ b/src/primroseford/configuration/__init__.py
@@ -0,0 +1,3 @@
+"""Tables of routes, pools, organisations and keys, and their distribution."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/primroseford/daemon/__init__.py
@@ -0,0 +1,3 @@
+"""The host process: settings, wiring, health and shutdown."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/primroseford/demo/__main__.py
@@ -0,0 +1,10 @@
+"""Runs the demo and exits 0 only if every check held."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+
+from primroseford.demo.session import run_demo
+
+sys.exit(asyncio.run(run_demo()))
--- /dev/null
+++ b/src/primroseford/ids.py
@@ -0,0 +1,19 @@
+"""Identifier types shared by the slices."""
+
+from __future__ import annotations
+
+from typing import NewType
+
+HostId = NewType("HostId", str)
+Incarnation = NewType("Incarnation", str)
+FailureDomainId = NewType("FailureDomainId", str)
+OrganisationId = NewType("OrganisationId", str)
+KeyId = NewType("KeyId", str)
+RouteName = NewType("RouteName", str)
+PoolName = NewType("PoolName", str)
+RunnerName = NewType("RunnerName", str)
+RequestId = NewType("RequestId", str)
+FileId = NewType("FileId", str)
+JobId = NewType("JobId", str)
+FencingNumber = NewType("FencingNumber", int)
+Version = NewType("Version", int)
--- /dev/null
+++ b/src/primroseford/keys/__init__.py
@@ -0,0 +1,3 @@
+"""Callers' keys: creation, hashing and checks."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/primroseford/keys/secrets.py
@@ -0,0 +1,125 @@
+"""Creation and verification of callers' keys."""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+import secrets
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from primroseford.errors import PrimrosefordError
+from primroseford.errors import ResultCode
+from primroseford.ids import KeyId
+from primroseford.ids import OrganisationId
+
+if TYPE_CHECKING:
+    from primroseford.configuration.tables import Tables
+
+PREFIX = "pk"
+ID_BYTES = 6
+SECRET_BYTES = 24
+MAX_KEY_CHARACTERS = 128
+UNKNOWN_HASH = "0" * 64
+
+
+@dataclass(frozen=True)
+class NewKey:
+    """A key as it is shown once to the operator.
+
+    :param secret: what the caller sends
+    :param key_id: public id, a part of the secret
+    :param hash: SHA-256 of the secret in hexadecimal digits
+    """
+
+    secret: str
+    key_id: KeyId
+    hash: str
+
+
+@dataclass(frozen=True)
+class Identity:
+    """Who sent a request.
+
+    :param organisation: organisation of the key
+    :param key_id: public id of the key
+    """
+
+    organisation: OrganisationId
+    key_id: KeyId
+
+
+def create_key() -> NewKey:
+    """Return a new random key."""
+    key_id = KeyId(secrets.token_hex(ID_BYTES))
+    secret = f"{PREFIX}-{key_id}-{secrets.token_urlsafe(SECRET_BYTES)}"
+    return NewKey(secret, key_id, hash_secret(secret))
+
+
+def hash_secret(secret: str) -> str:
+    """Return the stored form of a secret.
+
+    A single SHA-256 is enough, since secrets are random and not chosen by people.
+
+    :param secret: the whole key
+    """
+    return hashlib.sha256(secret.encode()).hexdigest()
+
+
+def authenticate(tables: Tables, secret: str | None) -> Identity:
+    """Return the identity that a key stands for.
+
+    :param tables: tables in force
+    :param secret: the key that came with the request
+    :raises PrimrosefordError: KEY_MISSING, KEY_UNKNOWN or KEY_WITHDRAWN
+    """
+    if not secret:
+        raise PrimrosefordError(
+            ResultCode.KEY_MISSING,
+            "the request carries no key",
+            field="Authorization",
+            hint="send the header 'Authorization: Bearer KEY'",
+        )
+    parts = secret.split("-", 2)
+    key_id = KeyId(parts[1] if len(parts) == 3 else "")
+    record = tables.keys.get(key_id)
+    expected = record.hash if record else UNKNOWN_HASH
+    known = len(secret) <= MAX_KEY_CHARACTERS and hmac.compare_digest(
+        hash_secret(secret), expected
+    )
+    if not known or record is None:
+        raise PrimrosefordError(
+            ResultCode.KEY_UNKNOWN, "the key is not known", field="Authorization"
+        )
+    identity = Identity(OrganisationId(record.organisation), key_id)
+    check_still_valid(tables, identity)
+    return identity
+
+
+def still_valid(tables: Tables, identity: Identity) -> bool:
+    """Return whether a key that was accepted before is still accepted.
+
+    :param tables: tables in force now
+    :param identity: who sent the request
+    """
+    record = tables.keys.get(identity.key_id)
+    return (
+        record is not None
+        and not record.withdrawn
+        and record.organisation == identity.organisation
+        and identity.organisation in tables.organisations
+    )
+
+
+def check_still_valid(tables: Tables, identity: Identity) -> None:
+    """Refuse an identity whose key was withdrawn.
+
+    :raises PrimrosefordError: KEY_WITHDRAWN
+    """
+    if not still_valid(tables, identity):
+        raise PrimrosefordError(
+            ResultCode.KEY_WITHDRAWN,
+            "the key was withdrawn",
+            field="Authorization",
+            hint="ask the operator for a new key",
+        )
--- /dev/null
+++ b/src/primroseford/limits/__init__.py
@@ -0,0 +1,3 @@
+"""Fleet-wide token buckets of organisations."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/primroseford/membership/__init__.py
@@ -0,0 +1,3 @@
+"""Live hosts and the placement of duties on them."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/primroseford/orders/__init__.py
@@ -0,0 +1,3 @@
+"""Orders to model engines."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/primroseford/peer/__init__.py
@@ -0,0 +1,3 @@
+"""Messages between hosts."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/primroseford/platform/objects.py
@@ -0,0 +1,107 @@
+"""Objects of the platform's service as the client sees them."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import field
+from enum import Enum
+from typing import Any
+
+from primroseford.ids import Version
+
+OPERATION_ANNOTATION = "primroseford.dev/operation"
+
+Spec = dict[str, Any]
+
+
+class EventType(Enum):
+    """What a watch event reports."""
+
+    ADDED = "ADDED"
+    MODIFIED = "MODIFIED"
+    DELETED = "DELETED"
+    BOOKMARK = "BOOKMARK"
+
+
+@dataclass(frozen=True)
+class PlatformObject:
+    """One object with its version.
+
+    :param kind: kind of the object
+    :param name: unique within its kind
+    :param version: version of the service at the object's last change
+    :param spec: content
+    :param labels: labels that lists can select by
+    :param operation: id of the write that produced this version
+    """
+
+    kind: str
+    name: str
+    version: Version
+    spec: Spec
+    labels: dict[str, str] = field(default_factory=dict)
+    operation: str = ""
+
+
+@dataclass(frozen=True)
+class ObjectList:
+    """All selected objects of a kind at one version of the service."""
+
+    version: Version
+    items: tuple[PlatformObject, ...]
+
+
+@dataclass(frozen=True)
+class WatchEvent:
+    """A change of one object, or a bookmark.
+
+    :param type: what happened
+    :param version: version of the service that the event brings the reader to
+    :param object: the object, or nothing for a bookmark
+    """
+
+    type: EventType
+    version: Version
+    object: PlatformObject | None
+
+
+def decode_object(kind: str, body: dict[str, Any]) -> PlatformObject:
+    """Return the object in a JSON body of the service.
+
+    :param kind: kind of the object
+    :param body: decoded JSON
+    """
+    metadata = body["metadata"]
+    return PlatformObject(
+        kind=kind,
+        name=metadata["name"],
+        version=Version(int(metadata["resourceVersion"])),
+        spec=body.get("spec", {}),
+        labels=metadata.get("labels", {}),
+        operation=metadata.get("annotations", {}).get(OPERATION_ANNOTATION, ""),
+    )
+
+
+def encode_object(
+    name: str,
+    spec: Spec,
+    labels: dict[str, str],
+    operation: str,
+    version: Version | None = None,
+) -> dict[str, Any]:
+    """Return the JSON body of a write.
+
+    :param name: name of the object
+    :param spec: content
+    :param labels: labels that lists can select by
+    :param operation: unique id of this write
+    :param version: version the write is conditional on
+    """
+    metadata: dict[str, Any] = {
+        "name": name,
+        "labels": labels,
+        "annotations": {OPERATION_ANNOTATION: operation},
+    }
+    if version is not None:
+        metadata["resourceVersion"] = str(version)
+    return {"metadata": metadata, "spec": spec}
--- /dev/null
+++ b/src/primroseford/routing/__init__.py
@@ -0,0 +1,3 @@
+"""Choice of route, pool and runner."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/primroseford/standins/engine.py
@@ -0,0 +1,166 @@
+"""Stand-in of a model engine: continuous batching, streams, resume, load reports."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import time
+from typing import TYPE_CHECKING
+
+from primroseford.standins.engine_state import EngineFaults
+from primroseford.standins.engine_state import EngineSettings
+from primroseford.standins.engine_state import EngineState
+from primroseford.standins.engine_state import Generation
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from aiohttp import web
+
+PREFIX_CHARACTERS = 64
+REMEMBERED_GENERATIONS = 10_000
+REMEMBERED_HEADERS = 1_000
+REPORT_HISTORY_SECONDS = 10.0
+CACHE_EVENT_GAP = 7
+"""Every seventh cache event is dropped, as engines publish them with gaps."""
+
+
+class EngineStandIn:
+    """A model engine that knows no priorities and admits what arrives.
+
+    :param settings: speed and size
+    :param faults: faults that tests and the demo switch on
+    """
+
+    def __init__(self, settings: EngineSettings, faults: EngineFaults) -> None:
+        self.settings = settings
+        self.faults = faults
+        self.state = EngineState()
+        self.slots = asyncio.Semaphore(settings.capacity)
+
+    def record_load(self) -> None:
+        """Keep the current load for lagging reports."""
+        now = time.monotonic()
+        state = self.state
+        state.reports.append((now, state.running, state.waiting))
+        while state.reports[0][0] < now - REPORT_HISTORY_SECONDS:
+            state.reports.pop(0)
+
+    def lagging_load(self) -> tuple[float, int, int]:
+        """Return (measured at, running, waiting) as of the report lag."""
+        limit = time.monotonic() - self.settings.report_lag_seconds
+        old = [report for report in self.state.reports if report[0] <= limit]
+        return old[-1] if old else (limit, 0, 0)
+
+    def use_prefix(self, prefix: str) -> bool:
+        """Return whether a prompt prefix was cached, and cache it."""
+        cache = self.state.prefixes
+        hit = prefix in cache
+        cache[prefix] = None
+        cache.move_to_end(prefix)
+        if not hit:
+            self.publish("stored", prefix)
+        if len(cache) > self.settings.cached_prefixes:
+            self.publish("removed", cache.popitem(last=False)[0])
+        return hit
+
+    def publish(self, event: str, prefix: str) -> None:
+        """Add a cache event to the log."""
+        events = self.state.cache_events
+        events.append({"seq": len(events), "event": event, "prefix": prefix})
+
+    async def generate(self, request_id: str, prompt: str, limit: int):
+        """Yield (index, token) at the pace of the current batch size."""
+        state, settings = self.state, self.settings
+        generation = Generation([], limit)
+        state.generations[request_id] = generation
+        if len(state.generations) > REMEMBERED_GENERATIONS:
+            state.generations.popitem(last=False)
+        state.run_counts[request_id] += 1
+        async with self.occupy_slot():
+            cached = self.use_prefix(prompt[:PREFIX_CHARACTERS])
+            await asyncio.sleep(settings.prefill_seconds * (0.2 if cached else 1))
+            async for token in self.produce(generation, 0):
+                yield token
+
+    async def produce(
+        self, generation: Generation, start: int
+    ) -> AsyncIterator[tuple[int, str]]:
+        """Yield tokens from an offset on, producing those not there yet."""
+        for index in range(start, generation.limit):
+            if generation.cancelled:
+                return
+            if index >= len(generation.tokens):
+                busy = max(0, self.state.running - 1)
+                pace = self.settings.token_seconds
+                await asyncio.sleep(pace * (1 + self.settings.slowdown * busy))
+                generation.tokens.append(f"t{index} ")
+            yield index, generation.tokens[index]
+
+    def occupy_slot(self) -> Slot:
+        """Return a context that waits for a place in the running batch."""
+        return Slot(self)
+
+
+class Slot:
+    """A place in the running batch, held while the context is open."""
+
+    def __init__(self, engine: EngineStandIn) -> None:
+        self.engine = engine
+
+    async def __aenter__(self) -> None:
+        state = self.engine.state
+        state.waiting += 1
+        self.engine.record_load()
+        try:
+            await self.engine.slots.acquire()
+        finally:
+            state.waiting -= 1
+        state.running += 1
+        state.max_running = max(state.max_running, state.running)
+        self.engine.record_load()
+
+    async def __aexit__(self, *_: object) -> None:
+        self.engine.state.running -= 1
+        self.engine.slots.release()
+        self.engine.record_load()
+
+
+def create_engine_stand_in(settings: EngineSettings | None = None) -> EngineStandIn:
+    """Return an idle engine without faults.
+
+    :param settings: speed and size; the defaults suit tests
+    """
+    return EngineStandIn(settings or EngineSettings(), EngineFaults())
+
+
+def prompt_text(body: dict) -> str:
+    """Return the prompt of a chat or completion request as one text."""
+    if "messages" in body:
+        return "\n".join(str(part.get("content", "")) for part in body["messages"])
+    return str(body.get("prompt", body.get("input", "")))
+
+
+def cache_events_since(engine: EngineStandIn, since: int) -> list[dict]:
+    """Return cache events after a sequence number, with gaps."""
+    return [
+        event
+        for event in engine.state.cache_events[since:]
+        if event["seq"] % CACHE_EVENT_GAP
+    ]
+
+
+def encode_event(index: int, body: dict) -> bytes:
+    """Return one server-sent event.
+
+    :param index: event number, used to resume
+    :param body: data of the event
+    """
+    return f"id: {index}\ndata: {json.dumps(body)}\n\n".encode()
+
+
+def remember_headers(engine: EngineStandIn, request: web.Request) -> None:
+    """Keep the headers of a request for checks from outside."""
+    headers = engine.state.seen_headers
+    headers.append({**request.headers, ":path": request.path_qs})
+    del headers[:-REMEMBERED_HEADERS]
--- /dev/null
+++ b/src/primroseford/standins/platform.py
@@ -0,0 +1,212 @@
+"""Stand-in of the platform's object API over HTTP, with switchable faults."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import time
+from typing import TYPE_CHECKING
+
+from aiohttp import web
+
+from primroseford.standins.platform_state import MAX_VALUE_BYTES
+from primroseford.standins.platform_state import Absent
+from primroseford.standins.platform_state import Conflict
+from primroseford.standins.platform_state import Expired
+from primroseford.standins.platform_state import Faults
+from primroseford.standins.platform_state import PlatformState
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+    Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+PREFIX = "/apis/primroseford.dev/v1"
+BOOKMARK_SECONDS = 1.0
+WRITES = frozenset({"POST", "PUT", "DELETE"})
+
+
+class PlatformStandIn:
+    """The platform's service: objects, conditional updates and watches.
+
+    :param state: the stored objects
+    :param faults: faults that tests and the demo switch on
+    """
+
+    def __init__(self, state: PlatformState, faults: Faults) -> None:
+        self.state = state
+        self.faults = faults
+        self.changed = asyncio.Event()
+        self.tokens = 0.0
+        self.refilled_at = time.monotonic()
+
+    def announce(self) -> None:
+        """Wake the watches after a change."""
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def allow_call(self) -> bool:
+        """Return whether one more call fits the rate limit."""
+        rate = self.faults.calls_per_second
+        if not rate:
+            return True
+        now = time.monotonic()
+        self.tokens = min(rate, self.tokens + (now - self.refilled_at) * rate)
+        self.refilled_at = now
+        if self.tokens < 1:
+            return False
+        self.tokens -= 1
+        return True
+
+
+def create_platform_stand_in() -> PlatformStandIn:
+    """Return an empty platform service without faults."""
+    return PlatformStandIn(PlatformState(), Faults())
+
+
+def create_platform_application(stand_in: PlatformStandIn) -> web.Application:
+    """Return the HTTP application that serves a stand-in.
+
+    :param stand_in: the state and faults to serve
+    """
+    app = web.Application(
+        middlewares=[_fault_middleware(stand_in)], client_max_size=2 * MAX_VALUE_BYTES
+    )
+    app.router.add_get(PREFIX + "/{kind}", _list_handler(stand_in))
+    app.router.add_post(PREFIX + "/{kind}", _create_handler(stand_in))
+    app.router.add_get(PREFIX + "/{kind}/{name}", _get_handler(stand_in))
+    app.router.add_put(PREFIX + "/{kind}/{name}", _update_handler(stand_in))
+    app.router.add_delete(PREFIX + "/{kind}/{name}", _delete_handler(stand_in))
+    return app
+
+
+def _status(code: int, reason: str, message: str) -> web.Response:
+    body = {"kind": "Status", "code": code, "reason": reason, "message": message}
+    return web.json_response(body, status=code)
+
+
+def _fault_middleware(stand_in: PlatformStandIn):
+    @web.middleware
+    async def apply_faults(request: web.Request, handler: Handler):
+        faults = stand_in.faults
+        verb = "WATCH" if "watch" in request.query else request.method
+        stand_in.state.calls[verb, request.match_info.get("kind", "")] += 1
+        if faults.down:
+            return _status(503, "ServiceUnavailable", "the service is down")
+        if not stand_in.allow_call():
+            return _status(429, "TooManyRequests", "call rate exceeded")
+        if faults.delay_seconds:
+            await asyncio.sleep(faults.delay_seconds)
+        response = await _answer(request, handler)
+        if request.method in WRITES and faults.lose_write_answers > 0:
+            faults.lose_write_answers -= 1
+            assert request.transport is not None
+            request.transport.abort()
+        return response
+
+    return apply_faults
+
+
+async def _answer(request: web.Request, handler: Handler) -> web.StreamResponse:
+    try:
+        return await handler(request)
+    except Absent as error:
+        return _status(404, "NotFound", f"{error} does not exist")
+    except Conflict as error:
+        return _status(409, "Conflict", f"{error} exists or has another version")
+    except Expired as error:
+        return _status(410, "Expired", f"version {error} is too old")
+
+
+def _list_handler(stand_in: PlatformStandIn) -> Handler:
+    async def list_objects(request: web.Request) -> web.StreamResponse:
+        if "watch" in request.query:
+            return await _watch(stand_in, request)
+        selector = request.query.get("labelSelector", "")
+        labels = dict(pair.split("=", 1) for pair in selector.split(",") if pair)
+        state = stand_in.state
+        items = state.list(request.match_info["kind"], labels)
+        metadata = {"resourceVersion": str(state.version)}
+        return web.json_response({"metadata": metadata, "items": items})
+
+    return list_objects
+
+
+async def _watch(stand_in: PlatformStandIn, request: web.Request):
+    kind = request.match_info["kind"]
+    version = int(request.query.get("resourceVersion", "0"))
+    response = web.StreamResponse()
+    response.content_type = "application/json"
+    stand_in.state.changes_since(kind, version)
+    await response.prepare(request)
+    while not stand_in.faults.down:
+        changed = stand_in.changed
+        upto = stand_in.state.version
+        for change in stand_in.state.changes_since(kind, version):
+            await _write_event(response, change.type, change.object)
+        version = upto
+        bookmark = {"kind": kind, "metadata": {"resourceVersion": str(version)}}
+        await _write_event(response, "BOOKMARK", bookmark)
+        try:
+            await asyncio.wait_for(changed.wait(), BOOKMARK_SECONDS)
+        except TimeoutError:
+            continue
+    return response
+
+
+async def _write_event(response: web.StreamResponse, event_type: str, item: dict):
+    line = json.dumps({"type": event_type, "object": item})
+    await response.write(line.encode() + b"\n")
+
+
+async def _read_object(request: web.Request) -> dict:
+    body = await request.read()
+    if len(body) > MAX_VALUE_BYTES:
+        raise web.HTTPRequestEntityTooLarge(MAX_VALUE_BYTES, len(body))
+    try:
+        item = json.loads(body)
+        if not item["metadata"]["name"]:
+            raise KeyError("name")
+    except (ValueError, KeyError, TypeError) as error:
+        raise web.HTTPBadRequest(text=f"malformed object: {error}") from error
+    return item
+
+
+def _create_handler(stand_in: PlatformStandIn) -> Handler:
+    async def create_object(request: web.Request) -> web.Response:
+        item = await _read_object(request)
+        stored = stand_in.state.create(request.match_info["kind"], item)
+        stand_in.announce()
+        return web.json_response(stored, status=201)
+
+    return create_object
+
+
+def _get_handler(stand_in: PlatformStandIn) -> Handler:
+    async def get_object(request: web.Request) -> web.Response:
+        match = request.match_info
+        return web.json_response(stand_in.state.get(match["kind"], match["name"]))
+
+    return get_object
+
+
+def _update_handler(stand_in: PlatformStandIn) -> Handler:
+    async def update_object(request: web.Request) -> web.Response:
+        item = await _read_object(request)
+        stored = stand_in.state.update(request.match_info["kind"], item)
+        stand_in.announce()
+        return web.json_response(stored)
+
+    return update_object
+
+
+def _delete_handler(stand_in: PlatformStandIn) -> Handler:
+    async def delete_object(request: web.Request) -> web.Response:
+        match = request.match_info
+        version = request.query.get("resourceVersion")
+        removed = stand_in.state.delete(match["kind"], match["name"], version)
+        stand_in.announce()
+        return web.json_response(removed)
+
+    return delete_object
--- /dev/null
+++ b/src/primroseford/standins/service.py
@@ -0,0 +1,54 @@
+"""Stand-in of a plain service that counts how often each call ran."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from dataclasses import dataclass
+from dataclasses import field
+
+from aiohttp import web
+
+MAX_BODY_BYTES = 64 * 1024 * 1024
+
+
+@dataclass
+class ServiceStandIn:
+    """Counters and faults of a plain service.
+
+    :param runs: number of runs by the header ``X-Call``, or by path
+    :param delay_seconds: time that a call takes
+    :param cut_after_run: cut the connection after the call ran
+    :param refuse_status: answer with this status before the call runs; 0 is off
+    :param seen_headers: headers of each call
+    """
+
+    runs: Counter[str] = field(default_factory=Counter)
+    delay_seconds: float = 0.0
+    cut_after_run: bool = False
+    refuse_status: int = 0
+    seen_headers: list[dict[str, str]] = field(default_factory=list)
+
+
+def create_service_application(service: ServiceStandIn) -> web.Application:
+    """Return an application that takes any method and path.
+
+    :param service: counters and faults
+    """
+
+    async def handle(request: web.Request) -> web.Response:
+        body = await request.read()
+        service.seen_headers.append({**request.headers, ":path": request.path_qs})
+        if service.refuse_status:
+            return web.Response(status=service.refuse_status, text="refused")
+        service.runs[request.headers.get("X-Call", request.path)] += 1
+        await asyncio.sleep(service.delay_seconds)
+        if service.cut_after_run and request.transport is not None:
+            request.transport.abort()
+        headers = {"X-Request-Id": request.headers.get("X-Request-Id", "")}
+        answer = {"path": request.path, "method": request.method, "bytes": len(body)}
+        return web.json_response(answer, headers=headers)
+
+    app = web.Application(client_max_size=MAX_BODY_BYTES)
+    app.router.add_route("*", "/{path:.*}", handle)
+    return app
