Give deleted objects the version of their deletion in the stand-in

Cause: a DELETED event carried the version of the object's last change, so a reader that ignores old versions dropped every delete. A name in the body that differs from the path was accepted, and a watch whose version left the change log failed after its headers were sent. Change: DELETED carries the deletion's version; a differing name is refused; such a watch ends. New faults: writes lost before their effect, service down after a write, watches cut, expired and skipping events. Conclusion: the stand-in follows the protocol in docs/design.md in these points.

--- a/src/primroseford/standins/platform.py
+++ b/src/primroseford/standins/platform.py
@@ -98,16 +98,29 @@
             return _status(429, "TooManyRequests", "call rate exceeded")
         if faults.delay_seconds:
             await asyncio.sleep(faults.delay_seconds)
+        if request.method not in WRITES:
+            return await _answer(request, handler)
+        if faults.lose_writes > 0:
+            faults.lose_writes -= 1
+            return _cut(request)
         response = await _answer(request, handler)
-        if request.method in WRITES and faults.lose_write_answers > 0:
+        if faults.down_after_writes > 0:
+            faults.down_after_writes -= 1
+            faults.down = faults.down_after_writes == 0
+        if faults.lose_write_answers > 0:
             faults.lose_write_answers -= 1
-            assert request.transport is not None
-            request.transport.abort()
+            return _cut(request)
         return response
 
     return apply_faults
 
 
+def _cut(request: web.Request) -> web.Response:
+    if request.transport is not None:
+        request.transport.abort()
+    return web.Response()
+
+
 async def _answer(request: web.Request, handler: Handler) -> web.StreamResponse:
     try:
         return await handler(request)
@@ -138,12 +151,28 @@
     version = int(request.query.get("resourceVersion", "0"))
     response = web.StreamResponse()
     response.content_type = "application/json"
+    faults = stand_in.faults
+    if faults.expire_watches > 0:
+        faults.expire_watches -= 1
+        raise Expired(str(version))
     stand_in.state.changes_since(kind, version)
     await response.prepare(request)
-    while not stand_in.faults.down:
+    while not faults.down:
+        if faults.cut_watches > 0:
+            faults.cut_watches -= 1
+            _cut(request)
+            return response
         changed = stand_in.changed
         upto = stand_in.state.version
-        for change in stand_in.state.changes_since(kind, version):
+        try:
+            changes = stand_in.state.changes_since(kind, version)
+        except Expired:
+            # The headers are sent, so the reader learns it from its next watch.
+            return response
+        for change in changes:
+            if faults.skip_watch_events > 0:
+                faults.skip_watch_events -= 1
+                continue
             await _write_event(response, change.type, change.object)
         version = upto
         bookmark = {"kind": kind, "metadata": {"resourceVersion": str(version)}}
@@ -166,8 +195,9 @@
         raise web.HTTPRequestEntityTooLarge(MAX_VALUE_BYTES, len(body))
     try:
         item = json.loads(body)
-        if not item["metadata"]["name"]:
-            raise KeyError("name")
+        name = item["metadata"]["name"]
+        if not name or request.match_info.get("name", name) != name:
+            raise ValueError("the name differs from the path")
     except (ValueError, KeyError, TypeError) as error:
         raise web.HTTPBadRequest(text=f"malformed object: {error}") from error
     return item
--- a/src/primroseford/standins/platform_state.py
+++ b/src/primroseford/standins/platform_state.py
@@ -34,7 +34,8 @@
     :param version: version of the whole service after the change
     :param kind: kind of the object
     :param type: ``ADDED``, ``MODIFIED`` or ``DELETED``
-    :param object: the object after the change, or the last one if deleted
+    :param object: the object after the change; if deleted, the last one with the
+        version of its deletion
     """
 
     version: int
@@ -51,13 +52,24 @@
     :param delay_seconds: wait before each answer
     :param lose_write_answers: number of coming writes that take effect and
         whose answers are lost
+    :param lose_writes: number of coming writes that are cut before they take effect
+    :param down_after_writes: number of coming writes after whose last one the
+        service is down; 0 is off
     :param calls_per_second: refuse calls above this rate with 429; 0 is no limit
+    :param cut_watches: end the open watches; each one counts the number down
+    :param skip_watch_events: number of coming watch events that are left out
+    :param expire_watches: number of coming watches that are refused with 410
     """
 
     down: bool = False
     delay_seconds: float = 0.0
     lose_write_answers: int = 0
+    lose_writes: int = 0
+    down_after_writes: int = 0
     calls_per_second: float = 0.0
+    cut_watches: int = 0
+    skip_watch_events: int = 0
+    expire_watches: int = 0
 
 
 @dataclass
@@ -107,8 +119,9 @@
         """
         metadata = item["metadata"]
         current = self.get(kind, metadata["name"])
-        if str(metadata.get("resourceVersion")) != str(
-            current["metadata"]["resourceVersion"]
+        if (
+            str(metadata.get("resourceVersion"))
+            != current["metadata"]["resourceVersion"]
         ):
             raise Conflict(metadata["name"])
         return self._store(kind, item, "MODIFIED")
@@ -124,8 +137,10 @@
             raise Conflict(name)
         del self.objects[kind][name]
         self.version += 1
-        self.changes.append(Change(self.version, kind, "DELETED", current))
-        return current
+        metadata = current["metadata"] | {"resourceVersion": str(self.version)}
+        removed = current | {"metadata": metadata}
+        self.changes.append(Change(self.version, kind, "DELETED", removed))
+        return removed
 
     def changes_since(self, kind: str, version: int) -> list[Change]:
         """Return the changes of a kind after a version.
