Make the platform client whole

Cause: the client had no call limit, no counters and no bound on sizes; a delete or a retried write whose answer was lost was reported wrongly; aiohttp silently resent PUT and DELETE on a broken connection, and the second send's refusal was reported as another writer's. Change: one call limiter with priorities, calls counted by purpose and verb, bounded sizes, writes that are read back by operation id, and a reflector that lists, watches and lists again. Transport, write decisions, view and reflector are modules of their own. Conclusion: a write ends as done, lost race, not run, or unknown.

--- /dev/null
+++ b/src/primroseford/conftest.py
@@ -0,0 +1,56 @@
+"""Fixtures that the slices' tests share."""
+
+from __future__ import annotations
+
+import asyncio
+
+import aiohttp
+import pytest
+from hypothesis import settings
+
+from primroseford.clock import ManualClock
+from primroseford.standins.platform import create_platform_application
+from primroseford.standins.platform import create_platform_stand_in
+from primroseford.standins.serving import serve
+
+settings.register_profile("derandomised", derandomize=True, deadline=None)
+settings.load_profile("derandomised")
+
+WAIT_STEPS = 2_000
+
+
+@pytest.fixture
+def clock() -> ManualClock:
+    """A clock that starts at 100 s and moves only when told to."""
+    return ManualClock(100.0)
+
+
+@pytest.fixture
+async def session():
+    """An HTTP session like that of a host."""
+    async with aiohttp.ClientSession() as opened:
+        yield opened
+
+
+@pytest.fixture
+async def platform():
+    """A platform stand-in that is served; ``url`` is its address."""
+    stand_in = create_platform_stand_in()
+    served = await serve(create_platform_application(stand_in))
+    stand_in.url = served.url
+    yield stand_in
+    await served.stop()
+
+
+@pytest.fixture
+def eventually():
+    """Waits for a condition, with a generous bound."""
+
+    async def wait(condition) -> None:
+        for _ in range(WAIT_STEPS):
+            if condition():
+                return
+            await asyncio.sleep(0.005)
+        raise AssertionError("the condition did not become true")
+
+    return wait
--- a/src/primroseford/platform/client.py
+++ b/src/primroseford/platform/client.py
@@ -2,16 +2,21 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
+import random
 import uuid
 from typing import TYPE_CHECKING
 from typing import Any
 
-import aiohttp
-
+from primroseford.clock import boottime
+from primroseford.errors import Outcome
 from primroseford.errors import PrimrosefordError
 from primroseford.errors import ResultCode
 from primroseford.ids import Version
+from primroseford.metrics import Metrics
+from primroseford.platform.limiter import CallLimiter
+from primroseford.platform.limiter import Priority
 from primroseford.platform.objects import EventType
 from primroseford.platform.objects import ObjectList
 from primroseford.platform.objects import PlatformObject
@@ -19,73 +24,106 @@
 from primroseford.platform.objects import WatchEvent
 from primroseford.platform.objects import decode_object
 from primroseford.platform.objects import encode_object
+from primroseford.platform.transport import Call
+from primroseford.platform.transport import Transport
+from primroseford.platform.writes import MAX_ATTEMPTS
+from primroseford.platform.writes import Verdict
+from primroseford.platform.writes import Write
+from primroseford.platform.writes import WriteVerb
+from primroseford.platform.writes import backoff_delay
+from primroseford.platform.writes import judge_read_back
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+    import aiohttp
+
+    from primroseford.clock import Clock
 
-PREFIX = "/apis/primroseford.dev/v1"
-CALL_TIMEOUT_SECONDS = 2.0
-WATCH_READ_TIMEOUT_SECONDS = 10.0
-MAX_LINE_BYTES = 2 * 1024 * 1024
+    Sleep = Callable[[float], Awaitable[None]]
 
-STATUS_CODES = {
-    404: ResultCode.NOT_FOUND,
-    409: ResultCode.VERSION_CONFLICT,
-    410: ResultCode.WATCH_EXPIRED,
-    413: ResultCode.BODY_TOO_LARGE,
-    429: ResultCode.CALLS_LIMITED,
-}
+OTHER_PURPOSE = "other"
 
 
 class PlatformClient:
     """Typed access to the platform's objects.
 
-    :param base_url: address of the service, without a trailing slash
-    :param session: HTTP session, owned by the caller
+    Every method takes the ``purpose`` it is counted under and its ``priority`` in
+    the host's call limit.
+
+    :param transport: sends single calls
+    :param sleep: waits between the attempts of a write
     """
 
-    def __init__(self, base_url: str, session: aiohttp.ClientSession) -> None:
-        self.base_url = base_url.rstrip("/") + PREFIX
-        self.session = session
+    def __init__(self, transport: Transport, sleep: Sleep = asyncio.sleep) -> None:
+        self.transport = transport
+        self.sleep = sleep
 
-    async def get(self, kind: str, name: str) -> PlatformObject:
+    async def get(
+        self,
+        kind: str,
+        name: str,
+        *,
+        purpose: str = OTHER_PURPOSE,
+        priority: Priority = Priority.READ,
+    ) -> PlatformObject:
         """Return one object.
 
-        :raises PrimrosefordError: NOT_FOUND, or PLATFORM_UNAVAILABLE
+        :raises PrimrosefordError: NOT_FOUND, CALLS_LIMITED, or PLATFORM_UNAVAILABLE
         """
-        return decode_object(kind, await self._call("GET", f"{kind}/{name}"))
+        call = Call("GET", f"{kind}/{name}", purpose, priority)
+        return _decode(kind, await self.transport.call(call))
 
     async def list(
-        self, kind: str, selector: dict[str, str] | None = None
+        self,
+        kind: str,
+        selector: dict[str, str] | None = None,
+        *,
+        purpose: str = OTHER_PURPOSE,
+        priority: Priority = Priority.READ,
     ) -> ObjectList:
-        """Return the objects of a kind.
+        """Return all objects of a kind in one answer.
 
         :param selector: labels that the objects must carry
-        :raises PrimrosefordError: PLATFORM_UNAVAILABLE
+        :raises PrimrosefordError: CALLS_LIMITED, or PLATFORM_UNAVAILABLE
         """
         pairs = ",".join(f"{k}={v}" for k, v in (selector or {}).items())
-        body = await self._call("GET", kind, params={"labelSelector": pairs})
-        version = Version(int(body["metadata"]["resourceVersion"]))
-        items = tuple(decode_object(kind, item) for item in body["items"])
+        params = {"labelSelector": pairs}
+        call = Call("LIST", kind, purpose, priority, params=params)
+        body = await self.transport.call(call)
+        try:
+            version = Version(int(body["metadata"]["resourceVersion"]))
+            items = tuple(decode_object(kind, item) for item in body["items"])
+        except (KeyError, TypeError, ValueError) as error:
+            raise _malformed_answer(kind) from error
         return ObjectList(version, items)
 
     async def create(
-        self, kind: str, name: str, spec: Spec, labels: dict[str, str] | None = None
+        self,
+        kind: str,
+        name: str,
+        spec: Spec,
+        labels: dict[str, str] | None = None,
+        *,
+        purpose: str = OTHER_PURPOSE,
+        priority: Priority = Priority.CLAIM,
     ) -> PlatformObject:
         """Create an object.
 
-        :raises PrimrosefordError: ALREADY_EXISTS, or PLATFORM_UNAVAILABLE
+        :raises PrimrosefordError: ALREADY_EXISTS, BODY_TOO_LARGE, CALLS_LIMITED, or
+            PLATFORM_UNAVAILABLE with the outcome
         """
-        operation = uuid.uuid4().hex
-        body = encode_object(name, spec, labels or {}, operation)
+        write = Write(WriteVerb.CREATE, kind, name, uuid.uuid4().hex)
+        body = _encode(write, spec, labels)
+        call = Call("POST", kind, purpose, priority, body)
         try:
-            return decode_object(kind, await self._call("POST", kind, body))
+            return await self._write(write, call)
         except PrimrosefordError as error:
             if error.code is ResultCode.VERSION_CONFLICT:
                 error.code = ResultCode.ALREADY_EXISTS
-            if error.code is not ResultCode.PLATFORM_UNAVAILABLE:
-                raise
-        return await self._read_back(kind, name, operation)
+            raise
 
     async def update(
         self,
@@ -94,118 +132,163 @@
         spec: Spec,
         version: Version,
         labels: dict[str, str] | None = None,
+        *,
+        purpose: str = OTHER_PURPOSE,
+        priority: Priority = Priority.CLAIM,
     ) -> PlatformObject:
         """Replace an object on condition of its version.
 
-        :raises PrimrosefordError: VERSION_CONFLICT, NOT_FOUND, or
-            PLATFORM_UNAVAILABLE
+        :raises PrimrosefordError: VERSION_CONFLICT, NOT_FOUND, BODY_TOO_LARGE,
+            CALLS_LIMITED, or PLATFORM_UNAVAILABLE with the outcome
         """
-        operation = uuid.uuid4().hex
-        body = encode_object(name, spec, labels or {}, operation, version)
-        path = f"{kind}/{name}"
-        try:
-            return decode_object(kind, await self._call("PUT", path, body))
-        except PrimrosefordError as error:
-            if error.code is not ResultCode.PLATFORM_UNAVAILABLE:
-                raise
-        return await self._read_back(kind, name, operation)
+        write = Write(WriteVerb.UPDATE, kind, name, uuid.uuid4().hex, version)
+        body = _encode(write, spec, labels)
+        call = Call("PUT", f"{kind}/{name}", purpose, priority, body)
+        return await self._write(write, call)
 
     async def delete(
-        self, kind: str, name: str, version: Version | None = None
+        self,
+        kind: str,
+        name: str,
+        version: Version | None = None,
+        *,
+        purpose: str = OTHER_PURPOSE,
+        priority: Priority = Priority.CLAIM,
     ) -> None:
         """Delete an object, on condition of its version if one is given.
 
-        :raises PrimrosefordError: VERSION_CONFLICT, NOT_FOUND, or
-            PLATFORM_UNAVAILABLE
+        After a lost answer an absent object counts as deleted by this call, so a
+        delete must not serve as a claim.
+
+        :raises PrimrosefordError: VERSION_CONFLICT, NOT_FOUND, CALLS_LIMITED, or
+            PLATFORM_UNAVAILABLE with the outcome
         """
+        write = Write(WriteVerb.DELETE, kind, name, uuid.uuid4().hex, version)
         params = {} if version is None else {"resourceVersion": str(version)}
-        await self._call("DELETE", f"{kind}/{name}", params=params)
+        path = f"{kind}/{name}"
+        await self._write(write, Call("DELETE", path, purpose, priority, params=params))
 
-    async def watch(self, kind: str, since: Version) -> AsyncIterator[WatchEvent]:
+    async def watch(
+        self,
+        kind: str,
+        since: Version,
+        *,
+        purpose: str = OTHER_PURPOSE,
+        priority: Priority = Priority.READ,
+    ) -> AsyncIterator[WatchEvent]:
         """Yield the changes of a kind after a version.
 
         :param since: version that the reader has
-        :raises PrimrosefordError: WATCH_EXPIRED, or PLATFORM_UNAVAILABLE
+        :raises PrimrosefordError: WATCH_EXPIRED, CALLS_LIMITED, or
+            PLATFORM_UNAVAILABLE
         """
         params = {"watch": "1", "resourceVersion": str(since)}
-        timeout = aiohttp.ClientTimeout(
-            total=None, sock_read=WATCH_READ_TIMEOUT_SECONDS
-        )
+        call = Call("WATCH", kind, purpose, priority, params=params)
+        async for line in self.transport.lines(call):
+            yield _decode_event(kind, line)
+
+    async def _write(self, write: Write, call: Call) -> Any:
+        """Send a write until its effect is known or the service stays away."""
+        in_doubt = False
+        for attempt in range(1, MAX_ATTEMPTS + 1):
+            try:
+                body = await self.transport.call(call)
+                return None if call.verb == "DELETE" else _decode(write.kind, body)
+            except PrimrosefordError as error:
+                failure = error
+            in_doubt = in_doubt or failure.outcome is Outcome.MAY_HAVE_RUN
+            if not in_doubt:
+                raise failure
+            verdict, found = await self._read_back(write, call)
+            if verdict is Verdict.DONE:
+                return found
+            if verdict is not Verdict.RETRY:
+                raise _lost_race(write, verdict)
+            if attempt < MAX_ATTEMPTS:
+                await self.sleep(backoff_delay(attempt, random.random()))
+        raise _outcome_unknown(write)
+
+    async def _read_back(
+        self, write: Write, call: Call
+    ) -> tuple[Verdict, PlatformObject | None]:
         try:
-            async with self.session.get(
-                f"{self.base_url}/{kind}",
-                params=params,
-                timeout=timeout,
-                read_bufsize=MAX_LINE_BYTES,
-            ) as response:
-                if response.status != 200:
-                    raise _status_error(response.status, kind)
-                async for line in response.content:
-                    yield _decode_event(kind, json.loads(line))
-        except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
-            raise _unavailable(kind) from error
-
-    async def _read_back(self, kind: str, name: str, operation: str) -> PlatformObject:
-        found = await self.get(kind, name)
-        if found.operation != operation:
-            raise PrimrosefordError(
-                ResultCode.VERSION_CONFLICT, f"{kind}/{name} was changed by another"
+            found = await self.get(
+                write.kind, write.name, purpose=call.purpose, priority=call.priority
             )
-        return found
-
-    async def _call(
-        self,
-        method: str,
-        path: str,
-        body: dict[str, Any] | None = None,
-        params: dict[str, str] | None = None,
-    ) -> dict[str, Any]:
-        timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_SECONDS)
-        try:
-            async with self.session.request(
-                method,
-                f"{self.base_url}/{path}",
-                json=body,
-                params=params,
-                timeout=timeout,
-            ) as response:
-                content = await response.read()
-                if response.status >= 400:
-                    raise _status_error(response.status, path)
-                return json.loads(content)
-        except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
-            raise _unavailable(path) from error
+        except PrimrosefordError as error:
+            if error.code is not ResultCode.NOT_FOUND:
+                raise _outcome_unknown(write) from error
+            found = None
+        return judge_read_back(write, found), found
 
 
 def create_platform_client(
-    base_url: str, session: aiohttp.ClientSession
+    base_url: str,
+    session: aiohttp.ClientSession,
+    clock: Clock = boottime,
+    limits: CallLimiter | None = None,
+    metrics: Metrics | None = None,
 ) -> PlatformClient:
     """Return a client of the platform's service.
 
     :param base_url: address of the service
     :param session: HTTP session, owned by the caller
+    :param clock: local clock of the call limit
+    :param limits: the host's call limit, shared by all its clients
+    :param metrics: where calls are counted
     """
-    return PlatformClient(base_url, session)
+    limiter = limits or CallLimiter(clock=clock)
+    return PlatformClient(Transport(base_url, session, limiter, metrics or Metrics()))
+
+
+def _encode(write: Write, spec: Spec, labels: dict[str, str] | None) -> bytes:
+    item = encode_object(write.name, spec, labels or {}, write.operation, write.version)
+    return json.dumps(item, separators=(",", ":")).encode()
+
+
+def _decode(kind: str, body: dict[str, Any]) -> PlatformObject:
+    try:
+        return decode_object(kind, body)
+    except (KeyError, TypeError, ValueError) as error:
+        raise _malformed_answer(kind) from error
 
 
 def _decode_event(kind: str, body: dict[str, Any]) -> WatchEvent:
-    event_type = EventType(body["type"])
-    version = Version(int(body["object"]["metadata"]["resourceVersion"]))
+    try:
+        event_type = EventType(body["type"])
+        version = Version(int(body["object"]["metadata"]["resourceVersion"]))
+    except (KeyError, TypeError, ValueError) as error:
+        raise _malformed_answer(kind) from error
     if event_type is EventType.BOOKMARK:
         return WatchEvent(event_type, version, None)
-    return WatchEvent(event_type, version, decode_object(kind, body["object"]))
+    return WatchEvent(event_type, version, _decode(kind, body["object"]))
+
+
+def _malformed_answer(kind: str) -> PrimrosefordError:
+    return PrimrosefordError(
+        ResultCode.PLATFORM_UNAVAILABLE,
+        f"the platform's service gave a malformed answer for {kind}",
+        outcome=Outcome.MAY_HAVE_RUN,
+        retry_after=1.0,
+    )
 
 
-def _status_error(status: int, path: str) -> PrimrosefordError:
-    code = STATUS_CODES.get(status, ResultCode.PLATFORM_UNAVAILABLE)
+def _lost_race(write: Write, verdict: Verdict) -> PrimrosefordError:
+    # The write may have taken effect before the other writer changed its result.
+    absent = verdict is Verdict.ABSENT
+    change = "deleted" if absent else "changed"
     return PrimrosefordError(
-        code, f"the platform's service answered {status} for {path}"
+        ResultCode.NOT_FOUND if absent else ResultCode.VERSION_CONFLICT,
+        f"{write.kind}/{write.name} was {change} by another",
+        outcome=Outcome.MAY_HAVE_RUN,
     )
 
 
-def _unavailable(path: str) -> PrimrosefordError:
+def _outcome_unknown(write: Write) -> PrimrosefordError:
     return PrimrosefordError(
         ResultCode.PLATFORM_UNAVAILABLE,
-        f"the platform's service did not answer for {path}",
+        f"the outcome of the write to {write.kind}/{write.name} is unknown",
+        hint="read the object before you write again",
+        outcome=Outcome.MAY_HAVE_RUN,
         retry_after=1.0,
     )
--- /dev/null
+++ b/src/primroseford/platform/reflector.py
@@ -0,0 +1,151 @@
+"""Keeps a local view of a kind: lists, watches, and lists again after a break."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING
+
+import structlog
+from mode import Service
+
+from primroseford.clock import boottime
+from primroseford.errors import PrimrosefordError
+from primroseford.platform.limiter import Priority
+from primroseford.platform.view import View
+from primroseford.platform.view import apply_event
+from primroseford.platform.view import apply_list
+from primroseford.platform.writes import backoff_delay
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from primroseford.clock import Clock
+    from primroseford.platform.client import PlatformClient
+    from primroseford.platform.view import Delta
+
+BACKOFF_BASE_SECONDS = 0.2
+BACKOFF_MAX_SECONDS = 10.0
+RELIST_SECONDS = 300.0
+"""Age of the last list after which the next event or bookmark ends the watch. A
+watch can skip events without notice; only a list shows what it skipped."""
+
+log = structlog.get_logger()
+
+
+class Reflector(Service):
+    """Follows the objects of one kind and reports each change.
+
+    :param client: client of the platform's service
+    :param kind: kind to follow
+    :param callback: called with each step of the view, never with an older version
+    :param purpose: mechanism that the calls are counted under
+    :param clock: local clock
+    :param relist_seconds: longest time between two lists
+    :param fraction: source of random numbers from 0 to 1
+    """
+
+    def __init__(
+        self,
+        client: PlatformClient,
+        kind: str,
+        callback: Callable[[Delta], None],
+        purpose: str,
+        clock: Clock,
+        relist_seconds: float,
+        fraction: Callable[[], float],
+    ) -> None:
+        super().__init__()
+        self.client = client
+        self.kind = kind
+        self.callback = callback
+        self.purpose = purpose
+        self.clock = clock
+        self.relist_seconds = relist_seconds
+        self.fraction = fraction
+        self.view = View()
+        self.confirmed_at: float | None = None
+        self.failures = 0
+
+    @Service.task
+    async def follow(self) -> None:
+        """List and watch until the service stops."""
+        while not self.should_stop:
+            await self.sleep(await self.run_once())
+
+    async def run_once(self) -> float:
+        """List, then watch until the watch ends.
+
+        :returns: seconds to wait before the next list
+        """
+        try:
+            await self._list()
+            await self._watch()
+        except PrimrosefordError as error:
+            log.warning("watch ended", kind=self.kind, code=error.code.name)
+        self.failures += 1
+        return backoff_delay(
+            self.failures, self.fraction(), BACKOFF_BASE_SECONDS, BACKOFF_MAX_SECONDS
+        )
+
+    async def _list(self) -> None:
+        listed = await self.client.list(
+            self.kind, purpose=self.purpose, priority=Priority.READ
+        )
+        delta = apply_list(self.view, listed)
+        if delta is None:
+            log.warning(
+                "list is older than the view",
+                kind=self.kind,
+                listed=listed.version,
+                version=self.view.version,
+            )
+            return
+        self._report(delta)
+
+    async def _watch(self) -> None:
+        listed_at = self.clock()
+        # Spread over the hosts, which may all have listed at once after an outage.
+        lifetime = self.relist_seconds * (0.5 + self.fraction() / 2)
+        events = self.client.watch(
+            self.kind, self.view.version, purpose=self.purpose, priority=Priority.READ
+        )
+        async for event in events:
+            self.failures = 0
+            delta = apply_event(self.view, event)
+            if delta is not None:
+                self._report(delta)
+            elif event.version == self.view.version:
+                self.confirmed_at = self.clock()
+            if self.should_stop or self.clock() - listed_at > lifetime:
+                await events.aclose()
+                return
+
+    def _report(self, delta: Delta) -> None:
+        self.confirmed_at = self.clock()
+        self.callback(delta)
+
+
+def create_reflector(
+    client: PlatformClient,
+    kind: str,
+    callback: Callable[[Delta], None],
+    *,
+    purpose: str,
+    clock: Clock = boottime,
+    relist_seconds: float = RELIST_SECONDS,
+    fraction: Callable[[], float] = random.random,
+) -> Reflector:
+    """Return a service that follows the objects of one kind.
+
+    ``view`` is the current view, ``confirmed_at`` the local time of the service's
+    last confirmation of it.
+
+    :param client: client of the platform's service
+    :param kind: kind to follow
+    :param callback: called with each step of the view
+    :param purpose: mechanism that the calls are counted under
+    :param clock: local clock
+    :param relist_seconds: longest time between two lists
+    :param fraction: source of random numbers from 0 to 1
+    """
+    return Reflector(client, kind, callback, purpose, clock, relist_seconds, fraction)
--- /dev/null
+++ b/src/primroseford/platform/tests/test_reflector.py
@@ -0,0 +1,121 @@
+from __future__ import annotations
+
+import pytest
+
+from primroseford.ids import Version
+from primroseford.platform.objects import EventType
+from primroseford.platform.objects import ObjectList
+from primroseford.platform.objects import PlatformObject
+from primroseford.platform.objects import WatchEvent
+from primroseford.platform.reflector import create_reflector
+from primroseford.platform.view import View
+from primroseford.platform.view import apply_event
+from primroseford.platform.view import apply_list
+
+
+def item(name: str, version: int) -> PlatformObject:
+    return PlatformObject("pools", name, Version(version), {})
+
+
+@pytest.fixture
+def deltas() -> list:
+    return []
+
+
+@pytest.fixture
+async def reflector(client, deltas):
+    built = create_reflector(
+        client, "pools", deltas.append, purpose="test", fraction=lambda: 0.0
+    )
+    yield built
+    await built.stop()
+
+
+def store(platform, name: str) -> None:
+    platform.state.create("pools", {"metadata": {"name": name}, "spec": {}})
+    platform.announce()
+
+
+def remove(platform, name: str) -> None:
+    platform.state.delete("pools", name, None)
+    platform.announce()
+
+
+def test_older_list_and_event_are_ignored():
+    """Guards against a view that goes back when a lagging answer arrives."""
+    view = View(Version(5), {"a": item("a", 5)})
+    assert apply_list(view, ObjectList(Version(4), ())) is None
+    late = WatchEvent(EventType.DELETED, Version(5), item("a", 5))
+    assert apply_event(view, late) is None
+    assert (view.version, set(view.objects)) == (5, {"a"})
+
+
+def test_list_reports_deletes_that_no_event_reported():
+    """Guards against objects that stay after their delete went unseen."""
+    view = View(Version(5), {"a": item("a", 4), "b": item("b", 5)})
+    delta = apply_list(view, ObjectList(Version(9), (item("b", 8), item("c", 9))))
+    assert [(event.type, event.object.name) for event in delta.events] == [
+        (EventType.DELETED, "a"),
+        (EventType.MODIFIED, "b"),
+        (EventType.ADDED, "c"),
+    ]
+    assert set(view.objects) == {"b", "c"}
+
+
+async def test_follows_changes(platform, reflector, deltas, eventually):
+    """Guards against missed changes and deletes in the plain case."""
+    store(platform, "a")
+    await reflector.start()
+    await eventually(lambda: set(reflector.view.objects) == {"a"})
+    store(platform, "b")
+    remove(platform, "a")
+    await eventually(lambda: set(reflector.view.objects) == {"b"})
+    versions = [delta.version for delta in deltas]
+    assert versions == sorted(versions)
+    assert reflector.confirmed_at is not None
+
+
+@pytest.mark.parametrize("expired", [0, 2])
+async def test_broken_and_expired_watch(
+    platform, reflector, deltas, eventually, expired
+):
+    """Guards against changes and deletes lost when a watch breaks or expires."""
+    store(platform, "a")
+    await reflector.start()
+    await eventually(lambda: "a" in reflector.view.objects)
+    platform.faults.cut_watches = 1
+    platform.faults.expire_watches = expired
+    remove(platform, "a")
+    store(platform, "b")
+    await eventually(lambda: set(reflector.view.objects) == {"b"})
+    events = [(e.type, e.object.name) for delta in deltas for e in delta.events]
+    assert events.count((EventType.DELETED, "a")) == 1
+    versions = [delta.version for delta in deltas]
+    assert versions == sorted(versions)
+
+
+async def test_skipped_event_is_found_by_the_next_list(
+    platform, client, deltas, eventually
+):
+    """Guards against a delete that the watch skipped staying unseen for ever."""
+    reflector = create_reflector(
+        client, "pools", deltas.append, purpose="test", relist_seconds=0.1
+    )
+    store(platform, "a")
+    await reflector.start()
+    await eventually(lambda: "a" in reflector.view.objects)
+    platform.faults.skip_watch_events = 1
+    remove(platform, "a")
+    await eventually(lambda: not reflector.view.objects)
+    await reflector.stop()
+
+
+async def test_repeated_failures_back_off(platform, client):
+    """Guards against hosts that flood a service which has just come back."""
+    reflector = create_reflector(
+        client, "pools", lambda _: None, purpose="test", fraction=lambda: 1.0
+    )
+    platform.faults.down = True
+    delays = [await reflector.run_once() for _ in range(8)]
+    assert delays[:3] == [0.2, 0.4, 0.8]
+    assert delays[-1] == 10.0
--- /dev/null
+++ b/src/primroseford/platform/tests/test_writes.py
@@ -0,0 +1,159 @@
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from primroseford.errors import Outcome
+from primroseford.errors import PrimrosefordError
+from primroseford.errors import ResultCode
+from primroseford.ids import Version
+from primroseford.platform import transport
+from primroseford.platform.client import create_platform_client
+from primroseford.platform.objects import PlatformObject
+from primroseford.platform.writes import Verdict
+from primroseford.platform.writes import Write
+from primroseford.platform.writes import WriteVerb
+from primroseford.platform.writes import judge_read_back
+
+OWN = "own-operation"
+
+
+def found(version: int, operation: str) -> PlatformObject:
+    return PlatformObject("jobs", "a", Version(version), {}, operation=operation)
+
+
+async def send(client, verb: WriteVerb, version: Version):
+    if verb is WriteVerb.CREATE:
+        return await client.create("jobs", "new", {"n": 2})
+    if verb is WriteVerb.UPDATE:
+        return await client.update("jobs", "a", {"n": 2}, version)
+    return await client.delete("jobs", "a", version)
+
+
+@pytest.mark.parametrize(
+    ("verb", "item", "verdict"),
+    [
+        (WriteVerb.CREATE, None, Verdict.RETRY),
+        (WriteVerb.CREATE, found(9, OWN), Verdict.DONE),
+        (WriteVerb.CREATE, found(9, "other"), Verdict.CONFLICT),
+        (WriteVerb.UPDATE, None, Verdict.ABSENT),
+        (WriteVerb.UPDATE, found(9, OWN), Verdict.DONE),
+        (WriteVerb.UPDATE, found(9, "other"), Verdict.CONFLICT),
+        (WriteVerb.UPDATE, found(5, "other"), Verdict.RETRY),
+        (WriteVerb.DELETE, None, Verdict.DONE),
+        (WriteVerb.DELETE, found(5, "other"), Verdict.RETRY),
+        (WriteVerb.DELETE, found(9, "other"), Verdict.CONFLICT),
+    ],
+)
+def test_read_back_verdict(verb, item, verdict):
+    """Guards against a lost answer being taken for failure or for success."""
+    write = Write(verb, "jobs", "a", OWN, Version(5))
+    assert judge_read_back(write, item) is verdict
+
+
+@pytest.mark.parametrize("verb", list(WriteVerb))
+@pytest.mark.parametrize("lost", [1, 3])
+async def test_answer_lost_after_effect(platform, client, verb, lost):
+    """Guards against a second effect or a false conflict after a lost answer."""
+    version = (await client.create("jobs", "a", {"n": 1})).version
+    platform.faults.lose_write_answers = lost
+    await send(client, verb, version)
+    assert platform.state.version == version + 1
+    sent = platform.state.calls[verb.value, "jobs"]
+    assert sent == (2 if verb is WriteVerb.CREATE else 1)
+
+
+@pytest.mark.parametrize("verb", list(WriteVerb))
+async def test_write_lost_before_effect(platform, client, verb):
+    """Guards against giving up when the service never saw the write."""
+    version = (await client.create("jobs", "a", {"n": 1})).version
+    platform.faults.lose_writes = 1
+    await send(client, verb, version)
+    assert platform.state.version == version + 1
+
+
+@pytest.mark.parametrize("verb", list(WriteVerb))
+async def test_service_away_after_the_write(platform, client, verb):
+    """Guards against a definite report of a write whose outcome is unknown."""
+    version = (await client.create("jobs", "a", {"n": 1})).version
+    platform.faults.lose_write_answers = 1
+    platform.faults.down_after_writes = 1
+    with pytest.raises(PrimrosefordError) as caught:
+        await send(client, verb, version)
+    assert caught.value.code is ResultCode.PLATFORM_UNAVAILABLE
+    assert caught.value.outcome is Outcome.MAY_HAVE_RUN
+
+
+@pytest.mark.parametrize("verb", list(WriteVerb))
+async def test_connection_refused_is_not_run(session, verb):
+    """Guards against calling a write doubtful that was never sent."""
+    client = create_platform_client("http://127.0.0.1:1", session)
+    with pytest.raises(PrimrosefordError) as caught:
+        await send(client, verb, Version(1))
+    assert caught.value.code is ResultCode.PLATFORM_UNAVAILABLE
+    assert caught.value.outcome is Outcome.NOT_RUN
+
+
+async def test_slow_service_times_out_as_unknown(platform, client, monkeypatch):
+    """Guards against waiting without bound on a slow service."""
+    monkeypatch.setattr(transport, "CALL_TIMEOUT_SECONDS", 0.05)
+    platform.faults.delay_seconds = 30.0
+    with pytest.raises(PrimrosefordError) as caught:
+        await client.create("jobs", "a", {})
+    assert caught.value.code is ResultCode.PLATFORM_UNAVAILABLE
+    assert caught.value.outcome is Outcome.MAY_HAVE_RUN
+
+
+@pytest.mark.parametrize("lost", [0, 1])
+async def test_two_racing_writers_have_one_winner(platform, client, lost):
+    """Guards against both writers of one version being told that they won."""
+    version = (await client.create("jobs", "a", {})).version
+    platform.faults.lose_write_answers = lost
+    results = await asyncio.gather(
+        client.update("jobs", "a", {"by": 1}, version),
+        client.update("jobs", "a", {"by": 2}, version),
+        return_exceptions=True,
+    )
+    errors = [item for item in results if isinstance(item, PrimrosefordError)]
+    (winner,) = [item for item in results if isinstance(item, PlatformObject)]
+    assert [error.code for error in errors] == [ResultCode.VERSION_CONFLICT]
+    assert (await client.get("jobs", "a")).spec == winner.spec
+
+
+@pytest.mark.parametrize(
+    ("verb", "code"),
+    [
+        (WriteVerb.UPDATE, ResultCode.VERSION_CONFLICT),
+        (WriteVerb.DELETE, ResultCode.VERSION_CONFLICT),
+        (WriteVerb.CREATE, ResultCode.ALREADY_EXISTS),
+    ],
+)
+async def test_plain_conflict_costs_one_call(platform, client, verb, code):
+    """Guards against a read for each lost race, which counts at the service."""
+    await client.create("jobs", "new", {})
+    await client.create("jobs", "a", {})
+    before = platform.state.calls.total()
+    with pytest.raises(PrimrosefordError) as caught:
+        await send(client, verb, Version(1))
+    assert (caught.value.code, caught.value.outcome) == (code, Outcome.NOT_RUN)
+    assert platform.state.calls.total() == before + 1
+
+
+async def test_oversized_object_is_refused_unsent(platform, client):
+    """Guards against sending what the service would refuse."""
+    with pytest.raises(PrimrosefordError) as caught:
+        await client.create("jobs", "a", {"text": "x" * 1_000_000})
+    assert caught.value.code is ResultCode.BODY_TOO_LARGE
+    assert not platform.state.calls
+
+
+async def test_calls_are_counted_by_purpose_and_verb(client, metrics):
+    """Guards against calls that no mechanism answers for."""
+    await client.create("jobs", "a", {}, purpose="batch")
+    await client.list("jobs", purpose="batch")
+    await client.get("jobs", "a", purpose="batch")
+    for verb in ("POST", "LIST", "GET"):
+        labels = {"purpose": "batch", "verb": verb}
+        name = "primroseford_platform_calls_total"
+        assert metrics.registry.get_sample_value(name, labels) == 1
--- /dev/null
+++ b/src/primroseford/platform/view.py
@@ -0,0 +1,89 @@
+"""Local view of a kind: pure functions that apply lists and watch events."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+
+from primroseford.ids import Version
+from primroseford.platform.objects import EventType
+from primroseford.platform.objects import WatchEvent
+
+if TYPE_CHECKING:
+    from primroseford.platform.objects import ObjectList
+    from primroseford.platform.objects import PlatformObject
+
+
+@dataclass
+class View:
+    """Objects of a kind as last seen.
+
+    :param version: version of the service that the view has reached
+    :param objects: objects by name
+    """
+
+    version: Version = Version(0)
+    objects: dict[str, PlatformObject] = field(default_factory=dict)
+
+
+@dataclass(frozen=True)
+class Delta:
+    """Step of a view to a newer version.
+
+    :param version: version after the step
+    :param events: changes of single objects, at most one for each name
+    """
+
+    version: Version
+    events: tuple[WatchEvent, ...]
+
+
+def apply_list(view: View, listed: ObjectList) -> Delta | None:
+    """Bring a view to the state of a list.
+
+    :param view: changed in place
+    :param listed: all objects of the kind
+    :returns: the changes, with a delete for each object that the list lacks; or
+        nothing if the list is older than the view
+    """
+    if listed.version < view.version:
+        return None
+    names = {item.name for item in listed.items}
+    events = [
+        WatchEvent(EventType.DELETED, listed.version, item)
+        for name, item in view.objects.items()
+        if name not in names
+    ]
+    for item in listed.items:
+        known = view.objects.get(item.name)
+        if known is None:
+            events.append(WatchEvent(EventType.ADDED, item.version, item))
+        elif known.version < item.version:
+            events.append(WatchEvent(EventType.MODIFIED, item.version, item))
+    view.version = listed.version
+    view.objects = {item.name: item for item in listed.items}
+    return Delta(listed.version, tuple(events))
+
+
+def apply_event(view: View, event: WatchEvent) -> Delta | None:
+    """Bring a view forward by one watch event.
+
+    :param view: changed in place
+    :param event: the event
+    :returns: the change; or nothing if the view has passed the event's version
+    """
+    if event.version <= view.version:
+        return None
+    view.version = event.version
+    item = event.object
+    if item is None:
+        return Delta(event.version, ())
+    if event.type is EventType.DELETED:
+        known = view.objects.pop(item.name, None)
+        events = () if known is None else (event,)
+        return Delta(event.version, events)
+    known = view.objects.get(item.name)
+    view.objects[item.name] = item
+    change = EventType.ADDED if known is None else EventType.MODIFIED
+    return Delta(event.version, (WatchEvent(change, event.version, item),))
