--- /dev/null
+++ b/src/primroseford/lease/tests/test_protocol.py
@@ -0,0 +1,248 @@
+"""Random schedules of the lease protocol with every failure it must survive.
+
+The keepers' coroutines are driven by hand: each call to the service stops them
+until the schedule lets the call take effect and lets its answer arrive.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import field
+from typing import Any
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine
+from hypothesis.stateful import invariant
+from hypothesis.stateful import rule
+
+from primroseford.errors import Outcome
+from primroseford.errors import PrimrosefordError
+from primroseford.errors import ResultCode
+from primroseford.ids import HostId
+from primroseford.ids import Incarnation
+from primroseford.ids import Version
+from primroseford.lease.keeper import create_lease_keeper
+from primroseford.platform.objects import PlatformObject
+
+NAME = "group-1"
+RATES = (0.98, 1.0, 1.02)
+HOSTS = st.integers(0, len(RATES) - 1)
+
+
+def failure(code: ResultCode, outcome=Outcome.NOT_RUN) -> PrimrosefordError:
+    return PrimrosefordError(code, "test", outcome=outcome)
+
+
+@dataclass
+class Operation:
+    """A call that waits for the schedule."""
+
+    run: Any
+    result: Any = None
+    error: PrimrosefordError | None = None
+    done: bool = False
+
+    def __await__(self):
+        return (yield self)
+
+    def take_effect(self) -> None:
+        if not self.done:
+            self.done = True
+            try:
+                self.result = self.run()
+            except PrimrosefordError as error:
+                self.error = error
+
+
+class Store:
+    """One conditional object."""
+
+    def __init__(self) -> None:
+        self.item: PlatformObject | None = None
+        self.version = 0
+
+    def read(self) -> PlatformObject:
+        if self.item is None:
+            raise failure(ResultCode.NOT_FOUND)
+        return self.item
+
+    def write(self, spec, version) -> PlatformObject:
+        if version != (self.item.version if self.item else None):
+            raise failure(ResultCode.VERSION_CONFLICT)
+        self.version += 1
+        self.item = PlatformObject("leases", NAME, Version(self.version), spec)
+        return self.item
+
+
+class Client:
+    """The methods of the platform's client that a keeper uses."""
+
+    def __init__(self, store: Store) -> None:
+        self.store = store
+
+    async def get(self, kind, name, **_):
+        return await Operation(self.store.read)
+
+    async def create(self, kind, name, spec, **_):
+        return await Operation(lambda: self.store.write(spec, None))
+
+    async def update(self, kind, name, spec, version, **_):
+        return await Operation(lambda: self.store.write(spec, version))
+
+
+@dataclass
+class SimulatedHost:
+    keeper: Any
+    coroutine: Any = None
+    operation: Operation | None = None
+    paused: bool = False
+    leases: list = field(default_factory=list)
+
+    def step(self, error: PrimrosefordError | None = None) -> None:
+        """Let the answer of the pending call arrive."""
+        operation, self.operation = self.operation, None
+        try:
+            if error or (operation and operation.error):
+                self.operation = self.coroutine.throw(error or operation.error)
+            else:
+                value = operation.result if operation else None
+                self.operation = self.coroutine.send(value)
+        except StopIteration as stop:
+            self.coroutine = None
+            if stop.value is not None:
+                self.leases.append(stop.value)
+        except PrimrosefordError:
+            self.coroutine = None
+
+
+class LeaseProtocol(RuleBasedStateMachine):
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = 0.0
+        self.store = Store()
+        self.outage = False
+        self.starts = 0
+        self.late: list[Operation] = []
+        self.granted: list[int] = []
+        self.hosts = [self.start(n) for n in range(len(RATES))]
+
+    def start(self, number: int) -> SimulatedHost:
+        self.starts += 1
+        return SimulatedHost(
+            create_lease_keeper(
+                Client(self.store),
+                HostId(f"host-{number}"),
+                Incarnation(str(self.starts)),
+                # Clocks differ in offset and rate.
+                lambda: 1000.0 * number + self.now * RATES[number],
+            )
+        )
+
+    def begin(self, number: int, coroutine) -> None:
+        host = self.hosts[number]
+        host.coroutine = coroutine
+        host.step()
+
+    def idle(self, number: int) -> bool:
+        host = self.hosts[number]
+        return host.coroutine is None and not host.paused
+
+    @rule(number=HOSTS)
+    def acquire(self, number):
+        if self.idle(number):
+            self.begin(number, self.hosts[number].keeper.acquire(NAME))
+
+    @rule(number=HOSTS, release=st.booleans())
+    def renew_or_release(self, number, release):
+        keeper = self.hosts[number].keeper
+        if self.idle(number) and NAME in keeper.held:
+            action = keeper.release if release else keeper.renew
+            self.begin(number, action(keeper.held[NAME]))
+
+    @rule(number=HOSTS)
+    def take_effect(self, number):
+        operation = self.hosts[number].operation
+        if operation is not None and not self.outage:
+            operation.take_effect()
+
+    @rule(number=HOSTS)
+    def answer(self, number):
+        host = self.hosts[number]
+        if host.operation is not None and not host.paused:
+            if self.outage and not host.operation.done:
+                host.step(failure(ResultCode.PLATFORM_UNAVAILABLE))
+            else:
+                host.operation.take_effect()
+                host.step()
+
+    @rule(number=HOSTS, count=st.integers(1, 4))
+    def run_on(self, number, count):
+        for _ in range(count):
+            self.answer(number)
+
+    @rule(number=HOSTS)
+    def lose_answer(self, number):
+        """The call takes effect now, or later, or never."""
+        host = self.hosts[number]
+        if host.operation is not None and not host.paused:
+            self.late.append(host.operation)
+            unknown = Outcome.MAY_HAVE_RUN
+            host.step(failure(ResultCode.PLATFORM_UNAVAILABLE, unknown))
+
+    @rule()
+    def late_effect(self):
+        if self.late and not self.outage:
+            self.late.pop(0).take_effect()
+
+    @rule(seconds=st.sampled_from([0.1, 0.5, 1.0, 2.5, 2.9, 3.1]))
+    def pass_time(self, seconds):
+        self.now += seconds
+
+    @rule(number=HOSTS, paused=st.booleans())
+    def pause(self, number, paused):
+        self.hosts[number].paused = paused
+
+    @rule(number=HOSTS)
+    def crash(self, number):
+        host = self.hosts[number]
+        if host.operation is not None:
+            self.late.append(host.operation)
+        if host.coroutine is not None:
+            host.coroutine.close()
+        self.hosts[number] = self.start(number)
+
+    @rule(down=st.booleans())
+    def switch_outage(self, down):
+        self.outage = down
+
+    @invariant()
+    def one_effective_holder(self):
+        valid = [
+            lease
+            for host in self.hosts
+            for lease in host.keeper.held.values()
+            if lease.valid(host.keeper.clock())
+        ]
+        assert len(valid) <= 1
+
+    @invariant()
+    def fencing_numbers_grow(self):
+        for host in self.hosts:
+            for lease in host.leases:
+                assert lease.fencing > max(self.granted, default=0)
+                self.granted.append(lease.fencing)
+            host.leases.clear()
+
+    def teardown(self):
+        for host in self.hosts:
+            if host.coroutine is not None:
+                host.coroutine.close()
+
+
+LeaseProtocol.TestCase.settings = settings(
+    max_examples=300, stateful_step_count=60, deadline=None, derandomize=True
+)
+TestLeaseProtocol = LeaseProtocol.TestCase
+"""Guards against two effective holders at one time and against fencing numbers
+that do not grow, under loss, delay, pause, crash and outage."""
