Give orders under a lease that exists while they are pending

Cause: engines take orders from anyone, and some ignore fencing numbers. Leases can have times of their own. Conclusion: an order is carried out under the newest number, or its doubt is reported and waited out.

--- a/src/primroseford/lease/decisions.py
+++ b/src/primroseford/lease/decisions.py
@@ -14,6 +14,7 @@
 from primroseford.ids import FencingNumber
 from primroseford.lease.state import FREE
 from primroseford.lease.state import LeaseRecord
+from primroseford.lease.state import LeaseTimes
 from primroseford.lease.state import Sighting
 
 if TYPE_CHECKING:
@@ -21,26 +22,6 @@
     from primroseford.ids import Incarnation
     from primroseford.ids import Version
 
-DURATION_SECONDS = 3.0
-RENEW_SECONDS = 1.0
-MARGIN_SECONDS = 0.3
-"""A tenth of the duration. Clock rates differ by far less; the rest covers the time
-between a holder's check and the moment its effect leaves the host."""
-
-
-@dataclass(frozen=True)
-class LeaseTimes:
-    """Times of a lease, in seconds.
-
-    :param duration: time after which an unchanged lease may be taken over
-    :param renew: time between renewals
-    :param margin: how much earlier the holder stops
-    """
-
-    duration: float = DURATION_SECONDS
-    renew: float = RENEW_SECONDS
-    margin: float = MARGIN_SECONDS
-
 
 @dataclass(frozen=True)
 class Wait:
--- a/src/primroseford/lease/keeper.py
+++ b/src/primroseford/lease/keeper.py
@@ -11,7 +11,6 @@
 from primroseford.clock import boottime
 from primroseford.errors import PrimrosefordError
 from primroseford.errors import ResultCode
-from primroseford.lease.decisions import LeaseTimes
 from primroseford.lease.decisions import Wait
 from primroseford.lease.decisions import decide_acquire
 from primroseford.lease.decisions import is_own
@@ -20,6 +19,7 @@
 from primroseford.lease.decisions import valid_until
 from primroseford.lease.state import KIND
 from primroseford.lease.state import Lease
+from primroseford.lease.state import LeaseTimes
 from primroseford.lease.state import LossReason
 from primroseford.lease.state import decode_record
 from primroseford.lease.state import encode_record
@@ -84,6 +84,7 @@
         *,
         wait_out: float = 0.0,
         on_loss: Callable[[Lease], None] | None = None,
+        times: LeaseTimes | None = None,
     ) -> Lease | None:
         """Try once to take a lease; call again to wait for one that is held.
 
@@ -91,6 +92,7 @@
         :param wait_out: longest time in seconds in which an effect of the old
             holder can still arrive at a receiver that ignores fencing numbers
         :param on_loss: called once when the lease is taken or expires
+        :param times: times of this lease; those of the keeper by default
         :returns: the lease; or nothing while it is held here or by another
         :raises PrimrosefordError: PLATFORM_UNAVAILABLE, or CALLS_LIMITED
         """
@@ -98,7 +100,7 @@
             return None
         self.in_progress.add(name)
         try:
-            return await self._try_acquire(name, wait_out, on_loss)
+            return await self._try_acquire(name, wait_out, on_loss, times or self.times)
         except PrimrosefordError as error:
             if error.code in RACE_CODES:
                 return None
@@ -158,15 +160,15 @@
         if not self._check_expiry(lease):
             return
         lease.version = stored.version
-        lease.valid_until = valid_until(sent_at, self.times)
-        self.renew_at[lease.name] = sent_at + self.times.renew
+        lease.valid_until = valid_until(sent_at, lease.times)
+        self.renew_at[lease.name] = sent_at + lease.times.renew
 
     @Service.task
     async def renew_due(self) -> None:
         """Renew each lease in time and notice those that expired."""
         while not self.should_stop:
             self.start_due_renewals()
-            await self.sleep(min(TICK_SECONDS, self.times.renew / 4))
+            await self.sleep(TICK_SECONDS)
 
     def start_due_renewals(self) -> None:
         """Start a renewal of each lease that is due and has none under way."""
@@ -192,7 +194,11 @@
             task.cancel()
 
     async def _try_acquire(
-        self, name: str, wait_out: float, on_loss: Callable[[Lease], None] | None
+        self,
+        name: str,
+        wait_out: float,
+        on_loss: Callable[[Lease], None] | None,
+        times: LeaseTimes,
     ) -> Lease | None:
         found = await self._read(name)
         record = None if found is None else decode_record(found.spec)
@@ -209,7 +215,7 @@
             record,
             sighting,
             self.clock(),
-            self.times,
+            times,
             wait_out,
         )
         if isinstance(decision, Wait):
@@ -220,14 +226,15 @@
             name,
             decision.record,
             stored.version,
-            valid_until(sent_at, self.times),
+            valid_until(sent_at, times),
+            times,
             on_loss,
         )
         if not lease.valid(self.clock()):
             return None
         self.sightings.pop(name, None)
         self.held[name] = lease
-        self.renew_at[name] = sent_at + self.times.renew
+        self.renew_at[name] = sent_at + times.renew
         log.info("lease acquired", lease=name, fencing=lease.fencing)
         return lease
 
@@ -281,7 +288,7 @@
 
     def _postpone(self, lease: Lease) -> None:
         if lease.lost is None:
-            self.renew_at[lease.name] = self.clock() + self.times.renew / RETRIES
+            self.renew_at[lease.name] = self.clock() + lease.times.renew / RETRIES
 
     def _check_expiry(self, lease: Lease) -> bool:
         if lease.lost is None and not lease.valid(self.clock()):
--- a/src/primroseford/lease/state.py
+++ b/src/primroseford/lease/state.py
@@ -24,6 +24,27 @@
 number that the next holder must exceed."""
 
 
+DURATION_SECONDS = 3.0
+RENEW_SECONDS = 1.0
+MARGIN_SECONDS = 0.3
+"""A tenth of the duration. Clock rates differ by far less; the rest covers the time
+between a holder's check and the moment its effect leaves the host."""
+
+
+@dataclass(frozen=True)
+class LeaseTimes:
+    """Times of a lease, in seconds.
+
+    :param duration: time after which an unchanged lease may be taken over
+    :param renew: time between renewals
+    :param margin: how much earlier the holder stops
+    """
+
+    duration: float = DURATION_SECONDS
+    renew: float = RENEW_SECONDS
+    margin: float = MARGIN_SECONDS
+
+
 @dataclass(frozen=True)
 class LeaseRecord:
     """Content of a lease object.
@@ -59,6 +80,7 @@
     :param record: stored content
     :param version: version that the next renewal is conditional on
     :param valid_until: end of validity, in seconds of the local clock
+    :param times: times that its renewals use
     :param on_loss: called once when the lease is taken or expires
     :param lost: why the lease ended, or nothing while it is held
     """
@@ -67,6 +89,7 @@
     record: LeaseRecord
     version: Version
     valid_until: float
+    times: LeaseTimes
     on_loss: Callable[[Lease], None] | None = None
     lost: LossReason | None = None
 
--- /dev/null
+++ b/src/primroseford/orders/giving.py
@@ -0,0 +1,115 @@
+"""Sends single orders to engines under a lease."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING
+
+import aiohttp
+
+from primroseford.clock import boottime
+from primroseford.errors import ResultCode
+from primroseford.orders.decisions import may_give
+from primroseford.orders.state import OrderResult
+from primroseford.orders.state import OrderStatus
+from primroseford.orders.state import OrderTimes
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+    from primroseford.clock import Clock
+    from primroseford.lease.state import Lease
+    from primroseford.orders.state import Order
+    from primroseford.orders.state import OrderedRunner
+
+    GiveOrder = Callable[[OrderedRunner, Order, Lease], Awaitable[OrderResult]]
+
+NOT_PERMITTED = OrderResult(
+    OrderStatus.NOT_SENT,
+    ResultCode.LEASE_LOST,
+    "the lease on the runner ended, or ends too soon, before the order was sent",
+)
+
+
+class LeaseEnded(Exception):
+    """The lease did not permit the order at the point of effect."""
+
+
+def create_order_giver(
+    session: aiohttp.ClientSession,
+    clock: Clock = boottime,
+    times: OrderTimes | None = None,
+) -> GiveOrder:
+    """Return ``give_order(runner, order, lease)``, which sends one order once.
+
+    :param session: HTTP session, owned by the caller
+    :param clock: local clock of the leases
+    :param times: times of orders
+    """
+    used = times or OrderTimes()
+
+    async def give_order(
+        runner: OrderedRunner, order: Order, lease: Lease
+    ) -> OrderResult:
+        body = json.dumps(
+            {"order": order.order, "model": order.model, "fencing": lease.fencing}
+        ).encode()
+
+        async def checked_body() -> AsyncIterator[bytes]:
+            # Runs when the connection is ready: no await lies between this check
+            # and the write to the socket.
+            if not may_give(runner, lease, clock(), used):
+                raise LeaseEnded
+            sent.append(True)
+            yield body
+
+        sent: list[bool] = []
+        if not may_give(runner, lease, clock(), used):
+            return NOT_PERMITTED
+        try:
+            async with session.post(
+                f"http://{runner.address}/v1/orders",
+                data=checked_body(),
+                headers={
+                    "Content-Type": "application/json",
+                    "Content-Length": str(len(body)),
+                },
+                timeout=aiohttp.ClientTimeout(total=used.arrival),
+                allow_redirects=False,
+            ) as response:
+                return _judge_status(runner, response.status)
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            return _judge_failure(error, bool(sent), lease, clock())
+
+    return give_order
+
+
+def _judge_status(runner: OrderedRunner, status: int) -> OrderResult:
+    if status < 300:
+        return OrderResult(OrderStatus.ACCEPTED)
+    message = f"the runner answered {status}"
+    if status == 409 and runner.checks_fencing:
+        return OrderResult(OrderStatus.FENCED, ResultCode.FENCED, message)
+    if 400 <= status < 500:
+        return OrderResult(OrderStatus.REFUSED, ResultCode.RUNNER_FAILED, message)
+    return OrderResult(OrderStatus.UNKNOWN, ResultCode.RUNNER_FAILED, message)
+
+
+def _judge_failure(
+    error: Exception, sent: bool, lease: Lease, now: float
+) -> OrderResult:
+    if sent:
+        return OrderResult(
+            OrderStatus.UNKNOWN,
+            ResultCode.RUNNER_TIMEOUT,
+            "the order was sent and its answer was lost",
+        )
+    if isinstance(error, aiohttp.ClientConnectorError) and lease.valid(now):
+        return OrderResult(
+            OrderStatus.NOT_SENT,
+            ResultCode.RUNNER_UNREACHABLE,
+            "the runner refused the connection",
+        )
+    return NOT_PERMITTED
--- /dev/null
+++ b/src/primroseford/orders/tests/conftest.py
@@ -0,0 +1,67 @@
+"""Engines that check or ignore fencing numbers, and hosts that order them."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from primroseford.ids import HostId
+from primroseford.ids import Incarnation
+from primroseford.ids import RunnerName
+from primroseford.lease.keeper import create_lease_keeper
+from primroseford.orders.service import create_order_service
+from primroseford.orders.state import OrderedRunner
+from primroseford.platform.client import create_platform_client
+from primroseford.standins.engine import create_engine_stand_in
+from primroseford.standins.engine_http import create_engine_application
+from primroseford.standins.engine_state import EngineSettings
+from primroseford.standins.serving import serve
+
+
+@pytest.fixture
+async def engine_of():
+    """Starts an engine; returns it with its description for order givers."""
+    started = []
+
+    async def start(checks_fencing: bool, name: str = "runner-1"):
+        engine = create_engine_stand_in(EngineSettings(checks_fencing=checks_fencing))
+        served = await serve(create_engine_application(engine))
+        started.append(served)
+        address = served.url.removeprefix("http://")
+        return engine, OrderedRunner(RunnerName(name), address, checks_fencing)
+
+    yield start
+    for served in started:
+        await served.stop()
+
+
+@pytest.fixture
+def keeper_of(platform, session, clock):
+    """Creates the keeper of a host; all hosts share the manual clock."""
+
+    def create(name: str):
+        client = create_platform_client(platform.url, session)
+        return create_lease_keeper(client, HostId(name), Incarnation("1"), clock)
+
+    return create
+
+
+@pytest.fixture
+async def host_of(keeper_of, session, clock):
+    """Creates the order service of a host; polls move the manual clock."""
+    created = []
+
+    async def pause(seconds: float) -> None:
+        clock.advance(seconds)
+        await asyncio.sleep(0.001)
+
+    def create(name: str, **options):
+        options = {"pause": pause} | options
+        service = create_order_service(keeper_of(name), session, clock=clock, **options)
+        created.append(service)
+        return service
+
+    yield create
+    for service in created:
+        await service.on_stop()
--- /dev/null
+++ b/src/primroseford/orders/tests/test_giving.py
@@ -0,0 +1,139 @@
+from __future__ import annotations
+
+import aiohttp
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from primroseford.errors import Outcome
+from primroseford.errors import ResultCode
+from primroseford.ids import FencingNumber
+from primroseford.ids import HostId
+from primroseford.ids import Incarnation
+from primroseford.ids import RunnerName
+from primroseford.ids import Version
+from primroseford.lease.decisions import Wait
+from primroseford.lease.decisions import decide_acquire
+from primroseford.lease.decisions import valid_until
+from primroseford.lease.state import Lease
+from primroseford.lease.state import LeaseRecord
+from primroseford.lease.state import Sighting
+from primroseford.orders.decisions import may_give
+from primroseford.orders.decisions import wait_out
+from primroseford.orders.giving import create_order_giver
+from primroseford.orders.state import Order
+from primroseford.orders.state import OrderedRunner
+from primroseford.orders.state import OrderStatus
+from primroseford.orders.state import OrderTimes
+
+ORDER = Order("set_role", "van-round")
+TIMES = OrderTimes()
+
+
+async def send_raw(session, runner, fencing: int) -> int:
+    """Deliver an order that an old holder sent before it lost its lease."""
+    body = {"order": "set_role", "model": "late", "fencing": fencing}
+    async with session.post(f"http://{runner.address}/v1/orders", json=body) as answer:
+        return answer.status
+
+
+async def test_old_holders_order_is_refused_by_fencing(
+    engine_of, keeper_of, session, clock
+):
+    """Guards against an old holder's order carried out after a new holder's."""
+    engine, runner = await engine_of(True)
+    give_order = create_order_giver(session, clock)
+    first, second = keeper_of("host-1"), keeper_of("host-2")
+    old = await first.acquire("orders-runner-1", times=TIMES.runner_lease)
+    assert (await give_order(runner, ORDER, old)).status is OrderStatus.ACCEPTED
+    assert await second.acquire("orders-runner-1") is None
+    clock.advance(10.1)
+    new = await second.acquire("orders-runner-1", times=TIMES.runner_lease)
+    assert (await give_order(runner, ORDER, new)).status is OrderStatus.ACCEPTED
+    assert await send_raw(session, runner, old.fencing) == 409
+    assert [order["fencing"] for order in engine.state.orders] == [1, 2]
+
+
+@given(
+    checked=st.floats(0, 20),
+    travel=st.floats(0, TIMES.arrival),
+    seen=st.floats(0, 5),
+)
+def test_late_order_arrives_before_a_new_holder_if_fencing_is_ignored(
+    checked, travel, seen
+):
+    """Guards against an old order that arrives after a new holder's first one."""
+    runner = OrderedRunner(RunnerName("runner-1"), "", False)
+    record = LeaseRecord(HostId("a"), Incarnation("1"), FencingNumber(1), 10_000)
+    until = valid_until(0.0, TIMES.runner_lease)
+    lease = Lease("l", record, Version(1), until, TIMES.runner_lease)
+    if not may_give(runner, lease, checked, TIMES):
+        return
+    decision = decide_acquire(
+        HostId("b"),
+        Incarnation("1"),
+        record,
+        Sighting(Version(1), seen),
+        checked + travel,
+        TIMES.runner_lease,
+        wait_out(runner, TIMES),
+    )
+    assert isinstance(decision, Wait)
+
+
+@pytest.mark.parametrize("checks_fencing", [True, False])
+async def test_pause_between_check_and_effect(
+    engine_of, keeper_of, clock, checks_fencing
+):
+    """Guards against an order that leaves after its holder was paused."""
+    engine, runner = await engine_of(checks_fencing)
+    lease = await keeper_of("host-1").acquire("a", times=TIMES.runner_lease)
+    trace = aiohttp.TraceConfig()
+
+    async def pause(*_) -> None:
+        clock.advance(10.0)
+
+    trace.on_connection_create_end.append(pause)
+    async with aiohttp.ClientSession(trace_configs=[trace]) as session:
+        result = await create_order_giver(session, clock)(runner, ORDER, lease)
+    assert (result.status, result.code) == (
+        OrderStatus.NOT_SENT,
+        ResultCode.LEASE_LOST,
+    )
+    assert not engine.state.orders
+
+
+@pytest.mark.parametrize(("checks_fencing", "sent"), [(True, True), (False, False)])
+async def test_order_needs_time_to_arrive(
+    engine_of, keeper_of, session, clock, checks_fencing, sent
+):
+    """Guards against an order that can arrive after the lease's end."""
+    engine, runner = await engine_of(checks_fencing)
+    lease = await keeper_of("host-1").acquire("a", times=TIMES.runner_lease)
+    clock.advance(7.5)
+    await create_order_giver(session, clock)(runner, ORDER, lease)
+    assert bool(engine.state.orders) is sent
+
+
+async def test_lost_answer_is_unknown_and_not_repeated(
+    engine_of, keeper_of, session, clock
+):
+    """Guards against an order reported as failed, or given twice."""
+    engine, runner = await engine_of(True)
+    lease = await keeper_of("host-1").acquire("a", times=TIMES.runner_lease)
+    engine.faults.lose_order_answers = 1
+    result = await create_order_giver(session, clock)(runner, ORDER, lease)
+    assert result.status is OrderStatus.UNKNOWN
+    assert result.outcome is Outcome.MAY_HAVE_RUN
+    assert len(engine.state.orders) == 1
+
+
+async def test_refused_connection_is_not_sent(keeper_of, session, clock):
+    """Guards against doubt about an order that never left the host."""
+    runner = OrderedRunner(RunnerName("runner-1"), "127.0.0.1:1", True)
+    lease = await keeper_of("host-1").acquire("a", times=TIMES.runner_lease)
+    result = await create_order_giver(session, clock)(runner, ORDER, lease)
+    assert (result.status, result.code) == (
+        OrderStatus.NOT_SENT,
+        ResultCode.RUNNER_UNREACHABLE,
+    )
--- a/src/primroseford/standins/engine_http.py
+++ b/src/primroseford/standins/engine_http.py
@@ -228,12 +228,34 @@
 async def _take_order(request: web.Request) -> web.Response:
     engine = _engine(request)
     order = await _read_body(request)
-    fencing = int(order.get("fencing", 0))
+    try:
+        fencing = int(order.get("fencing", 0))
+    except (TypeError, ValueError) as error:
+        raise web.HTTPBadRequest(text="fencing is not a number") from error
     if engine.settings.checks_fencing and fencing < engine.state.fencing:
+        engine.state.refused_orders += 1
         return web.json_response({"error": "old fencing number"}, status=409)
     engine.state.fencing = max(engine.state.fencing, fencing)
     engine.state.orders.append(order)
-    models = engine.settings.models
-    if order.get("order") == "load_model" and order.get("model") not in models:
-        models.append(order["model"])
+    if order.get("order") == "load_model":
+        _load_model(engine, str(order.get("model", "")))
+    if engine.faults.hang_orders:
+        await asyncio.sleep(HANG_SECONDS)
+    if engine.faults.lose_order_answers > 0:
+        engine.faults.lose_order_answers -= 1
+        _cut(request)
     return web.json_response({"accepted": True})
+
+
+def _load_model(engine: EngineStandIn, model: str) -> None:
+    def finish() -> None:
+        engine.state.loading -= 1
+        if model not in engine.settings.models:
+            engine.settings.models.append(model)
+
+    engine.state.loading += 1
+    if engine.settings.load_seconds:
+        loop = asyncio.get_running_loop()
+        loop.call_later(engine.settings.load_seconds, finish)
+    else:
+        finish()
--- a/src/primroseford/standins/engine_state.py
+++ b/src/primroseford/standins/engine_state.py
@@ -19,6 +19,7 @@
     :param report_lag_seconds: age of a load report
     :param cached_prefixes: number of prompt prefixes that the cache holds
     :param checks_fencing: refuse orders with an old fencing number
+    :param load_seconds: time from a load order to the model being served
     :param models: names of the models that are loaded
     """
 
@@ -29,6 +30,7 @@
     report_lag_seconds: float = 0.5
     cached_prefixes: int = 64
     checks_fencing: bool = True
+    load_seconds: float = 0.0
     models: list[str] = field(default_factory=lambda: ["van-round"])
 
 
@@ -44,6 +46,9 @@
     :param wrong_request_id: answer with another request's id
     :param omit_end_mark: end streams without the end mark
     :param deadly_text: cut the connection for prompts that contain this text
+    :param lose_order_answers: number of coming orders that are carried out and
+        whose answers are lost
+    :param hang_orders: carry orders out and never answer
     """
 
     refuse_status: int = 0
@@ -54,6 +59,8 @@
     wrong_request_id: bool = False
     omit_end_mark: bool = False
     deadly_text: str = ""
+    lose_order_answers: int = 0
+    hang_orders: bool = False
 
 
 @dataclass
@@ -85,4 +92,6 @@
     seen_headers: list[dict[str, str]] = field(default_factory=list)
     fencing: int = 0
     orders: list[dict] = field(default_factory=list)
+    refused_orders: int = 0
+    loading: int = 0
     max_running: int = 0
