--- /dev/null
+++ b/src/primroseford/standins/control.py
@@ -0,0 +1,73 @@
+"""Control endpoints of the stand-ins: switch faults and read counters."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import fields
+from typing import TYPE_CHECKING
+from typing import Any
+
+from aiohttp import web
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    Counts = dict[str, Any]
+
+FAULTS_PATH = "/control/faults"
+COUNTS_PATH = "/control/counts"
+WELL_FORMED = {bool: (bool,), int: (int,), float: (int, float), str: (str,)}
+
+
+def add_control_routes(
+    app: web.Application,
+    faults: object,
+    names: frozenset[str],
+    counts: Callable[[], Counts],
+) -> None:
+    """Add ``POST /control/faults`` and ``GET /control/counts``.
+
+    The first sets the named faults, leaves the others as they are, and answers with
+    all of them.
+
+    :param app: application of a stand-in
+    :param faults: dataclass whose fields are the faults
+    :param names: fields that may be set
+    :param counts: returns the counters as a JSON object
+    """
+
+    async def set_faults(request: web.Request) -> web.Response:
+        try:
+            wanted = check_faults(faults, names, json.loads(await request.read()))
+        except ValueError as error:
+            return web.json_response({"error": str(error)}, status=400)
+        for name, value in wanted.items():
+            setattr(faults, name, value)
+        return web.json_response({name: getattr(faults, name) for name in names})
+
+    async def get_counts(_: web.Request) -> web.Response:
+        return web.json_response(counts())
+
+    app.router.add_post(FAULTS_PATH, set_faults)
+    app.router.add_get(COUNTS_PATH, get_counts)
+
+
+def check_faults(faults: object, names: frozenset[str], body: object) -> Counts:
+    """Return the faults in a request body.
+
+    :raises ValueError: if a name is unknown or a value has another type
+    """
+    if not isinstance(body, dict):
+        raise ValueError("the body is not an object")
+    for name, value in body.items():
+        if name not in names:
+            raise ValueError(f"unknown fault {name!r}; known: {sorted(names)}")
+        kind = type(getattr(faults, name))
+        if type(value) not in WELL_FORMED[kind]:
+            raise ValueError(f"fault {name!r} is not of type {kind.__name__}")
+    return body
+
+
+def field_names(faults: object) -> frozenset[str]:
+    """Return the names of all fields of a dataclass object."""
+    return frozenset(item.name for item in fields(faults))
--- a/src/primroseford/standins/engine.py
+++ b/src/primroseford/standins/engine.py
@@ -94,7 +94,10 @@
                 busy = max(0, self.state.running - 1)
                 pace = self.settings.token_seconds
                 await asyncio.sleep(pace * (1 + self.settings.slowdown * busy))
-                generation.tokens.append(f"t{index} ")
+                # A resumed stream runs beside the one that was cut, so the other
+                # may have produced the token during the wait.
+                if index >= len(generation.tokens):
+                    generation.tokens.append(f"t{index} ")
             yield index, generation.tokens[index]
 
     def occupy_slot(self) -> Slot:
@@ -164,3 +167,20 @@
     headers = engine.state.seen_headers
     headers.append({**request.headers, ":path": request.path_qs})
     del headers[:-REMEMBERED_HEADERS]
+
+
+def count_events(engine: EngineStandIn) -> dict[str, object]:
+    """Return the counters of an engine."""
+    state = engine.state
+    return {
+        "running": state.running,
+        "waiting": state.waiting,
+        "max_running": state.max_running,
+        "requests": state.run_counts.total(),
+        "runs": dict(state.run_counts),
+        "cancelled": sum(g.cancelled for g in state.generations.values()),
+        "orders": state.orders,
+        "refused_orders": state.refused_orders,
+        "loading": state.loading,
+        "fencing": state.fencing,
+    }
--- a/src/primroseford/standins/engine_http.py
+++ b/src/primroseford/standins/engine_http.py
@@ -10,7 +10,10 @@
 
 from aiohttp import web
 
+from primroseford.standins.control import add_control_routes
+from primroseford.standins.control import field_names
 from primroseford.standins.engine import cache_events_since
+from primroseford.standins.engine import count_events
 from primroseford.standins.engine import encode_event
 from primroseford.standins.engine import prompt_text
 from primroseford.standins.engine import remember_headers
@@ -41,6 +44,8 @@
     app.router.add_get("/v1/models", _list_models)
     app.router.add_get("/v1/cache/events", _list_cache_events)
     app.router.add_post("/v1/orders", _take_order)
+    faults = engine.faults
+    add_control_routes(app, faults, field_names(faults), lambda: count_events(engine))
     return app
 
 
@@ -58,6 +63,13 @@
     return body
 
 
+def _number(value: object) -> int:
+    try:
+        return int(value)  # type: ignore[call-overload]
+    except (TypeError, ValueError) as error:
+        raise web.HTTPBadRequest(text=f"{value!r} is not a number") from error
+
+
 async def _apply_faults(request: web.Request, prompt: str) -> web.Response | None:
     faults = _engine(request).faults
     if faults.refuse_status:
@@ -97,7 +109,7 @@
     refusal = await _apply_faults(request, prompt)
     if refusal is not None:
         return refusal
-    limit = int(body.get("max_tokens", body.get("max_completion_tokens", 0)) or 0)
+    limit = _number(body.get("max_tokens", body.get("max_completion_tokens")) or 0)
     tokens = engine.generate(request_id, prompt, limit or DEFAULT_MAX_TOKENS)
     chat = request.path.endswith("chat/completions")
     if body.get("stream"):
@@ -159,7 +171,7 @@
     generation = engine.state.generations.get(request_id)
     if generation is None or generation.cancelled:
         raise web.HTTPNotFound(text="no such stream")
-    start = int(request.headers.get("Last-Event-ID", "-1")) + 1
+    start = _number(request.headers.get("Last-Event-ID", "-1")) + 1
     chat = request.query.get("chat", "1") == "1"
     async with engine.occupy_slot():
         tokens = engine.produce(generation, start)
@@ -207,7 +219,7 @@
             "waiting": waiting,
             "capacity": engine.settings.capacity,
             "measured_ms_ago": round(age),
-            "leaving": engine.state.leaving,
+            "leaving": engine.state.leaving or engine.faults.leaving,
         }
     )
 
@@ -221,17 +233,14 @@
 
 
 async def _list_cache_events(request: web.Request) -> web.Response:
-    since = int(request.query.get("since", "0"))
+    since = max(0, _number(request.query.get("since", "0")))
     return web.json_response({"events": cache_events_since(_engine(request), since)})
 
 
 async def _take_order(request: web.Request) -> web.Response:
     engine = _engine(request)
     order = await _read_body(request)
-    try:
-        fencing = int(order.get("fencing", 0))
-    except (TypeError, ValueError) as error:
-        raise web.HTTPBadRequest(text="fencing is not a number") from error
+    fencing = _number(order.get("fencing", 0))
     if engine.settings.checks_fencing and fencing < engine.state.fencing:
         engine.state.refused_orders += 1
         return web.json_response({"error": "old fencing number"}, status=409)
--- a/src/primroseford/standins/engine_state.py
+++ b/src/primroseford/standins/engine_state.py
@@ -49,6 +49,7 @@
     :param lose_order_answers: number of coming orders that are carried out and
         whose answers are lost
     :param hang_orders: carry orders out and never answer
+    :param leaving: report that the engine is leaving
     """
 
     refuse_status: int = 0
@@ -61,6 +62,7 @@
     deadly_text: str = ""
     lose_order_answers: int = 0
     hang_orders: bool = False
+    leaving: bool = False
 
 
 @dataclass
--- a/src/primroseford/standins/platform.py
+++ b/src/primroseford/standins/platform.py
@@ -9,6 +9,10 @@
 
 from aiohttp import web
 
+from primroseford.standins.control import COUNTS_PATH
+from primroseford.standins.control import FAULTS_PATH
+from primroseford.standins.control import add_control_routes
+from primroseford.standins.control import field_names
 from primroseford.standins.platform_state import MAX_VALUE_BYTES
 from primroseford.standins.platform_state import Absent
 from primroseford.standins.platform_state import Conflict
@@ -78,9 +82,20 @@
     app.router.add_get(PREFIX + "/{kind}/{name}", _get_handler(stand_in))
     app.router.add_put(PREFIX + "/{kind}/{name}", _update_handler(stand_in))
     app.router.add_delete(PREFIX + "/{kind}/{name}", _delete_handler(stand_in))
+    faults = stand_in.faults
+    add_control_routes(app, faults, field_names(faults), lambda: _counts(stand_in))
     return app
 
 
+def _counts(stand_in: PlatformStandIn) -> dict[str, object]:
+    calls = stand_in.state.calls
+    return {
+        "version": stand_in.state.version,
+        "calls": {f"{verb} {kind}": count for (verb, kind), count in calls.items()},
+        "objects": {kind: len(items) for kind, items in stand_in.state.objects.items()},
+    }
+
+
 def _status(code: int, reason: str, message: str) -> web.Response:
     body = {"kind": "Status", "code": code, "reason": reason, "message": message}
     return web.json_response(body, status=code)
@@ -89,6 +104,8 @@
 def _fault_middleware(stand_in: PlatformStandIn):
     @web.middleware
     async def apply_faults(request: web.Request, handler: Handler):
+        if request.path in (FAULTS_PATH, COUNTS_PATH):
+            return await handler(request)
         faults = stand_in.faults
         verb = "WATCH" if "watch" in request.query else request.method
         stand_in.state.calls[verb, request.match_info.get("kind", "")] += 1
@@ -148,7 +165,10 @@
 
 async def _watch(stand_in: PlatformStandIn, request: web.Request):
     kind = request.match_info["kind"]
-    version = int(request.query.get("resourceVersion", "0"))
+    try:
+        version = int(request.query.get("resourceVersion", "0"))
+    except ValueError as error:
+        raise web.HTTPBadRequest(text="resourceVersion is not a number") from error
     response = web.StreamResponse()
     response.content_type = "application/json"
     faults = stand_in.faults
--- a/src/primroseford/standins/service.py
+++ b/src/primroseford/standins/service.py
@@ -9,6 +9,10 @@
 
 from aiohttp import web
 
+from primroseford.standins.control import add_control_routes
+
+FAULTS = frozenset({"delay_seconds", "cut_after_run", "refuse_status"})
+REMEMBERED_HEADERS = 1_000
 MAX_BODY_BYTES = 64 * 1024 * 1024
 
 
@@ -20,7 +24,7 @@
     :param delay_seconds: time that a call takes
     :param cut_after_run: cut the connection after the call ran
     :param refuse_status: answer with this status before the call runs; 0 is off
-    :param seen_headers: headers of each call
+    :param seen_headers: headers of the last calls
     """
 
     runs: Counter[str] = field(default_factory=Counter)
@@ -39,6 +43,7 @@
     async def handle(request: web.Request) -> web.Response:
         body = await request.read()
         service.seen_headers.append({**request.headers, ":path": request.path_qs})
+        del service.seen_headers[:-REMEMBERED_HEADERS]
         if service.refuse_status:
             return web.Response(status=service.refuse_status, text="refused")
         service.runs[request.headers.get("X-Call", request.path)] += 1
@@ -50,5 +55,6 @@
         return web.json_response(answer, headers=headers)
 
     app = web.Application(client_max_size=MAX_BODY_BYTES)
+    add_control_routes(app, service, FAULTS, lambda: {"runs": dict(service.runs)})
     app.router.add_route("*", "/{path:.*}", handle)
     return app
