Let a claim through before a waiting bulk call fits

Cause: the limiter looked at its queue again only when the call that was first in it would fit. A claim that arrived after a bulk call waited for that call's larger refill. Change: the next look is moved forward when a new call is the first to go. Conclusion: a claim waits for one call's refill at most.

--- a/src/primroseford/platform/limiter.py
+++ b/src/primroseford/platform/limiter.py
@@ -34,6 +34,7 @@
 RESERVED_SHARES = {Priority.CLAIM: 0.0, Priority.READ: 0.25, Priority.BULK: 0.5}
 """Part of the burst that a priority must leave to the higher ones. Without it, a
 burst of bulk calls would make the next lease renewal wait for a refill."""
+MIN_DELAY_SECONDS = 0.001
 
 
 @dataclass(frozen=True)
@@ -98,7 +99,7 @@
         self.bucket = Bucket(self.limits.burst, clock())
         self.waiting: list[tuple[Priority, int, asyncio.Future[None]]] = []
         self.numbers = count()
-        self.pump_scheduled = False
+        self.pump_at: float | None = None
 
     async def acquire(self, priority: Priority) -> None:
         """Wait until a call of a priority may be made.
@@ -138,16 +139,21 @@
         return True
 
     def _schedule_pump(self) -> None:
-        if self.pump_scheduled or not self.waiting:
+        if not self.waiting:
             return
-        self.pump_scheduled = True
-        delay = wait_needed(self.bucket, self.limits, self.waiting[0][0])
-        self._later(max(delay, 0.001), self._pump_again)
-
-    def _pump_again(self) -> None:
-        self.pump_scheduled = False
-        self.pump()
-        self._schedule_pump()
+        needed = wait_needed(self.bucket, self.limits, self.waiting[0][0])
+        delay = max(needed, MIN_DELAY_SECONDS)
+        at = self.clock() + delay
+        # A call that became the first to go may fit before the scheduled time.
+        if self.pump_at is None or at < self.pump_at:
+            self.pump_at = at
+            self._later(delay, lambda: self._pump_again(at))
+
+    def _pump_again(self, at: float) -> None:
+        if self.pump_at == at:
+            self.pump_at = None
+            self.pump()
+            self._schedule_pump()
 
     def _later(self, delay: float, callback: Callable[[], None]) -> None:
         schedule = self.schedule or asyncio.get_running_loop().call_later
--- a/src/primroseford/platform/reflector.py
+++ b/src/primroseford/platform/reflector.py
@@ -79,7 +79,7 @@
         """
         try:
             await self._list()
-            await self._watch()
+            await self.watch_once()
         except PrimrosefordError as error:
             log.warning("watch ended", kind=self.kind, code=error.code.name)
         self.failures += 1
@@ -102,7 +102,12 @@
             return
         self._report(delta)
 
-    async def _watch(self) -> None:
+    async def watch_once(self) -> None:
+        """Watch from the view's version until the watch ends.
+
+        :raises PrimrosefordError: WATCH_EXPIRED, CALLS_LIMITED, or
+            PLATFORM_UNAVAILABLE
+        """
         listed_at = self.clock()
         # Spread over the hosts, which may all have listed at once after an outage.
         lifetime = self.relist_seconds * (0.5 + self.fraction() / 2)
--- a/src/primroseford/platform/tests/test_limiter.py
+++ b/src/primroseford/platform/tests/test_limiter.py
@@ -68,6 +68,20 @@
     await asyncio.gather(*tasks)
 
 
+async def test_claim_does_not_wait_for_a_bulk_calls_refill(timers):
+    """Guards against a claim let through only when a waiting bulk call fits."""
+    limiter = build(timers, rate=1, burst=8, max_wait_seconds=100)
+    log: list[Priority] = []
+    for _ in range(8):
+        await limiter.acquire(Priority.CLAIM)
+    bulk = await start(limiter, Priority.BULK, log)
+    claim = await start(limiter, Priority.CLAIM, log)
+    await timers.advance(1.0)
+    assert log == [Priority.CLAIM]
+    for task in (bulk, claim):
+        task.cancel()
+
+
 async def test_rate_is_kept(timers):
     """Guards against a host that takes more than its calls a second."""
     limiter = build(timers, rate=10, burst=5, max_wait_seconds=100)
