--- a/src/primroseford/standins/platform.py
+++ b/src/primroseford/standins/platform.py
@@ -177,19 +177,30 @@
         raise Expired(str(version))
     stand_in.state.changes_since(kind, version)
     await response.prepare(request)
+    try:
+        await _send_changes(stand_in, request, response, version)
+    except (ConnectionResetError, Expired):
+        # The reader has left, or learns from its next watch that it is too slow.
+        return response
+    return response
+
+
+async def _send_changes(
+    stand_in: PlatformStandIn,
+    request: web.Request,
+    response: web.StreamResponse,
+    version: int,
+) -> None:
+    kind = request.match_info["kind"]
+    faults = stand_in.faults
     while not faults.down:
         if faults.cut_watches > 0:
             faults.cut_watches -= 1
             _cut(request)
-            return response
+            return
         changed = stand_in.changed
         upto = stand_in.state.version
-        try:
-            changes = stand_in.state.changes_since(kind, version)
-        except Expired:
-            # The headers are sent, so the reader learns it from its next watch.
-            return response
-        for change in changes:
+        for change in stand_in.state.changes_since(kind, version):
             if faults.skip_watch_events > 0:
                 faults.skip_watch_events -= 1
                 continue
@@ -201,7 +212,6 @@
             await asyncio.wait_for(changed.wait(), BOOKMARK_SECONDS)
         except TimeoutError:
             continue
-    return response
 
 
 async def _write_event(response: web.StreamResponse, event_type: str, item: dict):
