Release a lease whose renewal is under way

Cause: a renewal that took effect just before a release changed the version, so the release lost its race against its own host and the lease lapsed instead. Change: after a conflict the release reads the lease and, if it is still its own, uses the version read. Figures: test_release_during_a_renewal passes. Conclusion: a planned stop frees its leases also while they are renewed.

--- a/src/primroseford/lease/keeper.py
+++ b/src/primroseford/lease/keeper.py
@@ -123,11 +123,8 @@
         if lease.lost is not None:
             return
         self._end(lease, LossReason.RELEASED)
-        spec = encode_record(released(lease.record))
         try:
-            await self.client.update(
-                KIND, lease.name, spec, lease.version, purpose=PURPOSE
-            )
+            await self._write_release(lease)
         except PrimrosefordError as error:
             log.warning("lease not released", lease=lease.name, code=error.code.name)
 
@@ -184,7 +181,7 @@
 
     async def on_stop(self) -> None:
         """Release all leases."""
-        releases = [self._release_after_renewal(item) for item in self.held.values()]
+        releases = [self.release(item) for item in self.held.values()]
         if releases:
             try:
                 await asyncio.wait_for(asyncio.gather(*releases), STOP_SECONDS)
@@ -256,6 +253,23 @@
             KIND, name, spec, decision.version, purpose=PURPOSE
         )
 
+    async def _write_release(self, lease: Lease) -> None:
+        spec = encode_record(released(lease.record))
+        try:
+            await self.client.update(
+                KIND, lease.name, spec, lease.version, purpose=PURPOSE
+            )
+        except PrimrosefordError as error:
+            if error.code is not ResultCode.VERSION_CONFLICT:
+                raise
+            # A renewal that was under way may have changed the version.
+            found = await self._read(lease.name)
+            if found is None or not is_own(decode_record(found.spec), lease.record):
+                return
+            await self.client.update(
+                KIND, lease.name, spec, found.version, purpose=PURPOSE
+            )
+
     async def _adopt_own_version(self, lease: Lease) -> None:
         """Tell a takeover from an own renewal whose outcome had stayed unknown."""
         try:
@@ -280,12 +294,6 @@
         finally:
             self.in_progress.discard(lease.name)
 
-    async def _release_after_renewal(self, lease: Lease) -> None:
-        # A renewal under way changes the version that the release depends on.
-        if self.renewals:
-            await asyncio.wait(list(self.renewals))
-        await self.release(lease)
-
     def _postpone(self, lease: Lease) -> None:
         if lease.lost is None:
             self.renew_at[lease.name] = self.clock() + lease.times.renew / RETRIES
--- a/src/primroseford/lease/tests/test_keeper.py
+++ b/src/primroseford/lease/tests/test_keeper.py
@@ -140,6 +140,29 @@
     assert (await second.acquire("group-1") is not None) is taken
 
 
+async def test_release_during_a_renewal(keeper_of):
+    """Guards against a released lease that lapses because a renewal came first."""
+    first = keeper_of("host-1")
+    lease = await first.acquire("group-1")
+    update = first.client.update
+    took_effect, go_on = asyncio.Event(), asyncio.Event()
+
+    async def slow_update(*arguments, **keywords):
+        stored = await update(*arguments, **keywords)
+        took_effect.set()
+        await go_on.wait()
+        return stored
+
+    first.client.update = slow_update
+    renewal = asyncio.create_task(first.renew(lease))
+    await took_effect.wait()
+    first.client.update = update
+    await first.release(lease)
+    go_on.set()
+    await renewal
+    assert (await keeper_of("host-2").acquire("group-1")).fencing == 2
+
+
 async def test_wait_out_is_added(keeper_of, clock):
     """Guards against a new holder whose receiver still gets old effects."""
     first, second = keeper_of("host-1"), keeper_of("host-2")
