Test refusals by rate and malformed answers of the platform

Cause: neither was covered. Change: tests for both. Conclusion: both end with a result code and a true outcome.

--- a/src/primroseford/platform/tests/test_writes.py
+++ b/src/primroseford/platform/tests/test_writes.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import pytest
+from aiohttp import web
 
 from primroseford.errors import Outcome
 from primroseford.errors import PrimrosefordError
@@ -15,6 +16,7 @@
 from primroseford.platform.writes import Write
 from primroseford.platform.writes import WriteVerb
 from primroseford.platform.writes import judge_read_back
+from primroseford.standins.serving import serve
 
 OWN = "own-operation"
 
@@ -157,3 +159,35 @@
         labels = {"purpose": "batch", "verb": verb}
         name = "primroseford_platform_calls_total"
         assert metrics.registry.get_sample_value(name, labels) == 1
+
+
+@pytest.mark.parametrize("verb", list(WriteVerb))
+async def test_rate_limited_service_refuses_unsent(platform, client, verb):
+    """Guards against repeats that add to the load of a limited service."""
+    platform.faults.calls_per_second = 1e-9
+    with pytest.raises(PrimrosefordError) as caught:
+        await send(client, verb, Version(1))
+    assert caught.value.code is ResultCode.CALLS_LIMITED
+    assert caught.value.outcome is Outcome.NOT_RUN
+    assert platform.state.calls.total() == 1
+
+
+@pytest.mark.parametrize("content", [b"", b"{", b"[]", b"{}", b'{"metadata": 1}'])
+async def test_malformed_answer_is_unavailable(client, session, content):
+    """Guards against exceptions without a result code after a garbled answer."""
+
+    async def answer(_) -> web.Response:
+        return web.Response(body=content)
+
+    app = web.Application()
+    app.router.add_route("*", "/{path:.*}", answer)
+    served = await serve(app)
+    client.transport.base_url = served.url
+    for call in (client.get("jobs", "a"), client.list("jobs")):
+        with pytest.raises(PrimrosefordError) as caught:
+            await call
+        assert caught.value.code is ResultCode.PLATFORM_UNAVAILABLE
+    with pytest.raises(PrimrosefordError) as caught:
+        await client.create("jobs", "a", {})
+    assert caught.value.outcome is Outcome.MAY_HAVE_RUN
+    await served.stop()
