--- a/src/primroseford/standins/platform.py
+++ b/src/primroseford/standins/platform.py
@@ -9,6 +9,10 @@
 
 from aiohttp import web
 
+from primroseford.standins.control import COUNTS_PATH
+from primroseford.standins.control import FAULTS_PATH
+from primroseford.standins.control import add_control_routes
+from primroseford.standins.control import field_names
 from primroseford.standins.platform_state import MAX_VALUE_BYTES
 from primroseford.standins.platform_state import Absent
 from primroseford.standins.platform_state import Conflict
@@ -78,9 +82,20 @@
     app.router.add_get(PREFIX + "/{kind}/{name}", _get_handler(stand_in))
     app.router.add_put(PREFIX + "/{kind}/{name}", _update_handler(stand_in))
     app.router.add_delete(PREFIX + "/{kind}/{name}", _delete_handler(stand_in))
+    faults = stand_in.faults
+    add_control_routes(app, faults, field_names(faults), lambda: _counts(stand_in))
     return app
 
 
+def _counts(stand_in: PlatformStandIn) -> dict[str, object]:
+    calls = stand_in.state.calls
+    return {
+        "version": stand_in.state.version,
+        "calls": {f"{verb} {kind}": count for (verb, kind), count in calls.items()},
+        "objects": {kind: len(items) for kind, items in stand_in.state.objects.items()},
+    }
+
+
 def _status(code: int, reason: str, message: str) -> web.Response:
     body = {"kind": "Status", "code": code, "reason": reason, "message": message}
     return web.json_response(body, status=code)
@@ -89,6 +104,8 @@
 def _fault_middleware(stand_in: PlatformStandIn):
     @web.middleware
     async def apply_faults(request: web.Request, handler: Handler):
+        if request.path in (FAULTS_PATH, COUNTS_PATH):
+            return await handler(request)
         faults = stand_in.faults
         verb = "WATCH" if "watch" in request.query else request.method
         stand_in.state.calls[verb, request.match_info.get("kind", "")] += 1
@@ -98,16 +115,29 @@
             return _status(429, "TooManyRequests", "call rate exceeded")
         if faults.delay_seconds:
             await asyncio.sleep(faults.delay_seconds)
+        if request.method not in WRITES:
+            return await _answer(request, handler)
+        if faults.lose_writes > 0:
+            faults.lose_writes -= 1
+            return _cut(request)
         response = await _answer(request, handler)
-        if request.method in WRITES and faults.lose_write_answers > 0:
+        if faults.down_after_writes > 0:
+            faults.down_after_writes -= 1
+            faults.down = faults.down_after_writes == 0
+        if faults.lose_write_answers > 0:
             faults.lose_write_answers -= 1
-            assert request.transport is not None
-            request.transport.abort()
+            return _cut(request)
         return response
 
     return apply_faults
 
 
+def _cut(request: web.Request) -> web.Response:
+    if request.transport is not None:
+        request.transport.abort()
+    return web.Response()
+
+
 async def _answer(request: web.Request, handler: Handler) -> web.StreamResponse:
     try:
         return await handler(request)
@@ -135,15 +165,45 @@
 
 async def _watch(stand_in: PlatformStandIn, request: web.Request):
     kind = request.match_info["kind"]
-    version = int(request.query.get("resourceVersion", "0"))
+    try:
+        version = int(request.query.get("resourceVersion", "0"))
+    except ValueError as error:
+        raise web.HTTPBadRequest(text="resourceVersion is not a number") from error
     response = web.StreamResponse()
     response.content_type = "application/json"
+    faults = stand_in.faults
+    if faults.expire_watches > 0:
+        faults.expire_watches -= 1
+        raise Expired(str(version))
     stand_in.state.changes_since(kind, version)
     await response.prepare(request)
-    while not stand_in.faults.down:
+    try:
+        await _send_changes(stand_in, request, response, version)
+    except (ConnectionResetError, Expired):
+        # The reader has left, or learns from its next watch that it is too slow.
+        return response
+    return response
+
+
+async def _send_changes(
+    stand_in: PlatformStandIn,
+    request: web.Request,
+    response: web.StreamResponse,
+    version: int,
+) -> None:
+    kind = request.match_info["kind"]
+    faults = stand_in.faults
+    while not faults.down:
+        if faults.cut_watches > 0:
+            faults.cut_watches -= 1
+            _cut(request)
+            return
         changed = stand_in.changed
         upto = stand_in.state.version
         for change in stand_in.state.changes_since(kind, version):
+            if faults.skip_watch_events > 0:
+                faults.skip_watch_events -= 1
+                continue
             await _write_event(response, change.type, change.object)
         version = upto
         bookmark = {"kind": kind, "metadata": {"resourceVersion": str(version)}}
@@ -152,7 +212,6 @@
             await asyncio.wait_for(changed.wait(), BOOKMARK_SECONDS)
         except TimeoutError:
             continue
-    return response
 
 
 async def _write_event(response: web.StreamResponse, event_type: str, item: dict):
@@ -166,8 +225,9 @@
         raise web.HTTPRequestEntityTooLarge(MAX_VALUE_BYTES, len(body))
     try:
         item = json.loads(body)
-        if not item["metadata"]["name"]:
-            raise KeyError("name")
+        name = item["metadata"]["name"]
+        if not name or request.match_info.get("name", name) != name:
+            raise ValueError("the name differs from the path")
     except (ValueError, KeyError, TypeError) as error:
         raise web.HTTPBadRequest(text=f"malformed object: {error}") from error
     return item
