Add the membership of the fleet

Cause: hosts did not know of each other, and the platform's list lags. Change: heartbeats to two rendezvous-ranked aggregators of a failure domain, answers that carry the view only when its digest differs, one domainstatus object for a domain, removal by first-hand news only, replaced and leaving hosts, rank_hosts, a version with callbacks; PeerNetwork.identify for seeds. Before: no membership. Conclusion: the lease owners and limits can place duties by rank_hosts.

--- a/src/primroseford/membership/gen/messages/ttypes.py
+++ b/src/primroseford/membership/gen/messages/ttypes.py
@@ -3,7 +3,7 @@
 #
 # DO NOT EDIT UNLESS YOU ARE SURE THAT YOU KNOW WHAT YOU ARE DOING
 #
-#  options string: py:slots,package_prefix=primroseford.membership.gen.
+#  options string: py:slots
 #
 
 from thrift.Thrift import TType, TMessageType, TFrozenDict, TException, TApplicationException
@@ -22,7 +22,6 @@
      - host_id
      - incarnation
      - address
-     - failure_domain
      - leaving
      - age_ms
 
@@ -32,17 +31,15 @@
         'host_id',
         'incarnation',
         'address',
-        'failure_domain',
         'leaving',
         'age_ms',
     )
 
 
-    def __init__(self, host_id=None, incarnation=None, address=None, failure_domain=None, leaving=None, age_ms=None,):
+    def __init__(self, host_id=None, incarnation=None, address=None, leaving=None, age_ms=None,):
         self.host_id = host_id
         self.incarnation = incarnation
         self.address = address
-        self.failure_domain = failure_domain
         self.leaving = leaving
         self.age_ms = age_ms
 
@@ -71,16 +68,11 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
-                if ftype == TType.STRING:
-                    self.failure_domain = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 5:
                 if ftype == TType.BOOL:
                     self.leaving = iprot.readBool()
                 else:
                     iprot.skip(ftype)
-            elif fid == 6:
+            elif fid == 5:
                 if ftype == TType.I32:
                     self.age_ms = iprot.readI32()
                 else:
@@ -107,18 +99,115 @@
             oprot.writeFieldBegin('address', TType.STRING, 3)
             oprot.writeString(self.address.encode('utf-8') if sys.version_info[0] == 2 else self.address)
             oprot.writeFieldEnd()
-        if self.failure_domain is not None:
-            oprot.writeFieldBegin('failure_domain', TType.STRING, 4)
-            oprot.writeString(self.failure_domain.encode('utf-8') if sys.version_info[0] == 2 else self.failure_domain)
-            oprot.writeFieldEnd()
         if self.leaving is not None:
-            oprot.writeFieldBegin('leaving', TType.BOOL, 5)
+            oprot.writeFieldBegin('leaving', TType.BOOL, 4)
             oprot.writeBool(self.leaving)
             oprot.writeFieldEnd()
         if self.age_ms is not None:
-            oprot.writeFieldBegin('age_ms', TType.I32, 6)
+            oprot.writeFieldBegin('age_ms', TType.I32, 5)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class DomainView(object):
+    """
+    Attributes:
+     - failure_domain
+     - age_ms
+     - members
+
+    """
+
+    __slots__ = (
+        'failure_domain',
+        'age_ms',
+        'members',
+    )
+
+
+    def __init__(self, failure_domain=None, age_ms=None, members=None,):
+        self.failure_domain = failure_domain
+        self.age_ms = age_ms
+        self.members = members
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.failure_domain = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.members = []
+                    (_etype3, _size0) = iprot.readListBegin()
+                    for _i4 in range(_size0):
+                        _elem5 = Member()
+                        _elem5.read(iprot)
+                        self.members.append(_elem5)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('DomainView')
+        if self.failure_domain is not None:
+            oprot.writeFieldBegin('failure_domain', TType.STRING, 1)
+            oprot.writeString(self.failure_domain.encode('utf-8') if sys.version_info[0] == 2 else self.failure_domain)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 2)
             oprot.writeI32(self.age_ms)
             oprot.writeFieldEnd()
+        if self.members is not None:
+            oprot.writeFieldBegin('members', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.members))
+            for iter6 in self.members:
+                iter6.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -147,23 +236,26 @@
 class Heartbeat(object):
     """
     Attributes:
+     - failure_domain
      - member
      - digest
-     - carried
+     - aggregator
 
     """
 
     __slots__ = (
+        'failure_domain',
         'member',
         'digest',
-        'carried',
+        'aggregator',
     )
 
 
-    def __init__(self, member=None, digest=None, carried=None,):
+    def __init__(self, failure_domain=None, member=None, digest=None, aggregator=None,):
+        self.failure_domain = failure_domain
         self.member = member
         self.digest = digest
-        self.carried = carried
+        self.aggregator = aggregator
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -175,25 +267,24 @@
             if ftype == TType.STOP:
                 break
             if fid == 1:
+                if ftype == TType.STRING:
+                    self.failure_domain = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
                 if ftype == TType.STRUCT:
                     self.member = Member()
                     self.member.read(iprot)
                 else:
                     iprot.skip(ftype)
-            elif fid == 2:
+            elif fid == 3:
                 if ftype == TType.I64:
                     self.digest = iprot.readI64()
                 else:
                     iprot.skip(ftype)
-            elif fid == 3:
-                if ftype == TType.LIST:
-                    self.carried = []
-                    (_etype3, _size0) = iprot.readListBegin()
-                    for _i4 in range(_size0):
-                        _elem5 = Member()
-                        _elem5.read(iprot)
-                        self.carried.append(_elem5)
-                    iprot.readListEnd()
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.aggregator = iprot.readBool()
                 else:
                     iprot.skip(ftype)
             else:
@@ -206,20 +297,21 @@
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
         oprot.writeStructBegin('Heartbeat')
+        if self.failure_domain is not None:
+            oprot.writeFieldBegin('failure_domain', TType.STRING, 1)
+            oprot.writeString(self.failure_domain.encode('utf-8') if sys.version_info[0] == 2 else self.failure_domain)
+            oprot.writeFieldEnd()
         if self.member is not None:
-            oprot.writeFieldBegin('member', TType.STRUCT, 1)
+            oprot.writeFieldBegin('member', TType.STRUCT, 2)
             self.member.write(oprot)
             oprot.writeFieldEnd()
         if self.digest is not None:
-            oprot.writeFieldBegin('digest', TType.I64, 2)
+            oprot.writeFieldBegin('digest', TType.I64, 3)
             oprot.writeI64(self.digest)
             oprot.writeFieldEnd()
-        if self.carried is not None:
-            oprot.writeFieldBegin('carried', TType.LIST, 3)
-            oprot.writeListBegin(TType.STRUCT, len(self.carried))
-            for iter6 in self.carried:
-                iter6.write(oprot)
-            oprot.writeListEnd()
+        if self.aggregator is not None:
+            oprot.writeFieldBegin('aggregator', TType.BOOL, 4)
+            oprot.writeBool(self.aggregator)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -250,19 +342,31 @@
     """
     Attributes:
      - digest
-     - members
+     - ages_ms
+     - domains
+     - leaving
+     - failure_domain
+     - member
 
     """
 
     __slots__ = (
         'digest',
-        'members',
+        'ages_ms',
+        'domains',
+        'leaving',
+        'failure_domain',
+        'member',
     )
 
 
-    def __init__(self, digest=None, members=None,):
+    def __init__(self, digest=None, ages_ms=None, domains=None, leaving=None, failure_domain=None, member=None,):
         self.digest = digest
-        self.members = members
+        self.ages_ms = ages_ms
+        self.domains = domains
+        self.leaving = leaving
+        self.failure_domain = failure_domain
+        self.member = member
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -279,16 +383,48 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
-                if ftype == TType.LIST:
-                    self.members = []
-                    (_etype10, _size7) = iprot.readListBegin()
+                if ftype == TType.MAP:
+                    self.ages_ms = {}
+                    (_ktype8, _vtype9, _size7) = iprot.readMapBegin()
                     for _i11 in range(_size7):
-                        _elem12 = Member()
-                        _elem12.read(iprot)
-                        self.members.append(_elem12)
+                        _key12 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val13 = iprot.readI32()
+                        self.ages_ms[_key12] = _val13
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.domains = []
+                    (_etype17, _size14) = iprot.readListBegin()
+                    for _i18 in range(_size14):
+                        _elem19 = DomainView()
+                        _elem19.read(iprot)
+                        self.domains.append(_elem19)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.leaving = []
+                    (_etype23, _size20) = iprot.readListBegin()
+                    for _i24 in range(_size20):
+                        _elem25 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.leaving.append(_elem25)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.failure_domain = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.STRUCT:
+                    self.member = Member()
+                    self.member.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -303,13 +439,36 @@
             oprot.writeFieldBegin('digest', TType.I64, 1)
             oprot.writeI64(self.digest)
             oprot.writeFieldEnd()
-        if self.members is not None:
-            oprot.writeFieldBegin('members', TType.LIST, 2)
-            oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter13 in self.members:
-                iter13.write(oprot)
+        if self.ages_ms is not None:
+            oprot.writeFieldBegin('ages_ms', TType.MAP, 2)
+            oprot.writeMapBegin(TType.STRING, TType.I32, len(self.ages_ms))
+            for kiter26, viter27 in self.ages_ms.items():
+                oprot.writeString(kiter26.encode('utf-8') if sys.version_info[0] == 2 else kiter26)
+                oprot.writeI32(viter27)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
+        if self.domains is not None:
+            oprot.writeFieldBegin('domains', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.domains))
+            for iter28 in self.domains:
+                iter28.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.leaving is not None:
+            oprot.writeFieldBegin('leaving', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRING, len(self.leaving))
+            for iter29 in self.leaving:
+                oprot.writeString(iter29.encode('utf-8') if sys.version_info[0] == 2 else iter29)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.failure_domain is not None:
+            oprot.writeFieldBegin('failure_domain', TType.STRING, 5)
+            oprot.writeString(self.failure_domain.encode('utf-8') if sys.version_info[0] == 2 else self.failure_domain)
+            oprot.writeFieldEnd()
+        if self.member is not None:
+            oprot.writeFieldBegin('member', TType.STRUCT, 6)
+            self.member.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -339,22 +498,33 @@
     (1, TType.STRING, 'host_id', 'UTF8', None, ),  # 1
     (2, TType.STRING, 'incarnation', 'UTF8', None, ),  # 2
     (3, TType.STRING, 'address', 'UTF8', None, ),  # 3
-    (4, TType.STRING, 'failure_domain', 'UTF8', None, ),  # 4
-    (5, TType.BOOL, 'leaving', None, None, ),  # 5
-    (6, TType.I32, 'age_ms', None, None, ),  # 6
+    (4, TType.BOOL, 'leaving', None, None, ),  # 4
+    (5, TType.I32, 'age_ms', None, None, ),  # 5
+)
+all_structs.append(DomainView)
+DomainView.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'failure_domain', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'age_ms', None, None, ),  # 2
+    (3, TType.LIST, 'members', (TType.STRUCT, [Member, None], False), None, ),  # 3
 )
 all_structs.append(Heartbeat)
 Heartbeat.thrift_spec = (
     None,  # 0
-    (1, TType.STRUCT, 'member', [Member, None], None, ),  # 1
-    (2, TType.I64, 'digest', None, None, ),  # 2
-    (3, TType.LIST, 'carried', (TType.STRUCT, [Member, None], False), None, ),  # 3
+    (1, TType.STRING, 'failure_domain', 'UTF8', None, ),  # 1
+    (2, TType.STRUCT, 'member', [Member, None], None, ),  # 2
+    (3, TType.I64, 'digest', None, None, ),  # 3
+    (4, TType.BOOL, 'aggregator', None, None, ),  # 4
 )
 all_structs.append(View)
 View.thrift_spec = (
     None,  # 0
     (1, TType.I64, 'digest', None, None, ),  # 1
-    (2, TType.LIST, 'members', (TType.STRUCT, [Member, None], False), None, ),  # 2
+    (2, TType.MAP, 'ages_ms', (TType.STRING, 'UTF8', TType.I32, None, False), None, ),  # 2
+    (3, TType.LIST, 'domains', (TType.STRUCT, [DomainView, None], False), None, ),  # 3
+    (4, TType.LIST, 'leaving', (TType.STRING, 'UTF8', False), None, ),  # 4
+    (5, TType.STRING, 'failure_domain', 'UTF8', None, ),  # 5
+    (6, TType.STRUCT, 'member', [Member, None], None, ),  # 6
 )
 fix_spec(all_structs)
 del all_structs
--- /dev/null
+++ b/src/primroseford/membership/service.py
@@ -0,0 +1,398 @@
+"""Membership of the fleet from the platform's list and heartbeats."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+import structlog
+from mode import Service
+
+from primroseford.errors import PrimrosefordError
+from primroseford.errors import ResultCode
+from primroseford.ids import FailureDomainId
+from primroseford.ids import HostId
+from primroseford.ids import Incarnation
+from primroseford.membership import view as views
+from primroseford.membership.gen.messages.ttypes import DomainView
+from primroseford.membership.gen.messages.ttypes import Heartbeat
+from primroseford.membership.gen.messages.ttypes import Member
+from primroseford.membership.gen.messages.ttypes import View
+from primroseford.membership.messages import host_of
+from primroseford.membership.messages import member_of
+from primroseford.membership.messages import milliseconds
+from primroseford.membership.state import HostInfo
+from primroseford.membership.state import HostState
+from primroseford.membership.state import ListedHost
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from primroseford.clock import Clock
+    from primroseford.peer.network import PeerNetwork
+    from primroseford.platform.client import PlatformClient
+
+KIND_HEARTBEAT = 100
+CALL_SECONDS = 0.8
+LIST_SECONDS = 1.0
+STATUS_SECONDS = 3.0
+MAX_SEEDS_PER_BEAT = 3
+# An aggregator that did not answer is passed over and tried again after this time.
+RETRY_SECONDS = 10.0
+
+log = structlog.get_logger()
+
+
+class Membership(Service):
+    """The hosts of the fleet as this host knows them.
+
+    :param own: this host with the address it listens on
+    :param network: connections to the other hosts
+    :param client: the platform's service
+    :param clock: local time
+    :param seeds: peer addresses to start from while the platform is down
+    """
+
+    def __init__(
+        self,
+        own: HostInfo,
+        network: PeerNetwork,
+        client: PlatformClient,
+        clock: Clock,
+        seeds: tuple[str, ...] = (),
+    ) -> None:
+        super().__init__()
+        self.view = views.FleetView(own)
+        self.network = network
+        self.client = client
+        self.clock = clock
+        self.seeds = seeds
+        self.version = 1
+        self.callbacks: list[Callable[[], None]] = []
+        self.current: tuple[HostInfo, ...] = (own,)
+        self.leaving: frozenset[str] = frozenset()
+        self.digest = views.digest(self.current, self.leaving)
+        self.aggregator = True
+        self.beats = 0
+        self.failed_at: dict[HostId, float] = {}
+        self.status_at = -STATUS_SECONDS
+        self.status_versions: dict[str, int] = {}
+        self.rumours: dict[HostId, str] = {}
+        self.listed_at = -LIST_SECONDS
+        network.register(KIND_HEARTBEAT, Heartbeat, self.answer, View)
+
+    def hosts(self) -> tuple[HostInfo, ...]:
+        """Return the hosts in the fleet, sorted by name, this one included.
+
+        A leaving or suspected host is among them with its state.
+        """
+        return self.current
+
+    def on_change(self, callback: Callable[[], None]) -> None:
+        """Call a function after each change of the version.
+
+        :param callback: called without arguments on the event loop
+        """
+        self.callbacks.append(callback)
+
+    def is_leaving(self, name: str) -> bool:
+        """Return whether a host or a backend server is about to stop.
+
+        :param name: name or address
+        """
+        return name in self.leaving
+
+    def resolve(self, host_id: HostId) -> str | None:
+        """Return the peer address of a host, or nothing if it is unknown.
+
+        :param host_id: name of the host
+        """
+        for host in self.current:
+            if host.host_id == host_id:
+                return host.address
+        for listed in self.view.listed:
+            if listed.entry and listed.name == host_id:
+                return listed.address
+        return self.rumours.get(host_id)
+
+    async def leave(self) -> None:
+        """Announce that this host is about to stop."""
+        self.view.own = replace(self.view.own, state=HostState.LEAVING)
+        self.refresh()
+        await self.beat()
+
+    def refresh(self) -> None:
+        """Recompute hosts and version; tell the callbacks of a change."""
+        now = self.clock()
+        views.expire(self.view, self.aggregator, now)
+        hosts = views.known_hosts(self.view, self.aggregator, now)
+        leaving = views.leaving_names(self.view) | {
+            part
+            for host in hosts
+            if host.state is HostState.LEAVING
+            for part in (host.host_id, host.address)
+        }
+        ranked = views.aggregators_of(self._domain(), self._reachable(hosts))
+        names = [host.host_id for host in ranked]
+        aggregator = self.view.own.host_id in names
+        if aggregator and not self.aggregator:
+            views.promote(self.view)
+        self.aggregator = aggregator
+        if hosts == self.current and leaving == self.leaving:
+            return
+        self.current, self.leaving = hosts, leaving
+        self.digest = views.digest(hosts, leaving)
+        self.version += 1
+        for callback in self.callbacks:
+            callback()
+
+    async def answer(self, sender: HostId, message: Heartbeat) -> View:
+        """Apply a heartbeat and return what the sender does not know.
+
+        :param sender: the proven peer
+        :param message: its heartbeat
+        :raises PrimrosefordError: PEER_PROTOCOL if it names another host
+        """
+        if message.member is None or message.member.host_id != sender:
+            raise PrimrosefordError(
+                ResultCode.PEER_PROTOCOL, "a heartbeat names another host"
+            )
+        now = self.clock()
+        self.failed_at.pop(sender, None)
+        domain = FailureDomainId(message.failure_domain)
+        # A heartbeat that changes nothing must not cost a pass over the fleet.
+        if views.heard(self.view, host_of(message.member, domain), now):
+            self.refresh()
+        digest = self.digest
+        own = self._domain()
+        ages = {
+            name: milliseconds(now - table.vouched_at)
+            for name, table in self.view.domains.items()
+        }
+        if self.aggregator:
+            ages[own] = 0
+        if digest != message.digest:
+            domains = [self._domain_view(name, ages) for name in {*ages, own}]
+        elif message.aggregator and domain == own:
+            domains = [self._domain_view(own, ages)]
+        else:
+            domains = []
+        member = member_of(self.view.own, 0)
+        return View(digest, ages, domains, sorted(self.leaving), own, member)
+
+    async def beat(self) -> None:
+        """Send one round of heartbeats and apply the answers."""
+        self.beats += 1
+        targets = self._targets()
+        reached = await asyncio.gather(*(self._exchange(t) for t in targets))
+        if self.aggregator or not any(reached):
+            await self._contact_unknown()
+        self.refresh()
+
+    @Service.task
+    async def send_heartbeats(self) -> None:
+        """Exchange heartbeats again and again."""
+        while not self.should_stop:
+            await self.beat()
+            await self.sleep(views.BEAT_SECONDS)
+
+    @Service.task
+    async def follow_platform(self) -> None:
+        """Read the platform's lists and write the status of the domain."""
+        while not self.should_stop:
+            await self.exchange_with_platform()
+            await self.sleep(LIST_SECONDS)
+
+    async def exchange_with_platform(self) -> None:
+        """List the hosts; the first aggregator also writes the domain's status."""
+        lonely = len(self.current) == 1
+        if not (self.aggregator or lonely):
+            return
+        try:
+            await self._read_list()
+            now = self.clock()
+            if self.aggregator and now - self.status_at >= STATUS_SECONDS:
+                self.status_at = now
+                await self._exchange_status()
+        except PrimrosefordError as error:
+            log.warning("membership without the platform", code=int(error.code))
+        self.refresh()
+
+    async def _read_list(self) -> None:
+        found = await self.client.list("hosts")
+        self.view.listed = tuple(
+            ListedHost(
+                name=item.name,
+                address=str(item.spec.get("address", "")),
+                entry=item.spec.get("role") == "entry",
+                leaving=item.spec.get("state") == "leaving",
+            )
+            for item in found.items
+        )
+        # The own list takes the place of one that an aggregator relayed.
+        self.view.relayed_leaving = frozenset()
+
+    async def _exchange_status(self) -> None:
+        domain = self._domain()
+        found = await self.client.list("domainstatus")
+        current = {item.name: item for item in found.items}
+        for name, item in current.items():
+            if name != domain:
+                self._apply_status(FailureDomainId(name), item.spec, item.version)
+        ranked = views.aggregators_of(domain, self._reachable(self.current))
+        if not ranked or ranked[0].host_id != self.view.own.host_id:
+            return
+        members = [
+            [h.host_id, h.incarnation, h.address, h.state is HostState.LEAVING]
+            for h in self.current
+            if h.failure_domain == domain
+        ]
+        spec = {"members": members, "beats": self.beats}
+        known = current.get(domain)
+        if known is None:
+            await self.client.create("domainstatus", domain, spec)
+        else:
+            await self.client.update("domainstatus", domain, spec, known.version)
+
+    def _apply_status(self, domain: FailureDomainId, spec: dict, version: int) -> None:
+        # The status has no age in local time: only a version that this host sees
+        # change counts as news.
+        now = self.clock()
+        seen = self.status_versions.get(domain)
+        self.status_versions[domain] = version
+        if seen is None or seen == version:
+            return
+        try:
+            records = [
+                views.Record(host_of(Member(n, i, a, leaving), domain), now)
+                for n, i, a, leaving in spec.get("members", [])
+            ]
+        except (TypeError, ValueError):
+            log.warning("domain status not readable", failure_domain=domain)
+            return
+        views.merge_domain(self.view, domain, now, records, True, now)
+
+    async def _exchange(self, host: HostInfo) -> bool:
+        own = self.view.own
+        member = member_of(own, 0)
+        digest = self.digest
+        beat = Heartbeat(own.failure_domain, member, digest, self.aggregator)
+        asked_at = self.clock()
+        try:
+            found = await self.network.call(
+                host.host_id, KIND_HEARTBEAT, beat, CALL_SECONDS
+            )
+        except PrimrosefordError:
+            self.failed_at.setdefault(host.host_id, asked_at)
+            return False
+        self.failed_at.pop(host.host_id, None)
+        if found.member is not None and found.member.host_id == host.host_id:
+            domain = FailureDomainId(found.failure_domain)
+            views.heard(self.view, host_of(found.member, domain), asked_at)
+        self._apply(found, digest, asked_at)
+        return True
+
+    def _apply(self, found: View, digest: int, asked_at: float) -> None:
+        own = self._domain()
+        if found.digest == digest:
+            for domain, age in (found.ages_ms or {}).items():
+                views.confirm_domain(self.view, domain, asked_at - age / 1000)
+        for table in found.domains or []:
+            domain = FailureDomainId(table.failure_domain)
+            if self.aggregator and domain == own != found.failure_domain:
+                # Another domain's news of this one is older than the heartbeats
+                # here and would bring back removed hosts; it only names hosts
+                # to contact.
+                self.rumours = {HostId(m.host_id): m.address for m in table.members}
+                continue
+            records = [
+                views.Record(host_of(m, domain), asked_at - m.age_ms / 1000)
+                for m in table.members
+            ]
+            follow = not (domain == own and self.aggregator)
+            at = asked_at - table.age_ms / 1000
+            views.merge_domain(self.view, domain, at, records, follow, asked_at)
+        if not self.aggregator and found.domains:
+            self.view.relayed_leaving = frozenset(found.leaving or ())
+            self.view.listed = ()
+
+    def _targets(self) -> list[HostInfo]:
+        hosts = self._reachable(self.current)
+        own = self._domain()
+        targets = views.aggregators_of(own, hosts)
+        others = sorted({host.failure_domain for host in hosts} - {own})
+        if self.aggregator and others:
+            turn = others[self.beats % len(others)]
+            targets += views.aggregators_of(turn, hosts)[:1]
+        return [host for host in targets if host.host_id != self.view.own.host_id]
+
+    async def _contact_unknown(self) -> None:
+        # Hosts that started at once, or were cut off, may know only each other;
+        # the platform's list and the seeds join such groups again.
+        known = {host.host_id for host in self.current}
+        names = [HostId(h.name) for h in self.view.listed if h.entry]
+        names += sorted(set(self.rumours) - set(names))
+        if len(known) == 1:
+            names += await self._identify_seeds()
+        names = [name for name in names if name not in known]
+        start = self.beats % max(1, len(names))
+        for name in (names[start:] + names[:start])[:MAX_SEEDS_PER_BEAT]:
+            seed = HostInfo(name, Incarnation(""), "", FailureDomainId(""))
+            if await self._exchange(seed):
+                return
+            self.rumours.pop(name, None)
+
+    async def _identify_seeds(self) -> list[HostId]:
+        names = []
+        for address in self.seeds:
+            if address == self.view.own.address:
+                continue
+            try:
+                names.append(await self.network.identify(address))
+            except PrimrosefordError as error:
+                log.info("seed not reached", address=address, code=int(error.code))
+        return names
+
+    def _reachable(self, hosts: tuple[HostInfo, ...]) -> tuple[HostInfo, ...]:
+        now = self.clock()
+        for name, at in list(self.failed_at.items()):
+            if now - at > RETRY_SECONDS:
+                del self.failed_at[name]
+        return tuple(
+            host
+            for host in hosts
+            if now - self.failed_at.get(host.host_id, now) < views.SUSPECT_SECONDS
+        )
+
+    def _domain_view(self, domain: FailureDomainId, ages: dict) -> DomainView:
+        now = self.clock()
+        table = self.view.domains.get(domain)
+        members = [
+            member_of(record.info, milliseconds(now - record.heard_at))
+            for record in (table.records.values() if table else ())
+        ]
+        if domain == self._domain():
+            members.append(member_of(self.view.own, 0))
+        return DomainView(domain, ages.get(domain, 0), members)
+
+    def _domain(self) -> FailureDomainId:
+        return self.view.own.failure_domain
+
+
+def create_membership(
+    own: HostInfo,
+    network: PeerNetwork,
+    client: PlatformClient,
+    clock: Clock,
+    seeds: tuple[str, ...] = (),
+) -> Membership:
+    """Return the membership service of a host.
+
+    :param own: this host with the address it listens on
+    :param network: connections to the other hosts
+    :param client: the platform's service
+    :param clock: local time
+    :param seeds: peer addresses to start from while the platform is down
+    """
+    return Membership(own, network, client, clock, seeds)
--- a/src/primroseford/membership/state.py
+++ b/src/primroseford/membership/state.py
@@ -16,10 +16,11 @@
     """Whether a host takes new duties."""
 
     LIVE = "live"
+    SUSPECTED = "suspected"
     LEAVING = "leaving"
 
 
-@dataclass(frozen=True, order=True)
+@dataclass(frozen=True)
 class HostInfo:
     """One entry host.
 
@@ -27,6 +28,7 @@
     :param incarnation: unique for each start of the process
     :param address: IP number and port of the peer protocol
     :param failure_domain: failure domain from the host's settings
+    :param state: whether the host takes new duties
     """
 
     host_id: HostId
@@ -34,3 +36,19 @@
     address: str
     failure_domain: FailureDomainId
     state: HostState = HostState.LIVE
+
+
+@dataclass(frozen=True)
+class ListedHost:
+    """A host in the platform's lagging list.
+
+    :param name: name of the host
+    :param address: address in the list
+    :param entry: whether it is an entry host and not a backend server
+    :param leaving: whether the platform is about to stop it
+    """
+
+    name: str
+    address: str
+    entry: bool
+    leaving: bool
--- a/src/primroseford/peer/network.py
+++ b/src/primroseford/peer/network.py
@@ -137,6 +137,20 @@
         answer_type = self.handlers[kind].answer_type
         return None if answer_type is None else decode(answer_type, body)
 
+    async def identify(self, address: str) -> HostId:
+        """Connect to an address and return the name that its host has proven.
+
+        :param address: IP number and port of the peer protocol
+        :raises PrimrosefordError: PEER_UNREACHABLE, or the handshake's refusal
+        """
+        try:
+            connection = await self._connect(address, None)
+        except (OSError, asyncio.IncompleteReadError) as error:
+            raise PrimrosefordError(
+                ResultCode.PEER_UNREACHABLE, f"{address} could not be reached"
+            ) from error
+        return connection.session.host_id
+
     def send(self, host_id: HostId, kind: int, message: Any) -> None:
         """Send a message without an answer; it is dropped if the peer is away.
 
@@ -222,15 +236,18 @@
             raise PrimrosefordError(
                 ResultCode.PEER_UNREACHABLE, f"host {host_id} has no known address"
             )
+        return await self._connect(address, host_id)
+
+    async def _connect(self, address: str, expected: HostId | None) -> Connection:
         host, port = address.rsplit(":", 1)
         async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
             reader, writer = await asyncio.open_connection(host, int(port))
             try:
                 session = await initiate(reader, writer, self.credentials)
-                if session.host_id != host_id:
+                if expected is not None and session.host_id != expected:
                     raise PrimrosefordError(
                         ResultCode.PEER_UNREACHABLE,
-                        f"{address} is host {session.host_id} and not {host_id}",
+                        f"{address} is host {session.host_id} and not {expected}",
                     )
             except BaseException:
                 writer.close()
