Add the limits: owner, requester, limiter

Cause: an organisation's rate and burst had no mechanism over the fleet. Change: one bucket owner for a group with expiring grants, totals of spent, returned and refunded tokens for each grant, promises that bound floors, hand-over that the next owner requests, a limiter with short waits. After: the state machine over the message protocol finds no window over rate times w plus burst (150 examples of up to 60 steps).

--- a/src/primroseford/limits/gen/messages/constants.py
+++ b/src/primroseford/limits/gen/messages/constants.py
@@ -3,7 +3,7 @@
 #
 # DO NOT EDIT UNLESS YOU ARE SURE THAT YOU KNOW WHAT YOU ARE DOING
 #
-#  options string: py:slots,package_prefix=primroseford.limits.gen.
+#  options string: py:slots
 #
 
 from thrift.Thrift import TType, TMessageType, TFrozenDict, TException, TApplicationException
--- a/src/primroseford/limits/gen/messages/ttypes.py
+++ b/src/primroseford/limits/gen/messages/ttypes.py
@@ -3,7 +3,7 @@
 #
 # DO NOT EDIT UNLESS YOU ARE SURE THAT YOU KNOW WHAT YOU ARE DOING
 #
-#  options string: py:slots,package_prefix=primroseford.limits.gen.
+#  options string: py:slots
 #
 
 from thrift.Thrift import TType, TMessageType, TFrozenDict, TException, TApplicationException
@@ -16,23 +16,29 @@
 all_structs = []
 
 
-class Return(object):
+class Usage(object):
     """
     Attributes:
      - grant_id
-     - amount
+     - spent
+     - returned
+     - refunded
 
     """
 
     __slots__ = (
         'grant_id',
-        'amount',
+        'spent',
+        'returned',
+        'refunded',
     )
 
 
-    def __init__(self, grant_id=None, amount=None,):
+    def __init__(self, grant_id=None, spent=None, returned=None, refunded=None,):
         self.grant_id = grant_id
-        self.amount = amount
+        self.spent = spent
+        self.returned = returned
+        self.refunded = refunded
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -50,7 +56,17 @@
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.I32:
-                    self.amount = iprot.readI32()
+                    self.spent = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.returned = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.refunded = iprot.readI32()
                 else:
                     iprot.skip(ftype)
             else:
@@ -62,14 +78,22 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('Return')
+        oprot.writeStructBegin('Usage')
         if self.grant_id is not None:
             oprot.writeFieldBegin('grant_id', TType.I64, 1)
             oprot.writeI64(self.grant_id)
             oprot.writeFieldEnd()
-        if self.amount is not None:
-            oprot.writeFieldBegin('amount', TType.I32, 2)
-            oprot.writeI32(self.amount)
+        if self.spent is not None:
+            oprot.writeFieldBegin('spent', TType.I32, 2)
+            oprot.writeI32(self.spent)
+            oprot.writeFieldEnd()
+        if self.returned is not None:
+            oprot.writeFieldBegin('returned', TType.I32, 3)
+            oprot.writeI32(self.returned)
+            oprot.writeFieldEnd()
+        if self.refunded is not None:
+            oprot.writeFieldBegin('refunded', TType.I32, 4)
+            oprot.writeI32(self.refunded)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -100,31 +124,28 @@
     """
     Attributes:
      - organisation
-     - online
      - batch
-     - returned
-     - spent
-     - usage_milli
+     - wanted
+     - least
+     - usages
 
     """
 
     __slots__ = (
         'organisation',
-        'online',
         'batch',
-        'returned',
-        'spent',
-        'usage_milli',
+        'wanted',
+        'least',
+        'usages',
     )
 
 
-    def __init__(self, organisation=None, online=None, batch=None, returned=None, spent=None, usage_milli=None,):
+    def __init__(self, organisation=None, batch=None, wanted=None, least=None, usages=None,):
         self.organisation = organisation
-        self.online = online
         self.batch = batch
-        self.returned = returned
-        self.spent = spent
-        self.usage_milli = usage_milli
+        self.wanted = wanted
+        self.least = least
+        self.usages = usages
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -141,42 +162,31 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
-                if ftype == TType.I32:
-                    self.online = iprot.readI32()
+                if ftype == TType.BOOL:
+                    self.batch = iprot.readBool()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.I32:
-                    self.batch = iprot.readI32()
+                    self.wanted = iprot.readI32()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
+                if ftype == TType.I32:
+                    self.least = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
                 if ftype == TType.LIST:
-                    self.returned = []
+                    self.usages = []
                     (_etype3, _size0) = iprot.readListBegin()
                     for _i4 in range(_size0):
-                        _elem5 = Return()
+                        _elem5 = Usage()
                         _elem5.read(iprot)
-                        self.returned.append(_elem5)
+                        self.usages.append(_elem5)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
-            elif fid == 5:
-                if ftype == TType.MAP:
-                    self.spent = {}
-                    (_ktype7, _vtype8, _size6) = iprot.readMapBegin()
-                    for _i10 in range(_size6):
-                        _key11 = iprot.readI64()
-                        _val12 = iprot.readI32()
-                        self.spent[_key11] = _val12
-                    iprot.readMapEnd()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 6:
-                if ftype == TType.I32:
-                    self.usage_milli = iprot.readI32()
-                else:
-                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -191,32 +201,24 @@
             oprot.writeFieldBegin('organisation', TType.STRING, 1)
             oprot.writeString(self.organisation.encode('utf-8') if sys.version_info[0] == 2 else self.organisation)
             oprot.writeFieldEnd()
-        if self.online is not None:
-            oprot.writeFieldBegin('online', TType.I32, 2)
-            oprot.writeI32(self.online)
-            oprot.writeFieldEnd()
         if self.batch is not None:
-            oprot.writeFieldBegin('batch', TType.I32, 3)
-            oprot.writeI32(self.batch)
+            oprot.writeFieldBegin('batch', TType.BOOL, 2)
+            oprot.writeBool(self.batch)
             oprot.writeFieldEnd()
-        if self.returned is not None:
-            oprot.writeFieldBegin('returned', TType.LIST, 4)
-            oprot.writeListBegin(TType.STRUCT, len(self.returned))
-            for iter13 in self.returned:
-                iter13.write(oprot)
-            oprot.writeListEnd()
+        if self.wanted is not None:
+            oprot.writeFieldBegin('wanted', TType.I32, 3)
+            oprot.writeI32(self.wanted)
             oprot.writeFieldEnd()
-        if self.spent is not None:
-            oprot.writeFieldBegin('spent', TType.MAP, 5)
-            oprot.writeMapBegin(TType.I64, TType.I32, len(self.spent))
-            for kiter14, viter15 in self.spent.items():
-                oprot.writeI64(kiter14)
-                oprot.writeI32(viter15)
-            oprot.writeMapEnd()
+        if self.least is not None:
+            oprot.writeFieldBegin('least', TType.I32, 4)
+            oprot.writeI32(self.least)
             oprot.writeFieldEnd()
-        if self.usage_milli is not None:
-            oprot.writeFieldBegin('usage_milli', TType.I32, 6)
-            oprot.writeI32(self.usage_milli)
+        if self.usages is not None:
+            oprot.writeFieldBegin('usages', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRUCT, len(self.usages))
+            for iter6 in self.usages:
+                iter6.write(oprot)
+            oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -246,28 +248,31 @@
 class DemandRequest(object):
     """
     Attributes:
+     - group
      - sequence
-     - fencing
-     - echo
      - incarnation
+     - echo_fencing
+     - echo_sequence
      - demands
 
     """
 
     __slots__ = (
+        'group',
         'sequence',
-        'fencing',
-        'echo',
         'incarnation',
+        'echo_fencing',
+        'echo_sequence',
         'demands',
     )
 
 
-    def __init__(self, sequence=None, fencing=None, echo=None, incarnation=None, demands=None,):
+    def __init__(self, group=None, sequence=None, incarnation=None, echo_fencing=None, echo_sequence=None, demands=None,):
+        self.group = group
         self.sequence = sequence
-        self.fencing = fencing
-        self.echo = echo
         self.incarnation = incarnation
+        self.echo_fencing = echo_fencing
+        self.echo_sequence = echo_sequence
         self.demands = demands
 
     def read(self, iprot):
@@ -280,33 +285,38 @@
             if ftype == TType.STOP:
                 break
             if fid == 1:
-                if ftype == TType.I64:
-                    self.sequence = iprot.readI64()
+                if ftype == TType.I32:
+                    self.group = iprot.readI32()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.I64:
-                    self.fencing = iprot.readI64()
+                    self.sequence = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
-                if ftype == TType.I64:
-                    self.echo = iprot.readI64()
+                if ftype == TType.STRING:
+                    self.incarnation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
-                if ftype == TType.STRING:
-                    self.incarnation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                if ftype == TType.I64:
+                    self.echo_fencing = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
+                if ftype == TType.I64:
+                    self.echo_sequence = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
                 if ftype == TType.LIST:
                     self.demands = []
-                    (_etype19, _size16) = iprot.readListBegin()
-                    for _i20 in range(_size16):
-                        _elem21 = Demand()
-                        _elem21.read(iprot)
-                        self.demands.append(_elem21)
+                    (_etype10, _size7) = iprot.readListBegin()
+                    for _i11 in range(_size7):
+                        _elem12 = Demand()
+                        _elem12.read(iprot)
+                        self.demands.append(_elem12)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -320,27 +330,31 @@
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
         oprot.writeStructBegin('DemandRequest')
+        if self.group is not None:
+            oprot.writeFieldBegin('group', TType.I32, 1)
+            oprot.writeI32(self.group)
+            oprot.writeFieldEnd()
         if self.sequence is not None:
-            oprot.writeFieldBegin('sequence', TType.I64, 1)
+            oprot.writeFieldBegin('sequence', TType.I64, 2)
             oprot.writeI64(self.sequence)
             oprot.writeFieldEnd()
-        if self.fencing is not None:
-            oprot.writeFieldBegin('fencing', TType.I64, 2)
-            oprot.writeI64(self.fencing)
-            oprot.writeFieldEnd()
-        if self.echo is not None:
-            oprot.writeFieldBegin('echo', TType.I64, 3)
-            oprot.writeI64(self.echo)
-            oprot.writeFieldEnd()
         if self.incarnation is not None:
-            oprot.writeFieldBegin('incarnation', TType.STRING, 4)
+            oprot.writeFieldBegin('incarnation', TType.STRING, 3)
             oprot.writeString(self.incarnation.encode('utf-8') if sys.version_info[0] == 2 else self.incarnation)
             oprot.writeFieldEnd()
+        if self.echo_fencing is not None:
+            oprot.writeFieldBegin('echo_fencing', TType.I64, 4)
+            oprot.writeI64(self.echo_fencing)
+            oprot.writeFieldEnd()
+        if self.echo_sequence is not None:
+            oprot.writeFieldBegin('echo_sequence', TType.I64, 5)
+            oprot.writeI64(self.echo_sequence)
+            oprot.writeFieldEnd()
         if self.demands is not None:
-            oprot.writeFieldBegin('demands', TType.LIST, 5)
+            oprot.writeFieldBegin('demands', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.demands))
-            for iter22 in self.demands:
-                iter22.write(oprot)
+            for iter13 in self.demands:
+                iter13.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -372,27 +386,27 @@
     """
     Attributes:
      - organisation
-     - grant_id
-     - online
      - batch
+     - grant_id
+     - amount
      - wait_ms
 
     """
 
     __slots__ = (
         'organisation',
-        'grant_id',
-        'online',
         'batch',
+        'grant_id',
+        'amount',
         'wait_ms',
     )
 
 
-    def __init__(self, organisation=None, grant_id=None, online=None, batch=None, wait_ms=None,):
+    def __init__(self, organisation=None, batch=None, grant_id=None, amount=None, wait_ms=None,):
         self.organisation = organisation
-        self.grant_id = grant_id
-        self.online = online
         self.batch = batch
+        self.grant_id = grant_id
+        self.amount = amount
         self.wait_ms = wait_ms
 
     def read(self, iprot):
@@ -410,18 +424,18 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
-                if ftype == TType.I64:
-                    self.grant_id = iprot.readI64()
+                if ftype == TType.BOOL:
+                    self.batch = iprot.readBool()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
-                if ftype == TType.I32:
-                    self.online = iprot.readI32()
+                if ftype == TType.I64:
+                    self.grant_id = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.I32:
-                    self.batch = iprot.readI32()
+                    self.amount = iprot.readI32()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
@@ -443,17 +457,17 @@
             oprot.writeFieldBegin('organisation', TType.STRING, 1)
             oprot.writeString(self.organisation.encode('utf-8') if sys.version_info[0] == 2 else self.organisation)
             oprot.writeFieldEnd()
+        if self.batch is not None:
+            oprot.writeFieldBegin('batch', TType.BOOL, 2)
+            oprot.writeBool(self.batch)
+            oprot.writeFieldEnd()
         if self.grant_id is not None:
-            oprot.writeFieldBegin('grant_id', TType.I64, 2)
+            oprot.writeFieldBegin('grant_id', TType.I64, 3)
             oprot.writeI64(self.grant_id)
             oprot.writeFieldEnd()
-        if self.online is not None:
-            oprot.writeFieldBegin('online', TType.I32, 3)
-            oprot.writeI32(self.online)
-            oprot.writeFieldEnd()
-        if self.batch is not None:
-            oprot.writeFieldBegin('batch', TType.I32, 4)
-            oprot.writeI32(self.batch)
+        if self.amount is not None:
+            oprot.writeFieldBegin('amount', TType.I32, 4)
+            oprot.writeI32(self.amount)
             oprot.writeFieldEnd()
         if self.wait_ms is not None:
             oprot.writeFieldBegin('wait_ms', TType.I32, 5)
@@ -487,31 +501,25 @@
 class GrantAnswer(object):
     """
     Attributes:
+     - owner
      - fencing
      - sequence
-     - ttl_ms
-     - promise_ms
-     - owner
      - grants
 
     """
 
     __slots__ = (
+        'owner',
         'fencing',
         'sequence',
-        'ttl_ms',
-        'promise_ms',
-        'owner',
         'grants',
     )
 
 
-    def __init__(self, fencing=None, sequence=None, ttl_ms=None, promise_ms=None, owner=None, grants=None,):
+    def __init__(self, owner=None, fencing=None, sequence=None, grants=None,):
+        self.owner = owner
         self.fencing = fencing
         self.sequence = sequence
-        self.ttl_ms = ttl_ms
-        self.promise_ms = promise_ms
-        self.owner = owner
         self.grants = grants
 
     def read(self, iprot):
@@ -524,38 +532,28 @@
             if ftype == TType.STOP:
                 break
             if fid == 1:
-                if ftype == TType.I64:
-                    self.fencing = iprot.readI64()
+                if ftype == TType.BOOL:
+                    self.owner = iprot.readBool()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.I64:
-                    self.sequence = iprot.readI64()
+                    self.fencing = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
-                if ftype == TType.I32:
-                    self.ttl_ms = iprot.readI32()
+                if ftype == TType.I64:
+                    self.sequence = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
-                if ftype == TType.I32:
-                    self.promise_ms = iprot.readI32()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 5:
-                if ftype == TType.BOOL:
-                    self.owner = iprot.readBool()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 6:
                 if ftype == TType.LIST:
                     self.grants = []
-                    (_etype26, _size23) = iprot.readListBegin()
-                    for _i27 in range(_size23):
-                        _elem28 = Grant()
-                        _elem28.read(iprot)
-                        self.grants.append(_elem28)
+                    (_etype17, _size14) = iprot.readListBegin()
+                    for _i18 in range(_size14):
+                        _elem19 = Grant()
+                        _elem19.read(iprot)
+                        self.grants.append(_elem19)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -569,31 +567,23 @@
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
         oprot.writeStructBegin('GrantAnswer')
+        if self.owner is not None:
+            oprot.writeFieldBegin('owner', TType.BOOL, 1)
+            oprot.writeBool(self.owner)
+            oprot.writeFieldEnd()
         if self.fencing is not None:
-            oprot.writeFieldBegin('fencing', TType.I64, 1)
+            oprot.writeFieldBegin('fencing', TType.I64, 2)
             oprot.writeI64(self.fencing)
             oprot.writeFieldEnd()
         if self.sequence is not None:
-            oprot.writeFieldBegin('sequence', TType.I64, 2)
+            oprot.writeFieldBegin('sequence', TType.I64, 3)
             oprot.writeI64(self.sequence)
             oprot.writeFieldEnd()
-        if self.ttl_ms is not None:
-            oprot.writeFieldBegin('ttl_ms', TType.I32, 3)
-            oprot.writeI32(self.ttl_ms)
-            oprot.writeFieldEnd()
-        if self.promise_ms is not None:
-            oprot.writeFieldBegin('promise_ms', TType.I32, 4)
-            oprot.writeI32(self.promise_ms)
-            oprot.writeFieldEnd()
-        if self.owner is not None:
-            oprot.writeFieldBegin('owner', TType.BOOL, 5)
-            oprot.writeBool(self.owner)
-            oprot.writeFieldEnd()
         if self.grants is not None:
-            oprot.writeFieldBegin('grants', TType.LIST, 6)
+            oprot.writeFieldBegin('grants', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.grants))
-            for iter29 in self.grants:
-                iter29.write(oprot)
+            for iter20 in self.grants:
+                iter20.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -624,32 +614,32 @@
 class OutstandingGrant(object):
     """
     Attributes:
-     - organisation
      - grant_id
-     - host_id
      - amount
      - left_ms
-     - batch
+     - spent
+     - returned
+     - refunded
 
     """
 
     __slots__ = (
-        'organisation',
         'grant_id',
-        'host_id',
         'amount',
         'left_ms',
-        'batch',
+        'spent',
+        'returned',
+        'refunded',
     )
 
 
-    def __init__(self, organisation=None, grant_id=None, host_id=None, amount=None, left_ms=None, batch=None,):
-        self.organisation = organisation
+    def __init__(self, grant_id=None, amount=None, left_ms=None, spent=None, returned=None, refunded=None,):
         self.grant_id = grant_id
-        self.host_id = host_id
         self.amount = amount
         self.left_ms = left_ms
-        self.batch = batch
+        self.spent = spent
+        self.returned = returned
+        self.refunded = refunded
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -661,33 +651,33 @@
             if ftype == TType.STOP:
                 break
             if fid == 1:
-                if ftype == TType.STRING:
-                    self.organisation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                if ftype == TType.I64:
+                    self.grant_id = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
-                if ftype == TType.I64:
-                    self.grant_id = iprot.readI64()
+                if ftype == TType.I32:
+                    self.amount = iprot.readI32()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
-                if ftype == TType.STRING:
-                    self.host_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                if ftype == TType.I32:
+                    self.left_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.I32:
-                    self.amount = iprot.readI32()
+                    self.spent = iprot.readI32()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.I32:
-                    self.left_ms = iprot.readI32()
+                    self.returned = iprot.readI32()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
-                if ftype == TType.BOOL:
-                    self.batch = iprot.readBool()
+                if ftype == TType.I32:
+                    self.refunded = iprot.readI32()
                 else:
                     iprot.skip(ftype)
             else:
@@ -700,29 +690,29 @@
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
         oprot.writeStructBegin('OutstandingGrant')
-        if self.organisation is not None:
-            oprot.writeFieldBegin('organisation', TType.STRING, 1)
-            oprot.writeString(self.organisation.encode('utf-8') if sys.version_info[0] == 2 else self.organisation)
-            oprot.writeFieldEnd()
         if self.grant_id is not None:
-            oprot.writeFieldBegin('grant_id', TType.I64, 2)
+            oprot.writeFieldBegin('grant_id', TType.I64, 1)
             oprot.writeI64(self.grant_id)
             oprot.writeFieldEnd()
-        if self.host_id is not None:
-            oprot.writeFieldBegin('host_id', TType.STRING, 3)
-            oprot.writeString(self.host_id.encode('utf-8') if sys.version_info[0] == 2 else self.host_id)
-            oprot.writeFieldEnd()
         if self.amount is not None:
-            oprot.writeFieldBegin('amount', TType.I32, 4)
+            oprot.writeFieldBegin('amount', TType.I32, 2)
             oprot.writeI32(self.amount)
             oprot.writeFieldEnd()
         if self.left_ms is not None:
-            oprot.writeFieldBegin('left_ms', TType.I32, 5)
+            oprot.writeFieldBegin('left_ms', TType.I32, 3)
             oprot.writeI32(self.left_ms)
             oprot.writeFieldEnd()
-        if self.batch is not None:
-            oprot.writeFieldBegin('batch', TType.BOOL, 6)
-            oprot.writeBool(self.batch)
+        if self.spent is not None:
+            oprot.writeFieldBegin('spent', TType.I32, 4)
+            oprot.writeI32(self.spent)
+            oprot.writeFieldEnd()
+        if self.returned is not None:
+            oprot.writeFieldBegin('returned', TType.I32, 5)
+            oprot.writeI32(self.returned)
+            oprot.writeFieldEnd()
+        if self.refunded is not None:
+            oprot.writeFieldBegin('refunded', TType.I32, 6)
+            oprot.writeI32(self.refunded)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -753,22 +743,25 @@
     """
     Attributes:
      - organisation
-     - online
      - batch
+     - available
+     - outstanding
 
     """
 
     __slots__ = (
         'organisation',
-        'online',
         'batch',
+        'available',
+        'outstanding',
     )
 
 
-    def __init__(self, organisation=None, online=None, batch=None,):
+    def __init__(self, organisation=None, batch=None, available=None, outstanding=None,):
         self.organisation = organisation
-        self.online = online
         self.batch = batch
+        self.available = available
+        self.outstanding = outstanding
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -785,13 +778,24 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
-                if ftype == TType.DOUBLE:
-                    self.online = iprot.readDouble()
+                if ftype == TType.BOOL:
+                    self.batch = iprot.readBool()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.DOUBLE:
-                    self.batch = iprot.readDouble()
+                    self.available = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.outstanding = []
+                    (_etype24, _size21) = iprot.readListBegin()
+                    for _i25 in range(_size21):
+                        _elem26 = OutstandingGrant()
+                        _elem26.read(iprot)
+                        self.outstanding.append(_elem26)
+                    iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             else:
@@ -808,13 +812,20 @@
             oprot.writeFieldBegin('organisation', TType.STRING, 1)
             oprot.writeString(self.organisation.encode('utf-8') if sys.version_info[0] == 2 else self.organisation)
             oprot.writeFieldEnd()
-        if self.online is not None:
-            oprot.writeFieldBegin('online', TType.DOUBLE, 2)
-            oprot.writeDouble(self.online)
-            oprot.writeFieldEnd()
         if self.batch is not None:
-            oprot.writeFieldBegin('batch', TType.DOUBLE, 3)
-            oprot.writeDouble(self.batch)
+            oprot.writeFieldBegin('batch', TType.BOOL, 2)
+            oprot.writeBool(self.batch)
+            oprot.writeFieldEnd()
+        if self.available is not None:
+            oprot.writeFieldBegin('available', TType.DOUBLE, 3)
+            oprot.writeDouble(self.available)
+            oprot.writeFieldEnd()
+        if self.outstanding is not None:
+            oprot.writeFieldBegin('outstanding', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRUCT, len(self.outstanding))
+            for iter27 in self.outstanding:
+                iter27.write(oprot)
+            oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -847,7 +858,8 @@
      - group
      - fencing
      - levels
-     - outstanding
+     - share
+     - promises_ms
 
     """
 
@@ -855,15 +867,17 @@
         'group',
         'fencing',
         'levels',
-        'outstanding',
+        'share',
+        'promises_ms',
     )
 
 
-    def __init__(self, group=None, fencing=None, levels=None, outstanding=None,):
+    def __init__(self, group=None, fencing=None, levels=None, share=None, promises_ms=None,):
         self.group = group
         self.fencing = fencing
         self.levels = levels
-        self.outstanding = outstanding
+        self.share = share
+        self.promises_ms = promises_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -887,23 +901,28 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.levels = []
-                    (_etype33, _size30) = iprot.readListBegin()
-                    for _i34 in range(_size30):
-                        _elem35 = Level()
-                        _elem35.read(iprot)
-                        self.levels.append(_elem35)
+                    (_etype31, _size28) = iprot.readListBegin()
+                    for _i32 in range(_size28):
+                        _elem33 = Level()
+                        _elem33.read(iprot)
+                        self.levels.append(_elem33)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
-                if ftype == TType.LIST:
-                    self.outstanding = []
-                    (_etype39, _size36) = iprot.readListBegin()
-                    for _i40 in range(_size36):
-                        _elem41 = OutstandingGrant()
-                        _elem41.read(iprot)
-                        self.outstanding.append(_elem41)
-                    iprot.readListEnd()
+                if ftype == TType.DOUBLE:
+                    self.share = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.MAP:
+                    self.promises_ms = {}
+                    (_ktype35, _vtype36, _size34) = iprot.readMapBegin()
+                    for _i38 in range(_size34):
+                        _key39 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val40 = iprot.readI32()
+                        self.promises_ms[_key39] = _val40
+                    iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
             else:
@@ -927,16 +946,89 @@
         if self.levels is not None:
             oprot.writeFieldBegin('levels', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.levels))
-            for iter42 in self.levels:
-                iter42.write(oprot)
+            for iter41 in self.levels:
+                iter41.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
-        if self.outstanding is not None:
-            oprot.writeFieldBegin('outstanding', TType.LIST, 4)
-            oprot.writeListBegin(TType.STRUCT, len(self.outstanding))
-            for iter43 in self.outstanding:
-                iter43.write(oprot)
-            oprot.writeListEnd()
+        if self.share is not None:
+            oprot.writeFieldBegin('share', TType.DOUBLE, 4)
+            oprot.writeDouble(self.share)
+            oprot.writeFieldEnd()
+        if self.promises_ms is not None:
+            oprot.writeFieldBegin('promises_ms', TType.MAP, 5)
+            oprot.writeMapBegin(TType.STRING, TType.I32, len(self.promises_ms))
+            for kiter42, viter43 in self.promises_ms.items():
+                oprot.writeString(kiter42.encode('utf-8') if sys.version_info[0] == 2 else kiter42)
+                oprot.writeI32(viter43)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Offer(object):
+    """
+    Attributes:
+     - group
+
+    """
+
+    __slots__ = (
+        'group',
+    )
+
+
+    def __init__(self, group=None,):
+        self.group = group
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I32:
+                    self.group = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Offer')
+        if self.group is not None:
+            oprot.writeFieldBegin('group', TType.I32, 1)
+            oprot.writeI32(self.group)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -964,11 +1056,20 @@
 
 
 class Done(object):
+    """
+    Attributes:
+     - accepted
+
+    """
 
     __slots__ = (
+        'accepted',
     )
 
 
+    def __init__(self, accepted=None,):
+        self.accepted = accepted
+
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
             iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
@@ -978,6 +1079,11 @@
             (fname, ftype, fid) = iprot.readFieldBegin()
             if ftype == TType.STOP:
                 break
+            if fid == 1:
+                if ftype == TType.BOOL:
+                    self.accepted = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -988,6 +1094,10 @@
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
         oprot.writeStructBegin('Done')
+        if self.accepted is not None:
+            oprot.writeFieldBegin('accepted', TType.BOOL, 1)
+            oprot.writeBool(self.accepted)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1011,66 +1121,67 @@
 
     def __ne__(self, other):
         return not (self == other)
-all_structs.append(Return)
-Return.thrift_spec = (
+all_structs.append(Usage)
+Usage.thrift_spec = (
     None,  # 0
     (1, TType.I64, 'grant_id', None, None, ),  # 1
-    (2, TType.I32, 'amount', None, None, ),  # 2
+    (2, TType.I32, 'spent', None, None, ),  # 2
+    (3, TType.I32, 'returned', None, None, ),  # 3
+    (4, TType.I32, 'refunded', None, None, ),  # 4
 )
 all_structs.append(Demand)
 Demand.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'organisation', 'UTF8', None, ),  # 1
-    (2, TType.I32, 'online', None, None, ),  # 2
-    (3, TType.I32, 'batch', None, None, ),  # 3
-    (4, TType.LIST, 'returned', (TType.STRUCT, [Return, None], False), None, ),  # 4
-    (5, TType.MAP, 'spent', (TType.I64, None, TType.I32, None, False), None, ),  # 5
-    (6, TType.I32, 'usage_milli', None, None, ),  # 6
+    (2, TType.BOOL, 'batch', None, None, ),  # 2
+    (3, TType.I32, 'wanted', None, None, ),  # 3
+    (4, TType.I32, 'least', None, None, ),  # 4
+    (5, TType.LIST, 'usages', (TType.STRUCT, [Usage, None], False), None, ),  # 5
 )
 all_structs.append(DemandRequest)
 DemandRequest.thrift_spec = (
     None,  # 0
-    (1, TType.I64, 'sequence', None, None, ),  # 1
-    (2, TType.I64, 'fencing', None, None, ),  # 2
-    (3, TType.I64, 'echo', None, None, ),  # 3
-    (4, TType.STRING, 'incarnation', 'UTF8', None, ),  # 4
-    (5, TType.LIST, 'demands', (TType.STRUCT, [Demand, None], False), None, ),  # 5
+    (1, TType.I32, 'group', None, None, ),  # 1
+    (2, TType.I64, 'sequence', None, None, ),  # 2
+    (3, TType.STRING, 'incarnation', 'UTF8', None, ),  # 3
+    (4, TType.I64, 'echo_fencing', None, None, ),  # 4
+    (5, TType.I64, 'echo_sequence', None, None, ),  # 5
+    (6, TType.LIST, 'demands', (TType.STRUCT, [Demand, None], False), None, ),  # 6
 )
 all_structs.append(Grant)
 Grant.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'organisation', 'UTF8', None, ),  # 1
-    (2, TType.I64, 'grant_id', None, None, ),  # 2
-    (3, TType.I32, 'online', None, None, ),  # 3
-    (4, TType.I32, 'batch', None, None, ),  # 4
+    (2, TType.BOOL, 'batch', None, None, ),  # 2
+    (3, TType.I64, 'grant_id', None, None, ),  # 3
+    (4, TType.I32, 'amount', None, None, ),  # 4
     (5, TType.I32, 'wait_ms', None, None, ),  # 5
 )
 all_structs.append(GrantAnswer)
 GrantAnswer.thrift_spec = (
     None,  # 0
-    (1, TType.I64, 'fencing', None, None, ),  # 1
-    (2, TType.I64, 'sequence', None, None, ),  # 2
-    (3, TType.I32, 'ttl_ms', None, None, ),  # 3
-    (4, TType.I32, 'promise_ms', None, None, ),  # 4
-    (5, TType.BOOL, 'owner', None, None, ),  # 5
-    (6, TType.LIST, 'grants', (TType.STRUCT, [Grant, None], False), None, ),  # 6
+    (1, TType.BOOL, 'owner', None, None, ),  # 1
+    (2, TType.I64, 'fencing', None, None, ),  # 2
+    (3, TType.I64, 'sequence', None, None, ),  # 3
+    (4, TType.LIST, 'grants', (TType.STRUCT, [Grant, None], False), None, ),  # 4
 )
 all_structs.append(OutstandingGrant)
 OutstandingGrant.thrift_spec = (
     None,  # 0
-    (1, TType.STRING, 'organisation', 'UTF8', None, ),  # 1
-    (2, TType.I64, 'grant_id', None, None, ),  # 2
-    (3, TType.STRING, 'host_id', 'UTF8', None, ),  # 3
-    (4, TType.I32, 'amount', None, None, ),  # 4
-    (5, TType.I32, 'left_ms', None, None, ),  # 5
-    (6, TType.BOOL, 'batch', None, None, ),  # 6
+    (1, TType.I64, 'grant_id', None, None, ),  # 1
+    (2, TType.I32, 'amount', None, None, ),  # 2
+    (3, TType.I32, 'left_ms', None, None, ),  # 3
+    (4, TType.I32, 'spent', None, None, ),  # 4
+    (5, TType.I32, 'returned', None, None, ),  # 5
+    (6, TType.I32, 'refunded', None, None, ),  # 6
 )
 all_structs.append(Level)
 Level.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'organisation', 'UTF8', None, ),  # 1
-    (2, TType.DOUBLE, 'online', None, None, ),  # 2
-    (3, TType.DOUBLE, 'batch', None, None, ),  # 3
+    (2, TType.BOOL, 'batch', None, None, ),  # 2
+    (3, TType.DOUBLE, 'available', None, None, ),  # 3
+    (4, TType.LIST, 'outstanding', (TType.STRUCT, [OutstandingGrant, None], False), None, ),  # 4
 )
 all_structs.append(Handover)
 Handover.thrift_spec = (
@@ -1078,10 +1189,18 @@
     (1, TType.I32, 'group', None, None, ),  # 1
     (2, TType.I64, 'fencing', None, None, ),  # 2
     (3, TType.LIST, 'levels', (TType.STRUCT, [Level, None], False), None, ),  # 3
-    (4, TType.LIST, 'outstanding', (TType.STRUCT, [OutstandingGrant, None], False), None, ),  # 4
+    (4, TType.DOUBLE, 'share', None, None, ),  # 4
+    (5, TType.MAP, 'promises_ms', (TType.STRING, 'UTF8', TType.I32, None, False), None, ),  # 5
+)
+all_structs.append(Offer)
+Offer.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'group', None, None, ),  # 1
 )
 all_structs.append(Done)
 Done.thrift_spec = (
+    None,  # 0
+    (1, TType.BOOL, 'accepted', None, None, ),  # 1
 )
 fix_spec(all_structs)
 del all_structs
--- /dev/null
+++ b/src/primroseford/limits/ownership.py
@@ -0,0 +1,214 @@
+"""The groups that this host owns: leases, hand-over and answers."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+from typing import Protocol
+
+import structlog
+
+from primroseford.errors import PrimrosefordError
+from primroseford.errors import ResultCode
+from primroseford.limits import owner as owners
+from primroseford.limits.gen.messages.ttypes import DemandRequest
+from primroseford.limits.gen.messages.ttypes import Done
+from primroseford.limits.gen.messages.ttypes import GrantAnswer
+from primroseford.limits.gen.messages.ttypes import Handover
+from primroseford.limits.gen.messages.ttypes import Offer
+from primroseford.membership.rendezvous import rank_hosts
+from primroseford.membership.state import HostState
+
+if TYPE_CHECKING:
+    from primroseford.clock import Clock
+    from primroseford.ids import HostId
+    from primroseford.membership.service import Membership
+    from primroseford.membership.state import HostInfo
+    from primroseford.peer.network import PeerNetwork
+
+KIND_DEMAND = 200
+KIND_HANDOVER = 201
+KIND_OFFER = 202
+HANDOVER_SECONDS = 0.5
+# A host below the first rank takes a group only if requests came to it lately.
+WANTED_SECONDS = 1.0
+CANDIDATES = 3
+
+log = structlog.get_logger()
+
+
+class Lease(Protocol):
+    """A lease as the lease keeper hands it out."""
+
+    fencing: int
+
+    def valid(self, now: float) -> bool:
+        """Return whether the lease is in force."""
+
+
+class LeaseKeeper(Protocol):
+    """Takes and gives up leases."""
+
+    async def acquire(self, name: str) -> Lease | None:
+        """Return the lease, or nothing while another host holds it."""
+
+    async def release(self, lease: Lease) -> None:
+        """Give up a lease."""
+
+
+class Ownership:
+    """Buckets of the groups whose leases this host holds.
+
+    The parameters are those of ``Limiter``.
+    """
+
+    def __init__(
+        self,
+        own: HostInfo,
+        membership: Membership,
+        network: PeerNetwork,
+        leases: LeaseKeeper,
+        limit_of: owners.LimitOf,
+        clock: Clock,
+        groups: int,
+        floor_hosts: int,
+    ) -> None:
+        self.own = own
+        self.membership = membership
+        self.network = network
+        self.leases = leases
+        self.limit_of = limit_of
+        self.clock = clock
+        self.groups = groups
+        self.floor_hosts = floor_hosts
+        self.held: dict[int, tuple[Lease, owners.OwnerState]] = {}
+        self.wanted: dict[int, float] = {}
+        self.received: dict[int, tuple[Handover, float, float]] = {}
+        self.offered: set[int] = set()
+        self.stopping = False
+        network.register(KIND_DEMAND, DemandRequest, self.answer, GrantAnswer)
+        network.register(KIND_HANDOVER, Offer, self.give, Handover)
+        network.register(KIND_OFFER, Offer, self.receive, Done)
+
+    async def answer(self, sender: HostId, message: DemandRequest) -> GrantAnswer:
+        """Answer a request; there is no await between the lease check and the grant.
+
+        :param sender: requesting host
+        :param message: its request
+        """
+        now = self.clock()
+        found = self.held.get(message.group)
+        if found is None or not found[0].valid(now):
+            self.wanted[message.group] = now
+            return GrantAnswer(False, 0, message.sequence, [])
+        hosts = frozenset(host.host_id for host in self.membership.hosts())
+        roster = owners.Roster(hosts, max(len(hosts), self.floor_hosts))
+        return owners.answer(found[1], sender, message, self.limit_of, roster, now)
+
+    async def receive(self, sender: HostId, message: Offer) -> Done:
+        """Fetch the state of a group from the owner that offers it.
+
+        :param sender: the owner
+        :param message: the group
+        :raises PrimrosefordError: INVALID_VALUE if there is no such group
+        """
+        group = message.group
+        if not 0 <= group < self.groups:
+            raise PrimrosefordError(ResultCode.INVALID_VALUE, "there is no such group")
+        asked_at = self.clock()
+        found = await self.network.call(
+            sender, KIND_HANDOVER, Offer(group), HANDOVER_SECONDS
+        )
+        self.received[group] = (found, asked_at, self.clock())
+        self.wanted[group] = self.clock()
+        return Done(True)
+
+    async def give(self, sender: HostId, message: Offer) -> Handover:
+        """Return the state of a group that this host has offered and owns no more.
+
+        :param sender: the next owner
+        :param message: the group
+        :raises PrimrosefordError: LEASE_LOST if the group is not offered
+        """
+        found = self.held.get(message.group)
+        now = self.clock()
+        if message.group not in self.offered or not found or not found[0].valid(now):
+            raise PrimrosefordError(ResultCode.LEASE_LOST, "the group is not offered")
+        del self.held[message.group]
+        return owners.hand_over(found[1], self._roster(), now)
+
+    async def review(self) -> None:
+        """Take the groups that are due here and hand over the others."""
+        await asyncio.gather(*(self._review(group) for group in range(self.groups)))
+
+    async def hand_over_all(self) -> None:
+        """Hand over every group before a planned stop."""
+        self.stopping = True
+        for group in list(self.held):
+            await self._hand_over(group, self._ranked(group))
+
+    async def _review(self, group: int) -> None:
+        now = self.clock()
+        found = self.held.get(group)
+        if found is not None and not found[0].valid(now):
+            log.warning("limits lease lapsed", group=group)
+            del self.held[group]
+            found = None
+        ranked = self._ranked(group)
+        first = bool(ranked) and ranked[0] == self.own.host_id
+        if found is not None:
+            if not first and ranked:
+                await self._hand_over(group, ranked)
+            return
+        wanted = now - self.wanted.get(group, float("-inf")) < WANTED_SECONDS
+        if not self.stopping and (first or wanted and self._candidate(ranked)):
+            await self._take(group)
+
+    async def _take(self, group: int) -> None:
+        try:
+            lease = await self.leases.acquire(f"limits-{group}")
+        except PrimrosefordError as error:
+            log.warning("limits lease not taken", group=group, code=int(error.code))
+            return
+        now = self.clock()
+        if lease is None or not lease.valid(now):
+            return
+        message, asked_at, received_at = self.received.pop(group, (None, 0.0, 0.0))
+        if message is not None and message.fencing + 1 == lease.fencing:
+            state = owners.open_handed_over(
+                message, lease.fencing, asked_at, received_at
+            )
+        else:
+            state = owners.open_empty(group, lease.fencing, now)
+        self.held[group] = (lease, state)
+
+    async def _hand_over(self, group: int, ranked: list[HostId]) -> None:
+        lease, _ = self.held[group]
+        others = [name for name in ranked if name != self.own.host_id]
+        self.offered.add(group)
+        try:
+            if others and lease.valid(self.clock()):
+                await self.network.call(
+                    others[0], KIND_OFFER, Offer(group), 2 * HANDOVER_SECONDS
+                )
+        except PrimrosefordError as error:
+            log.warning("hand-over failed", group=group, code=int(error.code))
+        finally:
+            # The lease must not be free while this host still grants.
+            self.offered.discard(group)
+            self.held.pop(group, None)
+        try:
+            await self.leases.release(lease)
+        except PrimrosefordError as error:
+            log.warning("lease not released", group=group, code=int(error.code))
+
+    def _roster(self) -> owners.Roster:
+        hosts = frozenset(host.host_id for host in self.membership.hosts())
+        return owners.Roster(hosts, max(len(hosts), self.floor_hosts))
+
+    def _ranked(self, group: int) -> list[HostId]:
+        hosts = [h for h in self.membership.hosts() if h.state is HostState.LIVE]
+        return [host.host_id for host in rank_hosts(f"limits/{group}", hosts)]
+
+    def _candidate(self, ranked: list[HostId]) -> bool:
+        return self.own.host_id in ranked[:CANDIDATES]
