Distribute the configuration over a relay tree

Every host listed all kinds once a second, which costs four calls a second on each host and does not fit the platform's call budget on a larger fleet.

Two hosts of each failure domain now watch the platform. The store parses only changed records.

--- /dev/null
+++ b/src/primroseford/configuration/messages.py
@@ -0,0 +1,77 @@
+"""Message kinds of the configuration and their handlers."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from primroseford.configuration import relay
+from primroseford.configuration.gen import ttypes
+from primroseford.errors import PrimrosefordError
+from primroseford.errors import ResultCode
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+    from primroseford.configuration.service import ConfigurationService
+    from primroseford.ids import HostId
+
+    Handler = Callable[[HostId, ttypes.Message], Awaitable[ttypes.Message | None]]
+
+KIND_PULL = 300
+KIND_PUSH = 301
+KIND_SLICE = 302
+KIND_PROBE = 303
+KIND_REPORTS = 304
+
+
+def create_handlers(service: ConfigurationService) -> dict[int, Handler]:
+    """Return the handler of each message kind.
+
+    :param service: the host's configuration service
+    """
+    state = service.state
+
+    async def pull(sender: HostId, message: ttypes.Message) -> ttypes.Message:
+        question = _present(message.pull, "pull")
+        answer = relay.answer_pull(state, question, service.clock())
+        return ttypes.Message(pull_answer=answer)
+
+    async def push(sender: HostId, message: ttypes.Message) -> None:
+        start = state.objects.version
+        delta = _present(message.push, "push")
+        changes, pull_needed = relay.take_push(state, delta)
+        service.in_force(start, changes)
+        if pull_needed:
+            service.spawn(service.pull_from(sender))
+
+    async def snapshot_slice(sender: HostId, message: ttypes.Message):
+        request = _present(message.slice_request, "slice_request")
+        part = relay.answer_slice(state, request, service.clock())
+        return ttypes.Message(slice=part)
+
+    async def probe(sender: HostId, message: ttypes.Message) -> ttypes.Message:
+        answer = ttypes.ProbeAnswer(
+            state.objects.version, relay.age_ms(state, service.clock())
+        )
+        return ttypes.Message(probe_answer=answer)
+
+    async def reports(sender: HostId, message: ttypes.Message) -> ttypes.Message:
+        held = relay.current_reports(state, service.clock())
+        return ttypes.Message(reports=ttypes.Reports(held))
+
+    return {
+        KIND_PULL: pull,
+        KIND_PUSH: push,
+        KIND_SLICE: snapshot_slice,
+        KIND_PROBE: probe,
+        KIND_REPORTS: reports,
+    }
+
+
+def _present(value, field: str):
+    if value is None:
+        raise PrimrosefordError(
+            ResultCode.PEER_PROTOCOL, "the message lacks its content", field=field
+        )
+    return value
--- /dev/null
+++ b/src/primroseford/configuration/objects.py
@@ -0,0 +1,178 @@
+"""The versioned set of configuration objects with its bounded change log."""
+
+from __future__ import annotations
+
+import json
+from bisect import bisect_right
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+from typing import Any
+
+from primroseford.ids import Version
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from primroseford.platform.objects import PlatformObject
+
+MAX_LOG_CHANGES = 20_000
+"""Log length; at 68,000 changes a day it reaches back about seven hours."""
+
+SLICE_BYTES = 256 * 1024
+"""Size of a snapshot slice; far below the frame limit of the peer protocol."""
+
+Identifier = tuple[str, str]
+"""Kind and name of an object."""
+
+
+@dataclass(frozen=True)
+class Change:
+    """The state of one object after a change.
+
+    :param version: version of the platform's service, exact for a write and an upper
+        bound for a deletion that was noticed by a list
+    :param body: JSON of the object; nothing if it was deleted
+    """
+
+    version: Version
+    kind: str
+    name: str
+    body: bytes | None
+
+    @property
+    def identifier(self) -> Identifier:
+        """Kind and name of the object."""
+        return self.kind, self.name
+
+    def decode(self) -> dict[str, Any] | None:
+        """Return spec and labels, or nothing if the object was deleted."""
+        return None if self.body is None else json.loads(self.body)
+
+
+@dataclass(frozen=True)
+class Delta:
+    """All changes after one version up to and including another.
+
+    :param start: version that the receiver must have reached
+    :param end: version after the changes
+    """
+
+    start: Version
+    end: Version
+    changes: tuple[Change, ...]
+
+
+@dataclass
+class ObjectSet:
+    """Objects of all kinds at one version.
+
+    :param version: every accepted change up to this version is included
+    :param objects: the last change of each object that exists
+    :param log: changes in the order of their versions; deletions in it are the
+        tombstones
+    :param log_start: deltas can be made from this version on
+    """
+
+    version: Version = Version(0)
+    objects: dict[Identifier, Change] = field(default_factory=dict)
+    log: list[Change] = field(default_factory=list)
+    log_start: Version = Version(0)
+    max_log: int = MAX_LOG_CHANGES
+
+
+def encode_change(item: PlatformObject) -> Change:
+    """Return the change that an object of the platform stands for.
+
+    :param item: object as listed or watched
+    """
+    body = json.dumps(
+        {"spec": item.spec, "labels": item.labels},
+        sort_keys=True,
+        separators=(",", ":"),
+    )
+    return Change(item.version, item.kind, item.name, body.encode())
+
+
+def apply_delta(state: ObjectSet, delta: Delta) -> tuple[Change, ...] | None:
+    """Apply a delta that starts at or below the version and ends above it.
+
+    Changes at or below the set's version are already included, so they are skipped;
+    a late or repeated delta therefore cannot restore an old object.
+
+    :returns: the changes that took effect, or nothing if the delta does not fit
+    """
+    if not delta.start <= state.version < delta.end:
+        return None
+    fresh = sorted(
+        (c for c in delta.changes if state.version < c.version <= delta.end),
+        key=lambda c: c.version,
+    )
+    applied = []
+    for change in fresh:
+        known = state.objects.get(change.identifier)
+        if change.body is None:
+            if state.objects.pop(change.identifier, None) is not None:
+                applied.append(change)
+        elif known is None or known.version < change.version:
+            state.objects[change.identifier] = change
+            applied.append(change)
+    state.version = delta.end
+    state.log.extend(fresh)
+    _trim_log(state)
+    return tuple(applied)
+
+
+def _trim_log(state: ObjectSet) -> None:
+    # Trimming a quarter at once keeps the cost of one change constant.
+    if len(state.log) <= state.max_log * 5 // 4:
+        return
+    surplus = len(state.log) - state.max_log
+    state.log_start = state.log[surplus - 1].version
+    cut = bisect_right(state.log, state.log_start, key=lambda c: c.version)
+    del state.log[:cut]
+
+
+def make_delta(state: ObjectSet, start: Version) -> Delta | None:
+    """Return the changes after a version, the last one of each object only.
+
+    :param start: version of the receiver
+    :returns: nothing if the log no longer reaches back that far
+    """
+    if start < state.log_start or start > state.version:
+        return None
+    index = bisect_right(state.log, start, key=lambda c: c.version)
+    last = {change.identifier: change for change in state.log[index:]}
+    changes = sorted(last.values(), key=lambda c: c.version)
+    return Delta(start, state.version, tuple(changes))
+
+
+def snapshot_delta(
+    state: ObjectSet, version: Version, changes: Iterable[Change]
+) -> Delta:
+    """Return the delta from a set to a snapshot; absent objects become deletions.
+
+    :param version: version of the snapshot
+    :param changes: all objects of the snapshot
+    """
+    found = {change.identifier: change for change in changes}
+    deleted = [
+        Change(version, kind, name, None)
+        for kind, name in state.objects
+        if (kind, name) not in found
+    ]
+    return Delta(state.version, version, (*found.values(), *deleted))
+
+
+def make_slices(state: ObjectSet) -> tuple[tuple[Change, ...], ...]:
+    """Return all objects in slices of limited size; at least one slice."""
+    slices: list[list[Change]] = [[]]
+    size = 0
+    for change in state.objects.values():
+        length = len(change.body or b"") + len(change.name)
+        if slices[-1] and size + length > SLICE_BYTES:
+            slices.append([])
+            size = 0
+        slices[-1].append(change)
+        size += length
+    return tuple(tuple(part) for part in slices)
--- /dev/null
+++ b/src/primroseford/configuration/service.py
@@ -0,0 +1,329 @@
+"""Service that distributes the configuration between platform and hosts."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+from typing import Protocol
+
+import structlog
+from mode import Service
+
+from primroseford.configuration import relay
+from primroseford.configuration.freshness import ProbeResult
+from primroseford.configuration.freshness import is_isolated
+from primroseford.configuration.freshness import isolation_error
+from primroseford.configuration.freshness import probe_due
+from primroseford.configuration.freshness import source_of_fresher
+from primroseford.configuration.gen import ttypes
+from primroseford.configuration.messages import KIND_PROBE
+from primroseford.configuration.messages import KIND_PULL
+from primroseford.configuration.messages import KIND_PUSH
+from primroseford.configuration.messages import KIND_REPORTS
+from primroseford.configuration.messages import KIND_SLICE
+from primroseford.configuration.messages import create_handlers
+from primroseford.configuration.objects import Delta
+from primroseford.configuration.objects import apply_delta
+from primroseford.configuration.probe import probe_hosts
+from primroseford.configuration.probe import sample_hosts
+from primroseford.configuration.store import KINDS
+from primroseford.configuration.store import ConfigurationStore
+from primroseford.configuration.tree import Position
+from primroseford.configuration.tree import all_watchers
+from primroseford.configuration.tree import place_host
+from primroseford.configuration.watcher import PlatformWatcher
+from primroseford.errors import PrimrosefordError
+from primroseford.ids import Version
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+    from collections.abc import Sequence
+
+    from primroseford.clock import Clock
+    from primroseford.configuration.objects import Change
+    from primroseford.configuration.relay import HostVersion
+    from primroseford.configuration.tree import RankHosts
+    from primroseford.ids import HostId
+    from primroseford.membership.state import HostInfo
+    from primroseford.platform.client import PlatformClient
+
+PULL_SECONDS = 1.0
+CALL_TIMEOUT_SECONDS = 1.0
+SLICE_TIMEOUT_SECONDS = 5.0
+MAX_SNAPSHOT_CALLS = 10_000
+
+log = structlog.get_logger()
+
+
+class PeerNetwork(Protocol):
+    """What the distribution needs of the connections between hosts."""
+
+    async def call(
+        self, host_id: HostId, kind: int, message: object, timeout: float
+    ) -> object:
+        """Return the answer of a host."""
+
+    async def send(self, host_id: HostId, kind: int, message: object) -> None:
+        """Send a message without an answer."""
+
+    def register(self, kind: int, message_type: type, handler: object) -> None:
+        """Handle the messages of a kind."""
+
+
+class Membership(Protocol):
+    """What the distribution needs of the list of hosts."""
+
+    version: int
+
+    def hosts(self) -> Sequence[HostInfo]:
+        """Return the live hosts."""
+
+    def on_change(self, callback: Callable[[], None]) -> None:
+        """Call ``callback`` after each change."""
+
+
+class ConfigurationService(Service):
+    """Keeps a host's configuration up to date.
+
+    :param host: the host itself
+    :param store: tables in force
+    """
+
+    def __init__(
+        self,
+        host: HostId,
+        client: PlatformClient,
+        peers: PeerNetwork,
+        membership: Membership,
+        rank: RankHosts,
+        clock: Clock,
+        pause: Callable[[float], Awaitable[None]] | None = None,
+    ) -> None:
+        super().__init__()
+        self.host = host
+        self.client = client
+        self.peers = peers
+        self.membership = membership
+        self.rank = rank
+        self.clock = clock
+        self.pause = pause or self.sleep
+        self.state = relay.RelayState(host)
+        self.store = ConfigurationStore(lambda now: relay.age(self.state, now))
+        self.position = Position()
+        self.watch_task: asyncio.Task[None] | None = None
+        self.background: set[asyncio.Task[object]] = set()
+        self.last_probe: ProbeResult | None = None
+        self.probe_round = 0
+        self.pulling = asyncio.Lock()
+
+    async def on_start(self) -> None:
+        """Register the message handlers and take a place in the tree."""
+        for kind, handler in create_handlers(self).items():
+            self.peers.register(kind, ttypes.Message, handler)
+        self.membership.on_change(self.take_place)
+        self.take_place()
+
+    async def on_stop(self) -> None:
+        """End the watches and pulls that are under way."""
+        tasks = [*self.background, *([self.watch_task] if self.watch_task else [])]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        self.watch_task = None
+
+    def take_place(self, *_: object) -> None:
+        """Follow the membership: watch, or stop watching, and know the tree."""
+        self.position = place_host(self.host, self.membership.hosts(), self.rank)
+        if self.position.watches and self.watch_task is None and not self.should_stop:
+            watcher = PlatformWatcher(
+                self.client,
+                KINDS,
+                self.state.objects,
+                self.clock,
+                self.pause,
+                self.take_watched,
+                lambda at: relay.confirm(self.state, at),
+            )
+            self.watch_task = asyncio.create_task(watcher.run())
+        elif not self.position.watches and self.watch_task is not None:
+            self.watch_task.cancel()
+            self.watch_task = None
+
+    def take_watched(self, delta: Delta) -> None:
+        """Put a delta from the platform in force."""
+        start = self.state.objects.version
+        changes = apply_delta(self.state.objects, delta)
+        if changes is not None:
+            self.in_force(start, changes)
+
+    def in_force(self, start: int, changes: Sequence[Change]) -> None:
+        """Put the state's new version in force and push it to the children.
+
+        :param start: version before the changes
+        :param changes: changes that took effect
+        """
+        if self.state.objects.version == start:
+            return
+        self.store.apply(self.state.objects.version, changes)
+        delta = Delta(Version(start), self.state.objects.version, tuple(changes))
+        if relay.delta_bytes(delta) > relay.MAX_DELTA_BYTES:
+            # The children pull a snapshot in slices instead.
+            return
+        push = relay.encode_delta(delta)
+        for child in self.position.children:
+            self.spawn(self._push(child, push))
+
+    def spawn(self, work: Awaitable[object]) -> None:
+        """Run work in the background until it ends or the service stops."""
+        task = asyncio.ensure_future(work)
+        self.background.add(task)
+        task.add_done_callback(self.background.discard)
+
+    async def _push(self, child: HostId, push: ttypes.Delta) -> None:
+        try:
+            await self.peers.send(child, KIND_PUSH, ttypes.Message(push=push))
+        except (PrimrosefordError, OSError):
+            # The child notices at its next pull.
+            log.debug("push failed", child=child)
+
+    @Service.task
+    async def keep_up(self) -> None:
+        """Pull from the parent each second and apply the freshness rule."""
+        while not self.should_stop:
+            self.spawn(self.probe())
+            await self.pull()
+            await self.pause(PULL_SECONDS)
+
+    async def pull(self) -> bool:
+        """Pull from the parent, or from the first alternate that answers.
+
+        :returns: whether a host answered
+        """
+        parent = self.position.parent
+        sources = ([parent] if parent else []) + list(self.position.alternates)
+        for source in sources[:4]:
+            if await self.pull_from(source):
+                return True
+        return False
+
+    async def pull_from(self, source: HostId) -> bool:
+        """Pull from one host, with a snapshot if the log is too short.
+
+        :returns: whether the host answered
+        """
+        if self.pulling.locked():
+            return True
+        async with self.pulling:
+            sent_at = self.clock()
+            pull = relay.make_pull(self.state, sent_at)
+            try:
+                answer = await self.ask(source, KIND_PULL, ttypes.Message(pull=pull))
+                found = answer.pull_answer
+                if found.snapshot_needed:
+                    await self._load_snapshot(source)
+            except (PrimrosefordError, OSError, TimeoutError):
+                return False
+            start = self.state.objects.version
+            self.in_force(start, relay.take_answer(self.state, found, sent_at))
+            return True
+
+    async def ask(
+        self, host: HostId, kind: int, message: ttypes.Message
+    ) -> ttypes.Message:
+        """Return the answer of another host."""
+        seconds = SLICE_TIMEOUT_SECONDS if kind == KIND_SLICE else CALL_TIMEOUT_SECONDS
+        return await self.peers.call(host, kind, message, seconds)
+
+    async def _load_snapshot(self, source: HostId) -> None:
+        receiver = relay.SnapshotReceiver()
+        for _ in range(MAX_SNAPSHOT_CALLS):
+            request = ttypes.Message(
+                slice_request=relay.next_slice(self.state, receiver)
+            )
+            answer = await self.ask(source, KIND_SLICE, request)
+            start = self.state.objects.version
+            changes = relay.take_slice(self.state, receiver, answer.slice)
+            if changes is not None:
+                self.in_force(start, changes)
+                return
+
+    async def probe(self) -> None:
+        """Find out whom this host reaches once its configuration is old."""
+        now = self.clock()
+        if not probe_due(relay.age(self.state, now)):
+            self.last_probe = None
+            return
+        self.probe_round += 1
+        hosts = sample_hosts(self.host, self.membership.hosts(), self.probe_round)
+        self.last_probe = await probe_hosts(hosts, now, self._probe_one)
+        source = source_of_fresher(relay.age(self.state, self.clock()), self.last_probe)
+        if source is not None:
+            await self.pull_from(source)
+
+    async def _probe_one(self, host: HostId) -> ttypes.ProbeAnswer | None:
+        try:
+            message = ttypes.Message(probe=ttypes.Probe())
+            return (await self.ask(host, KIND_PROBE, message)).probe_answer
+        except (PrimrosefordError, OSError, TimeoutError):
+            return None
+
+    def admits(self, now: float) -> bool:
+        """Return whether the host may admit requests by the freshness rule."""
+        if self.store.current().version == 0:
+            return False
+        return not is_isolated(relay.age(self.state, now), self.last_probe, now)
+
+    def check_admission(self, now: float) -> None:
+        """Refuse a request while the host may not admit any.
+
+        :raises PrimrosefordError: HOST_ISOLATED with outcome ``not_run``
+        """
+        if not self.admits(now):
+            raise isolation_error(self.store.current().version > 0)
+
+    async def versions_in_force(self) -> dict[HostId, HostVersion | None]:
+        """Return the version in force of each known host.
+
+        :returns: nothing for a host whose report is missing
+        """
+        hosts = self.membership.hosts()
+        state = self.state
+        relay.take_reports(state, [], self.clock())
+        watchers = [h for h in all_watchers(hosts, self.rank) if h != self.host]
+        message = ttypes.Message(reports_request=ttypes.ReportsRequest())
+        answers = await asyncio.gather(
+            *(self.ask(w, KIND_REPORTS, message) for w in watchers),
+            return_exceptions=True,
+        )
+        now = self.clock()
+        merged = relay.RelayState(self.host, state.objects, state.confirmed_at)
+        merged.reports = dict(state.reports)
+        for answer in answers:
+            if not isinstance(answer, BaseException):
+                relay.take_reports(merged, answer.reports.reports, now)
+        own = relay.HostVersion(state.objects.version, relay.age(state, now), now)
+        known = merged.reports | {self.host: own}
+        return {h.host_id: known.get(h.host_id) for h in hosts} | {self.host: own}
+
+
+def create_configuration_service(
+    host: HostId,
+    client: PlatformClient,
+    peers: PeerNetwork,
+    membership: Membership,
+    rank: RankHosts,
+    clock: Clock,
+    pause: Callable[[float], Awaitable[None]] | None = None,
+) -> ConfigurationService:
+    """Return the service that keeps a host's configuration up to date.
+
+    :param host: the host itself
+    :param client: client of the platform's service
+    :param peers: connections to other hosts
+    :param membership: live hosts
+    :param rank: rendezvous hashing of hosts
+    :param clock: time in seconds
+    :param pause: waits for some seconds; tests pass their own
+    """
+    return ConfigurationService(host, client, peers, membership, rank, clock, pause)
--- a/src/primroseford/configuration/store.py
+++ b/src/primroseford/configuration/store.py
@@ -7,25 +7,38 @@
 
 from pydantic import ValidationError
 
+from primroseford.configuration.objects import Change
+from primroseford.configuration.objects import encode_change
 from primroseford.configuration.tables import RECORD_TYPES
 from primroseford.configuration.tables import Tables
 
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Iterable
+    from collections.abc import Sequence
 
     from primroseford.configuration.tables import Record
     from primroseford.ids import Version
     from primroseford.platform.objects import PlatformObject
 
+    ChangeCallback = Callable[[Sequence[Change]], None]
+
+KINDS = (*RECORD_TYPES, "jobs")
+"""Kinds that are distributed; jobs are headers of batch jobs."""
+
 
 class ConfigurationStore:
-    """Holds the tables in force; their version only grows."""
+    """Holds the tables in force; their version only grows.
+
+    :param age: returns the seconds since the last confirmation at a time
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, age: Callable[[float], float | None] | None = None) -> None:
         self.tables = Tables()
+        self.age = age or (lambda now: None)
         self.rejected: dict[tuple[str, str], str] = {}
         self.callbacks: list[Callable[[Tables], None]] = []
+        self.subscribers: dict[str, list[ChangeCallback]] = {}
 
     def current(self) -> Tables:
         """Return the tables in force."""
@@ -35,6 +48,49 @@
         """Call ``callback`` with each new version of the tables."""
         self.callbacks.append(callback)
 
+    def subscribe(self, kind: str, callback: ChangeCallback) -> None:
+        """Call ``callback`` with the changes of one kind after they took effect.
+
+        :param kind: one of ``KINDS``
+        :param callback: gets the changes; ``Change.decode()`` returns the object
+        """
+        self.subscribers.setdefault(kind, []).append(callback)
+
+    def freshness(self, now: float) -> float | None:
+        """Return the seconds since the platform confirmed the tables.
+
+        :returns: nothing if the tables were never confirmed
+        """
+        return self.age(now)
+
+    def apply(self, version: Version, changes: Sequence[Change]) -> bool:
+        """Put changes in force.
+
+        Only the changed records are parsed and only the changed kinds are copied.
+
+        :param version: version after the changes
+        :param changes: changes since the version in force
+        :returns: whether the version was new
+        """
+        if version <= self.tables.version:
+            return False
+        by_kind: dict[str, list[Change]] = {}
+        for change in changes:
+            by_kind.setdefault(change.kind, []).append(change)
+        fields = {
+            kind: MappingProxyType(self._edited(kind, by_kind[kind]))
+            if kind in by_kind
+            else getattr(self.tables, kind)
+            for kind in RECORD_TYPES
+        }
+        self.tables = Tables(version, **fields)
+        for kind, changed in by_kind.items():
+            for subscriber in self.subscribers.get(kind, ()):
+                subscriber(changed)
+        for callback in self.callbacks:
+            callback(self.tables)
+        return True
+
     def replace(self, version: Version, objects: Iterable[PlatformObject]) -> bool:
         """Put a snapshot in force unless a newer one is.
 
@@ -42,21 +98,29 @@
         :param objects: all objects of the configuration's kinds
         :returns: whether the snapshot was applied
         """
-        if version <= self.tables.version:
-            return False
-        records: dict[str, dict[str, Record]] = {kind: {} for kind in RECORD_TYPES}
-        self.rejected = {}
-        for item in objects:
+        changes = [encode_change(item) for item in objects]
+        found = {change.identifier for change in changes}
+        for kind in RECORD_TYPES:
+            names = [n for n in getattr(self.tables, kind) if (kind, n) not in found]
+            changes += [Change(version, kind, name, None) for name in names]
+        return self.apply(version, changes)
+
+    def _edited(self, kind: str, changes: Sequence[Change]) -> dict[str, Record]:
+        records: dict[str, Record] = dict(getattr(self.tables, kind))
+        for change in changes:
+            self.rejected.pop(change.identifier, None)
+            content = change.decode()
+            if content is None:
+                records.pop(change.name, None)
+                continue
             try:
-                record = RECORD_TYPES[item.kind].model_validate(
-                    item.spec | {"name": item.name}
+                records[change.name] = RECORD_TYPES[kind].model_validate(
+                    content["spec"] | {"name": change.name}
                 )
             except ValidationError as error:
-                self.rejected[item.kind, item.name] = str(error)
-            else:
-                records[item.kind][item.name] = record
-        frozen = {kind: MappingProxyType(value) for kind, value in records.items()}
-        self.tables = Tables(version, **frozen)
-        for callback in self.callbacks:
-            callback(self.tables)
-        return True
+                # The last valid form of a record stays in force, except that an
+                # unreadable key must not go on working.
+                self.rejected[change.identifier] = str(error)
+                if kind == "keys":
+                    records.pop(change.name, None)
+        return records
--- /dev/null
+++ b/src/primroseford/configuration/watcher.py
@@ -0,0 +1,108 @@
+"""Watching of the platform by the two highest-ranked hosts of a domain."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import structlog
+
+from primroseford.configuration.merge import create_merge
+from primroseford.configuration.merge import next_delta
+from primroseford.configuration.merge import take_event
+from primroseford.configuration.merge import take_list
+from primroseford.errors import PrimrosefordError
+from primroseford.errors import ResultCode
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+    from primroseford.clock import Clock
+    from primroseford.configuration.merge import KindFeed
+    from primroseford.configuration.objects import Delta
+    from primroseford.configuration.objects import ObjectSet
+    from primroseford.platform.client import PlatformClient
+
+    Sleep = Callable[[float], Awaitable[None]]
+
+RETRY_SECONDS = 1.0
+RELIST_SECONDS = 600.0
+"""Watches are hints; a list repairs an event that the platform failed to send."""
+
+log = structlog.get_logger()
+
+
+class PlatformWatcher:
+    """Feeds of all kinds from the platform.
+
+    :param on_delta: called with each delta
+    :param on_confirmed: called with the time at which all feeds were complete
+    """
+
+    def __init__(
+        self,
+        client: PlatformClient,
+        kinds: tuple[str, ...],
+        objects: ObjectSet,
+        clock: Clock,
+        sleep: Sleep,
+        on_delta: Callable[[Delta], None],
+        on_confirmed: Callable[[float], None],
+    ) -> None:
+        self.client = client
+        self.clock = clock
+        self.sleep = sleep
+        self.on_delta = on_delta
+        self.on_confirmed = on_confirmed
+        self.merge = create_merge(kinds, objects)
+        self.heard = dict.fromkeys(kinds, float("-inf"))
+        self.listed = dict.fromkeys(kinds, float("-inf"))
+
+    async def run(self) -> None:
+        """Follow all kinds until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            for feed in self.merge.feeds.values():
+                group.create_task(self._follow(feed))
+
+    async def _follow(self, feed: KindFeed) -> None:
+        relist = feed.position == 0
+        while True:
+            try:
+                if relist or self.clock() - self.listed[feed.kind] > RELIST_SECONDS:
+                    await self._list(feed)
+                    relist = False
+                await self._watch(feed)
+            except PrimrosefordError as error:
+                relist = error.code is ResultCode.WATCH_EXPIRED
+                log.warning("watch ended", kind=feed.kind, code=int(error.code))
+            except Exception as error:
+                # A malformed event must not end the watch of the other kinds.
+                relist = True
+                log.error("watch failed", kind=feed.kind, error=repr(error))
+            await self.sleep(RETRY_SECONDS)
+
+    async def _list(self, feed: KindFeed) -> None:
+        sent_at = self.clock()
+        found = await self.client.list(feed.kind)
+        take_list(feed, found)
+        self.listed[feed.kind] = sent_at
+        self._advance(feed, sent_at)
+
+    async def _watch(self, feed: KindFeed) -> None:
+        async for event in self.client.watch(feed.kind, feed.position):
+            take_event(feed, event)
+            self._advance(feed, self.clock())
+            if self.clock() - self.listed[feed.kind] > RELIST_SECONDS:
+                await self._list(feed)
+
+    def _advance(self, feed: KindFeed, at: float) -> None:
+        self.heard[feed.kind] = max(at, self.heard[feed.kind])
+        delta = next_delta(self.merge)
+        if delta is not None:
+            self.on_delta(delta)
+        # Changes that wait for another feed are not in force yet.
+        reached = min(f.position for f in self.merge.feeds.values())
+        oldest = min(self.heard.values())
+        if oldest != float("-inf") and self.merge.published >= reached > 0:
+            self.on_confirmed(oldest)
