Check and apply tables as a library

Operators had no way to check tables offline or to write them safely.

check_tables returns all problems at once with code, field path and hint. apply_plan writes organisations, pools and routes in this order and deletes in reverse, each write conditional on the version read; it reports a lost race with the other edit's fields and the true outcome of a write whose answer was lost.

--- /dev/null
+++ b/src/primroseford/configuration/apply.py
@@ -0,0 +1,281 @@
+"""Putting tables on the platform: plan, conditional writes, wait."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import TYPE_CHECKING
+from typing import Any
+
+from primroseford.errors import PrimrosefordError
+from primroseford.errors import ResultCode
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+    from collections.abc import Mapping
+
+    from primroseford.clock import Clock
+    from primroseford.configuration.check import Checked
+    from primroseford.configuration.relay import HostVersion
+    from primroseford.ids import HostId
+    from primroseford.ids import Version
+    from primroseford.platform.client import PlatformClient
+    from primroseford.platform.objects import PlatformObject
+
+WRITE_ORDER = ("organisations", "pools", "routes")
+"""Targets of joins before the routes that name them; deletions in reverse."""
+
+WAIT_POLL_SECONDS = 0.2
+
+
+class Action(Enum):
+    """What a step does to an object."""
+
+    CREATE = "create"
+    UPDATE = "update"
+    DELETE = "delete"
+
+
+@dataclass(frozen=True)
+class FieldChange:
+    """One differing field; a missing value is nothing."""
+
+    path: str
+    old: Any
+    new: Any
+
+
+@dataclass(frozen=True)
+class Step:
+    """One write of a plan.
+
+    :param version: version that was read; the write is conditional on it
+    :param changes: what differs
+    """
+
+    action: Action
+    kind: str
+    name: str
+    spec: Mapping[str, Any] | None
+    version: Version | None
+    changes: tuple[FieldChange, ...]
+    labels: Mapping[str, str] | None = None
+
+
+class StepResult(Enum):
+    """What became of a write."""
+
+    DONE = "done"
+    LOST_RACE = "lost_race"
+    UNKNOWN = "unknown"
+    NOT_TRIED = "not_tried"
+
+
+@dataclass(frozen=True)
+class StepOutcome:
+    """A step with its result.
+
+    :param version: version of the object after the write
+    :param theirs: for a lost race, how the object now differs from what was read
+    """
+
+    step: Step
+    result: StepResult
+    version: Version | None = None
+    theirs: tuple[FieldChange, ...] = ()
+
+
+def diff_specs(old: Any, new: Any, path: str = "") -> tuple[FieldChange, ...]:
+    """Return the fields in which two specs differ.
+
+    :param old: spec before
+    :param new: spec after
+    :param path: path of both in the object
+    """
+    if isinstance(old, dict) and isinstance(new, dict):
+        found: list[FieldChange] = []
+        for key in sorted(old.keys() | new.keys()):
+            inner = f"{path}.{key}" if path else key
+            found += diff_specs(old.get(key), new.get(key), inner)
+        return tuple(found)
+    return () if old == new else (FieldChange(path, old, new),)
+
+
+async def read_platform(
+    client: PlatformClient,
+) -> dict[tuple[str, str], PlatformObject]:
+    """Return the tables on the platform by kind and name."""
+    lists = [await client.list(kind) for kind in WRITE_ORDER]
+    return {(i.kind, i.name): i for found in lists for i in found.items}
+
+
+def plan_changes(
+    wanted: Checked,
+    current: Mapping[tuple[str, str], PlatformObject],
+    prune: bool = True,
+) -> list[Step]:
+    """Return the writes that bring the platform to the wanted tables, in order.
+
+    :param wanted: tables without problems
+    :param current: objects on the platform
+    :param prune: delete objects that the tables do not name
+    """
+    writes = []
+    for (kind, name), spec in wanted.specs.items():
+        found = current.get((kind, name))
+        changes = diff_specs(found.spec if found else None, spec)
+        if found is None:
+            writes.append(Step(Action.CREATE, kind, name, spec, None, changes))
+        elif changes:
+            version = found.version
+            step = Step(Action.UPDATE, kind, name, spec, version, changes, found.labels)
+            writes.append(step)
+    deletions = [
+        Step(Action.DELETE, kind, name, None, item.version, diff_specs(item.spec, None))
+        for (kind, name), item in current.items()
+        if prune and (kind, name) not in wanted.specs
+    ]
+    writes.sort(key=lambda s: (WRITE_ORDER.index(s.kind), s.name))
+    deletions.sort(key=lambda s: (-WRITE_ORDER.index(s.kind), s.name))
+    return writes + deletions
+
+
+async def apply_plan(
+    client: PlatformClient,
+    steps: list[Step],
+    current: Mapping[tuple[str, str], PlatformObject],
+) -> list[StepOutcome]:
+    """Write the steps in order, up to the first that does not succeed.
+
+    Later steps may refer to what an earlier one writes, so they are not tried.
+
+    :param steps: the plan
+    :param current: objects that the plan was made from
+    """
+    outcomes: list[StepOutcome] = []
+    for number, step in enumerate(steps):
+        read = current.get((step.kind, step.name))
+        outcome = await _write(client, step, read)
+        outcomes.append(outcome)
+        if outcome.result is not StepResult.DONE:
+            rest = steps[number + 1 :]
+            return outcomes + [StepOutcome(s, StepResult.NOT_TRIED) for s in rest]
+    return outcomes
+
+
+async def _write(
+    client: PlatformClient, step: Step, read: PlatformObject | None
+) -> StepOutcome:
+    try:
+        return StepOutcome(step, StepResult.DONE, await _send(client, step))
+    except PrimrosefordError as error:
+        if error.code is ResultCode.PLATFORM_UNAVAILABLE:
+            return await _true_outcome(client, step, read)
+        if error.code is ResultCode.NOT_FOUND and step.action is Action.DELETE:
+            return StepOutcome(step, StepResult.DONE)
+        raced = (
+            ResultCode.VERSION_CONFLICT,
+            ResultCode.ALREADY_EXISTS,
+            ResultCode.NOT_FOUND,
+        )
+        if error.code not in raced:
+            raise
+        return await _lost_race(client, step, read)
+
+
+async def _send(client: PlatformClient, step: Step) -> Version | None:
+    if step.action is Action.CREATE:
+        created = await client.create(step.kind, step.name, dict(step.spec or {}))
+        return created.version
+    assert step.version is not None
+    if step.action is Action.DELETE:
+        await client.delete(step.kind, step.name, step.version)
+        return None
+    labels = dict(step.labels or {})
+    updated = await client.update(
+        step.kind, step.name, dict(step.spec or {}), step.version, labels
+    )
+    return updated.version
+
+
+async def _true_outcome(
+    client: PlatformClient, step: Step, read: PlatformObject | None
+) -> StepOutcome:
+    # The client has already read back by operation id. What remains is a lost
+    # deletion, or a platform that did not answer the reading back either.
+    try:
+        found = await _get(client, step)
+    except PrimrosefordError:
+        return StepOutcome(step, StepResult.UNKNOWN)
+    if step.action is Action.DELETE:
+        if found is None:
+            return StepOutcome(step, StepResult.DONE)
+    elif found is not None and found.spec == step.spec:
+        return StepOutcome(step, StepResult.DONE, found.version)
+    if (found.version if found else None) == step.version:
+        return await _retry(client, step, read)
+    return _race(step, read, found)
+
+
+async def _retry(
+    client: PlatformClient, step: Step, read: PlatformObject | None
+) -> StepOutcome:
+    try:
+        return StepOutcome(step, StepResult.DONE, await _send(client, step))
+    except PrimrosefordError as error:
+        if error.code is ResultCode.PLATFORM_UNAVAILABLE:
+            return StepOutcome(step, StepResult.UNKNOWN)
+        # The first write may have taken effect late, after the reading back.
+        found = await _get(client, step)
+        wanted = None if step.spec is None else dict(step.spec)
+        if (found.spec if found else None) == wanted:
+            done = found.version if found else None
+            return StepOutcome(step, StepResult.DONE, done)
+        return _race(step, read, found)
+
+
+async def _lost_race(
+    client: PlatformClient, step: Step, read: PlatformObject | None
+) -> StepOutcome:
+    return _race(step, read, await _get(client, step))
+
+
+def _race(
+    step: Step, read: PlatformObject | None, found: PlatformObject | None
+) -> StepOutcome:
+    theirs = diff_specs(read.spec if read else None, found.spec if found else None)
+    version = found.version if found else None
+    return StepOutcome(step, StepResult.LOST_RACE, version, theirs)
+
+
+async def _get(client: PlatformClient, step: Step) -> PlatformObject | None:
+    try:
+        return await client.get(step.kind, step.name)
+    except PrimrosefordError as error:
+        if error.code is ResultCode.NOT_FOUND:
+            return None
+        raise
+
+
+async def wait_until_in_force(
+    version: Version,
+    versions: Callable[[], Awaitable[Mapping[HostId, HostVersion | None]]],
+    clock: Clock,
+    pause: Callable[[float], Awaitable[None]],
+    timeout: float,
+) -> list[HostId]:
+    """Wait until all hosts have a version in force.
+
+    :param version: version of the last write
+    :param versions: returns the versions in force
+    :param timeout: longest wait in seconds
+    :returns: hosts that have not confirmed in time; empty on success
+    """
+    end = clock() + timeout
+    while True:
+        found = await versions()
+        late = [h for h, v in found.items() if v is None or v.version < version]
+        if not late or clock() >= end:
+            return sorted(late)
+        await pause(WAIT_POLL_SECONDS)
--- /dev/null
+++ b/src/primroseford/configuration/check.py
@@ -0,0 +1,204 @@
+"""Offline check of tables: all problems at once."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+from typing import Any
+
+from pydantic import ValidationError
+
+from primroseford.configuration.tables import RECORD_TYPES
+from primroseford.errors import ResultCode
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from primroseford.configuration.tables import Record
+
+KINDS_BY_DOCUMENT = {
+    "Route": "routes",
+    "Pool": "pools",
+    "Organisation": "organisations",
+}
+"""Kinds of table documents and of the platform's objects."""
+
+CODES = {
+    "extra_forbidden": ResultCode.UNKNOWN_FIELD,
+    "missing": ResultCode.MISSING_FIELD,
+}
+
+
+@dataclass(frozen=True)
+class Problem:
+    """One problem of the tables.
+
+    :param code: result code
+    :param field: path of the field, beginning with the document
+    :param message: one plain sentence
+    :param hint: what to do about it
+    """
+
+    code: ResultCode
+    field: str
+    message: str
+    hint: str = ""
+
+    def __str__(self) -> str:
+        text = f"[{int(self.code)}] {self.field}: {self.message}"
+        return f"{text} Hint: {self.hint}" if self.hint else text
+
+
+@dataclass
+class Checked:
+    """Records that could be read, and the problems found.
+
+    :param records: records by kind and name
+    :param specs: content as written, by kind and name
+    """
+
+    records: dict[str, dict[str, Record]] = field(
+        default_factory=lambda: {kind: {} for kind in KINDS_BY_DOCUMENT.values()}
+    )
+    specs: dict[tuple[str, str], dict[str, Any]] = field(default_factory=dict)
+    problems: list[Problem] = field(default_factory=list)
+
+
+def check_tables(documents: Sequence[object]) -> list[Problem]:
+    """Return all problems of table documents.
+
+    :param documents: decoded YAML documents ``{kind, name, ...fields}``
+    """
+    return read_tables(documents).problems
+
+
+def read_tables(documents: Sequence[object]) -> Checked:
+    """Read table documents and find all their problems.
+
+    :param documents: decoded YAML documents ``{kind, name, ...fields}``
+    """
+    found = Checked()
+    named: dict[str, set[str]] = {kind: set() for kind in found.records}
+    for number, document in enumerate(documents):
+        _read_document(found, named, number, document)
+    found.problems += _find_dangling(found, named)
+    found.problems += _find_ambiguous(found)
+    found.problems += _find_repeated_runners(found)
+    return found
+
+
+def _read_document(
+    found: Checked, named: dict[str, set[str]], number: int, document: object
+) -> None:
+    place = f"document {number + 1}"
+    if not isinstance(document, dict):
+        text = "the document is not a mapping"
+        found.problems.append(Problem(ResultCode.MALFORMED, place, text))
+        return
+    kind = KINDS_BY_DOCUMENT.get(str(document.get("kind")))
+    if kind is None:
+        missing = "kind" not in document
+        code = ResultCode.MISSING_FIELD if missing else ResultCode.INVALID_VALUE
+        text = f"{document.get('kind')!r} is not a kind of table"
+        hint = "use " + ", ".join(KINDS_BY_DOCUMENT)
+        found.problems.append(Problem(code, f"{place}.kind", text, hint))
+        return
+    name = document.get("name")
+    place = f"{document['kind']}/{name}" if name else place
+    spec = {str(k): v for k, v in document.items() if k not in ("kind", "name")}
+    if isinstance(name, str):
+        if name in named[kind]:
+            text = "the name is used twice"
+            hint = "rename or remove one of the documents"
+            problem = Problem(ResultCode.DUPLICATE_NAME, f"{place}.name", text, hint)
+            found.problems.append(problem)
+        named[kind].add(name)
+    try:
+        record = RECORD_TYPES[kind].model_validate(
+            spec | ({"name": name} if "name" in document else {})
+        )
+    except ValidationError as error:
+        found.problems += [_field_problem(place, kind, e) for e in error.errors()]
+        return
+    found.records[kind].setdefault(str(name), record)
+    found.specs.setdefault((kind, str(name)), spec)
+
+
+def _field_problem(place: str, kind: str, error: Any) -> Problem:
+    path = ".".join(str(part) for part in (place, *error["loc"]))
+    code = CODES.get(error["type"], ResultCode.INVALID_VALUE)
+    hint = ""
+    if code is ResultCode.UNKNOWN_FIELD:
+        known = [n for n in RECORD_TYPES[kind].model_fields if n != "name"]
+        hint = "known fields are " + ", ".join(known) if len(error["loc"]) == 1 else ""
+    return Problem(code, path, error["msg"][:1].lower() + error["msg"][1:], hint)
+
+
+def _find_dangling(found: Checked, named: dict[str, set[str]]) -> list[Problem]:
+    problems = []
+    for name, route in found.records["routes"].items():
+        joins = [("pool", "pools", route.pool)] + [
+            (f"organisations.{index}", "organisations", organisation)
+            for index, organisation in enumerate(route.organisations)
+        ]
+        for path, kind, target in joins:
+            if target not in named[kind]:
+                problems.append(
+                    Problem(
+                        ResultCode.DANGLING_REFERENCE,
+                        f"Route/{name}.{path}",
+                        f"there is no entry {target!r} among the {kind}",
+                        f"add it to the {kind} or correct the name",
+                    )
+                )
+    return problems
+
+
+def _find_ambiguous(found: Checked) -> list[Problem]:
+    # Routes compete only if host, prefix and priority are equal; grouping by these
+    # keeps the check linear in the number of routes.
+    groups: dict[tuple[str, str, int], list[Any]] = {}
+    for route in found.records["routes"].values():
+        match = route.match
+        groups.setdefault((match.host, match.path_prefix, route.priority), []).append(
+            route
+        )
+    problems = []
+    for routes in groups.values():
+        seen: dict[str, str] = {}
+        for route in sorted(routes, key=lambda r: r.name):
+            models = route.match.models or ("",)
+            for other in sorted({seen[m] for m in models if m in seen}):
+                problems.append(
+                    Problem(
+                        ResultCode.INVALID_VALUE,
+                        f"Route/{route.name}.match",
+                        f"it takes the same requests as Route/{other}",
+                        "give one of them another priority or match",
+                    )
+                )
+            for model in models:
+                seen.setdefault(model, route.name)
+    return problems
+
+
+def _find_repeated_runners(found: Checked) -> list[Problem]:
+    problems = []
+    owners: dict[str, str] = {}
+    for pool_name, pool in found.records["pools"].items():
+        for index, runner in enumerate(pool.runners):
+            if runner.name in owners:
+                owner = owners[runner.name]
+                problems.append(_repeated(pool_name, index, runner.name, owner))
+            owners.setdefault(runner.name, pool_name)
+    return problems
+
+
+def _repeated(pool: str, index: int, runner: str, owner: str) -> Problem:
+    return Problem(
+        ResultCode.DUPLICATE_NAME,
+        f"Pool/{pool}.runners.{index}.name",
+        f"the runner {runner!r} is also in Pool/{owner}",
+        "runner names must be unique over all pools",
+    )
--- a/src/primroseford/configuration/merge.py
+++ b/src/primroseford/configuration/merge.py
@@ -97,11 +97,10 @@
     elif event.version < feed.position:
         return
     else:
-        if event.object is not None:
-            feed.deleted.discard(event.object.name)
-        _settle_deletions(feed, event.version)
         if event.object is not None and event.version > feed.position:
+            feed.deleted.discard(event.object.name)
             _record(feed, encode_change(event.object))
+        _settle_deletions(feed, event.version)
     feed.position = max(feed.position, event.version)
 
 
--- a/src/primroseford/configuration/messages.py
+++ b/src/primroseford/configuration/messages.py
@@ -30,7 +30,7 @@
 
     :param service: the host's configuration service
     """
-    state = service.state
+    state = service.relay_state
 
     async def pull(sender: HostId, message: ttypes.Message) -> ttypes.Message:
         question = _present(message.pull, "pull")
--- a/src/primroseford/configuration/relay.py
+++ b/src/primroseford/configuration/relay.py
@@ -108,7 +108,8 @@
         known = state.reports.get(HostId(report.host))
         if report.host == state.host or now - heard > REPORT_SECONDS:
             continue
-        if known is None or heard > known.heard:
+        newer = known is None or (heard, report.version) > (known.heard, known.version)
+        if newer:
             seconds = None if report.age_ms < 0 else report.age_ms / 1000
             state.reports[HostId(report.host)] = HostVersion(
                 Version(report.version), seconds, heard
--- a/src/primroseford/configuration/service.py
+++ b/src/primroseford/configuration/service.py
@@ -108,8 +108,8 @@
         self.rank = rank
         self.clock = clock
         self.pause = pause or self.sleep
-        self.state = relay.RelayState(host)
-        self.store = ConfigurationStore(lambda now: relay.age(self.state, now))
+        self.relay_state = relay.RelayState(host)
+        self.store = ConfigurationStore(lambda now: relay.age(self.relay_state, now))
         self.position = Position()
         self.watch_task: asyncio.Task[None] | None = None
         self.background: set[asyncio.Task[object]] = set()
@@ -139,11 +139,11 @@
             watcher = PlatformWatcher(
                 self.client,
                 KINDS,
-                self.state.objects,
+                self.relay_state.objects,
                 self.clock,
                 self.pause,
                 self.take_watched,
-                lambda at: relay.confirm(self.state, at),
+                lambda at: relay.confirm(self.relay_state, at),
             )
             self.watch_task = asyncio.create_task(watcher.run())
         elif not self.position.watches and self.watch_task is not None:
@@ -152,8 +152,8 @@
 
     def take_watched(self, delta: Delta) -> None:
         """Put a delta from the platform in force."""
-        start = self.state.objects.version
-        changes = apply_delta(self.state.objects, delta)
+        start = self.relay_state.objects.version
+        changes = apply_delta(self.relay_state.objects, delta)
         if changes is not None:
             self.in_force(start, changes)
 
@@ -163,10 +163,10 @@
         :param start: version before the changes
         :param changes: changes that took effect
         """
-        if self.state.objects.version == start:
+        if self.relay_state.objects.version == start:
             return
-        self.store.apply(self.state.objects.version, changes)
-        delta = Delta(Version(start), self.state.objects.version, tuple(changes))
+        self.store.apply(self.relay_state.objects.version, changes)
+        delta = Delta(Version(start), self.relay_state.objects.version, tuple(changes))
         if relay.delta_bytes(delta) > relay.MAX_DELTA_BYTES:
             # The children pull a snapshot in slices instead.
             return
@@ -216,7 +216,7 @@
             return True
         async with self.pulling:
             sent_at = self.clock()
-            pull = relay.make_pull(self.state, sent_at)
+            pull = relay.make_pull(self.relay_state, sent_at)
             try:
                 answer = await self.ask(source, KIND_PULL, ttypes.Message(pull=pull))
                 found = answer.pull_answer
@@ -224,8 +224,8 @@
                     await self._load_snapshot(source)
             except (PrimrosefordError, OSError, TimeoutError):
                 return False
-            start = self.state.objects.version
-            self.in_force(start, relay.take_answer(self.state, found, sent_at))
+            start = self.relay_state.objects.version
+            self.in_force(start, relay.take_answer(self.relay_state, found, sent_at))
             return True
 
     async def ask(
@@ -239,11 +239,11 @@
         receiver = relay.SnapshotReceiver()
         for _ in range(MAX_SNAPSHOT_CALLS):
             request = ttypes.Message(
-                slice_request=relay.next_slice(self.state, receiver)
+                slice_request=relay.next_slice(self.relay_state, receiver)
             )
             answer = await self.ask(source, KIND_SLICE, request)
-            start = self.state.objects.version
-            changes = relay.take_slice(self.state, receiver, answer.slice)
+            start = self.relay_state.objects.version
+            changes = relay.take_slice(self.relay_state, receiver, answer.slice)
             if changes is not None:
                 self.in_force(start, changes)
                 return
@@ -251,13 +251,15 @@
     async def probe(self) -> None:
         """Find out whom this host reaches once its configuration is old."""
         now = self.clock()
-        if not probe_due(relay.age(self.state, now)):
+        if not probe_due(relay.age(self.relay_state, now)):
             self.last_probe = None
             return
         self.probe_round += 1
         hosts = sample_hosts(self.host, self.membership.hosts(), self.probe_round)
         self.last_probe = await probe_hosts(hosts, now, self._probe_one)
-        source = source_of_fresher(relay.age(self.state, self.clock()), self.last_probe)
+        source = source_of_fresher(
+            relay.age(self.relay_state, self.clock()), self.last_probe
+        )
         if source is not None:
             await self.pull_from(source)
 
@@ -272,7 +274,7 @@
         """Return whether the host may admit requests by the freshness rule."""
         if self.store.current().version == 0:
             return False
-        return not is_isolated(relay.age(self.state, now), self.last_probe, now)
+        return not is_isolated(relay.age(self.relay_state, now), self.last_probe, now)
 
     def check_admission(self, now: float) -> None:
         """Refuse a request while the host may not admit any.
@@ -288,7 +290,7 @@
         :returns: nothing for a host whose report is missing
         """
         hosts = self.membership.hosts()
-        state = self.state
+        state = self.relay_state
         relay.take_reports(state, [], self.clock())
         watchers = [h for h in all_watchers(hosts, self.rank) if h != self.host]
         message = ttypes.Message(reports_request=ttypes.ReportsRequest())
