--- /dev/null
+++ b/src/primroseford/routing/choice.py
@@ -0,0 +1,179 @@
+"""Choice of the runner for one request."""
+
+from __future__ import annotations
+
+import math
+from collections import OrderedDict
+from collections import deque
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+
+import xxhash
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+    from random import Random
+
+    from primroseford.configuration.tables import Runner
+    from primroseford.ids import FailureDomainId
+    from primroseford.ids import HostId
+
+SUBSET_RUNNERS = 16
+SUBSET_SAME_DOMAIN = 8
+"""Half of the subset stays for other failure domains, so that the loss of the
+host's own domain leaves runners to use."""
+REPORT_DECAY_SECONDS = 1.0
+AFFINITY_MARGIN = 0.25
+"""Load, as a part of capacity, that a cached prefix may cost at most."""
+SAME_DOMAIN_ROOM = 0.5
+"""A domain has room while a runner there is at most half full; beyond that the
+slowdown of a larger batch outweighs the 1 ms between domains."""
+REMEMBERED_PREFIXES = 1024
+IN_FLIGHT_SAMPLES = 64
+
+
+@dataclass(frozen=True)
+class LoadReport:
+    """What a runner reports of itself.
+
+    :param measured_at: local time of the measurement in seconds
+    """
+
+    running: int
+    waiting: int
+    capacity: int
+    measured_at: float
+    leaving: bool = False
+
+
+@dataclass(eq=False)
+class RunnerView:
+    """What this host knows of one runner.
+
+    :param online: own online requests in flight
+    :param batch: own batch items in flight
+    :param limit: requests that this host may have in flight on the runner
+    :param capacity: requests that the runner works on together
+    :param others: load of other hosts at ``reported_at``
+    :param unavailable_until: ejected or told to wait until this time in seconds
+    :param probing: only one request at a time is sent until one succeeds
+    :param samples: (time, own in-flight) at recent changes
+    """
+
+    runner: Runner
+    limit: int
+    online: int = 0
+    batch: int = 0
+    capacity: int = 1
+    others: int = 0
+    reported_at: float = -math.inf
+    report_leaving: bool = False
+    leaving: bool = False
+    unavailable_until: float = -math.inf
+    probing: bool = False
+    failures: int = 0
+    ejections: int = 0
+    latency: float = 0.0
+    latency_count: int = 0
+    samples: deque[tuple[float, int]] = field(
+        default_factory=lambda: deque(maxlen=IN_FLIGHT_SAMPLES)
+    )
+    prefixes: OrderedDict[str, None] = field(default_factory=OrderedDict)
+    cache_sequence: int = 0
+
+    @property
+    def in_flight(self) -> int:
+        """Own requests and batch items in flight."""
+        return self.online + self.batch
+
+
+def rank_key(host: str, runner: str) -> int:
+    """Return the rendezvous weight of a runner for a host."""
+    return xxhash.xxh64_intdigest(f"{host}\0{runner}".encode())
+
+
+def choose_subset(
+    runners: Sequence[Runner], host: HostId, domain: FailureDomainId
+) -> list[Runner]:
+    """Return the runners of a pool that a host uses, at most 16.
+
+    :param runners: runners of the pool that take new work
+    :param host: this host
+    :param domain: this host's failure domain
+    """
+    ranked = sorted(runners, key=lambda r: rank_key(host, r.name), reverse=True)
+    if len(ranked) <= SUBSET_RUNNERS:
+        return ranked
+    near = [r for r in ranked if r.failure_domain == domain][:SUBSET_SAME_DOMAIN]
+    names = {r.name for r in near}
+    far = [r for r in ranked if r.name not in names]
+    return near + far[: SUBSET_RUNNERS - len(near)]
+
+
+def score(view: RunnerView, now: float) -> float:
+    """Return the load of a runner as a part of its capacity.
+
+    :param view: state of the runner
+    :param now: local time in seconds
+    """
+    load = float(view.in_flight)
+    if view.others:
+        age = now - view.reported_at
+        load += view.others * math.exp(-max(0.0, age) / REPORT_DECAY_SECONDS)
+    return load / view.capacity
+
+
+def is_available(view: RunnerView, now: float) -> bool:
+    """Return whether a runner takes one more request from this host now."""
+    if view.leaving or view.report_leaving or now < view.unavailable_until:
+        return False
+    return view.in_flight < (1 if view.probing else view.limit)
+
+
+def choose_runner(
+    views: Sequence[RunnerView],
+    prefix: str | None,
+    now: float,
+    random: Random,
+    domain: FailureDomainId | None = None,
+) -> RunnerView | None:
+    """Return the runner for a request, or nothing if none has a free place.
+
+    :param views: the subset of the pool's runners
+    :param prefix: start of the prompt, if any
+    :param now: local time in seconds
+    :param random: source of randomness
+    :param domain: this host's failure domain
+    """
+    free = [view for view in views if is_available(view, now)]
+    if len(free) < 2:
+        return free[0] if free else None
+    near = [
+        view
+        for view in free
+        if view.runner.failure_domain == domain and score(view, now) < SAME_DOMAIN_ROOM
+    ]
+    chosen = _choose_of_two(near or free, now, random)
+    if prefix is None or prefix in chosen.prefixes:
+        return chosen
+    holders = [view for view in free if prefix in view.prefixes]
+    if not holders:
+        return chosen
+    preferred = min(holders, key=lambda view: score(view, now))
+    lean = score(preferred, now) - score(chosen, now)
+    return preferred if lean <= AFFINITY_MARGIN else chosen
+
+
+def _choose_of_two(
+    views: Sequence[RunnerView], now: float, random: Random
+) -> RunnerView:
+    count = len(views)
+    if count == 1:
+        return views[0]
+    # Two distinct positions with two draws; random.sample costs several times more.
+    first = int(random.random() * count)
+    second = int(random.random() * (count - 1))
+    second += second >= first
+    one, other = views[first], views[second]
+    return other if score(other, now) < score(one, now) else one
--- /dev/null
+++ b/src/primroseford/routing/tests/test_routing.py
@@ -0,0 +1,247 @@
+"""Choice of the runner, tracking, ejection, leaving and the retry budget."""
+
+from __future__ import annotations
+
+import math
+from random import Random
+
+import pytest
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from primroseford.clock import ManualClock
+from primroseford.configuration.tables import Pool
+from primroseford.configuration.tables import Runner
+from primroseford.ids import FailureDomainId
+from primroseford.ids import HostId
+from primroseford.routing.budget import RetryBudget
+from primroseford.routing.choice import AFFINITY_MARGIN
+from primroseford.routing.choice import REPORT_DECAY_SECONDS
+from primroseford.routing.choice import SAME_DOMAIN_ROOM
+from primroseford.routing.choice import LoadReport
+from primroseford.routing.choice import RunnerView
+from primroseford.routing.choice import choose_runner
+from primroseford.routing.choice import choose_subset
+from primroseford.routing.choice import score
+from primroseford.routing.tracker import MAX_EJECTION_SECONDS
+from primroseford.routing.tracker import Result
+from primroseford.routing.tracker import apply_cache_event
+from primroseford.routing.tracker import create_runner_tracker
+
+
+def runner(number, domain="d0"):
+    return Runner(
+        name=f"r{number}", address=f"127.0.0.1:{1000 + number}", failure_domain=domain
+    )
+
+
+def pool_of(count, **extra):
+    runners = tuple(runner(n, f"d{n % 3}") for n in range(count))
+    return Pool(name="p", runners=runners, **extra)
+
+
+def tracker_of(clock, leaving=()):
+    return create_runner_tracker(
+        HostId("h"), FailureDomainId("d0"), clock, Random(3), lambda n: n in leaving
+    )
+
+
+def naive_score(view, now):
+    decay = math.exp(-(now - view.reported_at) / REPORT_DECAY_SECONDS)
+    return (view.online + view.batch + view.others * decay) / view.capacity
+
+
+def naive_choices(views, prefix, now, domain):
+    """Return all runners that a correct choice may return."""
+    free = [
+        v
+        for v in views
+        if not (v.leaving or v.report_leaving)
+        and v.unavailable_until <= now
+        and v.in_flight < (1 if v.probing else v.limit)
+    ]
+    near = [
+        v
+        for v in free
+        if v.runner.failure_domain == domain and naive_score(v, now) < SAME_DOMAIN_ROOM
+    ]
+    group = near or free
+    # Two choices never return the most loaded one, unless there is a tie.
+    worst = max((naive_score(v, now) for v in group), default=0)
+    better = [v for v in group if naive_score(v, now) < worst]
+    allowed = set(map(id, better or group))
+    if len(group) > 1 and len(group) - len(better) > 1:
+        allowed = set(map(id, group))
+    holders = [v for v in free if prefix in v.prefixes]
+    if not holders:
+        return allowed
+    best = min(naive_score(v, now) for v in holders)
+    preferred = [v for v in holders if naive_score(v, now) == best]
+    result = set()
+    for choice in [v for v in group if id(v) in allowed]:
+        if prefix in choice.prefixes:
+            result.add(id(choice))
+        elif best - naive_score(choice, now) <= AFFINITY_MARGIN:
+            result |= set(map(id, preferred))
+        else:
+            result.add(id(choice))
+    return result
+
+
+VIEW = st.builds(
+    lambda n, d, own, others, capacity, until, probing, leaving, held: RunnerView(
+        runner(n, f"d{d}"),
+        8,
+        online=own,
+        others=others,
+        capacity=capacity,
+        reported_at=9.5,
+        unavailable_until=until,
+        probing=probing,
+        report_leaving=leaving,
+        prefixes={"x": None} if held else {},
+    ),
+    st.integers(0, 99),
+    st.integers(0, 2),
+    st.integers(0, 9),
+    st.integers(0, 9),
+    st.integers(1, 16),
+    st.sampled_from([-math.inf, 10.0, 10.5]),
+    st.sampled_from([False, False, True]),
+    st.sampled_from([False, False, True]),
+    st.booleans(),
+)
+
+
+@settings(max_examples=300, deadline=None)
+@given(st.lists(VIEW, max_size=8), st.integers(0, 99), st.sampled_from([None, "x"]))
+def test_choice_agrees_with_a_naive_version(views, seed, prefix):
+    """Guards against a choice of a full, ejected, leaving or overloaded runner."""
+    chosen = choose_runner(views, prefix, 10.0, Random(seed), FailureDomainId("d0"))
+    allowed = naive_choices(views, prefix, 10.0, "d0")
+    assert (chosen is None) == (not allowed)
+    assert chosen is None or id(chosen) in allowed
+
+
+@pytest.mark.parametrize("count", [1, 16, 17, 400])
+def test_subset_is_bounded_stable_and_spans_domains(count):
+    """Guards against state and polling cost that grow with the fleet."""
+    runners = pool_of(count).runners
+    subset = choose_subset(runners, HostId("h"), FailureDomainId("d0"))
+    shuffled = Random(1).sample(runners, len(runners))
+    assert subset == choose_subset(shuffled, HostId("h"), FailureDomainId("d0"))
+    assert len(subset) == min(16, count)
+    if count > 16:
+        assert len({r.failure_domain for r in subset}) == 3
+        gone = [r for r in runners if r != subset[0]]
+        kept = set(choose_subset(gone, HostId("h"), FailureDomainId("d0")))
+        assert len(kept & set(subset)) == 15
+
+
+def test_own_share_is_taken_off_a_late_report():
+    """Guards against own requests counted twice, and against herds on old reports."""
+    clock = ManualClock(100.0)
+    tracker = tracker_of(clock)
+    view = tracker.pool_views(pool_of(1))[0]
+    for _ in range(3):
+        tracker.start(view)
+    clock.advance(0.5)
+    for _ in range(2):
+        tracker.finish(view, Result.SUCCEEDED)
+    tracker.report(view, LoadReport(5, 1, 10, clock() - 0.5))
+    assert view.others == 3 and view.capacity == 10
+    fresh = score(view, 100.0)
+    assert fresh == pytest.approx(0.4)
+    assert score(view, 120.0) == pytest.approx(0.1)
+
+
+def test_ejection_backs_off_probes_once_and_readmits():
+    """Guards against requests to a dead runner, and against ejection for good."""
+    clock = ManualClock()
+    tracker = tracker_of(clock)
+    pool = pool_of(1)
+    view = tracker.pool_views(pool)[0]
+    pauses = []
+    for failures in [3, 1, 1, 1, 1, 1, 1]:
+        for _ in range(failures):
+            assert tracker.choose(pool, None) is view
+            tracker.start(view)
+            tracker.finish(view, Result.FAILED)
+        assert tracker.choose(pool, None) is None
+        pauses.append(tracker.available_in(pool))
+        clock.advance(pauses[-1])
+    assert pauses == [1, 2, 4, 8, 16, MAX_EJECTION_SECONDS, MAX_EJECTION_SECONDS]
+    tracker.start(view)
+    assert tracker.choose(pool, None) is None
+    tracker.finish(view, Result.SUCCEEDED, 0.1)
+    assert tracker.choose(pool, None) is view and not view.probing
+
+
+def test_latency_outlier_is_ejected_but_never_most_of_a_pool():
+    """Guards against a slow runner that spoils the tail, and against mass ejection."""
+    clock = ManualClock()
+    tracker = tracker_of(clock)
+    pool = pool_of(5)
+    views = tracker.pool_views(pool)
+    for _ in range(20):
+        for number, view in enumerate(views):
+            tracker.start(view)
+            tracker.finish(view, Result.SUCCEEDED, 0.5 if number < 2 else 0.1)
+    clock.advance(0.1)
+    for view in views * 20:
+        tracker.start(view)
+        tracker.finish(view, Result.SUCCEEDED, 0.5 if view in views[:2] else 0.1)
+    assert sum(view.probing for view in views) == 1
+    assert views[0].probing or views[1].probing
+
+
+@pytest.mark.parametrize("by", ["edit", "list", "report"])
+def test_leaving_runner_gets_no_new_work(by):
+    """Guards against new work for a leaving runner, however that becomes known."""
+    clock = ManualClock()
+    leaving = set()
+    tracker = tracker_of(clock, leaving)
+    pool = pool_of(2)
+    view = next(v for v in tracker.pool_views(pool) if v.runner.name == "r0")
+    if by == "edit":
+        left = pool.runners[0].model_copy(update={"state": "leaving"})
+        pool = pool.model_copy(update={"runners": (left, pool.runners[1])})
+    elif by == "list":
+        leaving.add("r0")
+        clock.advance(0.5)
+    else:
+        tracker.report(view, LoadReport(0, 0, 8, clock(), leaving=True))
+    assert {tracker.choose(pool, None).runner.name for _ in range(50)} == {"r1"}
+
+
+def test_retry_after_pauses_a_runner():
+    """Guards against requests sent to a runner that asked to wait."""
+    clock = ManualClock()
+    tracker = tracker_of(clock)
+    pool = pool_of(1)
+    view = tracker.pool_views(pool)[0]
+    tracker.start(view)
+    tracker.finish(view, Result.REFUSED, retry_after=2.0)
+    assert tracker.choose(pool, None) is None
+    clock.advance(2.0)
+    assert tracker.choose(pool, None) is view
+
+
+def test_cache_events_may_be_late_and_have_gaps():
+    """Guards against affinity to a prefix that was evicted, and against old events."""
+    view = tracker_of(ManualClock()).pool_views(pool_of(1))[0]
+    apply_cache_event(view, 5, "stored", "a")
+    apply_cache_event(view, 9, "removed", "a")
+    apply_cache_event(view, 5, "stored", "a")
+    assert "a" not in view.prefixes and view.cache_sequence == 10
+
+
+def test_retries_stay_within_a_tenth_of_requests():
+    """Guards against retries that multiply the load of a failing fleet."""
+    budget = RetryBudget()
+    retries = 0
+    for _ in range(10_000):
+        budget.add_request()
+        retries += budget.take()
+    assert retries <= 1010
--- /dev/null
+++ b/src/primroseford/routing/tracker.py
@@ -0,0 +1,293 @@
+"""State of the runners as one host sees them."""
+
+from __future__ import annotations
+
+import statistics
+from enum import Enum
+from random import Random
+from typing import TYPE_CHECKING
+
+from primroseford.configuration.tables import RunnerState
+from primroseford.routing.choice import REMEMBERED_PREFIXES
+from primroseford.routing.choice import RunnerView
+from primroseford.routing.choice import choose_runner
+from primroseford.routing.choice import choose_subset
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterable
+
+    from primroseford.clock import Clock
+    from primroseford.configuration.tables import Pool
+    from primroseford.ids import FailureDomainId
+    from primroseford.ids import HostId
+    from primroseford.routing.choice import LoadReport
+
+FAILURES_TO_EJECT = 3
+EJECTION_SECONDS = 1.0
+MAX_EJECTION_SECONDS = 30.0
+MAX_RETRY_AFTER_SECONDS = 60.0
+OUTLIER_RATIO = 3.0
+OUTLIER_SAMPLES = 20
+LATENCY_WEIGHT = 0.1
+SAMPLE_SECONDS = 0.02
+SUBSET_REFRESH_SECONDS = 0.5
+
+
+class Result(Enum):
+    """How a request on a runner ended, as far as the runner is to blame."""
+
+    SUCCEEDED = "succeeded"
+    FAILED = "failed"
+    REFUSED = "refused"
+    ABANDONED = "abandoned"
+
+
+class PoolSubset:
+    """The views of a pool's subset, refreshed when the pool changes or with time."""
+
+    def __init__(self, pool: Pool, refreshed_at: float, views: list[RunnerView]):
+        self.pool = pool
+        self.refreshed_at = refreshed_at
+        self.views = views
+
+
+class RunnerTracker:
+    """In-flight counts, load reports, ejection and leaving of runners.
+
+    :param host: this host
+    :param domain: this host's failure domain
+    :param clock: local time
+    :param random: source of randomness
+    :param is_leaving: whether the platform's list shows a runner as leaving
+    """
+
+    def __init__(
+        self,
+        host: HostId,
+        domain: FailureDomainId,
+        clock: Clock,
+        random: Random,
+        is_leaving: Callable[[str], bool],
+    ) -> None:
+        self.host = host
+        self.domain = domain
+        self.clock = clock
+        self.random = random
+        self.is_leaving = is_leaving
+        self.views: dict[tuple[str, str], RunnerView] = {}
+        self.subsets: dict[str, PoolSubset] = {}
+
+    def pool_views(self, pool: Pool) -> list[RunnerView]:
+        """Return the runners of a pool that this host uses."""
+        now = self.clock()
+        subset = self.subsets.get(pool.name)
+        if (
+            subset is None
+            or subset.pool is not pool
+            or now - subset.refreshed_at >= SUBSET_REFRESH_SECONDS
+        ):
+            subset = PoolSubset(pool, now, self._select(pool))
+            self.subsets[pool.name] = subset
+        return subset.views
+
+    def _select(self, pool: Pool) -> list[RunnerView]:
+        staying = [
+            runner
+            for runner in pool.runners
+            if runner.state is RunnerState.READY
+            and not self.is_leaving(runner.name)
+            and not self._reports_leaving(runner.name, runner.address)
+        ]
+        selected = choose_subset(staying, self.host, self.domain)
+        views = []
+        for runner in selected:
+            key = (runner.name, runner.address)
+            view = self.views.get(key)
+            if view is None:
+                view = RunnerView(runner, pool.max_in_flight)
+                view.capacity = pool.max_in_flight
+                self.views[key] = view
+            view.runner = runner
+            view.limit = pool.max_in_flight
+            views.append(view)
+        return views
+
+    def _reports_leaving(self, name: str, address: str) -> bool:
+        view = self.views.get((name, address))
+        return view is not None and view.report_leaving
+
+    def forget_unused(self, pools: Iterable[Pool]) -> None:
+        """Drop the state of runners that no pool names any more."""
+        pools = list(pools)
+        named = {(r.name, r.address) for pool in pools for r in pool.runners}
+        names = {pool.name for pool in pools}
+        for key in [k for k, v in self.views.items() if k not in named]:
+            if not self.views[key].in_flight:
+                del self.views[key]
+        for name in [n for n in self.subsets if n not in names]:
+            del self.subsets[name]
+
+    def choose(
+        self, pool: Pool, prefix: str | None, excluded: Iterable[RunnerView] = ()
+    ) -> RunnerView | None:
+        """Return a runner with a free place, or nothing.
+
+        :param pool: the pool in force
+        :param prefix: start of the prompt, if any
+        :param excluded: runners that already failed this request
+        """
+        views = self.pool_views(pool)
+        if excluded:
+            views = [v for v in views if v not in excluded] or views
+        return choose_runner(views, prefix, self.clock(), self.random, self.domain)
+
+    def start(
+        self, view: RunnerView, prefix: str | None = None, batch: bool = False
+    ) -> None:
+        """Count a request that is about to be sent."""
+        if batch:
+            view.batch += 1
+        else:
+            view.online += 1
+        self._sample(view)
+        if prefix is not None:
+            learn_prefix(view, prefix)
+
+    def finish(
+        self,
+        view: RunnerView,
+        result: Result,
+        latency: float | None = None,
+        retry_after: float | None = None,
+        batch: bool = False,
+    ) -> None:
+        """Record the end of a request.
+
+        :param latency: seconds to the first byte of the answer
+        :param retry_after: seconds the runner asked to wait
+        """
+        if batch:
+            view.batch -= 1
+        else:
+            view.online -= 1
+        self._sample(view)
+        now = self.clock()
+        if result is Result.FAILED:
+            view.failures += 1
+            if view.failures >= FAILURES_TO_EJECT or view.probing:
+                self._eject(view, now)
+        elif result is Result.SUCCEEDED:
+            view.failures = 0
+            if view.probing and now >= view.unavailable_until:
+                view.probing = False
+                view.latency_count = 0
+            if latency is not None:
+                self._record_latency(view, latency, now)
+        elif result is Result.REFUSED and retry_after is not None:
+            pause = min(retry_after, MAX_RETRY_AFTER_SECONDS)
+            view.unavailable_until = max(view.unavailable_until, now + pause)
+
+    def _eject(self, view: RunnerView, now: float) -> None:
+        pause = min(MAX_EJECTION_SECONDS, EJECTION_SECONDS * 2**view.ejections)
+        view.ejections = min(view.ejections + 1, 16)
+        view.unavailable_until = max(view.unavailable_until, now + pause)
+        view.probing = True
+        view.failures = 0
+
+    def _record_latency(self, view: RunnerView, latency: float, now: float) -> None:
+        weight = LATENCY_WEIGHT if view.latency_count else 1.0
+        view.latency += weight * (latency - view.latency)
+        view.latency_count += 1
+        if view.latency_count % OUTLIER_SAMPLES:
+            return
+        peers = self._peers(view)
+        latencies = [v.latency for v in peers if v.latency_count >= OUTLIER_SAMPLES]
+        ejected = sum(now < v.unavailable_until or v.probing for v in peers)
+        if len(latencies) < 3 or ejected >= len(peers) // 3:
+            if view.ejections:
+                view.ejections -= 1
+            return
+        if view.latency > OUTLIER_RATIO * statistics.median(latencies):
+            self._eject(view, now)
+        elif view.ejections:
+            view.ejections -= 1
+
+    def _peers(self, view: RunnerView) -> list[RunnerView]:
+        for subset in self.subsets.values():
+            if view in subset.views:
+                return subset.views
+        return []
+
+    def report(self, view: RunnerView, report: LoadReport) -> None:
+        """Take in a load report.
+
+        The host's own share at the time of the measurement is not the load of
+        others, so it is taken off.
+        """
+        own = 0
+        for at, in_flight in view.samples:
+            if at > report.measured_at:
+                break
+            own = in_flight
+        view.others = max(0, report.running + report.waiting - own)
+        view.capacity = max(1, report.capacity)
+        view.reported_at = report.measured_at
+        view.report_leaving = report.leaving
+
+    def _sample(self, view: RunnerView) -> None:
+        now = self.clock()
+        samples = view.samples
+        if samples and now - samples[-1][0] < SAMPLE_SECONDS:
+            samples[-1] = (samples[-1][0], view.in_flight)
+        else:
+            samples.append((now, view.in_flight))
+
+    def available_in(self, pool: Pool) -> float | None:
+        """Return seconds until a paused runner takes work again.
+
+        :returns: 0 if a runner is not paused; nothing if the pool has no runner
+        """
+        views = [v for v in self.pool_views(pool) if not v.report_leaving]
+        if not views:
+            return None
+        now = self.clock()
+        return max(0.0, min(v.unavailable_until for v in views) - now)
+
+
+def learn_prefix(view: RunnerView, prefix: str) -> None:
+    """Remember that a runner probably caches a prompt prefix."""
+    view.prefixes[prefix] = None
+    view.prefixes.move_to_end(prefix)
+    if len(view.prefixes) > REMEMBERED_PREFIXES:
+        view.prefixes.popitem(last=False)
+
+
+def apply_cache_event(view: RunnerView, sequence: int, event: str, prefix: str) -> None:
+    """Take in a cache event, which may be late and have gaps before it.
+
+    :param sequence: number of the event at the runner
+    :param event: ``"stored"`` or ``"removed"``
+    :param prefix: start of the prompt
+    """
+    if sequence < view.cache_sequence:
+        return
+    view.cache_sequence = sequence + 1
+    if event == "stored":
+        learn_prefix(view, prefix)
+    elif event == "removed":
+        view.prefixes.pop(prefix, None)
+
+
+def create_runner_tracker(
+    host: HostId,
+    domain: FailureDomainId,
+    clock: Clock,
+    random: Random | None = None,
+    is_leaving: Callable[[str], bool] = lambda name: False,
+) -> RunnerTracker:
+    """Return a tracker that knows no runner yet.
+
+    :param is_leaving: ``Membership.is_leaving``
+    """
+    return RunnerTracker(host, domain, clock, random or Random(), is_leaving)
