--- a/src/primroseford/online/application.py
+++ b/src/primroseford/online/application.py
@@ -2,74 +2,134 @@
 
 from __future__ import annotations
 
-import json
-import random
-import uuid
+from random import Random
 from typing import TYPE_CHECKING
 
-import aiohttp
 from aiohttp import web
 
-from primroseford.configuration.tables import RunnerState
-from primroseford.errors import Outcome
+from primroseford.clock import boottime
 from primroseford.errors import PrimrosefordError
 from primroseford.errors import ResultCode
+from primroseford.ids import FailureDomainId
+from primroseford.ids import HostId
 from primroseford.keys.secrets import authenticate
+from primroseford.metrics import Metrics
 from primroseford.online.answers import error_response
-from primroseford.online.credentials import forwarded_headers
 from primroseford.online.credentials import read_key
-from primroseford.routing.match import match_route
+from primroseford.online.exchange import create_runner_session
+from primroseford.online.forward import create_forward_handler
+from primroseford.online.places import Places
+from primroseford.online.state import OnlineState
+from primroseford.routing.tracker import create_runner_tracker
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    import aiohttp
+
+    from primroseford.clock import Clock
     from primroseford.configuration.store import ConfigurationStore
-    from primroseford.configuration.tables import Pool
-    from primroseford.configuration.tables import Route
-    from primroseford.configuration.tables import Runner
-    from primroseford.configuration.tables import Tables
+    from primroseford.online.state import Claims
+    from primroseford.online.state import Limiter
+    from primroseford.routing.tracker import RunnerTracker
 
 MAX_BODY_BYTES = 32 * 1024 * 1024
+ONLINE_STATE: web.AppKey[OnlineState] = web.AppKey("online_state", OnlineState)
 
 
-class OnlineState:
-    """What the handlers of online requests share.
-
-    :param store: configuration in force
-    :param session: HTTP session towards runners
-    """
-
-    def __init__(
-        self, store: ConfigurationStore, session: aiohttp.ClientSession
-    ) -> None:
-        self.store = store
-        self.session = session
+def admit_all() -> None:
+    """Let every request in; the gate of a host that neither stops nor is isolated."""
 
 
 def create_online_application(
-    store: ConfigurationStore, session: aiohttp.ClientSession
+    store: ConfigurationStore,
+    session: aiohttp.ClientSession | None = None,
+    *,
+    tracker: RunnerTracker | None = None,
+    clock: Clock = boottime,
+    metrics: Metrics | None = None,
+    gate: Callable[[], None] = admit_all,
+    limiter: Limiter | None = None,
+    claims: Claims | None = None,
 ) -> web.Application:
     """Return the application that serves callers.
 
+    Routes added later are matched before the one that takes all paths, since aiohttp
+    tries more specific paths first.
+
     :param store: configuration in force
-    :param session: HTTP session towards runners
+    :param session: unused; the application has its own session towards runners,
+        which it closes on cleanup
+    :param tracker: state of the runners, shared with batch
+    :param gate: raises HOST_STOPPING or HOST_ISOLATED
+    :param limiter: fleet-wide rates; requests are not limited without it
+    :param claims: idempotency claims; requests with a key are refused without it
     """
-    state = OnlineState(store, session)
+    if tracker is None:
+        tracker = create_runner_tracker(
+            HostId("host"), FailureDomainId("none"), clock, Random()
+        )
     app = web.Application(client_max_size=MAX_BODY_BYTES, middlewares=[report_errors])
+
+    async def open_session(app: web.Application):
+        runner_session = create_runner_session()
+        app[ONLINE_STATE].session = runner_session
+        yield
+        await runner_session.close()
+
+    state = OnlineState(
+        store,
+        session,
+        tracker,
+        Places(store, tracker),
+        clock,
+        metrics or Metrics(),
+        gate,
+        limiter,
+        claims,
+    )
+    app[ONLINE_STATE] = state
+    store.on_change(state.open.end_withdrawn)
+    app.cleanup_ctx.append(open_session)
     app.router.add_get("/v1/models", _models_handler(state))
-    app.router.add_route("*", "/{path:.*}", _forward_handler(state))
+    app.router.add_route("*", "/{path:.*}", create_forward_handler(state))
     return app
 
 
 @web.middleware
-async def report_errors(request: web.Request, handler):
-    """Turn errors with a result code into HTTP answers."""
+async def report_errors(request: web.Request, handler) -> web.StreamResponse:
+    """Turn errors with a result code into HTTP answers and count them."""
+    state = request.app[ONLINE_STATE]
+    if request.protocol is not None:
+        state.remember_connection(request.protocol)
     try:
-        return await handler(request)
+        response = await handler(request)
     except PrimrosefordError as error:
-        return error_response(error)
+        response = _refuse(state, error)
+    except web.HTTPRequestEntityTooLarge:
+        response = _refuse(
+            state,
+            PrimrosefordError(
+                ResultCode.BODY_TOO_LARGE,
+                f"the body is larger than {MAX_BODY_BYTES} bytes",
+                field="body",
+            ),
+        )
+        # The rest of the body is not read.
+        response.force_close()
+    if state.draining and not response.prepared:
+        response.force_close()
+    return response
+
+
+def _refuse(state: OnlineState, error: PrimrosefordError) -> web.Response:
+    state.refusals.labels(error.code.name.lower()).inc()
+    return error_response(error)
 
 
 def _models_handler(state: OnlineState):
     async def list_models(request: web.Request) -> web.Response:
+        state.gate()
         tables = state.store.current()
         identity = authenticate(tables, read_key(request))
         names = {
@@ -85,95 +145,3 @@
         return web.json_response({"object": "list", "data": data})
 
     return list_models
-
-
-def _forward_handler(state: OnlineState):
-    async def forward(request: web.Request) -> web.StreamResponse:
-        tables = state.store.current()
-        body = await request.read()
-        model = _model_of(request, body)
-        route = match_route(tables, request.url.host or "", request.path, model)
-        _authorise(tables, route, request)
-        pool = _pool_of(tables, route)
-        return await _relay(state, request, body, route, _choose(pool))
-
-    return forward
-
-
-def _model_of(request: web.Request, body: bytes) -> str | None:
-    if not body or request.content_type != "application/json":
-        return None
-    try:
-        parsed = json.loads(body)
-    except ValueError as error:
-        raise PrimrosefordError(
-            ResultCode.MALFORMED, "the body is not valid JSON", field="body"
-        ) from error
-    model = parsed.get("model") if isinstance(parsed, dict) else None
-    return model if isinstance(model, str) else None
-
-
-def _authorise(tables: Tables, route: Route, request: web.Request) -> None:
-    if route.open:
-        return
-    identity = authenticate(tables, read_key(request))
-    if identity.organisation not in route.organisations:
-        raise PrimrosefordError(
-            ResultCode.NOT_AUTHORISED,
-            f"organisation {identity.organisation!r} may not use route {route.name!r}",
-        )
-
-
-def _pool_of(tables: Tables, route: Route) -> Pool:
-    pool = tables.pools.get(route.pool)
-    if pool is None:
-        raise PrimrosefordError(
-            ResultCode.DANGLING_REFERENCE,
-            f"route {route.name!r} names pool {route.pool!r}, which does not exist",
-            field=f"routes/{route.name}.pool",
-        )
-    return pool
-
-
-def _choose(pool: Pool) -> Runner:
-    ready = [r for r in pool.runners if r.state is RunnerState.READY]
-    if not ready:
-        raise PrimrosefordError(
-            ResultCode.POOL_UNAVAILABLE,
-            f"pool {pool.name!r} has no ready runner",
-            retry_after=1.0,
-        )
-    return random.choice(ready)
-
-
-async def _relay(
-    state: OnlineState,
-    request: web.Request,
-    body: bytes,
-    route: Route,
-    runner: Runner,
-) -> web.StreamResponse:
-    headers = forwarded_headers(request)
-    headers["X-Request-Id"] = uuid.uuid4().hex
-    timeout = aiohttp.ClientTimeout(total=route.timeout_seconds)
-    url = f"http://{runner.address}{request.path_qs}"
-    try:
-        async with state.session.request(
-            request.method, url, data=body, headers=headers, timeout=timeout
-        ) as answer:
-            response = web.StreamResponse(status=answer.status)
-            response.content_type = answer.content_type
-            await response.prepare(request)
-            async for chunk in answer.content.iter_any():
-                await response.write(chunk)
-            return response
-    except aiohttp.ClientConnectorError as error:
-        raise PrimrosefordError(
-            ResultCode.RUNNER_UNREACHABLE, f"runner {runner.name!r} refused to connect"
-        ) from error
-    except (aiohttp.ClientError, TimeoutError) as error:
-        raise PrimrosefordError(
-            ResultCode.RUNNER_FAILED,
-            f"runner {runner.name!r} did not answer",
-            outcome=Outcome.MAY_HAVE_RUN,
-        ) from error
--- /dev/null
+++ b/src/primroseford/online/claims.py
@@ -0,0 +1,184 @@
+"""Claims of idempotency keys through the owner of the organisation's group."""
+
+from __future__ import annotations
+
+import asyncio
+import uuid
+from typing import TYPE_CHECKING
+
+from primroseford.errors import Outcome
+from primroseford.errors import PrimrosefordError
+from primroseford.errors import ResultCode
+from primroseford.online.gen.ttypes import ClaimReply
+from primroseford.online.gen.ttypes import ClaimRequest
+from primroseford.online.gen.ttypes import SettleReply
+from primroseford.online.gen.ttypes import SettleRequest
+from primroseford.online.idempotency import ClaimLog
+from primroseford.online.idempotency import unavailable
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from typing import Any
+
+    from primroseford.clock import Clock
+    from primroseford.ids import HostId
+    from primroseford.ids import OrganisationId
+    from primroseford.platform.client import PlatformClient
+
+CLAIM_REQUEST = 400
+SETTLE_REQUEST = 402
+CALL_SECONDS = 3.0
+REFUSALS = {
+    ResultCode.IDEMPOTENCY_CONFLICT: Outcome.NOT_RUN,
+    ResultCode.REQUEST_IN_PROGRESS: Outcome.MAY_HAVE_RUN,
+    ResultCode.DUPLICATE_REQUEST: Outcome.RAN,
+}
+
+
+class PeerClaims:
+    """Sends claims to the group's owner and serves those of groups owned here.
+
+    :param host: this host
+    :param network: ``PeerNetwork``
+    :param group_of: group of an organisation
+    :param owner_of: host that owns a group, if known
+    :param holds_lease: whether this host holds a group's lease at this moment
+    """
+
+    def __init__(
+        self,
+        host: HostId,
+        client: PlatformClient,
+        network: Any,
+        clock: Clock,
+        group_of: Callable[[OrganisationId], int],
+        owner_of: Callable[[int], HostId | None],
+        holds_lease: Callable[[int], bool],
+    ) -> None:
+        self.host = host
+        self.client = client
+        self.network = network
+        self.clock = clock
+        self.group_of = group_of
+        self.owner_of = owner_of
+        self.holds_lease = holds_lease
+        self.logs: dict[int, ClaimLog] = {}
+        self.operations: dict[tuple[str, str], str] = {}
+        self.background: set[asyncio.Task] = set()
+        network.register(CLAIM_REQUEST, ClaimRequest, self.serve_claim)
+        network.register(SETTLE_REQUEST, SettleRequest, self.serve_settle)
+
+    def log_of(self, organisation: OrganisationId) -> ClaimLog:
+        """Return the log of an organisation's group on this host."""
+        group = self.group_of(organisation)
+        if group not in self.logs:
+            self.logs[group] = ClaimLog(
+                self.client, group, lambda: self.holds_lease(group)
+            )
+        return self.logs[group]
+
+    async def serve_claim(self, sender: HostId, message: ClaimRequest) -> ClaimReply:
+        """Answer another host's claim."""
+        try:
+            await self.log_of(message.organisation).claim(
+                message.organisation,
+                message.key,
+                message.fingerprint,
+                message.operation,
+            )
+        except PrimrosefordError as error:
+            return ClaimReply(code=int(error.code), message=error.message)
+        return ClaimReply(code=0, message="")
+
+    async def serve_settle(self, sender: HostId, message: SettleRequest) -> SettleReply:
+        """Record the outcome that another host reports."""
+        self.log_of(message.organisation).settle(
+            message.organisation, message.key, message.operation, message.ran
+        )
+        return SettleReply()
+
+    async def claim(
+        self, organisation: OrganisationId, key: str, fingerprint: str, deadline: float
+    ) -> None:
+        """Claim a key before its request is sent to a runner.
+
+        :param deadline: local time in seconds
+        :raises PrimrosefordError: IDEMPOTENCY_CONFLICT, REQUEST_IN_PROGRESS,
+            DUPLICATE_REQUEST or PLATFORM_UNAVAILABLE
+        """
+        operation = uuid.uuid4().hex
+        message = ClaimRequest(organisation, key, fingerprint, operation)
+        try:
+            reply = await self._ask(message, deadline)
+        except BaseException:
+            # The claim may have become durable; the request does not run.
+            self._report(organisation, key, operation, ran=False)
+            raise
+        if reply.code == 0:
+            self.operations[organisation, key] = operation
+            return
+        code = ResultCode(reply.code)
+        if code not in REFUSALS:
+            raise unavailable()
+        raise PrimrosefordError(
+            code, reply.message, field="Idempotency-Key", outcome=REFUSALS[code]
+        )
+
+    async def _ask(self, message: ClaimRequest, deadline: float) -> ClaimReply:
+        timeout = min(CALL_SECONDS, deadline - self.clock())
+        owner = self.owner_of(self.group_of(message.organisation))
+        if owner is None or timeout <= 0:
+            raise unavailable()
+        try:
+            async with asyncio.timeout(timeout):
+                if owner == self.host:
+                    return await self.serve_claim(self.host, message)
+                return await self.network.call(owner, CLAIM_REQUEST, message, timeout)
+        except (PrimrosefordError, TimeoutError) as error:
+            raise unavailable() from error
+
+    def settle(self, organisation: OrganisationId, key: str, ran: bool) -> None:
+        """Report whether a claimed request ran.
+
+        A lost report leaves the claim in progress, so the request is not repeated.
+        """
+        operation = self.operations.pop((organisation, key), None)
+        if operation is not None:
+            self._report(organisation, key, operation, ran)
+
+    def _report(
+        self, organisation: OrganisationId, key: str, operation: str, ran: bool
+    ) -> None:
+        task = asyncio.create_task(
+            self._send_report(SettleRequest(organisation, key, operation, ran))
+        )
+        self.background.add(task)
+        task.add_done_callback(self.background.discard)
+
+    async def _send_report(self, message: SettleRequest) -> None:
+        owner = self.owner_of(self.group_of(message.organisation))
+        if owner == self.host:
+            await self.serve_settle(self.host, message)
+        elif owner is not None:
+            try:
+                await self.network.call(owner, SETTLE_REQUEST, message, CALL_SECONDS)
+            except (PrimrosefordError, TimeoutError):
+                return
+
+
+def create_claims(
+    host: HostId,
+    client: PlatformClient,
+    network: Any,
+    clock: Clock,
+    group_of: Callable[[OrganisationId], int],
+    owner_of: Callable[[int], HostId | None],
+    holds_lease: Callable[[int], bool],
+) -> PeerClaims:
+    """Return the claims of a host and register its peer messages.
+
+    :param group_of: group of an organisation, equal on all hosts
+    :param owner_of: host that owns a group, if known
+    :param holds_lease: whether this host holds a group's lease at this moment
+    """
+    return PeerClaims(host, client, network, clock, group_of, owner_of, holds_lease)
--- /dev/null
+++ b/src/primroseford/online/events.py
@@ -0,0 +1,70 @@
+"""Complete events in a stream of server-sent events."""
+
+from __future__ import annotations
+
+import json
+import re
+from typing import TYPE_CHECKING
+
+from primroseford.online.answers import error_body
+
+if TYPE_CHECKING:
+    from primroseford.errors import PrimrosefordError
+
+END_MARK = b"data: [DONE]"
+EVENT_ID = re.compile(rb"^id: ?([^\r\n]*)\r?$", re.MULTILINE)
+MAX_EVENT_BYTES = 4 * 1024 * 1024
+
+
+class EventSplitter:
+    """Lets only complete events through, as bytes.
+
+    A stream can be resumed after any event, so a partial one is never passed on.
+    """
+
+    def __init__(self) -> None:
+        self.pending = b""
+        self.last_with_id = b""
+        self.ended = False
+
+    def feed(self, chunk: bytes) -> bytes:
+        """Return the bytes up to the end of the last complete event.
+
+        :param chunk: bytes as they came
+        :raises ValueError: if one event is too large
+        """
+        data = self.pending + chunk if self.pending else chunk
+        if data.endswith(b"\n\n"):
+            complete, self.pending = data, b""
+        else:
+            end = _end_of_events(data)
+            complete, self.pending = data[:end], data[end:]
+            if len(self.pending) > MAX_EVENT_BYTES:
+                raise ValueError("an event is too large")
+        if complete:
+            if complete.startswith(b"id:") or b"\nid:" in complete:
+                self.last_with_id = complete
+            if complete.rstrip().endswith(END_MARK):
+                self.ended = True
+        return complete
+
+    def restart(self) -> None:
+        """Forget the partial event before the stream is resumed."""
+        self.pending = b""
+
+    def last_event_id(self) -> str | None:
+        """Return the id of the last complete event that had one."""
+        found = EVENT_ID.findall(self.last_with_id)
+        return found[-1].decode() if found else None
+
+
+def _end_of_events(data: bytes) -> int:
+    end = data.rfind(b"\n\n") + 2
+    if b"\r" in data:
+        end = max(end, data.rfind(b"\r\n\r\n") + 4 if b"\r\n\r\n" in data else 0)
+    return end if end > 1 else 0
+
+
+def error_event(error: PrimrosefordError) -> bytes:
+    """Return the event that ends a stream which cannot be completed."""
+    return f"event: error\ndata: {json.dumps(error_body(error))}\n\n".encode()
--- /dev/null
+++ b/src/primroseford/online/exchange.py
@@ -0,0 +1,217 @@
+"""One HTTP exchange with a runner, with a truthful outcome.
+
+Online requests and batch items both use it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import aiohttp
+from yarl import URL
+
+from primroseford.errors import Outcome
+from primroseford.errors import PrimrosefordError
+from primroseford.errors import ResultCode
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+    from collections.abc import Mapping
+    from types import SimpleNamespace
+
+REQUEST_ID_HEADER = "X-Request-Id"
+TIMEOUT_HEADER = "X-Request-Timeout-Ms"
+CONNECT_TIMEOUT_SECONDS = 2.0
+KEEPALIVE_SECONDS = 4.0
+"""Shorter than the 5 s after which common Python servers close an idle connection,
+so that a request is seldom sent into a connection that is being closed."""
+READ_BUFFER_BYTES = 256 * 1024
+BODILESS_STATUSES = frozenset({204, 304})
+
+
+@dataclass
+class Attempt:
+    """Whether any byte of a request was handed to a connection."""
+
+    sent: bool = False
+
+
+@dataclass(frozen=True)
+class RunnerCall:
+    """A request as it is sent to a runner.
+
+    :param url: absolute URL, already encoded
+    :param headers: headers without hop-by-hop headers and credentials
+    :param request_id: unique for each attempt
+    :param timeout: seconds left for the whole exchange
+    :param requires_echo: a successful answer must carry the request id
+    :param not_run_statuses: statuses by which the runner says it did not run
+    """
+
+    method: str
+    url: str
+    headers: Mapping[str, str]
+    body: bytes | None
+    request_id: str
+    timeout: float
+    requires_echo: bool = False
+    not_run_statuses: Collection[int] = ()
+
+
+@dataclass(frozen=True)
+class Reply:
+    """A runner's whole answer.
+
+    :param outcome: ``NOT_RUN`` only for a status that the pool declares
+    :param retry_after: seconds that the runner asks to wait, if any
+    """
+
+    status: int
+    headers: Mapping[str, str]
+    body: bytes
+    outcome: Outcome
+    retry_after: float | None
+
+
+def create_runner_session() -> aiohttp.ClientSession:
+    """Return the HTTP session for exchanges with runners.
+
+    It keeps no cookies, since they belong to callers, and never repeats a request by
+    itself.
+    """
+    trace = aiohttp.TraceConfig()
+    trace.on_request_headers_sent.append(_mark_sent)
+    session = aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=KEEPALIVE_SECONDS),
+        cookie_jar=aiohttp.DummyCookieJar(),
+        auto_decompress=False,
+        skip_auto_headers=("User-Agent", "Content-Type", "Accept", "Accept-Encoding"),
+        timeout=aiohttp.ClientTimeout(
+            total=None, sock_connect=CONNECT_TIMEOUT_SECONDS, sock_read=None
+        ),
+        trace_configs=[trace],
+        read_bufsize=READ_BUFFER_BYTES,
+    )
+    # aiohttp sends GET, PUT and DELETE again when a kept connection was closed, even
+    # after bytes were sent; a request that may not be repeated would run twice.
+    session._retry_connection = False
+    return session
+
+
+async def _mark_sent(
+    session: aiohttp.ClientSession, context: SimpleNamespace, params: object
+) -> None:
+    # Called directly before the first byte is written.
+    attempt = context.trace_request_ctx
+    if attempt is not None:
+        attempt.sent = True
+
+
+def failure(
+    code: ResultCode, message: str, attempt: Attempt, retry_after: float | None = None
+) -> PrimrosefordError:
+    """Return an error whose outcome says whether bytes were sent."""
+    outcome = Outcome.MAY_HAVE_RUN if attempt.sent else Outcome.NOT_RUN
+    return PrimrosefordError(code, message, outcome=outcome, retry_after=retry_after)
+
+
+async def open_exchange(
+    session: aiohttp.ClientSession, call: RunnerCall, attempt: Attempt
+) -> aiohttp.ClientResponse:
+    """Send a request and return the answer once its headers were checked.
+
+    The caller closes the answer; if the exchange fails here, the connection is closed.
+
+    :raises PrimrosefordError: RUNNER_UNREACHABLE, RUNNER_FAILED or ANSWER_MISMATCHED
+    """
+    headers = {**call.headers, REQUEST_ID_HEADER: call.request_id}
+    headers[TIMEOUT_HEADER] = str(max(1, int(call.timeout * 1000)))
+    try:
+        answer = await session.request(
+            call.method,
+            URL(call.url, encoded=True),
+            data=call.body or None,
+            headers=headers,
+            allow_redirects=False,
+            trace_request_ctx=attempt,
+        )
+    except (aiohttp.ClientError, TimeoutError, OSError) as error:
+        code = (
+            ResultCode.RUNNER_FAILED if attempt.sent else ResultCode.RUNNER_UNREACHABLE
+        )
+        raise failure(code, "the runner did not answer", attempt) from error
+    echoed = answer.headers.get(REQUEST_ID_HEADER)
+    missing = echoed is None and call.requires_echo and answer.status == 200
+    if missing or (echoed is not None and echoed != call.request_id):
+        answer.close()
+        raise failure(
+            ResultCode.ANSWER_MISMATCHED,
+            "the runner answered with another request id",
+            attempt,
+        )
+    return answer
+
+
+def has_verifiable_length(answer: aiohttp.ClientResponse) -> bool:
+    """Return whether a cut would show: the answer has a length or is chunked."""
+    if answer.status in BODILESS_STATUSES or answer.method == "HEAD":
+        return True
+    return (
+        "Content-Length" in answer.headers
+        or "chunked" in answer.headers.get("Transfer-Encoding", "").lower()
+    )
+
+
+def retry_after_of(answer: aiohttp.ClientResponse) -> float | None:
+    """Return the seconds in ``Retry-After``; the date form is not used."""
+    try:
+        return max(0.0, float(answer.headers.get("Retry-After", "")))
+    except ValueError:
+        return None
+
+
+async def exchange_whole(
+    session: aiohttp.ClientSession, call: RunnerCall, attempt: Attempt | None = None
+) -> Reply:
+    """Send a request and return the whole answer.
+
+    On failure, timeout and cancellation the connection is closed and not used again.
+
+    :param session: from :func:`create_runner_session`
+    :param attempt: tells a caller that cancels whether bytes were sent
+    :raises PrimrosefordError: RUNNER_UNREACHABLE, RUNNER_FAILED, RUNNER_TIMEOUT or
+        ANSWER_MISMATCHED, with a truthful outcome
+    """
+    attempt = attempt or Attempt()
+    try:
+        async with asyncio.timeout(call.timeout):
+            answer = await open_exchange(session, call, attempt)
+            try:
+                body = await _read_whole(answer, attempt)
+            except BaseException:
+                answer.close()
+                raise
+            answer.release()
+    except TimeoutError as error:
+        raise failure(
+            ResultCode.RUNNER_TIMEOUT, "the runner did not answer in time", attempt
+        ) from error
+    not_run = answer.status in call.not_run_statuses
+    outcome = Outcome.NOT_RUN if not_run else Outcome.RAN
+    retry_after = retry_after_of(answer)
+    return Reply(answer.status, answer.headers, body, outcome, retry_after)
+
+
+async def _read_whole(answer: aiohttp.ClientResponse, attempt: Attempt) -> bytes:
+    if not has_verifiable_length(answer):
+        raise failure(
+            ResultCode.RUNNER_FAILED, "the runner's answer has no length", attempt
+        )
+    try:
+        return await answer.read()
+    except (aiohttp.ClientError, OSError) as error:
+        raise failure(
+            ResultCode.RUNNER_FAILED, "the runner's answer was cut", attempt
+        ) from error
--- /dev/null
+++ b/src/primroseford/online/flow.py
@@ -0,0 +1,62 @@
+"""State of one online request on its way to a runner."""
+
+from __future__ import annotations
+
+import uuid
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+
+from primroseford.configuration.tables import PoolKind
+from primroseford.online.exchange import RunnerCall
+
+if TYPE_CHECKING:
+    from aiohttp import web
+    from multidict import CIMultiDict
+
+    from primroseford.configuration.tables import Pool
+    from primroseford.configuration.tables import Route
+    from primroseford.online.open_requests import OpenRequest
+    from primroseford.routing.choice import RunnerView
+
+ENGINE_ID_HEADER = "X-Request-Id"
+
+
+@dataclass(eq=False)
+class Flow:
+    """One request with what is needed to send it.
+
+    :param deadline: local time in seconds
+    :param prefix: start of the prompt, if any
+    :param passed_on: bytes of an answer went to the caller
+    """
+
+    request: web.Request
+    entry: OpenRequest
+    route: Route
+    pool: Pool
+    body: bytes
+    headers: CIMultiDict[str]
+    path: str
+    organisation: str
+    prefix: str | None
+    deadline: float
+    tried: list[RunnerView] = field(default_factory=list)
+
+    @property
+    def is_engine(self) -> bool:
+        """Whether the pool's runners speak the engine protocol."""
+        return self.pool.kind is PoolKind.ENGINE
+
+    def call(self, view: RunnerView, now: float) -> RunnerCall:
+        """Return the call of a new attempt on a runner."""
+        return RunnerCall(
+            self.request.method,
+            f"http://{view.runner.address}{self.path}",
+            self.headers,
+            self.body,
+            uuid.uuid4().hex,
+            max(0.001, self.deadline - now),
+            requires_echo=self.is_engine,
+            not_run_statuses=self.pool.not_run_statuses,
+        )
--- /dev/null
+++ b/src/primroseford/online/open_requests.py
@@ -0,0 +1,95 @@
+"""Requests in progress, so that they can be ended from outside."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from primroseford.errors import Outcome
+from primroseford.errors import PrimrosefordError
+from primroseford.errors import ResultCode
+from primroseford.keys.secrets import still_valid
+
+if TYPE_CHECKING:
+    from aiohttp import web
+
+    from primroseford.configuration.tables import Tables
+    from primroseford.keys.secrets import Identity
+    from primroseford.online.exchange import Attempt
+
+
+class OpenRequest:
+    """One request in progress.
+
+    :param task: the task that serves it
+    """
+
+    def __init__(self, task: asyncio.Task) -> None:
+        self.task = task
+        self.identity: Identity | None = None
+        self.attempt: Attempt | None = None
+        self.may_have_run = False
+        self.response: web.StreamResponse | None = None
+        self.ended: PrimrosefordError | None = None
+        self.timer: asyncio.TimerHandle | None = None
+
+    def end(self, code: ResultCode, message: str) -> None:
+        """End the request with an error; only the first call counts."""
+        if self.ended is None:
+            self.ended = PrimrosefordError(code, message)
+            self.task.cancel()
+
+    def end_at_deadline(self) -> None:
+        """End the request because its time is over."""
+        sent = self.may_have_run or (self.attempt is not None and self.attempt.sent)
+        code = ResultCode.RUNNER_TIMEOUT if sent else ResultCode.DEADLINE_UNREACHABLE
+        self.end(code, "the request was not finished before its deadline")
+
+    def truthful(self, error: PrimrosefordError) -> PrimrosefordError:
+        """Return the error with an outcome that covers all attempts."""
+        sent = self.attempt is not None and self.attempt.sent
+        if error.outcome is Outcome.NOT_RUN and (sent or self.may_have_run):
+            error.outcome = Outcome.MAY_HAVE_RUN
+        return error
+
+
+class OpenRequests:
+    """All requests in progress on this host."""
+
+    def __init__(self) -> None:
+        self.entries: set[OpenRequest] = set()
+        self.empty = asyncio.Event()
+        self.empty.set()
+
+    def enter(self) -> OpenRequest:
+        """Return the entry of a request that the current task serves."""
+        task = asyncio.current_task()
+        assert task is not None
+        entry = OpenRequest(task)
+        self.entries.add(entry)
+        self.empty.clear()
+        return entry
+
+    def leave(self, entry: OpenRequest) -> None:
+        """Forget a request that has its answer."""
+        if entry.timer is not None:
+            entry.timer.cancel()
+        self.entries.discard(entry)
+        if not self.entries:
+            self.empty.set()
+
+    def end_withdrawn(self, tables: Tables) -> None:
+        """End the requests whose key is no longer accepted."""
+        for entry in list(self.entries):
+            identity = entry.identity
+            if identity is not None and not still_valid(tables, identity):
+                entry.end(ResultCode.KEY_WITHDRAWN, "the key was withdrawn")
+
+    def end_all(self, code: ResultCode, message: str) -> int:
+        """End every request.
+
+        :returns: how many were ended
+        """
+        for entry in list(self.entries):
+            entry.end(code, message)
+        return len(self.entries)
--- /dev/null
+++ b/src/primroseford/online/tests/test_admission.py
@@ -0,0 +1,252 @@
+"""Bad input, credentials, withdrawal, queues, drain, the openai client."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+
+import aiohttp
+import openai
+import pytest
+from aiohttp import web
+
+from primroseford.errors import PrimrosefordError
+from primroseford.errors import ResultCode
+from primroseford.online.tests.conftest import CHAT
+from primroseford.online.tests.conftest import until
+
+JSON = {"Content-Type": "application/json"}
+BAD = [
+    # path, headers, body, status, code
+    (CHAT, "depot", JSON, b"{", 400, 1001),
+    (CHAT, "depot", JSON, b"[" * 100_000, 400, 1001),
+    (CHAT, "depot", JSON, b'{"model": "none"}', 404, 1008),
+    (CHAT, "depot", JSON, b'{"model": 3}', 404, 1007),
+    ("/nowhere", "depot", {}, b"", 404, 1007),
+    ("/desk/x", "", {}, b"", 401, 2001),
+    ("/desk/x", "", {"Authorization": "Bearer nonsense"}, b"", 401, 2002),
+    ("/desk/x", "other", {}, b"", 403, 2004),
+    ("/desk/x", "depot", {}, b"x" * (32 * 1024 * 1024 + 1), 413, 1006),
+    ("/desk/x", "depot", {"X-Request-Timeout-Ms": "-1"}, b"", 400, 1003),
+    ("/desk/x", "depot", {"X-Request-Timeout-Ms": "0"}, b"", 503, 3003),
+    ("/desk/x", "depot", {"Idempotency-Key": "k"}, b"", 503, 5001),
+]
+
+
+@pytest.mark.parametrize("case", BAD, ids=lambda case: f"{case[0]}-{case[5]}")
+async def test_bad_input_is_refused_and_not_run(rig, case):
+    """Guards against crashes and runs of requests that must be refused."""
+    path, organisation, headers, body, status, code = case
+    await rig.start()
+    if organisation:
+        headers = headers | rig.bearer(organisation)
+    async with rig.client.post(path, data=body, headers=headers) as answer:
+        assert answer.status == status
+        assert answer.headers["X-Primroseford-Code"] == str(code)
+        assert answer.headers["X-Primroseford-Outcome"] == "not_run"
+    name = ResultCode(code).name.lower()
+    assert rig.metrics.by_name["refusals_total"].labels(name)._value.get() == 1
+    assert not rig.service.runs and not rig.engines[0].state.run_counts
+
+
+async def test_no_backend_server_sees_a_key(rig):
+    """Guards against a key passed on in a header, the query or a cookie."""
+    await rig.start()
+    secret = rig.keys["depot"].secret
+    ways = [
+        ("/desk/a?x=1&y=%20", {"Authorization": f"Bearer {secret}"}),
+        ("/desk/a?x=1&y=%20", {"X-Api-Key": secret, "Api-Key": secret}),
+        (f"/desk/a?x=1&api_key={secret}&y=%20", {}),
+        (f"/desk/a?x=1&api%5Fkey={secret}&y=%20", {}),
+        ("/desk/a?x=1&y=%20", {"Cookie": f"a=b; primroseford-key={secret}; c=d"}),
+    ]
+    for path, headers in ways:
+        async with rig.client.get(path, headers=headers) as answer:
+            assert answer.status == 200
+            assert (await answer.json())["path"] == "/desk/a"
+    for seen in rig.service.seen_headers:
+        assert secret not in json.dumps(seen)
+        assert seen[":path"] == "/desk/a?x=1&y=%20"
+    assert rig.service.seen_headers[-1]["Cookie"] == "a=b; c=d"
+    async with rig.client.get("/open/a", headers=rig.bearer()) as answer:
+        assert answer.status == 200
+    assert secret not in json.dumps(rig.service.seen_headers[-1])
+
+
+async def read_all(request):
+    async with request as answer:
+        return answer, await answer.read()
+
+
+async def test_withdrawn_key_ends_streams_queued_and_next_requests(rig):
+    """Guards against a withdrawn key that goes on working on open connections."""
+    await rig.start(pool={"max_in_flight": 1})
+    stream = asyncio.create_task(read_all(rig.post(stream=True, max_tokens=9000)))
+    await until(lambda: rig.engines[0].state.running)
+    queued = asyncio.create_task(read_all(rig.post()))
+    await until(lambda: len(rig.state.open.entries) == 2)
+    rig.withdraw("depot")
+    answer, content = await stream
+    assert b'"code": 2003' in content and b"[DONE]" not in content
+    answer, _ = await queued
+    assert (answer.status, answer.headers["X-Primroseford-Code"]) == (401, "2003")
+    assert answer.headers["X-Primroseford-Outcome"] == "not_run"
+    answer, _ = await read_all(rig.post())
+    assert answer.status == 401
+    assert (await read_all(rig.post(organisation="vans")))[0].status == 200
+
+
+async def test_full_queue_is_refused_with_retry_after(rig):
+    """Guards against unbounded queues and late final answers."""
+    await rig.start(pool={"max_in_flight": 1, "queue_limit": 1})
+    first = asyncio.create_task(read_all(rig.post(max_tokens=40)))
+    await until(lambda: rig.engines[0].state.running)
+    second = asyncio.create_task(read_all(rig.post()))
+    await until(lambda: len(rig.state.open.entries) == 2)
+    answer, _ = await read_all(rig.post())
+    assert answer.headers["X-Primroseford-Code"] == "3002"
+    assert int(answer.headers["Retry-After"]) >= 1
+    assert (await first)[0].status == (await second)[0].status == 200
+
+
+async def test_leaving_runners_get_no_new_work(rig):
+    """Guards against work for a runner that leaves by edit or the platform's list."""
+    await rig.start(3)
+    rig.pool["runners"][0]["state"] = "leaving"
+    rig.apply()
+    rig.leaving.add("runner-1")
+    rig.tracker.subsets.clear()
+    for _ in range(12):
+        assert (await read_all(rig.post(max_tokens=1)))[0].status == 200
+    counts = [sum(e.state.run_counts.values()) for e in rig.engines]
+    assert counts == [0, 0, 12]
+
+
+async def test_stop_under_200_streams_cuts_none(rig):
+    """Guards against a planned stop that cuts requests."""
+    await rig.start(4, pool={"max_in_flight": 100})
+    for engine in rig.engines:
+        engine.settings.slowdown = 0.0
+    streams = [
+        asyncio.create_task(read_all(rig.post(stream=True, max_tokens=400)))
+        for _ in range(200)
+    ]
+    await until(lambda: len(rig.state.open.entries) == 200)
+    assert await rig.state.drain(20.0) == 0
+    for answer, content in await asyncio.gather(*streams):
+        assert answer.status == 200 and content.endswith(b"data: [DONE]\n\n")
+    await until(lambda: not any(c.transport for c in rig.state.connections))
+
+
+async def test_drain_timeout_ends_streams_with_an_error_event(rig):
+    """Guards against a stop that waits for ever or cuts streams silently."""
+    await rig.start()
+    stream = asyncio.create_task(read_all(rig.post(stream=True, max_tokens=9000)))
+    await until(lambda: rig.engines[0].state.running)
+    await until(lambda: any(e.response for e in rig.state.open.entries))
+    assert await rig.state.drain(0.05) == 1
+    assert b'"code": 3005' in (await stream)[1]
+
+
+class Permit:
+    """A token that counts its return."""
+
+    def __init__(self, limiter):
+        self.limiter = limiter
+
+    def give_back(self):
+        self.limiter.returned += 1
+
+
+class FakeLimiter:
+    """Grants a fixed number of tokens."""
+
+    def __init__(self, tokens):
+        self.tokens = tokens
+        self.returned = 0
+
+    async def acquire(self, organisation, amount, deadline):
+        if not self.tokens:
+            raise PrimrosefordError(ResultCode.RATE_LIMITED, "rate", retry_after=2.5)
+        self.tokens -= amount
+        return Permit(self)
+
+
+async def test_token_comes_back_only_if_the_request_did_not_run(rig):
+    """Guards against tokens lost on refusals and returned after runs."""
+    limiter = FakeLimiter(3)
+    await rig.start(limiter=limiter)
+    assert (await read_all(rig.post()))[0].status == 200
+    rig.engines[0].faults.die_before_answer = True
+    assert (await read_all(rig.post()))[0].status == 502
+    assert limiter.returned == 0
+    rig.put("pools", "engines", {"runners": []})
+    rig.apply()
+    assert (await read_all(rig.post()))[0].status == 503
+    assert limiter.returned == 1
+    answer, _ = await read_all(rig.post())
+    assert (answer.status, answer.headers["Retry-After"]) == (429, "3")
+
+
+async def test_later_routes_come_before_the_catch_all(rig):
+    """Guards against batch routes hidden by the route that takes all paths."""
+    await rig.start()
+
+    async def files(request):
+        return web.Response(text="files")
+
+    rig.app.router._frozen = False
+    rig.app.router.add_get("/v1/files", files)
+    async with rig.client.get("/v1/files") as answer:
+        assert await answer.text() == "files"
+
+
+async def test_gate_refuses_before_anything_runs(rig):
+    """Guards against requests admitted by a stopping host."""
+
+    def gate():
+        raise PrimrosefordError(ResultCode.HOST_STOPPING, "stopping", retry_after=1)
+
+    await rig.start(gate=gate)
+    answer, _ = await read_all(rig.post())
+    assert answer.headers["X-Primroseford-Code"] == "3005"
+
+
+async def test_openai_client_works_unmodified(rig):
+    """Guards against answers that the usual client library cannot read."""
+    await rig.start()
+    async with openai.AsyncOpenAI(
+        base_url=rig.url + "/v1", api_key=rig.keys["depot"].secret, max_retries=0
+    ) as client:
+        assert [m.id async for m in await client.models.list()] == ["van-round"]
+        chat = {"model": "van-round", "messages": [{"role": "user", "content": "x"}]}
+        whole = await client.chat.completions.create(**chat, max_tokens=3)
+        assert whole.choices[0].message.content == "t0 t1 t2 "
+        stream = await client.chat.completions.create(**chat, max_tokens=3, stream=True)
+        parts = [chunk.choices[0].delta.content async for chunk in stream]
+        assert parts == ["t0 ", "t1 ", "t2 "]
+        text = {"model": "van-round", "prompt": "x", "max_tokens": 2}
+        assert (await client.completions.create(**text)).choices[0].text == "t0 t1 "
+        stream = await client.completions.create(**text, stream=True)
+        assert [c.choices[0].text async for c in stream] == ["t0 ", "t1 "]
+        vectors = await client.embeddings.create(model="van-round", input=["a", "b"])
+        assert len(vectors.data) == 2
+        rig.engines[0].faults.omit_end_mark = True
+        stream = await client.chat.completions.create(**chat, stream=True)
+        with pytest.raises(openai.APIError):
+            [chunk async for chunk in stream]
+        rig.withdraw("depot")
+        with pytest.raises(openai.AuthenticationError):
+            await client.models.list()
+
+
+async def test_answer_headers_and_deadline_are_passed_on(rig):
+    """Guards against lost response headers and a deadline that starts anew."""
+    await rig.start()
+    headers = rig.bearer() | {"X-Request-Timeout-Ms": "900"}
+    async with rig.client.delete("/desk/a", headers=headers) as answer:
+        assert answer.status == 200
+        assert (await answer.json())["method"] == "DELETE"
+    left = int(rig.service.seen_headers[0]["X-Request-Timeout-Ms"])
+    assert 0 < left <= 900
+    assert isinstance(rig.client, aiohttp.ClientSession)
--- /dev/null
+++ b/src/primroseford/online/tests/test_idempotency.py
@@ -0,0 +1,148 @@
+"""Idempotency keys: durable claims, resends, owners that change, outages."""
+
+from __future__ import annotations
+
+import asyncio
+
+import aiohttp
+import pytest
+
+from primroseford.errors import PrimrosefordError
+from primroseford.errors import ResultCode
+from primroseford.ids import HostId
+from primroseford.online.claims import create_claims
+from primroseford.online.idempotency import ClaimLog
+from primroseford.online.tests.conftest import until
+from primroseford.platform.client import create_platform_client
+from primroseford.standins.platform import create_platform_application
+from primroseford.standins.platform import create_platform_stand_in
+from primroseford.standins.serving import serve
+
+
+class FakeNetwork:
+    """Delivers peer calls within the test."""
+
+    def __init__(self):
+        self.handlers = {}
+
+    def register(self, kind, message_type, handler):
+        self.handlers[kind] = handler
+
+    async def call(self, host_id, kind, message, timeout):
+        return await self.handlers[kind](HostId("caller"), message)
+
+
+@pytest.fixture
+async def platform():
+    """The platform's stand-in with a client."""
+    stand_in = create_platform_stand_in()
+    served = await serve(create_platform_application(stand_in))
+    async with aiohttp.ClientSession() as session:
+        # aiohttp repeats a PUT whose answer was lost, which hides the lost answer.
+        session._retry_connection = False
+        stand_in.client = create_platform_client(served.url, session)
+        yield stand_in
+    await served.stop()
+
+
+def claims_of(platform, **extra):
+    clock = asyncio.get_running_loop().time
+    return create_claims(
+        HostId("a"),
+        platform.client,
+        FakeNetwork(),
+        clock,
+        lambda organisation: 0,
+        lambda group: HostId(extra.get("owner", "a")),
+        lambda group: True,
+    )
+
+
+async def code_of(work):
+    try:
+        await work
+    except PrimrosefordError as error:
+        return error.code
+    return ResultCode.OK
+
+
+async def test_resend_conflict_and_refused_claim(platform):
+    """Guards against a second run of a request with the same key."""
+    log = ClaimLog(platform.client, 0, lambda: True)
+    assert await code_of(log.claim("o", "k", "f", "1")) == ResultCode.OK
+    resend = log.claim("o", "k", "f", "2")
+    assert await code_of(resend) == ResultCode.REQUEST_IN_PROGRESS
+    other = log.claim("o", "k", "g", "2")
+    assert await code_of(other) == ResultCode.IDEMPOTENCY_CONFLICT
+    assert await code_of(log.claim("p", "k", "g", "2")) == ResultCode.OK
+    log.settle("o", "k", "1", ran=True)
+    resend = log.claim("o", "k", "f", "3")
+    assert await code_of(resend) == ResultCode.DUPLICATE_REQUEST
+    log.settle("p", "k", "2", ran=False)
+    assert await code_of(log.claim("p", "k", "g", "4")) == ResultCode.OK
+
+
+async def test_claims_are_grouped_in_few_writes(platform):
+    """Guards against one write for each request."""
+    log = ClaimLog(platform.client, 0, lambda: True)
+    await log.claim("o", "first", "f", "0")
+    before = platform.state.calls["PUT", "claims"]
+    await asyncio.gather(*(log.claim("o", f"k{n}", "f", "1") for n in range(500)))
+    assert platform.state.calls["PUT", "claims"] - before <= 3
+
+
+async def test_deposed_owner_cannot_claim(platform):
+    """Guards against two owners that both grant the same key."""
+    old = ClaimLog(platform.client, 0, lambda: True)
+    await old.claim("o", "before", "f", "1")
+    new = ClaimLog(platform.client, 0, lambda: True)
+    assert await code_of(new.claim("o", "k", "f", "2")) == ResultCode.OK
+    late = old.claim("o", "k", "f", "3")
+    assert await code_of(late) == ResultCode.PLATFORM_UNAVAILABLE
+    resend = old.claim("o", "k", "f", "4")
+    assert await code_of(resend) == ResultCode.REQUEST_IN_PROGRESS
+    again = new.claim("o", "before", "f", "5")
+    assert await code_of(again) == ResultCode.REQUEST_IN_PROGRESS
+
+
+async def test_claim_during_an_outage_is_refused_and_can_be_resent(platform):
+    """Guards against requests that run unclaimed and keys blocked by an outage."""
+    log = ClaimLog(platform.client, 0, lambda: True)
+    await log.claim("o", "a", "f", "1")
+    platform.faults.down = True
+    refused = log.claim("o", "k", "f", "2")
+    assert await code_of(refused) == ResultCode.PLATFORM_UNAVAILABLE
+    platform.faults.down = False
+    assert await code_of(log.claim("o", "k", "f", "3")) == ResultCode.OK
+    platform.faults.lose_write_answers = 1
+    assert await code_of(log.claim("o", "lost", "f", "4")) == ResultCode.OK
+
+
+async def test_without_the_lease_nothing_is_claimed(platform):
+    """Guards against claims by a host whose lease has lapsed."""
+    log = ClaimLog(platform.client, 0, lambda: False)
+    assert await code_of(log.claim("o", "k", "f", "1")) == ResultCode.LEASE_LOST
+    assert not platform.state.calls["POST", "claims"]
+
+
+@pytest.mark.parametrize("owner", ["a", "b"])
+async def test_request_with_a_key_runs_once(rig, platform, owner):
+    """Guards against a resend that runs again, also through another host."""
+    claims = claims_of(platform, owner=owner)
+    await rig.start(claims=claims)
+    headers = rig.bearer() | {"Idempotency-Key": "key-1", "X-Call": "invoice"}
+
+    async def send(body=b"x"):
+        request = rig.client.post("/desk/invoice", data=body, headers=headers)
+        async with request as answer:
+            outcome = answer.headers.get("X-Primroseford-Outcome")
+            return answer.status, outcome
+
+    platform.faults.down = True
+    assert await send() == (503, "not_run")
+    platform.faults.down = False
+    assert await send() == (200, None)
+    await until(lambda: not claims.background)
+    assert await send() == (409, "ran")
+    assert await send(b"y") == (409, "not_run")
+    assert rig.service.runs["invoice"] == 1
--- /dev/null
+++ b/src/primroseford/online/tests/test_queueing.py
@@ -0,0 +1,100 @@
+"""The fair queue against a naive version, and the event splitter."""
+
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from primroseford.online.events import EventSplitter
+from primroseford.online.queueing import FairQueue
+
+STEPS = st.lists(
+    st.tuples(st.sampled_from(["push", "pop", "remove", "evict"]), st.integers(0, 4))
+)
+
+
+class NaiveQueue:
+    """Keeps one list and finds whose turn it is by looking at all of it."""
+
+    def __init__(self):
+        self.items = []
+        self.order = []
+
+    def push(self, organisation, item):
+        if organisation not in self.order:
+            self.order.append(organisation)
+        self.items.append((organisation, item))
+
+    def pop(self):
+        organisation = self.order[0]
+        found = next(pair for pair in self.items if pair[0] == organisation)
+        self.order.remove(organisation)
+        self.items.remove(found)
+        if any(pair[0] == organisation for pair in self.items):
+            self.order.append(organisation)
+        return found[1]
+
+    def remove(self, organisation, item):
+        if (organisation, item) not in self.items:
+            return False
+        self.items.remove((organisation, item))
+        if all(pair[0] != organisation for pair in self.items):
+            self.order.remove(organisation)
+        return True
+
+
+@given(STEPS)
+def test_fair_queue_agrees_with_a_naive_version(steps):
+    """Guards against an organisation that is passed over or served twice."""
+    queue, naive = FairQueue(), NaiveQueue()
+    for number, (step, organisation) in enumerate(steps):
+        name = f"o{organisation}"
+        if step == "push":
+            queue.push(name, number)
+            naive.push(name, number)
+        elif step == "pop" and len(queue):
+            assert queue.pop() == naive.pop()
+        elif step == "remove" and naive.items:
+            target = naive.items[organisation % len(naive.items)]
+            assert queue.remove(*target) == naive.remove(*target)
+        elif step == "evict":
+            before = [pair[0] for pair in naive.items]
+            evicted = queue.evict_for(name)
+            longest = max((before.count(o) for o in before), default=0)
+            assert (evicted is None) == (longest <= before.count(name) + 1)
+            if evicted is not None:
+                owner = next(o for o, item in naive.items if item == evicted)
+                assert before.count(owner) == longest
+                assert naive.remove(owner, evicted)
+        assert len(queue) == len(naive.items)
+        ahead = queue.ahead_of(name)
+        copy = NaiveQueue()
+        copy.items, copy.order = list(naive.items), list(naive.order)
+        copy.push(name, "new")
+        assert ahead == next(n for n in range(999) if copy.pop() == "new")
+
+
+EVENTS = st.lists(st.sampled_from(["a", 'x\\nid: 9"', "id: 7", ""]), max_size=6)
+
+
+@given(EVENTS, st.lists(st.integers(1, 9)), st.sampled_from(["\n", "\r\n"]))
+def test_only_complete_events_are_passed_on(texts, sizes, newline):
+    """Guards against partial events and a wrong resume point, however bytes arrive."""
+    events = [
+        f"id: {n}{newline}data: {t}{newline}{newline}".encode()
+        for n, t in enumerate(texts)
+    ]
+    data = b"".join(events) + b"data: par"
+    splitter, passed = EventSplitter(), b""
+    while data:
+        size = sizes.pop() if sizes else 5
+        complete = splitter.feed(data[:size])
+        data = data[size:]
+        passed += complete
+        assert passed in [b"".join(events[:n]) for n in range(len(events) + 1)]
+        count = passed.count(b"data:")
+        assert splitter.last_event_id() == (str(count - 1) if count else None)
+    assert passed == b"".join(events) and not splitter.ended
+    splitter.restart()
+    splitter.feed(b"data: [DONE]" + 2 * newline.encode())
+    assert splitter.ended
--- /dev/null
+++ b/src/primroseford/online/tests/test_relay.py
@@ -0,0 +1,198 @@
+"""Runner failures, late and foreign answers, streams."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+
+import aiohttp
+import pytest
+
+from primroseford.online.tests.conftest import until
+from primroseford.standins.serving import serve
+
+FAULTS = [
+    # fault, stream, repeatable, status, code, outcome, runs at most
+    ("die_before_answer", False, False, 502, 4002, "may_have_run", 1),
+    ("die_before_answer", True, False, 502, 4002, "may_have_run", 1),
+    ("wrong_request_id", False, False, 502, 4005, "may_have_run", 1),
+    ("wrong_request_id", True, False, 502, 4005, "may_have_run", 1),
+    ("hang", False, False, 504, 4003, "may_have_run", 1),
+    ("hang", True, True, 504, 4003, "may_have_run", 1),
+    ("wrong_request_id", False, True, 502, 4005, "may_have_run", 4),
+]
+
+
+@pytest.mark.parametrize("case", FAULTS)
+async def test_failure_before_the_first_byte_has_a_truthful_outcome(rig, case):
+    """Guards against untruthful outcomes and repetition of what may not be repeated."""
+    fault, stream, repeatable, status, code, outcome, runs = case
+    await rig.start(route={"repeatable": repeatable, "timeout_seconds": 0.3})
+    setattr(rig.engines[0].faults, fault, True)
+    async with rig.post(stream=stream) as answer:
+        assert answer.status == status
+        assert answer.headers["X-Primroseford-Code"] == str(code)
+        assert answer.headers["X-Primroseford-Outcome"] == outcome
+        assert (await answer.json())["error"]["outcome"] == outcome
+    assert sum(rig.engines[0].state.run_counts.values()) <= runs
+
+
+async def test_repeatable_request_moves_to_another_runner(rig):
+    """Guards against a failed answer while a healthy runner could give it."""
+    await rig.start(2, route={"repeatable": True})
+    rig.engines[0].faults.die_before_answer = True
+    for _ in range(20):
+        async with rig.post(max_tokens=2) as answer:
+            assert answer.status == 200
+    assert rig.tracker.pool_views(rig.store.current().pools["engines"])
+
+
+async def test_unreachable_runner_is_not_run(rig):
+    """Guards against an untruthful outcome when the connection is refused."""
+    await rig.start(0)
+    gone = rig.runner("gone", "http://127.0.0.1:1")
+    rig.put("pools", "engines", {"runners": [gone]})
+    rig.apply()
+    async with rig.post() as answer:
+        assert answer.status == 502
+        assert answer.headers["X-Primroseford-Outcome"] == "not_run"
+
+
+async def events_of(answer):
+    text = (await answer.read()).decode()
+    return [part for part in text.split("\n\n") if part]
+
+
+def tokens_of(events):
+    bodies = [json.loads(e.split("data: ")[1]) for e in events if "choices" in e]
+    return [body["choices"][0]["delta"]["content"] for body in bodies]
+
+
+async def test_cut_stream_is_resumed_without_loss_or_repetition(rig):
+    """Guards against lost or doubled events when a runner's connection is cut."""
+    await rig.start()
+    faults = rig.engines[0].faults
+    faults.cut_after_tokens = 3
+    async with rig.post(stream=True, max_tokens=9) as answer:
+        first = await answer.content.readuntil(b"\n\n")
+        await until(lambda: rig.metrics.by_name["stream_resumes_total"]._value.get())
+        faults.cut_after_tokens = -1
+        events = await events_of(answer)
+    assert answer.status == 200 and events[-1] == "data: [DONE]"
+    tokens = tokens_of([first.decode(), *events])
+    assert tokens == [f"t{n} " for n in range(9)]
+
+
+@pytest.mark.parametrize("fault", [{"omit_end_mark": True}, {"cut_after_tokens": 2}])
+async def test_stream_that_cannot_be_completed_ends_with_an_error_event(rig, fault):
+    """Guards against a truncated stream that looks complete."""
+    await rig.start()
+    for name, value in fault.items():
+        setattr(rig.engines[0].faults, name, value)
+    async with rig.post(stream=True, max_tokens=4) as answer:
+        events = await events_of(answer)
+    assert events[-1].startswith("event: error\n")
+    assert '"code": 4004' in events[-1] and "data: [DONE]" not in events
+    tokens = tokens_of(events)
+    assert tokens == [f"t{n} " for n in range(len(tokens))]
+
+
+async def test_late_answer_is_not_given_to_the_next_request(rig):
+    """Guards against an answer that comes after its caller gave up."""
+    await rig.start(route={"timeout_seconds": 0.2})
+    rig.engines[0].faults.answer_delay_seconds = 0.3
+    async with rig.post(content="one", max_tokens=1) as late:
+        assert late.status == 504
+    rig.engines[0].faults.answer_delay_seconds = 0.0
+    for count in range(2, 12):
+        async with rig.post(max_tokens=count) as answer:
+            body = await answer.json()
+            assert body["usage"]["completion_tokens"] == count
+            assert body["id"] == answer.headers["X-Request-Id"]
+
+
+@pytest.mark.parametrize("stream", [True, False])
+async def test_caller_that_leaves_cancels_the_request_at_the_runner(rig, stream):
+    """Guards against runners that work for callers who are gone."""
+    await rig.start()
+    state = rig.engines[0].state
+    request = asyncio.create_task(_read_all(rig.post(stream=stream, max_tokens=5000)))
+    await until(lambda: any(len(g.tokens) > 3 for g in state.generations.values()))
+    request.cancel()
+    await until(lambda: all(g.cancelled for g in state.generations.values()))
+    await until(lambda: not rig.state.open.entries)
+    views = rig.tracker.pool_views(rig.store.current().pools["engines"])
+    assert [view.in_flight for view in views] == [0]
+
+
+async def _read_all(request):
+    async with request as answer:
+        return answer.status, await answer.read()
+
+
+@pytest.mark.parametrize(
+    ("path", "method", "runs"),
+    [("/desk/invoice", "POST", 1), ("/desk/invoice", "PUT", 1), ("/again/x", "PUT", 4)],
+)
+async def test_cut_after_the_body_was_sent(rig, path, method, runs):
+    """Guards against a second run of a call that may not be repeated.
+
+    aiohttp's client repeats PUT by itself on a kept connection, so one is made first.
+    """
+    await rig.start()
+    async with rig.client.request(method, path, headers=rig.bearer()) as answer:
+        assert answer.status == 200
+    rig.service.cut_after_run = True
+    headers = rig.bearer() | {"X-Call": "invoice-1"}
+    async with rig.client.request(
+        method, path, data=b"x" * 100, headers=headers
+    ) as answer:
+        assert answer.status == 502
+        assert answer.headers["X-Primroseford-Outcome"] == "may_have_run"
+    assert rig.service.runs["invoice-1"] == runs
+
+
+async def test_refusals_in_a_burst_are_retried_elsewhere_and_honoured(rig):
+    """Guards against lost requests when a runner refuses with Retry-After."""
+    await rig.start(2)
+    rig.engines[0].faults.refuse_status = 429
+    answers = await asyncio.gather(*(_read_all(rig.post()) for _ in range(8)))
+    assert [status for status, _ in answers] == [200] * 8
+    before = len(rig.engines[0].state.seen_headers)
+    await asyncio.gather(*(_read_all(rig.post()) for _ in range(8)))
+    assert len(rig.engines[0].state.seen_headers) == before
+
+
+async def test_slow_caller_stops_the_reading_from_the_runner(rig):
+    """Guards against unbounded buffers when a caller reads slowly."""
+    await rig.start(pool={"kind": "service"})
+    sent = 0
+
+    async def endless(request):
+        nonlocal sent
+        response = aiohttp.web.StreamResponse()
+        response.headers["X-Request-Id"] = request.headers["X-Request-Id"]
+        response.content_type = "text/event-stream"
+        await response.prepare(request)
+        while True:
+            await response.write(b"data: " + b"x" * 65536 + b"\n\n")
+            sent += 1
+
+    app = aiohttp.web.Application()
+    app.router.add_post("/v1/chat/completions", endless)
+    served = await serve(app)
+    rig.stops.append(served.stop)
+    rig.put("pools", "engines", {"runners": [rig.runner("endless", served.url)]})
+    rig.apply()
+    async with rig.post() as answer:
+        await answer.content.readany()
+        seen, unchanged = -1, 0
+
+        def stands_still():
+            nonlocal seen, unchanged
+            unchanged = unchanged + 1 if seen == sent else 0
+            seen = sent
+            return unchanged == 100 or sent >= 1000
+
+        await until(stands_still)
+        assert sent < 1000
