Add batch files and jobs over OpenAI's interface

Input lines are checked in slices of 5 ms and stored as filechunks before the manifest that acknowledges them. File and job names derive from organisation and content or key, so resent requests meet the object that was created first. Conditional updates compare content after a conflict, since aiohttp resends a PUT whose connection broke and the second one conflicts with the first.

Each upload has a marker object, by which the chunks of an upload without a manifest are found without listing all chunks.

--- /dev/null
+++ b/src/primroseford/batch/files.py
@@ -0,0 +1,263 @@
+"""Storage of uploaded input files."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import time
+import uuid
+from typing import TYPE_CHECKING
+
+import structlog
+
+from primroseford.batch.items import Intake
+from primroseford.batch.items import close_chunk
+from primroseford.batch.items import take_bytes
+from primroseford.batch.items import take_line
+from primroseford.batch.state import FILE_CHUNKS
+from primroseford.batch.state import FILES
+from primroseford.batch.state import JOBS
+from primroseford.batch.state import UPLOADS
+from primroseford.batch.state import FileManifest
+from primroseford.batch.state import JobState
+from primroseford.batch.state import decode_file
+from primroseford.batch.state import encode_file
+from primroseford.errors import PrimrosefordError
+from primroseford.errors import ResultCode
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+    from collections.abc import Callable
+
+    from primroseford.platform.client import PlatformClient
+    from primroseford.platform.objects import PlatformObject
+
+log = structlog.get_logger()
+
+SLICE_SECONDS = 0.005
+"""Longest work between two turns of the event loop."""
+TAKEN = frozenset({ResultCode.ALREADY_EXISTS, ResultCode.VERSION_CONFLICT})
+
+
+class Slicer:
+    """Gives the event loop a turn after each slice of work."""
+
+    def __init__(self) -> None:
+        self.started = time.perf_counter()
+
+    async def turn(self) -> None:
+        """Let other tasks run if the slice has lasted long enough."""
+        if time.perf_counter() - self.started >= SLICE_SECONDS:
+            await asyncio.sleep(0)
+            self.started = time.perf_counter()
+
+
+class FileStore:
+    """Input files of all organisations.
+
+    :param client: client of the platform's service
+    :param wall: seconds since the epoch
+    """
+
+    def __init__(self, client: PlatformClient, wall: Callable[[], float]) -> None:
+        self.client = client
+        self.wall = wall
+
+    async def upload(
+        self, organisation: str, filename: str, data: AsyncIterator[bytes]
+    ) -> tuple[str, FileManifest]:
+        """Check and store a file; a resent file is the file stored before.
+
+        :returns: file id and manifest, both durable
+        :raises PrimrosefordError: for a bad line or an unavailable service
+        """
+        upload = uuid.uuid4().hex
+        # The marker names the upload, so that its chunks can be collected if this
+        # host is lost before the manifest exists.
+        marker = {"organisation": organisation, "created_at": self.wall()}
+        await create(self.client, UPLOADS, upload, marker, {})
+        intake = Intake()
+        try:
+            await self._store_lines(upload, intake, data)
+            file_id, manifest = self._manifest(organisation, filename, upload, intake)
+            stored = await self._store_manifest(file_id, manifest)
+        except PrimrosefordError as error:
+            if error.code is not ResultCode.PLATFORM_UNAVAILABLE:
+                await self.discard(upload, len(intake.chunk_items))
+            raise
+        await self._forget_upload(upload, stored, intake)
+        return file_id, stored
+
+    async def _forget_upload(
+        self, upload: str, stored: FileManifest, intake: Intake
+    ) -> None:
+        # The file is durable, so a failure here must not refuse the upload. What
+        # stays behind is collected by its marker.
+        try:
+            if stored.upload == upload:
+                await delete(self.client, UPLOADS, upload)
+            else:
+                await self.discard(upload, len(intake.chunk_items))
+        except PrimrosefordError as error:
+            log.warning("upload not tidied", upload=upload, code=int(error.code))
+
+    async def _store_lines(
+        self, upload: str, intake: Intake, data: AsyncIterator[bytes]
+    ) -> None:
+        slicer = Slicer()
+        async for block in data:
+            for line in take_bytes(intake, block):
+                full = take_line(intake, line)
+                if full:
+                    await self._store_chunk(upload, len(intake.chunk_items) - 1, full)
+                await slicer.turn()
+        full = take_line(intake, intake.rest)
+        if full:
+            await self._store_chunk(upload, len(intake.chunk_items) - 1, full)
+        last = close_chunk(intake)
+        if last:
+            await self._store_chunk(upload, len(intake.chunk_items) - 1, last)
+
+    async def _store_chunk(self, upload: str, number: int, lines: list[str]) -> None:
+        spec = {"text": "\n".join(lines)}
+        name = f"{upload}-{number}"
+        await create(self.client, FILE_CHUNKS, name, spec, {"upload": upload})
+
+    def _manifest(
+        self, organisation: str, filename: str, upload: str, intake: Intake
+    ) -> tuple[str, FileManifest]:
+        if intake.first is None:
+            raise PrimrosefordError(
+                ResultCode.MISSING_FIELD, "the file has no items", field="file"
+            )
+        digest = intake.digest.hexdigest()
+        return file_name(organisation, digest), FileManifest(
+            organisation=organisation,
+            filename=filename,
+            sha256=digest,
+            upload=upload,
+            size=intake.size,
+            chunk_items=intake.chunk_items,
+            endpoint=intake.first.url,
+            model=intake.first.model,
+            created_at=self.wall(),
+        )
+
+    async def _store_manifest(self, name: str, manifest: FileManifest) -> FileManifest:
+        labels = {"organisation": manifest.organisation}
+        found, _ = await create(self.client, FILES, name, encode_file(manifest), labels)
+        return decode_file(found.spec)
+
+    async def get(self, organisation: str, file_id: str) -> FileManifest:
+        """Return the manifest of a file.
+
+        :raises PrimrosefordError: NOT_FOUND, also for another organisation's file
+        """
+        try:
+            manifest = decode_file((await self.client.get(FILES, file_id)).spec)
+        except PrimrosefordError as error:
+            if error.code is ResultCode.NOT_FOUND:
+                raise not_found("file", file_id) from error
+            raise
+        if manifest.organisation != organisation:
+            raise not_found("file", file_id)
+        return manifest
+
+    async def chunk_lines(self, upload: str, number: int) -> list[str]:
+        """Return the input lines of a chunk."""
+        found = await self.client.get(FILE_CHUNKS, f"{upload}-{number}")
+        return found.spec["text"].split("\n")
+
+    async def delete(self, organisation: str, file_id: str) -> None:
+        """Delete a file that no active job reads.
+
+        Chunks that a finished job still needs stay until that job is removed.
+
+        :raises PrimrosefordError: NOT_FOUND or FILE_IN_USE
+        """
+        manifest = await self.get(organisation, file_id)
+        jobs = (await self.client.list(JOBS, {"file": file_id})).items
+        if any(item.labels.get("state") == JobState.ACTIVE.value for item in jobs):
+            raise PrimrosefordError(
+                ResultCode.FILE_IN_USE,
+                f"file {file_id} is the input of an active job",
+                hint="cancel the job or wait until it has finished",
+            )
+        await delete(self.client, FILES, file_id)
+        if not jobs:
+            await self.discard(manifest.upload, len(manifest.chunk_items))
+
+    async def discard(self, upload: str, chunks: int) -> None:
+        """Remove the chunks of an upload and then its marker."""
+        for number in range(chunks):
+            await delete(self.client, FILE_CHUNKS, f"{upload}-{number}")
+        await delete(self.client, UPLOADS, upload)
+
+
+def file_name(organisation: str, digest: str) -> str:
+    """Return the id of a file, which is the same for the same content."""
+    mixed = hashlib.sha256(f"{organisation}\0{digest}".encode()).hexdigest()
+    return f"file-{mixed[:32]}"
+
+
+def not_found(what: str, name: str) -> PrimrosefordError:
+    """Return the error for a file or job that the caller cannot see."""
+    return PrimrosefordError(
+        ResultCode.NOT_FOUND, f"there is no {what} {name[:80]!r}", field=f"{what}_id"
+    )
+
+
+async def create(
+    client: PlatformClient, kind: str, name: str, spec: dict, labels: dict[str, str]
+) -> tuple[PlatformObject, bool]:
+    """Create an object, or return the one that has its name.
+
+    :returns: the stored object, and whether this call created it
+    :raises PrimrosefordError: PLATFORM_UNAVAILABLE
+    """
+    try:
+        return await client.create(kind, name, spec, labels), True
+    except PrimrosefordError as error:
+        if error.code is ResultCode.NOT_FOUND:
+            # The read after a lost answer found nothing: the create had no effect.
+            raise PrimrosefordError(
+                ResultCode.PLATFORM_UNAVAILABLE,
+                f"{kind}/{name} was not stored",
+                retry_after=1.0,
+            ) from error
+        if error.code not in TAKEN:
+            raise
+    return await client.get(kind, name), False
+
+
+async def delete(client: PlatformClient, kind: str, name: str) -> None:
+    """Delete an object; one that is already gone is no error."""
+    try:
+        await client.delete(kind, name)
+    except PrimrosefordError as error:
+        if error.code is not ResultCode.NOT_FOUND:
+            raise
+
+
+async def update(
+    client: PlatformClient,
+    found: PlatformObject,
+    spec: dict,
+    labels: dict[str, str],
+) -> PlatformObject:
+    """Replace an object on condition of its version.
+
+    HTTP clients resend a PUT whose connection broke, and the second one conflicts
+    with the first. Every writer's spec differs, so equal content is its own write.
+
+    :raises PrimrosefordError: VERSION_CONFLICT, NOT_FOUND or PLATFORM_UNAVAILABLE
+    """
+    try:
+        return await client.update(found.kind, found.name, spec, found.version, labels)
+    except PrimrosefordError as error:
+        if error.code is not ResultCode.VERSION_CONFLICT:
+            raise
+        stored = await client.get(found.kind, found.name)
+        if stored.spec != spec:
+            raise
+        return stored
--- /dev/null
+++ b/src/primroseford/batch/items.py
@@ -0,0 +1,185 @@
+"""Checks of input lines and their grouping into chunks."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+from dataclasses import dataclass
+from dataclasses import field
+
+from primroseford.errors import PrimrosefordError
+from primroseford.errors import ResultCode
+
+MAX_ITEMS = 57_000
+MAX_FILE_BYTES = 200 * 1024 * 1024
+MAX_LINE_BYTES = 256 * 1024
+MAX_CUSTOM_ID_CHARACTERS = 256
+MAX_MODEL_CHARACTERS = 64
+CHUNK_ITEMS = 500
+CHUNK_BYTES = 512 * 1024
+"""Largest chunk as JSON text; the service takes values up to a megabyte."""
+ENDPOINTS = ("/v1/chat/completions", "/v1/completions", "/v1/embeddings")
+FIELDS = frozenset({"custom_id", "method", "url", "body"})
+DEFAULT_TOKENS = 16
+BYTES_PER_TOKEN = 4
+
+
+@dataclass(frozen=True)
+class Item:
+    """One checked line of an input file.
+
+    :param cost: estimated tokens, prompt and answer
+    """
+
+    custom_id: str
+    url: str
+    model: str | None
+    body: dict
+    cost: int
+
+
+@dataclass
+class Intake:
+    """What is known of an upload while its lines arrive."""
+
+    digest: hashlib._Hash = field(default_factory=hashlib.sha256)
+    size: int = 0
+    lines: int = 0
+    rest: bytes = b""
+    seen: set[bytes] = field(default_factory=set)
+    first: Item | None = None
+    chunk: list[str] = field(default_factory=list)
+    chunk_size: int = 0
+    chunk_items: list[int] = field(default_factory=list)
+
+
+def invalid(line: int, path: str, message: str) -> PrimrosefordError:
+    """Return the error for a faulty line.
+
+    :param line: number of the line, from 1
+    :param path: path of the field in the line
+    """
+    where = f"line {line}" + (f".{path}" if path else "")
+    return PrimrosefordError(
+        ResultCode.ITEM_INVALID, f"line {line}: {message}", field=where
+    )
+
+
+def check_line(text: bytes, line: int) -> Item:
+    """Return the item in one input line.
+
+    :param text: the line without its end
+    :param line: number of the line, from 1
+    :raises PrimrosefordError: ITEM_INVALID with the line's number and field
+    """
+    if len(text) > MAX_LINE_BYTES:
+        raise invalid(line, "", f"longer than {MAX_LINE_BYTES} bytes")
+    try:
+        value = json.loads(text)
+    except (ValueError, RecursionError):
+        raise invalid(line, "", "not valid JSON") from None
+    if not isinstance(value, dict):
+        raise invalid(line, "", "not a JSON object")
+    unknown = sorted(value.keys() - FIELDS)
+    if unknown:
+        raise invalid(line, unknown[0][:64], "unknown field")
+    custom_id, body = value.get("custom_id"), value.get("body")
+    if not isinstance(custom_id, str) or not 0 < len(custom_id) <= (
+        MAX_CUSTOM_ID_CHARACTERS
+    ):
+        limit = MAX_CUSTOM_ID_CHARACTERS
+        raise invalid(line, "custom_id", f"must be text of 1 to {limit} characters")
+    if value.get("method", "POST") != "POST":
+        raise invalid(line, "method", "must be POST")
+    if value.get("url") not in ENDPOINTS:
+        raise invalid(line, "url", f"must be one of {', '.join(ENDPOINTS)}")
+    if not isinstance(body, dict):
+        raise invalid(line, "body", "must be a JSON object")
+    return Item(custom_id, value["url"], *_check_body(body, line, len(text)))
+
+
+def _check_body(body: dict, line: int, size: int) -> tuple[str | None, dict, int]:
+    model = body.get("model")
+    if model is not None and (
+        not isinstance(model, str) or not 0 < len(model) <= MAX_MODEL_CHARACTERS
+    ):
+        limit = MAX_MODEL_CHARACTERS
+        raise invalid(line, "body.model", f"must be text of 1 to {limit} characters")
+    if body.get("stream"):
+        raise invalid(line, "body.stream", "items of a job cannot be streamed")
+    tokens = body.get("max_tokens", body.get("max_completion_tokens"))
+    if tokens is None:
+        tokens = DEFAULT_TOKENS
+    if not isinstance(tokens, int) or isinstance(tokens, bool) or tokens < 1:
+        raise invalid(line, "body.max_tokens", "must be a positive whole number")
+    return model, body, size // BYTES_PER_TOKEN + tokens
+
+
+def take_line(intake: Intake, text: bytes) -> list[str] | None:
+    """Check one line and add it to the current chunk.
+
+    :returns: a full chunk's lines, if the line did not fit any more
+    :raises PrimrosefordError: ITEM_INVALID or TOO_MANY_ITEMS
+    """
+    intake.lines += 1
+    text = text.strip()
+    if not text:
+        return None
+    if len(intake.seen) >= MAX_ITEMS:
+        raise PrimrosefordError(
+            ResultCode.TOO_MANY_ITEMS,
+            f"line {intake.lines}: the file has more than {MAX_ITEMS} items",
+            field=f"line {intake.lines}",
+            hint="split the file into several jobs",
+        )
+    item = check_line(text, intake.lines)
+    _check_against_file(intake, item)
+    decoded = text.decode()
+    size = len(json.dumps(decoded))
+    full = None
+    if len(intake.chunk) >= CHUNK_ITEMS or intake.chunk_size + size > CHUNK_BYTES:
+        full = close_chunk(intake)
+    intake.chunk.append(decoded)
+    intake.chunk_size += size
+    return full
+
+
+def _check_against_file(intake: Intake, item: Item) -> None:
+    # A digest bounds the memory for identifiers, whatever their length.
+    mark = hashlib.blake2b(item.custom_id.encode(errors="surrogatepass")).digest()[:16]
+    if mark in intake.seen:
+        raise invalid(intake.lines, "custom_id", "used by an earlier line")
+    intake.seen.add(mark)
+    first = intake.first = intake.first or item
+    if item.url != first.url:
+        raise invalid(intake.lines, "url", "differs from the first line's url")
+    if item.model != first.model:
+        raise invalid(intake.lines, "body.model", "differs from the first line's model")
+
+
+def close_chunk(intake: Intake) -> list[str]:
+    """Return the lines of the current chunk and begin the next one."""
+    lines, intake.chunk, intake.chunk_size = intake.chunk, [], 0
+    if lines:
+        intake.chunk_items.append(len(lines))
+    return lines
+
+
+def take_bytes(intake: Intake, data: bytes) -> list[bytes]:
+    """Return the lines that are complete after more bytes arrived.
+
+    :raises PrimrosefordError: BODY_TOO_LARGE or ITEM_INVALID
+    """
+    intake.digest.update(data)
+    intake.size += len(data)
+    if intake.size > MAX_FILE_BYTES:
+        raise PrimrosefordError(
+            ResultCode.BODY_TOO_LARGE,
+            f"the file is larger than {MAX_FILE_BYTES} bytes",
+            field="file",
+        )
+    *lines, intake.rest = (intake.rest + data).split(b"\n")
+    if len(intake.rest) > MAX_LINE_BYTES:
+        number = intake.lines + len(lines) + 1
+        raise invalid(number, "", f"longer than {MAX_LINE_BYTES} bytes")
+    return lines
--- /dev/null
+++ b/src/primroseford/batch/tests/test_routes.py
@@ -0,0 +1,180 @@
+from __future__ import annotations
+
+import asyncio
+
+import aiohttp
+import openai
+import pytest
+
+from primroseford.batch.jobs import check_request
+from primroseford.batch.state import FILE_CHUNKS
+from primroseford.batch.state import FILES
+from primroseford.batch.state import JOBS
+from primroseford.batch.state import JobState
+from primroseford.batch.tests.conftest import ENDPOINT
+from primroseford.batch.tests.conftest import lines
+from primroseford.errors import PrimrosefordError
+from primroseford.errors import ResultCode
+
+ASKED = {
+    "input_file_id": "file-1",
+    "endpoint": ENDPOINT,
+    "completion_window": "24h",
+}
+BAD_REQUESTS = [
+    ([], "body"),
+    ({}, "input_file_id"),
+    (ASKED | {"extra": 1}, "extra"),
+    (ASKED | {"endpoint": 1}, "endpoint"),
+    (ASKED | {"input_file_id": "f" * 129}, "input_file_id"),
+    (ASKED | {"completion_window": "1h"}, "completion_window"),
+    (ASKED | {"metadata": []}, "metadata"),
+    (ASKED | {"metadata": {str(n): "" for n in range(17)}}, "metadata"),
+    (ASKED | {"metadata": {"k" * 65: ""}}, "metadata"),
+    (ASKED | {"metadata": {"k": 1}}, "metadata.k"),
+    (ASKED | {"metadata": {"due_in_seconds": "-1"}}, "metadata.due_in_seconds"),
+    (ASKED | {"metadata": {"due_in_seconds": "59"}}, "metadata.due_in_seconds"),
+    (ASKED | {"metadata": {"due_in_seconds": "86401"}}, "metadata.due_in_seconds"),
+]
+
+
+@pytest.mark.parametrize(("body", "field"), BAD_REQUESTS)
+def test_bad_job_request_names_its_field(body, field):
+    """Guards against unbounded or unknown fields of a job."""
+    with pytest.raises(PrimrosefordError) as caught:
+        check_request(body, "")
+    assert caught.value.field == field
+
+
+async def submit(client: openai.AsyncOpenAI, count: int = 3, key: str = ""):
+    """Upload a file and create its job."""
+    file = await client.files.create(file=("in.jsonl", lines(count)), purpose="batch")
+    return await client.batches.create(
+        input_file_id=file.id,
+        endpoint=ENDPOINT,
+        completion_window="24h",
+        extra_headers={"Idempotency-Key": key} if key else {},
+    )
+
+
+async def test_openai_client_works_unmodified(world):
+    """Guards against answers that OpenAI's client cannot read."""
+    async with world.openai() as client:
+        job = await submit(client, 1200)
+        assert job.status == "in_progress"
+        assert job.request_counts.total == 1200
+        file = await client.files.retrieve(job.input_file_id)
+        assert file.purpose == "batch"
+        content = await client.files.content(file.id)
+        assert content.content.rstrip() == lines(1200)
+        assert (await client.batches.retrieve(job.id)).id == job.id
+        assert [j.id async for j in client.batches.list(limit=1)] == [job.id]
+        with pytest.raises(openai.ConflictError):
+            await client.files.delete(file.id)
+        assert (await client.batches.cancel(job.id)).status == "cancelled"
+        errors = await client.files.content(f"{job.id}-errors")
+        assert len(errors.text.splitlines()) == 1200
+        assert str(int(ResultCode.JOB_CANCELLED)) in errors.text
+        assert (await client.files.delete(file.id)).deleted
+
+
+async def test_resent_uploads_and_jobs_are_one(world):
+    """Guards against a client's retry that runs a job twice."""
+    async with world.openai() as client:
+        jobs = await asyncio.gather(*(submit(client) for _ in range(4)))
+        again = await submit(client)
+    objects = world.platform.state.objects
+    assert {job.id for job in jobs} == {again.id}
+    assert len(objects[JOBS]) == len(objects[FILES]) == len(objects[FILE_CHUNKS]) == 1
+
+
+async def test_same_key_with_other_content_is_refused(world):
+    """Guards against a job that silently replaces or repeats another."""
+    async with world.openai() as client:
+        await submit(client, 3, "night")
+        with pytest.raises(openai.ConflictError) as caught:
+            await submit(client, 4, "night")
+    assert int(caught.value.code) == int(ResultCode.IDEMPOTENCY_CONFLICT)
+
+
+async def test_other_organisation_sees_nothing(world):
+    """Guards against files, jobs and results that another organisation can read."""
+    async with world.openai() as client:
+        job = await submit(client)
+    async with world.openai("garage") as other:
+        for call in (
+            other.files.retrieve(job.input_file_id),
+            other.files.content(job.input_file_id),
+            other.files.delete(job.input_file_id),
+            other.files.retrieve(f"{job.id}-output"),
+            other.files.content(f"{job.id}-output"),
+            other.batches.retrieve(job.id),
+            other.batches.cancel(job.id),
+            other.batches.create(
+                input_file_id=job.input_file_id,
+                endpoint=ENDPOINT,
+                completion_window="24h",
+            ),
+        ):
+            with pytest.raises(openai.NotFoundError):
+                await call
+        assert not (await other.batches.list()).data
+    async with world.openai("outsider") as outsider:
+        with pytest.raises(openai.PermissionDeniedError):
+            await submit(outsider)
+
+
+async def test_withdrawn_key_reads_nothing(world):
+    """Guards against results that a withdrawn key can still read."""
+    async with world.openai() as client:
+        job = await submit(client)
+        world.replace_tables(withdrawn=True)
+        with pytest.raises(openai.AuthenticationError):
+            await client.files.content(f"{job.id}-output")
+
+
+async def test_outage_refuses_truthfully(world):
+    """Guards against an acknowledgement that the outage made untrue."""
+    async with world.openai() as client:
+        job = await submit(client)
+        world.platform.faults.down = True
+        for call in (submit, lambda c: c.batches.cancel(job.id)):
+            with pytest.raises(openai.InternalServerError) as caught:
+                await call(client)
+            assert int(caught.value.code) == int(ResultCode.PLATFORM_UNAVAILABLE)
+        world.platform.faults.down = False
+        assert (await world.jobs.read(job.id))[0].state is JobState.ACTIVE
+    assert len(world.platform.state.objects[JOBS]) == 1
+
+
+async def test_lost_answers_do_not_double_a_job(world):
+    """Guards against a stored job or file whose lost answer makes a second one."""
+    async with world.openai() as client:
+        world.platform.faults.lose_write_answers = 5
+        job = await submit(client)
+        assert (await submit(client)).id == job.id
+    assert len(world.platform.state.objects[JOBS]) == 1
+
+
+@pytest.mark.parametrize(
+    ("fields", "code"),
+    [
+        ({"purpose": "batch"}, ResultCode.MISSING_FIELD),
+        ({"purpose": "tune", "file": lines(1)}, ResultCode.INVALID_VALUE),
+        ({"file": lines(1)}, ResultCode.MISSING_FIELD),
+        ({"purpose": "batch", "file": b"\n\n"}, ResultCode.MISSING_FIELD),
+        ({"purpose": "batch", "other": b"1"}, ResultCode.UNKNOWN_FIELD),
+        ({"purpose": "batch", "file": b"{}"}, ResultCode.ITEM_INVALID),
+    ],
+)
+async def test_bad_upload_is_refused_and_leaves_nothing(world, fields, code):
+    """Guards against chunks that stay behind a refused upload."""
+    form = aiohttp.FormData(fields, default_to_multipart=True)
+    headers = {"Authorization": f"Bearer {world.secrets['depot']}"}
+    async with (
+        aiohttp.ClientSession() as session,
+        session.post(f"{world.url}/v1/files", data=form, headers=headers) as answer,
+    ):
+        assert (await answer.json())["error"]["code"] == int(code)
+    if "file" in fields and "purpose" in fields:
+        assert not world.platform.state.objects.get(FILE_CHUNKS)
--- a/src/primroseford/errors.py
+++ b/src/primroseford/errors.py
@@ -64,6 +64,10 @@
     ITEM_OUTCOME_UNKNOWN = 6004
     JOB_NOT_FINISHED = 6005
     JOB_EXPIRED = 6006
+    JOB_FINISHED = 6007
+    FILE_IN_USE = 6008
+    RESULT_TOO_LARGE = 6009
+    TOO_MANY_ITEMS = 6010
 
 
 HTTP_STATUS = {
@@ -107,6 +111,9 @@
     ResultCode.JOB_CANCELLED: 409,
     ResultCode.JOB_NOT_FINISHED: 409,
     ResultCode.ITEM_INVALID: 400,
+    ResultCode.JOB_FINISHED: 409,
+    ResultCode.FILE_IN_USE: 409,
+    ResultCode.TOO_MANY_ITEMS: 413,
 }
 """HTTP status by result code; codes that are not listed map to 500."""
 
