Run batch jobs: claims, checkpoints, scheduling and feeding

Chunks are claimed by create and committed by compare-and-set; intents of items that may not be repeated are stored, many to a write, before they are sent. Each runner's feeder fills the window that online leaves and cancels the newest repeatable items when the window shrinks.

Arrivals use up the headroom before items are cancelled.

--- /dev/null
+++ b/src/primroseford/batch/collect.py
@@ -0,0 +1,68 @@
+"""Removal of files, jobs and results whose retention has ended, and of orphans."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from primroseford.batch.files import delete
+from primroseford.batch.state import CHUNK_STATES
+from primroseford.batch.state import FILE_CHUNKS
+from primroseford.batch.state import FILES
+from primroseford.batch.state import JOBS
+from primroseford.batch.state import RESULT_PARTS
+from primroseford.batch.state import UPLOADS
+from primroseford.batch.state import JobState
+from primroseford.batch.state import decode_file
+from primroseford.batch.state import decode_job
+
+if TYPE_CHECKING:
+    from primroseford.batch.files import FileStore
+    from primroseford.platform.client import PlatformClient
+
+ORPHAN_SECONDS = 86_400.0
+
+
+async def collect(files: FileStore, now: float, retention_seconds: float) -> None:
+    """Remove what is no longer kept. Safe on several hosts at once.
+
+    :param now: seconds since the epoch
+    :raises PrimrosefordError: PLATFORM_UNAVAILABLE
+    """
+    client = files.client
+    jobs = {o.name: decode_job(o.spec) for o in (await client.list(JOBS)).items}
+    for name, job in list(jobs.items()):
+        ended = job.state is not JobState.ACTIVE
+        if ended and now - job.finished_at >= retention_seconds:
+            await _remove_job(client, name)
+            del jobs[name]
+    used = {job.upload for job in jobs.values()}
+    # Markers are read before the files: an upload that gets its manifest in
+    # between is then seen as a file and kept.
+    markers = (await client.list(UPLOADS)).items
+    for item in (await client.list(FILES)).items:
+        manifest = decode_file(item.spec)
+        young = now - manifest.created_at < retention_seconds
+        if young or manifest.upload in used:
+            used.add(manifest.upload)
+        else:
+            await delete(client, FILES, item.name)
+            await files.discard(manifest.upload, len(manifest.chunk_items))
+    for marker in markers:
+        if now - marker.spec["created_at"] >= ORPHAN_SECONDS:
+            if marker.name not in used:
+                await _remove_labelled(client, FILE_CHUNKS, {"upload": marker.name})
+            await delete(client, UPLOADS, marker.name)
+
+
+async def _remove_job(client: PlatformClient, name: str) -> None:
+    # The job goes last, so that an interrupted removal is found again.
+    for kind in (RESULT_PARTS, CHUNK_STATES):
+        await _remove_labelled(client, kind, {"job": name})
+    await delete(client, JOBS, name)
+
+
+async def _remove_labelled(
+    client: PlatformClient, kind: str, labels: dict[str, str]
+) -> None:
+    for item in (await client.list(kind, labels)).items:
+        await delete(client, kind, item.name)
--- /dev/null
+++ b/src/primroseford/batch/feed.py
@@ -0,0 +1,394 @@
+"""The feeder of one runner: starts, steps back and collects batch items."""
+
+from __future__ import annotations
+
+import asyncio
+import functools
+import inspect
+import math
+import zlib
+from collections import deque
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+
+import structlog
+
+from primroseford.batch.pick import Choice
+from primroseford.batch.pick import choices
+from primroseford.batch.results import request_id
+from primroseford.batch.runners import ItemRequest
+from primroseford.batch.schedule import Shares
+from primroseford.batch.schedule import charge
+from primroseford.batch.schedule import choose
+from primroseford.batch.schedule import due_order
+from primroseford.batch.schedule import enter
+from primroseford.batch.window import QUIET_SECONDS
+from primroseford.batch.window import LoadReport
+from primroseford.batch.window import Running
+from primroseford.batch.window import Sample
+from primroseford.batch.window import batch_window
+from primroseford.batch.window import choose_preempted
+from primroseford.batch.window import nonrepeatable_places
+from primroseford.batch.window import unseen_load
+from primroseford.batch.work import declare_intents
+from primroseford.batch.work import put_back
+from primroseford.batch.work import save
+from primroseford.batch.work import take_answer
+from primroseford.errors import Outcome
+from primroseford.errors import PrimrosefordError
+from primroseford.errors import ResultCode
+from primroseford.routing.match import match_route
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from primroseford.batch.index import JobIndex
+    from primroseford.batch.jobs import JobStore
+    from primroseford.batch.load import LoadView
+    from primroseford.batch.runners import ItemAnswer
+    from primroseford.batch.runners import RunItem
+    from primroseford.batch.state import Job
+    from primroseford.batch.work import Claimer
+    from primroseford.batch.work import Work
+    from primroseford.clock import Clock
+    from primroseford.configuration.store import ConfigurationStore
+    from primroseford.configuration.tables import Pool
+    from primroseford.configuration.tables import Route
+    from primroseford.configuration.tables import Runner
+
+TOKEN_WAIT_SECONDS = 0.05
+"""Longest wait for a token, since a waiting item holds a place on the runner."""
+RETRY_SECONDS = 0.1
+MAX_RETRY_SECONDS = 5.0
+CLAIM_PAUSE_SECONDS = 1.0
+TICK_SECONDS = 0.05
+
+log = structlog.get_logger()
+
+
+@dataclass
+class FeedContext:
+    """What the feeders of a host share.
+
+    :param limiter: rates of the organisations
+    :param reported: the runner's last load report: when it was measured, in
+        seconds of the clock, and the requests in flight then
+    :param live: incarnations of the live hosts
+    """
+
+    jobs: JobStore
+    claimer: Claimer
+    run_item: RunItem
+    limiter: object
+    configuration: ConfigurationStore
+    clock: Clock
+    index: JobIndex
+    load: LoadView
+    reported: Callable[[str], tuple[float, int] | None]
+    live: Callable[[], frozenset[str]]
+
+
+@dataclass(eq=False)
+class Flight:
+    """An item in flight."""
+
+    order: int
+    choice: Choice
+    task: asyncio.Task | None = None
+    preempted: bool = False
+
+
+@dataclass
+class RunnerFeed:
+    """State of one runner's feeder.
+
+    :param paused_until: the runner refused or was down; nothing starts before
+    :param history: requests in flight by time, to compare with load reports
+    :param online_at: when online load was last seen, in seconds of the clock
+    """
+
+    context: FeedContext
+    pool: Pool
+    runner: Runner
+    works: list[Work] = field(default_factory=list)
+    flights: dict[int, Flight] = field(default_factory=dict)
+    shares: Shares = Shares()
+    started: int = 0
+    paused_until: float = 0.0
+    failures: int = 0
+    blocked: dict[str, float] = field(default_factory=dict)
+    claim_after: dict[str, float] = field(default_factory=dict)
+    save_after: dict[str, float] = field(default_factory=dict)
+    history: deque[Sample] = field(default_factory=deque)
+    online_at: float = -math.inf
+    tasks: set[asyncio.Task] = field(default_factory=set)
+    claiming: bool = False
+    stopping: bool = False
+    wake: asyncio.Event = field(default_factory=asyncio.Event)
+
+    def window(self) -> int:
+        """Return the places that batch may use now, without headroom taken off."""
+        context, name = self.context, self.runner.name
+        found = context.reported(name)
+        unseen = unseen_load(LoadReport(*found) if found else None, self.history)
+        online = context.load.online(name)
+        if online or unseen:
+            self.online_at = context.clock()
+        return batch_window(self.pool.max_in_flight, online, unseen, 0)
+
+    def headroom(self) -> int:
+        """Return the places to keep free; none once online has been quiet."""
+        quiet = self.context.clock() - self.online_at >= QUIET_SECONDS
+        return 0 if quiet else self.pool.batch.headroom
+
+    def step(self) -> None:
+        """Bring what runs in line with the window, jobs and rates."""
+        window = self.window()
+        self._note()
+        self._drop_ended()
+        # Arrivals use up the headroom first. Only what goes beyond it cancels
+        # items, since each cancelled item loses its work.
+        self._preempt(window)
+        window = max(0, window - self.headroom())
+        if not self.stopping and self.context.clock() >= self.paused_until:
+            self._start_items(window)
+        self._start_writes()
+        if not self.stopping:
+            self._start_claim(window)
+
+    def route_of(self, job: Job) -> Route | None:
+        """Return the route of a job if it leads to this runner's pool."""
+        tables = self.context.configuration.current()
+        try:
+            route = match_route(tables, "", job.endpoint, job.model)
+        except PrimrosefordError:
+            return None
+        allowed = route.open or job.organisation in route.organisations
+        return route if allowed and route.pool == self.pool.name else None
+
+    def _drop_ended(self) -> None:
+        for work in self.works:
+            if work.closed or not self.context.index.is_active(work.name):
+                work.pending.clear()
+                for flight in self.flights.values():
+                    if flight.choice.work is work and flight.choice.repeatable:
+                        self._cancel(flight)
+        self.works = [work for work in self.works if not work.closed]
+
+    def _preempt(self, window: int) -> None:
+        kept = [f for f in self.flights.values() if not f.preempted]
+        running = [Running(f.order, f.choice.repeatable) for f in kept]
+        for item in choose_preempted(running, window):
+            self._cancel(self.flights[item.order])
+
+    def _cancel(self, flight: Flight) -> None:
+        if flight.task is not None and not flight.preempted:
+            flight.preempted = True
+            flight.task.cancel()
+
+    def _start_items(self, window: int) -> None:
+        share = nonrepeatable_places(self.pool.max_in_flight, self.pool.batch, window)
+        while len(self.flights) < window:
+            found = choices(self, share)
+            self.shares = enter(self.shares, found.keys())
+            organisation = choose(self.shares)
+            if organisation is None:
+                return
+            self._start(organisation, found[organisation])
+
+    def _start(self, organisation: str, choice: Choice) -> None:
+        choice.work.pending.remove(choice.index)
+        choice.work.running.add(choice.index)
+        self.started += 1
+        flight = Flight(self.started, choice)
+        self.flights[flight.order] = flight
+        self._charge(choice, 1)
+        flight.task = asyncio.create_task(self._send(choice))
+        flight.task.add_done_callback(functools.partial(self._landed, flight))
+        self._note()
+
+    def _charge(self, choice: Choice, sign: int) -> None:
+        name = choice.work.job.organisation
+        record = self.context.configuration.current().organisations.get(name)
+        weight = record.weight if record else 1.0
+        cost = sign * choice.work.items[choice.index].cost
+        self.shares = charge(self.shares, name, cost, weight)
+
+    def _note(self) -> None:
+        now = self.context.clock()
+        known = len(self.flights) + self.context.load.online(self.runner.name)
+        self.history.append(Sample(now, known))
+        while len(self.history) > 1 and self.history[1].at < now - MAX_RETRY_SECONDS:
+            self.history.popleft()
+
+    def _landed(self, flight: Flight, task: asyncio.Task) -> None:
+        # A callback also runs for a task that is cancelled before its first step.
+        choice = flight.choice
+        del self.flights[flight.order]
+        error = None if task.cancelled() else task.exception()
+        if task.cancelled():
+            self._land_cancelled(choice)
+        elif error is not None:
+            self._land_refused(choice, error)
+        elif task.result() is None:
+            put_back(choice.work, choice.index)
+        else:
+            self._land(choice, task.result())
+        self._note()
+        self.wake.set()
+
+    async def _send(self, choice: Choice) -> ItemAnswer | None:
+        context, work = self.context, choice.work
+        deadline = context.clock() + TOKEN_WAIT_SECONDS
+        permit = await context.limiter.acquire(
+            work.job.organisation, 1, deadline, batch=True
+        )
+        sent = False
+        try:
+            if not choice.repeatable and not await self._declare(choice):
+                return None
+            if work.closed or not context.index.is_active(work.name):
+                return None
+            sent = True
+            answer = await context.run_item(self._request(choice))
+            sent = answer.outcome is not Outcome.NOT_RUN
+            return answer
+        finally:
+            if not sent:
+                given = permit.give_back()
+                if inspect.isawaitable(given):
+                    await given
+
+    async def _declare(self, choice: Choice) -> bool:
+        work = choice.work
+        async with work.lock:
+            if choice.index in work.state.intents and not work.closed:
+                return True
+            # One write declares all items that wait for the lock.
+            return await declare_intents(self.context.jobs, work, set(work.running))
+
+    def _request(self, choice: Choice) -> ItemRequest:
+        work, item = choice.work, choice.work.items[choice.index]
+        return ItemRequest(
+            pool=self.pool,
+            runner=self.runner,
+            path=item.url,
+            body=item.body,
+            request_id=request_id(work.name, work.number, choice.index),
+            timeout_seconds=choice.route.timeout_seconds,
+        )
+
+    def _land(self, choice: Choice, answer: ItemAnswer) -> None:
+        refused = answer.outcome is Outcome.NOT_RUN
+        self.failures = self.failures + 1 if refused or answer.died else 0
+        if refused or answer.died:
+            pause = min(MAX_RETRY_SECONDS, RETRY_SECONDS * 2 ** min(self.failures, 8))
+            self.paused_until = self.context.clock() + pause
+        if refused:
+            self._charge(choice, -1)
+        take_answer(choice.work, choice.index, answer, choice.repeatable)
+
+    def _land_refused(self, choice: Choice, error: BaseException) -> None:
+        if not isinstance(error, PrimrosefordError):
+            log.error("item failed unexpectedly", error=repr(error))
+        wait = getattr(error, "retry_after", None) or RETRY_SECONDS
+        until = self.context.clock() + wait
+        self.blocked[choice.work.job.organisation] = until
+        self._charge(choice, -1)
+        put_back(choice.work, choice.index)
+
+    def _land_cancelled(self, choice: Choice) -> None:
+        if choice.repeatable:
+            self._charge(choice, -1)
+            put_back(choice.work, choice.index)
+        else:
+            choice.work.running.discard(choice.index)
+
+    def _start_writes(self) -> None:
+        now = self.context.clock()
+        for work in self.works:
+            due = self.save_after.get(work.stored.name, 0.0) <= now
+            if due and work.needs_save(now):
+                self.save_after[work.stored.name] = math.inf
+                self._spawn(self._save(work))
+
+    async def _save(self, work: Work) -> None:
+        name = work.stored.name
+        try:
+            async with work.lock:
+                await save(self.context.jobs, work, self.context.clock())
+            self.save_after.pop(name, None)
+            if not work.closed or work.lost:
+                return
+            if await self.context.jobs.close_if_done(work.name, work.job):
+                self.context.index.end(work.name)
+        except PrimrosefordError as error:
+            self.save_after[name] = self.context.clock() + CLAIM_PAUSE_SECONDS
+            log.warning("chunk not stored", chunk=name, code=int(error.code))
+
+    def _start_claim(self, window: int) -> None:
+        if self.claiming or window == 0:
+            return
+        now = self.context.clock()
+        held: dict[str, int] = {}
+        for work in self.works:
+            owner = work.job.organisation
+            held[owner] = held.get(owner, 0) + len(work.pending)
+        for name, job in due_order(self.context.index.jobs.items()):
+            enough = held.get(job.organisation, 0) >= self.pool.max_in_flight
+            if enough or self.claim_after.get(name, 0.0) > now:
+                continue
+            if self.route_of(job) is not None:
+                self.claiming = True
+                self._spawn(self._claim(name, job))
+                return
+
+    async def _claim(self, name: str, job: Job) -> None:
+        start = zlib.crc32(self.runner.name.encode()) % len(job.chunk_items)
+        try:
+            context = self.context
+            work = await context.claimer.claim(name, job, context.live(), start)
+            if work is not None:
+                self.works.append(work)
+                return
+            if await context.jobs.close_if_done(name, job):
+                context.index.end(name)
+        except PrimrosefordError as error:
+            if error.code is ResultCode.NOT_FOUND:
+                self.context.index.end(name)
+            log.warning("chunk not claimed", job=name, code=int(error.code))
+        finally:
+            self.claiming = False
+        self.claim_after[name] = self.context.clock() + CLAIM_PAUSE_SECONDS
+
+    def _spawn(self, coroutine) -> None:
+        task = asyncio.create_task(coroutine)
+        self.tasks.add(task)
+        task.add_done_callback(self._spawned_ended)
+
+    def _spawned_ended(self, task: asyncio.Task) -> None:
+        self.tasks.discard(task)
+        self.wake.set()
+
+    async def run(self) -> None:
+        """Feed the runner until ``stop`` is called."""
+        while not self.stopping:
+            self.wake.clear()
+            self.step()
+            try:
+                await asyncio.wait_for(self.wake.wait(), TICK_SECONDS)
+            except TimeoutError:
+                continue
+
+    async def stop(self) -> None:
+        """Cancel what may be repeated, wait for the rest, and store the results."""
+        self.stopping = True
+        for flight in list(self.flights.values()):
+            if flight.choice.repeatable:
+                self._cancel(flight)
+        flying = [f.task for f in self.flights.values() if f.task is not None]
+        await asyncio.gather(*flying, *self.tasks, return_exceptions=True)
+        for work in self.works:
+            if not work.closed:
+                await self._save(work)
--- /dev/null
+++ b/src/primroseford/batch/index.py
@@ -0,0 +1,64 @@
+"""Active jobs as this host knows them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from primroseford.batch.state import Job
+from primroseford.batch.state import JobState
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+REMEMBERED_ENDS = 20_000
+
+
+class JobIndex:
+    """Active jobs by id. A job that ended never becomes active again."""
+
+    def __init__(self) -> None:
+        self.jobs: dict[str, Job] = {}
+        self.ended: dict[str, None] = {}
+        self.callbacks: list[Callable[[], None]] = []
+
+    def is_active(self, name: str) -> bool:
+        """Return whether items of a job may be sent."""
+        return name not in self.ended
+
+    def on_change(self, callback: Callable[[], None]) -> None:
+        """Call ``callback`` after jobs were added or ended."""
+        self.callbacks.append(callback)
+
+    def apply(self, name: str, job: Job) -> None:
+        """Take one job, for example from a subscription."""
+        if job.state is not JobState.ACTIVE:
+            self.end(name)
+        elif name not in self.ended and name not in self.jobs:
+            self.jobs[name] = job
+            self._changed()
+
+    def end(self, name: str) -> None:
+        """Note that a job reached a final state."""
+        if name not in self.ended:
+            self.ended[name] = None
+            self.jobs.pop(name, None)
+            while len(self.ended) > REMEMBERED_ENDS:
+                del self.ended[next(iter(self.ended))]
+            self._changed()
+
+    def replace(self, listed: list[tuple[str, Job]], asked: set[str]) -> None:
+        """Take a list of all active jobs.
+
+        :param listed: the active jobs
+        :param asked: jobs that were known before the list was asked for; those
+            that are not listed have ended
+        """
+        names = {name for name, _ in listed}
+        for name in asked - names:
+            self.end(name)
+        for name, job in listed:
+            self.apply(name, job)
+
+    def _changed(self) -> None:
+        for callback in self.callbacks:
+            callback()
--- /dev/null
+++ b/src/primroseford/batch/service.py
@@ -0,0 +1,208 @@
+"""The batch service of a host: job index, feeders, load messages, collection."""
+
+from __future__ import annotations
+
+import asyncio
+import zlib
+from typing import TYPE_CHECKING
+
+import structlog
+from mode import Service
+
+from primroseford.batch.collect import collect
+from primroseford.batch.feed import RunnerFeed
+from primroseford.batch.gen.ttypes import JobEnded
+from primroseford.batch.gen.ttypes import OnlineLoad
+from primroseford.batch.load import JOB_ENDED
+from primroseford.batch.load import ONLINE_LOAD
+from primroseford.batch.load import SEND_INTERVAL_SECONDS
+from primroseford.batch.load import LoadSender
+from primroseford.batch.state import JobState
+from primroseford.configuration.tables import RunnerState
+from primroseford.errors import PrimrosefordError
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from primroseford.batch.feed import FeedContext
+
+POLL_SECONDS = 2.0
+COLLECT_SECONDS = 3600.0
+COLLECTOR_KEY = "batch-collector"
+RETENTION_SECONDS = 7 * 86_400.0
+
+log = structlog.get_logger()
+
+
+class BatchService(Service):
+    """Runs the feeders for which this host ranks first.
+
+    :param host: name of this host
+    :param context: what the feeders share
+    :param membership: live hosts, with ``hosts()`` and ``on_change(callback)``
+    :param rank: ``rank_hosts(key, hosts)``, the highest first
+    :param peers: network to other hosts, with ``send`` and ``register``
+    :param own_online: this host's online requests in flight on a runner
+    :param retention_seconds: how long files, jobs and results are kept
+    """
+
+    def __init__(
+        self,
+        host: str,
+        context: FeedContext,
+        membership,
+        rank: Callable,
+        peers,
+        own_online: Callable[[str], int],
+        retention_seconds: float = RETENTION_SECONDS,
+    ) -> None:
+        super().__init__()
+        self.host = host
+        self.context = context
+        self.membership = membership
+        self.rank = rank
+        self.peers = peers
+        self.retention_seconds = retention_seconds
+        self.feeds: dict[str, RunnerFeed] = {}
+        self.tasks: dict[str, asyncio.Task] = {}
+        first = int(context.jobs.wall() * 1_000_000)
+        self.sender = LoadSender(own_online, self._send_load, first)
+        self.online_changed = asyncio.Event()
+
+    async def on_start(self) -> None:
+        """Register messages and callbacks."""
+        self.peers.register(ONLINE_LOAD, OnlineLoad, self._take_load)
+        self.peers.register(JOB_ENDED, JobEnded, self._take_end)
+        self.membership.on_change(self._hosts_changed)
+        self.context.configuration.on_change(lambda _: self._adjust())
+        self.context.load.on_change(self._wake)
+        self.context.index.on_change(self._wake_all)
+        self._adjust()
+
+    async def on_stop(self) -> None:
+        """Stop the feeders; their results are stored."""
+        await asyncio.gather(*(feed.stop() for feed in self.feeds.values()))
+        await asyncio.gather(*self.tasks.values(), return_exceptions=True)
+
+    def online_load_changed(self, runner: str) -> None:
+        """Note that this host's online requests on a runner changed.
+
+        :param runner: name of the runner
+        """
+        self.context.load.changed(runner)
+        self.sender.changed(runner)
+        self.online_changed.set()
+
+    async def announce_end(self, job: str) -> None:
+        """Tell all hosts that a job was cancelled.
+
+        :param job: id of the job, whose end is durable
+        """
+        self.context.index.end(job)
+        for info in self.membership.hosts():
+            if info.host_id != self.host:
+                await self._send(info.host_id, JOB_ENDED, JobEnded(job))
+
+    async def _send(self, host: str, kind: int, message) -> None:
+        try:
+            await self.peers.send(host, kind, message)
+        except PrimrosefordError as error:
+            # Both messages are hints: loads are sent again, ends are polled.
+            log.info("batch message not sent", host=host, code=int(error.code))
+
+    async def _send_load(self, runner: str, message: OnlineLoad) -> None:
+        feeder = self._first(runner)
+        if feeder is not None and feeder != self.host:
+            await self._send(feeder, ONLINE_LOAD, message)
+
+    async def _take_load(self, sender: str, message: OnlineLoad) -> None:
+        self.context.load.tell(sender, message)
+
+    async def _take_end(self, sender: str, message: JobEnded) -> None:
+        self.context.index.end(message.job)
+
+    def _first(self, key: str) -> str | None:
+        ranked = self.rank(key, self.membership.hosts())
+        return ranked[0].host_id if ranked else None
+
+    def _hosts_changed(self, *_: object) -> None:
+        self.context.load.keep({info.host_id for info in self.membership.hosts()})
+        self.sender.resend()
+        self.online_changed.set()
+        self._adjust()
+
+    def _adjust(self) -> None:
+        """Start and stop feeders after a change of hosts or tables."""
+        wanted = {}
+        for pool in self.context.configuration.current().pools.values():
+            for runner in pool.runners:
+                ready = runner.state is RunnerState.READY
+                if ready and self._first(runner.name) == self.host:
+                    wanted[runner.name] = (pool, runner)
+        for name in self.feeds.keys() - wanted.keys():
+            feed = self.feeds.pop(name)
+            self.tasks[f"{name}/stop"] = asyncio.create_task(feed.stop())
+        for name, (pool, runner) in wanted.items():
+            if name in self.feeds:
+                self.feeds[name].pool, self.feeds[name].runner = pool, runner
+                continue
+            feed = self.feeds[name] = RunnerFeed(self.context, pool, runner)
+            self.tasks[name] = asyncio.create_task(feed.run())
+        done = [name for name, task in self.tasks.items() if task.done()]
+        for name in done:
+            del self.tasks[name]
+        self._wake_all()
+
+    def _wake(self, runner: str) -> None:
+        if runner in self.feeds:
+            self.feeds[runner].wake.set()
+
+    def _wake_all(self) -> None:
+        for feed in self.feeds.values():
+            feed.wake.set()
+
+    @Service.task
+    async def send_loads(self) -> None:
+        """Send this host's online load on change, at most once every 20 ms."""
+        while not self.should_stop:
+            await self.wait(self.online_changed.wait())
+            self.online_changed.clear()
+            await self.sender.flush()
+            await self.sleep(SEND_INTERVAL_SECONDS)
+
+    @Service.task
+    async def follow_jobs(self) -> None:
+        """List the active jobs at a bounded rate and expire those past due."""
+        while not self.should_stop:
+            try:
+                await self.poll()
+            except PrimrosefordError as error:
+                log.warning("jobs not listed", code=int(error.code))
+            await self.sleep(POLL_SECONDS)
+
+    async def poll(self) -> None:
+        """List the active jobs once.
+
+        :raises PrimrosefordError: PLATFORM_UNAVAILABLE
+        """
+        jobs, index = self.context.jobs, self.context.index
+        asked = set(index.jobs)
+        index.replace(await jobs.active(), asked)
+        for name, job in list(index.jobs.items()):
+            if jobs.wall() >= job.due_at and self._first(name) == self.host:
+                await jobs.finish(name, JobState.EXPIRED)
+                await self.announce_end(name)
+
+    @Service.task
+    async def collect_expired(self) -> None:
+        """Remove what is no longer kept, on the host that ranks first for it."""
+        spread = zlib.crc32(self.host.encode()) % int(COLLECT_SECONDS)
+        await self.sleep(spread)
+        while not self.should_stop:
+            if self._first(COLLECTOR_KEY) == self.host:
+                try:
+                    jobs = self.context.jobs
+                    await collect(jobs.files, jobs.wall(), self.retention_seconds)
+                except PrimrosefordError as error:
+                    log.warning("collection not finished", code=int(error.code))
+            await self.sleep(COLLECT_SECONDS)
--- a/src/primroseford/batch/state.py
+++ b/src/primroseford/batch/state.py
@@ -120,6 +120,7 @@
     """The stored state of a claimed chunk.
 
     :param incarnation: unique for each start of the holder's process
+    :param claim: unique for each claim, so that two claims of one host differ
     :param attempts: failures of runners by item
     :param suspects: items whose runner died; each runs alone
     :param intents: items that may not be repeated and may have been sent
@@ -131,6 +132,7 @@
     chunk: int
     holder: str
     incarnation: str
+    claim: str
     phase: ChunkPhase = ChunkPhase.CLAIMED
     attempts: dict[int, int] = field(default_factory=dict)
     suspects: frozenset[int] = frozenset()
@@ -160,6 +162,22 @@
     return Job(**(spec | {"state": JobState(spec["state"])}))
 
 
+def encode_runs(numbers: frozenset[int]) -> list[list[int]]:
+    """Return numbers as [first, last] runs, which keeps lists of chunks short."""
+    runs: list[list[int]] = []
+    for number in sorted(numbers):
+        if runs and runs[-1][1] == number - 1:
+            runs[-1][1] = number
+        else:
+            runs.append([number, number])
+    return runs
+
+
+def decode_runs(runs: list[list[int]]) -> frozenset[int]:
+    """Return the numbers in [first, last] runs."""
+    return frozenset(n for first, last in runs for n in range(first, last + 1))
+
+
 def encode_chunk(state: ChunkState) -> Spec:
     """Return the stored form of a chunk's state."""
     return {
@@ -167,12 +185,13 @@
         "chunk": state.chunk,
         "holder": state.holder,
         "incarnation": state.incarnation,
+        "claim": state.claim,
         "phase": state.phase.value,
         "attempts": {str(k): v for k, v in sorted(state.attempts.items())},
         "suspects": sorted(state.suspects),
         "intents": sorted(state.intents),
         "parts": [list(group) for group in state.parts],
-        "done": sorted(state.done),
+        "done": encode_runs(state.done),
         "failed": state.failed,
     }
 
@@ -184,12 +203,13 @@
         chunk=spec["chunk"],
         holder=spec["holder"],
         incarnation=spec["incarnation"],
+        claim=spec["claim"],
         phase=ChunkPhase(spec["phase"]),
         attempts={int(k): v for k, v in spec["attempts"].items()},
         suspects=frozenset(spec["suspects"]),
         intents=frozenset(spec["intents"]),
         parts=tuple(tuple(group) for group in spec["parts"]),
-        done=frozenset(spec["done"]),
+        done=decode_runs(spec["done"]),
         failed=spec["failed"],
     )
 
--- /dev/null
+++ b/src/primroseford/batch/tests/fleet.py
@@ -0,0 +1,275 @@
+"""Hosts with feeders over an in-memory platform, for tests."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import uuid
+from collections import Counter
+from dataclasses import dataclass
+from dataclasses import field
+
+from primroseford.batch.feed import FeedContext
+from primroseford.batch.feed import RunnerFeed
+from primroseford.batch.files import FileStore
+from primroseford.batch.index import JobIndex
+from primroseford.batch.jobs import JobRequest
+from primroseford.batch.jobs import JobStore
+from primroseford.batch.load import LoadView
+from primroseford.batch.results import stream_results
+from primroseford.batch.runners import ItemAnswer
+from primroseford.batch.tests.conftest import ENDPOINT
+from primroseford.batch.tests.conftest import MODEL
+from primroseford.batch.tests.conftest import lines
+from primroseford.batch.work import Claimer
+from primroseford.batch.work import Holder
+from primroseford.clock import ManualClock
+from primroseford.configuration.store import ConfigurationStore
+from primroseford.errors import Outcome
+from primroseford.errors import PrimrosefordError
+from primroseford.errors import ResultCode
+from primroseford.platform.objects import ObjectList
+from primroseford.platform.objects import PlatformObject
+from primroseford.platform.objects import decode_object
+from primroseford.platform.objects import encode_object
+from primroseford.standins.platform_state import Absent
+from primroseford.standins.platform_state import Conflict
+from primroseford.standins.platform_state import PlatformState
+
+WRITES = ("create", "update", "delete")
+WAIT_SECONDS = 20.0
+
+
+class MemoryClient:
+    """The platform client's interface over a stand-in's state.
+
+    ``fault(verb, kind, after)`` runs before and after each call's effect.
+    """
+
+    def __init__(self, state: PlatformState, fault=lambda verb, kind, after: None):
+        self.state = state
+        self.fault = fault
+        self.calls: Counter[str] = Counter()
+
+    async def _do(self, verb, kind, action):
+        await asyncio.sleep(0)
+        self.calls[verb] += 1
+        self.fault(verb, kind, False)
+        try:
+            found = action()
+        except Absent as error:
+            raise PrimrosefordError(ResultCode.NOT_FOUND, str(error)) from error
+        except Conflict as error:
+            code = ResultCode.VERSION_CONFLICT
+            raise PrimrosefordError(code, str(error)) from error
+        self.fault(verb, kind, True)
+        return found
+
+    async def get(self, kind, name):
+        found = await self._do("get", kind, lambda: self.state.get(kind, name))
+        return decode_object(kind, found)
+
+    async def list(self, kind, selector=None):
+        found = await self._do(
+            "list", kind, lambda: self.state.list(kind, selector or {})
+        )
+        items = tuple(decode_object(kind, item) for item in found)
+        return ObjectList(self.state.version, items)
+
+    async def create(self, kind, name, spec, labels=None):
+        body = encode_object(name, spec, labels or {}, uuid.uuid4().hex)
+        found = await self._do("create", kind, lambda: self.state.create(kind, body))
+        return decode_object(kind, found)
+
+    async def update(self, kind, name, spec, version, labels=None):
+        body = encode_object(name, spec, labels or {}, uuid.uuid4().hex, version)
+        found = await self._do("update", kind, lambda: self.state.update(kind, body))
+        return decode_object(kind, found)
+
+    async def delete(self, kind, name, version=None):
+        await self._do("delete", kind, lambda: self.state.delete(kind, name, version))
+
+
+class Permit:
+    """A token of the fake limiter."""
+
+    def __init__(self, limiter) -> None:
+        self.limiter = limiter
+
+    def give_back(self) -> None:
+        """Return the token."""
+        self.limiter.given += 1
+
+
+class Limiter:
+    """A limiter that grants everything and counts."""
+
+    def __init__(self) -> None:
+        self.granted = self.given = 0
+
+    async def acquire(self, organisation, amount, deadline, batch):
+        """Grant a token."""
+        self.granted += 1
+        return Permit(self)
+
+
+def fine(request) -> ItemAnswer:
+    """Answer an item as a healthy runner does."""
+    body = json.dumps({"id": request.request_id}).encode()
+    return ItemAnswer(200, body, Outcome.RAN)
+
+
+class FakeRunner:
+    """Counts the runs of each item; ``gate`` holds answers back."""
+
+    def __init__(self) -> None:
+        self.runs: Counter[str] = Counter()
+        self.answer = fine
+        self.gate = asyncio.Event()
+        self.gate.set()
+        self.active: list[str] = []
+        self.most = 0
+
+    async def __call__(self, request) -> ItemAnswer:
+        self.runs[request.request_id] += 1
+        self.active.append(request.request_id)
+        self.most = max(self.most, len(self.active))
+        try:
+            await asyncio.sleep(0)
+            await self.gate.wait()
+            return self.answer(request)
+        finally:
+            self.active.remove(request.request_id)
+
+
+@dataclass
+class HostInFleet:
+    """One host with the feeder of one runner."""
+
+    name: str
+    client: MemoryClient
+    feed: RunnerFeed
+    limiter: Limiter
+    task: asyncio.Task | None = None
+
+    async def refresh(self) -> None:
+        """Read the active jobs."""
+        index = self.feed.context.index
+        index.replace(await self.feed.context.jobs.active(), set(index.jobs))
+
+    def start(self) -> None:
+        """Let the feeder run."""
+        self.task = asyncio.create_task(self.feed.run())
+
+    async def kill(self) -> None:
+        """End everything on the host at once, without any further effect."""
+        tasks = [self.task, *self.feed.tasks]
+        tasks += [flight.task for flight in self.feed.flights.values()]
+        self.client.fault = lambda verb, kind, after: die()
+        self.feed.stopping = True
+        for task in tasks:
+            if task is not None:
+                task.cancel()
+        await asyncio.gather(*filter(None, tasks), return_exceptions=True)
+
+
+def die() -> None:
+    """Fail a call of a host that is gone."""
+    raise PrimrosefordError(ResultCode.PLATFORM_UNAVAILABLE, "this host is gone")
+
+
+@dataclass
+class Fleet:
+    """Hosts over one platform state."""
+
+    repeatable: bool = True
+    state: PlatformState = field(default_factory=PlatformState)
+    clock: ManualClock = field(default_factory=ManualClock)
+    wall: ManualClock = field(default_factory=lambda: ManualClock(1_800_000_000.0))
+    live: set[str] = field(default_factory=set)
+    runner: FakeRunner = field(default_factory=FakeRunner)
+    reported: tuple[float, int] | None = None
+
+    def tables(self) -> ConfigurationStore:
+        """Return tables with one pool and eight organisations."""
+        store = ConfigurationStore()
+        names = [f"org-{n}" for n in range(8)]
+        runner = {"name": "r", "address": "127.0.0.1:1", "failure_domain": "d"}
+        pool = {"runners": [runner], "max_in_flight": 16}
+        match = {"models": [MODEL]}
+        route = {"match": match, "pool": "vans", "organisations": names}
+        rows = [("organisations", n, {"rate": 9, "burst": 9}) for n in names]
+        rows.append(("pools", "vans", pool))
+        rows.append(("routes", "vans", route | {"repeatable": self.repeatable}))
+        store.replace(1, [PlatformObject(k, n, 1, s) for k, n, s in rows])
+        return store
+
+    def store(self, client: MemoryClient | None = None) -> JobStore:
+        """Return the job store of a host or, without a client, of a caller."""
+        client = client or MemoryClient(self.state)
+        return JobStore(client, FileStore(client, self.wall), self.wall)
+
+    def host(self, name: str, live: bool = True) -> HostInFleet:
+        """Return a new host whose feeder does not run yet."""
+        client, limiter = MemoryClient(self.state), Limiter()
+        jobs = self.store(client)
+        if live:
+            self.live.add(name)
+        context = FeedContext(
+            jobs=jobs,
+            claimer=Claimer(jobs, Holder(name, name), self.clock),
+            run_item=self.runner,
+            limiter=limiter,
+            configuration=self.tables(),
+            clock=self.clock,
+            index=JobIndex(),
+            load=LoadView(lambda runner: 0),
+            reported=lambda runner: self.reported,
+            live=lambda: frozenset(self.live),
+        )
+        pool = context.configuration.current().pools["vans"]
+        feed = RunnerFeed(context, pool, pool.runners[0])
+        return HostInFleet(name, client, feed, limiter)
+
+    async def accept(self, count: int, organisation: str = "org-0") -> str:
+        """Submit a job of ``count`` items and return its id."""
+
+        async def blocks():
+            yield lines(count, organisation)
+
+        jobs = self.store()
+        file_id, _ = await jobs.files.upload(organisation, "in", blocks())
+        request = JobRequest(file_id, ENDPOINT, "24h", {}, "", 86_400.0)
+        return (await jobs.submit(organisation, request))[0]
+
+    async def results(self, name: str, completed: bool = True) -> list[dict]:
+        """Return a job's output lines."""
+        jobs = self.store()
+        job, _ = await jobs.read(name)
+        text = b"".join([b async for b in stream_results(jobs, name, job, completed)])
+        return [json.loads(line) for line in text.splitlines()]
+
+    async def state_of(self, name: str) -> str:
+        """Return a job's state."""
+        return (await self.store().read(name))[0].state.value
+
+    async def until(self, condition) -> None:
+        """Wait for a condition while the clock moves on."""
+        async with asyncio.timeout(WAIT_SECONDS):
+            while not await condition():
+                self.clock.advance(0.05)
+                await asyncio.sleep(0.002)
+
+    async def until_state(self, name: str, state: str) -> None:
+        """Wait until a job has a state."""
+
+        async def reached() -> bool:
+            return await self.state_of(name) == state
+
+        await self.until(reached)
+
+    def completions(self, name: str) -> int:
+        """Return how often a job was completed."""
+        changes = [c for c in self.state.changes if c.kind == "jobs"]
+        specs = [c.object for c in changes if c.object["metadata"]["name"] == name]
+        return sum(s["spec"]["state"] == "completed" for s in specs)
--- /dev/null
+++ b/src/primroseford/batch/tests/test_service.py
@@ -0,0 +1,202 @@
+from __future__ import annotations
+
+import json
+from pathlib import Path
+
+import aiohttp
+
+from primroseford.batch.gen.ttypes import JobEnded
+from primroseford.batch.index import JobIndex
+from primroseford.batch.load import JOB_ENDED
+from primroseford.batch.load import ONLINE_LOAD
+from primroseford.batch.runners import ItemRequest
+from primroseford.batch.runners import create_run_item
+from primroseford.batch.service import BatchService
+from primroseford.batch.state import JobState
+from primroseford.batch.tests.conftest import ENDPOINT
+from primroseford.batch.tests.conftest import line
+from primroseford.batch.tests.fleet import Fleet
+from primroseford.configuration.tables import Pool
+from primroseford.configuration.tables import Runner
+from primroseford.errors import Outcome
+from primroseford.errors import ResultCode
+from primroseford.membership.state import HostInfo
+from primroseford.standins.engine import create_engine_stand_in
+from primroseford.standins.engine_http import create_engine_application
+from primroseford.standins.serving import serve
+
+GOLDEN = Path(__file__).parent / "golden_session.jsonl"
+
+
+class Membership:
+    """Hosts that a test sets."""
+
+    def __init__(self, *names: str) -> None:
+        self.callbacks = []
+        self.names = names
+
+    def hosts(self):
+        """Return the live hosts."""
+        return tuple(HostInfo(n, n, "127.0.0.1:1", "d") for n in self.names)
+
+    def on_change(self, callback):
+        """Keep a callback."""
+        self.callbacks.append(callback)
+
+    def replace(self, *names: str) -> None:
+        """Change the hosts."""
+        self.names = names
+        for callback in self.callbacks:
+            callback()
+
+
+class Peers:
+    """Keeps what is sent."""
+
+    def __init__(self) -> None:
+        self.sent, self.handlers = [], {}
+
+    async def send(self, host, kind, message):
+        """Keep a message."""
+        self.sent.append((host, kind, message))
+
+    def register(self, kind, message_type, handler):
+        """Keep a handler."""
+        self.handlers[kind] = handler
+
+
+def service_of(fleet: Fleet, online: dict[str, int]):
+    """Return a service on host a, of a and b, where the first name ranks first."""
+    membership, peers = Membership("a", "b"), Peers()
+    context = fleet.host("a").feed.context
+    service = BatchService(
+        "a",
+        context,
+        membership,
+        lambda key, hosts: hosts,
+        peers,
+        lambda runner: online.get(runner, 0),
+    )
+    return service, membership, peers
+
+
+async def test_feeders_follow_the_hosts_and_finish_jobs():
+    """Guards against a runner with no feeder after a change of hosts."""
+    fleet, online = Fleet(), {}
+    name = await fleet.accept(700)
+    service, membership, peers = service_of(fleet, online)
+    async with service:
+        await fleet.until_state(name, "completed")
+        assert list(service.feeds) == ["r"]
+        membership.replace("b", "a")
+        assert not service.feeds
+        online["r"] = 3
+        service.online_load_changed("r")
+
+        async def told() -> bool:
+            return bool(peers.sent)
+
+        await fleet.until(told)
+    host, kind, message = peers.sent[0]
+    assert (host, kind, message.runner, message.in_flight) == ("b", ONLINE_LOAD, "r", 3)
+
+
+async def test_ends_are_relayed_and_due_jobs_expire():
+    """Guards against a cancel that other hosts learn of too late, or no expiry."""
+    fleet = Fleet()
+    first, second = await fleet.accept(5), await fleet.accept(5, "org-1")
+    service, _, peers = service_of(fleet, {})
+    await service.poll()
+    await service.announce_end(first)
+    assert [(h, k, m.job) for h, k, m in peers.sent] == [("b", JOB_ENDED, first)]
+    await service._take_end("b", JobEnded(first))
+    assert not service.context.index.is_active(first)
+    fleet.wall.advance(86_400.0)
+    await service.poll()
+    assert await fleet.state_of(second) == JobState.EXPIRED.value
+    codes = {r["error"]["code"] for r in await fleet.results(second, False)}
+    assert codes == {str(int(ResultCode.JOB_EXPIRED))}
+
+
+async def test_late_list_does_not_revive_or_end_a_job():
+    """Guards against an old list that undoes a cancel or ends a new job."""
+    fleet, index = Fleet(), JobIndex()
+    name = await fleet.accept(1)
+    listed = await fleet.store().active()
+    index.apply(*listed[0])
+    index.replace([], set())
+    assert name in index.jobs
+    index.end(name)
+    index.replace(listed, {name})
+    assert name not in index.jobs
+
+
+async def test_runner_answers_become_outcomes():
+    """Guards against a 'not run' for an item that may have run."""
+    engine = create_engine_stand_in()
+    served = await serve(create_engine_application(engine))
+    address = served.url.removeprefix("http://")
+    pool = Pool(name="vans")
+    body = line("a")["body"]
+
+    async def post(runner_address: str):
+        runner = Runner(name="r", address=runner_address, failure_domain="d")
+        return await run(ItemRequest(pool, runner, ENDPOINT, body, "id", 5.0))
+
+    async with aiohttp.ClientSession() as session:
+        run = create_run_item(session)
+        answer = await post(address)
+        assert (answer.status, answer.outcome) == (200, Outcome.RAN)
+        engine.faults.refuse_status = 503
+        assert (await post(address)).outcome is Outcome.NOT_RUN
+        engine.faults.refuse_status = 0
+        engine.faults.wrong_request_id = True
+        assert (await post(address)).outcome is Outcome.MAY_HAVE_RUN
+        engine.faults.die_before_answer = True
+        answer = await post(address)
+        assert (answer.outcome, answer.died) == (Outcome.MAY_HAVE_RUN, True)
+    await served.stop()
+    async with aiohttp.ClientSession() as session:
+        run = create_run_item(session)
+        answer = await post(address)
+        assert (answer.outcome, answer.died) == (Outcome.NOT_RUN, True)
+
+
+async def test_whole_session_matches_golden_file(world):
+    """Guards against any unintended change in what a caller sees of a job."""
+    seen = []
+    fleet = Fleet(state=world.platform.state, wall=world.wall)
+    world.replace_tables()
+    headers = {"Authorization": f"Bearer {world.secrets['depot']}"}
+    text = "\n".join(json.dumps(line(f"i{n}")) for n in range(3))
+
+    async def call(session, method, path, **options):
+        url = f"{world.url}{path}"
+        async with session.request(method, url, headers=headers, **options) as answer:
+            content = await answer.text()
+            seen.append({"call": f"{method} {path}", "status": answer.status})
+            seen.append({"body": content})
+            return content
+
+    async with aiohttp.ClientSession() as session:
+        form = aiohttp.FormData({"purpose": "batch"}, default_to_multipart=True)
+        form.add_field("file", text.encode(), filename="in.jsonl")
+        file_id = json.loads(await call(session, "POST", "/v1/files", data=form))["id"]
+        asked = {"input_file_id": file_id, "endpoint": ENDPOINT}
+        await call(session, "POST", "/v1/batches", json=asked)
+        asked["completion_window"] = "24h"
+        made = json.loads(await call(session, "POST", "/v1/batches", json=asked))
+        name = made["id"]
+        host = fleet.host("a")
+        host.feed.context.configuration = world.configuration
+        await host.refresh()
+        host.feed.pool = host.feed.pool.model_copy(update={"max_in_flight": 3})
+        host.start()
+        await fleet.until_state(name, "completed")
+        await host.feed.stop()
+        for path in (f"/v1/batches/{name}", f"/v1/files/{name}-output/content"):
+            await call(session, "GET", path)
+        await call(session, "POST", f"/v1/batches/{name}/cancel")
+        await call(session, "GET", "/v1/batches?limit=2")
+    lines = "".join(json.dumps(entry) + "\n" for entry in seen)
+    assert lines == GOLDEN.read_text()
