--- a/bench/batch_processes.py
+++ b/bench/batch_processes.py
@@ -21,12 +21,13 @@
 from primroseford.batch.load import LoadView
 from primroseford.batch.routes import BatchApi
 from primroseford.batch.routes import add_batch_routes
-from primroseford.batch.tests.fleet import FakeRunner
-from primroseford.batch.tests.fleet import Limiter
+from primroseford.batch.runners import ItemAnswer
+from primroseford.batch.runners import ItemRequest
 from primroseford.batch.work import Claimer
 from primroseford.batch.work import Holder
 from primroseford.clock import boottime
 from primroseford.configuration.store import ConfigurationStore
+from primroseford.errors import Outcome
 from primroseford.keys.secrets import create_key
 from primroseford.online.application import report_errors
 from primroseford.platform.client import create_platform_client
@@ -44,6 +45,28 @@
 ORGANISATIONS = tuple(f"org-{n}" for n in range(8))
 
 
+class Permit:
+    """A token that is not counted."""
+
+    def give_back(self) -> None:
+        """Do nothing."""
+
+
+class OpenLimiter:
+    """Grants every request, so that rates do not bound the measurement."""
+
+    async def acquire(self, organisation, amount, deadline, batch) -> Permit:
+        """Grant a token."""
+        return Permit()
+
+
+async def answer_at_once(request: ItemRequest) -> ItemAnswer:
+    """Answer an item without a runner."""
+    await asyncio.sleep(0)
+    body = json.dumps({"id": request.request_id}).encode()
+    return ItemAnswer(200, body, Outcome.RAN)
+
+
 def tables(address: str, secrets: dict[str, str]) -> ConfigurationStore:
     """Return a configuration with one runner and eight organisations."""
     store = ConfigurationStore()
@@ -68,7 +91,7 @@
         jobs=jobs,
         claimer=Claimer(jobs, Holder("a", "a"), boottime),
         run_item=run_item,
-        limiter=Limiter(),
+        limiter=OpenLimiter(),
         configuration=store,
         clock=boottime,
         index=JobIndex(),
@@ -117,7 +140,7 @@
         client = create_platform_client(platform_url, session)
         files = FileStore(client, time.time)
         jobs = JobStore(client, files, time.time)
-        feed = create_feed(jobs, store, FakeRunner(), lambda name: 0)
+        feed = create_feed(jobs, store, answer_at_once, lambda name: 0)
         longest, base = [0.0], memory_mib("VmRSS")
 
         async def figures(request: web.Request) -> web.Response:
--- a/bench/bench_batch.py
+++ b/bench/bench_batch.py
@@ -29,7 +29,9 @@
 from primroseford.platform.client import create_platform_client
 
 ITEMS = 57_000
-RUN_SECONDS = 8.0
+RUN_SECONDS = 12.0
+SETTLE_SECONDS = 2.0
+"""Idle time before each run, longer than the lag of the engine's reports."""
 ONLINE_TOKENS = 16
 POLL_SECONDS = 0.5
 BURST_SECONDS = 1.0
@@ -173,6 +175,7 @@
     async def beside(self, rate, seconds: float, batch: bool, yielding: bool = True):
         """Run online traffic with or without batch; return online and items."""
         online = Online(self.session, self.addresses["engine"])
+        await asyncio.sleep(SETTLE_SECONDS)
         self.costs.clear()
         feed = await self.feed(online, yielding) if batch else None
         tasks = [asyncio.create_task(self.poll_reports())]
--- a/src/primroseford/batch/feed.py
+++ b/src/primroseford/batch/feed.py
@@ -27,6 +27,7 @@
 from primroseford.batch.window import LoadReport
 from primroseford.batch.window import Running
 from primroseford.batch.window import Sample
+from primroseford.batch.window import add_sample
 from primroseford.batch.window import batch_window
 from primroseford.batch.window import choose_preempted
 from primroseford.batch.window import nonrepeatable_places
@@ -216,11 +217,8 @@
         self.shares = charge(self.shares, name, cost, weight)
 
     def _note(self) -> None:
-        now = self.context.clock()
         known = len(self.flights) + self.context.load.online(self.runner.name)
-        self.history.append(Sample(now, known))
-        while len(self.history) > 1 and self.history[1].at < now - MAX_RETRY_SECONDS:
-            self.history.popleft()
+        add_sample(self.history, self.context.clock(), known)
 
     def _landed(self, flight: Flight, task: asyncio.Task) -> None:
         # A callback also runs for a task that is cancelled before its first step.
--- a/src/primroseford/batch/tests/test_schedule.py
+++ b/src/primroseford/batch/tests/test_schedule.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import random
+from collections import deque
 
 import pytest
 from hypothesis import given
@@ -14,6 +15,7 @@
 from primroseford.batch.window import LoadReport
 from primroseford.batch.window import Running
 from primroseford.batch.window import Sample
+from primroseford.batch.window import add_sample
 from primroseford.batch.window import batch_window
 from primroseford.batch.window import choose_preempted
 from primroseford.batch.window import nonrepeatable_places
@@ -108,6 +110,15 @@
     assert unseen_load(report, history) == unseen
 
 
+def test_history_is_bounded_at_any_rate():
+    """Guards against a history that grows with the rate of items."""
+    history = deque()
+    for n in range(100_000):
+        add_sample(history, n * 0.0001, n % 17)
+    assert len(history) <= 260
+    assert {sample.known for sample in list(history)[1:-1]} == {16}
+
+
 @pytest.mark.parametrize(
     ("places", "share", "window", "expected"),
     [(16, 0.1, 14, 1), (16, 0.5, 14, 8), (16, 0.0, 14, 0), (16, 0.5, 3, 3)],
--- a/src/primroseford/batch/window.py
+++ b/src/primroseford/batch/window.py
@@ -7,12 +7,15 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from collections import deque
     from collections.abc import Sequence
 
     from primroseford.configuration.tables import BatchShare
 
 
 SKEW_SECONDS = 0.1
+SAMPLE_SECONDS = 0.02
+HISTORY_SECONDS = 5.0
 QUIET_SECONDS = 5.0
 """Headroom is not kept on a runner that had no online request for this long."""
 
@@ -52,6 +55,24 @@
     repeatable: bool
 
 
+def add_sample(history: deque[Sample], now: float, known: int) -> None:
+    """Add what is known now, and drop what no report can refer to.
+
+    Samples close to each other are merged into their maximum. A sample for each
+    event of a fast runner made full garbage collections last 90 ms.
+
+    :param now: local time in seconds
+    :param known: batch and online requests in flight
+    """
+    if history and now - history[-1].at < SAMPLE_SECONDS:
+        last = history.pop()
+        history.append(Sample(last.at, max(last.known, known)))
+    else:
+        history.append(Sample(now, known))
+    while len(history) > 1 and history[1].at < now - HISTORY_SECONDS:
+        history.popleft()
+
+
 def unseen_load(report: LoadReport | None, history: Sequence[Sample]) -> int:
     """Return the requests on a runner that no host has told of.
 
