Keep hosts inside a collapsed interval off deltas

The state machine found copies that kept a deleted object. A list collapses an interval of versions: an object that was created and deleted inside it appears nowhere, so a host that a push had taken into the middle of the interval never received the deletion.

Deltas and the change log now carry such intervals. The state machine passes with the same assertions, two runs of 150 cases.

--- a/src/primroseford/configuration/gen/ttypes.py
+++ b/src/primroseford/configuration/gen/ttypes.py
@@ -106,20 +106,90 @@
         return not (self == other)
 
 
+class Jump(object):
+    """
+    Attributes:
+     - first
+     - last
+
+    """
+
+
+    def __init__(self, first=None, last=None,):
+        self.first = first
+        self.last = last
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.first = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.last = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Jump')
+        if self.first is not None:
+            oprot.writeFieldBegin('first', TType.I64, 1)
+            oprot.writeI64(self.first)
+            oprot.writeFieldEnd()
+        if self.last is not None:
+            oprot.writeFieldBegin('last', TType.I64, 2)
+            oprot.writeI64(self.last)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Delta(object):
     """
     Attributes:
      - start
      - end
      - changes
+     - jumps
 
     """
 
 
-    def __init__(self, start=None, end=None, changes=None,):
+    def __init__(self, start=None, end=None, changes=None, jumps=None,):
         self.start = start
         self.end = end
         self.changes = changes
+        self.jumps = jumps
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -151,6 +221,17 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.jumps = []
+                    (_etype9, _size6) = iprot.readListBegin()
+                    for _i10 in range(_size6):
+                        _elem11 = Jump()
+                        _elem11.read(iprot)
+                        self.jumps.append(_elem11)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -172,8 +253,15 @@
         if self.changes is not None:
             oprot.writeFieldBegin('changes', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.changes))
-            for iter6 in self.changes:
-                iter6.write(oprot)
+            for iter12 in self.changes:
+                iter12.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.jumps is not None:
+            oprot.writeFieldBegin('jumps', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRUCT, len(self.jumps))
+            for iter13 in self.jumps:
+                iter13.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -314,11 +402,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.reports = []
-                    (_etype10, _size7) = iprot.readListBegin()
-                    for _i11 in range(_size7):
-                        _elem12 = HostReport()
-                        _elem12.read(iprot)
-                        self.reports.append(_elem12)
+                    (_etype17, _size14) = iprot.readListBegin()
+                    for _i18 in range(_size14):
+                        _elem19 = HostReport()
+                        _elem19.read(iprot)
+                        self.reports.append(_elem19)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -339,8 +427,8 @@
         if self.reports is not None:
             oprot.writeFieldBegin('reports', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.reports))
-            for iter13 in self.reports:
-                iter13.write(oprot)
+            for iter20 in self.reports:
+                iter20.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -575,11 +663,11 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.changes = []
-                    (_etype17, _size14) = iprot.readListBegin()
-                    for _i18 in range(_size14):
-                        _elem19 = Change()
-                        _elem19.read(iprot)
-                        self.changes.append(_elem19)
+                    (_etype24, _size21) = iprot.readListBegin()
+                    for _i25 in range(_size21):
+                        _elem26 = Change()
+                        _elem26.read(iprot)
+                        self.changes.append(_elem26)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -608,8 +696,8 @@
         if self.changes is not None:
             oprot.writeFieldBegin('changes', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.changes))
-            for iter20 in self.changes:
-                iter20.write(oprot)
+            for iter27 in self.changes:
+                iter27.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -801,11 +889,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.reports = []
-                    (_etype24, _size21) = iprot.readListBegin()
-                    for _i25 in range(_size21):
-                        _elem26 = HostReport()
-                        _elem26.read(iprot)
-                        self.reports.append(_elem26)
+                    (_etype31, _size28) = iprot.readListBegin()
+                    for _i32 in range(_size28):
+                        _elem33 = HostReport()
+                        _elem33.read(iprot)
+                        self.reports.append(_elem33)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -822,8 +910,8 @@
         if self.reports is not None:
             oprot.writeFieldBegin('reports', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.reports))
-            for iter27 in self.reports:
-                iter27.write(oprot)
+            for iter34 in self.reports:
+                iter34.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1004,12 +1092,19 @@
     (3, TType.STRING, 'name', 'UTF8', None, ),  # 3
     (4, TType.STRING, 'body', 'BINARY', None, ),  # 4
 )
+all_structs.append(Jump)
+Jump.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'first', None, None, ),  # 1
+    (2, TType.I64, 'last', None, None, ),  # 2
+)
 all_structs.append(Delta)
 Delta.thrift_spec = (
     None,  # 0
     (1, TType.I64, 'start', None, None, ),  # 1
     (2, TType.I64, 'end', None, None, ),  # 2
     (3, TType.LIST, 'changes', (TType.STRUCT, [Change, None], False), None, ),  # 3
+    (4, TType.LIST, 'jumps', (TType.STRUCT, [Jump, None], False), None, ),  # 4
 )
 all_structs.append(HostReport)
 HostReport.thrift_spec = (
--- a/src/primroseford/configuration/merge.py
+++ b/src/primroseford/configuration/merge.py
@@ -113,12 +113,13 @@
     if end <= merge.published:
         return None
     changes: list[Change] = []
+    published = tuple(jump for jump in jumps if jump[1] <= end)
     for feed in merge.feeds.values():
         changes += [c for c in feed.pending if c.version <= end]
         feed.pending = [c for c in feed.pending if c.version > end]
         feed.jumps = [jump for jump in feed.jumps if jump[1] > end]
     changes.sort(key=lambda c: c.version)
-    delta = Delta(merge.published, end, tuple(changes))
+    delta = Delta(merge.published, end, tuple(changes), published)
     merge.published = end
     return delta
 
--- a/src/primroseford/configuration/messages.py
+++ b/src/primroseford/configuration/messages.py
@@ -41,7 +41,7 @@
         start = state.objects.version
         delta = _present(message.push, "push")
         changes, pull_needed = relay.take_push(state, delta)
-        service.in_force(start, changes)
+        service.in_force(start, changes, relay.decode_delta(delta).jumps)
         if pull_needed:
             service.spawn(service.pull_from(sender))
 
--- a/src/primroseford/configuration/messages.thrift
+++ b/src/primroseford/configuration/messages.thrift
@@ -8,10 +8,17 @@
   4: optional binary body
 }
 
+// Versions of which only the last was seen.
+struct Jump {
+  1: i64 first
+  2: i64 last
+}
+
 struct Delta {
   1: i64 start
   2: i64 end
   3: list<Change> changes
+  4: list<Jump> jumps
 }
 
 struct HostReport {
--- a/src/primroseford/configuration/objects.py
+++ b/src/primroseford/configuration/objects.py
@@ -25,6 +25,13 @@
 Identifier = tuple[str, str]
 """Kind and name of an object."""
 
+Jump = tuple[Version, Version]
+"""Interval of versions of which only the end was seen, as after a list. An object that
+was created and deleted inside it appears nowhere, so a set whose version lies strictly
+inside needs a snapshot."""
+
+MAX_JUMPS = 1000
+
 
 @dataclass(frozen=True)
 class Change:
@@ -56,11 +63,13 @@
 
     :param start: version that the receiver must have reached
     :param end: version after the changes
+    :param jumps: intervals inside which the receiver must not be
     """
 
     start: Version
     end: Version
     changes: tuple[Change, ...]
+    jumps: tuple[Jump, ...] = ()
 
 
 @dataclass
@@ -72,12 +81,14 @@
     :param log: changes in the order of their versions; deletions in it are the
         tombstones
     :param log_start: deltas can be made from this version on
+    :param jumps: intervals of the log of which only the end was seen
     """
 
     version: Version = Version(0)
     objects: dict[Identifier, Change] = field(default_factory=dict)
     log: list[Change] = field(default_factory=list)
     log_start: Version = Version(0)
+    jumps: list[Jump] = field(default_factory=list)
     max_log: int = MAX_LOG_CHANGES
 
 
@@ -102,7 +113,8 @@
 
     :returns: the changes that took effect, or nothing if the delta does not fit
     """
-    if not delta.start <= state.version < delta.end:
+    before = state.version
+    if not delta.start <= before < delta.end or _inside(delta.jumps, before):
         return None
     fresh = sorted(
         (c for c in delta.changes if state.version < c.version <= delta.end),
@@ -119,16 +131,27 @@
             applied.append(change)
     state.version = delta.end
     state.log.extend(fresh)
+    state.jumps.extend(jump for jump in delta.jumps if jump[1] > before)
     _trim_log(state)
     return tuple(applied)
 
 
+def _inside(jumps: Iterable[Jump], version: Version) -> bool:
+    return any(first < version < last for first, last in jumps)
+
+
 def _trim_log(state: ObjectSet) -> None:
+    if len(state.jumps) > MAX_JUMPS:
+        _cut_log(state, state.jumps[MAX_JUMPS // 2][1])
     # Trimming a quarter at once keeps the cost of one change constant.
     if len(state.log) <= state.max_log * 5 // 4:
         return
-    surplus = len(state.log) - state.max_log
-    state.log_start = state.log[surplus - 1].version
+    _cut_log(state, state.log[len(state.log) - state.max_log - 1].version)
+
+
+def _cut_log(state: ObjectSet, version: Version) -> None:
+    state.log_start = version
+    state.jumps = [jump for jump in state.jumps if jump[1] > version]
     cut = bisect_right(state.log, state.log_start, key=lambda c: c.version)
     del state.log[:cut]
 
@@ -139,12 +162,13 @@
     :param start: version of the receiver
     :returns: nothing if the log no longer reaches back that far
     """
-    if start < state.log_start or start > state.version:
+    if not state.log_start <= start <= state.version or _inside(state.jumps, start):
         return None
     index = bisect_right(state.log, start, key=lambda c: c.version)
     last = {change.identifier: change for change in state.log[index:]}
     changes = sorted(last.values(), key=lambda c: c.version)
-    return Delta(start, state.version, tuple(changes))
+    jumps = tuple(jump for jump in state.jumps if jump[1] > start)
+    return Delta(start, state.version, tuple(changes), jumps)
 
 
 def snapshot_delta(
@@ -161,7 +185,8 @@
         for kind, name in state.objects
         if (kind, name) not in found
     ]
-    return Delta(state.version, version, (*found.values(), *deleted))
+    jump = (state.version, version)
+    return Delta(state.version, version, (*found.values(), *deleted), (jump,))
 
 
 def make_slices(state: ObjectSet) -> tuple[tuple[Change, ...], ...]:
--- a/src/primroseford/configuration/relay.py
+++ b/src/primroseford/configuration/relay.py
@@ -173,7 +173,7 @@
         changes before the delta are missing
     """
     applied = apply_delta(state.objects, decode_delta(message))
-    return applied or (), message.start > state.objects.version
+    return applied or (), message.end > state.objects.version
 
 
 def answer_slice(
@@ -237,10 +237,12 @@
 def encode_delta(delta: Delta) -> ttypes.Delta:
     """Return a delta as a message."""
     changes = [encode_message(change) for change in delta.changes]
-    return ttypes.Delta(delta.start, delta.end, changes)
+    jumps = [ttypes.Jump(first, last) for first, last in delta.jumps]
+    return ttypes.Delta(delta.start, delta.end, changes, jumps)
 
 
 def decode_delta(message: ttypes.Delta) -> Delta:
     """Return the delta in a message."""
     changes = tuple(decode_change(change) for change in message.changes)
-    return Delta(Version(message.start), Version(message.end), changes)
+    jumps = tuple((Version(j.first), Version(j.last)) for j in message.jumps or ())
+    return Delta(Version(message.start), Version(message.end), changes, jumps)
--- a/src/primroseford/configuration/service.py
+++ b/src/primroseford/configuration/service.py
@@ -42,6 +42,7 @@
 
     from primroseford.clock import Clock
     from primroseford.configuration.objects import Change
+    from primroseford.configuration.objects import Jump
     from primroseford.configuration.relay import HostVersion
     from primroseford.configuration.tree import RankHosts
     from primroseford.ids import HostId
@@ -152,21 +153,32 @@
 
     def take_watched(self, delta: Delta) -> None:
         """Put a delta from the platform in force."""
-        start = self.relay_state.objects.version
-        changes = apply_delta(self.relay_state.objects, delta)
+        objects = self.relay_state.objects
+        start = objects.version
+        changes = apply_delta(objects, delta)
         if changes is not None:
-            self.in_force(start, changes)
+            self.in_force(start, changes, delta.jumps)
+        elif delta.end > objects.version and self.watch_task is not None:
+            # A push has taken the copy into the middle of what the watch listed; the
+            # watch starts again from the copy.
+            self.watch_task.cancel()
+            self.watch_task = None
+            self.take_place()
 
-    def in_force(self, start: int, changes: Sequence[Change]) -> None:
+    def in_force(
+        self, start: int, changes: Sequence[Change], jumps: tuple[Jump, ...] = ()
+    ) -> None:
         """Put the state's new version in force and push it to the children.
 
         :param start: version before the changes
         :param changes: changes that took effect
+        :param jumps: intervals of which only the end was seen
         """
         if self.relay_state.objects.version == start:
             return
         self.store.apply(self.relay_state.objects.version, changes)
-        delta = Delta(Version(start), self.relay_state.objects.version, tuple(changes))
+        end = self.relay_state.objects.version
+        delta = Delta(Version(start), end, tuple(changes), jumps)
         if relay.delta_bytes(delta) > relay.MAX_DELTA_BYTES:
             # The children pull a snapshot in slices instead.
             return
@@ -225,7 +237,9 @@
             except (PrimrosefordError, OSError, TimeoutError):
                 return False
             start = self.relay_state.objects.version
-            self.in_force(start, relay.take_answer(self.relay_state, found, sent_at))
+            jumps = relay.decode_delta(found.delta).jumps if found.delta else ()
+            changes = relay.take_answer(self.relay_state, found, sent_at)
+            self.in_force(start, changes, jumps)
             return True
 
     async def ask(
@@ -245,7 +259,8 @@
             start = self.relay_state.objects.version
             changes = relay.take_slice(self.relay_state, receiver, answer.slice)
             if changes is not None:
-                self.in_force(start, changes)
+                end = self.relay_state.objects.version
+                self.in_force(start, changes, ((Version(start), end),))
                 return
 
     async def probe(self) -> None:
--- a/src/primroseford/configuration/tests/test_machine.py
+++ b/src/primroseford/configuration/tests/test_machine.py
@@ -89,8 +89,10 @@
                     take_event(feed, event)
             take_event(feed, WatchEvent(EventType.BOOKMARK, self.version, None))
         delta = next_delta(merge)
-        if delta is not None:
-            apply_delta(self.hosts[number].objects, delta)
+        objects = self.hosts[number].objects
+        if delta is not None and apply_delta(objects, delta) is None:
+            if delta.end > objects.version:
+                self.merges[number] = self.merge(number)
 
     @rule(child=host_numbers, parent=host_numbers)
     def pull(self, child, parent):
@@ -175,9 +177,9 @@
     def teardown(self):
         self.now += relay.SLICES_SECONDS + 1
         for number in self.merges:
-            for relist in (False, False):
+            for _ in range(3):
                 for kind in KINDS:
-                    self.feed(number, kind, relist)
+                    self.feed(number, kind, relist=False)
         self.bag.clear()
         first = sorted(self.merges)[0]
         for _ in range(2):
--- a/src/primroseford/configuration/watcher.py
+++ b/src/primroseford/configuration/watcher.py
@@ -57,7 +57,7 @@
         self.on_confirmed = on_confirmed
         self.merge = create_merge(kinds, objects)
         self.heard = dict.fromkeys(kinds, float("-inf"))
-        self.listed = dict.fromkeys(kinds, float("-inf"))
+        self.listed = dict.fromkeys(kinds, clock())
 
     async def run(self) -> None:
         """Follow all kinds until cancelled."""
