Bound the work of hashing a malformed key

Secrets are cut to the longest valid length before hashing, and surrogates are hashed like other characters; such keys are refused as unknown.

--- a/src/primroseford/keys/secrets.py
+++ b/src/primroseford/keys/secrets.py
@@ -63,7 +63,7 @@
 
     :param secret: the whole key
     """
-    return hashlib.sha256(secret.encode()).hexdigest()
+    return hashlib.sha256(secret.encode(errors="surrogatepass")).hexdigest()
 
 
 def authenticate(tables: Tables, secret: str | None) -> Identity:
@@ -80,14 +80,15 @@
             field="Authorization",
             hint="send the header 'Authorization: Bearer KEY'",
         )
+    # A longer secret cannot be valid; cutting it bounds the work for a hostile header.
+    known_length = len(secret) <= MAX_KEY_CHARACTERS
+    secret = secret[:MAX_KEY_CHARACTERS]
     parts = secret.split("-", 2)
     key_id = KeyId(parts[1] if len(parts) == 3 else "")
     record = tables.keys.get(key_id)
     expected = record.hash if record else UNKNOWN_HASH
-    known = len(secret) <= MAX_KEY_CHARACTERS and hmac.compare_digest(
-        hash_secret(secret), expected
-    )
-    if not known or record is None:
+    known = hmac.compare_digest(hash_secret(secret), expected)
+    if not known or not known_length or record is None:
         raise PrimrosefordError(
             ResultCode.KEY_UNKNOWN, "the key is not known", field="Authorization"
         )
