Assert the end of validity after a delayed renewal

Change: the tests compare the end of validity, also after a pause that the lease survives. Conclusion: both rules of design.md 5.2 are guarded.

--- a/src/primroseford/lease/tests/test_keeper.py
+++ b/src/primroseford/lease/tests/test_keeper.py
@@ -59,7 +59,8 @@
     assert taken.lost is None
 
 
-async def test_pause_during_a_renewal(keeper_of, clock, platform):
+@pytest.mark.parametrize(("paused", "lost"), [(2.0, None), (2.9, LossReason.EXPIRED)])
+async def test_pause_during_a_renewal(keeper_of, clock, paused, lost):
     """Guards against validity counted from the answer instead of the call."""
     first = keeper_of("host-1")
     lease = await first.acquire("group-1")
@@ -67,12 +68,13 @@
 
     async def slow_update(*arguments, **keywords):
         stored = await update(*arguments, **keywords)
-        clock.advance(2.9)
+        clock.advance(paused)
         return stored
 
+    until = lease.valid_until
     first.client.update = slow_update
     await first.renew(lease)
-    assert lease.lost is LossReason.EXPIRED
+    assert (lease.lost, lease.valid_until) == (lost, until)
 
 
 async def test_renewal_answer_lost_and_service_away(platform, keeper_of, clock):
@@ -87,6 +89,7 @@
     assert lease.valid(clock()) and lease.valid_until == until
     platform.faults.down = False
     await first.renew(lease)
+    assert lease.lost is None and lease.valid_until == until
     await first.renew(lease)
     assert lease.lost is None and lease.valid_until == until + 1.0
 
