--- a/src/primroseford/conftest.py
+++ b/src/primroseford/conftest.py
@@ -9,6 +9,11 @@
 from hypothesis import settings
 
 from primroseford.clock import ManualClock
+from primroseford.ids import HostId
+from primroseford.ids import Incarnation
+from primroseford.lease.keeper import create_lease_keeper
+from primroseford.metrics import Metrics
+from primroseford.platform.client import create_platform_client
 from primroseford.standins.platform import create_platform_application
 from primroseford.standins.platform import create_platform_stand_in
 from primroseford.standins.serving import serve
@@ -42,6 +47,35 @@
     await served.stop()
 
 
+@pytest.fixture
+def metrics() -> Metrics:
+    """Metrics that the client of the stand-in counts in."""
+    return Metrics()
+
+
+@pytest.fixture
+def client(platform, session, metrics):
+    """A client of the stand-in that does not wait between attempts."""
+    built = create_platform_client(platform.url, session, metrics=metrics)
+
+    async def no_wait(_: float) -> None: ...
+
+    built.sleep = no_wait
+    return built
+
+
+@pytest.fixture
+def keeper_of(client, clock):
+    """Creates the lease keeper of a host; all hosts share the manual clock."""
+
+    def create(name: str, incarnation: str = "1"):
+        return create_lease_keeper(
+            client, HostId(name), Incarnation(incarnation), clock
+        )
+
+    return create
+
+
 @pytest.fixture
 def eventually():
     """Waits for a condition, with a generous bound."""
--- a/src/primroseford/lease/keeper.py
+++ b/src/primroseford/lease/keeper.py
@@ -219,22 +219,19 @@
             return None
         sent_at = self.clock()
         stored = await self._write(name, decision)
-        lease = Lease(
-            name,
-            decision.record,
-            stored.version,
-            valid_until(sent_at, times),
-            times,
-            on_loss,
-        )
+        until = valid_until(sent_at, times)
+        lease = Lease(name, decision.record, stored.version, until, times, on_loss)
         if not lease.valid(self.clock()):
             return None
-        self.sightings.pop(name, None)
-        self.held[name] = lease
-        self.renew_at[name] = sent_at + times.renew
-        log.info("lease acquired", lease=name, fencing=lease.fencing)
+        self._hold(lease, sent_at)
         return lease
 
+    def _hold(self, lease: Lease, sent_at: float) -> None:
+        self.sightings.pop(lease.name, None)
+        self.held[lease.name] = lease
+        self.renew_at[lease.name] = sent_at + lease.times.renew
+        log.info("lease acquired", lease=lease.name, fencing=lease.fencing)
+
     async def _read(self, name: str) -> PlatformObject | None:
         try:
             return await self.client.get(
--- a/src/primroseford/orders/giving.py
+++ b/src/primroseford/orders/giving.py
@@ -26,6 +26,7 @@
 
     GiveOrder = Callable[[OrderedRunner, Order, Lease], Awaitable[OrderResult]]
 
+JSON_HEADERS = {"Content-Type": "application/json"}
 NOT_PERMITTED = OrderResult(
     OrderStatus.NOT_SENT,
     ResultCode.LEASE_LOST,
@@ -49,13 +50,12 @@
     :param times: times of orders
     """
     used = times or OrderTimes()
+    timeout = aiohttp.ClientTimeout(total=used.arrival)
 
     async def give_order(
         runner: OrderedRunner, order: Order, lease: Lease
     ) -> OrderResult:
-        body = json.dumps(
-            {"order": order.order, "model": order.model, "fencing": lease.fencing}
-        ).encode()
+        body = _encode(order, lease)
 
         async def checked_body() -> AsyncIterator[bytes]:
             # Runs when the connection is ready: no await lies between this check
@@ -72,11 +72,8 @@
             async with session.post(
                 f"http://{runner.address}/v1/orders",
                 data=checked_body(),
-                headers={
-                    "Content-Type": "application/json",
-                    "Content-Length": str(len(body)),
-                },
-                timeout=aiohttp.ClientTimeout(total=used.arrival),
+                headers=JSON_HEADERS | {"Content-Length": str(len(body))},
+                timeout=timeout,
                 allow_redirects=False,
             ) as response:
                 return _judge_status(runner, response.status)
@@ -86,6 +83,11 @@
     return give_order
 
 
+def _encode(order: Order, lease: Lease) -> bytes:
+    body = {"order": order.order, "model": order.model, "fencing": lease.fencing}
+    return json.dumps(body).encode()
+
+
 def _judge_status(runner: OrderedRunner, status: int) -> OrderResult:
     if status < 300:
         return OrderResult(OrderStatus.ACCEPTED)
--- a/src/primroseford/orders/tests/conftest.py
+++ b/src/primroseford/orders/tests/conftest.py
@@ -6,13 +6,9 @@
 
 import pytest
 
-from primroseford.ids import HostId
-from primroseford.ids import Incarnation
 from primroseford.ids import RunnerName
-from primroseford.lease.keeper import create_lease_keeper
 from primroseford.orders.service import create_order_service
 from primroseford.orders.state import OrderedRunner
-from primroseford.platform.client import create_platform_client
 from primroseford.standins.engine import create_engine_stand_in
 from primroseford.standins.engine_http import create_engine_application
 from primroseford.standins.engine_state import EngineSettings
@@ -36,17 +32,6 @@
         await served.stop()
 
 
-@pytest.fixture
-def keeper_of(platform, session, clock):
-    """Creates the keeper of a host; all hosts share the manual clock."""
-
-    def create(name: str):
-        client = create_platform_client(platform.url, session)
-        return create_lease_keeper(client, HostId(name), Incarnation("1"), clock)
-
-    return create
-
-
 @pytest.fixture
 async def host_of(keeper_of, session, clock):
     """Creates the order service of a host; polls move the manual clock."""
