Put the services of a host together

Change: daemon/assembly.py creates platform client, peer network, membership, leases, configuration, limiter, claims, runner tracker, load poller, orders and batch, and passes them to the callers' application; the host starts and drains them; operators get /status and /versions. One-way peer messages are not awaited, as the peer network has them; batch items take no place on a runner from online requests, since their feeder steps back. Conclusion: the whole path runs on the real parts; batch yields to online through the peer network.

--- a/bench/batch_processes.py
+++ b/bench/batch_processes.py
@@ -29,7 +29,7 @@
 from primroseford.configuration.store import ConfigurationStore
 from primroseford.errors import Outcome
 from primroseford.keys.secrets import create_key
-from primroseford.online.application import report_errors
+from primroseford.online.application import create_online_application
 from primroseford.platform.client import create_platform_client
 from primroseford.platform.objects import PlatformObject
 from primroseford.standins.engine import EngineSettings
@@ -152,7 +152,7 @@
             feed.context.index.replace(await jobs.active(), set())
             return web.Response()
 
-        app = web.Application(middlewares=[report_errors])
+        app = create_online_application(store)
         app.router.add_get("/figures", figures)
         app.router.add_post("/feed", feed_jobs)
         add_batch_routes(app, BatchApi(store, files, jobs))
--- a/conftest.py
+++ b/conftest.py
@@ -5,6 +5,7 @@
 from pathlib import Path
 
 import pytest
+import structlog
 from hypothesis import HealthCheck
 from hypothesis import settings
 
@@ -21,6 +22,13 @@
 settings.load_profile("repeatable")
 
 
+@pytest.fixture(autouse=True)
+def default_logging():
+    """Undo what a test configures, so that no test logs to a closed stream."""
+    yield
+    structlog.reset_defaults()
+
+
 def known_red_tests() -> set[str]:
     """Return the node ids recorded in KNOWN-RED.txt."""
     if not KNOWN_RED.exists():
--- a/src/primroseford/batch/service.py
+++ b/src/primroseford/batch/service.py
@@ -101,19 +101,13 @@
         self.context.index.end(job)
         for info in self.membership.hosts():
             if info.host_id != self.host:
-                await self._send(info.host_id, JOB_ENDED, JobEnded(job))
-
-    async def _send(self, host: str, kind: int, message) -> None:
-        try:
-            await self.peers.send(host, kind, message)
-        except PrimrosefordError as error:
-            # Both messages are hints: loads are sent again, ends are polled.
-            log.info("batch message not sent", host=host, code=int(error.code))
+                # A lost message is made up for by the next list of active jobs.
+                self.peers.send(info.host_id, JOB_ENDED, JobEnded(job))
 
     async def _send_load(self, runner: str, message: OnlineLoad) -> None:
         feeder = self._first(runner)
         if feeder is not None and feeder != self.host:
-            await self._send(feeder, ONLINE_LOAD, message)
+            self.peers.send(feeder, ONLINE_LOAD, message)
 
     async def _take_load(self, sender: str, message: OnlineLoad) -> None:
         self.context.load.tell(sender, message)
--- a/src/primroseford/batch/tests/conftest.py
+++ b/src/primroseford/batch/tests/conftest.py
@@ -6,7 +6,6 @@
 import aiohttp
 import openai
 import pytest
-from aiohttp import web
 
 from primroseford.batch.files import FileStore
 from primroseford.batch.jobs import JobRequest
@@ -16,7 +15,7 @@
 from primroseford.clock import ManualClock
 from primroseford.configuration.store import ConfigurationStore
 from primroseford.keys.secrets import create_key
-from primroseford.online.application import report_errors
+from primroseford.online.application import create_online_application
 from primroseford.platform.client import PlatformClient
 from primroseford.platform.client import create_platform_client
 from primroseford.platform.objects import PlatformObject
@@ -110,7 +109,7 @@
     configuration = ConfigurationStore()
     files = FileStore(client, wall)
     jobs = JobStore(client, files, wall)
-    app = web.Application(middlewares=[report_errors])
+    app = create_online_application(configuration)
     add_batch_routes(app, BatchApi(configuration, files, jobs))
     host = await serve(app)
     keys = {name: create_key() for name in ("depot", "garage", "outsider")}
--- a/src/primroseford/batch/tests/test_service.py
+++ b/src/primroseford/batch/tests/test_service.py
@@ -56,7 +56,7 @@
     def __init__(self) -> None:
         self.sent, self.handlers = [], {}
 
-    async def send(self, host, kind, message):
+    def send(self, host, kind, message):
         """Keep a message."""
         self.sent.append((host, kind, message))
 
--- a/src/primroseford/configuration/service.py
+++ b/src/primroseford/configuration/service.py
@@ -65,10 +65,16 @@
     ) -> object:
         """Return the answer of a host."""
 
-    async def send(self, host_id: HostId, kind: int, message: object) -> None:
-        """Send a message without an answer."""
+    def send(self, host_id: HostId, kind: int, message: object) -> None:
+        """Send a message without an answer; it is dropped if the host is away."""
 
-    def register(self, kind: int, message_type: type, handler: object) -> None:
+    def register(
+        self,
+        kind: int,
+        message_type: type,
+        handler: object,
+        answer_type: type | None = None,
+    ) -> None:
         """Handle the messages of a kind."""
 
 
@@ -121,7 +127,7 @@
     async def on_start(self) -> None:
         """Register the message handlers and take a place in the tree."""
         for kind, handler in create_handlers(self).items():
-            self.peers.register(kind, ttypes.Message, handler)
+            self.peers.register(kind, ttypes.Message, handler, ttypes.Message)
         self.membership.on_change(self.take_place)
         self.take_place()
 
@@ -184,7 +190,8 @@
             return
         push = relay.encode_delta(delta)
         for child in self.position.children:
-            self.spawn(self._push(child, push))
+            # A child that misses the push notices at its next pull.
+            self.peers.send(child, KIND_PUSH, ttypes.Message(push=push))
 
     def spawn(self, work: Awaitable[object]) -> None:
         """Run work in the background until it ends or the service stops."""
@@ -192,13 +199,6 @@
         self.background.add(task)
         task.add_done_callback(self.background.discard)
 
-    async def _push(self, child: HostId, push: ttypes.Delta) -> None:
-        try:
-            await self.peers.send(child, KIND_PUSH, ttypes.Message(push=push))
-        except (PrimrosefordError, OSError):
-            # The child notices at its next pull.
-            log.debug("push failed", child=child)
-
     @Service.task
     async def keep_up(self) -> None:
         """Pull from the parent each second and apply the freshness rule."""
--- a/src/primroseford/configuration/tests/fakes.py
+++ b/src/primroseford/configuration/tests/fakes.py
@@ -65,10 +65,21 @@
         self.handlers = {}
         self.cut = set()
         self.messages = 0
+        self.posted = set()
 
     def peer(self, host):
         return FakePeer(self, host)
 
+    def post(self, sender, receiver, kind, message):
+        task = asyncio.ensure_future(self.deliver(sender, receiver, kind, message))
+        self.posted.add(task)
+        task.add_done_callback(self._posted)
+
+    def _posted(self, task):
+        self.posted.discard(task)
+        if not task.cancelled():
+            task.exception()
+
     async def deliver(self, sender, receiver, kind, message):
         self.messages += 1
         await asyncio.sleep(0)
@@ -88,10 +99,10 @@
     async def call(self, host_id, kind, message, timeout):
         return await self.network.deliver(self.host, host_id, kind, message)
 
-    async def send(self, host_id, kind, message):
-        await self.network.deliver(self.host, host_id, kind, message)
+    def send(self, host_id, kind, message):
+        self.network.post(self.host, host_id, kind, message)
 
-    def register(self, kind, message_type, handler):
+    def register(self, kind, message_type, handler, answer_type=None):
         self.network.handlers[self.host, kind] = handler
 
 
--- /dev/null
+++ b/src/primroseford/daemon/assembly.py
@@ -0,0 +1,239 @@
+"""Puts the services of one host together."""
+
+from __future__ import annotations
+
+import hashlib
+import time
+import uuid
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import aiohttp
+
+from primroseford.batch.feed import FeedContext
+from primroseford.batch.files import FileStore
+from primroseford.batch.index import JobIndex
+from primroseford.batch.jobs import JobStore
+from primroseford.batch.load import LoadView
+from primroseford.batch.routes import BatchApi
+from primroseford.batch.routes import add_batch_routes
+from primroseford.batch.runners import create_run_item
+from primroseford.batch.service import BatchService
+from primroseford.batch.work import Claimer
+from primroseford.batch.work import Holder
+from primroseford.configuration.service import create_configuration_service
+from primroseford.ids import FailureDomainId
+from primroseford.ids import HostId
+from primroseford.ids import Incarnation
+from primroseford.lease.keeper import create_lease_keeper
+from primroseford.limits.limits import create_limit_of
+from primroseford.limits.service import create_limiter
+from primroseford.membership.rendezvous import rank_hosts
+from primroseford.membership.service import create_membership
+from primroseford.membership.state import HostInfo
+from primroseford.online.application import ONLINE_STATE
+from primroseford.online.application import create_online_application
+from primroseford.online.claims import create_claims
+from primroseford.online.exchange import create_runner_session
+from primroseford.orders.service import create_order_service
+from primroseford.peer.handshake import read_secret
+from primroseford.peer.network import create_peer_network
+from primroseford.platform.client import create_platform_client
+from primroseford.routing.poller import LoadPoller
+from primroseford.routing.tracker import create_runner_tracker
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from aiohttp import web
+    from mode import Service
+
+    from primroseford.clock import Clock
+    from primroseford.configuration.service import ConfigurationService
+    from primroseford.daemon.settings import Settings
+    from primroseford.lease.keeper import LeaseKeeper
+    from primroseford.limits.service import Limiter
+    from primroseford.membership.service import Membership
+    from primroseford.metrics import Metrics
+    from primroseford.online.state import OnlineState
+    from primroseford.orders.service import OrderService
+    from primroseford.peer.network import PeerNetwork
+    from primroseford.platform.client import PlatformClient
+    from primroseford.routing.tracker import RunnerTracker
+
+SECONDS_PER_DAY = 86_400.0
+
+
+@dataclass
+class Parts:
+    """The services of a host, in the order in which they start."""
+
+    session: aiohttp.ClientSession
+    runner_session: aiohttp.ClientSession
+    client: PlatformClient
+    peers: PeerNetwork
+    membership: Membership
+    leases: LeaseKeeper
+    configuration: ConfigurationService
+    limiter: Limiter
+    tracker: RunnerTracker
+    poller: LoadPoller
+    orders: OrderService
+    batch: BatchService
+    application: web.Application
+
+    @property
+    def online(self) -> OnlineState:
+        """State of the online requests."""
+        return self.application[ONLINE_STATE]
+
+    def services(self) -> tuple[Service, ...]:
+        """Return the services that start after the peer network, in order."""
+        return (
+            self.leases,
+            self.membership,
+            self.configuration,
+            self.limiter,
+            self.poller,
+            self.orders,
+            self.batch,
+        )
+
+
+def fleet_settings_digest(settings: Settings) -> str:
+    """Return a digest of the settings that must be equal on every host.
+
+    :param settings: settings of this host
+    """
+    return hashlib.sha256(settings.limits.model_dump_json().encode()).hexdigest()[:16]
+
+
+async def assemble(settings: Settings, metrics: Metrics, clock: Clock) -> Parts:
+    """Return the services of a host; only the peer network is started.
+
+    :param settings: checked settings
+    :param metrics: where all services count
+    :param clock: local time
+    """
+    session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
+    client = create_platform_client(settings.platform, session, clock, None, metrics)
+    own = HostInfo(
+        HostId(settings.host),
+        Incarnation(uuid.uuid4().hex),
+        settings.peer_listen,
+        FailureDomainId(settings.failure_domain),
+    )
+    members: list[Membership] = []
+    peers = create_peer_network(
+        own,
+        read_secret(settings.peer_secret_file),
+        clock,
+        lambda host: members[0].resolve(host) if members else None,
+        settings_digest=fleet_settings_digest(settings),
+        metrics=metrics,
+    )
+    await peers.start()
+    own = HostInfo(
+        own.host_id, own.incarnation, peers.address, own.failure_domain, own.state
+    )
+    membership = create_membership(own, peers, client, clock, settings.peers)
+    members.append(membership)
+    return _assemble_on(
+        settings, metrics, clock, own, session, client, peers, membership
+    )
+
+
+def _assemble_on(
+    settings: Settings,
+    metrics: Metrics,
+    clock: Clock,
+    own: HostInfo,
+    session: aiohttp.ClientSession,
+    client: PlatformClient,
+    peers: PeerNetwork,
+    membership: Membership,
+) -> Parts:
+    leases = create_lease_keeper(client, own.host_id, own.incarnation, clock)
+    configuration = create_configuration_service(
+        own.host_id, client, peers, membership, rank_hosts, clock
+    )
+    store = configuration.store
+    limiter = create_limiter(
+        own,
+        membership,
+        peers,
+        leases,
+        create_limit_of(store.current),
+        clock,
+        groups=settings.limits.groups,
+        floor_hosts=settings.limits.floor_hosts,
+        metrics=metrics,
+    )
+    claims = create_claims(
+        own.host_id,
+        client,
+        peers,
+        clock,
+        limiter.group_of,
+        limiter.owner_of,
+        limiter.owns,
+    )
+    tracker = create_runner_tracker(
+        own.host_id, own.failure_domain, clock, is_leaving=membership.is_leaving
+    )
+    runner_session = create_runner_session()
+    application = create_online_application(
+        store,
+        tracker=tracker,
+        clock=clock,
+        metrics=metrics,
+        gate=lambda: configuration.check_admission(clock()),
+        limiter=limiter,
+        claims=claims,
+    )
+    jobs = JobStore(client, FileStore(client, time.time), time.time)
+    context = FeedContext(
+        jobs=jobs,
+        claimer=Claimer(jobs, Holder(own.host_id, own.incarnation), clock),
+        run_item=create_run_item(runner_session),
+        limiter=limiter,
+        configuration=store,
+        clock=clock,
+        index=JobIndex(),
+        load=LoadView(tracker.online_on),
+        reported=tracker.reported_on,
+        live=_live_incarnations(membership),
+    )
+    batch = BatchService(
+        own.host_id,
+        context,
+        membership,
+        rank_hosts,
+        peers,
+        tracker.online_on,
+        settings.batch.retention_days * SECONDS_PER_DAY,
+    )
+    tracker.on_online_change(batch.online_load_changed)
+    add_batch_routes(application, BatchApi(store, jobs.files, jobs, batch.announce_end))
+    return Parts(
+        session,
+        runner_session,
+        client,
+        peers,
+        membership,
+        leases,
+        configuration,
+        limiter,
+        tracker,
+        LoadPoller(store, tracker, runner_session, metrics),
+        create_order_service(leases, session, clock=clock, metrics=metrics),
+        batch,
+        application,
+    )
+
+
+def _live_incarnations(membership: Membership) -> Callable[[], frozenset[str]]:
+    def live() -> frozenset[str]:
+        return frozenset(host.incarnation for host in membership.hosts())
+
+    return live
--- a/src/primroseford/daemon/host.py
+++ b/src/primroseford/daemon/host.py
@@ -3,26 +3,27 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from typing import TYPE_CHECKING
 
-import aiohttp
 import structlog
 from aiohttp import web
 from mode import Service
 
-from primroseford.configuration.store import ConfigurationStore
-from primroseford.configuration.tables import RECORD_TYPES
+from primroseford.clock import boottime
+from primroseford.daemon.assembly import assemble
 from primroseford.daemon.operator import create_operator_application
-from primroseford.errors import PrimrosefordError
 from primroseford.metrics import Metrics
-from primroseford.online.application import create_online_application
-from primroseford.platform.client import create_platform_client
 
 if TYPE_CHECKING:
+    from primroseford.clock import Clock
+    from primroseford.daemon.assembly import Parts
     from primroseford.daemon.settings import Settings
 
-RELOAD_SECONDS = 1.0
-SHUTDOWN_SECONDS = 60.0
+SHUTDOWN_SECONDS = 1.0
+"""Time for aiohttp's own shutdown; by then the drain has ended all requests."""
+
+READY_POLL_SECONDS = 0.02
 
 log = structlog.get_logger()
 
@@ -31,76 +32,113 @@
     """One host of the fleet.
 
     :param settings: checked settings
+    :param clock: local time
+    :ivar address: address that callers reach, once started
+    :ivar operator_address: address that operators reach, once started
     """
 
-    def __init__(self, settings: Settings) -> None:
+    def __init__(self, settings: Settings, clock: Clock) -> None:
         super().__init__()
         self.settings = settings
+        self.clock = clock
         self.metrics = Metrics()
-        self.store = ConfigurationStore()
         self.stopping = False
+        self.drained = False
+        self.address = settings.listen
+        self.operator_address = settings.operator_listen
+        self.sites: list[web.TCPSite] = []
         self.runners: list[web.AppRunner] = []
-        self.session: aiohttp.ClientSession | None = None
 
     async def on_start(self) -> None:
-        """Open the sockets."""
-        self.session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0), auto_decompress=False
-        )
-        self.client = create_platform_client(self.settings.platform, self.session)
-        await self._listen(
-            self.settings.listen, create_online_application(self.store, self.session)
-        )
-        await self._listen(
+        """Start the services and open the sockets."""
+        self.parts: Parts = await assemble(self.settings, self.metrics, self.clock)
+        for service in self.parts.services():
+            await service.start()
+        self.address = await self._listen(self.settings.listen, self.parts.application)
+        self.operator_address = await self._listen(
             self.settings.operator_listen, create_operator_application(self)
         )
-        log.info("host started", host=self.settings.host, listen=self.settings.listen)
+        log.info("host started", host=self.settings.host, listen=self.address)
 
     async def on_stop(self) -> None:
-        """Close the sockets after the requests in flight have ended."""
+        """Stop the services in reverse order and close the sockets."""
+        parts = self.parts
+        for service in reversed(parts.services()):
+            await service.stop()
         for runner in self.runners:
             await runner.cleanup()
-        if self.session is not None:
-            await self.session.close()
+        await parts.peers.stop()
+        await parts.runner_session.close()
+        await parts.session.close()
+        log.info("host stopped", host=self.settings.host)
 
     def ready(self) -> bool:
         """Return whether the balancer may send requests."""
-        return not self.stopping and self.store.current().version > 0
+        return not self.stopping and self.parts.configuration.admits(self.clock())
+
+    async def drain(self) -> int:
+        """Leave the fleet without cutting a request.
 
-    async def drain(self) -> None:
-        """Fail the readiness check and serve on until the balancer has noticed."""
+        The readiness check fails first, and the host serves on until the balancer has
+        noticed. Then the listening socket closes and what is in flight finishes.
+
+        :returns: number of requests that the drain timeout ended
+        """
         self.stopping = True
         log.info("host is draining", host=self.settings.host)
+        await self.parts.membership.leave()
         await asyncio.sleep(self.settings.stop.balancer_lag)
+        await self.sites[0].stop()
+        ended = await self.parts.online.drain(self.settings.stop.drain_timeout)
+        self.drained = True
+        return ended
+
+    async def stop_gracefully(self) -> None:
+        """Drain and stop."""
+        await self.drain()
+        await self.stop()
 
-    @Service.task
-    async def follow_configuration(self) -> None:
-        """Load the configuration again and again."""
-        while not self.should_stop:
-            try:
-                await self._load_configuration()
-            except PrimrosefordError as error:
-                log.warning("configuration not loaded", code=int(error.code))
-            await self.sleep(RELOAD_SECONDS)
-
-    async def _load_configuration(self) -> None:
-        lists = [await self.client.list(kind) for kind in RECORD_TYPES]
-        version = min(found.version for found in lists)
-        items = [item for found in lists for item in found.items]
-        if self.store.replace(version, items):
-            log.info("configuration in force", version=version)
-
-    async def _listen(self, address: str, app: web.Application) -> None:
+    async def _listen(self, address: str, app: web.Application) -> str:
         host, port = address.rsplit(":", 1)
         runner = web.AppRunner(app, access_log=None, shutdown_timeout=SHUTDOWN_SECONDS)
         await runner.setup()
-        await web.TCPSite(runner, host, int(port)).start()
+        site = web.TCPSite(runner, host, int(port))
+        await site.start()
         self.runners.append(runner)
+        self.sites.append(site)
+        return f"{host}:{runner.addresses[0][1]}"
 
 
-def create_host(settings: Settings) -> Host:
+def create_host(settings: Settings, clock: Clock = boottime) -> Host:
     """Return a host that is ready to start.
 
+    :param settings: checked settings
+    :param clock: local time
+    """
+    return Host(settings, clock)
+
+
+async def wait_until_ready(host: Host, seconds: float = 30.0) -> None:
+    """Wait until a host admits requests.
+
+    :param host: a started host
+    :param seconds: longest wait
+    :raises TimeoutError: if it does not become ready
+    """
+    async with asyncio.timeout(seconds):
+        while not host.ready():
+            await host.sleep(READY_POLL_SECONDS)
+
+
+@contextlib.asynccontextmanager
+async def running_host(settings: Settings):
+    """Run a host for the time of a ``with`` block.
+
     :param settings: checked settings
     """
-    return Host(settings)
+    host = create_host(settings)
+    await host.start()
+    try:
+        yield host
+    finally:
+        await host.stop()
--- a/src/primroseford/daemon/main.py
+++ b/src/primroseford/daemon/main.py
@@ -55,8 +55,7 @@
     host = create_host(settings)
     await host.start()
     await stop.wait()
-    await host.drain()
-    await host.stop()
+    await host.stop_gracefully()
 
 
 if __name__ == "__main__":
--- a/src/primroseford/daemon/operator.py
+++ b/src/primroseford/daemon/operator.py
@@ -1,4 +1,4 @@
-"""HTTP interface for operators: health, metrics and status."""
+"""HTTP interface for operators: health, metrics, versions and status."""
 
 from __future__ import annotations
 
@@ -32,12 +32,13 @@
         return web.Response(body=body, headers={"Content-Type": CONTENT_TYPE_LATEST})
 
     async def status(_: web.Request) -> web.Response:
-        tables = host.store.current()
+        return web.json_response(describe(host))
+
+    async def versions(_: web.Request) -> web.Response:
+        found = await host.parts.configuration.versions_in_force()
         body = {
-            "host": host.settings.host,
-            "failure_domain": host.settings.failure_domain,
-            "version": tables.version,
-            "ready": host.ready(),
+            name: None if seen is None else {"version": seen.version, "age": seen.age}
+            for name, seen in found.items()
         }
         return web.json_response(body)
 
@@ -46,4 +47,55 @@
     app.router.add_get("/readyz", readyz)
     app.router.add_get("/metrics", metrics)
     app.router.add_get("/status", status)
+    app.router.add_get("/versions", versions)
     return app
+
+
+def describe(host: Host) -> dict:
+    """Return the state of a host for operators.
+
+    :param host: the host
+    """
+    parts = host.parts
+    tables = parts.configuration.store.current()
+    return {
+        "host": host.settings.host,
+        "failure_domain": host.settings.failure_domain,
+        "ready": host.ready(),
+        "stopping": host.stopping,
+        "version": tables.version,
+        "freshness_seconds": parts.configuration.store.freshness(host.clock()),
+        "rejected": {
+            "/".join(name): problem
+            for name, problem in parts.configuration.store.rejected.items()
+        },
+        "hosts": [_describe_member(member) for member in parts.membership.hosts()],
+        "pools": {name: _describe_pool(host, name) for name in tables.pools},
+        "limit_groups_owned": sorted(parts.limiter.ownership.held),
+        "feeders": sorted(parts.batch.feeds),
+        "requests_in_flight": len(parts.online.open),
+    }
+
+
+def _describe_member(member) -> dict:
+    return {
+        "host": member.host_id,
+        "failure_domain": member.failure_domain,
+        "address": member.address,
+        "state": member.state.value,
+    }
+
+
+def _describe_pool(host: Host, name: str) -> list[dict]:
+    tracker = host.parts.tracker
+    pool = host.parts.configuration.store.current().pools[name]
+    now = host.clock()
+    return [
+        {
+            "runner": view.runner.name,
+            "online": view.online,
+            "others": view.others,
+            "available": now >= view.unavailable_until,
+        }
+        for view in tracker.pool_views(pool)
+    ]
--- a/src/primroseford/daemon/settings.py
+++ b/src/primroseford/daemon/settings.py
@@ -32,9 +32,21 @@
     """Fleet-wide rate limits.
 
     :param groups: groups of organisations; the same on every host
+    :param floor_hosts: least number of hosts that share the rate while a bucket has
+        no owner; the same on every host
     """
 
     groups: Annotated[int, Field(ge=1, le=4096)] = 16
+    floor_hosts: Annotated[int, Field(ge=1, le=4096)] = 9
+
+
+class BatchSettings(Section):
+    """Batch jobs.
+
+    :param retention_days: days for which files, jobs and results stay readable
+    """
+
+    retention_days: Annotated[float, Field(gt=0, le=365)] = 7.0
 
 
 class StopSettings(Section):
@@ -75,6 +87,7 @@
     data_folder: Path | None = None
     log_level: Annotated[str, Field(pattern="^(debug|info|warning|error)$")] = "info"
     limits: LimitSettings = LimitSettings()
+    batch: BatchSettings = BatchSettings()
     stop: StopSettings = StopSettings()
 
 
--- a/src/primroseford/demo/session.py
+++ b/src/primroseford/demo/session.py
@@ -2,15 +2,16 @@
 
 from __future__ import annotations
 
-import socket
 import tempfile
 from pathlib import Path
 
 import aiohttp
 
 from primroseford.daemon.host import create_host
+from primroseford.daemon.host import wait_until_ready
 from primroseford.daemon.settings import check_settings
 from primroseford.keys.secrets import create_key
+from primroseford.logs import configure_logging
 from primroseford.standins.engine import create_engine_stand_in
 from primroseford.standins.engine_http import create_engine_application
 from primroseford.standins.platform import create_platform_application
@@ -20,25 +21,15 @@
 HOSTS = 3
 
 
-def free_addresses(count: int) -> list[str]:
-    """Return loopback addresses whose ports were free a moment ago."""
-    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
-    addresses = [f"127.0.0.1:{s.getsockname()[1]}" for s in sockets]
-    for s in sockets:
-        s.close()
-    return addresses
-
-
 def host_settings(number: int, platform_url: str, secret_file: Path):
     """Return the settings of one demo host."""
-    listen, operator, peer = free_addresses(3)
     return check_settings(
         {
             "host": f"host-{number}",
             "failure_domain": f"domain-{number}",
-            "listen": listen,
-            "operator_listen": operator,
-            "peer_listen": peer,
+            "listen": "127.0.0.1:0",
+            "operator_listen": "127.0.0.1:0",
+            "peer_listen": "127.0.0.1:0",
             "platform": platform_url,
             "peer_secret_file": str(secret_file),
             "log_level": "error",
@@ -52,6 +43,7 @@
 
     :returns: exit status, 0 only if every check held
     """
+    configure_logging("error")
     platform = create_platform_stand_in()
     platform_served = await serve(create_platform_application(platform))
     engine = create_engine_stand_in()
@@ -88,7 +80,7 @@
     platform.announce()
     with tempfile.TemporaryDirectory() as folder:
         secret_file = Path(folder) / "peer-secret"
-        secret_file.write_text("demo-secret")
+        secret_file.write_text("demo-secret-" * 4)
         hosts = [
             create_host(host_settings(n, platform_served.url, secret_file))
             for n in range(HOSTS)
@@ -110,9 +102,8 @@
     body = {"model": "van-round", "messages": [{"role": "user", "content": "next"}]}
     async with aiohttp.ClientSession() as session:
         for host in hosts:
-            while not host.ready():
-                await host.sleep(0.05)
-            url = f"http://{host.settings.listen}/v1/chat/completions"
+            await wait_until_ready(host)
+            url = f"http://{host.address}/v1/chat/completions"
             headers = {"Authorization": f"Bearer {secret}"}
             async with session.post(url, json=body, headers=headers) as answer:
                 content = await answer.json()
--- /dev/null
+++ b/src/primroseford/limits/limits.py
@@ -0,0 +1,37 @@
+"""Limits of organisations from the tables in force."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from primroseford.limits.bucket import Limit
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from primroseford.configuration.tables import Organisation
+    from primroseford.configuration.tables import Tables
+    from primroseford.ids import OrganisationId
+    from primroseford.limits.owner import LimitOf
+
+
+def create_limit_of(current: Callable[[], Tables]) -> LimitOf:
+    """Return a function that gives an organisation's limits in force.
+
+    :param current: returns the tables in force
+    """
+    cache: dict[OrganisationId, tuple[Organisation, Limit]] = {}
+
+    def limit_of(name: OrganisationId) -> Limit | None:
+        record = current().organisations.get(name)
+        if record is None:
+            cache.pop(name, None)
+            return None
+        found = cache.get(name)
+        if found is not None and found[0] is record:
+            return found[1]
+        limit = Limit(record.rate, record.burst, record.batch_rate, record.batch_burst)
+        cache[name] = (record, limit)
+        return limit
+
+    return limit_of
--- a/src/primroseford/limits/service.py
+++ b/src/primroseford/limits/service.py
@@ -187,6 +187,21 @@
         """Return the number of the group of an organisation."""
         return xxhash.xxh3_64_intdigest(organisation.encode()) % len(self.groups)
 
+    def owner_of(self, group: int) -> HostId | None:
+        """Return the host that probably owns a group.
+
+        :param group: number of the group
+        """
+        return self._owner(self.groups[group])
+
+    def owns(self, group: int) -> bool:
+        """Return whether this host holds a group's lease at this moment.
+
+        :param group: number of the group
+        """
+        held = self.ownership.held.get(group)
+        return held is not None and held[0].valid(self.clock())
+
     async def on_stop(self) -> None:
         """Hand over the groups and end the requests to owners."""
         await self.ownership.hand_over_all()
--- a/src/primroseford/logs.py
+++ b/src/primroseford/logs.py
@@ -26,5 +26,6 @@
         ],
         wrapper_class=structlog.make_filtering_bound_logger(number),
         logger_factory=structlog.PrintLoggerFactory(sys.stderr),
-        cache_logger_on_first_use=True,
+        # Loggers are bound late, so that a later configuration takes effect.
+        cache_logger_on_first_use=False,
     )
--- a/src/primroseford/online/claims.py
+++ b/src/primroseford/online/claims.py
@@ -65,8 +65,8 @@
         self.logs: dict[int, ClaimLog] = {}
         self.operations: dict[tuple[str, str], str] = {}
         self.background: set[asyncio.Task] = set()
-        network.register(CLAIM_REQUEST, ClaimRequest, self.serve_claim)
-        network.register(SETTLE_REQUEST, SettleRequest, self.serve_settle)
+        network.register(CLAIM_REQUEST, ClaimRequest, self.serve_claim, ClaimReply)
+        network.register(SETTLE_REQUEST, SettleRequest, self.serve_settle, SettleReply)
 
     def log_of(self, organisation: OrganisationId) -> ClaimLog:
         """Return the log of an organisation's group on this host."""
--- a/src/primroseford/online/tests/test_idempotency.py
+++ b/src/primroseford/online/tests/test_idempotency.py
@@ -25,7 +25,7 @@
     def __init__(self):
         self.handlers = {}
 
-    def register(self, kind, message_type, handler):
+    def register(self, kind, message_type, handler, answer_type=None):
         self.handlers[kind] = handler
 
     async def call(self, host_id, kind, message, timeout):
--- a/src/primroseford/routing/choice.py
+++ b/src/primroseford/routing/choice.py
@@ -56,6 +56,7 @@
     :param limit: requests that this host may have in flight on the runner
     :param capacity: requests that the runner works on together
     :param others: load of other hosts at ``reported_at``
+    :param reported: whole load at ``reported_at``
     :param unavailable_until: ejected or told to wait until this time in seconds
     :param probing: only one request at a time is sent until one succeeds
     :param samples: (time, own in-flight) at recent changes
@@ -67,6 +68,7 @@
     batch: int = 0
     capacity: int = 1
     others: int = 0
+    reported: int = 0
     reported_at: float = -math.inf
     report_leaving: bool = False
     leaving: bool = False
@@ -128,7 +130,10 @@
     """Return whether a runner takes one more request from this host now."""
     if view.leaving or view.report_leaving or now < view.unavailable_until:
         return False
-    return view.in_flight < (1 if view.probing else view.limit)
+    if view.probing:
+        return view.in_flight < 1
+    # Batch items take no place from online requests: their feeder steps back.
+    return view.online < view.limit
 
 
 def choose_runner(
--- a/src/primroseford/routing/tests/test_routing.py
+++ b/src/primroseford/routing/tests/test_routing.py
@@ -59,7 +59,7 @@
         for v in views
         if not (v.leaving or v.report_leaving)
         and v.unavailable_until <= now
-        and v.in_flight < (1 if v.probing else v.limit)
+        and (v.in_flight < 1 if v.probing else v.online < v.limit)
     ]
     near = [
         v
--- a/src/primroseford/routing/tracker.py
+++ b/src/primroseford/routing/tracker.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import statistics
 from enum import Enum
 from random import Random
@@ -77,6 +78,29 @@
         self.is_leaving = is_leaving
         self.views: dict[tuple[str, str], RunnerView] = {}
         self.subsets: dict[str, PoolSubset] = {}
+        self.online_callbacks: list[Callable[[str], None]] = []
+
+    def on_online_change(self, callback: Callable[[str], None]) -> None:
+        """Call ``callback`` with a runner's name when its online requests change."""
+        self.online_callbacks.append(callback)
+
+    def online_on(self, runner: str) -> int:
+        """Return this host's online requests in flight on a runner.
+
+        :param runner: name of the runner
+        """
+        return sum(v.online for (name, _), v in self.views.items() if name == runner)
+
+    def reported_on(self, runner: str) -> tuple[float, int] | None:
+        """Return when a runner's last load report was measured, and the load.
+
+        :param runner: name of the runner
+        :returns: local time in seconds, and requests that ran or waited
+        """
+        for (name, _), view in self.views.items():
+            if name == runner and view.reported_at > -math.inf:
+                return view.reported_at, view.reported
+        return None
 
     def pool_views(self, pool: Pool) -> list[RunnerView]:
         """Return the runners of a pool that this host uses."""
@@ -150,6 +174,7 @@
             view.batch += 1
         else:
             view.online += 1
+            self._online_changed(view)
         self._sample(view)
         if prefix is not None:
             learn_prefix(view, prefix)
@@ -171,6 +196,7 @@
             view.batch -= 1
         else:
             view.online -= 1
+            self._online_changed(view)
         self._sample(view)
         now = self.clock()
         if result is Result.FAILED:
@@ -188,6 +214,10 @@
             pause = min(retry_after, MAX_RETRY_AFTER_SECONDS)
             view.unavailable_until = max(view.unavailable_until, now + pause)
 
+    def _online_changed(self, view: RunnerView) -> None:
+        for callback in self.online_callbacks:
+            callback(view.runner.name)
+
     def _eject(self, view: RunnerView, now: float) -> None:
         pause = min(MAX_EJECTION_SECONDS, EJECTION_SECONDS * 2**view.ejections)
         view.ejections = min(view.ejections + 1, 16)
@@ -230,6 +260,7 @@
             if at > report.measured_at:
                 break
             own = in_flight
+        view.reported = report.running + report.waiting
         view.others = max(0, report.running + report.waiting - own)
         view.capacity = max(1, report.capacity)
         view.reported_at = report.measured_at
