Load the repeatable hypothesis profile in one place

Cause: two conftest files each registered a derandomised profile. Change: only the root conftest registers and loads it. Conclusion: no test can run under another profile by import order.

--- a/src/primroseford/conftest.py
+++ b/src/primroseford/conftest.py
@@ -6,7 +6,6 @@
 
 import aiohttp
 import pytest
-from hypothesis import settings
 
 from primroseford.clock import ManualClock
 from primroseford.ids import HostId
@@ -18,9 +17,6 @@
 from primroseford.standins.platform import create_platform_stand_in
 from primroseford.standins.serving import serve
 
-settings.register_profile("derandomised", derandomize=True, deadline=None)
-settings.load_profile("derandomised")
-
 WAIT_STEPS = 2_000
 
 
