Report requests in flight in the status of a host

Cause: /status answered 500, since the set of open requests has no length. Change: count its entries. Before: status 500 on each of 3 started hosts.

--- a/src/primroseford/daemon/operator.py
+++ b/src/primroseford/daemon/operator.py
@@ -73,7 +73,7 @@
         "pools": {name: _describe_pool(host, name) for name in tables.pools},
         "limit_groups_owned": sorted(parts.limiter.ownership.held),
         "feeders": sorted(parts.batch.feeds),
-        "requests_in_flight": len(parts.online.open),
+        "requests_in_flight": len(parts.online.open.entries),
     }
 
 
