--- /dev/null
+++ b/src/primroseford/cli/commands/__init__.py
@@ -0,0 +1,3 @@
+"""Commands, one class a file."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/primroseford/cli/tests/__init__.py
@@ -0,0 +1,1 @@
+from __future__ import annotations
