Harden the distribution against failing readers and slow pulls

A raising callback or an object whose spec is not a mapping ended the watch of its kind, and probes waited behind pulls that timed out, so a host in reach of half of the fleet could look isolated. A watcher that started again could also record a confirmation for changes it had not applied.

Callbacks are isolated, unreadable objects are recorded as rejected, probes run on their own, and a confirmation counts only after its delta took effect. /versions reports the versions in force to operators.

--- a/src/primroseford/cli/base.py
+++ b/src/primroseford/cli/base.py
@@ -14,6 +14,7 @@
 from cleo.commands.command import Command
 from cleo.helpers import option
 
+from primroseford.cli.exits import EXIT_HELP
 from primroseford.cli.exits import Exit
 from primroseford.cli.exits import exit_for
 from primroseford.errors import PrimrosefordError
@@ -57,6 +58,8 @@
 class BaseCommand(Command):
     """Runs ``work`` and reports its answer or its error."""
 
+    help = EXIT_HELP
+
     async def work(self) -> Answer:
         """Do what the command is for."""
         raise NotImplementedError
--- a/src/primroseford/cli/exits.py
+++ b/src/primroseford/cli/exits.py
@@ -1,4 +1,4 @@
-"""Exit codes of the command line, documented in ``primroseford help``."""
+"""Exit codes of the command line; the help of each command lists them."""
 
 from __future__ import annotations
 
@@ -11,17 +11,17 @@
 class Exit(IntEnum):
     """Exit codes.
 
-    :cvar OK: done, and nothing differs for ``diff``
-    :cvar FAILED: failed for a reason without its own code
-    :cvar USAGE: wrong arguments, or an address or key is missing
-    :cvar INVALID: the tables or settings have problems
-    :cvar CONFLICT: another operator's edit came first
-    :cvar UNAVAILABLE: the platform's service or a host does not answer
-    :cvar REFUSED: the key is missing, withdrawn or not authorised
-    :cvar NOT_FOUND: the named object does not exist
-    :cvar UNCONFIRMED: written, but not in force everywhere in time, or the outcome
+    :cvar OK: 0, done, and nothing differs for ``diff``
+    :cvar FAILED: 1, failed for a reason without its own code
+    :cvar USAGE: 2, wrong arguments, or an address or key is missing
+    :cvar INVALID: 3, the tables or settings have problems
+    :cvar CONFLICT: 4, another operator's edit came first
+    :cvar UNAVAILABLE: 5, the platform's service or a host does not answer
+    :cvar REFUSED: 6, the key is missing, withdrawn or not authorised
+    :cvar NOT_FOUND: 7, the named object does not exist
+    :cvar UNCONFIRMED: 8, written, but not in force everywhere in time, or the outcome
         of a write is not known
-    :cvar DIFFERENT: ``diff`` found differences
+    :cvar DIFFERENT: 9, ``diff`` found differences
     """
 
     OK = 0
@@ -46,6 +46,15 @@
 }
 
 
+EXIT_HELP = "Exit codes:\n" + "\n".join(
+    f"  {line.strip().removeprefix(':cvar ')}"
+    if line.strip().startswith(":cvar")
+    else f"      {line.strip()}"
+    for line in (Exit.__doc__ or "").splitlines()[2:]
+    if line.strip()
+)
+
+
 def exit_for(error: PrimrosefordError) -> Exit:
     """Return the exit code that reports an error."""
     if error.code in BY_CODE:
--- /dev/null
+++ b/src/primroseford/configuration/operator.py
@@ -0,0 +1,30 @@
+"""The versions in force on a host's operator address."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from aiohttp import web
+
+if TYPE_CHECKING:
+    from primroseford.configuration.service import ConfigurationService
+
+
+def add_configuration_routes(
+    app: web.Application, service: ConfigurationService
+) -> None:
+    """Serve ``/versions``: the version in force of each known host, with its age.
+
+    :param app: application on the operators' address
+    :param service: the host's configuration service
+    """
+
+    async def versions(_: web.Request) -> web.Response:
+        found = await service.versions_in_force()
+        body = {
+            host: None if seen is None else {"version": seen.version, "age": seen.age}
+            for host, seen in found.items()
+        }
+        return web.json_response(body)
+
+    app.router.add_get("/versions", versions)
--- a/src/primroseford/configuration/service.py
+++ b/src/primroseford/configuration/service.py
@@ -50,6 +50,7 @@
     from primroseford.platform.client import PlatformClient
 
 PULL_SECONDS = 1.0
+PROBE_SECONDS = 1.0
 CALL_TIMEOUT_SECONDS = 1.0
 SLICE_TIMEOUT_SECONDS = 5.0
 MAX_SNAPSHOT_CALLS = 10_000
@@ -151,8 +152,11 @@
             self.watch_task.cancel()
             self.watch_task = None
 
-    def take_watched(self, delta: Delta) -> None:
-        """Put a delta from the platform in force."""
+    def take_watched(self, delta: Delta) -> bool:
+        """Put a delta from the platform in force.
+
+        :returns: whether the copy has reached the delta's end
+        """
         objects = self.relay_state.objects
         start = objects.version
         changes = apply_delta(objects, delta)
@@ -164,6 +168,8 @@
             self.watch_task.cancel()
             self.watch_task = None
             self.take_place()
+            return False
+        return True
 
     def in_force(
         self, start: int, changes: Sequence[Change], jumps: tuple[Jump, ...] = ()
@@ -201,12 +207,18 @@
 
     @Service.task
     async def keep_up(self) -> None:
-        """Pull from the parent each second and apply the freshness rule."""
+        """Pull from the parent each second."""
         while not self.should_stop:
-            self.spawn(self.probe())
             await self.pull()
             await self.pause(PULL_SECONDS)
 
+    @Service.task
+    async def keep_probing(self) -> None:
+        """Probe each second, also while a pull waits for a host that is gone."""
+        while not self.should_stop:
+            await self.probe()
+            await self.pause(PROBE_SECONDS)
+
     async def pull(self) -> bool:
         """Pull from the parent, or from the first alternate that answers.
 
@@ -276,7 +288,7 @@
             relay.age(self.relay_state, self.clock()), self.last_probe
         )
         if source is not None:
-            await self.pull_from(source)
+            self.spawn(self.pull_from(source))
 
     async def _probe_one(self, host: HostId) -> ttypes.ProbeAnswer | None:
         try:
--- a/src/primroseford/configuration/store.py
+++ b/src/primroseford/configuration/store.py
@@ -4,7 +4,9 @@
 
 from types import MappingProxyType
 from typing import TYPE_CHECKING
+from typing import Any
 
+import structlog
 from pydantic import ValidationError
 
 from primroseford.configuration.objects import Change
@@ -23,6 +25,8 @@
 
     ChangeCallback = Callable[[Sequence[Change]], None]
 
+log = structlog.get_logger()
+
 KINDS = (*RECORD_TYPES, "jobs")
 """Kinds that are distributed; jobs are headers of batch jobs."""
 
@@ -86,9 +90,9 @@
         self.tables = Tables(version, **fields)
         for kind, changed in by_kind.items():
             for subscriber in self.subscribers.get(kind, ()):
-                subscriber(changed)
+                _notify(subscriber, changed)
         for callback in self.callbacks:
-            callback(self.tables)
+            _notify(callback, self.tables)
         return True
 
     def replace(self, version: Version, objects: Iterable[PlatformObject]) -> bool:
@@ -115,12 +119,20 @@
                 continue
             try:
                 records[change.name] = RECORD_TYPES[kind].model_validate(
-                    content["spec"] | {"name": change.name}
+                    dict(content["spec"]) | {"name": change.name}
                 )
-            except ValidationError as error:
+            except (ValidationError, TypeError, ValueError) as error:
                 # The last valid form of a record stays in force, except that an
                 # unreadable key must not go on working.
                 self.rejected[change.identifier] = str(error)
                 if kind == "keys":
                     records.pop(change.name, None)
         return records
+
+
+def _notify(callback: Callable[[Any], None], value: object) -> None:
+    try:
+        callback(value)
+    except Exception as error:
+        # A failing reader must not keep the configuration from the other readers.
+        log.error("reader of the configuration failed", error=repr(error))
--- a/src/primroseford/configuration/tests/test_objects.py
+++ b/src/primroseford/configuration/tests/test_objects.py
@@ -110,7 +110,24 @@
     assert after.organisations["o1"].rate == 2
     assert before.organisations["o1"].rate == 1
     assert [c.name for c in seen] == ["o1"]
-    bad = b'{"spec":{"rate":-1,"burst":2},"labels":{}}'
-    store.apply(3, [Change(3, "organisations", "o1", bad)])
+
+
+@pytest.mark.parametrize(
+    "spec", [b'{"rate":-1,"burst":2}', b'{"rates":1}', b"[1]", b"null", b"7"]
+)
+def test_unreadable_record_harms_nothing_else(spec):
+    """Guards against one bad object or failing reader that stops the distribution."""
+    store = ConfigurationStore()
+    seen = []
+    store.on_change(lambda tables: 1 / 0)
+    store.on_change(lambda tables: seen.append(tables.version))
+    good = b'{"spec":{"rate":2,"burst":2},"labels":{}}'
+    key = b'{"spec":{"organisation":"o1","hash":"' + b"0" * 64 + b'"},"labels":{}}'
+    bad = b'{"spec":' + spec + b',"labels":{}}'
+    names = (("organisations", "o1", good), ("keys", "k", key))
+    store.apply(3, [Change(3, *name) for name in names])
+    store.apply(4, [Change(4, kind, name, bad) for kind, name, _ in names])
     assert store.current().organisations["o1"].rate == 2
-    assert ("organisations", "o1") in store.rejected
+    assert not store.current().keys
+    assert set(store.rejected) == {("organisations", "o1"), ("keys", "k")}
+    assert seen == [3, 4]
--- a/src/primroseford/configuration/tests/test_service.py
+++ b/src/primroseford/configuration/tests/test_service.py
@@ -5,8 +5,11 @@
 import asyncio
 
 import pytest
+from aiohttp import ClientSession
+from aiohttp import web
 
 from primroseford.clock import ManualClock
+from primroseford.configuration.operator import add_configuration_routes
 from primroseford.configuration.service import create_configuration_service
 from primroseford.configuration.tests.fakes import FakeMembership
 from primroseford.configuration.tests.fakes import FakeNetwork
@@ -16,6 +19,7 @@
 from primroseford.errors import Outcome
 from primroseford.errors import PrimrosefordError
 from primroseford.errors import ResultCode
+from primroseford.standins.serving import serve
 
 WAIT_SECONDS = 20
 
@@ -199,3 +203,19 @@
     await fleet.converged()
     for service in fleet.services.values():
         assert set(service.store.current().organisations) == {"hokuyo"}
+
+
+async def test_operators_read_the_versions_of_all_hosts(fleet):
+    """Guards against a host whose missing report looks like a confirmation."""
+    await fleet.start("h0", "h1")
+    await fleet.converged()
+    app = web.Application()
+    add_configuration_routes(app, fleet.services["h0"])
+    served = await serve(app)
+    async with ClientSession() as session:
+        async with session.get(served.url + "/versions") as answer:
+            body = await answer.json()
+    await served.stop()
+    assert set(body) == set(fleet.infos)
+    assert body["h0"]["version"] == fleet.platform.version
+    assert body["h8"] is None
--- a/src/primroseford/configuration/watcher.py
+++ b/src/primroseford/configuration/watcher.py
@@ -36,7 +36,8 @@
 class PlatformWatcher:
     """Feeds of all kinds from the platform.
 
-    :param on_delta: called with each delta
+    :param on_delta: called with each delta; returns whether the copy has reached its
+        end
     :param on_confirmed: called with the time at which all feeds were complete
     """
 
@@ -47,7 +48,7 @@
         objects: ObjectSet,
         clock: Clock,
         sleep: Sleep,
-        on_delta: Callable[[Delta], None],
+        on_delta: Callable[[Delta], bool],
         on_confirmed: Callable[[float], None],
     ) -> None:
         self.client = client
@@ -99,8 +100,8 @@
     def _advance(self, feed: KindFeed, at: float) -> None:
         self.heard[feed.kind] = max(at, self.heard[feed.kind])
         delta = next_delta(self.merge)
-        if delta is not None:
-            self.on_delta(delta)
+        if delta is not None and not self.on_delta(delta):
+            return
         # Changes that wait for another feed are not in force yet.
         reached = min(f.position for f in self.merge.feeds.values())
         oldest = min(self.heard.values())
