--- a/src/primroseford/online/application.py
+++ b/src/primroseford/online/application.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from random import Random
 from typing import TYPE_CHECKING
 
 from aiohttp import web
@@ -23,6 +22,7 @@
 from primroseford.routing.tracker import create_runner_tracker
 
 if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
     from collections.abc import Callable
 
     import aiohttp
@@ -65,18 +65,9 @@
     :param limiter: fleet-wide rates; requests are not limited without it
     :param claims: idempotency claims; requests with a key are refused without it
     """
-    if tracker is None:
-        tracker = create_runner_tracker(
-            HostId("host"), FailureDomainId("none"), clock, Random()
-        )
-    app = web.Application(client_max_size=MAX_BODY_BYTES, middlewares=[report_errors])
-
-    async def open_session(app: web.Application):
-        runner_session = create_runner_session()
-        app[ONLINE_STATE].session = runner_session
-        yield
-        await runner_session.close()
-
+    tracker = tracker or create_runner_tracker(
+        HostId("host"), FailureDomainId("none"), clock
+    )
     state = OnlineState(
         store,
         session,
@@ -88,14 +79,26 @@
         limiter,
         claims,
     )
-    app[ONLINE_STATE] = state
     store.on_change(state.open.end_withdrawn)
-    app.cleanup_ctx.append(open_session)
+    return _build_application(state)
+
+
+def _build_application(state: OnlineState) -> web.Application:
+    app = web.Application(client_max_size=MAX_BODY_BYTES, middlewares=[report_errors])
+    app[ONLINE_STATE] = state
+    app.cleanup_ctx.append(_open_session)
     app.router.add_get("/v1/models", _models_handler(state))
     app.router.add_route("*", "/{path:.*}", create_forward_handler(state))
     return app
 
 
+async def _open_session(app: web.Application) -> AsyncIterator[None]:
+    session = create_runner_session()
+    app[ONLINE_STATE].session = session
+    yield
+    await session.close()
+
+
 @web.middleware
 async def report_errors(request: web.Request, handler) -> web.StreamResponse:
     """Turn errors with a result code into HTTP answers and count them."""
--- a/src/primroseford/online/tests/conftest.py
+++ b/src/primroseford/online/tests/conftest.py
@@ -44,7 +44,9 @@
         self.leaving: set[str] = set()
         self.metrics = Metrics()
 
-    async def start(self, engines=1, pool=None, route=None, **collaborators):
+    async def start(
+        self, engines=1, pool=None, route=None, prepare=None, **collaborators
+    ):
         """Start ``engines`` engines, one service and the application."""
         runners = []
         for number in range(engines):
@@ -83,7 +85,8 @@
             metrics=self.metrics,
             **collaborators,
         )
-        self.app = app
+        if prepare is not None:
+            prepare(app)
         self.state = app[ONLINE_STATE]
         runner = web.AppRunner(app, handler_cancellation=True, shutdown_timeout=0.1)
         await runner.setup()
--- a/src/primroseford/online/tests/test_admission.py
+++ b/src/primroseford/online/tests/test_admission.py
@@ -190,13 +190,11 @@
 
 async def test_later_routes_come_before_the_catch_all(rig):
     """Guards against batch routes hidden by the route that takes all paths."""
-    await rig.start()
 
     async def files(request):
         return web.Response(text="files")
 
-    rig.app.router._frozen = False
-    rig.app.router.add_get("/v1/files", files)
+    await rig.start(prepare=lambda app: app.router.add_get("/v1/files", files))
     async with rig.client.get("/v1/files") as answer:
         assert await answer.text() == "files"
 
