--- a/src/primroseford/batch/feed.py
+++ b/src/primroseford/batch/feed.py
@@ -148,10 +148,11 @@
         window = self.window()
         self._note()
         self._drop_ended()
-        # Arrivals use up the headroom first. Only what goes beyond it cancels
-        # items, since each cancelled item loses its work.
-        self._preempt(window)
-        window = max(0, window - self.headroom())
+        # Arrivals use up half of the headroom before items are cancelled, since
+        # each cancelled item loses its work.
+        headroom = self.headroom()
+        self._preempt(max(0, window - headroom // 2))
+        window = max(0, window - headroom)
         if not self.stopping and self.context.clock() >= self.paused_until:
             self._start_items(window)
         self._start_writes()
--- a/src/primroseford/batch/tests/test_running.py
+++ b/src/primroseford/batch/tests/test_running.py
@@ -15,6 +15,7 @@
 from primroseford.batch.tests.fleet import die
 from primroseford.batch.tests.fleet import fine
 from primroseford.errors import Outcome
+from primroseford.errors import PrimrosefordError
 from primroseford.errors import ResultCode
 
 
@@ -336,7 +337,7 @@
     load.tell("b", OnlineLoad("r", 0, 1))
     for _ in range(10):
         await asyncio.sleep(0)
-    assert len(fleet.runner.active) == 16 - 5
+    assert len(fleet.runner.active) == 16 - 5 - 1
     load.tell("c", OnlineLoad("r", 11, 1))
     assert feed.headroom() == 2
     for _ in range(10):
@@ -368,3 +369,61 @@
     assert len(await fleet.results(name)) == 5
     await collect(files, fleet.wall() + 7 * 86_400, 7 * 86_400)
     assert not any(fleet.state.objects.values())
+
+
+async def test_job_is_resent_through_other_hosts_after_a_loss():
+    """Guards against an acknowledged job that is lost or doubled with its host."""
+    fleet = Fleet()
+    name = await fleet.accept(20)
+    lost = fleet.host("lost")
+    await lost.refresh()
+    lost.start()
+    await lost.kill()
+    fleet.live.discard("lost")
+    again = await asyncio.gather(*(fleet.accept(20) for _ in range(3)))
+    assert set(again) == {name}
+    hosts = [await started(fleet, host) for host in ("b", "c")]
+    await fleet.until_state(name, "completed")
+    for host in hosts:
+        await host.feed.stop()
+    await check_complete(fleet, name, 20)
+    assert max(fleet.runner.runs.values()) == 1
+    assert len(fleet.state.objects[JOBS]) == len(fleet.state.objects["files"]) == 1
+
+
+async def test_cancel_is_refused_in_an_outage_and_the_job_goes_on():
+    """Guards against a cancel that is acknowledged without being stored."""
+    fleet = Fleet()
+    name = await fleet.accept(20)
+    host = await started(fleet, "a")
+    caller = fleet.store()
+    caller.client.fault = lambda *_: die()
+    with pytest.raises(PrimrosefordError) as caught:
+        await caller.cancel("org-0", name)
+    assert caught.value.code is ResultCode.PLATFORM_UNAVAILABLE
+    await fleet.until_state(name, "completed")
+    await host.feed.stop()
+    with pytest.raises(PrimrosefordError) as caught:
+        await fleet.store().cancel("org-0", name)
+    assert caught.value.code is ResultCode.JOB_FINISHED
+
+
+async def test_rate_limit_delays_items_and_fails_none():
+    """Guards against items that fail because their organisation is over its rate."""
+    fleet = Fleet()
+    name = await fleet.accept(20)
+    host = await started(fleet, "a")
+    grant, refused = host.limiter.acquire, 0
+
+    async def acquire(*arguments, batch):
+        nonlocal refused
+        refused += 1
+        if refused % 3:
+            raise PrimrosefordError(ResultCode.RATE_LIMITED, "over the rate")
+        return await grant(*arguments, batch=batch)
+
+    host.limiter.acquire = acquire
+    await fleet.until_state(name, "completed")
+    await host.feed.stop()
+    assert len(await fleet.results(name)) == 20
+    assert host.limiter.granted == 20
