--- a/src/primroseford/peer/handshake.py
+++ b/src/primroseford/peer/handshake.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import hashlib
 import hmac
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
@@ -112,6 +113,15 @@
     return secret
 
 
+def digest_settings(settings: dict[str, int]) -> str:
+    """Return a digest of the settings that all hosts must share.
+
+    :param settings: for example ``{"limits.groups": 16}``
+    """
+    text = "\n".join(f"{name}={settings[name]}" for name in sorted(settings))
+    return hashlib.sha256(text.encode()).hexdigest()
+
+
 async def initiate(
     reader: asyncio.StreamReader, writer: asyncio.StreamWriter, own: Credentials
 ) -> Session:
