Report a write that the HTTP client repeated as done

aiohttp sends a PUT again by itself when a reused connection is cut, so the second attempt conflicted with the first and apply reported a lost race with exit code 4.

A conflict whose object equals the planned one is reported as done, and a conflict without any other edit is written again. A session over HTTP loses the answer of a create, an update and a delete; each is written once.

--- a/src/primroseford/cli/tests/test_cli.py
+++ b/src/primroseford/cli/tests/test_cli.py
@@ -129,9 +129,8 @@
     await host.stop()
 
 
-async def test_job_session(tmp_path):
-    """Guards against job commands that do not speak the OpenAI-compatible paths."""
-    seen = []
+def job_application(seen):
+    """Return a host that has one completed job."""
     job = {"id": "j", "status": "completed", "output_file_id": "out"}
 
     async def files(request):
@@ -155,7 +154,13 @@
     app.router.add_get("/v1/batches/j", show)
     app.router.add_post("/v1/batches/j/cancel", show)
     app.router.add_get("/v1/files/out/content", content)
-    host = await serve(app)
+    return app
+
+
+async def test_job_session(tmp_path):
+    """Guards against job commands that do not speak the OpenAI-compatible paths."""
+    seen = []
+    host = await serve(job_application(seen))
     items, results = tmp_path / "items.jsonl", tmp_path / "results.jsonl"
     items.write_bytes(b"{}\n")
     options = f"--api {host.url} --key k"
@@ -173,6 +178,22 @@
     await host.stop()
 
 
+async def test_lost_answers_are_reported_as_done(platform, tmp_path):
+    """Guards against an apply that fails, or writes twice, when the connection is cut
+    after the platform has made the write."""
+    state, url = platform
+    table = tmp_path / "a.yaml"
+    tables = [f"{{kind: Organisation, name: a, rate: {n}, burst: 1}}" for n in (1, 2)]
+    for version, text in enumerate([*tables, ""], start=1):
+        table.write_text(text)
+        state.faults.lose_write_answers = 1
+        code, output, error = await run(f"apply {table} --platform {url}")
+        assert (code, error) == (Exit.OK, "")
+        assert "done" in output
+        assert state.state.version == version
+    assert not state.state.objects["organisations"]
+
+
 async def test_racing_edits_through_different_tools_both_hold():
     """Guards against a drain that undoes another tool's edit of the same pool."""
     platform = FakePlatform()
--- a/src/primroseford/configuration/apply.py
+++ b/src/primroseford/configuration/apply.py
@@ -238,7 +238,16 @@
 async def _lost_race(
     client: PlatformClient, step: Step, read: PlatformObject | None
 ) -> StepOutcome:
-    return _race(step, read, await _get(client, step))
+    found = await _get(client, step)
+    if (found.version if found else None) == step.version:
+        # The condition still holds, so no other edit came first: the first attempt
+        # was lost before it took effect.
+        return await _retry(client, step, read)
+    if found is not None and found.spec == step.spec:
+        # An HTTP client may itself have sent the write again after a cut connection;
+        # the second attempt conflicts with the first. Nothing differs from the plan.
+        return StepOutcome(step, StepResult.DONE, found.version)
+    return _race(step, read, found)
 
 
 def _race(
--- a/src/primroseford/configuration/messages.py
+++ b/src/primroseford/configuration/messages.py
@@ -50,6 +50,14 @@
         part = relay.answer_slice(state, request, service.clock())
         return ttypes.Message(slice=part)
 
+    return {KIND_PULL: pull, KIND_PUSH: push, KIND_SLICE: snapshot_slice} | (
+        _create_reading_handlers(service)
+    )
+
+
+def _create_reading_handlers(service: ConfigurationService) -> dict[int, Handler]:
+    state = service.relay_state
+
     async def probe(sender: HostId, message: ttypes.Message) -> ttypes.Message:
         answer = ttypes.ProbeAnswer(
             state.objects.version, relay.age_ms(state, service.clock())
@@ -60,13 +68,7 @@
         held = relay.current_reports(state, service.clock())
         return ttypes.Message(reports=ttypes.Reports(held))
 
-    return {
-        KIND_PULL: pull,
-        KIND_PUSH: push,
-        KIND_SLICE: snapshot_slice,
-        KIND_PROBE: probe,
-        KIND_REPORTS: reports,
-    }
+    return {KIND_PROBE: probe, KIND_REPORTS: reports}
 
 
 def _present(value, field: str):
