--- a/src/primroseford/cli/commands/apply.py
+++ b/src/primroseford/cli/commands/apply.py
@@ -40,6 +40,7 @@
     arguments = [argument("paths", "files or folders", multiple=True)]
     options = [
         option("dry-run", None, "show the writes without making them"),
+        option("prune", None, "delete what the files do not name"),
         option("wait", None, "wait until all hosts have the edit in force"),
         *common_options(),
     ]
@@ -51,7 +52,7 @@
             self.setting("host")
         async with self.platform() as client:
             current = await read_platform(client)
-            steps = plan_changes(checked, current)
+            steps = plan_changes(checked, current, self.option("prune"))
             if self.option("dry-run"):
                 lines = [line for step in steps for line in step_lines(step)]
                 return Answer([step_body(s) for s in steps], lines or ["no changes"])
--- a/src/primroseford/cli/commands/diff.py
+++ b/src/primroseford/cli/commands/diff.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from cleo.helpers import argument
+from cleo.helpers import option
 
 from primroseford.cli.base import Answer
 from primroseford.cli.base import BaseCommand
@@ -21,13 +22,17 @@
     name = "diff"
     description = "Show the difference between files and the platform"
     arguments = [argument("paths", "files or folders", multiple=True)]
-    options = common_options()
+    options = [
+        option("prune", None, "show what the files do not name as deleted"),
+        *common_options(),
+    ]
 
     async def work(self) -> Answer:
         """Compare."""
         checked = valid_tables(self.argument("paths"))
         async with self.platform() as client:
-            steps = plan_changes(checked, await read_platform(client))
+            current = await read_platform(client)
+            steps = plan_changes(checked, current, self.option("prune"))
         lines = [line for step in steps for line in step_lines(step)]
         return Answer(
             [step_body(step) for step in steps],
--- a/src/primroseford/cli/tests/test_cli.py
+++ b/src/primroseford/cli/tests/test_cli.py
@@ -187,7 +187,7 @@
     for version, text in enumerate([*tables, ""], start=1):
         table.write_text(text)
         state.faults.lose_write_answers = 1
-        code, output, error = await run(f"apply {table} --platform {url}")
+        code, output, error = await run(f"apply {table} --prune --platform {url}")
         assert (code, error) == (Exit.OK, "")
         assert "done" in output
         assert state.state.version == version
--- a/src/primroseford/configuration/apply.py
+++ b/src/primroseford/configuration/apply.py
@@ -113,7 +113,7 @@
 def plan_changes(
     wanted: Checked,
     current: Mapping[tuple[str, str], PlatformObject],
-    prune: bool = True,
+    prune: bool = False,
 ) -> list[Step]:
     """Return the writes that bring the platform to the wanted tables, in order.
 
--- a/src/primroseford/configuration/tests/test_apply.py
+++ b/src/primroseford/configuration/tests/test_apply.py
@@ -72,10 +72,18 @@
 async def applied(platform, documents):
     client = platform.client()
     current = await read_platform(client)
-    steps = plan_changes(read_tables(documents), current)
+    steps = plan_changes(read_tables(documents), current, prune=True)
     return await apply_plan(client, steps, current)
 
 
+async def test_partial_tables_delete_nothing_by_default():
+    """Guards against one file that deletes the tables of all others."""
+    platform = FakePlatform()
+    await applied(platform, TABLES)
+    current = await read_platform(platform.client())
+    assert plan_changes(read_tables([ORGANISATION]), current) == []
+
+
 async def test_writes_never_leave_a_dangling_join():
     """Guards against a route written before its pool or deleted after it."""
     platform = FakePlatform()
