Name the kind of a pool's runners runner_kind

Cause: table documents carry kind: Pool, so the pool's own field kind could not be written, and both example service pools were read as model engines. Job headers reach the batch index through the configuration service, and /versions comes from its own module. Conclusion: every field of a pool can be written in a table document.

--- a/src/primroseford/configuration/tables.py
+++ b/src/primroseford/configuration/tables.py
@@ -111,6 +111,7 @@
 class Pool(Record):
     """Runners that stand ready for the same work.
 
+    :param runner_kind: whether the runners are model engines or plain services
     :param max_in_flight: requests in flight on one runner
     :param queue_limit: requests that wait for the pool on one host
     :param checks_fencing: the engines refuse orders with an old fencing number
@@ -119,7 +120,7 @@
     """
 
     name: Name
-    kind: PoolKind = PoolKind.ENGINE
+    runner_kind: PoolKind = PoolKind.ENGINE
     models: Annotated[tuple[Name, ...], Field(max_length=256)] = ()
     runners: Annotated[tuple[Runner, ...], Field(max_length=4000)] = ()
     max_in_flight: Annotated[int, Field(gt=0, le=10_000)] = 16
--- a/src/primroseford/daemon/assembly.py
+++ b/src/primroseford/daemon/assembly.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING
 
 import aiohttp
+import structlog
 
 from primroseford.batch.feed import FeedContext
 from primroseford.batch.files import FileStore
@@ -19,6 +20,8 @@
 from primroseford.batch.routes import add_batch_routes
 from primroseford.batch.runners import create_run_item
 from primroseford.batch.service import BatchService
+from primroseford.batch.state import JOBS
+from primroseford.batch.state import decode_job
 from primroseford.batch.work import Claimer
 from primroseford.batch.work import Holder
 from primroseford.configuration.service import create_configuration_service
@@ -44,11 +47,13 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Sequence
 
     from aiohttp import web
     from mode import Service
 
     from primroseford.clock import Clock
+    from primroseford.configuration.objects import Change
     from primroseford.configuration.service import ConfigurationService
     from primroseford.daemon.settings import Settings
     from primroseford.lease.keeper import LeaseKeeper
@@ -61,6 +66,8 @@
     from primroseford.platform.client import PlatformClient
     from primroseford.routing.tracker import RunnerTracker
 
+log = structlog.get_logger()
+
 SECONDS_PER_DAY = 86_400.0
 
 
@@ -214,6 +221,7 @@
         settings.batch.retention_days * SECONDS_PER_DAY,
     )
     tracker.on_online_change(batch.online_load_changed)
+    store.subscribe(JOBS, _job_changes(context.index))
     add_batch_routes(application, BatchApi(store, jobs.files, jobs, batch.announce_end))
     return Parts(
         session,
@@ -232,6 +240,21 @@
     )
 
 
+def _job_changes(index: JobIndex) -> Callable[[Sequence[Change]], None]:
+    def take(changes: Sequence[Change]) -> None:
+        for change in changes:
+            content = change.decode()
+            if content is None:
+                index.end(change.name)
+                continue
+            try:
+                index.apply(change.name, decode_job(content["spec"]))
+            except (TypeError, ValueError, KeyError):
+                log.warning("job header not readable", job=change.name)
+
+    return take
+
+
 def _live_incarnations(membership: Membership) -> Callable[[], frozenset[str]]:
     def live() -> frozenset[str]:
         return frozenset(host.incarnation for host in membership.hosts())
--- a/src/primroseford/daemon/operator.py
+++ b/src/primroseford/daemon/operator.py
@@ -8,6 +8,8 @@
 from prometheus_client import CONTENT_TYPE_LATEST
 from prometheus_client import generate_latest
 
+from primroseford.configuration.operator import add_configuration_routes
+
 if TYPE_CHECKING:
     from primroseford.daemon.host import Host
 
@@ -34,20 +36,12 @@
     async def status(_: web.Request) -> web.Response:
         return web.json_response(describe(host))
 
-    async def versions(_: web.Request) -> web.Response:
-        found = await host.parts.configuration.versions_in_force()
-        body = {
-            name: None if seen is None else {"version": seen.version, "age": seen.age}
-            for name, seen in found.items()
-        }
-        return web.json_response(body)
-
     app = web.Application()
     app.router.add_get("/healthz", healthz)
     app.router.add_get("/readyz", readyz)
     app.router.add_get("/metrics", metrics)
     app.router.add_get("/status", status)
-    app.router.add_get("/versions", versions)
+    add_configuration_routes(app, host.parts.configuration)
     return app
 
 
--- a/src/primroseford/online/flow.py
+++ b/src/primroseford/online/flow.py
@@ -46,7 +46,7 @@
     @property
     def is_engine(self) -> bool:
         """Whether the pool's runners speak the engine protocol."""
-        return self.pool.kind is PoolKind.ENGINE
+        return self.pool.runner_kind is PoolKind.ENGINE
 
     def call(self, view: RunnerView, now: float) -> RunnerCall:
         """Return the call of a new attempt on a runner."""
--- a/src/primroseford/online/tests/conftest.py
+++ b/src/primroseford/online/tests/conftest.py
@@ -58,7 +58,7 @@
         served = await serve(create_service_application(self.service))
         self.stops.append(served.stop)
         self.pool = {"runners": runners, **(pool or {})}
-        desk = {"kind": "service", "runners": [self.runner("desk", served.url)]}
+        desk = {"runner_kind": "service", "runners": [self.runner("desk", served.url)]}
         self.put("pools", "engines", self.pool)
         self.put("pools", "desk", desk)
         members = {"organisations": ["depot", "vans"]}
--- a/src/primroseford/online/tests/test_relay.py
+++ b/src/primroseford/online/tests/test_relay.py
@@ -165,7 +165,7 @@
 
 async def test_slow_caller_stops_the_reading_from_the_runner(rig):
     """Guards against unbounded buffers when a caller reads slowly."""
-    await rig.start(pool={"kind": "service"})
+    await rig.start(pool={"runner_kind": "service"})
     sent = 0
 
     async def endless(request):
--- a/src/primroseford/routing/poller.py
+++ b/src/primroseford/routing/poller.py
@@ -66,7 +66,7 @@
         found = {
             id(view): view
             for pool in pools
-            if pool.kind is PoolKind.ENGINE
+            if pool.runner_kind is PoolKind.ENGINE
             for view in self.tracker.pool_views(pool)
         }
         # A runner that reported itself leaving is in no subset; it is polled on,
