--- a/src/primroseford/demo/fleet.py
+++ b/src/primroseford/demo/fleet.py
@@ -144,9 +144,7 @@
             hosts.append(host)
         for host in hosts:
             await wait_until_ready(host)
-        yield Fleet(
-            platform, client, session, hosts, engines, services, keys
-        )
+        yield Fleet(platform, client, session, hosts, engines, services, keys)
 
 
 async def apply_documents(client: PlatformClient, documents: list[dict]) -> None:
