Cut service streams instead of appending an error event

A service's stream can be cut inside an event, which an error event would complete. Only engine streams, which stand at an event's end, get one. A request that is ended after its whole answer was written keeps it. Batch items no longer count against the places of online requests. Bytes sent are marked in the request class, since aiohttp's tracing hooks cost more for each request.

--- a/src/primroseford/online/exchange.py
+++ b/src/primroseford/online/exchange.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+from contextvars import ContextVar
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -19,7 +20,8 @@
 if TYPE_CHECKING:
     from collections.abc import Collection
     from collections.abc import Mapping
-    from types import SimpleNamespace
+
+    from aiohttp.connector import Connection
 
 REQUEST_ID_HEADER = "X-Request-Id"
 TIMEOUT_HEADER = "X-Request-Timeout-Ms"
@@ -75,14 +77,28 @@
     retry_after: float | None
 
 
+CURRENT_ATTEMPT: ContextVar[Attempt | None] = ContextVar("attempt", default=None)
+
+
+class MarkingRequest(aiohttp.ClientRequest):
+    """Marks the attempt directly before the first byte is written.
+
+    aiohttp's tracing hooks show the same, at a higher cost for each request.
+    """
+
+    async def send(self, conn: Connection) -> aiohttp.ClientResponse:
+        attempt = CURRENT_ATTEMPT.get()
+        if attempt is not None:
+            attempt.sent = True
+        return await super().send(conn)
+
+
 def create_runner_session() -> aiohttp.ClientSession:
     """Return the HTTP session for exchanges with runners.
 
     It keeps no cookies, since they belong to callers, and never repeats a request by
     itself.
     """
-    trace = aiohttp.TraceConfig()
-    trace.on_request_headers_sent.append(_mark_sent)
     session = aiohttp.ClientSession(
         connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=KEEPALIVE_SECONDS),
         cookie_jar=aiohttp.DummyCookieJar(),
@@ -91,7 +107,7 @@
         timeout=aiohttp.ClientTimeout(
             total=None, sock_connect=CONNECT_TIMEOUT_SECONDS, sock_read=None
         ),
-        trace_configs=[trace],
+        request_class=MarkingRequest,
         read_bufsize=READ_BUFFER_BYTES,
     )
     # aiohttp sends GET, PUT and DELETE again when a kept connection was closed, even
@@ -100,15 +116,6 @@
     return session
 
 
-async def _mark_sent(
-    session: aiohttp.ClientSession, context: SimpleNamespace, params: object
-) -> None:
-    # Called directly before the first byte is written.
-    attempt = context.trace_request_ctx
-    if attempt is not None:
-        attempt.sent = True
-
-
 def failure(
     code: ResultCode, message: str, attempt: Attempt, retry_after: float | None = None
 ) -> PrimrosefordError:
@@ -128,6 +135,7 @@
     """
     headers = {**call.headers, REQUEST_ID_HEADER: call.request_id}
     headers[TIMEOUT_HEADER] = str(max(1, int(call.timeout * 1000)))
+    CURRENT_ATTEMPT.set(attempt)
     try:
         answer = await session.request(
             call.method,
@@ -135,7 +143,6 @@
             data=call.body or None,
             headers=headers,
             allow_redirects=False,
-            trace_request_ctx=attempt,
         )
     except (aiohttp.ClientError, TimeoutError, OSError) as error:
         code = (
--- a/src/primroseford/online/forward.py
+++ b/src/primroseford/online/forward.py
@@ -84,7 +84,7 @@
         if entry.response is None:
             raise error
         state.refusals.labels(error.code.name.lower()).inc()
-        return await end_response(entry.response, request, error)
+        return await end_response(entry, request, error)
 
     return forward
 
@@ -99,7 +99,7 @@
     content = _parse(tables, request, body)
     model = content.get("model")
     model = model if isinstance(model, str) else None
-    route = match_route(tables, request.url.host or "", request.path, model)
+    route = match_route(tables, _host_name(request), request.path, model)
     identity = authorise(tables, route, request)
     entry.identity = identity
     # The tables may have changed since they were read only if an await lies between,
@@ -305,6 +305,13 @@
             answer.close()
 
 
+def _host_name(request: web.Request) -> str:
+    # request.url would be parsed anew for each request.
+    host = request.host
+    name, _, port = host.rpartition(":")
+    return (name if name and port.isdigit() else host).lower()
+
+
 def _parse(tables: Tables, request: web.Request, body: bytes) -> dict:
     """Return the body's fields if a route for the path selects by model."""
     if not body or request.content_type != "application/json":
--- a/src/primroseford/online/open_requests.py
+++ b/src/primroseford/online/open_requests.py
@@ -30,6 +30,7 @@
         self.attempt: Attempt | None = None
         self.may_have_run = False
         self.response: web.StreamResponse | None = None
+        self.takes_events = False
         self.ended: PrimrosefordError | None = None
         self.timer: asyncio.TimerHandle | None = None
 
--- a/src/primroseford/online/relay.py
+++ b/src/primroseford/online/relay.py
@@ -22,6 +22,7 @@
 
 if TYPE_CHECKING:
     from primroseford.online.flow import Flow
+    from primroseford.online.open_requests import OpenRequest
     from primroseford.online.state import OnlineState
 
 WHOLE_ANSWER_BYTES = 1024 * 1024
@@ -87,7 +88,10 @@
     response = None
     held: list[bytes] = []
     size = 0
+    length = answer.content_length
     try:
+        if length is not None and length <= WHOLE_ANSWER_BYTES and not event_stream:
+            return await _prepare(state, flow, answer, call, await answer.read())
         async for chunk in answer.content.iter_any():
             if response is not None:
                 await _write(response, chunk)
@@ -176,6 +180,7 @@
                 continue
             if response is None:
                 response = await _prepare(state, flow, answer, call)
+                flow.entry.takes_events = True
             await _write(response, complete)
             if splitter.ended:
                 async with asyncio.timeout(END_SECONDS):
@@ -228,23 +233,28 @@
 
 
 async def end_response(
-    response: web.StreamResponse, request: web.Request, error: PrimrosefordError
+    entry: OpenRequest, request: web.Request, error: PrimrosefordError
 ) -> web.StreamResponse:
     """End an answer that cannot be completed, so that the caller notices.
 
-    An event stream gets an error event; any other answer is cut.
+    An engine's stream, which stands at the end of an event, gets an error event; any
+    other answer is cut.
 
     :param error: why the answer ends
     """
-    if response.content_type == "text/event-stream":
+    response = entry.response
+    assert response is not None
+    if entry.takes_events:
         try:
             async with asyncio.timeout(END_SECONDS):
                 await response.write(error_event(error))
                 await response.write_eof()
+            return response
+        except RuntimeError:
+            # The answer was complete when the request was ended.
+            return response
         except (OSError, TimeoutError):
             pass
-        else:
-            return response
     response.force_close()
     if request.transport is not None:
         request.transport.abort()
--- a/src/primroseford/online/tests/test_relay.py
+++ b/src/primroseford/online/tests/test_relay.py
@@ -196,3 +196,28 @@
 
         await until(stands_still)
         assert sent < 1000
+
+
+async def test_cut_service_stream_is_cut_for_the_caller(rig):
+    """Guards against a partial event that an error event would complete."""
+    await rig.start()
+
+    async def partial(request):
+        response = aiohttp.web.StreamResponse()
+        response.content_type = "text/event-stream"
+        await response.prepare(request)
+        await response.write(b"data: a\n\ndata: par")
+        await until(lambda: any(e.response for e in rig.state.open.entries))
+        request.transport.abort()
+        return response
+
+    app = aiohttp.web.Application()
+    app.router.add_get("/desk/stream", partial)
+    served = await serve(app)
+    rig.stops.append(served.stop)
+    runners = [rig.runner("partial", served.url)]
+    rig.put("pools", "desk", {"kind": "service", "runners": runners})
+    rig.apply()
+    with pytest.raises(aiohttp.ClientPayloadError):
+        async with rig.client.get("/desk/stream", headers=rig.bearer()) as answer:
+            await answer.read()
--- a/src/primroseford/routing/choice.py
+++ b/src/primroseford/routing/choice.py
@@ -131,10 +131,13 @@
 
 
 def is_available(view: RunnerView, now: float) -> bool:
-    """Return whether a runner takes one more request from this host now."""
+    """Return whether a runner takes one more online request from this host now.
+
+    Batch items do not take an online request's place, since batch yields at once.
+    """
     if view.leaving or view.report_leaving or now < view.unavailable_until:
         return False
-    return view.in_flight < (1 if view.probing else view.limit)
+    return view.in_flight < 1 if view.probing else view.online < view.limit
 
 
 def choose_runner(
--- a/src/primroseford/routing/poller.py
+++ b/src/primroseford/routing/poller.py
@@ -107,3 +107,18 @@
             if answer.status != 200:
                 raise ValueError(f"status {answer.status}")
             return await answer.json()
+
+
+def create_load_poller(
+    store: ConfigurationStore,
+    tracker: RunnerTracker,
+    session: aiohttp.ClientSession,
+    metrics: Metrics,
+) -> LoadPoller:
+    """Return a poller that is ready to start.
+
+    :param store: configuration in force
+    :param tracker: where reports go
+    :param session: HTTP session towards runners
+    """
+    return LoadPoller(store, tracker, session, metrics)
