Rank a pool's runners once for each version of the pool

Cause: the subset was ranked again every 0.5 s, which at 10,000 runners hashes 10,000 names twice a second. Change: the ranking is kept until the pool's record changes; the refresh only filters. Not measured at that size.

--- a/src/primroseford/routing/choice.py
+++ b/src/primroseford/routing/choice.py
@@ -7,11 +7,13 @@
 from collections import deque
 from dataclasses import dataclass
 from dataclasses import field
+from itertools import islice
 from typing import TYPE_CHECKING
 
 import xxhash
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Sequence
     from random import Random
 
@@ -99,22 +101,25 @@
     return xxhash.xxh64_intdigest(f"{host}\0{runner}".encode())
 
 
+def rank_runners(runners: Sequence[Runner], host: HostId) -> list[Runner]:
+    """Return runners by rendezvous weight for a host, the highest first."""
+    return sorted(runners, key=lambda r: rank_key(host, r.name), reverse=True)
+
+
 def choose_subset(
-    runners: Sequence[Runner], host: HostId, domain: FailureDomainId
+    ranked: Sequence[Runner], domain: FailureDomainId, stays: Callable[[Runner], bool]
 ) -> list[Runner]:
     """Return the runners of a pool that a host uses, at most 16.
 
-    :param runners: runners of the pool that take new work
-    :param host: this host
+    :param ranked: runners of the pool from :func:`rank_runners`
     :param domain: this host's failure domain
+    :param stays: whether a runner takes new work
     """
-    ranked = sorted(runners, key=lambda r: rank_key(host, r.name), reverse=True)
-    if len(ranked) <= SUBSET_RUNNERS:
-        return ranked
-    near = [r for r in ranked if r.failure_domain == domain][:SUBSET_SAME_DOMAIN]
-    names = {r.name for r in near}
-    far = [r for r in ranked if r.name not in names]
-    return near + far[: SUBSET_RUNNERS - len(near)]
+    near = (r for r in ranked if r.failure_domain == domain and stays(r))
+    chosen = list(islice(near, SUBSET_SAME_DOMAIN))
+    names = {r.name for r in chosen}
+    rest = (r for r in ranked if r.name not in names and stays(r))
+    return chosen + list(islice(rest, SUBSET_RUNNERS - len(chosen)))
 
 
 def score(view: RunnerView, now: float) -> float:
--- a/src/primroseford/routing/tests/test_routing.py
+++ b/src/primroseford/routing/tests/test_routing.py
@@ -24,6 +24,7 @@
 from primroseford.routing.choice import RunnerView
 from primroseford.routing.choice import choose_runner
 from primroseford.routing.choice import choose_subset
+from primroseford.routing.choice import rank_runners
 from primroseford.routing.choice import score
 from primroseford.routing.tracker import MAX_EJECTION_SECONDS
 from primroseford.routing.tracker import Result
@@ -131,14 +132,18 @@
 def test_subset_is_bounded_stable_and_spans_domains(count):
     """Guards against state and polling cost that grow with the fleet."""
     runners = pool_of(count).runners
-    subset = choose_subset(runners, HostId("h"), FailureDomainId("d0"))
-    shuffled = Random(1).sample(runners, len(runners))
-    assert subset == choose_subset(shuffled, HostId("h"), FailureDomainId("d0"))
+
+    def subset_of(runners):
+        ranked = rank_runners(runners, HostId("h"))
+        return choose_subset(ranked, FailureDomainId("d0"), lambda runner: True)
+
+    subset = subset_of(runners)
+    assert subset == subset_of(Random(1).sample(runners, len(runners)))
     assert len(subset) == min(16, count)
     if count > 16:
         assert len({r.failure_domain for r in subset}) == 3
         gone = [r for r in runners if r != subset[0]]
-        kept = set(choose_subset(gone, HostId("h"), FailureDomainId("d0")))
+        kept = set(subset_of(gone))
         assert len(kept & set(subset)) == 15
 
 
--- a/src/primroseford/routing/tracker.py
+++ b/src/primroseford/routing/tracker.py
@@ -13,6 +13,7 @@
 from primroseford.routing.choice import RunnerView
 from primroseford.routing.choice import choose_runner
 from primroseford.routing.choice import choose_subset
+from primroseford.routing.choice import rank_runners
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -20,6 +21,7 @@
 
     from primroseford.clock import Clock
     from primroseford.configuration.tables import Pool
+    from primroseford.configuration.tables import Runner
     from primroseford.ids import FailureDomainId
     from primroseford.ids import HostId
     from primroseford.routing.choice import LoadReport
@@ -52,10 +54,11 @@
 class PoolSubset:
     """The views of a pool's subset, refreshed when the pool changes or with time."""
 
-    def __init__(self, pool: Pool, refreshed_at: float, views: list[RunnerView]):
+    def __init__(self, pool: Pool, ranked: list[Runner]) -> None:
         self.pool = pool
-        self.refreshed_at = refreshed_at
-        self.views = views
+        self.ranked = ranked
+        self.refreshed_at = -math.inf
+        self.views: list[RunnerView] = []
 
 
 class RunnerTracker:
@@ -88,24 +91,22 @@
         """Return the runners of a pool that this host uses."""
         now = self.clock()
         subset = self.subsets.get(pool.name)
-        if (
-            subset is None
-            or subset.pool is not pool
-            or now - subset.refreshed_at >= SUBSET_REFRESH_SECONDS
-        ):
-            subset = PoolSubset(pool, now, self._select(pool))
+        if subset is None or subset.pool is not pool:
+            subset = PoolSubset(pool, rank_runners(pool.runners, self.host))
             self.subsets[pool.name] = subset
+        if now - subset.refreshed_at >= SUBSET_REFRESH_SECONDS:
+            subset.refreshed_at = now
+            subset.views = self._select(pool, subset.ranked)
         return subset.views
 
-    def _select(self, pool: Pool) -> list[RunnerView]:
-        staying = [
-            runner
-            for runner in pool.runners
-            if runner.state is RunnerState.READY
-            and not self.is_leaving(runner.name)
-            and not self._reports_leaving(runner.name, runner.address)
-        ]
-        selected = choose_subset(staying, self.host, self.domain)
+    def _stays(self, runner: Runner) -> bool:
+        if runner.state is not RunnerState.READY or self.is_leaving(runner.name):
+            return False
+        view = self.views.get((runner.name, runner.address))
+        return view is None or not view.report_leaving
+
+    def _select(self, pool: Pool, ranked: list[Runner]) -> list[RunnerView]:
+        selected = choose_subset(ranked, self.domain, self._stays)
         views = []
         for runner in selected:
             key = (runner.name, runner.address)
@@ -119,10 +120,6 @@
             views.append(view)
         return views
 
-    def _reports_leaving(self, name: str, address: str) -> bool:
-        view = self.views.get((name, address))
-        return view is not None and view.report_leaving
-
     def forget_unused(self, pools: Iterable[Pool]) -> None:
         """Drop the state of runners that no pool names any more."""
         pools = list(pools)
