--- /dev/null
+++ b/bench/bench_online.py
@@ -0,0 +1,202 @@
+"""Online path against a bare pass-through, and runner choosers against naive ones."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import statistics
+import sys
+import time
+
+import aiohttp
+
+from bench.chooser_model import SLOW_SPEEDS
+from bench.chooser_model import least_reported_chooser
+from bench.chooser_model import random_chooser
+from bench.chooser_model import round_robin_chooser
+from bench.chooser_model import run_model
+from bench.online_processes import EVENTS
+from bench.online_processes import SECRET
+from bench.report import Report
+
+ROUNDS = 4
+REQUESTS_PER_ROUND = 4_000
+CONCURRENCY = 32
+HALF_LOAD_REQUESTS = 3_000
+STREAMS = 100
+MEMORY_REQUESTS = 100_000
+SEEDS = (1, 2, 3)
+TICKS = os.sysconf("SC_CLK_TCK")
+PATH = "/v1/chat/completions"
+HEADERS = {"Authorization": f"Bearer {SECRET}", "Content-Type": "application/json"}
+WHOLE = json.dumps({"model": "m", "messages": [{"role": "user", "content": "x" * 200}]})
+STREAM = json.dumps({"model": "m", "messages": [], "stream": True})
+
+
+class Process:
+    """One process of the benchmark.
+
+    :param url: base URL
+    """
+
+    def __init__(self, handle: asyncio.subprocess.Process, port: int) -> None:
+        self.handle = handle
+        self.address = f"127.0.0.1:{port}"
+        self.url = f"http://{self.address}{PATH}"
+
+    def cpu_seconds(self) -> float:
+        """Return the processor time used so far."""
+        with open(f"/proc/{self.handle.pid}/stat") as file:
+            fields = file.read().rsplit(")", 1)[1].split()
+        return (int(fields[11]) + int(fields[12])) / TICKS
+
+    def resident_mb(self) -> float:
+        """Return the resident memory."""
+        with open(f"/proc/{self.handle.pid}/statm") as file:
+            pages = int(file.read().split()[1])
+        return pages * os.sysconf("SC_PAGE_SIZE") / 2**20
+
+    async def stop(self) -> None:
+        """End the process."""
+        self.handle.terminate()
+        await self.handle.wait()
+
+
+async def start(role: str, backend: str = "") -> Process:
+    """Start a role in its own process."""
+    command = [sys.executable, "-m", "bench.online_processes", role, backend]
+    handle = await asyncio.create_subprocess_exec(
+        *command, stdout=asyncio.subprocess.PIPE
+    )
+    assert handle.stdout is not None
+    return Process(handle, int(await handle.stdout.readline()))
+
+
+async def post(session: aiohttp.ClientSession, url: str, body: str) -> bytes:
+    """Send one request and return the whole answer."""
+    async with session.post(url, data=body, headers=HEADERS) as answer:
+        content = await answer.read()
+        assert answer.status == 200, content
+        return content
+
+
+async def saturate(session, process: Process, count: int) -> float:
+    """Return requests a second per core of the process, at full load."""
+
+    async def work(number: int) -> None:
+        for _ in range(number):
+            await post(session, process.url, WHOLE)
+
+    before = process.cpu_seconds()
+    await asyncio.gather(*(work(count // CONCURRENCY) for _ in range(CONCURRENCY)))
+    return count / (process.cpu_seconds() - before)
+
+
+async def paced(session, process: Process, rate: float) -> list[float]:
+    """Return latencies in seconds at a fixed rate, sent on schedule."""
+    latencies: list[float] = []
+
+    async def one(due: float) -> None:
+        await asyncio.sleep(max(0.0, due - time.perf_counter()))
+        begun = time.perf_counter()
+        await post(session, process.url, WHOLE)
+        latencies.append(time.perf_counter() - begun)
+
+    first = time.perf_counter()
+    await asyncio.gather(*(one(first + n / rate) for n in range(HALF_LOAD_REQUESTS)))
+    return latencies
+
+
+async def streamed(session, process: Process) -> float:
+    """Return streamed chunks a second per core of the process."""
+    before = process.cpu_seconds()
+    answers = await asyncio.gather(
+        *(post(session, process.url, STREAM) for _ in range(STREAMS))
+    )
+    used = process.cpu_seconds() - before
+    assert all(answer.count(b"id: ") == EVENTS for answer in answers)
+    return STREAMS * EVENTS / used
+
+
+def percentile(values: list[float], part: float) -> float:
+    """Return a percentile of unsorted values."""
+    return sorted(values)[min(len(values) - 1, int(len(values) * part))]
+
+
+async def measure_relay(report: Report, session, bare: Process, own: Process) -> None:
+    """Compare the system with the pass-through, in alternating rounds."""
+    rates: dict[Process, list[float]] = {bare: [], own: []}
+    latencies: dict[Process, list[float]] = {bare: [], own: []}
+    chunks: dict[Process, list[float]] = {bare: [], own: []}
+    for process in (bare, own):
+        await saturate(session, process, REQUESTS_PER_ROUND)
+    for _ in range(ROUNDS):
+        for process in (bare, own):
+            rates[process].append(await saturate(session, process, REQUESTS_PER_ROUND))
+    # Half of what the slower of the two can serve, equal for both.
+    half = min(statistics.median(r) for r in rates.values()) / 2
+    for _ in range(ROUNDS):
+        for process in (bare, own):
+            latencies[process] += await paced(session, process, half)
+            chunks[process].append(await streamed(session, process))
+    for name, part in (("p50", 0.5), ("p99", 0.99)):
+        bare_ms = percentile(latencies[bare], part) * 1000
+        own_ms = percentile(latencies[own], part) * 1000
+        note = f"{own_ms:.2f} ms against {bare_ms:.2f} ms at {half:.0f} requests/s"
+        report.at_most(
+            f"latency over pass-through, {name}", own_ms / bare_ms, "ratio", 1.5, note
+        )
+    own_rate, bare_rate = (statistics.median(rates[p]) for p in (own, bare))
+    note = f"{own_rate:.0f} against {bare_rate:.0f} requests/s per core"
+    report.at_least("requests per core", own_rate / bare_rate, "ratio", 0.7, note)
+    own_chunks, bare_chunks = (statistics.median(chunks[p]) for p in (own, bare))
+    report.at_least("chunks per core, ratio", own_chunks / bare_chunks, "ratio", 0.9)
+    report.at_least("chunks per core", own_chunks, "1/s", 10_000)
+
+
+async def measure_memory(report: Report, session, own: Process) -> None:
+    """Compare the memory before and after many requests."""
+    before = own.resident_mb()
+    await saturate(session, own, MEMORY_REQUESTS)
+    grown = own.resident_mb() - before
+    report.at_most(
+        "memory growth", grown, "MB", 2.0, f"over {MEMORY_REQUESTS} requests"
+    )
+
+
+def measure_choosers(report: Report) -> None:
+    """Compare the chooser with naive ones in the discrete-event run."""
+    own = statistics.median(run_model(None, seed) for seed in SEEDS)
+    naive = {
+        "random": lambda: random_chooser,
+        "round robin": round_robin_chooser,
+        "least reported load": lambda: least_reported_chooser,
+    }
+    for name, create in naive.items():
+        other = statistics.median(run_model(create(), seed) for seed in SEEDS)
+        note = f"{own * 1000:.0f} ms against {other * 1000:.0f} ms, model run"
+        report.at_most(f"first token p99 over {name}", own / other, "ratio", 1.0, note)
+    slow = statistics.median(run_model(None, seed, SLOW_SPEEDS) for seed in SEEDS)
+    note = f"{slow * 1000:.0f} ms against {own * 1000:.0f} ms, model run"
+    report.at_most(
+        "first token p99, one runner 5x slower", slow / own, "ratio", 1.3, note
+    )
+
+
+async def measure() -> Report:
+    """Run the benchmark."""
+    report = Report("online", 'make bench ARGS="online"')
+    backend = await start("backend")
+    bare = await start("passthrough", backend.address)
+    own = await start("system", backend.address)
+    connector = aiohttp.TCPConnector(limit=0)
+    try:
+        async with aiohttp.ClientSession(connector=connector) as session:
+            await measure_relay(report, session, bare, own)
+            await measure_memory(report, session, own)
+    finally:
+        for process in (own, bare, backend):
+            await process.stop()
+    measure_choosers(report)
+    return report
--- /dev/null
+++ b/bench/online_processes.py
@@ -0,0 +1,122 @@
+"""Processes of the online benchmark: backend, bare pass-through and the system.
+
+``python -m bench.online_processes ROLE [BACKEND]`` prints the port it listens on.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+
+import aiohttp
+from aiohttp import web
+
+from primroseford.configuration.store import ConfigurationStore
+from primroseford.ids import Version
+from primroseford.keys.secrets import hash_secret
+from primroseford.online.application import create_online_application
+from primroseford.platform.objects import PlatformObject
+
+SECRET = "pk-0123456789ab-benchmark"
+KEY_ID = "0123456789ab"
+EVENTS = 200
+EVENT_SECONDS = 0.01
+WHOLE_BODY = b'{"object": "chat.completion", "text": "' + b"x" * 1000 + b'"}'
+
+
+def backend_application() -> web.Application:
+    """Return a server with a whole answer of 1 KB and a paced stream."""
+
+    async def answer(request: web.Request) -> web.StreamResponse:
+        body = await request.read()
+        headers = {"X-Request-Id": request.headers.get("X-Request-Id", "")}
+        if b'"stream"' not in body:
+            return web.Response(
+                body=WHOLE_BODY, content_type="application/json", headers=headers
+            )
+        response = web.StreamResponse(headers=headers)
+        response.content_type = "text/event-stream"
+        await response.prepare(request)
+        for number in range(EVENTS):
+            data = f'id: {number}\ndata: {{"text": "{"x" * 100}"}}\n\n'
+            await response.write(data.encode())
+            await asyncio.sleep(EVENT_SECONDS)
+        await response.write(b"data: [DONE]\n\n")
+        return response
+
+    app = web.Application()
+    app.router.add_post("/v1/chat/completions", answer)
+    return app
+
+
+def passthrough_application(backend: str) -> web.Application:
+    """Return the naive baseline: every request goes on unchanged."""
+
+    async def session_context(app: web.Application):
+        app["session"] = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0), auto_decompress=False
+        )
+        yield
+        await app["session"].close()
+
+    async def forward(request: web.Request) -> web.StreamResponse:
+        body = await request.read()
+        headers = {k: v for k, v in request.headers.items() if k != "Host"}
+        url = f"http://{backend}{request.path_qs}"
+        async with app["session"].request(
+            request.method, url, data=body, headers=headers
+        ) as answer:
+            if answer.content_type != "text/event-stream":
+                return web.Response(
+                    status=answer.status,
+                    body=await answer.read(),
+                    content_type=answer.content_type,
+                )
+            response = web.StreamResponse(status=answer.status)
+            response.content_type = answer.content_type
+            await response.prepare(request)
+            async for chunk in answer.content.iter_any():
+                await response.write(chunk)
+            return response
+
+    app = web.Application()
+    app.cleanup_ctx.append(session_context)
+    app.router.add_route("*", "/{path:.*}", forward)
+    return app
+
+
+def system_application(backend: str) -> web.Application:
+    """Return the system's application in front of one runner."""
+    store = ConfigurationStore()
+    runner = {"name": "r", "address": backend, "failure_domain": "d"}
+    specs = [
+        ("organisations", "o", {"rate": 1e6, "burst": 1e6}),
+        ("keys", KEY_ID, {"organisation": "o", "hash": hash_secret(SECRET)}),
+        ("pools", "p", {"runners": [runner], "max_in_flight": 10_000}),
+        (
+            "routes",
+            "r",
+            {"match": {"models": ["m"]}, "pool": "p", "organisations": ["o"]},
+        ),
+    ]
+    items = [PlatformObject(kind, name, Version(1), spec) for kind, name, spec in specs]
+    store.replace(Version(1), items)
+    return create_online_application(store)
+
+
+async def run(role: str, backend: str) -> None:
+    """Serve one role until the process is ended."""
+    app = {
+        "backend": lambda: backend_application(),
+        "passthrough": lambda: passthrough_application(backend),
+        "system": lambda: system_application(backend),
+    }[role]()
+    runner = web.AppRunner(app, access_log=None, handler_cancellation=True)
+    await runner.setup()
+    await web.TCPSite(runner, "127.0.0.1", 0).start()
+    print(runner.addresses[0][1], flush=True)
+    await asyncio.Event().wait()
+
+
+if __name__ == "__main__":
+    asyncio.run(run(sys.argv[1], (sys.argv + [""])[2]))
