Report items that were never sent as cancelled

An item whose intent was stored and whose job was cancelled before the send ended with OUTCOME_UNKNOWN. Items given up before the send now lose their intents with the chunk's last write.

--- a/src/primroseford/batch/feed.py
+++ b/src/primroseford/batch/feed.py
@@ -172,6 +172,7 @@
     def _drop_ended(self) -> None:
         for work in self.works:
             if work.closed or not self.context.index.is_active(work.name):
+                work.unsent.update(work.pending)
                 work.pending.clear()
                 for flight in self.flights.values():
                     if flight.choice.work is work and flight.choice.repeatable:
--- a/src/primroseford/batch/tests/fleet.py
+++ b/src/primroseford/batch/tests/fleet.py
@@ -273,3 +273,25 @@
         changes = [c for c in self.state.changes if c.kind == "jobs"]
         specs = [c.object for c in changes if c.object["metadata"]["name"] == name]
         return sum(s["spec"]["state"] == "completed" for s in specs)
+
+
+def ids(count: int) -> list[str]:
+    """Return the custom ids of a job in item order."""
+    return [f"item-{n}" for n in range(count)]
+
+
+async def started(fleet: Fleet, name: str) -> HostInFleet:
+    """Return a running host that knows the active jobs."""
+    host = fleet.host(name)
+    await host.refresh()
+    host.start()
+    return host
+
+
+async def check_complete(fleet: Fleet, name: str, count: int) -> None:
+    """Check that each item has one result and the job completed once."""
+    found = await fleet.results(name) + await fleet.results(name, False)
+    assert sorted(r["custom_id"] for r in found) == sorted(ids(count))
+    assert fleet.completions(name) == 1
+    progress = await fleet.store().progress(name)
+    assert progress.completed + progress.failed == count
--- a/src/primroseford/batch/work.py
+++ b/src/primroseford/batch/work.py
@@ -61,6 +61,7 @@
     :param stored: the chunk's object as last written
     :param pending: items to run, in order
     :param results: results that are not stored yet
+    :param unsent: items that were given up before they were sent
     :param attempts: failures of runners by item
     :param suspects: items whose runner died
     :param lock: held while the chunk's object is written
@@ -77,6 +78,7 @@
     saved_at: float
     pending: list[int] = field(default_factory=list)
     running: set[int] = field(default_factory=set)
+    unsent: set[int] = field(default_factory=set)
     results: dict[int, ItemResult] = field(default_factory=dict)
     attempts: dict[int, int] = field(default_factory=dict)
     suspects: set[int] = field(default_factory=set)
@@ -256,12 +258,12 @@
     # A chunk whose items are still in flight is stopped by a later write, which
     # then holds their results.
     stop = job.state is not JobState.ACTIVE and not work.running
-    # Items that wait were not sent, so their intents can be withdrawn.
+    # Items that wait or were given up were not sent; their intents are withdrawn.
     base = replace(
         work.state,
         attempts=dict(work.attempts),
         suspects=frozenset(work.suspects),
-        intents=work.state.intents - set(work.pending),
+        intents=work.state.intents - set(work.pending) - work.unsent,
     )
     state = saved_state(base, results, parts, stop)
     work.writing = (committed(state, len(work.items)), results)
