--- a/src/primroseford/limits/owner.py
+++ b/src/primroseford/limits/owner.py
@@ -130,11 +130,8 @@
     found = _sender(state, (sender, Incarnation(message.incarnation)), now)
     found.heard_at = now
     if message.echo_fencing == state.fencing:
-        sent_at = found.answers.get(message.echo_sequence)
-        if sent_at is not None:
-            until = sent_at + PROMISE_SECONDS
-            found.promised_until = max(found.promised_until, until)
-            update_share(state, roster, limit_of, now)
+        _note_echo(found, message.echo_sequence)
+        update_share(state, roster, limit_of, now)
     fresh = message.sequence > found.last_sequence
     grants = []
     for demand in message.demands or []:
@@ -271,6 +268,13 @@
     return found
 
 
+def _note_echo(sender: Sender, sequence: int) -> None:
+    sent_at = sender.answers.get(sequence)
+    if sent_at is not None:
+        until = sent_at + PROMISE_SECONDS
+        sender.promised_until = max(sender.promised_until, until)
+
+
 def _bucket_key(key: BucketKey, limit: Limit) -> BucketKey:
     separate = key.batch and limit.batch_rate is not None
     return BucketKey(key.organisation, separate)
--- a/src/primroseford/limits/service.py
+++ b/src/primroseford/limits/service.py
@@ -165,26 +165,19 @@
         group = self.groups[self.group_of(organisation)]
         account = requester.account_of(group.state, key, now)
         requester.note_use(account, amount, now)
-        waiting = group.waiters.get(key)
-        if not waiting:
+        if not group.waiters.get(key):
             taken = self._take(group, account, limit, key, amount, now)
             if taken is not None:
                 self._pump(group)
                 return Permit(taken, self.clock)
-            waiting = group.waiters.setdefault(key, deque())
+        waiting = group.waiters.setdefault(key, deque())
         if len(waiting) >= MAX_WAITERS:
             raise self._refusal("queue_full", limit, batch, amount)
         future = asyncio.get_running_loop().create_future()
-        waiter = Waiter(key, amount, now, deadline, future)
-        waiting.append(waiter)
+        waiting.append(Waiter(key, amount, now, deadline, future))
         account.waiting += amount
         self._pump(group)
-        try:
-            return await future
-        except asyncio.CancelledError:
-            if future.done() and not future.cancelled() and not future.exception():
-                future.result().give_back()
-            raise
+        return await _granted(future)
 
     def group_of(self, organisation: OrganisationId) -> int:
         """Return the number of the group of an organisation."""
@@ -362,6 +355,16 @@
         )
 
 
+async def _granted(future: asyncio.Future[Permit]) -> Permit:
+    """Wait for a permit; it is given back if the caller leaves at that moment."""
+    try:
+        return await future
+    except asyncio.CancelledError:
+        if future.done() and not future.cancelled() and not future.exception():
+            future.result().give_back()
+        raise
+
+
 def _stopping() -> PrimrosefordError:
     return PrimrosefordError(ResultCode.HOST_STOPPING, "the host is stopping")
 
