End a graceful stop while the platform is down; report failed starts

Cause: two hosts asked to stop during a platform outage ran on: mode's sleep returns at once while a service stops, and asyncio.wait_for then swallowed the cancellation of the platform watch, which looped without a pause. A host whose port was taken ended with a traceback. Change: the watch pauses with asyncio.sleep; a failed start closes what it opened and prints one sentence (exit status 1, or 2 for the settings). Conclusion: a stop ends in an outage; what a service does between stop and cancel must not wait with mode's sleep.

--- a/src/primroseford/cli/application.py
+++ b/src/primroseford/cli/application.py
@@ -5,6 +5,7 @@
 import sys
 
 from cleo.application import Application
+from cleo.io.inputs.argv_input import ArgvInput
 
 from primroseford import __version__
 from primroseford.cli.commands.apply import ApplyCommand
@@ -51,7 +52,11 @@
 
     :returns: exit code, see ``primroseford.cli.exits``
     """
-    return create_application().run()
+    arguments = sys.argv[1:]
+    if arguments in (["--help"], ["-h"], ["help"]):
+        # cleo would show the help of its list command in place of the commands.
+        arguments = ["list"]
+    return create_application().run(ArgvInput([sys.argv[0], *arguments]))
 
 
 if __name__ == "__main__":
--- a/src/primroseford/configuration/service.py
+++ b/src/primroseford/configuration/service.py
@@ -115,7 +115,9 @@
         self.membership = membership
         self.rank = rank
         self.clock = clock
-        self.pause = pause or self.sleep
+        # mode's sleep returns at once while the service stops and, through
+        # asyncio.wait_for, can then swallow the cancellation that ends a watch.
+        self.pause = pause or asyncio.sleep
         self.relay_state = relay.RelayState(host)
         self.store = ConfigurationStore(lambda now: relay.age(self.relay_state, now))
         self.position = Position()
--- a/src/primroseford/configuration/tables.py
+++ b/src/primroseford/configuration/tables.py
@@ -50,7 +50,12 @@
 
 
 class RouteMatch(Record):
-    """Which requests a route takes; an empty field matches all."""
+    """Which requests a route takes; an empty field matches all.
+
+    :param host: host name in the request
+    :param path_prefix: start of the path
+    :param models: models named in the body
+    """
 
     host: Annotated[str, Field(max_length=255)] = ""
     path_prefix: Annotated[str, Field(pattern=r"^/", max_length=1024)] = "/v1/"
@@ -60,6 +65,7 @@
 class Route(Record):
     """Whose requests go to which pool.
 
+    :param pool: name of the pool
     :param organisations: organisations that may use the route
     :param open: any caller may use the route, without a key
     :param repeatable: requests may run more than once
@@ -87,7 +93,10 @@
 class Runner(Record):
     """One runner on a backend server.
 
+    :param name: name of the runner, unique over all pools
     :param address: IP number and port
+    :param failure_domain: failure domain of the backend server
+    :param state: a leaving runner gets no new work
     """
 
     name: Name
@@ -111,6 +120,7 @@
 class Pool(Record):
     """Runners that stand ready for the same work.
 
+    :param models: models that the runners serve
     :param runner_kind: whether the runners are model engines or plain services
     :param max_in_flight: requests in flight on one runner
     :param queue_limit: requests that wait for the pool on one host
--- a/src/primroseford/daemon/assembly.py
+++ b/src/primroseford/daemon/assembly.py
@@ -122,6 +122,7 @@
     :param metrics: where all services count
     :param clock: local time
     """
+    secret = read_secret(settings.peer_secret_file)
     session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
     client = create_platform_client(settings.platform, session, clock, None, metrics)
     own = HostInfo(
@@ -133,13 +134,17 @@
     members: list[Membership] = []
     peers = create_peer_network(
         own,
-        read_secret(settings.peer_secret_file),
+        secret,
         clock,
         lambda host: members[0].resolve(host) if members else None,
         settings_digest=fleet_settings_digest(settings),
         metrics=metrics,
     )
-    await peers.start()
+    try:
+        await peers.start()
+    except BaseException:
+        await session.close()
+        raise
     own = HostInfo(
         own.host_id, own.incarnation, peers.address, own.failure_domain, own.state
     )
--- a/src/primroseford/daemon/host.py
+++ b/src/primroseford/daemon/host.py
@@ -12,6 +12,7 @@
 
 from primroseford.clock import boottime
 from primroseford.daemon.assembly import assemble
+from primroseford.daemon.gauges import HostGauges
 from primroseford.daemon.operator import create_operator_application
 from primroseford.metrics import Metrics
 
@@ -46,23 +47,27 @@
         self.drained = False
         self.address = settings.listen
         self.operator_address = settings.operator_listen
+        self.parts: Parts | None = None
         self.sites: list[web.TCPSite] = []
         self.runners: list[web.AppRunner] = []
 
     async def on_start(self) -> None:
         """Start the services and open the sockets."""
-        self.parts: Parts = await assemble(self.settings, self.metrics, self.clock)
+        self.parts = await assemble(self.settings, self.metrics, self.clock)
         for service in self.parts.services():
             await service.start()
         self.address = await self._listen(self.settings.listen, self.parts.application)
         self.operator_address = await self._listen(
             self.settings.operator_listen, create_operator_application(self)
         )
+        self.metrics.registry.register(HostGauges(self))
         log.info("host started", host=self.settings.host, listen=self.address)
 
     async def on_stop(self) -> None:
         """Stop the services in reverse order and close the sockets."""
         parts = self.parts
+        if parts is None:
+            return
         for service in reversed(parts.services()):
             await service.stop()
         for runner in self.runners:
--- a/src/primroseford/daemon/main.py
+++ b/src/primroseford/daemon/main.py
@@ -13,11 +13,13 @@
 from primroseford.daemon.host import create_host
 from primroseford.daemon.settings import SettingsError
 from primroseford.daemon.settings import load_settings
+from primroseford.errors import PrimrosefordError
 from primroseford.logs import configure_logging
 
 if TYPE_CHECKING:
     from primroseford.daemon.settings import Settings
 
+EXIT_START = 1
 EXIT_SETTINGS = 2
 
 
@@ -39,7 +41,14 @@
         print(error, file=sys.stderr)
         return EXIT_SETTINGS
     configure_logging(settings.log_level)
-    asyncio.run(run_host(settings))
+    try:
+        asyncio.run(run_host(settings))
+    except PrimrosefordError as error:
+        print(error, file=sys.stderr)
+        return EXIT_SETTINGS
+    except OSError as error:
+        print(f"the host cannot start: {error}", file=sys.stderr)
+        return EXIT_START
     return 0
 
 
@@ -53,7 +62,11 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     host = create_host(settings)
-    await host.start()
+    try:
+        await host.start()
+    except BaseException:
+        await host.stop()
+        raise
     await stop.wait()
     await host.stop_gracefully()
 
