Keep the limits' rankings of the hosts until the hosts change

Cause: each review of the groups, four times a second, ranked all hosts for each group, and each answer to a demand built the set of all host names anew.

Change: Ranking keeps names and rankings while the membership returns the same tuple. A review starts a task only for the groups that may need one.

--- a/src/primroseford/limits/ownership.py
+++ b/src/primroseford/limits/ownership.py
@@ -16,8 +16,7 @@
 from primroseford.limits.gen.messages.ttypes import GrantAnswer
 from primroseford.limits.gen.messages.ttypes import Handover
 from primroseford.limits.gen.messages.ttypes import Offer
-from primroseford.membership.rendezvous import rank_hosts
-from primroseford.membership.state import HostState
+from primroseford.limits.ranking import Ranking
 
 if TYPE_CHECKING:
     from primroseford.clock import Clock
@@ -76,7 +75,7 @@
         floor_hosts: int,
     ) -> None:
         self.own = own
-        self.membership = membership
+        self.ranking = Ranking(membership)
         self.network = network
         self.leases = leases
         self.limit_of = limit_of
@@ -104,9 +103,9 @@
         if found is None or not found[0].valid(now):
             self.wanted[message.group] = now
             return GrantAnswer(False, 0, message.sequence, [])
-        hosts = frozenset(host.host_id for host in self.membership.hosts())
-        roster = owners.Roster(hosts, max(len(hosts), self.floor_hosts))
-        return owners.answer(found[1], sender, message, self.limit_of, roster, now)
+        return owners.answer(
+            found[1], sender, message, self.limit_of, self._roster(), now
+        )
 
     async def receive(self, sender: HostId, message: Offer) -> Done:
         """Fetch the state of a group from the owner that offers it.
@@ -145,13 +144,24 @@
 
     async def review(self) -> None:
         """Take the groups that are due here and hand over the others."""
-        await asyncio.gather(*(self._review(group) for group in range(self.groups)))
+        due = [group for group in range(self.groups) if self._due(group)]
+        if due:
+            await asyncio.gather(*(self._review(group) for group in due))
 
     async def hand_over_all(self) -> None:
         """Hand over every group before a planned stop."""
         self.stopping = True
         for group in list(self.held):
-            await self._hand_over(group, self._ranked(group))
+            await self._hand_over(group, self.ranking.live(group))
+
+    def _due(self, group: int) -> bool:
+        """Return whether a review of a group may have something to do."""
+        ranked = self.ranking.live(group)
+        first = bool(ranked) and ranked[0] == self.own.host_id
+        found = self.held.get(group)
+        if found is not None:
+            return not first or not found[0].valid(self.clock())
+        return first or group in self.wanted
 
     async def _review(self, group: int) -> None:
         now = self.clock()
@@ -160,7 +170,7 @@
             log.warning("limits lease lapsed", group=group)
             del self.held[group]
             found = None
-        ranked = self._ranked(group)
+        ranked = self.ranking.live(group)
         first = bool(ranked) and ranked[0] == self.own.host_id
         if found is not None:
             if not first and ranked and now >= self.offer_from.get(group, now):
@@ -213,12 +223,8 @@
             log.warning("lease not released", group=group, code=int(error.code))
 
     def _roster(self) -> owners.Roster:
-        hosts = frozenset(host.host_id for host in self.membership.hosts())
+        hosts = self.ranking.names()
         return owners.Roster(hosts, max(len(hosts), self.floor_hosts))
 
-    def _ranked(self, group: int) -> list[HostId]:
-        hosts = [h for h in self.membership.hosts() if h.state is HostState.LIVE]
-        return [host.host_id for host in rank_hosts(f"limits/{group}", hosts)]
-
     def _candidate(self, ranked: list[HostId]) -> bool:
         return self.own.host_id in ranked[:CANDIDATES]
--- a/src/primroseford/limits/service.py
+++ b/src/primroseford/limits/service.py
@@ -17,8 +17,6 @@
 from primroseford.limits.bucket import BucketKey
 from primroseford.limits.ownership import KIND_DEMAND
 from primroseford.limits.ownership import Ownership
-from primroseford.membership.rendezvous import rank_hosts
-from primroseford.membership.state import HostState
 from primroseford.metrics import Metrics
 
 if TYPE_CHECKING:
@@ -287,14 +285,11 @@
         return requester.apply_answer(group.state, owner, answer, now)
 
     def _owner(self, group: Group) -> HostId | None:
-        hosts = self.membership.hosts()
-        names = {host.host_id for host in hosts}
-        if group.state.owner in names:
+        ranking = self.ownership.ranking
+        if group.state.owner in ranking.names():
             return group.state.owner
-        live = [host for host in hosts if host.state is not HostState.LEAVING]
-        ranked = rank_hosts(f"limits/{group.state.group}", live or hosts)
-        ranked = ranked[:CANDIDATES]
-        return ranked[group.turn % len(ranked)].host_id if ranked else None
+        ranked = ranking.staying(group.state.group)[:CANDIDATES]
+        return ranked[group.turn % len(ranked)] if ranked else None
 
     def _take(
         self,
