Keep a key from backend servers wherever it was sent

Cause: only the headers, the query parameter and the cookie that a host reads the key from were stripped. A key that a caller repeats in another header, cookie, query parameter, in the path or in the body was passed on. Change: other headers, cookies and query parameters that hold text of a key's form are dropped; a path or body that holds one is refused (1xxx, not_run), since neither can be changed without changing the request. After: 11 ways of sending it, 9 forwarded without it and 2 refused.

--- a/src/primroseford/keys/secrets.py
+++ b/src/primroseford/keys/secrets.py
@@ -20,6 +20,10 @@
 ID_BYTES = 6
 SECRET_BYTES = 24
 MAX_KEY_CHARACTERS = 128
+KEY_PATTERN = (
+    rf"{PREFIX}-[0-9a-f]{{{2 * ID_BYTES}}}-[A-Za-z0-9_-]{{{SECRET_BYTES * 4 // 3}}}"
+)
+"""Regular expression of a key, by which keys are found in requests."""
 UNKNOWN_HASH = "0" * 64
 
 
--- a/src/primroseford/online/credentials.py
+++ b/src/primroseford/online/credentials.py
@@ -2,11 +2,16 @@
 
 from __future__ import annotations
 
+import re
 from typing import TYPE_CHECKING
 from urllib.parse import unquote_plus
 
 from multidict import CIMultiDict
 
+from primroseford.errors import PrimrosefordError
+from primroseford.errors import ResultCode
+from primroseford.keys.secrets import KEY_PATTERN
+
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
@@ -16,6 +21,8 @@
 KEY_COOKIE = "primroseford-key"
 KEY_QUERY = "api_key"
 BEARER = "bearer "
+KEY_TEXT = re.compile(KEY_PATTERN)
+KEY_BYTES = re.compile(KEY_PATTERN.encode())
 HOP_BY_HOP = frozenset(
     {
         "connection",
@@ -52,6 +59,29 @@
     return request.query.get(KEY_QUERY) or request.cookies.get(KEY_COOKIE)
 
 
+def check_body(body: bytes) -> None:
+    """Refuse a body that holds a key, since it is passed on unchanged.
+
+    :raises PrimrosefordError: INVALID_VALUE
+    """
+    if KEY_BYTES.search(body):
+        raise _key_misplaced("body")
+
+
+def _holds_key(text: str) -> bool:
+    # The second form is that of a key with percent-encoded characters.
+    return bool(KEY_TEXT.search(text) or KEY_TEXT.search(unquote_plus(text)))
+
+
+def _key_misplaced(field: str) -> PrimrosefordError:
+    return PrimrosefordError(
+        ResultCode.INVALID_VALUE,
+        f"the {field} holds a key, which no backend server may see",
+        field=field,
+        hint="send the key in the Authorization header only",
+    )
+
+
 def _nominated(headers: Mapping[str, str]) -> set[str]:
     # A header that Connection names is hop-by-hop too.
     value = headers.get("Connection", "")
@@ -64,13 +94,15 @@
     headers = CIMultiDict(
         (name, value)
         for name, value in request.headers.items()
-        if name.lower() not in dropped
+        if name.lower() not in dropped and not _holds_key(value)
     )
     cookies = "; ".join(
         part.strip()
         for header in request.headers.getall("Cookie", ())
         for part in header.split(";")
-        if part.strip() and part.split("=", 1)[0].strip() != KEY_COOKIE
+        if part.strip()
+        and part.split("=", 1)[0].strip() != KEY_COOKIE
+        and not _holds_key(part)
     )
     if cookies:
         headers["Cookie"] = cookies
@@ -78,14 +110,19 @@
 
 
 def forwarded_path(request: web.Request) -> str:
-    """Return the path and query as they came, without the key's parameter."""
+    """Return the path and query as they came, without parameters that hold a key.
+
+    :raises PrimrosefordError: INVALID_VALUE if the path itself holds a key
+    """
     path, mark, query = request.raw_path.partition("?")
+    if _holds_key(path):
+        raise _key_misplaced("path")
     if not mark:
         return path
     kept = [
         part
         for part in query.split("&")
-        if unquote_plus(part.split("=", 1)[0]) != KEY_QUERY
+        if unquote_plus(part.split("=", 1)[0]) != KEY_QUERY and not _holds_key(part)
     ]
     return f"{path}?{'&'.join(kept)}" if kept else path
 
--- a/src/primroseford/online/forward.py
+++ b/src/primroseford/online/forward.py
@@ -14,6 +14,7 @@
 from primroseford.errors import ResultCode
 from primroseford.keys.secrets import authenticate
 from primroseford.keys.secrets import check_still_valid
+from primroseford.online.credentials import check_body
 from primroseford.online.credentials import forwarded_headers
 from primroseford.online.credentials import forwarded_path
 from primroseford.online.credentials import read_key
@@ -102,6 +103,7 @@
     route = match_route(tables, request.url.host or "", request.path, model)
     identity = authorise(tables, route, request)
     entry.identity = identity
+    check_body(body)
     # The tables may have changed since they were read only if an await lies between,
     # so from here on a withdrawal finds the entry.
     deadline = started + _allowed_seconds(route, request)
--- /dev/null
+++ b/src/primroseford/proof/fleet.py
@@ -0,0 +1,240 @@
+"""A few whole hosts with stand-ins around them, for tests."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from typing import TYPE_CHECKING
+
+import aiohttp
+
+from primroseford.daemon.host import wait_until_ready
+from primroseford.keys.secrets import create_key
+from primroseford.proof.hosts import HostTasks
+from primroseford.proof.hosts import PlatformView
+from primroseford.proof.hosts import host_settings
+from primroseford.proof.hosts import kill_host
+from primroseford.proof.hosts import start_host
+from primroseford.standins.engine import create_engine_stand_in
+from primroseford.standins.engine_http import create_engine_application
+from primroseford.standins.engine_state import EngineSettings
+from primroseford.standins.platform import create_platform_application
+from primroseford.standins.platform import create_platform_stand_in
+from primroseford.standins.service import ServiceStandIn
+from primroseford.standins.service import create_service_application
+from primroseford.standins.serving import serve
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+    from primroseford.daemon.host import Host
+
+WAIT_SECONDS = 30.0
+CHAT = "/v1/chat/completions"
+MODEL = "van-round"
+DESK = {"path_prefix": "/desk/"}
+
+
+class WholeFleet:
+    """Hosts, runners and the platform's service.
+
+    Routes: ``/v1/chat/completions`` to engines, repeatable unless ``repeatable`` is
+    unset before the start; ``/desk/`` to a plain service, not repeatable.
+    """
+
+    def __init__(self, folder: Path) -> None:
+        self.secret_file = folder / "peer-secret"
+        self.secret_file.write_text("proof-secret-" * 4)
+        self.platform = create_platform_stand_in()
+        self.views: dict[str, PlatformView] = {}
+        self.hosts: dict[str, Host] = {}
+        self.addresses: dict[str, str] = {}
+        self.tasks = HostTasks()
+        self.engines = []
+        self.service = ServiceStandIn()
+        self.keys = {name: create_key() for name in ("depot", "garage")}
+        self.stops = []
+        self.repeatable = True
+
+    async def start(self, engines: int = 1, pool=None, desk=None, **hosts) -> None:
+        """Start the stand-ins and then the hosts.
+
+        The pool of the plain service has two runners, so that a wrong second run
+        finds a runner.
+
+        :param hosts: failure domain of each host by its name
+        """
+        self.tasks.install()
+        self.client = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0, force_close=True)
+        )
+        self.client._retry_connection = False
+        self.stops.append(self.client.close)
+        runners = [await self._start_engine(n) for n in range(engines)]
+        desks = []
+        for number in range(2):
+            served = await self._serve(create_service_application(self.service))
+            desks.append(self._runner(f"desk-{number}", served.url))
+        self._put_tables(runners, desks, pool or {}, desk or {})
+        for name, domain in (hosts or {"a": "d0", "b": "d1", "c": "d2"}).items():
+            await self.add(name, domain)
+        for host in self.hosts.values():
+            await wait_until_ready(host, WAIT_SECONDS)
+        await self.until(self.agreed)
+
+    async def add(self, name: str, domain: str, **extra) -> Host:
+        """Start one more host with its own way to the platform."""
+        view = self.views[name] = PlatformView(self.platform)
+        served = await self._serve(create_platform_application(view))
+        settings = host_settings(name, domain, served.url, self.secret_file, **extra)
+        host = self.hosts[name] = await start_host(settings)
+        self.addresses[name] = host.address
+        address = host.parts.peers.address
+        spec = {"role": "entry", "state": "live", "address": address}
+        self.put("hosts", name, spec)
+        return host
+
+    async def kill(self, name: str) -> None:
+        """End a host as a crash does."""
+        await kill_host(self.hosts.pop(name), self.tasks)
+
+    def agreed(self) -> bool:
+        """Return whether all hosts know each other and each group has an owner."""
+        parts = [host.parts for host in self.hosts.values()]
+        owned = [p.limiter.ownership.held.keys() for p in parts]
+        return all(
+            {h.host_id for h in p.membership.hosts()} == self.hosts.keys()
+            for p in parts
+        ) and sum(len(o) for o in owned) == len(parts[0].limiter.groups)
+
+    def owner(self, organisation: str) -> str:
+        """Return the host that owns an organisation's group."""
+        for name, host in self.hosts.items():
+            limiter = host.parts.limiter
+            if limiter.owns(limiter.group_of(organisation)):
+                return name
+        return ""
+
+    def put(self, kind: str, name: str, spec: dict) -> None:
+        """Write an object as an operator does, over what is there."""
+        state = self.platform.state
+        metadata = {"name": name}
+        found = state.objects.get(kind, {}).get(name)
+        if found is None:
+            state.create(kind, {"metadata": metadata, "spec": spec})
+        else:
+            metadata["resourceVersion"] = found["metadata"]["resourceVersion"]
+            state.update(kind, {"metadata": metadata, "spec": spec})
+        self.platform.announce()
+
+    def withdraw(self, organisation: str) -> None:
+        """Withdraw an organisation's key."""
+        key = self.keys[organisation]
+        spec = {"organisation": organisation, "hash": key.hash, "withdrawn": True}
+        self.put("keys", key.key_id, spec)
+
+    def down(self, value: bool) -> None:
+        """Start or end an outage of the platform's service for all hosts."""
+        for view in self.views.values():
+            view.faults.down = value
+
+    def bearer(self, organisation: str = "depot") -> dict[str, str]:
+        """Return the header with an organisation's key."""
+        return {"Authorization": f"Bearer {self.keys[organisation].secret}"}
+
+    def url(self, name: str, path: str) -> str:
+        """Return a URL on a host."""
+        return f"http://{self.addresses[name]}{path}"
+
+    async def call(self, name: str, path: str = "/desk/x", headers=None, **body):
+        """Send a request and return (status, headers, content)."""
+        given = body.pop("organisation", "depot")
+        if path == CHAT:
+            messages = [{"role": "user", "content": "next stop"}]
+            body = {"model": MODEL, "messages": messages} | body
+        headers = self.bearer(given) | (headers or {})
+        async with self.client.post(
+            self.url(name, path), json=body, headers=headers
+        ) as answer:
+            return answer.status, answer.headers, await answer.read()
+
+    async def submit(self, name: str, items: int = 4, key: str = "") -> tuple[int, str]:
+        """Upload a file of items and submit it; return (status, job id)."""
+        lines = [
+            {
+                "custom_id": f"item-{n}",
+                "method": "POST",
+                "url": CHAT,
+                "body": {"model": MODEL, "messages": [{"content": f"item {n}"}]},
+            }
+            for n in range(items)
+        ]
+        form = aiohttp.FormData()
+        form.add_field("purpose", "batch")
+        text = "\n".join(json.dumps(line) for line in lines).encode()
+        form.add_field("file", text, filename="in.jsonl")
+        url = self.url(name, "/v1/files")
+        async with self.client.post(url, data=form, headers=self.bearer()) as answer:
+            file = (await answer.json())["id"]
+        body = {"input_file_id": file, "endpoint": CHAT, "completion_window": "24h"}
+        status, _, content = await self.call(
+            name, "/v1/batches", {"Idempotency-Key": key} if key else {}, **body
+        )
+        return status, json.loads(content).get("id", "")
+
+    async def read_job(self, name: str, job: str) -> dict:
+        """Return a job as its owner sees it through a host."""
+        url = self.url(name, f"/v1/batches/{job}")
+        async with self.client.get(url, headers=self.bearer()) as answer:
+            return await answer.json()
+
+    async def read_file(self, name: str, file: str) -> list[dict]:
+        """Return the lines of an output file."""
+        url = self.url(name, f"/v1/files/{file}/content")
+        async with self.client.get(url, headers=self.bearer()) as answer:
+            return [json.loads(line) for line in (await answer.text()).splitlines()]
+
+    async def until(self, condition) -> None:
+        """Wait for a condition, with a generous bound."""
+        async with asyncio.timeout(WAIT_SECONDS):
+            while True:
+                found = condition()
+                if asyncio.iscoroutine(found):
+                    found = await found
+                if found:
+                    return
+                await asyncio.sleep(0.01)
+
+    async def stop(self) -> None:
+        """Stop everything that still runs."""
+        for host in self.hosts.values():
+            await host.stop()
+        for stop in reversed(self.stops):
+            await stop()
+
+    def _put_tables(self, runners, desks, pool: dict, desk: dict) -> None:
+        members = {"organisations": list(self.keys), "timeout_seconds": 60}
+        chat = {"match": {"models": [MODEL]}, "pool": "vans"}
+        chat["repeatable"] = self.repeatable
+        self.put("pools", "vans", {"runners": runners} | pool)
+        self.put("pools", "desk", {"kind": "service", "runners": desks} | desk)
+        self.put("routes", "vans", chat | members)
+        self.put("routes", "desk", {"match": DESK, "pool": "desk"} | members)
+        for name, key in self.keys.items():
+            self.put("organisations", name, {"rate": 500, "burst": 500})
+            self.put("keys", key.key_id, {"organisation": name, "hash": key.hash})
+
+    async def _serve(self, application):
+        served = await serve(application)
+        self.stops.append(served.stop)
+        return served
+
+    async def _start_engine(self, number: int) -> dict:
+        engine = create_engine_stand_in(EngineSettings(report_lag_seconds=0.0))
+        self.engines.append(engine)
+        served = await self._serve(create_engine_application(engine))
+        return self._runner(f"runner-{number}", served.url)
+
+    def _runner(self, name: str, url: str) -> dict:
+        address = url.removeprefix("http://")
+        return {"name": name, "address": address, "failure_domain": "d0"}
--- /dev/null
+++ b/src/primroseford/proof/tests/test_whole_hosts.py
@@ -0,0 +1,81 @@
+"""Single failures that show only on whole hosts."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from urllib.parse import unquote
+
+import pytest
+
+from primroseford.proof.fleet import CHAT
+
+STREAMS = 60
+
+
+async def test_withdrawn_key_stops_working_on_every_host(fleet):
+    """Guards against a host that goes on accepting a withdrawn key."""
+    await fleet.start()
+    for name in fleet.hosts:
+        assert (await fleet.call(name))[0] == 200
+    fleet.withdraw("depot")
+
+    async def refused() -> bool:
+        return {(await fleet.call(n))[0] for n in fleet.hosts} == {401}
+
+    async with asyncio.timeout(9.0):
+        await fleet.until(refused)
+    ran = fleet.service.runs.total()
+    for name in fleet.hosts:
+        assert (await fleet.call(name))[0] == 401
+        assert (await fleet.call(name, organisation="garage"))[0] == 200
+    assert fleet.service.runs.total() == ran + len(fleet.hosts)
+
+
+async def test_planned_stop_cuts_no_stream(fleet):
+    """Guards against a planned stop that cuts streams, alone or beside a leaver."""
+    await fleet.start(3, {"max_in_flight": 100}, a="d0", b="d1")
+    for engine in fleet.engines:
+        engine.settings.slowdown = 0.0
+    calls = [
+        asyncio.create_task(fleet.call("a", CHAT, stream=True, max_tokens=300))
+        for _ in range(STREAMS)
+    ]
+    host = fleet.hosts.pop("a")
+    await fleet.until(lambda: len(host.parts.online.open.entries) == STREAMS)
+    await host.stop_gracefully()
+    for status, _, content in await asyncio.gather(*calls):
+        assert status == 200 and content.endswith(b"data: [DONE]\n\n")
+    assert (await fleet.call("b"))[0] == 200
+    assert sum(e.state.run_counts.total() for e in fleet.engines) == STREAMS
+    assert {n for e in fleet.engines for n in e.state.run_counts.values()} == {1}
+
+
+@pytest.mark.parametrize("path", ["/desk/a", CHAT])
+async def test_no_backend_server_sees_a_key(fleet, path):
+    """Guards against a key that is passed on from anywhere in a request."""
+    await fleet.start(a="d0")
+    secret = fleet.keys["depot"].secret
+    bearer, plain = fleet.bearer(), {"model": "van-round", "messages": []}
+    ways = [
+        (path, bearer, plain),
+        (path, {"X-Api-Key": secret}, plain),
+        (f"{path}?api_key={secret}", {}, plain),
+        (path, {"Cookie": f"a=b; primroseford-key={secret}"}, plain),
+        (path, bearer | {"X-Copy": secret}, plain),
+        (path, bearer | {"Referer": f"http://desk/?api_key={secret}"}, plain),
+        (path, bearer | {"Cookie": f"session={secret}; a=b"}, plain),
+        (f"{path}?token={secret}&x=1", bearer, plain),
+        (f"{path}?token={secret[:-1]}%{ord(secret[-1]):02x}&x=1", bearer, plain),
+        (f"{path}/{secret}", bearer, plain),
+        (path, bearer, plain | {"api_key": secret}),
+    ]
+    statuses = []
+    for target, headers, body in ways:
+        url = fleet.url("a", target)
+        async with fleet.client.post(url, json=body, headers=headers) as answer:
+            statuses.append(answer.status)
+    assert statuses == [200] * 9 + [400] * 2
+    seen = fleet.service.seen_headers + fleet.engines[0].state.seen_headers
+    assert len(seen) == 9
+    assert all(secret not in unquote(json.dumps(s)) for s in seen)
