Keep a bucket while the host that ranks first is dead

Cause: an owner below the first rank offers its group to the first host at each review. When that host was dead but still a member, the offer failed, the lease was released, and the next candidate took the group, empty and closed for the time of a grant. This went on until the membership dropped the dead host (up to 15 s if it was alone in its failure domain). Change: an owner that does not stop keeps a group that was not fetched, and offers it again after 1 s.

--- a/src/primroseford/limits/ownership.py
+++ b/src/primroseford/limits/ownership.py
@@ -33,6 +33,9 @@
 # A host below the first rank takes a group only if requests came to it lately.
 WANTED_SECONDS = 1.0
 CANDIDATES = 3
+OFFER_RETRY_SECONDS = 1.0
+"""Time between two offers of a group to a host of a higher rank that did not take it,
+so that an owner keeps its group while that host is dead but still a member."""
 
 log = structlog.get_logger()
 
@@ -85,6 +88,7 @@
         self.wanted: dict[int, float] = {}
         self.received: dict[int, tuple[Handover, float, float]] = {}
         self.offered: set[int] = set()
+        self.offer_after: dict[int, float] = {}
         self.stopping = False
         network.register(KIND_DEMAND, DemandRequest, self.answer, GrantAnswer)
         network.register(KIND_HANDOVER, Offer, self.give, Handover)
@@ -157,7 +161,7 @@
         ranked = self._ranked(group)
         first = bool(ranked) and ranked[0] == self.own.host_id
         if found is not None:
-            if not first and ranked:
+            if not first and ranked and now >= self.offer_after.get(group, now):
                 await self._hand_over(group, ranked)
             return
         wanted = now - self.wanted.get(group, float("-inf")) < WANTED_SECONDS
@@ -183,6 +187,11 @@
         self.held[group] = (lease, state)
 
     async def _hand_over(self, group: int, ranked: list[HostId]) -> None:
+        """Offer a group to the next owner and release its lease.
+
+        An owner that does not stop keeps the group if the next owner does not fetch
+        it: a released group would be taken again, empty and closed at first.
+        """
         lease, _ = self.held[group]
         others = [name for name in ranked if name != self.own.host_id]
         self.offered.add(group)
@@ -194,9 +203,12 @@
         except PrimrosefordError as error:
             log.warning("hand-over failed", group=group, code=int(error.code))
         finally:
-            # The lease must not be free while this host still grants.
             self.offered.discard(group)
-            self.held.pop(group, None)
+        if group in self.held and not self.stopping:
+            self.offer_after[group] = self.clock() + OFFER_RETRY_SECONDS
+            return
+        # The lease must not be free while this host still grants.
+        self.held.pop(group, None)
         try:
             await self.leases.release(lease)
         except PrimrosefordError as error:
