Stop the work of callers that have left on a whole host

Cause: the host's server did not cancel a handler whose caller had closed the connection, so a queued request was still sent to a runner. Change: the callers' server cancels handlers on disconnect. Conclusion: the online slice's behaviour, so far only in its own tests' server, holds on whole hosts. Adds the tests of online requests under pairs of failures.

--- a/src/primroseford/daemon/host.py
+++ b/src/primroseford/daemon/host.py
@@ -100,7 +100,14 @@
 
     async def _listen(self, address: str, app: web.Application) -> str:
         host, port = address.rsplit(":", 1)
-        runner = web.AppRunner(app, access_log=None, shutdown_timeout=SHUTDOWN_SECONDS)
+        # Without handler_cancellation a request whose caller has left keeps its place
+        # in the queue and is sent to a runner.
+        runner = web.AppRunner(
+            app,
+            access_log=None,
+            shutdown_timeout=SHUTDOWN_SECONDS,
+            handler_cancellation=True,
+        )
         await runner.setup()
         site = web.TCPSite(runner, host, int(port))
         await site.start()
--- /dev/null
+++ b/src/primroseford/proof/tests/test_online_pairs.py
@@ -0,0 +1,149 @@
+"""Online requests under pairs of failures."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from primroseford.online.forward import MAX_ATTEMPTS
+from primroseford.proof.fleet import CHAT
+
+
+async def give_up(call: asyncio.Task) -> None:
+    """Close a caller's connection before the answer."""
+    call.cancel()
+    await asyncio.gather(call, return_exceptions=True)
+
+
+def callers(fleet, name: str) -> int:
+    """Return the number of requests in progress on a host."""
+    return len(fleet.hosts[name].parts.online.open.entries)
+
+
+@pytest.mark.parametrize(
+    ("cut_after", "stream", "repeatable"),
+    [(0, True, True), (3, True, True), (3, True, False), (0, False, False)],
+)
+async def test_runner_dies_while_another_refuses(fleet, cut_after, stream, repeatable):
+    """Guards against a doubled or falsely complete answer, or a false "not run"."""
+    fleet.repeatable = repeatable
+    await fleet.start(2, {"not_run_statuses": [503]}, a="d0")
+    dying, refusing = fleet.engines
+    dying.faults.cut_after_tokens = cut_after
+    refusing.faults.refuse_status = 503
+    for number in range(6):
+        mark = str(number)
+        status, headers, content = await fleet.call(
+            "a", CHAT, {"X-Call": mark}, stream=stream, max_tokens=8
+        )
+        reached = [h for h in dying.state.seen_headers if h.get("X-Call") == mark]
+        assert len(reached) <= (MAX_ATTEMPTS if repeatable else 1)
+        if status == 200:
+            assert stream and b'"error"' in content and b"[DONE]" not in content
+            assert content.count(b'"t0 "') == (cut_after > 0)
+        else:
+            assert status in (502, 503)
+            outcome = headers["X-Primroseford-Outcome"]
+            assert (outcome == "not_run") == (not reached)
+    assert set(dying.state.run_counts.values()) <= {1}
+    assert not refusing.state.run_counts
+
+
+async def test_caller_gives_up_while_the_call_is_cut(fleet):
+    """Guards against a second run when neither side of a call is left."""
+    await fleet.start(a="d0")
+    fleet.service.delay_seconds, fleet.service.cut_after_run = 0.1, True
+    calls = [
+        asyncio.create_task(fleet.call("a", headers={"X-Call": f"call-{n}"}))
+        for n in range(8)
+    ]
+    await fleet.until(lambda: fleet.service.runs.total() == 8)
+    for call in calls[::2]:
+        await give_up(call)
+    for call in calls[1::2]:
+        status, headers, _ = await call
+        assert (status, headers["X-Primroseford-Outcome"]) == (502, "may_have_run")
+    await fleet.until(lambda: callers(fleet, "a") == 0)
+    assert set(fleet.service.runs.values()) == {1}
+
+
+async def test_caller_that_gave_up_in_the_queue_is_not_run(fleet):
+    """Guards against work for callers that are gone, which delays the others."""
+    await fleet.start(desk={"max_in_flight": 1}, a="d0")
+    fleet.service.delay_seconds = 0.5
+    first = [
+        asyncio.create_task(fleet.call("a", headers={"X-Call": f"first-{n}"}))
+        for n in range(2)
+    ]
+    await fleet.until(lambda: fleet.service.runs.total() == 2)
+    queued = [
+        asyncio.create_task(fleet.call("a", headers={"X-Call": "queued"}))
+        for _ in range(4)
+    ]
+    await fleet.until(lambda: callers(fleet, "a") == 6)
+    for call in queued:
+        await give_up(call)
+    assert [(await call)[0] for call in first] == [200, 200]
+    await fleet.until(lambda: callers(fleet, "a") == 0)
+    assert fleet.service.runs["queued"] == 0
+
+
+@pytest.mark.parametrize("victim_owns", [True, False])
+async def test_resend_while_the_first_host_dies(fleet, victim_owns):
+    """Guards against a second run of a claimed request whose host died."""
+    await fleet.start()
+    owner = fleet.owner("depot")
+    others = [name for name in fleet.hosts if name != owner]
+    victim = owner if victim_owns else others[0]
+    fleet.service.delay_seconds = 1.0
+    key = {"Idempotency-Key": "invoice-1", "X-Call": "invoice"}
+    lost = asyncio.create_task(fleet.call(victim, headers=key))
+    await fleet.until(lambda: fleet.service.runs["invoice"] == 1)
+    await fleet.kill(victim)
+    assert (await asyncio.gather(lost, return_exceptions=True))[0] is not None
+    answers = set()
+
+    async def told() -> bool:
+        sends = [fleet.call(name, headers=key) for name in fleet.hosts]
+        for status, headers, _ in await asyncio.gather(*sends):
+            answers.add((status, headers.get("X-Primroseford-Outcome")))
+        return (409, "may_have_run") in answers
+
+    await fleet.until(told)
+    assert answers <= {(409, "may_have_run"), (503, "not_run")}
+    assert fleet.service.runs["invoice"] == 1
+
+
+@pytest.mark.parametrize("dies", [True, False])
+async def test_resend_while_the_claims_answer_is_lost(fleet, dies):
+    """Guards against two claims of one key when the claim's answer is lost."""
+    await fleet.start()
+    owner = fleet.owner("depot")
+    others = [name for name in fleet.hosts if name != owner]
+    key = {"Idempotency-Key": "invoice-2", "X-Call": "invoice"}
+    fleet.service.delay_seconds = 0.2
+    for view in fleet.views.values():
+        view.faults.lose_write_answers = 6
+    first = asyncio.create_task(fleet.call(owner if dies else others[0], headers=key))
+    if dies:
+        await fleet.until(lambda: fleet.platform.state.objects.get("claims"))
+        await fleet.kill(owner)
+    answers = []
+
+    async def told() -> bool:
+        sends = [fleet.call(name, headers=key) for name in others]
+        for status, headers, _ in await asyncio.gather(*sends):
+            answers.append((status, headers.get("X-Primroseford-Outcome")))
+        return any(status in (200, 409) for status, _ in answers)
+
+    await fleet.until(told)
+    (final,) = await asyncio.gather(first, return_exceptions=True)
+    if not isinstance(final, BaseException):
+        answers.append((final[0], final[1].get("X-Primroseford-Outcome")))
+    assert {status for status, _ in answers} <= {200, 409, 503}
+    assert all(outcome == "not_run" for status, outcome in answers if status == 503)
+    assert fleet.service.runs["invoice"] <= 1
+    assert [status for status, _ in answers].count(200) <= 1
+    if any(outcome == "ran" for _, outcome in answers):
+        assert fleet.service.runs["invoice"] == 1
