End the watch of the platform when a host stops in an outage

Cause: between two attempts the watch slept with the service's own sleep, which ends with the stop. On Python 3.11 asyncio.wait_for then swallows the cancellation, the watch goes on, and the stop waits for it without end. Change: the watch sleeps with asyncio.sleep. Conclusion: a host can be stopped during an outage.

--- a/src/primroseford/configuration/service.py
+++ b/src/primroseford/configuration/service.py
@@ -115,6 +115,10 @@
         self.rank = rank
         self.clock = clock
         self.pause = pause or self.sleep
+        # The service's own sleep ends with the stop, and can then swallow the
+        # cancellation of the watch (asyncio.wait_for before Python 3.12), which
+        # would go on for ever.
+        self.watch_pause = pause or asyncio.sleep
         self.relay_state = relay.RelayState(host)
         self.store = ConfigurationStore(lambda now: relay.age(self.relay_state, now))
         self.position = Position()
@@ -148,7 +152,7 @@
                 KINDS,
                 self.relay_state.objects,
                 self.clock,
-                self.pause,
+                self.watch_pause,
                 self.take_watched,
                 lambda at: relay.confirm(self.relay_state, at),
             )
