End open requests with a key on an isolated host

Cause: the freshness rule was applied to new requests only. A stream that was open when its host was cut off went on with a key that had been withdrawn. Change: a host that was isolated for 1.5 s ends its queued and open requests that came with a key. Requests on open routes go on. Conclusion: a withdrawn key stops working within seconds on every host, cut off or not, at the price of the streams of a host that is cut off from both the platform and most hosts. Adds tests of hosts and jobs under pairs of failures.

--- a/src/primroseford/daemon/host.py
+++ b/src/primroseford/daemon/host.py
@@ -25,6 +25,11 @@
 
 READY_POLL_SECONDS = 0.02
 
+ISOLATION_CHECK_SECONDS = 0.5
+ISOLATION_GRACE_SECONDS = 1.5
+"""Time for which a host must be isolated before its open requests end, so that a host
+that was paused for some seconds can hear of the others first."""
+
 log = structlog.get_logger()
 
 
@@ -60,6 +65,24 @@
         )
         log.info("host started", host=self.settings.host, listen=self.address)
 
+    @Service.task
+    async def end_isolated_requests(self) -> None:
+        """End open requests with a key while the host cannot hear of withdrawals."""
+        since: float | None = None
+        while not self.should_stop:
+            now = self.clock()
+            configuration = self.parts.configuration
+            known = configuration.store.current().version > 0
+            if not known or configuration.admits(now):
+                since = None
+            elif since is None:
+                since = now
+            elif now - since >= ISOLATION_GRACE_SECONDS:
+                ended = self.parts.online.open.end_isolated()
+                if ended:
+                    log.warning("requests ended on an isolated host", count=ended)
+            await self.sleep(ISOLATION_CHECK_SECONDS)
+
     async def on_stop(self) -> None:
         """Stop the services in reverse order and close the sockets."""
         parts = self.parts
--- a/src/primroseford/online/open_requests.py
+++ b/src/primroseford/online/open_requests.py
@@ -85,6 +85,19 @@
             if identity is not None and not still_valid(tables, identity):
                 entry.end(ResultCode.KEY_WITHDRAWN, "the key was withdrawn")
 
+    def end_isolated(self) -> int:
+        """End the requests that came with a key, which may be withdrawn by now.
+
+        :returns: how many were ended
+        """
+        found = [entry for entry in self.entries if entry.identity is not None]
+        for entry in found:
+            entry.end(
+                ResultCode.HOST_ISOLATED,
+                "the host is cut off and cannot tell whether the key is still valid",
+            )
+        return len(found)
+
     def end_all(self, code: ResultCode, message: str) -> int:
         """End every request.
 
--- a/src/primroseford/proof/fleet.py
+++ b/src/primroseford/proof/fleet.py
@@ -82,9 +82,13 @@
             await wait_until_ready(host, WAIT_SECONDS)
         await self.until(self.agreed)
 
-    async def add(self, name: str, domain: str, **extra) -> Host:
-        """Start one more host with its own way to the platform."""
+    async def add(self, name: str, domain: str, down=False, **extra) -> Host:
+        """Start one more host with its own way to the platform.
+
+        :param down: whether the platform's service is down for it
+        """
         view = self.views[name] = PlatformView(self.platform)
+        view.faults.down = down
         served = await self._serve(create_platform_application(view))
         settings = host_settings(name, domain, served.url, self.secret_file, **extra)
         host = self.hosts[name] = await start_host(settings)
--- a/src/primroseford/proof/hosts.py
+++ b/src/primroseford/proof/hosts.py
@@ -11,6 +11,7 @@
 from primroseford.daemon.settings import check_settings
 from primroseford.errors import PrimrosefordError
 from primroseford.errors import ResultCode
+from primroseford.peer.network import MAX_HANDSHAKES
 from primroseford.standins.platform import PlatformStandIn
 from primroseford.standins.platform_state import Faults
 
@@ -147,15 +148,16 @@
         raise PrimrosefordError(ResultCode.PEER_UNREACHABLE, "cut off")
 
     peers._connect = refuse
-    peers._accepted = refuse
     peers.call = refuse
     peers.send = lambda *_: None
-    peers._handle = refuse
+    peers.handshakes += MAX_HANDSHAKES
     for connection in list(peers.tasks.values()):
         connection.writer.transport.abort()
 
 
 def reconnect_peers(host: Host) -> None:
     """Undo :func:`cut_peers` on a host that is alive."""
-    for name in ("_connect", "_accepted", "call", "send", "_handle"):
-        delattr(host.parts.peers, name)
+    peers = host.parts.peers
+    peers.handshakes -= MAX_HANDSHAKES
+    for name in ("_connect", "call", "send"):
+        delattr(peers, name)
--- /dev/null
+++ b/src/primroseford/proof/tests/test_host_pairs.py
@@ -0,0 +1,144 @@
+"""Keys, configuration and stops of whole hosts under pairs of failures."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from primroseford.proof.fleet import CHAT
+from primroseford.proof.hosts import cut_peers
+from primroseford.proof.hosts import reconnect_peers
+
+ISOLATED_CODE = b'"code": 3006'
+WITHDRAWN_CODE = b'"code": 2003'
+
+
+async def refused_everywhere(fleet) -> bool:
+    """Return whether every host refuses the key of ``depot``."""
+    answers = [await fleet.call(name) for name in fleet.hosts]
+    return {status for status, _, _ in answers} == {401}
+
+
+@pytest.mark.parametrize("also", ["expired watch", "host killed"])
+async def test_key_withdrawn_just_before_an_outage_ends(fleet, also):
+    """Guards against a withdrawal that an outage and a second failure hide."""
+    await fleet.start()
+    fleet.down(True)
+    assert (await fleet.call("a"))[0] == 200
+    fleet.withdraw("depot")
+    for view in fleet.views.values():
+        view.faults.expire_watches = int(also == "expired watch")
+    if also == "host killed":
+        await fleet.kill("b")
+    fleet.down(False)
+    async with asyncio.timeout(9.0):
+        await fleet.until(lambda: refused_everywhere(fleet))
+    ran = fleet.service.runs.total()
+    assert await refused_everywhere(fleet)
+    assert fleet.service.runs.total() == ran
+    assert (await fleet.call("a", organisation="garage"))[0] == 200
+
+
+async def test_key_withdrawn_while_the_streams_host_is_cut_off(fleet):
+    """Guards against a withdrawn key that goes on working on an isolated host."""
+    await fleet.start()
+    fleet.engines[0].settings.token_seconds = 0.02
+    streams = [
+        asyncio.create_task(
+            fleet.call(name, CHAT, stream=True, max_tokens=9000, organisation=who)
+        )
+        for name, who in [("a", "depot"), ("b", "depot"), ("b", "garage")]
+    ]
+    await fleet.until(lambda: fleet.engines[0].state.running == 3)
+    fleet.views["a"].faults.down = True
+    cut_peers(fleet.hosts["a"])
+    fleet.withdraw("depot")
+
+    async def refused() -> bool:
+        status, headers, _ = await fleet.call("a", headers={"X-Call": "late"})
+        return status == 503 and headers["X-Primroseford-Outcome"] == "not_run"
+
+    async with asyncio.timeout(9.0):
+        content = (await streams[1])[2]
+        assert WITHDRAWN_CODE in content and b"[DONE]" not in content
+        await fleet.until(refused)
+    async with asyncio.timeout(9.0):
+        content = (await streams[0])[2]
+        assert ISOLATED_CODE in content and b"[DONE]" not in content
+    ran = fleet.service.runs["late"]
+    assert await refused() and fleet.service.runs["late"] == ran
+    assert not streams[2].done()
+    streams[2].cancel()
+    fleet.views["a"].faults.down = False
+    reconnect_peers(fleet.hosts["a"])
+    await fleet.until(lambda: refused_everywhere(fleet))
+    assert fleet.service.runs["late"] == ran
+
+
+async def test_host_started_in_an_outage_while_its_watcher_dies(fleet):
+    """Guards against a host that starts without tables or keeps old ones."""
+    await fleet.start(a="d0", b="d0", c="d0")
+    fleet.down(True)
+    seeds = tuple(host.parts.peers.address for host in fleet.hosts.values())
+    watchers = [
+        name
+        for name, host in fleet.hosts.items()
+        if host.parts.configuration.position.watches
+    ]
+    assert len(watchers) == 2
+    started = await fleet.add("d", "d0", peers=seeds, down=True)
+    await fleet.kill(watchers[0])
+    await fleet.until(started.ready)
+    assert (await fleet.call("d"))[0] == 200
+    assert started.parts.configuration.store.current().version > 0
+    fleet.down(False)
+    fleet.withdraw("depot")
+    await fleet.until(lambda: refused_everywhere(fleet))
+
+
+async def test_planned_stop_while_a_runner_leaves(fleet):
+    """Guards against streams cut, or work sent to the runner, as both leave."""
+    await fleet.start(2, {"max_in_flight": 50}, a="d0", b="d1")
+    streams = [
+        asyncio.create_task(fleet.call("a", CHAT, stream=True, max_tokens=150))
+        for _ in range(20)
+    ]
+    leaver = fleet.hosts.pop("a")
+    await fleet.until(
+        lambda: sum(e.state.run_counts.total() for e in fleet.engines) == 20
+    )
+    stopping = asyncio.create_task(leaver.stop_gracefully())
+    fleet.engines[0].faults.leaving = True
+    spec = fleet.platform.state.get("pools", "vans")["spec"]
+    first = spec["runners"][0] | {"state": "leaving"}
+    fleet.put("pools", "vans", spec | {"runners": [first, spec["runners"][1]]})
+
+    def known() -> bool:
+        store = fleet.hosts["b"].parts.configuration.store
+        return store.current().pools["vans"].runners[0].state.value == "leaving"
+
+    async with asyncio.timeout(2.0):
+        await fleet.until(known)
+    ran = fleet.engines[0].state.run_counts.total()
+    for _ in range(8):
+        assert (await fleet.call("b", CHAT, max_tokens=1))[0] == 200
+    for status, _, content in await asyncio.gather(*streams):
+        assert status == 200 and content.endswith(b"data: [DONE]\n\n")
+    await stopping
+    assert fleet.engines[0].state.run_counts.total() == ran
+    runs = [n for e in fleet.engines for n in e.state.run_counts.values()]
+    assert len(runs) == 28 and set(runs) == {1}
+
+
+async def test_stop_of_a_cut_off_host_during_an_outage(fleet):
+    """Guards against a stop that never ends while platform and peers are away."""
+    await fleet.start(a="d0", b="d1")
+    host = fleet.hosts.pop("a")
+    fleet.down(True)
+    cut_peers(host)
+    retried = host.parts.configuration.relay_state.confirmed_at
+    await fleet.until(lambda: host.clock() - retried > 3.0)
+    async with asyncio.timeout(10.0):
+        await host.stop_gracefully()
+    assert host.drained
