--- a/src/primroseford/configuration/apply.py
+++ b/src/primroseford/configuration/apply.py
@@ -280,11 +280,18 @@
     :param versions: returns the versions in force
     :param timeout: longest wait in seconds
     :returns: hosts that have not confirmed in time; empty on success
+    :raises PrimrosefordError: if the versions could not be read at the end
     """
     end = clock() + timeout
     while True:
-        found = await versions()
-        late = [h for h, v in found.items() if v is None or v.version < version]
-        if not late or clock() >= end:
-            return sorted(late)
+        try:
+            found = await versions()
+        except PrimrosefordError:
+            # The host that is asked may be starting.
+            if clock() >= end:
+                raise
+        else:
+            late = [h for h, v in found.items() if v is None or v.version < version]
+            if not late or clock() >= end:
+                return sorted(late)
         await pause(WAIT_POLL_SECONDS)
--- a/src/primroseford/configuration/tests/test_apply.py
+++ b/src/primroseford/configuration/tests/test_apply.py
@@ -14,6 +14,7 @@
 from primroseford.configuration.check import read_tables
 from primroseford.configuration.relay import HostVersion
 from primroseford.configuration.tests.fakes import FakePlatform
+from primroseford.errors import PrimrosefordError
 from primroseford.errors import ResultCode
 
 ORGANISATION = {"kind": "Organisation", "name": "caroni", "rate": 5, "burst": 5}
@@ -141,11 +142,15 @@
 
 
 async def test_wait_names_the_hosts_that_have_not_confirmed():
-    """Guards against ``apply --wait`` that ends before the edit is in force."""
+    """Guards against ``apply --wait`` that ends before the edit is in force, or
+    because the host that it asks is still starting."""
     clock = ManualClock()
     versions = {"a": HostVersion(5, 0, 0), "b": HostVersion(4, 0, 0), "c": None}
+    failures = [PrimrosefordError(ResultCode.PEER_UNREACHABLE, "starting")]
 
     async def read():
+        if failures:
+            raise failures.pop()
         return versions
 
     async def pause(seconds):
--- a/src/primroseford/daemon/host.py
+++ b/src/primroseford/daemon/host.py
@@ -26,6 +26,11 @@
 
 READY_POLL_SECONDS = 0.02
 
+ISOLATION_CHECK_SECONDS = 0.5
+ISOLATION_GRACE_SECONDS = 1.5
+"""Time for which a host must be isolated before its open requests end, so that a host
+that was paused for some seconds can hear of the others first."""
+
 log = structlog.get_logger()
 
 
@@ -63,6 +68,24 @@
         self.metrics.registry.register(HostGauges(self))
         log.info("host started", host=self.settings.host, listen=self.address)
 
+    @Service.task
+    async def end_isolated_requests(self) -> None:
+        """End open requests with a key while the host cannot hear of withdrawals."""
+        since: float | None = None
+        while not self.should_stop:
+            now = self.clock()
+            configuration = self.parts.configuration
+            known = configuration.store.current().version > 0
+            if not known or configuration.admits(now):
+                since = None
+            elif since is None:
+                since = now
+            elif now - since >= ISOLATION_GRACE_SECONDS:
+                ended = self.parts.online.open.end_isolated()
+                if ended:
+                    log.warning("requests ended on an isolated host", count=ended)
+            await self.sleep(ISOLATION_CHECK_SECONDS)
+
     async def on_stop(self) -> None:
         """Stop the services in reverse order and close the sockets."""
         parts = self.parts
@@ -105,7 +128,14 @@
 
     async def _listen(self, address: str, app: web.Application) -> str:
         host, port = address.rsplit(":", 1)
-        runner = web.AppRunner(app, access_log=None, shutdown_timeout=SHUTDOWN_SECONDS)
+        # Without handler_cancellation a request whose caller has left keeps its place
+        # in the queue and is sent to a runner.
+        runner = web.AppRunner(
+            app,
+            access_log=None,
+            shutdown_timeout=SHUTDOWN_SECONDS,
+            handler_cancellation=True,
+        )
         await runner.setup()
         site = web.TCPSite(runner, host, int(port))
         await site.start()
--- a/src/primroseford/limits/ownership.py
+++ b/src/primroseford/limits/ownership.py
@@ -32,8 +32,9 @@
 # A host below the first rank takes a group only if requests came to it lately.
 WANTED_SECONDS = 1.0
 CANDIDATES = 3
-# Time between two offers of a group to a host that did not take it.
-OFFER_RETRY_SECONDS = 5.0
+OFFER_RETRY_SECONDS = 1.0
+"""Time between two offers of a group to a host of a higher rank that did not take it,
+so that an owner keeps its group while that host is dead but still a member."""
 
 log = structlog.get_logger()
 
@@ -86,7 +87,7 @@
         self.wanted: dict[int, float] = {}
         self.received: dict[int, tuple[Handover, float, float]] = {}
         self.offered: set[int] = set()
-        self.offer_from: dict[int, float] = {}
+        self.offer_after: dict[int, float] = {}
         self.stopping = False
         network.register(KIND_DEMAND, DemandRequest, self.answer, GrantAnswer)
         network.register(KIND_HANDOVER, Offer, self.give, Handover)
@@ -173,7 +174,7 @@
         ranked = self.ranking.live(group)
         first = bool(ranked) and ranked[0] == self.own.host_id
         if found is not None:
-            if not first and ranked and now >= self.offer_from.get(group, now):
+            if not first and ranked and now >= self.offer_after.get(group, now):
                 await self._hand_over(group, ranked)
             return
         wanted = now - self.wanted.get(group, float("-inf")) < WANTED_SECONDS
@@ -199,6 +200,11 @@
         self.held[group] = (lease, state)
 
     async def _hand_over(self, group: int, ranked: list[HostId]) -> None:
+        """Offer a group to the next owner and release its lease.
+
+        An owner that does not stop keeps the group if the next owner does not fetch
+        it: a released group would be taken again, empty and closed at first.
+        """
         lease, _ = self.held[group]
         others = [name for name in ranked if name != self.own.host_id]
         self.offered.add(group)
@@ -209,12 +215,11 @@
                 )
         except PrimrosefordError as error:
             log.warning("hand-over failed", group=group, code=int(error.code))
-            self.offer_from[group] = self.clock() + OFFER_RETRY_SECONDS
-            if group in self.held and not self.stopping:
-                # The first in rank is known but away; this host goes on.
-                return
         finally:
             self.offered.discard(group)
+        if group in self.held and not self.stopping:
+            self.offer_after[group] = self.clock() + OFFER_RETRY_SECONDS
+            return
         # The lease must not be free while this host still grants.
         self.held.pop(group, None)
         try:
