Notice callers who leave a host before their answer begins

The host's server ran without handler cancellation, so a caller who left during a whole answer or in the queue kept a place on a runner until the answer was complete. The callers' application now runs with handler cancellation; the operators' application does not need it. The new test runs a whole host: it timed out after 20 s before the change and passes now.

--- a/src/primroseford/daemon/host.py
+++ b/src/primroseford/daemon/host.py
@@ -54,7 +54,11 @@
         self.parts: Parts = await assemble(self.settings, self.metrics, self.clock)
         for service in self.parts.services():
             await service.start()
-        self.address = await self._listen(self.settings.listen, self.parts.application)
+        # Without cancellation a caller who leaves in the queue or before the first
+        # byte would keep a place on a runner until the answer is complete.
+        self.address = await self._listen(
+            self.settings.listen, self.parts.application, handler_cancellation=True
+        )
         self.operator_address = await self._listen(
             self.settings.operator_listen, create_operator_application(self)
         )
@@ -98,9 +102,16 @@
         await self.drain()
         await self.stop()
 
-    async def _listen(self, address: str, app: web.Application) -> str:
+    async def _listen(
+        self, address: str, app: web.Application, handler_cancellation: bool = False
+    ) -> str:
         host, port = address.rsplit(":", 1)
-        runner = web.AppRunner(app, access_log=None, shutdown_timeout=SHUTDOWN_SECONDS)
+        runner = web.AppRunner(
+            app,
+            access_log=None,
+            shutdown_timeout=SHUTDOWN_SECONDS,
+            handler_cancellation=handler_cancellation,
+        )
         await runner.setup()
         site = web.TCPSite(runner, host, int(port))
         await site.start()
--- /dev/null
+++ b/src/primroseford/daemon/tests/test_host.py
@@ -0,0 +1,99 @@
+"""A whole host in front of a stand-in engine, on loopback."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+
+import aiohttp
+import pytest
+
+from primroseford.configuration.edits import issue_key
+from primroseford.daemon.host import running_host
+from primroseford.daemon.host import wait_until_ready
+from primroseford.demo.fleet import SECRET
+from primroseford.demo.fleet import apply_documents
+from primroseford.demo.fleet import host_settings
+from primroseford.platform.client import create_platform_client
+from primroseford.standins.engine import create_engine_stand_in
+from primroseford.standins.engine_http import create_engine_application
+from primroseford.standins.engine_state import EngineSettings
+from primroseford.standins.platform import create_platform_application
+from primroseford.standins.platform import create_platform_stand_in
+from primroseford.standins.serving import serve
+
+WAIT_SECONDS = 20.0
+CHAT = "/v1/chat/completions"
+
+
+def documents(engine_url):
+    address = engine_url.removeprefix("http://")
+    runner = {"name": "r", "address": address, "failure_domain": "d"}
+    match = {"models": ["m"]}
+    return [
+        {"kind": "Organisation", "name": "o", "rate": 1000, "burst": 1000},
+        {"kind": "Pool", "name": "p", "runners": [runner], "max_in_flight": 1},
+        {
+            "kind": "Route",
+            "name": "c",
+            "match": match,
+            "pool": "p",
+            "organisations": ["o"],
+        },
+    ]
+
+
+async def until(condition):
+    """Wait for a condition, with a generous bound."""
+    async with asyncio.timeout(WAIT_SECONDS):
+        while not condition():  # noqa: ASYNC110
+            await asyncio.sleep(0.002)
+
+
+@pytest.fixture
+async def whole(tmp_path):
+    """A ready host with one place on one slow engine, and a caller's session."""
+    async with contextlib.AsyncExitStack() as stack:
+        platform = await serve(create_platform_application(create_platform_stand_in()))
+        stack.push_async_callback(platform.stop)
+        engine = create_engine_stand_in(EngineSettings(token_seconds=0.05))
+        served = await serve(create_engine_application(engine))
+        stack.push_async_callback(served.stop)
+        session = await stack.enter_async_context(aiohttp.ClientSession())
+        client = create_platform_client(platform.url, session)
+        await apply_documents(client, documents(served.url))
+        key = (await issue_key(client, "o")).secret
+        secret_file = tmp_path / "peer-secret"
+        secret_file.write_text(SECRET)
+        secret_file.chmod(0o600)
+        settings = host_settings(1, platform.url, secret_file)
+        host = await stack.enter_async_context(running_host(settings))
+        await wait_until_ready(host)
+        headers = {"Authorization": f"Bearer {key}"}
+        caller = await stack.enter_async_context(
+            aiohttp.ClientSession(f"http://{host.address}", headers=headers)
+        )
+        yield host, engine, caller
+
+
+async def test_caller_who_leaves_is_noticed_during_an_answer_and_in_the_queue(whole):
+    """Guards against work for callers who left before their whole answer began."""
+    host, engine, caller = whole
+    online = host.parts.online
+
+    async def ask():
+        body = {"model": "m", "messages": [], "max_tokens": 9000}
+        async with caller.post(CHAT, json=body) as answer:
+            await answer.read()
+
+    answered = asyncio.create_task(ask())
+    await until(lambda: engine.state.running == 1)
+    queued = asyncio.create_task(ask())
+    await until(lambda: any(w.queue for w in online.places.waits.values()))
+    queued.cancel()
+    await until(lambda: len(online.open.entries) == 1)
+    assert not any(wait.queue for wait in online.places.waits.values())
+    answered.cancel()
+    await until(lambda: not online.open.entries)
+    await until(lambda: engine.state.running == 0)
+    assert sum(engine.state.run_counts.values()) == 1
