Set the pool's kind by its present field in the cut stream test

The test set the field 'kind', which was renamed to 'runner_kind'. With the present field name the test passes.

--- a/src/primroseford/online/tests/test_relay.py
+++ b/src/primroseford/online/tests/test_relay.py
@@ -216,7 +216,7 @@
     served = await serve(app)
     rig.stops.append(served.stop)
     runners = [rig.runner("partial", served.url)]
-    rig.put("pools", "desk", {"kind": "service", "runners": runners})
+    rig.put("pools", "desk", {"runner_kind": "service", "runners": runners})
     rig.apply()
     with pytest.raises(aiohttp.ClientPayloadError):
         async with rig.client.get("/desk/stream", headers=rig.bearer()) as answer:
