Spread lease renewals of one host over the renewal time

A host takes its 16 group leases together and then renewed all of them at the same instant. With paced requests at 900/s against one daemon, slow answers came in groups one second apart. The first renewal is now due at a phase given by the lease's name, never later than before.

--- a/src/primroseford/lease/keeper.py
+++ b/src/primroseford/lease/keeper.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from typing import TYPE_CHECKING
+from zlib import crc32
 
 import structlog
 from mode import Service
@@ -229,7 +230,10 @@
     def _hold(self, lease: Lease, sent_at: float) -> None:
         self.sightings.pop(lease.name, None)
         self.held[lease.name] = lease
-        self.renew_at[lease.name] = sent_at + lease.times.renew
+        # Leases taken together would be renewed together for ever; sixteen renewals
+        # at once hold up the event loop for about 10 ms each second.
+        phase = crc32(lease.name.encode()) / 2**32
+        self.renew_at[lease.name] = sent_at + phase * lease.times.renew
         log.info("lease acquired", lease=lease.name, fencing=lease.fencing)
 
     async def _read(self, name: str) -> PlatformObject | None:
