Exempt a daemon's start-up objects from garbage collection

The daemon now freezes these objects once it is ready and collects the youngest generation after 5,000 allocations.

--- a/src/primroseford/daemon/main.py
+++ b/src/primroseford/daemon/main.py
@@ -4,6 +4,8 @@
 
 import argparse
 import asyncio
+import gc
+import math
 import signal
 import sys
 from pathlib import Path
@@ -11,14 +13,19 @@
 
 from primroseford import __version__
 from primroseford.daemon.host import create_host
+from primroseford.daemon.host import wait_until_ready
 from primroseford.daemon.settings import SettingsError
 from primroseford.daemon.settings import load_settings
 from primroseford.logs import configure_logging
 
 if TYPE_CHECKING:
+    from primroseford.daemon.host import Host
     from primroseford.daemon.settings import Settings
 
 EXIT_SETTINGS = 2
+GC_FIRST_THRESHOLD = 5_000
+"""Allocations between collections of the youngest generation. A request leaves few
+cycles, and Python's default of 700 runs a collection every few requests."""
 
 
 def main(arguments: list[str] | None = None) -> int:
@@ -54,9 +61,25 @@
         loop.add_signal_handler(number, stop.set)
     host = create_host(settings)
     await host.start()
+    settling = asyncio.create_task(exempt_started_objects(host))
     await stop.wait()
+    settling.cancel()
     await host.stop_gracefully()
 
 
+async def exempt_started_objects(host: Host) -> None:
+    """Exempt what the start created from garbage collection once the host is ready.
+
+    A full collection that walks the modules and the first configuration stops the
+    event loop for about 40 ms, during which no request moves.
+
+    :param host: a started host
+    """
+    await wait_until_ready(host, math.inf)
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(GC_FIRST_THRESHOLD, *gc.get_threshold()[1:])
+
+
 if __name__ == "__main__":
     sys.exit(main())
