Keep matched routes for a version of the routes table

Every request scanned all routes twice: once to find out whether its body has to be parsed, once to match. Matches are now kept by host, path and model until the routes change; only short strings are kept and their number is bounded, since callers choose them. The body is parsed only if a route for the path selects by model, as before.

--- a/src/primroseford/online/forward.py
+++ b/src/primroseford/online/forward.py
@@ -26,7 +26,6 @@
 from primroseford.online.relay import end_response
 from primroseford.online.relay import relay_body
 from primroseford.online.relay import relay_events
-from primroseford.routing.match import match_route
 from primroseford.routing.tracker import Result
 
 if TYPE_CHECKING:
@@ -96,10 +95,11 @@
     state.gate()
     body = await request.read()
     tables = state.store.current()
-    content = _parse(tables, request, body)
+    path = request.path
+    content = _parse(request, body) if state.routes.needs_model(tables, path) else {}
     model = content.get("model")
     model = model if isinstance(model, str) else None
-    route = match_route(tables, _host_name(request), request.path, model)
+    route = state.routes.match(tables, _host_name(request), path, model)
     identity = authorise(tables, route, request)
     entry.identity = identity
     # The tables may have changed since they were read only if an await lies between,
@@ -312,16 +312,10 @@
     return (name if name and port.isdigit() else host).lower()
 
 
-def _parse(tables: Tables, request: web.Request, body: bytes) -> dict:
-    """Return the body's fields if a route for the path selects by model."""
+def _parse(request: web.Request, body: bytes) -> dict:
+    """Return the body's fields if it is a JSON object."""
     if not body or request.content_type != "application/json":
         return {}
-    path = request.path
-    if not any(
-        route.match.models and path.startswith(route.match.path_prefix)
-        for route in tables.routes.values()
-    ):
-        return {}
     try:
         parsed = json.loads(body)
     except (ValueError, RecursionError) as error:
--- a/src/primroseford/online/state.py
+++ b/src/primroseford/online/state.py
@@ -11,6 +11,7 @@
 from primroseford.errors import ResultCode
 from primroseford.online.open_requests import OpenRequests
 from primroseford.routing.budget import RetryBudget
+from primroseford.routing.match import RouteCache
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -88,6 +89,7 @@
         self.limiter = limiter
         self.claims = claims
         self.open = OpenRequests()
+        self.routes = RouteCache()
         self.budget = RetryBudget()
         self.draining = False
         self.connections: set[RequestHandler] = set()
--- /dev/null
+++ b/src/primroseford/routing/tests/test_match.py
@@ -0,0 +1,43 @@
+"""Matches kept for a version of the tables."""
+
+from __future__ import annotations
+
+from primroseford.configuration.tables import Route
+from primroseford.configuration.tables import RouteMatch
+from primroseford.configuration.tables import Tables
+from primroseford.routing.match import MAX_CACHED_MATCHES
+from primroseford.routing.match import RouteCache
+from primroseford.routing.match import match_route
+
+
+def route(name, prefix, models=(), priority=0):
+    match = RouteMatch(path_prefix=prefix, models=models)
+    return Route(name=name, match=match, pool="p", open=True, priority=priority)
+
+
+def tables(*records):
+    return Tables(routes={r.name: r for r in records})
+
+
+def test_cached_matches_follow_the_tables_and_equal_fresh_ones():
+    """Guards against a cached route that is not the one in force."""
+    wide, chat = route("wide", "/v1/"), route("chat", "/v1/chat", ("m",))
+    top = route("top", "/v1/", ("m",), priority=1)
+    versions = [tables(wide, chat), tables(wide), tables(wide, chat, top)]
+    paths, models = ("/v1/chat", "/v1/x"), ("m", "n", None)
+    asked = [("h", path, model) for path in paths for model in models]
+    cache = RouteCache()
+    for version in versions * 2:
+        for request in asked * 2:
+            assert cache.match(version, *request) is match_route(version, *request)
+        assert cache.needs_model(version, "/v1/chat") is (len(version.routes) > 1)
+
+
+def test_cached_matches_are_bounded():
+    """Guards against memory that callers fill with paths and model names."""
+    cache, version = RouteCache(), tables(route("wide", "/v1/"))
+    for number in range(2 * MAX_CACHED_MATCHES):
+        cache.match(version, "h", f"/v1/{number}", "x" * number)
+    assert len(cache.found) <= MAX_CACHED_MATCHES
+    cache.match(version, "h", "/v1/" + "x" * 10_000, None)
+    assert max(len(path) for _, path, _ in cache.found) < 10_000
