End online requests through the key watch and the shared route check

Online kept its own scan of all open requests and its own route check, and neither noticed an organisation that was removed from a route: its queued requests and streams went on. Requests with a key are now registered with the key watch, with the route as a further condition, and the route check is the one that batch uses. The watch skips table versions in which keys, organisations and routes are unchanged. The new test covers a removed organisation and a removed route, queued and streaming.

--- a/src/primroseford/keys/watch.py
+++ b/src/primroseford/keys/watch.py
@@ -29,8 +29,8 @@
     """One open stream or queued request.
 
     :param on_withdrawn: called once when the key or the permission is gone
-    :param admitted: further condition, for example that the route still lists the
-        organisation
+    :param admitted: further condition on the keys, organisations and routes, for
+        example that the route still lists the organisation
     """
 
     identity: Identity
@@ -92,6 +92,9 @@
         same = before.keys is tables.keys and (
             before.organisations is tables.organisations
         )
+        if same and before.routes is tables.routes:
+            # Edits of pools and jobs decide nothing about keys and permissions.
+            return
         for registrations in list(self.by_key.values()):
             for registration in list(registrations):
                 holder = self.holders.get(registration)
--- a/src/primroseford/online/application.py
+++ b/src/primroseford/online/application.py
@@ -11,6 +11,7 @@
 from primroseford.errors import ResultCode
 from primroseford.ids import FailureDomainId
 from primroseford.ids import HostId
+from primroseford.keys.authorisation import may_use_route
 from primroseford.keys.secrets import authenticate
 from primroseford.metrics import Metrics
 from primroseford.online.answers import error_response
@@ -79,7 +80,6 @@
         limiter,
         claims,
     )
-    store.on_change(state.open.end_withdrawn)
     return _build_application(state)
 
 
@@ -138,7 +138,7 @@
         names = {
             model
             for route in tables.routes.values()
-            if route.open or identity.organisation in route.organisations
+            if may_use_route(route, identity.organisation)
             for model in route.match.models
         }
         data = [
--- a/src/primroseford/online/forward.py
+++ b/src/primroseford/online/forward.py
@@ -12,8 +12,8 @@
 from primroseford.errors import Outcome
 from primroseford.errors import PrimrosefordError
 from primroseford.errors import ResultCode
-from primroseford.keys.secrets import authenticate
-from primroseford.keys.secrets import check_still_valid
+from primroseford.keys.authorisation import authorise_route
+from primroseford.keys.authorisation import check_route_still_allowed
 from primroseford.online.credentials import forwarded_headers
 from primroseford.online.credentials import forwarded_path
 from primroseford.online.credentials import read_key
@@ -100,10 +100,12 @@
     model = content.get("model")
     model = model if isinstance(model, str) else None
     route = state.routes.match(tables, _host_name(request), path, model)
-    identity = authorise(tables, route, request)
-    entry.identity = identity
-    # The tables may have changed since they were read only if an await lies between,
-    # so from here on a withdrawal finds the entry.
+    secret = None if route.open else read_key(request)
+    identity = authorise_route(tables, route, secret)
+    if identity is not None:
+        # No await lies between reading the tables and this registration, so that
+        # every later withdrawal ends the request.
+        state.open.watch(entry, identity, route.name)
     deadline = started + _allowed_seconds(route, request)
     loop = asyncio.get_running_loop()
     entry.timer = loop.call_later(
@@ -136,7 +138,7 @@
     key = flow.request.headers.get(IDEMPOTENCY_HEADER)
     claimed = False
     try:
-        check_still_valid(state.store.current(), identity)
+        check_route_still_allowed(state.store.current(), flow.route.name, identity)
         if key is not None:
             await _claim(state, flow, identity, key)
             claimed = True
@@ -337,23 +339,6 @@
     return text[:PREFIX_CHARACTERS]
 
 
-def authorise(tables: Tables, route: Route, request: web.Request) -> Identity | None:
-    """Return who sent a request; nothing on a route open to all.
-
-    :raises PrimrosefordError: KEY_MISSING, KEY_UNKNOWN, KEY_WITHDRAWN or
-        NOT_AUTHORISED
-    """
-    if route.open:
-        return None
-    identity = authenticate(tables, read_key(request))
-    if identity.organisation not in route.organisations:
-        raise PrimrosefordError(
-            ResultCode.NOT_AUTHORISED,
-            f"organisation {identity.organisation!r} may not use route {route.name!r}",
-        )
-    return identity
-
-
 def _pool_of(tables: Tables, route: Route) -> Pool:
     pool = tables.pools.get(route.pool)
     if pool is None:
--- a/src/primroseford/online/open_requests.py
+++ b/src/primroseford/online/open_requests.py
@@ -8,13 +8,17 @@
 from primroseford.errors import Outcome
 from primroseford.errors import PrimrosefordError
 from primroseford.errors import ResultCode
-from primroseford.keys.secrets import still_valid
+from primroseford.keys.authorisation import check_route_still_allowed
+from primroseford.keys.authorisation import may_use_route
 
 if TYPE_CHECKING:
     from aiohttp import web
 
     from primroseford.configuration.tables import Tables
+    from primroseford.ids import RouteName
     from primroseford.keys.secrets import Identity
+    from primroseford.keys.watch import KeyWatch
+    from primroseford.keys.watch import Registration
     from primroseford.online.exchange import Attempt
 
 
@@ -26,7 +30,7 @@
 
     def __init__(self, task: asyncio.Task) -> None:
         self.task = task
-        self.identity: Identity | None = None
+        self.watched: Registration | None = None
         self.attempt: Attempt | None = None
         self.may_have_run = False
         self.response: web.StreamResponse | None = None
@@ -35,9 +39,13 @@
         self.timer: asyncio.TimerHandle | None = None
 
     def end(self, code: ResultCode, message: str) -> None:
+        """End the request with an error; only the first call counts."""
+        self.end_with(PrimrosefordError(code, message))
+
+    def end_with(self, error: PrimrosefordError) -> None:
         """End the request with an error; only the first call counts."""
         if self.ended is None:
-            self.ended = PrimrosefordError(code, message)
+            self.ended = error
             self.task.cancel()
 
     def end_at_deadline(self) -> None:
@@ -55,9 +63,13 @@
 
 
 class OpenRequests:
-    """All requests in progress on this host."""
+    """All requests in progress on this host.
 
-    def __init__(self) -> None:
+    :param keys: where requests that came with a key are registered
+    """
+
+    def __init__(self, keys: KeyWatch) -> None:
+        self.keys = keys
         self.entries: set[OpenRequest] = set()
         self.empty = asyncio.Event()
         self.empty.set()
@@ -75,16 +87,30 @@
         """Forget a request that has its answer."""
         if entry.timer is not None:
             entry.timer.cancel()
+        if entry.watched is not None:
+            self.keys.deregister(entry.watched)
         self.entries.discard(entry)
         if not self.entries:
             self.empty.set()
 
-    def end_withdrawn(self, tables: Tables) -> None:
-        """End the requests whose key is no longer accepted."""
-        for entry in list(self.entries):
-            identity = entry.identity
-            if identity is not None and not still_valid(tables, identity):
-                entry.end(ResultCode.KEY_WITHDRAWN, "the key was withdrawn")
+    def watch(self, entry: OpenRequest, identity: Identity, route: RouteName) -> None:
+        """End a request once its key or its route no longer admits the caller.
+
+        :param identity: who sent the request
+        :param route: name of the route that took it
+        """
+
+        def end() -> None:
+            try:
+                check_route_still_allowed(self.keys.tables, route, identity)
+            except PrimrosefordError as error:
+                entry.end_with(error)
+
+        def admitted(tables: Tables) -> bool:
+            record = tables.routes.get(route)
+            return record is not None and may_use_route(record, identity.organisation)
+
+        entry.watched = self.keys.register(identity, end, admitted)
 
     def end_all(self, code: ResultCode, message: str) -> int:
         """End every request.
--- a/src/primroseford/online/state.py
+++ b/src/primroseford/online/state.py
@@ -9,6 +9,7 @@
 import structlog
 
 from primroseford.errors import ResultCode
+from primroseford.keys.watch import create_key_watch
 from primroseford.online.open_requests import OpenRequests
 from primroseford.routing.budget import RetryBudget
 from primroseford.routing.match import RouteCache
@@ -88,7 +89,7 @@
         self.gate = gate
         self.limiter = limiter
         self.claims = claims
-        self.open = OpenRequests()
+        self.open = OpenRequests(create_key_watch(store))
         self.routes = RouteCache()
         self.budget = RetryBudget()
         self.draining = False
--- a/src/primroseford/online/tests/test_admission.py
+++ b/src/primroseford/online/tests/test_admission.py
@@ -96,6 +96,30 @@
     assert (await read_all(rig.post(organisation="vans")))[0].status == 200
 
 
+@pytest.mark.parametrize("removed", ["organisation", "route"])
+async def test_caller_removed_from_a_route_loses_queued_requests_and_streams(
+    rig, removed
+):
+    """Guards against work that goes on after its permission was taken away."""
+    await rig.start(pool={"max_in_flight": 1})
+    stream = asyncio.create_task(read_all(rig.post(stream=True, max_tokens=9000)))
+    await until(lambda: any(e.takes_events for e in rig.state.open.entries))
+    queued = asyncio.create_task(read_all(rig.post()))
+    await until(lambda: any(w.queue for w in rig.state.places.waits.values()))
+    if removed == "route":
+        del rig.objects["routes", "chat"]
+    else:
+        rig.objects["routes", "chat"] |= {"organisations": ["vans"]}
+    rig.apply()
+    assert b'"code": 2004' in (await stream)[1]
+    answer, _ = await queued
+    assert (answer.status, answer.headers["X-Primroseford-Code"]) == (403, "2004")
+    assert answer.headers["X-Primroseford-Outcome"] == "not_run"
+    await until(lambda: not rig.state.open.entries)
+    assert not rig.state.open.keys.holders and not rig.state.open.keys.by_key
+    assert sum(rig.engines[0].state.run_counts.values()) == 1
+
+
 async def test_full_queue_is_refused_with_retry_after(rig):
     """Guards against unbounded queues and late final answers."""
     await rig.start(pool={"max_in_flight": 1, "queue_limit": 1})
