--- a/src/primroseford/online/forward.py
+++ b/src/primroseford/online/forward.py
@@ -12,8 +12,8 @@
 from primroseford.errors import Outcome
 from primroseford.errors import PrimrosefordError
 from primroseford.errors import ResultCode
-from primroseford.keys.secrets import authenticate
-from primroseford.keys.secrets import check_still_valid
+from primroseford.keys.authorisation import authorise_route
+from primroseford.keys.authorisation import check_route_still_allowed
 from primroseford.online.credentials import check_body
 from primroseford.online.credentials import forwarded_headers
 from primroseford.online.credentials import forwarded_path
@@ -27,7 +27,6 @@
 from primroseford.online.relay import end_response
 from primroseford.online.relay import relay_body
 from primroseford.online.relay import relay_events
-from primroseford.routing.match import match_route
 from primroseford.routing.tracker import Result
 
 if TYPE_CHECKING:
@@ -97,15 +96,18 @@
     state.gate()
     body = await request.read()
     tables = state.store.current()
-    content = _parse(tables, request, body)
+    path = request.path
+    content = _parse(request, body) if state.routes.needs_model(tables, path) else {}
     model = content.get("model")
     model = model if isinstance(model, str) else None
-    route = match_route(tables, _host_name(request), request.path, model)
-    identity = authorise(tables, route, request)
-    entry.identity = identity
+    route = state.routes.match(tables, _host_name(request), path, model)
+    secret = None if route.open else read_key(request)
+    identity = authorise_route(tables, route, secret)
+    if identity is not None:
+        # No await lies between reading the tables and this registration, so that
+        # every later withdrawal ends the request.
+        state.open.watch(entry, identity, route.name)
     check_body(body)
-    # The tables may have changed since they were read only if an await lies between,
-    # so from here on a withdrawal finds the entry.
     deadline = started + _allowed_seconds(route, request)
     loop = asyncio.get_running_loop()
     entry.timer = loop.call_later(
@@ -138,7 +140,7 @@
     key = flow.request.headers.get(IDEMPOTENCY_HEADER)
     claimed = False
     try:
-        check_still_valid(state.store.current(), identity)
+        check_route_still_allowed(state.store.current(), flow.route.name, identity)
         if key is not None:
             await _claim(state, flow, identity, key)
             claimed = True
@@ -314,16 +316,10 @@
     return (name if name and port.isdigit() else host).lower()
 
 
-def _parse(tables: Tables, request: web.Request, body: bytes) -> dict:
-    """Return the body's fields if a route for the path selects by model."""
+def _parse(request: web.Request, body: bytes) -> dict:
+    """Return the body's fields if it is a JSON object."""
     if not body or request.content_type != "application/json":
         return {}
-    path = request.path
-    if not any(
-        route.match.models and path.startswith(route.match.path_prefix)
-        for route in tables.routes.values()
-    ):
-        return {}
     try:
         parsed = json.loads(body)
     except (ValueError, RecursionError) as error:
@@ -345,23 +341,6 @@
     return text[:PREFIX_CHARACTERS]
 
 
-def authorise(tables: Tables, route: Route, request: web.Request) -> Identity | None:
-    """Return who sent a request; nothing on a route open to all.
-
-    :raises PrimrosefordError: KEY_MISSING, KEY_UNKNOWN, KEY_WITHDRAWN or
-        NOT_AUTHORISED
-    """
-    if route.open:
-        return None
-    identity = authenticate(tables, read_key(request))
-    if identity.organisation not in route.organisations:
-        raise PrimrosefordError(
-            ResultCode.NOT_AUTHORISED,
-            f"organisation {identity.organisation!r} may not use route {route.name!r}",
-        )
-    return identity
-
-
 def _pool_of(tables: Tables, route: Route) -> Pool:
     pool = tables.pools.get(route.pool)
     if pool is None:
