Release chunks on a feeder's stop and delay takeovers of absent holders

Cause: in `make demo` with three hosts a job of 2,000 items never finished. A feeder whose runner's rank moved to another host left its chunks claimed by a live incarnation for 120 s. While the membership converged after a start, hosts took each other's chunks at once and ran them several times. Feeders were also placed on leaving and suspected hosts, and a feeder could take a chunk that another feeder of the same host held.

Change: the last write of a stopping feeder sets the phase RELEASED, which any feeder may claim at once. A takeover of an absent holder needs the incarnation absent and the object unchanged for 10 s as seen by the taker. Only LIVE hosts are ranked for duties. The claimer keeps the chunks that the feeders of its host hold; a chunk with the host's own incarnation that no feeder holds comes from a lost answer and is claimed at once. What was seen of other holders' chunks is dropped when the job ends; it grew without bound. The feeder waits with asyncio.timeout, because wait_for of Python 3.11 lost a cancel and left the feeder running.

Conclusion: a move of a runner costs a claim and no wait.

--- a/src/primroseford/batch/decisions.py
+++ b/src/primroseford/batch/decisions.py
@@ -14,12 +14,13 @@
 from primroseford.errors import ResultCode
 
 if TYPE_CHECKING:
-    from collections.abc import Collection
-
     from primroseford.batch.runners import ItemAnswer
 
 MAX_ATTEMPTS = 3
 TAKEOVER_SECONDS = 120.0
+ABSENCE_SECONDS = 10.0
+"""How long a holder must be absent before its chunk is taken over. Without it, hosts
+that start together take chunks from each other until the membership has converged."""
 CHECKPOINT_SECONDS = 60.0
 """Half of the takeover time, so that one late checkpoint loses no claim."""
 VERDICT_STATUSES = frozenset({400, 413, 422})
@@ -48,23 +49,31 @@
 
 
 def may_take_over(
-    state: ChunkState, live: Collection[str], unchanged_seconds: float
+    state: ChunkState, absent_seconds: float, unchanged_seconds: float
 ) -> bool:
     """Return whether another host may claim a chunk.
 
-    :param live: incarnations of the live hosts
+    :param absent_seconds: how long this host has seen the holder's incarnation
+        absent from the membership
     :param unchanged_seconds: how long this host has seen the object unchanged
     """
     if state.phase is not ChunkPhase.CLAIMED:
-        return False
-    return state.incarnation not in live or unchanged_seconds >= TAKEOVER_SECONDS
+        return state.phase is ChunkPhase.RELEASED
+    gone = min(absent_seconds, unchanged_seconds) >= ABSENCE_SECONDS
+    return gone or unchanged_seconds >= TAKEOVER_SECONDS
 
 
 def take_over(
     state: ChunkState, holder: str, incarnation: str, claim: str
 ) -> ChunkState:
     """Return the state of a chunk after a takeover; intents stay recorded."""
-    return replace(state, holder=holder, incarnation=incarnation, claim=claim)
+    return replace(
+        state,
+        holder=holder,
+        incarnation=incarnation,
+        claim=claim,
+        phase=ChunkPhase.CLAIMED,
+    )
 
 
 def judge(answer: ItemAnswer, repeatable: bool, attempts: int) -> Verdict:
@@ -100,12 +109,15 @@
 
 
 def saved_state(
-    state: ChunkState, results: list[ItemResult], parts: tuple[str, ...], stop: bool
+    state: ChunkState,
+    results: list[ItemResult],
+    parts: tuple[str, ...],
+    phase: ChunkPhase,
 ) -> ChunkState:
     """Return the state that names newly stored results.
 
     :param parts: names of the parts that hold ``results``
-    :param stop: the job has ended; no more items of the chunk run
+    :param phase: STOPPED if the job has ended, RELEASED if the holder stops
     """
     done = state.done | {result.index for result in results}
     failed = state.failed + sum(not result.completed for result in results)
@@ -117,7 +129,7 @@
         intents=state.intents - done,
         attempts={k: v for k, v in state.attempts.items() if k not in done},
         suspects=state.suspects - done,
-        phase=ChunkPhase.STOPPED if stop else state.phase,
+        phase=phase,
     )
 
 
@@ -126,6 +138,6 @@
 
     :param items: number of items in the chunk
     """
-    if state.phase is ChunkPhase.CLAIMED and len(state.done) == items:
+    if state.phase is not ChunkPhase.STOPPED and len(state.done) == items:
         return replace(state, phase=ChunkPhase.COMMITTED)
     return state
--- a/src/primroseford/batch/feed.py
+++ b/src/primroseford/batch/feed.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import functools
 import inspect
 import math
-import zlib
 from collections import deque
 from dataclasses import dataclass
 from dataclasses import field
@@ -14,6 +14,9 @@
 
 import structlog
 
+from primroseford.batch.holding import release_chunks
+from primroseford.batch.holding import start_claim
+from primroseford.batch.holding import start_writes
 from primroseford.batch.pick import Choice
 from primroseford.batch.pick import choices
 from primroseford.batch.results import request_id
@@ -21,7 +24,6 @@
 from primroseford.batch.schedule import Shares
 from primroseford.batch.schedule import charge
 from primroseford.batch.schedule import choose
-from primroseford.batch.schedule import due_order
 from primroseford.batch.schedule import enter
 from primroseford.batch.window import QUIET_SECONDS
 from primroseford.batch.window import LoadReport
@@ -34,15 +36,14 @@
 from primroseford.batch.window import unseen_load
 from primroseford.batch.work import declare_intents
 from primroseford.batch.work import put_back
-from primroseford.batch.work import save
 from primroseford.batch.work import take_answer
 from primroseford.errors import Outcome
 from primroseford.errors import PrimrosefordError
-from primroseford.errors import ResultCode
 from primroseford.routing.match import match_route
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Coroutine
 
     from primroseford.batch.index import JobIndex
     from primroseford.batch.jobs import JobStore
@@ -62,7 +63,6 @@
 """Longest wait for a token, since a waiting item holds a place on the runner."""
 RETRY_SECONDS = 0.1
 MAX_RETRY_SECONDS = 5.0
-CLAIM_PAUSE_SECONDS = 1.0
 TICK_SECONDS = 0.05
 
 log = structlog.get_logger()
@@ -155,9 +155,9 @@
         window = max(0, window - headroom)
         if not self.stopping and self.context.clock() >= self.paused_until:
             self._start_items(window)
-        self._start_writes()
+        start_writes(self)
         if not self.stopping:
-            self._start_claim(window)
+            start_claim(self, window)
 
     def route_of(self, job: Job) -> Route | None:
         """Return the route of a job if it leads to this runner's pool."""
@@ -177,6 +177,9 @@
                 for flight in self.flights.values():
                     if flight.choice.work is work and flight.choice.repeatable:
                         self._cancel(flight)
+        for work in self.works:
+            if work.closed:
+                self.context.claimer.drop(work)
         self.works = [work for work in self.works if not work.closed]
 
     def _preempt(self, window: int) -> None:
@@ -305,64 +308,8 @@
         else:
             choice.work.running.discard(choice.index)
 
-    def _start_writes(self) -> None:
-        now = self.context.clock()
-        for work in self.works:
-            due = self.save_after.get(work.stored.name, 0.0) <= now
-            if due and work.needs_save(now):
-                self.save_after[work.stored.name] = math.inf
-                self._spawn(self._save(work))
-
-    async def _save(self, work: Work) -> None:
-        name = work.stored.name
-        try:
-            async with work.lock:
-                await save(self.context.jobs, work, self.context.clock())
-            self.save_after.pop(name, None)
-            if not work.closed or work.lost:
-                return
-            if await self.context.jobs.close_if_done(work.name, work.job):
-                self.context.index.end(work.name)
-        except PrimrosefordError as error:
-            self.save_after[name] = self.context.clock() + CLAIM_PAUSE_SECONDS
-            log.warning("chunk not stored", chunk=name, code=int(error.code))
-
-    def _start_claim(self, window: int) -> None:
-        if self.claiming or window == 0:
-            return
-        now = self.context.clock()
-        held: dict[str, int] = {}
-        for work in self.works:
-            owner = work.job.organisation
-            held[owner] = held.get(owner, 0) + len(work.pending)
-        for name, job in due_order(self.context.index.jobs.items()):
-            enough = held.get(job.organisation, 0) >= self.pool.max_in_flight
-            if enough or self.claim_after.get(name, 0.0) > now:
-                continue
-            if self.route_of(job) is not None:
-                self.claiming = True
-                self._spawn(self._claim(name, job))
-                return
-
-    async def _claim(self, name: str, job: Job) -> None:
-        start = zlib.crc32(self.runner.name.encode()) % len(job.chunk_items)
-        try:
-            context = self.context
-            work = await context.claimer.claim(name, job, context.live(), start)
-            if work is not None:
-                self.works.append(work)
-                return
-            if await context.jobs.close_if_done(name, job):
-                context.index.end(name)
-        except PrimrosefordError as error:
-            if error.code is ResultCode.NOT_FOUND:
-                self.context.index.end(name)
-            log.warning("chunk not claimed", job=name, code=int(error.code))
-        finally:
-            self.claiming = False
-        self.claim_after[name] = self.context.clock() + CLAIM_PAUSE_SECONDS
-
-    def _spawn(self, coroutine) -> None:
+    def spawn(self, coroutine: Coroutine[None, None, None]) -> None:
+        """Run a write or a claim beside the items."""
         task = asyncio.create_task(coroutine)
         self.tasks.add(task)
         task.add_done_callback(self._spawned_ended)
@@ -376,19 +323,17 @@
         while not self.stopping:
             self.wake.clear()
             self.step()
-            try:
-                await asyncio.wait_for(self.wake.wait(), TICK_SECONDS)
-            except TimeoutError:
-                continue
+            # wait_for of Python 3.11 loses a cancel that meets the event.
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(TICK_SECONDS):
+                    await self.wake.wait()
 
     async def stop(self) -> None:
-        """Cancel what may be repeated, wait for the rest, and store the results."""
+        """Cancel what may be repeated, wait for the rest, and release the chunks."""
         self.stopping = True
         for flight in list(self.flights.values()):
             if flight.choice.repeatable:
                 self._cancel(flight)
         flying = [f.task for f in self.flights.values() if f.task is not None]
         await asyncio.gather(*flying, *self.tasks, return_exceptions=True)
-        for work in self.works:
-            if not work.closed:
-                await self._save(work)
+        await release_chunks(self)
--- /dev/null
+++ b/src/primroseford/batch/holding.py
@@ -0,0 +1,104 @@
+"""Claims, checkpoints, commits and releases of a feeder's chunks."""
+
+from __future__ import annotations
+
+import math
+import zlib
+from typing import TYPE_CHECKING
+
+import structlog
+
+from primroseford.batch.schedule import due_order
+from primroseford.batch.state import ChunkPhase
+from primroseford.batch.work import save
+from primroseford.errors import PrimrosefordError
+from primroseford.errors import ResultCode
+
+if TYPE_CHECKING:
+    from primroseford.batch.feed import RunnerFeed
+    from primroseford.batch.state import Job
+    from primroseford.batch.work import Work
+
+CLAIM_PAUSE_SECONDS = 1.0
+
+log = structlog.get_logger()
+
+
+def start_writes(feed: RunnerFeed) -> None:
+    """Start the checkpoints and commits that are due."""
+    now = feed.context.clock()
+    for work in feed.works:
+        due = feed.save_after.get(work.stored.name, 0.0) <= now
+        if due and work.needs_save(now):
+            feed.save_after[work.stored.name] = math.inf
+            feed.spawn(_save(feed, work))
+
+
+async def _save(feed: RunnerFeed, work: Work, release: bool = False) -> None:
+    context, name = feed.context, work.stored.name
+    try:
+        async with work.lock:
+            await save(context.jobs, work, context.clock(), release)
+        feed.save_after.pop(name, None)
+        if work.lost:
+            return
+        if work.state.phase is ChunkPhase.STOPPED:
+            context.index.end(work.name)
+        elif work.state.phase is ChunkPhase.COMMITTED:
+            if await context.jobs.close_if_done(work.name, work.job):
+                context.index.end(work.name)
+    except PrimrosefordError as error:
+        feed.save_after[name] = context.clock() + CLAIM_PAUSE_SECONDS
+        log.warning("chunk not stored", chunk=name, code=int(error.code))
+
+
+async def release_chunks(feed: RunnerFeed) -> None:
+    """Store the results of a feeder that stops and release its unfinished chunks."""
+    for work in feed.works:
+        if not work.closed:
+            await _save(feed, work, release=True)
+        # After a failed write this host may claim the chunk again at once; others
+        # take it over in time.
+        feed.context.claimer.drop(work)
+    feed.works = []
+
+
+def start_claim(feed: RunnerFeed, window: int) -> None:
+    """Start a claim for the earliest due job that needs one.
+
+    :param window: places that batch may use now
+    """
+    if feed.claiming or window == 0:
+        return
+    now = feed.context.clock()
+    held: dict[str, int] = {}
+    for work in feed.works:
+        owner = work.job.organisation
+        held[owner] = held.get(owner, 0) + len(work.pending)
+    for name, job in due_order(feed.context.index.jobs.items()):
+        enough = held.get(job.organisation, 0) >= feed.pool.max_in_flight
+        if enough or feed.claim_after.get(name, 0.0) > now:
+            continue
+        if feed.route_of(job) is not None:
+            feed.claiming = True
+            feed.spawn(_claim(feed, name, job))
+            return
+
+
+async def _claim(feed: RunnerFeed, name: str, job: Job) -> None:
+    start = zlib.crc32(feed.runner.name.encode()) % len(job.chunk_items)
+    context = feed.context
+    try:
+        work = await context.claimer.claim(name, job, context.live(), start)
+        if work is not None:
+            feed.works.append(work)
+            return
+        if await context.jobs.close_if_done(name, job):
+            context.index.end(name)
+    except PrimrosefordError as error:
+        if error.code is ResultCode.NOT_FOUND:
+            context.index.end(name)
+        log.warning("chunk not claimed", job=name, code=int(error.code))
+    finally:
+        feed.claiming = False
+    feed.claim_after[name] = context.clock() + CLAIM_PAUSE_SECONDS
--- a/src/primroseford/batch/service.py
+++ b/src/primroseford/batch/service.py
@@ -20,6 +20,7 @@
 from primroseford.batch.state import JobState
 from primroseford.configuration.tables import RunnerState
 from primroseford.errors import PrimrosefordError
+from primroseford.membership.state import HostState
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -65,6 +66,7 @@
         self.retention_seconds = retention_seconds
         self.feeds: dict[str, RunnerFeed] = {}
         self.tasks: dict[str, asyncio.Task] = {}
+        self.stops = 0
         first = int(context.jobs.wall() * 1_000_000)
         self.sender = LoadSender(own_online, self._send_load, first)
         self.online_changed = asyncio.Event()
@@ -76,7 +78,7 @@
         self.membership.on_change(self._hosts_changed)
         self.context.configuration.on_change(lambda _: self._adjust())
         self.context.load.on_change(self._wake)
-        self.context.index.on_change(self._wake_all)
+        self.context.index.on_change(self._jobs_changed)
         self._adjust()
 
     async def on_stop(self) -> None:
@@ -116,10 +118,13 @@
         self.context.index.end(message.job)
 
     def _first(self, key: str) -> str | None:
-        ranked = self.rank(key, self.membership.hosts())
+        hosts = self.membership.hosts()
+        live = tuple(info for info in hosts if info.state is HostState.LIVE)
+        ranked = self.rank(key, live)
         return ranked[0].host_id if ranked else None
 
     def _hosts_changed(self, *_: object) -> None:
+        self.context.claimer.note_live(self.context.live())
         self.context.load.keep({info.host_id for info in self.membership.hosts()})
         self.sender.resend()
         self.online_changed.set()
@@ -135,7 +140,9 @@
                     wanted[runner.name] = (pool, runner)
         for name in self.feeds.keys() - wanted.keys():
             feed = self.feeds.pop(name)
-            self.tasks[f"{name}/stop"] = asyncio.create_task(feed.stop())
+            # Unique, since a feeder may stop again before an earlier one has ended.
+            self.stops += 1
+            self.tasks[f"{name}/stop-{self.stops}"] = asyncio.create_task(feed.stop())
         for name, (pool, runner) in wanted.items():
             if name in self.feeds:
                 self.feeds[name].pool, self.feeds[name].runner = pool, runner
@@ -151,6 +158,10 @@
         if runner in self.feeds:
             self.feeds[runner].wake.set()
 
+    def _jobs_changed(self) -> None:
+        self.context.claimer.forget_ended(self.context.index.jobs)
+        self._wake_all()
+
     def _wake_all(self) -> None:
         for feed in self.feeds.values():
             feed.wake.set()
--- a/src/primroseford/batch/state.py
+++ b/src/primroseford/batch/state.py
@@ -30,9 +30,10 @@
 
 
 class ChunkPhase(Enum):
-    """Where a claimed chunk stands; a pending chunk has no object."""
+    """Where a chunk stands; a chunk that was never claimed has no object."""
 
     CLAIMED = "claimed"
+    RELEASED = "released"
     COMMITTED = "committed"
     STOPPED = "stopped"
 
--- a/src/primroseford/batch/tests/fleet.py
+++ b/src/primroseford/batch/tests/fleet.py
@@ -120,7 +120,10 @@
 
 
 class FakeRunner:
-    """Counts the runs of each item; ``gate`` holds answers back."""
+    """Counts the runs of each item; ``gate`` holds answers back.
+
+    With ``hold_after`` the gate closes once so many items have started.
+    """
 
     def __init__(self) -> None:
         self.runs: Counter[str] = Counter()
@@ -129,11 +132,16 @@
         self.gate.set()
         self.active: list[str] = []
         self.most = 0
+        self.hold_after: int | None = None
+        self.held = 0
 
     async def __call__(self, request) -> ItemAnswer:
         self.runs[request.request_id] += 1
         self.active.append(request.request_id)
         self.most = max(self.most, len(self.active))
+        if self.hold_after is not None and sum(self.runs.values()) > self.hold_after:
+            self.gate.clear()
+            self.held += 1
         try:
             await asyncio.sleep(0)
             await self.gate.wait()
--- /dev/null
+++ b/src/primroseford/batch/tests/test_claims.py
@@ -0,0 +1,101 @@
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from primroseford.batch.feed import RunnerFeed
+from primroseford.batch.state import RESULT_PARTS
+from primroseford.batch.tests.fleet import Fleet
+from primroseford.batch.tests.fleet import check_complete
+from primroseford.batch.tests.fleet import die
+from primroseford.batch.tests.fleet import started
+
+
+async def held_by(fleet: Fleet, name: str, count: int):
+    """Return a running host that has completed ``count`` items of its chunk."""
+    host = fleet.host(name)
+    fleet.runner.hold_after = count
+    await host.refresh()
+    host.start()
+
+    async def reached() -> bool:
+        return fleet.runner.held > 0
+
+    await fleet.until(reached)
+    return host
+
+
+@pytest.mark.parametrize("repeatable", [True, False])
+async def test_stopped_feeder_releases_its_chunk_at_once(repeatable):
+    """Guards against a chunk that waits 120 s for a feeder that moved away."""
+    fleet = Fleet(repeatable=repeatable)
+    name = await fleet.accept(40)
+    first = await held_by(fleet, "a", 20)
+    stop = asyncio.create_task(first.feed.stop())
+    await asyncio.sleep(0)
+    fleet.runner.hold_after = None
+    fleet.runner.gate.set()
+    await stop
+    stopped_at = fleet.clock()
+    second = await started(fleet, "b")
+    await fleet.until_state(name, "completed")
+    assert fleet.clock() - stopped_at < 5.0
+    await second.feed.stop()
+    await check_complete(fleet, name, 40)
+    assert len(await fleet.results(name)) == 40
+    if not repeatable:
+        assert max(fleet.runner.runs.values()) == 1
+
+
+async def test_holder_that_is_not_in_the_membership_yet_keeps_its_chunk():
+    """Guards against chunks taken back and forth while membership converges."""
+    fleet = Fleet()
+    name = await fleet.accept(40)
+    first = await held_by(fleet, "a", 20)
+    second = fleet.host("b")
+    claimer, live = second.feed.context.claimer, {"b"}
+    job = second.feed.context.jobs
+    header, _ = await job.read(name)
+    for visible, seconds, takes in [
+        (False, 9.0, False),
+        (True, 0.0, False),
+        (False, 0.0, False),
+        (False, 9.0, False),
+        (False, 1.0, True),
+    ]:
+        fleet.clock.advance(seconds)
+        found = await claimer.claim(name, header, live | ({"a"} if visible else set()))
+        assert (found is not None) is takes
+    await first.kill()
+
+
+async def test_feeders_of_one_host_do_not_take_each_others_chunk():
+    """Guards against a chunk run twice by two feeders of a host after an outage."""
+    fleet = Fleet()
+    name = await fleet.accept(40)
+    first = await held_by(fleet, "a", 20)
+    context = first.feed.context
+    first.client.fault = lambda verb, kind, after: (
+        die() if (verb, kind) == ("create", RESULT_PARTS) else None
+    )
+    other = RunnerFeed(context, first.feed.pool, first.feed.runner)
+    task = asyncio.create_task(other.run())
+    asked = first.client.calls["list"]
+
+    async def searched() -> bool:
+        fleet.clock.advance(30.0)
+        taken = other.works or len(first.feed.works) > 1
+        return taken or first.client.calls["list"] >= asked + 10
+
+    await fleet.until(searched)
+    assert [len(feed.works) for feed in (first.feed, other)] == [1, 0]
+    first.client.fault = lambda *_: None
+    fleet.runner.hold_after = None
+    fleet.runner.gate.set()
+    await fleet.until_state(name, "completed")
+    for feed in (first.feed, other):
+        await feed.stop()
+    await task
+    await check_complete(fleet, name, 40)
+    assert max(fleet.runner.runs.values()) == 1
--- a/src/primroseford/batch/tests/test_service.py
+++ b/src/primroseford/batch/tests/test_service.py
@@ -4,6 +4,7 @@
 from pathlib import Path
 
 import aiohttp
+import pytest
 
 from primroseford.batch.gen.ttypes import JobEnded
 from primroseford.batch.index import JobIndex
@@ -21,6 +22,7 @@
 from primroseford.errors import Outcome
 from primroseford.errors import ResultCode
 from primroseford.membership.state import HostInfo
+from primroseford.membership.state import HostState
 from primroseford.standins.engine import create_engine_stand_in
 from primroseford.standins.engine_http import create_engine_application
 from primroseford.standins.serving import serve
@@ -34,10 +36,14 @@
     def __init__(self, *names: str) -> None:
         self.callbacks = []
         self.names = names
+        self.states: dict[str, HostState] = {}
 
     def hosts(self):
-        """Return the live hosts."""
-        return tuple(HostInfo(n, n, "127.0.0.1:1", "d") for n in self.names)
+        """Return the hosts with their states."""
+        return tuple(
+            HostInfo(n, n, "127.0.0.1:1", "d", self.states.get(n, HostState.LIVE))
+            for n in self.names
+        )
 
     def on_change(self, callback):
         """Keep a callback."""
@@ -101,6 +107,19 @@
     assert (host, kind, message.runner, message.in_flight) == ("b", ONLINE_LOAD, "r", 3)
 
 
+@pytest.mark.parametrize("state", [HostState.LEAVING, HostState.SUSPECTED])
+async def test_only_live_hosts_have_duties(state):
+    """Guards against a runner whose feeder is on a host that stops or is lost."""
+    service, membership, _ = service_of(Fleet(), {})
+    async with service:
+        membership.states = {"a": state}
+        membership.replace("a", "b")
+        assert not service.feeds
+        membership.states = {"b": state}
+        membership.replace("b", "a")
+        assert list(service.feeds) == ["r"]
+
+
 async def test_ends_are_relayed_and_due_jobs_expire():
     """Guards against a cancel that other hosts learn of too late, or no expiry."""
     fleet = Fleet()
--- a/src/primroseford/batch/work.py
+++ b/src/primroseford/batch/work.py
@@ -104,7 +104,11 @@
 
 
 class Claimer:
-    """Claims chunks for one host.
+    """Claims chunks for all feeders of one host.
+
+    ``held`` names the chunks that a feeder holds or is about to claim, ``seen`` is
+    by job and chunk the version of another host's claim and since when it is
+    unchanged, and ``absent_since`` is by incarnation of holders.
 
     :param jobs: jobs and their chunks
     :param holder: this host
@@ -115,7 +119,9 @@
         self.jobs = jobs
         self.holder = holder
         self.clock = clock
-        self.seen: dict[str, tuple[int, float]] = {}
+        self.held: set[str] = set()
+        self.seen: dict[str, dict[int, tuple[int, float]]] = {}
+        self.absent_since: dict[str, float] = {}
 
     async def claim(
         self, name: str, job: Job, live: Collection[str], start: int = 0
@@ -127,23 +133,72 @@
         :raises PrimrosefordError: PLATFORM_UNAVAILABLE
         """
         found = {s.chunk: (s, item) for s, item in await self.jobs.chunks(name)}
+        self._note(name, found, live)
         count = len(job.chunk_items)
         for number in ((start + n) % count for n in range(count)):
-            stored = None
-            if number not in found:
-                stored = await self._create(name, number)
-            elif may_take_over(found[number][0], live, self._age(found[number][1])):
-                stored = await self._take(*found[number])
-            if stored is not None:
-                return await self._open(name, job, number, *stored)
+            if f"{name}-{number}" in self.held:
+                continue
+            if number in found and not self._may_take(*found[number]):
+                continue
+            work = await self._claim(name, job, number, found.get(number))
+            if work is not None:
+                return work
         return None
 
-    def _age(self, item: PlatformObject) -> float:
-        version, since = self.seen.get(item.name, (-1, 0.0))
-        if version != item.version:
-            since = self.clock()
-            self.seen[item.name] = (item.version, since)
-        return self.clock() - since
+    def drop(self, work: Work) -> None:
+        """Note that no feeder of this host holds a chunk any more."""
+        self.held.discard(work.stored.name)
+
+    def note_live(self, live: Collection[str]) -> None:
+        """Note which incarnations are live, so that an absence is continuous."""
+        for incarnation in self.absent_since.keys() & set(live):
+            del self.absent_since[incarnation]
+
+    def forget_ended(self, active: Collection[str]) -> None:
+        """Drop what was seen of jobs that are not active any more."""
+        self.seen = {name: seen for name, seen in self.seen.items() if name in active}
+        if not self.seen:
+            self.absent_since.clear()
+
+    def _note(self, name: str, found: dict, live: Collection[str]) -> None:
+        now, before = self.clock(), self.seen.get(name, {})
+        self.note_live(live)
+        seen = self.seen[name] = {}
+        for number, (state, item) in found.items():
+            if state.phase is not ChunkPhase.CLAIMED:
+                continue
+            version, since = before.get(number, (item.version, now))
+            seen[number] = (item.version, since if version == item.version else now)
+            if state.incarnation not in live:
+                self.absent_since.setdefault(state.incarnation, now)
+
+    def _may_take(self, state: ChunkState, item: PlatformObject) -> bool:
+        own = state.incarnation == self.holder.incarnation
+        if own and state.phase is ChunkPhase.CLAIMED:
+            # The answer to this host's claim was lost, since no feeder holds it.
+            return True
+        now = self.clock()
+        _, since = self.seen[state.job].get(state.chunk, (item.version, now))
+        absent = now - self.absent_since.get(state.incarnation, now)
+        return may_take_over(state, absent, now - since)
+
+    async def _claim(
+        self,
+        name: str,
+        job: Job,
+        number: int,
+        found: tuple[ChunkState, PlatformObject] | None,
+    ) -> Work | None:
+        chunk, work = f"{name}-{number}", None
+        self.held.add(chunk)
+        try:
+            taken = await (self._take(*found) if found else self._create(name, number))
+            if taken is not None:
+                work = await self._open(name, job, number, *taken)
+        finally:
+            if work is None:
+                self.held.discard(chunk)
+        return work
 
     async def _create(
         self, name: str, number: int
@@ -241,10 +296,11 @@
     return not work.closed
 
 
-async def save(jobs: JobStore, work: Work, now: float) -> bool:
+async def save(jobs: JobStore, work: Work, now: float, release: bool = False) -> bool:
     """Store new results, and commit the chunk if all items have one.
 
     :param now: local time in seconds
+    :param release: the feeder stops; another one may claim the chunk at once
     :returns: whether the chunk is still this host's
     :raises PrimrosefordError: PLATFORM_UNAVAILABLE; call again later
     """
@@ -257,7 +313,9 @@
     job, _ = await jobs.read(work.name)
     # A chunk whose items are still in flight is stopped by a later write, which
     # then holds their results.
-    stop = job.state is not JobState.ACTIVE and not work.running
+    phase = ChunkPhase.RELEASED if release else work.state.phase
+    if job.state is not JobState.ACTIVE and not work.running:
+        phase = ChunkPhase.STOPPED
     # Items that wait or were given up were not sent; their intents are withdrawn.
     base = replace(
         work.state,
@@ -265,7 +323,7 @@
         suspects=frozenset(work.suspects),
         intents=work.state.intents - set(work.pending) - work.unsent,
     )
-    state = saved_state(base, results, parts, stop)
+    state = saved_state(base, results, parts, phase)
     work.writing = (committed(state, len(work.items)), results)
     await _finish_write(jobs, work)
     work.saved_at = now
