Send batch items through the online exchange

Cause: batch/runners.py had its own HTTP exchange. It told "not run" by the kind of aiohttp's error, and its session repeated requests on closed kept connections.

Change: create_run_item adapts exchange_whole, which marks the first byte sent, checks the request id and never repeats. RunnerCall.max_answer_bytes bounds the answer's size; an item with a longer answer ends as RESULT_TOO_LARGE. An item is cancelled at its runner only if a byte was sent.

Conclusion: online and batch share one rule for outcomes. The benchmark and the test use create_runner_session, which the marking needs.

--- a/bench/bench_batch.py
+++ b/bench/bench_batch.py
@@ -26,6 +26,7 @@
 from primroseford.batch.runners import create_run_item
 from primroseford.batch.state import JobState
 from primroseford.clock import boottime
+from primroseford.online.exchange import create_runner_session
 from primroseford.platform.client import create_platform_client
 
 ITEMS = 57_000
@@ -132,8 +133,9 @@
     ``seconds`` is the length of the last run, without the time to settle.
     """
 
-    def __init__(self, session, addresses: dict[str, str]) -> None:
+    def __init__(self, session, runner_session, addresses: dict[str, str]) -> None:
         self.session, self.addresses = session, addresses
+        self.runner_session = runner_session
         client = create_platform_client(addresses["platform"], session)
         self.jobs = JobStore(client, FileStore(client, time.time), time.time)
         self.costs: dict[str, float] = {}
@@ -143,7 +145,7 @@
     async def feed(self, online: Online, yielding: bool):
         """Start a feeder over the active jobs."""
         address = self.addresses["engine"].removeprefix("http://")
-        run_item, costs = create_run_item(self.session), self.costs
+        run_item, costs = create_run_item(self.runner_session), self.costs
         feed = create_feed(
             self.jobs,
             tables(address, {}),
@@ -341,8 +343,11 @@
     report = Report("batch", 'make bench ARGS="batch"')
     connector = aiohttp.TCPConnector(limit=0)
     async with aiohttp.ClientSession(connector=connector) as session:
-        async with process("stand-ins") as addresses:
-            bed = Bed(session, addresses)
+        async with (
+            process("stand-ins") as addresses,
+            create_runner_session() as runner_session,
+        ):
+            bed = Bed(session, runner_session, addresses)
             await measure_beside(report, bed)
             await measure_step_back(report, bed)
             await measure_fairness(report, bed)
--- a/src/primroseford/batch/decisions.py
+++ b/src/primroseford/batch/decisions.py
@@ -84,6 +84,8 @@
     """
     if answer.outcome is Outcome.NOT_RUN:
         return Verdict(Step.AGAIN)
+    if answer.too_large:
+        return Verdict(Step.RESULT, ResultCode.RESULT_TOO_LARGE)
     if 200 <= answer.status < 300:
         return Verdict(Step.RESULT)
     if answer.status in VERDICT_STATUSES:
--- a/src/primroseford/batch/feed.py
+++ b/src/primroseford/batch/feed.py
@@ -40,6 +40,7 @@
 from primroseford.errors import Outcome
 from primroseford.errors import PrimrosefordError
 from primroseford.routing.match import match_route
+from primroseford.routing.tracker import MAX_RETRY_AFTER_SECONDS
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -287,6 +288,8 @@
         self.failures = self.failures + 1 if refused or answer.died else 0
         if refused or answer.died:
             pause = min(MAX_RETRY_SECONDS, RETRY_SECONDS * 2 ** min(self.failures, 8))
+            asked = min(answer.retry_after or 0.0, MAX_RETRY_AFTER_SECONDS)
+            pause = max(pause, asked)
             self.paused_until = self.context.clock() + pause
         if refused:
             self._charge(choice, -1)
--- a/src/primroseford/batch/runners.py
+++ b/src/primroseford/batch/runners.py
@@ -12,7 +12,13 @@
 import aiohttp
 
 from primroseford.batch.results import MAX_ANSWER_BYTES
+from primroseford.configuration.tables import PoolKind
 from primroseford.errors import Outcome
+from primroseford.errors import PrimrosefordError
+from primroseford.errors import ResultCode
+from primroseford.online.exchange import Attempt
+from primroseford.online.exchange import RunnerCall
+from primroseford.online.exchange import exchange_whole
 
 if TYPE_CHECKING:
     from primroseford.configuration.tables import Pool
@@ -43,12 +49,16 @@
     :param status: HTTP status; 0 if no answer arrived
     :param outcome: whether the item ran
     :param died: the connection broke or the answer never came
+    :param too_large: the runner ran the item, but its answer is not kept
+    :param retry_after: seconds that the runner asks to wait, if any
     """
 
     status: int
     body: bytes
     outcome: Outcome
     died: bool = False
+    too_large: bool = False
+    retry_after: float | None = None
 
 
 RunItem = Callable[[ItemRequest], Awaitable[ItemAnswer]]
@@ -59,54 +69,59 @@
 
     A cancelled call also cancels the item at the runner.
 
-    :param session: HTTP session towards runners
+    :param session: from :func:`primroseford.online.exchange.create_runner_session`
     """
 
     async def run_item(request: ItemRequest) -> ItemAnswer:
-        url = f"http://{request.runner.address}"
+        attempt = Attempt()
         try:
-            return await _post(session, url, request)
-        except aiohttp.ClientConnectorError:
-            return ItemAnswer(0, b"", Outcome.NOT_RUN, died=True)
-        except (aiohttp.ClientError, TimeoutError, OSError):
-            await _cancel(session, url, request.request_id)
-            return ItemAnswer(0, b"", Outcome.MAY_HAVE_RUN, died=True)
+            reply = await exchange_whole(session, _call(request), attempt)
+        except PrimrosefordError as error:
+            if attempt.sent:
+                await _cancel(session, request)
+            return _failed(error)
         except asyncio.CancelledError:
-            await asyncio.shield(_cancel(session, url, request.request_id))
+            if attempt.sent:
+                await asyncio.shield(_cancel(session, request))
             raise
+        body = b"" if reply.outcome is Outcome.NOT_RUN else reply.body
+        return ItemAnswer(
+            reply.status, body, reply.outcome, retry_after=reply.retry_after
+        )
 
     return run_item
 
 
-async def _post(
-    session: aiohttp.ClientSession, url: str, request: ItemRequest
-) -> ItemAnswer:
-    headers = {"X-Request-Id": request.request_id, "Content-Type": "application/json"}
-    async with session.post(
-        url + request.path,
-        data=json.dumps(request.body).encode(),
-        headers=headers,
-        timeout=aiohttp.ClientTimeout(total=request.timeout_seconds),
-    ) as answer:
-        answered = answer.headers.get("X-Request-Id", request.request_id)
-        if answered != request.request_id:
-            answer.close()
-            return ItemAnswer(0, b"", Outcome.MAY_HAVE_RUN)
-        if answer.status in request.pool.not_run_statuses:
-            return ItemAnswer(answer.status, b"", Outcome.NOT_RUN)
-        body = b""
-        async for block in answer.content.iter_any():
-            body += block
-            if len(body) > MAX_ANSWER_BYTES:
-                answer.close()
-                break
-        return ItemAnswer(answer.status, body, Outcome.RAN)
-
-
-async def _cancel(session: aiohttp.ClientSession, url: str, request_id: str) -> None:
+def _call(request: ItemRequest) -> RunnerCall:
+    return RunnerCall(
+        "POST",
+        f"http://{request.runner.address}{request.path}",
+        {"Content-Type": "application/json"},
+        json.dumps(request.body).encode(),
+        request.request_id,
+        request.timeout_seconds,
+        requires_echo=request.pool.runner_kind is PoolKind.ENGINE,
+        not_run_statuses=request.pool.not_run_statuses,
+        max_answer_bytes=MAX_ANSWER_BYTES,
+    )
+
+
+def _failed(error: PrimrosefordError) -> ItemAnswer:
+    too_large = error.code is ResultCode.RESULT_TOO_LARGE
+    return ItemAnswer(
+        0,
+        b"",
+        error.outcome,
+        died=not too_large and error.code is not ResultCode.ANSWER_MISMATCHED,
+        too_large=too_large,
+    )
+
+
+async def _cancel(session: aiohttp.ClientSession, request: ItemRequest) -> None:
+    url = f"http://{request.runner.address}/v1/streams/{request.request_id}"
     timeout = aiohttp.ClientTimeout(total=CANCEL_SECONDS)
     try:
-        async with session.delete(f"{url}/v1/streams/{request_id}", timeout=timeout):
+        async with session.delete(url, timeout=timeout):
             pass
     except (aiohttp.ClientError, TimeoutError, OSError):
         return
--- a/src/primroseford/batch/tests/test_service.py
+++ b/src/primroseford/batch/tests/test_service.py
@@ -6,6 +6,7 @@
 import aiohttp
 import pytest
 
+from primroseford.batch import runners
 from primroseford.batch.gen.ttypes import JobEnded
 from primroseford.batch.index import JobIndex
 from primroseford.batch.load import JOB_ENDED
@@ -23,6 +24,7 @@
 from primroseford.errors import ResultCode
 from primroseford.membership.state import HostInfo
 from primroseford.membership.state import HostState
+from primroseford.online.exchange import create_runner_session
 from primroseford.standins.engine import create_engine_stand_in
 from primroseford.standins.engine_http import create_engine_application
 from primroseford.standins.serving import serve
@@ -150,7 +152,7 @@
     assert name not in index.jobs
 
 
-async def test_runner_answers_become_outcomes():
+async def test_runner_answers_become_outcomes(monkeypatch):
     """Guards against a 'not run' for an item that may have run."""
     engine = create_engine_stand_in()
     served = await serve(create_engine_application(engine))
@@ -162,7 +164,7 @@
         runner = Runner(name="r", address=runner_address, failure_domain="d")
         return await run(ItemRequest(pool, runner, ENDPOINT, body, "id", 5.0))
 
-    async with aiohttp.ClientSession() as session:
+    async with create_runner_session() as session:
         run = create_run_item(session)
         answer = await post(address)
         assert (answer.status, answer.outcome) == (200, Outcome.RAN)
@@ -171,11 +173,16 @@
         engine.faults.refuse_status = 0
         engine.faults.wrong_request_id = True
         assert (await post(address)).outcome is Outcome.MAY_HAVE_RUN
+        engine.faults.wrong_request_id = False
+        monkeypatch.setattr(runners, "MAX_ANSWER_BYTES", 10)
+        answer = await post(address)
+        assert (answer.outcome, answer.too_large) == (Outcome.RAN, True)
+        assert not answer.died
         engine.faults.die_before_answer = True
         answer = await post(address)
         assert (answer.outcome, answer.died) == (Outcome.MAY_HAVE_RUN, True)
     await served.stop()
-    async with aiohttp.ClientSession() as session:
+    async with create_runner_session() as session:
         run = create_run_item(session)
         answer = await post(address)
         assert (answer.outcome, answer.died) == (Outcome.NOT_RUN, True)
--- a/src/primroseford/online/exchange.py
+++ b/src/primroseford/online/exchange.py
@@ -50,6 +50,7 @@
     :param timeout: seconds left for the whole exchange
     :param requires_echo: a successful answer must carry the request id
     :param not_run_statuses: statuses by which the runner says it did not run
+    :param max_answer_bytes: a longer answer is given up; no bound if nothing
     """
 
     method: str
@@ -60,6 +61,7 @@
     timeout: float
     requires_echo: bool = False
     not_run_statuses: Collection[int] = ()
+    max_answer_bytes: int | None = None
 
 
 @dataclass(frozen=True)
@@ -188,15 +190,15 @@
 
     :param session: from :func:`create_runner_session`
     :param attempt: tells a caller that cancels whether bytes were sent
-    :raises PrimrosefordError: RUNNER_UNREACHABLE, RUNNER_FAILED, RUNNER_TIMEOUT or
-        ANSWER_MISMATCHED, with a truthful outcome
+    :raises PrimrosefordError: RUNNER_UNREACHABLE, RUNNER_FAILED, RUNNER_TIMEOUT,
+        ANSWER_MISMATCHED or RESULT_TOO_LARGE, with a truthful outcome
     """
     attempt = attempt or Attempt()
     try:
         async with asyncio.timeout(call.timeout):
             answer = await open_exchange(session, call, attempt)
             try:
-                body = await _read_whole(answer, attempt)
+                body = await _read_whole(answer, attempt, call.max_answer_bytes)
             except BaseException:
                 answer.close()
                 raise
@@ -211,14 +213,31 @@
     return Reply(answer.status, answer.headers, body, outcome, retry_after)
 
 
-async def _read_whole(answer: aiohttp.ClientResponse, attempt: Attempt) -> bytes:
+async def _read_whole(
+    answer: aiohttp.ClientResponse, attempt: Attempt, limit: int | None
+) -> bytes:
     if not has_verifiable_length(answer):
         raise failure(
             ResultCode.RUNNER_FAILED, "the runner's answer has no length", attempt
         )
     try:
-        return await answer.read()
+        if limit is None:
+            return await answer.read()
+        return await _read_bounded(answer, limit)
     except (aiohttp.ClientError, OSError) as error:
         raise failure(
             ResultCode.RUNNER_FAILED, "the runner's answer was cut", attempt
         ) from error
+
+
+async def _read_bounded(answer: aiohttp.ClientResponse, limit: int) -> bytes:
+    body = bytearray()
+    async for block in answer.content.iter_any():
+        body += block
+        if len(body) > limit:
+            raise PrimrosefordError(
+                ResultCode.RESULT_TOO_LARGE,
+                f"the runner's answer is longer than {limit} bytes",
+                outcome=Outcome.RAN,
+            )
+    return bytes(body)
