Count batch items on their runners and poll every runner that is fed

Cause: the chooser did not see batch items, so that it sent online requests to runners full of batch. A feeder of a runner outside its host's subset had no load report, so that its window ignored load that no host had told of.

Change: each item is counted with start(batch=True) and released through Places.release, so that a finished item lets queued online requests go on. A runner that died counts as failed; a faulty item ejects no runner. The load poller also polls the engines that this host feeds. Before, steady batch items would have kept a slow runner out.

Conclusion: online and batch choose from the same counts.

--- a/src/primroseford/batch/service.py
+++ b/src/primroseford/batch/service.py
@@ -18,6 +18,7 @@
 from primroseford.batch.load import SEND_INTERVAL_SECONDS
 from primroseford.batch.load import LoadSender
 from primroseford.batch.state import JobState
+from primroseford.configuration.tables import PoolKind
 from primroseford.configuration.tables import RunnerState
 from primroseford.errors import PrimrosefordError
 from primroseford.membership.state import HostState
@@ -26,6 +27,8 @@
     from collections.abc import Callable
 
     from primroseford.batch.feed import FeedContext
+    from primroseford.configuration.tables import Pool
+    from primroseford.configuration.tables import Runner
 
 POLL_SECONDS = 2.0
 COLLECT_SECONDS = 3600.0
@@ -95,6 +98,11 @@
         self.sender.changed(runner)
         self.online_changed.set()
 
+    def fed_runners(self) -> list[tuple[Pool, Runner]]:
+        """Return the engines that this host feeds, with their pools."""
+        found = [(feed.pool, feed.runner) for feed in self.feeds.values()]
+        return [pair for pair in found if pair[0].runner_kind is PoolKind.ENGINE]
+
     async def announce_end(self, job: str) -> None:
         """Tell all hosts that a job was cancelled.
 
--- /dev/null
+++ b/src/primroseford/batch/tests/test_counting.py
@@ -0,0 +1,105 @@
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from primroseford.batch.counting import create_counted_run_item
+from primroseford.batch.runners import ItemAnswer
+from primroseford.batch.runners import ItemRequest
+from primroseford.batch.tests.conftest import ENDPOINT
+from primroseford.batch.tests.fleet import Fleet
+from primroseford.batch.tests.fleet import fine
+from primroseford.clock import ManualClock
+from primroseford.errors import Outcome
+from primroseford.metrics import Metrics
+from primroseford.online.places import Places
+from primroseford.routing.poller import create_load_poller
+from primroseford.routing.tracker import Result
+from primroseford.routing.tracker import create_runner_tracker
+
+
+def parts(answer):
+    """Return tables, tracker, places and a counted function over an answer."""
+    store = Fleet().tables()
+    tracker = create_runner_tracker("a", "d", ManualClock())
+    places = Places(store, tracker)
+
+    async def run_item(request):
+        await asyncio.sleep(0)
+        return answer(request)
+
+    run = create_counted_run_item(run_item, tracker, places.release)
+    return store, tracker, places, run
+
+
+def request_of(store) -> ItemRequest:
+    """Return an item for the only runner."""
+    pool = store.current().pools["vans"]
+    return ItemRequest(pool, pool.runners[0], ENDPOINT, {}, "id", 5.0)
+
+
+async def test_batch_items_count_in_the_runners_load():
+    """Guards against a chooser that sends online requests to runners full of batch."""
+    store, tracker, _, run = parts(fine)
+    request = request_of(store)
+    task = asyncio.create_task(run(request))
+    await asyncio.sleep(0)
+    view = tracker.view_of(request.pool, request.runner)
+    assert (view.in_flight, view.batch, tracker.online_on("r")) == (1, 1, 0)
+    await task
+    stopped = asyncio.create_task(run(request))
+    await asyncio.sleep(0)
+    stopped.cancel()
+    await asyncio.gather(stopped, return_exceptions=True)
+    assert view.in_flight == 0
+
+
+async def test_finished_batch_item_lets_a_queued_request_go_on():
+    """Guards against an online request that waits on a runner that came back."""
+    store, tracker, places, run = parts(fine)
+    request = request_of(store)
+    pool = request.pool
+    view = tracker.view_of(pool, request.runner)
+    for _ in range(pool.max_in_flight):
+        tracker.start(view)
+    waiting = asyncio.create_task(places.acquire(pool, "org-0", None, 60.0, []))
+    await asyncio.sleep(0)
+    assert len(places.waits["vans"].queue) == 1
+    tracker.finish(view, Result.SUCCEEDED)
+    await run(request)
+    await asyncio.sleep(0)
+    assert waiting.done() and waiting.result() is view
+
+
+@pytest.mark.parametrize(
+    ("answer", "ejected", "paused"),
+    [
+        (ItemAnswer(0, b"", Outcome.MAY_HAVE_RUN, died=True), True, True),
+        (ItemAnswer(503, b"", Outcome.NOT_RUN, retry_after=7.0), False, True),
+        (ItemAnswer(500, b"", Outcome.RAN), False, False),
+        (ItemAnswer(422, b"", Outcome.RAN), False, False),
+    ],
+)
+async def test_answers_eject_only_runners_that_died(answer, ejected, paused):
+    """Guards against faulty items that take a healthy runner from online."""
+    store, tracker, _, run = parts(lambda request: answer)
+    request = request_of(store)
+    for _ in range(3):
+        await run(request)
+    view = tracker.view_of(request.pool, request.runner)
+    assert view.probing is ejected
+    assert (view.unavailable_until > tracker.clock()) is paused
+
+
+async def test_runners_that_are_fed_are_polled_outside_the_subset():
+    """Guards against a batch window without load reports of its runner."""
+    store, tracker, _, _ = parts(fine)
+    request = request_of(store)
+    view = tracker.view_of(request.pool, request.runner)
+    tracker._stays = lambda runner: False
+    fed = []
+    poller = create_load_poller(store, tracker, None, Metrics(), lambda: fed)
+    assert poller.views_in_use() == []
+    fed.append(view)
+    assert poller.views_in_use() == [view]
--- a/src/primroseford/daemon/assembly.py
+++ b/src/primroseford/daemon/assembly.py
@@ -11,6 +11,7 @@
 import aiohttp
 import structlog
 
+from primroseford.batch.counting import create_counted_run_item
 from primroseford.batch.feed import FeedContext
 from primroseford.batch.files import FileStore
 from primroseford.batch.index import JobIndex
@@ -42,7 +43,7 @@
 from primroseford.peer.handshake import read_secret
 from primroseford.peer.network import create_peer_network
 from primroseford.platform.client import create_platform_client
-from primroseford.routing.poller import LoadPoller
+from primroseford.routing.poller import create_load_poller
 from primroseford.routing.tracker import create_runner_tracker
 
 if TYPE_CHECKING:
@@ -64,6 +65,7 @@
     from primroseford.orders.service import OrderService
     from primroseford.peer.network import PeerNetwork
     from primroseford.platform.client import PlatformClient
+    from primroseford.routing.poller import LoadPoller
     from primroseford.routing.tracker import RunnerTracker
 
 log = structlog.get_logger()
@@ -202,7 +204,11 @@
     context = FeedContext(
         jobs=jobs,
         claimer=Claimer(jobs, Holder(own.host_id, own.incarnation), clock),
-        run_item=create_run_item(runner_session),
+        run_item=create_counted_run_item(
+            create_run_item(runner_session),
+            tracker,
+            application[ONLINE_STATE].places.release,
+        ),
         limiter=limiter,
         configuration=store,
         clock=clock,
@@ -233,7 +239,13 @@
         configuration,
         limiter,
         tracker,
-        LoadPoller(store, tracker, runner_session, metrics),
+        create_load_poller(
+            store,
+            tracker,
+            runner_session,
+            metrics,
+            lambda: [tracker.view_of(*pair) for pair in batch.fed_runners()],
+        ),
         create_order_service(leases, session, clock=clock, metrics=metrics),
         batch,
         application,
--- a/src/primroseford/online/places.py
+++ b/src/primroseford/online/places.py
@@ -130,9 +130,10 @@
         result: Result,
         latency: float | None = None,
         retry_after: float | None = None,
+        batch: bool = False,
     ) -> None:
         """Give back a place and let waiting requests have it."""
-        self.tracker.finish(view, result, latency, retry_after)
+        self.tracker.finish(view, result, latency, retry_after, batch)
         self.pump()
 
     def _give_back(self, view: RunnerView) -> None:
--- a/src/primroseford/routing/choice.py
+++ b/src/primroseford/routing/choice.py
@@ -142,7 +142,7 @@
     """
     if view.leaving or view.report_leaving or now < view.unavailable_until:
         return False
-    return view.in_flight < 1 if view.probing else view.online < view.limit
+    return view.online < (1 if view.probing else view.limit)
 
 
 def choose_runner(
--- a/src/primroseford/routing/poller.py
+++ b/src/primroseford/routing/poller.py
@@ -13,6 +13,9 @@
 from primroseford.routing.tracker import apply_cache_event
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterable
+
     from primroseford.configuration.store import ConfigurationStore
     from primroseford.metrics import Metrics
     from primroseford.routing.choice import RunnerView
@@ -32,6 +35,8 @@
     :param store: configuration in force
     :param tracker: where reports go
     :param session: HTTP session towards runners
+    :param fed: runners to which this host sends batch items; they are polled also
+        outside the subset
     """
 
     def __init__(
@@ -40,11 +45,13 @@
         tracker: RunnerTracker,
         session: aiohttp.ClientSession,
         metrics: Metrics,
+        fed: Callable[[], Iterable[RunnerView]] = tuple,
     ) -> None:
         super().__init__()
         self.store = store
         self.tracker = tracker
         self.session = session
+        self.fed = fed
         self.failures = metrics.counter(
             "load_poll_failures_total", "Load reports that could not be read"
         )
@@ -74,6 +81,7 @@
         for view in self.tracker.views.values():
             if view.report_leaving:
                 found[id(view)] = view
+        found |= {id(view): view for view in self.fed()}
         return list(found.values())
 
     async def poll_round(self, views: list[RunnerView], with_cache: bool) -> None:
@@ -114,11 +122,13 @@
     tracker: RunnerTracker,
     session: aiohttp.ClientSession,
     metrics: Metrics,
+    fed: Callable[[], Iterable[RunnerView]] = tuple,
 ) -> LoadPoller:
     """Return a poller that is ready to start.
 
     :param store: configuration in force
     :param tracker: where reports go
     :param session: HTTP session towards runners
+    :param fed: runners to which this host sends batch items
     """
-    return LoadPoller(store, tracker, session, metrics)
+    return LoadPoller(store, tracker, session, metrics, fed)
--- a/src/primroseford/routing/tracker.py
+++ b/src/primroseford/routing/tracker.py
@@ -131,18 +131,22 @@
 
     def _select(self, pool: Pool, ranked: list[Runner]) -> list[RunnerView]:
         selected = choose_subset(ranked, self.domain, self._stays)
-        views = []
-        for runner in selected:
-            key = (runner.name, runner.address)
-            view = self.views.get(key)
-            if view is None:
-                view = RunnerView(runner, pool.max_in_flight)
-                view.capacity = pool.max_in_flight
-                self.views[key] = view
-            view.runner = runner
-            view.limit = pool.max_in_flight
-            views.append(view)
-        return views
+        return [self.view_of(pool, runner) for runner in selected]
+
+    def view_of(self, pool: Pool, runner: Runner) -> RunnerView:
+        """Return the state of a runner, also of one outside the subset.
+
+        :param pool: the pool in force
+        """
+        key = (runner.name, runner.address)
+        view = self.views.get(key)
+        if view is None:
+            view = RunnerView(runner, pool.max_in_flight)
+            view.capacity = pool.max_in_flight
+            self.views[key] = view
+        view.runner = runner
+        view.limit = pool.max_in_flight
+        return view
 
     def forget_unused(self, pools: Iterable[Pool]) -> None:
         """Drop the state of runners that no pool names any more."""
@@ -207,7 +211,9 @@
             if view.failures >= FAILURES_TO_EJECT or view.probing:
                 self._eject(view, now)
         elif result is Result.SUCCEEDED:
-            self._succeed(view, latency, now)
+            # A batch item is not measured, so it does not readmit a slow runner.
+            if not (batch and view.ejected_as_slow):
+                self._succeed(view, latency, now)
         elif result is Result.REFUSED and retry_after is not None:
             pause = min(retry_after, MAX_RETRY_AFTER_SECONDS)
             view.unavailable_until = max(view.unavailable_until, now + pause)
