Measure the daemon and compare choosers on live engines

The online benchmark measured only the application, without limiter, freshness rule, poller and batch services, and its chooser rows came from a discrete-event model. It now starts a primrosefordd process against a platform stand-in, and runs nine hosts' trackers, pollers and choosers against five engine stand-ins in processes of their own, at a load that the weakest runner carries with an equal share. The model is gone.

--- a/bench/bench_online.py
+++ b/bench/bench_online.py
@@ -3,35 +3,48 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import json
 import os
+import re
 import statistics
 import sys
+import tempfile
 import time
+from pathlib import Path
 
 import aiohttp
-
-from bench.chooser_model import SLOW_SPEEDS
-from bench.chooser_model import least_reported_chooser
-from bench.chooser_model import random_chooser
-from bench.chooser_model import round_robin_chooser
-from bench.chooser_model import run_model
+import yaml
+
+from bench.chooser_live import SLOW_SPEEDS
+from bench.chooser_live import least_reported_chooser
+from bench.chooser_live import random_chooser
+from bench.chooser_live import request_rate
+from bench.chooser_live import round_robin_chooser
+from bench.chooser_live import run_live
 from bench.online_processes import EVENTS
-from bench.online_processes import SECRET
+from bench.online_processes import documents
 from bench.report import Report
+from primroseford.configuration.edits import issue_key
+from primroseford.demo.fleet import apply_documents
+from primroseford.demo.fleet import host_settings
+from primroseford.platform.client import create_platform_client
 
 ROUNDS = 4
 REQUESTS_PER_ROUND = 4_000
 CONCURRENCY = 32
 HALF_LOAD_REQUESTS = 3_000
+"""In each of the rounds; a p99 then comes from 12,000 requests."""
 STREAMS = 100
 START_SECONDS = 1.0
+READY_SECONDS = 60.0
+PEER_SECRET = "only-for-the-benchmark-" * 2
 MEMORY_REQUESTS = 100_000
-SEEDS = (1, 2, 3)
+SEED = 1
 TICKS = os.sysconf("SC_CLK_TCK")
 PATH = "/v1/chat/completions"
-HEADERS = {"Authorization": f"Bearer {SECRET}", "Content-Type": "application/json"}
 WHOLE = json.dumps({"model": "m", "messages": [{"role": "user", "content": "x" * 200}]})
+HEADERS = {"Content-Type": "application/json"}
 STREAM = json.dumps({"model": "m", "messages": [], "stream": True})
 
 
@@ -74,6 +87,45 @@
     return Process(handle, int(await handle.stdout.readline()))
 
 
+async def start_daemon(session, folder: Path, platform: str, backend: str) -> Process:
+    """Start ``primrosefordd`` with tables on the platform; return it once it admits.
+
+    :param folder: where the settings and the peer secret are written
+    :param platform: address of the platform's stand-in
+    :param backend: address of the only runner
+    """
+    client = create_platform_client(f"http://{platform}", session)
+    await apply_documents(client, documents(backend))
+    HEADERS["Authorization"] = f"Bearer {(await issue_key(client, 'o')).secret}"
+    secret_file = folder / "peer-secret"
+    secret_file.write_text(PEER_SECRET)
+    secret_file.chmod(0o600)
+    settings = host_settings(1, f"http://{platform}", secret_file)
+    settings_file = folder / "settings.yaml"
+    settings_file.write_text(yaml.safe_dump(settings.model_dump(mode="json")))
+    command = [sys.executable, "-m", "primroseford.daemon.main"]
+    handle = await asyncio.create_subprocess_exec(
+        *command, "--settings", str(settings_file), stderr=asyncio.subprocess.PIPE
+    )
+    assert handle.stderr is not None
+    while b"'host started'" not in (line := await handle.stderr.readline()):
+        assert line, "the daemon ended before it listened"
+    listen = re.search(rb"listen='[\d.]+:(\d+)'", line)
+    assert listen is not None, line
+    process = Process(handle, int(listen[1]))
+    async with asyncio.timeout(READY_SECONDS):
+        while not await serves(session, process):  # noqa: ASYNC110
+            await asyncio.sleep(0.1)
+    return process
+
+
+async def serves(session: aiohttp.ClientSession, process: Process) -> bool:
+    """Return whether a request gets its answer."""
+    async with session.post(process.url, data=WHOLE, headers=HEADERS) as answer:
+        await answer.read()
+        return answer.status == 200
+
+
 async def post(session: aiohttp.ClientSession, url: str, body: str) -> bytes:
     """Send one request and return the whole answer."""
     async with session.post(url, data=body, headers=HEADERS) as answer:
@@ -167,20 +219,25 @@
     )
 
 
-def measure_choosers(report: Report) -> None:
-    """Compare the chooser with naive ones in the discrete-event run."""
-    own = statistics.median(run_model(None, seed) for seed in SEEDS)
-    naive = {
+async def measure_choosers(report: Report) -> None:
+    """Compare the chooser with naive ones on live engine stand-ins."""
+    choosers = {
+        "own": lambda: None,
         "random": lambda: random_chooser,
         "round robin": round_robin_chooser,
         "least reported load": lambda: least_reported_chooser,
     }
-    for name, create in naive.items():
-        other = statistics.median(run_model(create(), seed) for seed in SEEDS)
-        note = f"{own * 1000:.0f} ms against {other * 1000:.0f} ms, model run"
+    p99 = {
+        name: percentile(await run_live(create(), SEED), 0.99) * 1000
+        for name, create in choosers.items()
+    }
+    own = p99.pop("own")
+    load = f"live run, {request_rate():.0f} requests/s"
+    for name, other in p99.items():
+        note = f"{own:.0f} ms against {other:.0f} ms, {load}"
         report.at_most(f"first token p99 over {name}", own / other, "ratio", 1.0, note)
-    slow = statistics.median(run_model(None, seed, SLOW_SPEEDS) for seed in SEEDS)
-    note = f"{slow * 1000:.0f} ms against {own * 1000:.0f} ms, model run"
+    slow = percentile(await run_live(None, SEED, SLOW_SPEEDS), 0.99) * 1000
+    note = f"{slow:.0f} ms against {own:.0f} ms, {load}"
     report.at_most(
         "first token p99, one runner 5x slower", slow / own, "ratio", 1.3, note
     )
@@ -189,16 +246,25 @@
 async def measure() -> Report:
     """Run the benchmark."""
     report = Report("online", 'make bench ARGS="online"')
-    backend = await start("backend")
-    bare = await start("passthrough", backend.address)
-    own = await start("system", backend.address)
+    # A collection in the load generator would count as latency of what it measures.
+    gc.disable()
     connector = aiohttp.TCPConnector(limit=0)
-    try:
-        async with aiohttp.ClientSession(connector=connector) as session:
-            await measure_relay(report, session, bare, own)
-            await measure_memory(report, session, own)
-    finally:
-        for process in (own, bare, backend):
-            await process.stop()
-    measure_choosers(report)
+    processes: list[Process] = []
+    with tempfile.TemporaryDirectory() as folder:
+        try:
+            async with aiohttp.ClientSession(connector=connector) as session:
+                backend, platform = await start("backend"), await start("platform")
+                processes += [backend, platform]
+                bare = await start("passthrough", backend.address)
+                processes.append(bare)
+                own = await start_daemon(
+                    session, Path(folder), platform.address, backend.address
+                )
+                processes.append(own)
+                await measure_relay(report, session, bare, own)
+                await measure_memory(report, session, own)
+        finally:
+            for process in reversed(processes):
+                await process.stop()
+    await measure_choosers(report)
     return report
--- /dev/null
+++ b/bench/chooser_live.py
@@ -0,0 +1,202 @@
+"""Time to first token of runner choosers on five uneven engines and nine hosts.
+
+The trackers, pollers and choosers of nine hosts run in this process and send over
+loopback HTTP to five engine stand-ins, each in a process of its own, whose load
+reports are 500 ms old.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+from dataclasses import dataclass
+from random import Random
+from typing import TYPE_CHECKING
+
+import aiohttp
+
+from primroseford.clock import boottime
+from primroseford.configuration.store import ConfigurationStore
+from primroseford.ids import FailureDomainId
+from primroseford.ids import HostId
+from primroseford.ids import Version
+from primroseford.metrics import Metrics
+from primroseford.platform.objects import PlatformObject
+from primroseford.routing.poller import create_load_poller
+from primroseford.routing.tracker import Result
+from primroseford.routing.tracker import create_runner_tracker
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from primroseford.routing.poller import LoadPoller
+    from primroseford.routing.tracker import RunnerTracker
+
+HOSTS = 9
+CAPACITIES = (16, 16, 12, 8, 8)
+SPEEDS = (1.0, 1.0, 0.9, 0.8, 0.7)
+SLOW_SPEEDS = (1.0, 1.0, 0.9, 0.8, 0.14)
+PREFILL_SECONDS = 0.02
+TOKEN_SECONDS = 0.008
+MEAN_TOKENS = 16
+MAX_TOKENS = 96
+REPORT_LAG_SECONDS = 0.5
+WEAKEST_LOAD = 0.7
+"""Load of the weakest runner if each runner gets a fifth of the requests."""
+SECONDS = 25.0
+WARM_UP_SECONDS = 4.0
+
+
+@dataclass
+class LiveHost:
+    """One host: its tracker and poller with sessions of their own."""
+
+    number: int
+    store: ConfigurationStore
+    tracker: RunnerTracker
+    poller: LoadPoller
+    session: aiohttp.ClientSession
+
+
+def random_chooser(views, host, random):
+    """Choose any runner."""
+    return random.choice(views)
+
+
+def round_robin_chooser():
+    """Return a chooser that takes runners in turn, for each host on its own."""
+    turns = list(range(HOSTS))
+
+    def choose(views, host, random):
+        turns[host] += 1
+        return views[turns[host] % len(views)]
+
+    return choose
+
+
+def least_reported_chooser(views, host, random):
+    """Choose the runner whose last report is lowest."""
+
+    def load(view):
+        report = view.report
+        found = (report.running + report.waiting) / report.capacity if report else 0.0
+        return found, random.random()
+
+    return min(views, key=load)
+
+
+def request_rate() -> float:
+    """Return requests a second that the weakest runner can carry at equal shares."""
+    seconds = PREFILL_SECONDS + TOKEN_SECONDS * MEAN_TOKENS
+    carried = [c * s / seconds for c, s in zip(CAPACITIES, SPEEDS, strict=True)]
+    return WEAKEST_LOAD * min(carried) * len(carried)
+
+
+async def start_engine(capacity: int, speed: float):
+    """Start an engine stand-in in its own process; return it and its address."""
+    settings = {
+        "capacity": capacity,
+        "token_seconds": TOKEN_SECONDS / speed,
+        "prefill_seconds": PREFILL_SECONDS / speed,
+        "slowdown": 0.0,
+        "cached_prefixes": 0,
+        "report_lag_seconds": REPORT_LAG_SECONDS,
+    }
+    pairs = [part for k, v in settings.items() for part in ("--set", f"{k}={v}")]
+    command = [sys.executable, "-m", "primroseford.standins", "--kind", "engine"]
+    handle = await asyncio.create_subprocess_exec(
+        *command, "--listen", "127.0.0.1:0", *pairs, stdout=asyncio.subprocess.PIPE
+    )
+    assert handle.stdout is not None
+    line = (await handle.stdout.readline()).decode().strip()
+    return handle, line.rpartition("http://")[2]
+
+
+async def start_host(number: int, addresses: list[str], seed: int) -> LiveHost:
+    """Return a host whose poller runs."""
+    store = ConfigurationStore()
+    runners = [
+        {"name": f"r{n}", "address": address, "failure_domain": f"d{n % 3}"}
+        for n, address in enumerate(addresses)
+    ]
+    spec = {"runners": runners, "max_in_flight": 64}
+    store.replace(Version(1), [PlatformObject("pools", "p", Version(1), spec)])
+    domain = FailureDomainId(f"d{number % 3}")
+    tracker = create_runner_tracker(
+        HostId(f"h{number}"), domain, boottime, Random(seed + number)
+    )
+    session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
+    poller = create_load_poller(store, tracker, session, Metrics())
+    await poller.start()
+    return LiveHost(number, store, tracker, poller, session)
+
+
+async def send(host: LiveHost, choose: Callable | None, tokens: int, random) -> float:
+    """Send one request to the chosen runner; return seconds to its first token."""
+    pool = host.store.current().pools["p"]
+    views = host.tracker.pool_views(pool)
+    if choose is None:
+        view = host.tracker.choose(pool, None) or views[0]
+    else:
+        view = choose(views, host.number, random)
+    host.tracker.start(view)
+    body = {"model": "van-round", "stream": True, "max_tokens": tokens, "messages": []}
+    begun = boottime()
+    latency, result = 0.0, Result.FAILED
+    try:
+        url = f"http://{view.runner.address}/v1/chat/completions"
+        async with host.session.post(url, json=body) as answer:
+            assert answer.status == 200, answer.status
+            await answer.content.readany()
+            latency = boottime() - begun
+            while await answer.content.readany():
+                pass
+        result = Result.SUCCEEDED
+        return latency
+    finally:
+        host.tracker.finish(view, result, latency)
+
+
+async def offer_load(
+    hosts: list[LiveHost], choose: Callable | None, seed: int
+) -> list[float]:
+    """Send requests at random times; return first-token times after the warm-up."""
+    random, loop = Random(seed), asyncio.get_running_loop()
+    first = loop.time()
+    due, measured, sent = 0.0, 0, []
+    while due < SECONDS:
+        due += random.expovariate(request_rate())
+        tokens = min(MAX_TOKENS, 1 + int(random.expovariate(1 / MEAN_TOKENS)))
+        await asyncio.sleep(max(0.0, first + due - loop.time()))
+        host = hosts[len(sent) % HOSTS]
+        sent.append(asyncio.create_task(send(host, choose, tokens, random)))
+        measured += due < WARM_UP_SECONDS
+    return (await asyncio.gather(*sent))[measured:]
+
+
+async def run_live(
+    choose: Callable | None, seed: int, speeds: tuple[float, ...] = SPEEDS
+) -> list[float]:
+    """Return times to the first token in seconds with fresh engines and hosts.
+
+    :param choose: a naive chooser, or nothing for the system's own
+    :param seed: the same arrivals and lengths for the same seed
+    :param speeds: relative speeds of the runners
+    """
+    engines = [
+        await start_engine(capacity, speed)
+        for capacity, speed in zip(CAPACITIES, speeds, strict=True)
+    ]
+    hosts: list[LiveHost] = []
+    try:
+        addresses = [address for _, address in engines]
+        for number in range(HOSTS):
+            hosts.append(await start_host(number, addresses, seed))
+        return await offer_load(hosts, choose, seed)
+    finally:
+        for host in hosts:
+            await host.poller.stop()
+            await host.session.close()
+        for handle, _ in engines:
+            handle.terminate()
+            await handle.wait()
--- a/bench/online_processes.py
+++ b/bench/online_processes.py
@@ -11,21 +11,16 @@
 import aiohttp
 from aiohttp import web
 
-from primroseford.configuration.store import ConfigurationStore
-from primroseford.ids import Version
-from primroseford.keys.secrets import hash_secret
-from primroseford.online.application import create_online_application
-from primroseford.platform.objects import PlatformObject
-
-SECRET = "pk-0123456789ab-benchmark"
-KEY_ID = "0123456789ab"
+from primroseford.standins.platform import create_platform_application
+from primroseford.standins.platform import create_platform_stand_in
+
 EVENTS = 200
 EVENT_SECONDS = 0.01
 WHOLE_BODY = b'{"object": "chat.completion", "text": "' + b"x" * 1000 + b'"}'
 
 
 def backend_application() -> web.Application:
-    """Return a server with a whole answer of 1 KB and a paced stream."""
+    """Return an engine with a whole answer of 1 KB and a paced stream."""
 
     async def answer(request: web.Request) -> web.StreamResponse:
         body = await request.read()
@@ -44,8 +39,17 @@
         await response.write(b"data: [DONE]\n\n")
         return response
 
+    async def report(request: web.Request) -> web.Response:
+        load = {"running": 0, "waiting": 0, "capacity": 10_000}
+        return web.json_response(load | {"measured_ms_ago": 0, "leaving": False})
+
+    async def list_cache_events(request: web.Request) -> web.Response:
+        return web.json_response({"events": []})
+
     app = web.Application()
     app.router.add_post("/v1/chat/completions", answer)
+    app.router.add_get("/v1/load", report)
+    app.router.add_get("/v1/cache/events", list_cache_events)
     return app
 
 
@@ -85,23 +89,20 @@
     return app
 
 
-def system_application(backend: str) -> web.Application:
-    """Return the system's application in front of one runner."""
-    store = ConfigurationStore()
+def documents(backend: str) -> list[dict]:
+    """Return tables with one runner and one organisation with an ample rate."""
     runner = {"name": "r", "address": backend, "failure_domain": "d"}
-    specs = [
-        ("organisations", "o", {"rate": 1e6, "burst": 1e6}),
-        ("keys", KEY_ID, {"organisation": "o", "hash": hash_secret(SECRET)}),
-        ("pools", "p", {"runners": [runner], "max_in_flight": 10_000}),
-        (
-            "routes",
-            "r",
-            {"match": {"models": ["m"]}, "pool": "p", "organisations": ["o"]},
-        ),
+    return [
+        {"kind": "Organisation", "name": "o", "rate": 1e6, "burst": 1e6},
+        {"kind": "Pool", "name": "p", "runners": [runner], "max_in_flight": 10_000},
+        {
+            "kind": "Route",
+            "name": "r",
+            "match": {"models": ["m"]},
+            "pool": "p",
+            "organisations": ["o"],
+        },
     ]
-    items = [PlatformObject(kind, name, Version(1), spec) for kind, name, spec in specs]
-    store.replace(Version(1), items)
-    return create_online_application(store)
 
 
 async def run(role: str, backend: str) -> None:
@@ -109,7 +110,7 @@
     app = {
         "backend": lambda: backend_application(),
         "passthrough": lambda: passthrough_application(backend),
-        "system": lambda: system_application(backend),
+        "platform": lambda: create_platform_application(create_platform_stand_in()),
     }[role]()
     runner = web.AppRunner(app, access_log=None, handler_cancellation=True)
     await runner.setup()
