--- a/src/primroseford/configuration/store.py
+++ b/src/primroseford/configuration/store.py
@@ -17,6 +17,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Iterable
+    from collections.abc import Mapping
     from collections.abc import Sequence
 
     from primroseford.configuration.tables import Record
@@ -71,6 +72,8 @@
         """Put changes in force.
 
         Only the changed records are parsed and only the changed kinds are copied.
+        Records and kinds that are equal to those in force stay the same objects, also
+        under a snapshot, since caches are kept for as long as an object is in force.
 
         :param version: version after the changes
         :param changes: changes since the version in force
@@ -82,7 +85,7 @@
         for change in changes:
             by_kind.setdefault(change.kind, []).append(change)
         fields = {
-            kind: MappingProxyType(self._edited(kind, by_kind[kind]))
+            kind: self._edited(kind, by_kind[kind])
             if kind in by_kind
             else getattr(self.tables, kind)
             for kind in RECORD_TYPES
@@ -109,8 +112,9 @@
             changes += [Change(version, kind, name, None) for name in names]
         return self.apply(version, changes)
 
-    def _edited(self, kind: str, changes: Sequence[Change]) -> dict[str, Record]:
-        records: dict[str, Record] = dict(getattr(self.tables, kind))
+    def _edited(self, kind: str, changes: Sequence[Change]) -> Mapping[str, Record]:
+        in_force: Mapping[str, Record] = getattr(self.tables, kind)
+        records = dict(in_force)
         for change in changes:
             self.rejected.pop(change.identifier, None)
             content = change.decode()
@@ -118,16 +122,18 @@
                 records.pop(change.name, None)
                 continue
             try:
-                records[change.name] = RECORD_TYPES[kind].model_validate(
+                record = RECORD_TYPES[kind].model_validate(
                     dict(content["spec"]) | {"name": change.name}
                 )
+                if record != records.get(change.name):
+                    records[change.name] = record
             except (ValidationError, TypeError, ValueError) as error:
                 # The last valid form of a record stays in force, except that an
                 # unreadable key must not go on working.
                 self.rejected[change.identifier] = str(error)
                 if kind == "keys":
                     records.pop(change.name, None)
-        return records
+        return in_force if records == in_force else MappingProxyType(records)
 
 
 def _notify(callback: Callable[[Any], None], value: object) -> None:
