Collect idempotency claims and bound what a takeover lists

Claims were kept for ever, in the owner's memory and on the platform, and each takeover began one more object that all later ones had to list. An object now carries its time of creation and is sealed after an hour or 512 KB; once the next object is 25 h old (the promised 24 h and an hour for wall clocks that differ), it is deleted and its claims leave the memory. A takeover goes on in the last object unless that is sealed; sealing before the next one is begun keeps a deposed owner from creating it. A group has at most 64 objects for claims; then further claims are refused as not run. Platform calls are counted for the purpose claims. The tests cover retention, takeovers, a deposed owner at the change of objects, the bound, and claims over real peer connections.

--- a/src/primroseford/online/idempotency.py
+++ b/src/primroseford/online/idempotency.py
@@ -5,8 +5,10 @@
 import asyncio
 import hashlib
 import json
+import time
 from dataclasses import asdict
 from dataclasses import dataclass
+from dataclasses import field
 from dataclasses import replace
 from enum import Enum
 from typing import TYPE_CHECKING
@@ -17,6 +19,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Iterable
 
     from primroseford.platform.client import PlatformClient
     from primroseford.platform.objects import PlatformObject
@@ -24,6 +27,15 @@
 KIND = "claims"
 MAX_OBJECT_BYTES = 512 * 1024
 """Half of the platform's limit on a value."""
+RETENTION_SECONDS = 25 * 3600.0
+"""The promised 24 h and an hour for hosts whose wall clocks differ."""
+OBJECT_SECONDS = 3600.0
+"""Age after which a new object is begun, so that old ones can be deleted whole."""
+MAX_OBJECTS = 64
+"""Objects that a new owner has to list, at most 32 MB; further claims are refused
+until the oldest object's retention ends. Only outcomes of earlier claims may add
+more objects."""
+PURPOSE = "claims"
 SEAL_ATTEMPTS = 5
 RETRY_SECONDS = 1.0
 
@@ -49,6 +61,20 @@
     state: str
 
 
+@dataclass
+class Layer:
+    """One object of a group's log.
+
+    :param created: wall-clock time in seconds
+    :param names: names of the claims in it
+    """
+
+    name: str
+    number: int
+    created: float
+    names: set[str] = field(default_factory=set)
+
+
 def claim_name(organisation: str, key: str) -> str:
     """Return the name under which a claim is stored."""
     return hashlib.sha256(f"{organisation}\0{key}".encode()).hexdigest()[:32]
@@ -93,20 +119,29 @@
 class ClaimLog:
     """The claims of one group: a sequence of objects, of which the last one grows.
 
-    Before it serves, the owner seals the last object by an update, so that a deposed
-    owner's conditional write fails.
+    Before it serves, a new owner changes the last object by an update, so that a
+    deposed owner's conditional write fails, and then goes on in the same object.
 
     :param client: platform's service
     :param group: number of the group
     :param holds_lease: whether this host owns the group at this moment
+    :param now: wall-clock time in seconds, since claims outlive every host
     """
 
     def __init__(
-        self, client: PlatformClient, group: int, holds_lease: Callable[[], bool]
+        self,
+        client: PlatformClient,
+        group: int,
+        holds_lease: Callable[[], bool],
+        now: Callable[[], float] = time.time,
     ) -> None:
         self.client = client
         self.group = group
         self.holds_lease = holds_lease
+        self.now = now
+        self.layers: list[Layer] = []
+        self.ended: list[Layer] = []
+        self.newest: dict[str, int] = {}
         self.index: dict[str, Claim] = {}
         self.current: PlatformObject | None = None
         self.size = 0
@@ -129,6 +164,11 @@
         if self.current is None:
             # The writer seals and loads first; a check needs the loaded claims.
             await self._write_soon()
+        if self.writer is None:
+            # A write under way may store a claim in a newer object than noted here.
+            self.ended += self._expire()
+        if len(self.layers) >= MAX_OBJECTS:
+            raise unavailable()
         name = claim_name(organisation, key)
         check_claim(self.index.get(name), fingerprint)
         entry = Claim(fingerprint, operation, ClaimState.CLAIMED.value)
@@ -167,6 +207,7 @@
             for waiter in waiters:
                 if not waiter.done():
                     waiter.set_result(None)
+            await self._collect()
         self.writer = None
 
     def _refuse(self, waiters: list[asyncio.Future[None]]) -> None:
@@ -200,30 +241,50 @@
         current = self.current
         assert current is not None
         encoded = {name: asdict(entry) for name, entry in changes.items()}
-        self.size += len(json.dumps(encoded))
-        if self.size > MAX_OBJECT_BYTES:
-            await self._create(self._sequence(current) + 1, encoded)
-            return
-        entries = current.spec["entries"] | encoded
-        if not self.holds_lease():
-            raise PrimrosefordError(ResultCode.LEASE_LOST, "the lease is lost")
-        self.current = await self.client.update(
-            KIND, current.name, {"entries": entries}, current.version, self._labels()
-        )
+        size = self.size + len(json.dumps(encoded))
+        age = self.now() - self.layers[-1].created
+        if size > MAX_OBJECT_BYTES or (
+            age > OBJECT_SECONDS and current.spec["entries"]
+        ):
+            await self._roll_over(encoded)
+        else:
+            entries = current.spec["entries"] | encoded
+            self.current = await self._update(
+                current, {**current.spec, "entries": entries}
+            )
+            self.size = size
+        self._note_stored(self.layers[-1], changes)
+
+    async def _roll_over(self, entries: dict) -> None:
+        """Seal the current object and continue in a new one.
+
+        Without the seal a deposed owner could create the next object while the new
+        owner goes on with the current one.
+        """
+        current = self.current
+        assert current is not None
+        self.current = await self._update(current, current.spec | {"sealed": True})
+        await self._create(self.layers[-1].number + 1, entries)
 
     async def _seal_and_load(self) -> None:
         for _ in range(SEAL_ATTEMPTS):
-            found = await self.client.list(KIND, self._labels())
+            found = await self.client.list(KIND, self._labels(), purpose=PURPOSE)
             ordered = sorted(found.items, key=self._sequence)
+            self.layers = [self._layer(item) for item in ordered]
             try:
-                if ordered:
+                if not ordered or ordered[-1].spec.get("sealed"):
+                    number = self.layers[-1].number + 1 if ordered else 1
+                    await self._create(number, {})
+                else:
+                    # The new version makes a deposed owner's write fail.
                     last = ordered[-1]
-                    spec = last.spec | {"sealed": True}
-                    await self.client.update(
-                        KIND, last.name, spec, last.version, self._labels()
+                    takeovers = last.spec.get("takeovers", 0) + 1
+                    sealed = await self._update(
+                        last, last.spec | {"takeovers": takeovers}
                     )
-                number = self._sequence(ordered[-1]) + 1 if ordered else 1
-                await self._create(number, {})
+                    self.size = len(json.dumps(last.spec["entries"]))
+                    # Claims that come before the load must not see a current object.
+                    self.current = sealed
             except PrimrosefordError as error:
                 conflicts = (ResultCode.VERSION_CONFLICT, ResultCode.ALREADY_EXISTS)
                 if error.code in conflicts and self.holds_lease():
@@ -239,6 +300,9 @@
             for item in ordered
             for name, entry in item.spec["entries"].items()
         }
+        self.newest = {}
+        for layer, item in zip(self.layers, ordered, strict=False):
+            self._note_stored(layer, item.spec["entries"])
         settled, self.pending = self.pending, {}
         for name, entry in settled.items():
             # Of claims that were refused or settled, only those count that took
@@ -247,13 +311,64 @@
             if stored is not None and stored.operation == entry.operation:
                 self.index[name] = self.pending[name] = entry
 
+    def _expire(self) -> list[Layer]:
+        """Drop the claims of objects whose newest claim is past its retention.
+
+        An object's claims are no newer than the creation of the object after it.
+
+        :returns: the dropped objects
+        """
+        ended: list[Layer] = []
+        limit = self.now() - RETENTION_SECONDS
+        while len(self.layers) > 1 and self.layers[1].created < limit:
+            layer = self.layers.pop(0)
+            ended.append(layer)
+            for name in layer.names:
+                if self.newest[name] == layer.number:
+                    del self.newest[name]
+                    if name not in self.pending:
+                        self.index.pop(name, None)
+        return ended
+
+    def _note_stored(self, layer: Layer, names: Iterable[str]) -> None:
+        for name in names:
+            layer.names.add(name)
+            self.newest[name] = layer.number
+
+    async def _collect(self) -> None:
+        self.ended += self._expire()
+        while self.ended:
+            layer = self.ended[0]
+            try:
+                await self.client.delete(KIND, layer.name, None, purpose=PURPOSE)
+            except PrimrosefordError as error:
+                if error.code is not ResultCode.NOT_FOUND:
+                    # The claims in it no longer count; the next write tries again.
+                    return
+            self.ended.pop(0)
+
+    async def _update(self, item: PlatformObject, spec: dict) -> PlatformObject:
+        if not self.holds_lease():
+            raise PrimrosefordError(ResultCode.LEASE_LOST, "the lease is lost")
+        return await self.client.update(
+            KIND, item.name, spec, item.version, self._labels(), purpose=PURPOSE
+        )
+
     async def _create(self, number: int, entries: dict) -> None:
         if not self.holds_lease():
             raise PrimrosefordError(ResultCode.LEASE_LOST, "the lease is lost")
+        name = f"g{self.group}-{number:08d}"
+        spec = {"entries": entries, "created": self.now()}
         self.current = await self.client.create(
-            KIND, f"g{self.group}-{number:08d}", {"entries": entries}, self._labels()
+            KIND, name, spec, self._labels(), purpose=PURPOSE
         )
         self.size = len(json.dumps(entries))
+        self.layers.append(self._layer(self.current))
+
+    def _layer(self, item: PlatformObject) -> Layer:
+        # Objects of earlier versions carry no time; they are kept in full.
+        created = float(item.spec.get("created", self.now()))
+        return Layer(item.name, self._sequence(item), created)
 
     def _labels(self) -> dict[str, str]:
         return {"group": str(self.group)}
--- a/src/primroseford/online/tests/test_idempotency.py
+++ b/src/primroseford/online/tests/test_idempotency.py
@@ -3,16 +3,23 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 
 import aiohttp
 import pytest
 
+from primroseford.clock import ManualClock
 from primroseford.errors import PrimrosefordError
 from primroseford.errors import ResultCode
+from primroseford.ids import FailureDomainId
 from primroseford.ids import HostId
+from primroseford.ids import Incarnation
+from primroseford.membership.state import HostInfo
+from primroseford.online import idempotency
 from primroseford.online.claims import create_claims
 from primroseford.online.idempotency import ClaimLog
 from primroseford.online.tests.conftest import until
+from primroseford.peer.network import create_peer_network
 from primroseford.platform.client import create_platform_client
 from primroseford.standins.platform import create_platform_application
 from primroseford.standins.platform import create_platform_stand_in
@@ -105,6 +112,117 @@
     assert await code_of(again) == ResultCode.REQUEST_IN_PROGRESS
 
 
+async def names_on(platform):
+    return [item.name for item in (await platform.client.list("claims")).items]
+
+
+async def test_takeovers_add_no_objects(platform):
+    """Guards against a takeover that lists more objects after each earlier one."""
+    for number in range(5):
+        log = ClaimLog(platform.client, 0, lambda: True)
+        assert await code_of(log.claim("o", f"k{number}", "f", "1")) == ResultCode.OK
+    assert await names_on(platform) == ["g0-00000001"]
+    again = ClaimLog(platform.client, 0, lambda: True).claim("o", "k0", "f", "2")
+    assert await code_of(again) == ResultCode.REQUEST_IN_PROGRESS
+
+
+async def test_deposed_owner_cannot_begin_an_object(platform, monkeypatch):
+    """Guards against a claim in a next object that the new owner does not know."""
+    old = ClaimLog(platform.client, 0, lambda: True)
+    await old.claim("o", "a", "f", "1")
+    new = ClaimLog(platform.client, 0, lambda: True)
+    await new.claim("o", "b", "f", "1")
+    monkeypatch.setattr(idempotency, "MAX_OBJECT_BYTES", 1)
+    late = await code_of(old.claim("o", "k", "f", "2"))
+    assert late == ResultCode.PLATFORM_UNAVAILABLE
+    assert await names_on(platform) == ["g0-00000001"]
+    assert await code_of(new.claim("o", "k", "f", "3")) == ResultCode.OK
+    assert await names_on(platform) == ["g0-00000001", "g0-00000002"]
+    owner = ClaimLog(platform.client, 0, lambda: True)
+    resend = owner.claim("o", "k", "f", "4")
+    assert await code_of(resend) == ResultCode.REQUEST_IN_PROGRESS
+
+
+async def test_objects_of_a_group_are_bounded(platform, monkeypatch):
+    """Guards against a takeover that has to list any number of objects."""
+    monkeypatch.setattr(idempotency, "MAX_OBJECT_BYTES", 1)
+    monkeypatch.setattr(idempotency, "MAX_OBJECTS", 3)
+    log = ClaimLog(platform.client, 0, lambda: True)
+    codes = [await code_of(log.claim("o", f"k{n}", "f", "1")) for n in range(6)]
+    assert ResultCode.PLATFORM_UNAVAILABLE in codes
+    assert len(await names_on(platform)) == 3
+    log.settle("o", "k0", "1", ran=True)
+    assert await code_of(log.claim("o", "k0", "f", "2")) != ResultCode.OK
+
+
+@pytest.mark.parametrize("takeover", [False, True])
+async def test_claims_are_collected_after_their_retention(platform, takeover):
+    """Guards against claims kept for ever, and against a resend that runs too early."""
+    clock = ManualClock(1_000_000.0)
+    logs = [ClaimLog(platform.client, 0, lambda: True, clock)]
+
+    async def claim(key, operation):
+        if takeover:
+            logs.append(ClaimLog(platform.client, 0, lambda: True, clock))
+        return await code_of(logs[-1].claim("o", key, "f", operation))
+
+    assert await claim("first", "1") == ResultCode.OK
+    for hour in range(24):
+        clock.advance(3601.0)
+        assert await claim(f"k{hour}", "1") == ResultCode.OK
+        assert await claim("first", "2") == ResultCode.REQUEST_IN_PROGRESS
+    assert len(await names_on(platform)) == 25
+    clock.advance(2 * 3601.0)
+    assert await claim("last", "1") == ResultCode.OK
+    await until(lambda: logs[-1].writer is None)
+    assert await claim("first", "3") == ResultCode.OK
+    await until(lambda: logs[-1].writer is None)
+    names = await names_on(platform)
+    assert "g0-00000001" not in names and len(names) <= 26
+    held = Counter(name for layer in logs[-1].layers for name in layer.names)
+    assert set(logs[-1].index) == set(held)
+
+
+async def test_claims_over_the_peer_network(platform):
+    """Guards against messages that only a fake network carries."""
+    addresses, networks, claims = {}, [], {}
+    clock = asyncio.get_running_loop().time
+    for name in ("a", "b"):
+        info = HostInfo(
+            HostId(name), Incarnation(name), "127.0.0.1:0", FailureDomainId("d")
+        )
+        network = create_peer_network(info, b"secret-" * 5, clock, addresses.get)
+        claims[name] = create_claims(
+            HostId(name),
+            platform.client,
+            network,
+            clock,
+            lambda organisation: 0,
+            lambda group: HostId("a"),
+            lambda group, name=name: name == "a",
+        )
+        await network.start()
+        networks.append(network)
+        addresses[HostId(name)] = network.address
+    try:
+        deadline = clock() + 20.0
+        assert await code_of(claims["b"].claim("o", "k", "f", deadline)) == 0
+        twice = await code_of(claims["b"].claim("o", "k", "f", deadline))
+        assert twice == ResultCode.REQUEST_IN_PROGRESS
+        conflict = await code_of(claims["a"].claim("o", "k", "g", deadline))
+        assert conflict == ResultCode.IDEMPOTENCY_CONFLICT
+        claims["b"].settle("o", "k", ran=True)
+        await until(lambda: not claims["b"].background)
+        resend = await code_of(claims["a"].claim("o", "k", "f", deadline))
+        assert resend == ResultCode.DUPLICATE_REQUEST
+        await networks[0].stop()
+        gone = await code_of(claims["b"].claim("o", "n", "f", clock() + 0.5))
+        assert gone == ResultCode.PLATFORM_UNAVAILABLE
+    finally:
+        for network in networks:
+            await network.stop()
+
+
 async def test_claim_during_an_outage_is_refused_and_can_be_resent(platform):
     """Guards against requests that run unclaimed and keys blocked by an outage."""
     log = ClaimLog(platform.client, 0, lambda: True)
