--- a/src/primroseford/online/tests/test_hedging.py
+++ b/src/primroseford/online/tests/test_hedging.py
@@ -67,6 +67,21 @@
     assert rig.metrics.by_name["hedges_total"]._value.get() == 1
 
 
+async def test_refusal_after_a_hedge_does_not_say_not_run(rig):
+    """Guards against an outcome that knows only the second attempt."""
+    await rig.start(2, route=HEDGED | {"timeout_seconds": 0.3})
+    rig.engines[0].faults.answer_delay_seconds = 3600.0
+    rig.engines[1].faults.refuse_status = 429
+    outcomes = set()
+    while not rig.metrics.by_name["hedges_total"]._value.get():
+        rig.tracker.views.clear()
+        rig.tracker.subsets.clear()
+        answer, _ = await read_all(rig.post())
+        outcomes.add((answer.status, answer.headers["X-Primroseford-Outcome"]))
+    assert (504, "may_have_run") in outcomes and (503, "not_run") not in outcomes
+    assert all(outcome == "may_have_run" for _, outcome in outcomes)
+
+
 async def test_failed_attempt_leaves_the_other_one_running(rig):
     """Guards against a failure answered while another runner still works."""
     await rig.start(2, route=HEDGED)
