Bound the attempts of a host to take limits leases

Cause: a host that does not know the others yet ranks first for every group and asked for each lease four times a second.

Change: a review handles at most 8 groups, in turns.

--- a/src/primroseford/limits/ownership.py
+++ b/src/primroseford/limits/ownership.py
@@ -34,6 +34,10 @@
 CANDIDATES = 3
 # Time between two offers of a group to a host that did not take it.
 OFFER_RETRY_SECONDS = 5.0
+# A host that does not know the others yet ranks first for every group. With 64 groups
+# its attempts to take leases used up its platform calls, so that it could not read the
+# list of hosts and never found the others.
+REVIEWS_AT_ONCE = 8
 
 log = structlog.get_logger()
 
@@ -88,6 +92,7 @@
         self.offered: set[int] = set()
         self.offer_from: dict[int, float] = {}
         self.stopping = False
+        self.last_reviewed = -1
         network.register(KIND_DEMAND, DemandRequest, self.answer, GrantAnswer)
         network.register(KIND_HANDOVER, Offer, self.give, Handover)
         network.register(KIND_OFFER, Offer, self.receive, Done)
@@ -143,9 +148,13 @@
         return owners.hand_over(found[1], self._roster(), now)
 
     async def review(self) -> None:
-        """Take the groups that are due here and hand over the others."""
+        """Take the groups that are due here and hand over the others, in turns."""
         due = [group for group in range(self.groups) if self._due(group)]
+        # Those that had no turn in the last review come first.
+        due.sort(key=lambda group: (group <= self.last_reviewed, group))
+        due = due[:REVIEWS_AT_ONCE]
         if due:
+            self.last_reviewed = due[-1]
             await asyncio.gather(*(self._review(group) for group in due))
 
     async def hand_over_all(self) -> None:
