Draw the benchmarks' series and compare reports with the committed ones

Cause: the reports had no plots, and a figure that became worse showed only in the difference of two files.

Change: bench/plots.py draws one PNG file for each group of series when matplotlib is installed, and the Markdown report links them. The report has a column with the value of the committed report and the change. The capacity benchmark also measures the size of the membership's answers.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -28,8 +28,7 @@
     for name in arguments or names():
         module = importlib.import_module(f"bench.bench_{name}")
         result = asyncio.run(module.measure())
-        report.write(result)
-        print(report.render(result))
+        print(report.write(result))
     return 0
 
 
--- a/bench/capacity_calls.py
+++ b/bench/capacity_calls.py
@@ -27,7 +27,9 @@
 from primroseford.limits.bucket import Limit
 from primroseford.limits.gen.messages.ttypes import Demand
 from primroseford.limits.gen.messages.ttypes import DemandRequest
+from primroseford.membership.gen.messages.ttypes import DomainView
 from primroseford.membership.gen.messages.ttypes import Heartbeat
+from primroseford.membership.gen.messages.ttypes import View
 from primroseford.membership.messages import member_of
 from primroseford.membership.rendezvous import rank_hosts
 from primroseford.membership.service import create_membership
@@ -189,12 +191,32 @@
     add_slope(report, "ranking of a key, for each host", points, "us", 1e6)
 
 
+def measure_views(report: Report) -> None:
+    """Add the size of the membership's answer to a host that knows another state."""
+    points = []
+    for count in (100, 500, 1500):
+        hosts = [host(n) for n in range(count)]
+        names = sorted({info.failure_domain for info in hosts})
+        tables = [
+            DomainView(d, 500, [member_of(h, 500) for h in hosts[n::21]])
+            for n, d in enumerate(names)
+        ]
+        ages = dict.fromkeys(names, 500)
+        whole = View(1, ages, tables, [], names[0], member_of(hosts[0], 0))
+        points.append((count, len(encode(whole))))
+    add_slope(report, "membership answer, for each host", points, "bytes")
+    short = View(1, ages, [], [], names[0], member_of(hosts[0], 0))
+    note = "21 failure domains, nothing new"
+    report.plain("membership answer without news", len(encode(short)), "bytes", note)
+
+
 async def measure_calls(report: Report) -> None:
     """Add the costs of all single operations."""
     await measure_heartbeat(report)
     await measure_grant(report)
     await measure_change(report)
     await measure_ranking(report)
+    measure_views(report)
     async with stand_in("platform") as platform, stand_in("engine") as engine:
         await measure_leases(report, platform)
         await measure_polls(report, engine)
--- a/bench/report.py
+++ b/bench/report.py
@@ -11,6 +11,8 @@
 from dataclasses import field
 from pathlib import Path
 
+from bench.plots import draw_report
+
 RESULTS = Path(__file__).parent / "results"
 
 
@@ -82,27 +84,60 @@
     return done.stdout.strip() or "unknown"
 
 
-def render(report: Report) -> str:
-    """Return a report as Markdown."""
+def committed(name: str) -> dict:
+    """Return the result file of the commit, or nothing if it has none."""
+    command = ["git", "show", f"HEAD:./{name}.json"]
+    done = subprocess.run(
+        command, capture_output=True, text=True, check=False, cwd=RESULTS
+    )
+    return json.loads(done.stdout) if done.returncode == 0 else {}
+
+
+def change(before: float | None, value: float) -> str:
+    """Return a figure's earlier value and the change in percent."""
+    if before is None:
+        return ""
+    if before == 0:
+        return f"{before:.4g}"
+    return f"{before:.4g} ({(value - before) / abs(before):+.0%})"
+
+
+def render(report: Report, earlier: dict, plots: list[Path]) -> str:
+    """Return a report as Markdown.
+
+    :param earlier: the committed result file of the same benchmark
+    :param plots: images that the report shows
+    """
+    before = {row["name"]: row["value"] for row in earlier.get("rows", ())}
+    compared = f" Before: commit {earlier['commit']}." if earlier else ""
     lines = [
         f"# Benchmark: {report.name}",
         "",
-        f"Commit {commit()}; {machine()}; command `{report.command}`.",
+        f"Commit {commit()}; {machine()}; command `{report.command}`.{compared}",
         "",
-        "| figure | value | unit | target | met | note |",
-        "|---|---|---|---|---|---|",
+        "| figure | before | value | unit | target | met | note |",
+        "|---|---|---|---|---|---|---|",
     ]
     for row in report.rows:
         met = {None: "", True: "yes", False: "**no**"}[row.met]
-        cells = [row.name, f"{row.value:.4g}", row.unit, row.target, met, row.note]
+        earlier_value = change(before.get(row.name), row.value)
+        value = f"{row.value:.4g}"
+        cells = [row.name, earlier_value, value, row.unit, row.target, met, row.note]
         lines.append("| " + " | ".join(cells) + " |")
+    for path in plots:
+        lines += ["", f"![{path.stem}]({path.name})"]
     return "\n".join(lines) + "\n"
 
 
-def write(report: Report) -> None:
-    """Write a report as JSON and Markdown under ``bench/results``."""
+def write(report: Report) -> str:
+    """Write a report as JSON, plots and Markdown under ``bench/results``.
+
+    :returns: the Markdown
+    """
     RESULTS.mkdir(exist_ok=True)
     body = {"commit": commit(), "machine": machine()} | asdict(report)
     text = json.dumps(body, indent=1, sort_keys=True)
     (RESULTS / f"{report.name}.json").write_text(text + "\n")
-    (RESULTS / f"{report.name}.md").write_text(render(report))
+    page = render(report, committed(report.name), draw_report(report.name))
+    (RESULTS / f"{report.name}.md").write_text(page)
+    return page
