--- a/src/primroseford/limits/ownership.py
+++ b/src/primroseford/limits/ownership.py
@@ -35,6 +35,10 @@
 OFFER_RETRY_SECONDS = 1.0
 """Time between two offers of a group to a host of a higher rank that did not take it,
 so that an owner keeps its group while that host is dead but still a member."""
+# A host that does not know the others yet ranks first for every group. With 64 groups
+# its attempts to take leases used up its platform calls, so that it could not read the
+# list of hosts and never found the others.
+REVIEWS_AT_ONCE = 8
 
 log = structlog.get_logger()
 
@@ -89,6 +93,7 @@
         self.offered: set[int] = set()
         self.offer_after: dict[int, float] = {}
         self.stopping = False
+        self.last_reviewed = -1
         network.register(KIND_DEMAND, DemandRequest, self.answer, GrantAnswer)
         network.register(KIND_HANDOVER, Offer, self.give, Handover)
         network.register(KIND_OFFER, Offer, self.receive, Done)
@@ -144,9 +149,13 @@
         return owners.hand_over(found[1], self._roster(), now)
 
     async def review(self) -> None:
-        """Take the groups that are due here and hand over the others."""
+        """Take the groups that are due here and hand over the others, in turns."""
         due = [group for group in range(self.groups) if self._due(group)]
+        # Those that had no turn in the last review come first.
+        due.sort(key=lambda group: (group <= self.last_reviewed, group))
+        due = due[:REVIEWS_AT_ONCE]
         if due:
+            self.last_reviewed = due[-1]
             await asyncio.gather(*(self._review(group) for group in due))
 
     async def hand_over_all(self) -> None:
