Count batch events and mark batch's platform calls

Cause: refusals and retries of items had no counter, and batch's calls were counted under "other" and competed with claims and renewals.

Change: counters for refusals and retries by reason, preemptions, takeovers by reason, and commits. BatchClient gives all calls of batch the purpose "batch"; content (filechunks, uploads, resultparts), lists of chunk states and deletes have the priority BULK. Jobs, claims and commits keep their priority.

Conclusion: operators see what batch does to items and to the platform.

--- a/src/primroseford/batch/decisions.py
+++ b/src/primroseford/batch/decisions.py
@@ -48,19 +48,29 @@
     suspect: bool = False
 
 
-def may_take_over(
+class Takeover(Enum):
+    """Why a chunk that was claimed before may be claimed again."""
+
+    RELEASED = "released"
+    OWN = "own"
+    ABSENT = "absent"
+    UNCHANGED = "unchanged"
+
+
+def takeover_reason(
     state: ChunkState, absent_seconds: float, unchanged_seconds: float
-) -> bool:
-    """Return whether another host may claim a chunk.
+) -> Takeover | None:
+    """Return why another host may claim a chunk, or nothing if it may not.
 
     :param absent_seconds: how long this host has seen the holder's incarnation
         absent from the membership
     :param unchanged_seconds: how long this host has seen the object unchanged
     """
     if state.phase is not ChunkPhase.CLAIMED:
-        return state.phase is ChunkPhase.RELEASED
-    gone = min(absent_seconds, unchanged_seconds) >= ABSENCE_SECONDS
-    return gone or unchanged_seconds >= TAKEOVER_SECONDS
+        return Takeover.RELEASED if state.phase is ChunkPhase.RELEASED else None
+    if min(absent_seconds, unchanged_seconds) >= ABSENCE_SECONDS:
+        return Takeover.ABSENT
+    return Takeover.UNCHANGED if unchanged_seconds >= TAKEOVER_SECONDS else None
 
 
 def take_over(
--- a/src/primroseford/batch/feed.py
+++ b/src/primroseford/batch/feed.py
@@ -14,6 +14,9 @@
 
 import structlog
 
+from primroseford.batch.counters import BatchCounters
+from primroseford.batch.counters import create_batch_counters
+from primroseford.batch.decisions import Step
 from primroseford.batch.holding import release_chunks
 from primroseford.batch.holding import start_claim
 from primroseford.batch.holding import start_writes
@@ -39,6 +42,7 @@
 from primroseford.batch.work import take_answer
 from primroseford.errors import Outcome
 from primroseford.errors import PrimrosefordError
+from primroseford.metrics import Metrics
 from primroseford.routing.match import match_route
 from primroseford.routing.tracker import MAX_RETRY_AFTER_SECONDS
 
@@ -89,6 +93,9 @@
     load: LoadView
     reported: Callable[[str], tuple[float, int] | None]
     live: Callable[[], frozenset[str]]
+    counters: BatchCounters = field(
+        default_factory=lambda: create_batch_counters(Metrics())
+    )
 
 
 @dataclass(eq=False)
@@ -187,6 +194,7 @@
         kept = [f for f in self.flights.values() if not f.preempted]
         running = [Running(f.order, f.choice.repeatable) for f in kept]
         for item in choose_preempted(running, window):
+            self.context.counters.preemptions.inc()
             self._cancel(self.flights[item.order])
 
     def _cancel(self, flight: Flight) -> None:
@@ -291,13 +299,21 @@
             asked = min(answer.retry_after or 0.0, MAX_RETRY_AFTER_SECONDS)
             pause = max(pause, asked)
             self.paused_until = self.context.clock() + pause
+        counters = self.context.counters
         if refused:
+            counters.refusals.labels("runner").inc()
             self._charge(choice, -1)
-        take_answer(choice.work, choice.index, answer, choice.repeatable)
+        step = take_answer(choice.work, choice.index, answer, choice.repeatable)
+        if step is Step.ATTEMPT:
+            reason = "runner_died" if answer.died else "runner_failed"
+            counters.retries.labels(reason).inc()
 
     def _land_refused(self, choice: Choice, error: BaseException) -> None:
         if not isinstance(error, PrimrosefordError):
             log.error("item failed unexpectedly", error=repr(error))
+        code = getattr(error, "code", None)
+        reason = code.name.lower() if code is not None else "unexpected"
+        self.context.counters.refusals.labels(reason).inc()
         wait = getattr(error, "retry_after", None) or RETRY_SECONDS
         until = self.context.clock() + wait
         self.blocked[choice.work.job.organisation] = until
--- a/src/primroseford/batch/holding.py
+++ b/src/primroseford/batch/holding.py
@@ -45,6 +45,7 @@
         if work.state.phase is ChunkPhase.STOPPED:
             context.index.end(work.name)
         elif work.state.phase is ChunkPhase.COMMITTED:
+            context.counters.commits.inc()
             if await context.jobs.close_if_done(work.name, work.job):
                 context.index.end(work.name)
     except PrimrosefordError as error:
@@ -92,6 +93,8 @@
         work = await context.claimer.claim(name, job, context.live(), start)
         if work is not None:
             feed.works.append(work)
+            if work.takeover is not None:
+                context.counters.takeovers.labels(work.takeover.value).inc()
             return
         if await context.jobs.close_if_done(name, job):
             context.index.end(name)
--- a/src/primroseford/batch/tests/test_claims.py
+++ b/src/primroseford/batch/tests/test_claims.py
@@ -41,6 +41,8 @@
     second = await started(fleet, "b")
     await fleet.until_state(name, "completed")
     assert fleet.clock() - stopped_at < 5.0
+    takeovers = second.feed.context.counters.takeovers
+    assert takeovers.labels("released")._value.get() == 1
     await second.feed.stop()
     await check_complete(fleet, name, 40)
     assert len(await fleet.results(name)) == 40
--- a/src/primroseford/batch/tests/test_counting.py
+++ b/src/primroseford/batch/tests/test_counting.py
@@ -4,16 +4,19 @@
 
 import pytest
 
+from primroseford.batch.calls import BatchClient
 from primroseford.batch.counting import create_counted_run_item
 from primroseford.batch.runners import ItemAnswer
 from primroseford.batch.runners import ItemRequest
 from primroseford.batch.tests.conftest import ENDPOINT
 from primroseford.batch.tests.fleet import Fleet
 from primroseford.batch.tests.fleet import fine
+from primroseford.batch.tests.fleet import started
 from primroseford.clock import ManualClock
 from primroseford.errors import Outcome
 from primroseford.metrics import Metrics
 from primroseford.online.places import Places
+from primroseford.platform.limiter import Priority
 from primroseford.routing.poller import create_load_poller
 from primroseford.routing.tracker import Result
 from primroseford.routing.tracker import create_runner_tracker
@@ -39,6 +42,42 @@
     return ItemRequest(pool, pool.runners[0], ENDPOINT, {}, "id", 5.0)
 
 
+@pytest.mark.parametrize(
+    ("kind", "bulk"),
+    [("filechunks", True), ("resultparts", True), ("jobs", False)],
+)
+async def test_only_content_is_bulk(kind, bulk):
+    """Guards against bulk calls that delay renewals, and commits behind bulk."""
+    seen = []
+
+    class Client:
+        async def create(self, *arguments, purpose, priority):
+            seen.append((purpose, priority))
+
+    await BatchClient(Client()).create(kind, "n", {})
+    assert seen == [("batch", Priority.BULK if bulk else Priority.CLAIM)]
+
+
+async def test_failures_and_preemptions_are_counted():
+    """Guards against retries, refusals and commits that operators cannot see."""
+    fleet = Fleet()
+    name = await fleet.accept(3)
+    host = await started(fleet, "a")
+    answers = [
+        ItemAnswer(503, b"", Outcome.NOT_RUN),
+        ItemAnswer(500, b"", Outcome.RAN),
+        ItemAnswer(0, b"", Outcome.MAY_HAVE_RUN, died=True),
+    ]
+    fleet.runner.answer = lambda request: answers.pop() if answers else fine(request)
+    await fleet.until_state(name, "completed")
+    await host.feed.stop()
+    found = host.feed.context.counters
+    assert found.refusals.labels("runner")._value.get() == 1
+    for reason in ("runner_died", "runner_failed"):
+        assert found.retries.labels(reason)._value.get() == 1
+    assert found.commits._value.get() == 1
+
+
 async def test_batch_items_count_in_the_runners_load():
     """Guards against a chooser that sends online requests to runners full of batch."""
     store, tracker, _, run = parts(fine)
--- a/src/primroseford/batch/tests/test_running.py
+++ b/src/primroseford/batch/tests/test_running.py
@@ -322,6 +322,7 @@
     for _ in range(10):
         await asyncio.sleep(0)
     assert len(fleet.runner.active) == 0
+    assert feed.context.counters.preemptions._value.get() == 16
     load.keep(())
     fleet.runner.gate.set()
     await fleet.until_state(name, "completed")
--- a/src/primroseford/batch/work.py
+++ b/src/primroseford/batch/work.py
@@ -11,11 +11,12 @@
 
 from primroseford.batch.decisions import CHECKPOINT_SECONDS
 from primroseford.batch.decisions import Step
+from primroseford.batch.decisions import Takeover
 from primroseford.batch.decisions import committed
 from primroseford.batch.decisions import judge
-from primroseford.batch.decisions import may_take_over
 from primroseford.batch.decisions import saved_state
 from primroseford.batch.decisions import take_over
+from primroseford.batch.decisions import takeover_reason
 from primroseford.batch.files import TAKEN
 from primroseford.batch.files import Slicer
 from primroseford.batch.files import create
@@ -67,6 +68,7 @@
     :param lock: held while the chunk's object is written
     :param writing: a write whose outcome is not known yet, with its results
     :param lost: another holder has the chunk; nothing more is written
+    :param takeover: why the chunk was claimed again, if it was
     """
 
     name: str
@@ -85,6 +87,7 @@
     lock: asyncio.Lock = field(default_factory=asyncio.Lock)
     writing: tuple[ChunkState, list[ItemResult]] | None = None
     lost: bool = False
+    takeover: Takeover | None = None
 
     @property
     def finished(self) -> bool:
@@ -138,10 +141,12 @@
         for number in ((start + n) % count for n in range(count)):
             if f"{name}-{number}" in self.held:
                 continue
-            if number in found and not self._may_take(*found[number]):
+            reason = self._reason(*found[number]) if number in found else None
+            if number in found and reason is None:
                 continue
             work = await self._claim(name, job, number, found.get(number))
             if work is not None:
+                work.takeover = reason
                 return work
         return None
 
@@ -172,15 +177,15 @@
             if state.incarnation not in live:
                 self.absent_since.setdefault(state.incarnation, now)
 
-    def _may_take(self, state: ChunkState, item: PlatformObject) -> bool:
+    def _reason(self, state: ChunkState, item: PlatformObject) -> Takeover | None:
         own = state.incarnation == self.holder.incarnation
         if own and state.phase is ChunkPhase.CLAIMED:
             # The answer to this host's claim was lost, since no feeder holds it.
-            return True
+            return Takeover.OWN
         now = self.clock()
         _, since = self.seen[state.job].get(state.chunk, (item.version, now))
         absent = now - self.absent_since.get(state.incarnation, now)
-        return may_take_over(state, absent, now - since)
+        return takeover_reason(state, absent, now - since)
 
     async def _claim(
         self,
--- a/src/primroseford/daemon/assembly.py
+++ b/src/primroseford/daemon/assembly.py
@@ -11,6 +11,8 @@
 import aiohttp
 import structlog
 
+from primroseford.batch.calls import BatchClient
+from primroseford.batch.counters import create_batch_counters
 from primroseford.batch.counting import create_counted_run_item
 from primroseford.batch.feed import FeedContext
 from primroseford.batch.files import FileStore
@@ -200,7 +202,8 @@
         limiter=limiter,
         claims=claims,
     )
-    jobs = JobStore(client, FileStore(client, time.time), time.time)
+    calls = BatchClient(client)
+    jobs = JobStore(calls, FileStore(calls, time.time), time.time)
     context = FeedContext(
         jobs=jobs,
         claimer=Claimer(jobs, Holder(own.host_id, own.incarnation), clock),
@@ -216,6 +219,7 @@
         load=LoadView(tracker.online_on),
         reported=tracker.reported_on,
         live=_live_incarnations(membership),
+        counters=create_batch_counters(metrics),
     )
     batch = BatchService(
         own.host_id,
