Report a hedged request's outcome as unknown from the second attempt on

The first attempt may send its bytes after the second one was started, and a failure of the second one would then have said that the request did not run. From the second attempt on a failure says may_have_run. Of the two new tests, the one in which the first attempt connects late fails without the change.

--- a/src/primroseford/online/hedging.py
+++ b/src/primroseford/online/hedging.py
@@ -103,10 +103,9 @@
     other = state.places.find_other(flow.pool, flow.prefix, [*flow.tried, view])
     if other is None or not state.budget.take():
         return
-    attempt = flow.entry.attempt
-    if attempt is not None and attempt.sent:
-        # The entry follows the second attempt from here on.
-        flow.entry.may_have_run = True
+    # The entry follows the second attempt from here on, and the first one may still
+    # send its bytes.
+    flow.entry.may_have_run = True
     state.tracker.start(other, flow.prefix)
     flow.tried.append(other)
     state.hedges.inc()
--- a/src/primroseford/online/tests/test_hedging.py
+++ b/src/primroseford/online/tests/test_hedging.py
@@ -8,6 +8,9 @@
 from pydantic import ValidationError
 
 from primroseford.configuration.tables import Route
+from primroseford.errors import PrimrosefordError
+from primroseford.errors import ResultCode
+from primroseford.online import forward
 from primroseford.online.tests.conftest import until
 from primroseford.online.tests.test_admission import read_all
 
@@ -67,6 +70,38 @@
     assert rig.metrics.by_name["hedges_total"]._value.get() == 1
 
 
+async def test_first_attempt_that_connects_late_may_still_run(rig, monkeypatch):
+    """Guards against a false not_run while the first attempt is still connecting."""
+    await rig.start(2, route=HEDGED | {"timeout_seconds": 0.3})
+    calls = []
+
+    async def connect_late(session, call, attempt):
+        calls.append(call)
+        if len(calls) == 1:
+            await asyncio.sleep(3600.0)
+        raise PrimrosefordError(ResultCode.DEADLINE_UNREACHABLE, "refused")
+
+    monkeypatch.setattr(forward, "open_exchange", connect_late)
+    answer, _ = await read_all(rig.post())
+    assert len(calls) == 2
+    assert answer.headers["X-Primroseford-Outcome"] == "may_have_run"
+
+
+async def test_refusal_after_a_hedge_does_not_say_not_run(rig):
+    """Guards against an outcome that knows only the second attempt."""
+    await rig.start(2, route=HEDGED | {"timeout_seconds": 0.3})
+    rig.engines[0].faults.answer_delay_seconds = 3600.0
+    rig.engines[1].faults.refuse_status = 429
+    outcomes = set()
+    while not rig.metrics.by_name["hedges_total"]._value.get():
+        rig.tracker.views.clear()
+        rig.tracker.subsets.clear()
+        answer, _ = await read_all(rig.post())
+        outcomes.add((answer.status, answer.headers["X-Primroseford-Outcome"]))
+    assert (504, "may_have_run") in outcomes and (503, "not_run") not in outcomes
+    assert all(outcome == "may_have_run" for _, outcome in outcomes)
+
+
 async def test_failed_attempt_leaves_the_other_one_running(rig):
     """Guards against a failure answered while another runner still works."""
     await rig.start(2, route=HEDGED)
