--- a/src/primroseford/proof/fleet.py
+++ b/src/primroseford/proof/fleet.py
@@ -221,7 +221,7 @@
         chat = {"match": {"models": [MODEL]}, "pool": "vans"}
         chat["repeatable"] = self.repeatable
         self.put("pools", "vans", {"runners": runners} | pool)
-        self.put("pools", "desk", {"kind": "service", "runners": desks} | desk)
+        self.put("pools", "desk", {"runner_kind": "service", "runners": desks} | desk)
         self.put("routes", "vans", chat | members)
         self.put("routes", "desk", {"match": DESK, "pool": "desk"} | members)
         for name, key in self.keys.items():
