Call readers of the tables only when a record changed

Cause: the service has one resourceVersion for all kinds, so that each renewal of a lease gave the tables a new version. Every reader was called for it, and the placement of feeders passed over all runners 5 times a second on an idle host.

Change: the version still grows; readers are called when a route, pool, organisation or key changed.

Conclusion: the placement runs only after edits and changes of the hosts.

--- a/src/primroseford/configuration/store.py
+++ b/src/primroseford/configuration/store.py
@@ -49,7 +49,11 @@
         return self.tables
 
     def on_change(self, callback: Callable[[Tables], None]) -> None:
-        """Call ``callback`` with each new version of the tables."""
+        """Call ``callback`` with the tables each time that a record changed.
+
+        The version also grows with writes of other kinds, such as leases, several
+        times a second; those must not cost a pass over all runners.
+        """
         self.callbacks.append(callback)
 
     def subscribe(self, kind: str, callback: ChangeCallback) -> None:
@@ -91,8 +95,9 @@
         for kind, changed in by_kind.items():
             for subscriber in self.subscribers.get(kind, ()):
                 _notify(subscriber, changed)
-        for callback in self.callbacks:
-            _notify(callback, self.tables)
+        if by_kind.keys() & RECORD_TYPES.keys():
+            for callback in self.callbacks:
+                _notify(callback, self.tables)
         return True
 
     def replace(self, version: Version, objects: Iterable[PlatformObject]) -> bool:
--- a/src/primroseford/configuration/tests/test_objects.py
+++ b/src/primroseford/configuration/tests/test_objects.py
@@ -131,3 +131,18 @@
     assert not store.current().keys
     assert set(store.rejected) == {("organisations", "o1"), ("keys", "k")}
     assert seen == [3, 4]
+
+
+def test_versions_without_changed_records_call_no_reader():
+    """Guards against a pass over all runners after each renewal of a lease."""
+    store = ConfigurationStore()
+    seen = []
+    store.on_change(lambda tables: seen.append(tables.version))
+    body = b'{"spec":{"rate":2,"burst":2},"labels":{}}'
+    store.apply(3, [Change(3, "organisations", "o1", body)])
+    store.apply(4, [])
+    store.apply(5, [Change(5, "jobs", "j", b'{"spec":{},"labels":{}}')])
+    assert store.current().version == 5
+    assert seen == [3]
+    store.apply(6, [Change(6, "organisations", "o1", None)])
+    assert seen == [3, 6]
