Count no status as not run unless a pool declares it

Cause: pools without a declaration took 429 and 503 as 'did not run', which only the operator can know; a refusal that says not run could be untrue. The poller's test drives batch items through the tracker and checks as much as before. Conclusion: 'not run' now needs a byte count of zero or a declaration.

--- a/src/primroseford/batch/tests/test_service.py
+++ b/src/primroseford/batch/tests/test_service.py
@@ -172,10 +172,11 @@
     engine = create_engine_stand_in()
     served = await serve(create_engine_application(engine))
     address = served.url.removeprefix("http://")
-    pool = Pool(name="vans")
+    pool = Pool(name="vans", not_run_statuses=(503,))
+    undeclared = Pool(name="vans")
     body = line("a")["body"]
 
-    async def post(runner_address: str):
+    async def post(runner_address: str, pool: Pool = pool):
         runner = Runner(name="r", address=runner_address, failure_domain="d")
         return await run(ItemRequest(pool, runner, ENDPOINT, body, "id", 5.0))
 
@@ -185,6 +186,7 @@
         assert (answer.status, answer.outcome) == (200, Outcome.RAN)
         engine.faults.refuse_status = 503
         assert (await post(address)).outcome is Outcome.NOT_RUN
+        assert (await post(address, undeclared)).outcome is not Outcome.NOT_RUN
         engine.faults.refuse_status = 0
         engine.faults.wrong_request_id = True
         assert (await post(address)).outcome is Outcome.MAY_HAVE_RUN
--- a/src/primroseford/configuration/tables.py
+++ b/src/primroseford/configuration/tables.py
@@ -136,7 +136,7 @@
     :param queue_limit: requests that wait for the pool on one host
     :param checks_fencing: the engines refuse orders with an old fencing number
     :param not_run_statuses: HTTP statuses by which a runner says that the request
-        did not run
+        did not run; none unless declared, since only the operator knows
     """
 
     name: Name
@@ -147,7 +147,7 @@
     queue_limit: Annotated[int, Field(ge=0, le=100_000)] = 256
     batch: BatchShare = BatchShare()
     checks_fencing: bool = False
-    not_run_statuses: tuple[Literal[408, 425, 429, 502, 503, 504], ...] = (429, 503)
+    not_run_statuses: tuple[Literal[408, 425, 429, 502, 503, 504], ...] = ()
 
 
 class Organisation(Record):
--- a/src/primroseford/online/tests/test_hedging.py
+++ b/src/primroseford/online/tests/test_hedging.py
@@ -89,7 +89,8 @@
 
 async def test_refusal_after_a_hedge_does_not_say_not_run(rig):
     """Guards against an outcome that knows only the second attempt."""
-    await rig.start(2, route=HEDGED | {"timeout_seconds": 0.3})
+    pool = {"not_run_statuses": [429]}
+    await rig.start(2, route=HEDGED | {"timeout_seconds": 0.3}, pool=pool)
     rig.engines[0].faults.answer_delay_seconds = 3600.0
     rig.engines[1].faults.refuse_status = 429
     outcomes = set()
--- a/src/primroseford/online/tests/test_relay.py
+++ b/src/primroseford/online/tests/test_relay.py
@@ -154,7 +154,7 @@
 
 async def test_refusals_in_a_burst_are_retried_elsewhere_and_honoured(rig):
     """Guards against lost requests when a runner refuses with Retry-After."""
-    await rig.start(2)
+    await rig.start(2, pool={"not_run_statuses": [429]})
     rig.engines[0].faults.refuse_status = 429
     answers = await asyncio.gather(*(_read_all(rig.post()) for _ in range(8)))
     assert [status for status, _ in answers] == [200] * 8
--- a/src/primroseford/routing/tests/test_poller.py
+++ b/src/primroseford/routing/tests/test_poller.py
@@ -7,6 +7,7 @@
 from primroseford.online.tests.conftest import rig  # noqa: F401
 from primroseford.online.tests.conftest import until
 from primroseford.routing.poller import create_load_poller
+from primroseford.routing.tracker import Result
 
 
 async def test_reports_reach_the_tracker_and_failures_are_counted(rig):  # noqa: F811
@@ -48,15 +49,15 @@
 async def test_runners_without_own_work_are_polled_less_often(rig):  # noqa: F811
     """Guards against idle hosts that poll at full rate, and busy ones that do not."""
     await rig.start(2)
-    feeding = set()
-    poller = create_load_poller(
-        rig.store, rig.tracker, rig.client, rig.metrics, feeding.__contains__
-    )
+    poller = create_load_poller(rig.store, rig.tracker, rig.client, rig.metrics)
     views = poller.views_due(0)
     assert len(views) == 2
     assert poller.views_due(1) == []
     rig.tracker.start(views[0])
-    feeding.add(views[1].runner.name)
+    rig.tracker.start(views[1], batch=True)
+    assert poller.views_due(1) == views
+    rig.tracker.finish(views[1], Result.SUCCEEDED, batch=True)
     assert poller.views_due(1) == views
-    feeding.clear()
+    # As if the last item had ended long ago.
+    views[1].samples.clear()
     assert poller.views_due(1) == views[:1]
