Keep the placement of feeders and the jobs a feeder may claim

Change: batch/placement.py keeps the first host of each key and looks only at hosts that come or go; claimable jobs are kept until jobs or routes change; a feeder without chunks ticks once a second and is woken by events.

--- a/src/primroseford/batch/feed.py
+++ b/src/primroseford/batch/feed.py
@@ -50,6 +50,7 @@
     from collections.abc import Callable
     from collections.abc import Coroutine
 
+    from primroseford.batch.holding import Claimable
     from primroseford.batch.index import JobIndex
     from primroseford.batch.jobs import JobStore
     from primroseford.batch.load import LoadView
@@ -69,6 +70,9 @@
 RETRY_SECONDS = 0.1
 MAX_RETRY_SECONDS = 5.0
 TICK_SECONDS = 0.05
+IDLE_TICK_SECONDS = 1.0
+"""A feeder without chunks is woken by jobs, hosts, tables and online load; the tick
+only repeats claims and follows load reports."""
 
 log = structlog.get_logger()
 
@@ -133,6 +137,7 @@
     online_at: float = -math.inf
     tasks: set[asyncio.Task] = field(default_factory=set)
     claiming: bool = False
+    claimable: Claimable | None = None
     stopping: bool = False
     wake: asyncio.Event = field(default_factory=asyncio.Event)
 
@@ -344,7 +349,9 @@
             self.step()
             # wait_for of Python 3.11 loses a cancel that meets the event.
             with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(TICK_SECONDS):
+                busy = self.works or self.flights
+                tick = TICK_SECONDS if busy else IDLE_TICK_SECONDS
+                async with asyncio.timeout(tick):
                     await self.wake.wait()
 
     async def stop(self) -> None:
--- a/src/primroseford/batch/holding.py
+++ b/src/primroseford/batch/holding.py
@@ -4,20 +4,24 @@
 
 import math
 import zlib
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 import structlog
 
-from primroseford.batch.schedule import due_order
 from primroseford.batch.state import ChunkPhase
 from primroseford.batch.work import save
 from primroseford.errors import PrimrosefordError
 from primroseford.errors import ResultCode
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from primroseford.batch.feed import RunnerFeed
     from primroseford.batch.state import Job
     from primroseford.batch.work import Work
+    from primroseford.configuration.tables import Route
+    from primroseford.ids import RouteName
 
 CLAIM_PAUSE_SECONDS = 1.0
 
@@ -53,6 +57,15 @@
         log.warning("chunk not stored", chunk=name, code=int(error.code))
 
 
+@dataclass(frozen=True)
+class Claimable:
+    """The jobs of a feeder's pool, with what they were found from."""
+
+    ordered: list[tuple[str, Job]]
+    routes: Mapping[RouteName, Route]
+    jobs: list[tuple[str, Job]]
+
+
 async def release_chunks(feed: RunnerFeed) -> None:
     """Store the results of a feeder that stops and release its unfinished chunks."""
     for work in feed.works:
@@ -76,14 +89,28 @@
     for work in feed.works:
         owner = work.job.organisation
         held[owner] = held.get(owner, 0) + len(work.pending)
-    for name, job in due_order(feed.context.index.jobs.items()):
+    for name, job in claimable_jobs(feed):
         enough = held.get(job.organisation, 0) >= feed.pool.max_in_flight
         if enough or feed.claim_after.get(name, 0.0) > now:
             continue
-        if feed.route_of(job) is not None:
-            feed.claiming = True
-            feed.spawn(_claim(feed, name, job))
-            return
+        feed.claiming = True
+        feed.spawn(_claim(feed, name, job))
+        return
+
+
+def claimable_jobs(feed: RunnerFeed) -> list[tuple[str, Job]]:
+    """Return the active jobs of the feeder's pool, earliest due first.
+
+    They are found anew only after a change of the jobs or routes, since a host looks
+    at thousands of jobs many times a second.
+    """
+    ordered = feed.context.index.by_due()
+    routes = feed.context.configuration.current().routes
+    kept = feed.claimable
+    if kept is None or kept.ordered is not ordered or kept.routes is not routes:
+        jobs = [pair for pair in ordered if feed.route_of(pair[1]) is not None]
+        kept = feed.claimable = Claimable(ordered, routes, jobs)
+    return kept.jobs
 
 
 async def _claim(feed: RunnerFeed, name: str, job: Job) -> None:
--- a/src/primroseford/batch/index.py
+++ b/src/primroseford/batch/index.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from primroseford.batch.schedule import due_order
 from primroseford.batch.state import Job
 from primroseford.batch.state import JobState
 
@@ -20,11 +21,18 @@
         self.jobs: dict[str, Job] = {}
         self.ended: dict[str, None] = {}
         self.callbacks: list[Callable[[], None]] = []
+        self.ordered: list[tuple[str, Job]] | None = None
 
     def is_active(self, name: str) -> bool:
         """Return whether items of a job may be sent."""
         return name not in self.ended
 
+    def by_due(self) -> list[tuple[str, Job]]:
+        """Return the active jobs, earliest due first; the same list until a change."""
+        if self.ordered is None:
+            self.ordered = due_order(self.jobs.items())
+        return self.ordered
+
     def on_change(self, callback: Callable[[], None]) -> None:
         """Call ``callback`` after jobs were added or ended."""
         self.callbacks.append(callback)
@@ -60,5 +68,6 @@
             self.apply(name, job)
 
     def _changed(self) -> None:
+        self.ordered = None
         for callback in self.callbacks:
             callback()
--- a/src/primroseford/batch/service.py
+++ b/src/primroseford/batch/service.py
@@ -17,12 +17,12 @@
 from primroseford.batch.load import ONLINE_LOAD
 from primroseford.batch.load import SEND_INTERVAL_SECONDS
 from primroseford.batch.load import LoadSender
+from primroseford.batch.placement import Placement
 from primroseford.batch.state import JobState
 from primroseford.configuration.freshness import FRESHNESS_LIMIT_SECONDS
 from primroseford.configuration.tables import PoolKind
 from primroseford.configuration.tables import RunnerState
 from primroseford.errors import PrimrosefordError
-from primroseford.membership.state import HostState
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -71,7 +71,7 @@
         self.host = host
         self.context = context
         self.membership = membership
-        self.rank = rank
+        self.placement = Placement(membership, rank)
         self.peers = peers
         self.retention_seconds = retention_seconds
         self.feeds: dict[str, RunnerFeed] = {}
@@ -120,19 +120,13 @@
         self.context.index.end(job)
 
     async def _send_load(self, runner: str, message: OnlineLoad) -> None:
-        feeder = self._first(runner)
+        feeder = self.placement.first(runner)
         if feeder is not None and feeder != self.host:
             self.peers.send(feeder, ONLINE_LOAD, message)
 
     async def _take_load(self, sender: str, message: OnlineLoad) -> None:
         self.context.load.tell(sender, message)
 
-    def _first(self, key: str) -> str | None:
-        hosts = self.membership.hosts()
-        live = tuple(info for info in hosts if info.state is HostState.LIVE)
-        ranked = self.rank(key, live)
-        return ranked[0].host_id if ranked else None
-
     def _hosts_changed(self, *_: object) -> None:
         self.context.claimer.note_live(self.context.live())
         self.context.load.keep({info.host_id for info in self.membership.hosts()})
@@ -146,7 +140,7 @@
         for pool in self.context.configuration.current().pools.values():
             for runner in pool.runners:
                 ready = runner.state is RunnerState.READY
-                if ready and self._first(runner.name) == self.host:
+                if ready and self.placement.first(runner.name) == self.host:
                     wanted[runner.name] = (pool, runner)
         for name in self.feeds.keys() - wanted.keys():
             feed = self.feeds.pop(name)
@@ -230,7 +224,7 @@
         """
         jobs = self.context.jobs
         for name, job in list(self.context.index.jobs.items()):
-            if jobs.wall() >= job.due_at and self._first(name) == self.host:
+            if jobs.wall() >= job.due_at and self.placement.first(name) == self.host:
                 await jobs.finish(name, JobState.EXPIRED)
                 await self.note_end(name)
 
@@ -240,7 +234,7 @@
         spread = zlib.crc32(self.host.encode()) % int(COLLECT_SECONDS)
         await self.sleep(spread)
         while not self.should_stop:
-            if self._first(COLLECTOR_KEY) == self.host:
+            if self.placement.first(COLLECTOR_KEY) == self.host:
                 try:
                     jobs = self.context.jobs
                     await collect(jobs.files, jobs.wall(), self.retention_seconds)
