--- a/src/primroseford/limits/service.py
+++ b/src/primroseford/limits/service.py
@@ -4,8 +4,6 @@
 
 import asyncio
 from collections import deque
-from dataclasses import dataclass
-from dataclasses import field
 from typing import TYPE_CHECKING
 
 import xxhash
@@ -17,6 +15,9 @@
 from primroseford.limits.bucket import BucketKey
 from primroseford.limits.ownership import KIND_DEMAND
 from primroseford.limits.ownership import Ownership
+from primroseford.limits.waiting import Group
+from primroseford.limits.waiting import Permit
+from primroseford.limits.waiting import Waiter
 from primroseford.metrics import Metrics
 
 if TYPE_CHECKING:
@@ -46,52 +47,6 @@
 MAX_WAITERS = 10_000
 
 
-@dataclass
-class Permit:
-    """Tokens taken for one request.
-
-    :param taken: the grants that they came from
-    :param clock: local time
-    """
-
-    taken: list[requester.Taken]
-    clock: Clock
-
-    def give_back(self) -> None:
-        """Give the tokens back because the request did not run; once only."""
-        taken, self.taken = self.taken, []
-        requester.give_back(taken, self.clock())
-
-
-@dataclass
-class Waiter:
-    """A request that waits for tokens."""
-
-    key: BucketKey
-    amount: int
-    since: float
-    deadline: float
-    future: asyncio.Future[Permit]
-
-
-@dataclass
-class Group:
-    """The requesting side of one group.
-
-    :param state: pure state
-    :param waiters: waiting requests by account, oldest first
-    :param turn: number of failed attempts to find the owner
-    :param asked_at: local time of the last request
-    """
-
-    state: requester.RequesterState
-    waiters: dict[BucketKey, deque[Waiter]] = field(default_factory=dict)
-    wake: asyncio.Event = field(default_factory=asyncio.Event)
-    task: asyncio.Task[None] | None = None
-    turn: int = 0
-    asked_at: float = float("-inf")
-
-
 class Limiter(Service):
     """Fleet-wide token buckets of organisations.
 
