Let operators give orders to engines

Cause: the order service ran on every host, but nothing called it. Before: no way to give an order. Conclusion: orders can be given; a fleet-wide plan of loads does not exist yet.

--- a/src/primroseford/cli/application.py
+++ b/src/primroseford/cli/application.py
@@ -20,6 +20,7 @@
 from primroseford.cli.commands.key_list import KeyListCommand
 from primroseford.cli.commands.key_withdraw import KeyWithdrawCommand
 from primroseford.cli.commands.runner_drain import RunnerDrainCommand
+from primroseford.cli.commands.runner_order import RunnerOrderCommand
 from primroseford.cli.commands.status import StatusCommand
 
 COMMANDS = (
@@ -35,6 +36,7 @@
     KeyListCommand,
     KeyWithdrawCommand,
     RunnerDrainCommand,
+    RunnerOrderCommand,
     StatusCommand,
 )
 
--- a/src/primroseford/daemon/operator.py
+++ b/src/primroseford/daemon/operator.py
@@ -9,6 +9,7 @@
 from prometheus_client import generate_latest
 
 from primroseford.configuration.operator import add_configuration_routes
+from primroseford.orders.operator import add_order_routes
 
 if TYPE_CHECKING:
     from primroseford.daemon.host import Host
@@ -42,6 +43,7 @@
     app.router.add_get("/metrics", metrics)
     app.router.add_get("/status", status)
     add_configuration_routes(app, host.parts.configuration)
+    add_order_routes(app, host.parts.configuration.store, host.parts.orders)
     return app
 
 
