Repair changes whose watch events were skipped

Cause: a change that only a list showed kept its own version, which lay before the last delta's end, so no delta carried it: a withdrawal whose event the platform skipped never took effect, and lists came only every 600 s. Change: such a change gets the next version that a delta can have, and gives way to the real event of that version; watchers list every 60 s, keys every 10 s.

--- a/src/primroseford/configuration/merge.py
+++ b/src/primroseford/configuration/merge.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass
 from dataclasses import field
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from primroseford.configuration.objects import Change
@@ -27,6 +28,7 @@
     :param pending: changes that are not part of a delta yet
     :param jumps: intervals of versions whose inner states were not seen
     :param deleted: deletions whose version is not known yet
+    :param repaired: objects with a pending change that a list brought
     """
 
     kind: str
@@ -35,6 +37,7 @@
     pending: list[Change] = field(default_factory=list)
     jumps: list[tuple[Version, Version]] = field(default_factory=list)
     deleted: set[str] = field(default_factory=set)
+    repaired: set[str] = field(default_factory=set)
 
 
 @dataclass
@@ -67,16 +70,27 @@
 def take_list(feed: KindFeed, found: ObjectList) -> None:
     """Record a complete list of a kind.
 
+    A change whose event was lost lies before the feed's position, where no delta
+    reaches any more. It is recorded with the next version that a delta can have.
+
     :param found: list of all objects; ignored if it is older than the feed
     """
     if found.version < feed.position:
         return
+    late = Version(max(found.version, feed.position + 1))
     names = {item.name for item in found.items}
     for name in [n for n in feed.known if n not in names]:
-        _record(feed, Change(found.version, feed.kind, name, None))
+        _record(feed, Change(late, feed.kind, name, None))
+        feed.repaired.add(name)
     for item in found.items:
         if feed.known.get(item.name, -1) < item.version:
-            _record(feed, encode_change(item))
+            change = encode_change(item)
+            if item.version <= feed.position:
+                change = replace(change, version=late)
+            _record(feed, change)
+            if change.version == late:
+                feed.known[item.name] = item.version
+                feed.repaired.add(item.name)
     feed.deleted.clear()
     _jump(feed, found.version)
 
@@ -130,6 +144,14 @@
             return
     else:
         feed.known[change.name] = change.version
+    if change.name in feed.repaired:
+        # The event of a version takes the place of a repair that was given it.
+        feed.repaired.discard(change.name)
+        feed.pending = [
+            c
+            for c in feed.pending
+            if c.name != change.name or c.version < change.version
+        ]
     feed.pending.append(change)
 
 
--- a/src/primroseford/configuration/tests/test_service.py
+++ b/src/primroseford/configuration/tests/test_service.py
@@ -16,6 +16,7 @@
 from primroseford.configuration.tests.fakes import FakePlatform
 from primroseford.configuration.tests.fakes import host_info
 from primroseford.configuration.tests.fakes import rank_hosts
+from primroseford.configuration.watcher import KEYS_RELIST_SECONDS
 from primroseford.errors import Outcome
 from primroseford.errors import PrimrosefordError
 from primroseford.errors import ResultCode
@@ -219,3 +220,24 @@
     assert set(body) == set(fleet.infos)
     assert body["h0"]["version"] == fleet.platform.version
     assert body["h8"] is None
+
+
+async def test_withdrawal_whose_event_was_lost_takes_effect_within_seconds(fleet):
+    """Guards against a key that works on because the platform skipped its event."""
+    spec = {"organisation": "o", "hash": "0" * 64, "withdrawn": False}
+    fleet.platform.put("keys", "k", spec)
+    await fleet.start()
+    await fleet.converged()
+    fleet.platform.put("keys", "k", spec | {"withdrawn": True})
+    fleet.platform.events.pop()
+    fleet.platform.put("organisations", "o", {"rate": 1, "burst": 1})
+    await fleet.converged()
+    services = fleet.services.values()
+    assert not any(s.store.current().keys["k"].withdrawn for s in services)
+    calls = fleet.platform.calls
+    fleet.clock.advance(KEYS_RELIST_SECONDS + 1)
+    await fleet.until(lambda: fleet.platform.calls > calls)
+    fleet.platform.put("organisations", "p", {"rate": 1, "burst": 1})
+    await fleet.until(
+        lambda: all(s.store.current().keys["k"].withdrawn for s in services)
+    )
--- a/src/primroseford/configuration/watcher.py
+++ b/src/primroseford/configuration/watcher.py
@@ -27,8 +27,10 @@
     Sleep = Callable[[float], Awaitable[None]]
 
 RETRY_SECONDS = 1.0
-RELIST_SECONDS = 600.0
+RELIST_SECONDS = 60.0
 """Watches are hints; a list repairs an event that the platform failed to send."""
+KEYS_RELIST_SECONDS = 10.0
+"""A withdrawn key must stop working within seconds, also when its event was lost."""
 
 log = structlog.get_logger()
 
@@ -70,7 +72,7 @@
         relist = feed.position == 0
         while True:
             try:
-                if relist or self.clock() - self.listed[feed.kind] > RELIST_SECONDS:
+                if relist or self._list_due(feed):
                     await self._list(feed)
                     relist = False
                 await self._watch(feed)
@@ -83,6 +85,11 @@
                 log.error("watch failed", kind=feed.kind, error=repr(error))
             await self.sleep(RETRY_SECONDS)
 
+    def _list_due(self, feed: KindFeed) -> bool:
+        keys = feed.kind == "keys"
+        interval = KEYS_RELIST_SECONDS if keys else RELIST_SECONDS
+        return self.clock() - self.listed[feed.kind] > interval
+
     async def _list(self, feed: KindFeed) -> None:
         sent_at = self.clock()
         found = await self.client.list(feed.kind)
@@ -94,7 +101,7 @@
         async for event in self.client.watch(feed.kind, feed.position):
             take_event(feed, event)
             self._advance(feed, self.clock())
-            if self.clock() - self.listed[feed.kind] > RELIST_SECONDS:
+            if self._list_due(feed):
                 await self._list(feed)
 
     def _advance(self, feed: KindFeed, at: float) -> None:
--- a/src/primroseford/daemon/settings.py
+++ b/src/primroseford/daemon/settings.py
@@ -72,7 +72,8 @@
     :param platform: URL of the platform's service
     :param peer_secret_file: file with the secret that all hosts share
     :param peers: peer addresses to start from while the platform is down
-    :param data_folder: folder on a local disk used as a cache, if there is one
+    :param data_folder: folder on a local disk for a cache of bulk data; checked but not
+        used yet
     :param log_level: lowest level that is logged
     """
 
--- a/src/primroseford/membership/service.py
+++ b/src/primroseford/membership/service.py
@@ -78,7 +78,7 @@
         self.failed_at: dict[HostId, float] = {}
         self.status_at = -STATUS_SECONDS
         self.status_versions: dict[str, int] = {}
-        self.rumours: dict[HostId, str] = {}
+        self.unverified: dict[HostId, str] = {}
         self.listed_at = -LIST_SECONDS
         network.register(KIND_HEARTBEAT, Heartbeat, self.answer, View)
 
@@ -114,7 +114,7 @@
         for listed in self.view.listed:
             if listed.entry and listed.name == host_id:
                 return listed.address
-        return self.rumours.get(host_id)
+        return self.unverified.get(host_id)
 
     async def leave(self) -> None:
         """Announce that this host is about to stop."""
@@ -304,7 +304,7 @@
                 # Another domain's news of this one is older than the heartbeats
                 # here and would bring back removed hosts; it only names hosts
                 # to contact.
-                self.rumours = {HostId(m.host_id): m.address for m in table.members}
+                self.unverified = {HostId(m.host_id): m.address for m in table.members}
                 continue
             records = [
                 views.Record(host_of(m, domain), asked_at - m.age_ms / 1000)
@@ -332,7 +332,7 @@
         # the platform's list and the seeds join such groups again.
         known = {host.host_id for host in self.current}
         names = [HostId(h.name) for h in self.view.listed if h.entry]
-        names += sorted(set(self.rumours) - set(names))
+        names += sorted(set(self.unverified) - set(names))
         if len(known) == 1:
             names += await self._identify_seeds()
         names = [name for name in names if name not in known]
@@ -341,7 +341,7 @@
             seed = HostInfo(name, Incarnation(""), "", FailureDomainId(""))
             if await self._exchange(seed):
                 return
-            self.rumours.pop(name, None)
+            self.unverified.pop(name, None)
 
     async def _identify_seeds(self) -> list[HostId]:
         names = []
