--- a/src/primroseford/errors.py
+++ b/src/primroseford/errors.py
@@ -70,6 +70,7 @@
     FILE_IN_USE = 6008
     RESULT_TOO_LARGE = 6009
     TOO_MANY_ITEMS = 6010
+    JOB_OUTCOME_UNKNOWN = 6011
 
 
 HTTP_STATUS = {
@@ -116,6 +117,7 @@
     ResultCode.JOB_FINISHED: 409,
     ResultCode.FILE_IN_USE: 409,
     ResultCode.TOO_MANY_ITEMS: 413,
+    ResultCode.JOB_OUTCOME_UNKNOWN: 504,
 }
 """HTTP status by result code; codes that are not listed map to 500."""
 
--- /dev/null
+++ b/src/primroseford/gateway/application.py
@@ -0,0 +1,144 @@
+"""Entry of callers' requests: readiness, keys, routes, jobs and online requests."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import structlog
+from aiohttp import web
+
+from primroseford.errors import PrimrosefordError
+from primroseford.errors import ResultCode
+from primroseford.gateway.forward import forward
+from primroseford.gateway.tables import RouteKind
+from primroseford.platform.ingress import decode_request
+from primroseford.platform.ingress import encode_refusal
+from primroseford.platform.job_calls import decode_job_call
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+    from aiohttp.web_request import BaseRequest
+
+    from primroseford.gateway.requests import IncomingRequest
+    from primroseford.gateway.state import Gateway
+    from primroseford.ids import OrganisationId
+    from primroseford.jobs.api import JobApi
+
+    Handler = Callable[[BaseRequest], Awaitable[web.StreamResponse]]
+
+log = structlog.get_logger()
+
+
+def create_ingress_handler(gateway: Gateway, jobs: JobApi) -> Handler:
+    """Return the handler of all callers' requests."""
+
+    async def handle(request: BaseRequest) -> web.StreamResponse:
+        started = gateway.clock()
+        request_id = ""
+        try:
+            incoming = decode_request(request)
+            request_id = incoming.request_id
+            incoming.body = await request.read()
+            return await _serve(gateway, jobs, request, incoming, started)
+        except web.HTTPRequestEntityTooLarge:
+            error = PrimrosefordError(
+                ResultCode.BODY_TOO_LARGE, "the body is too large"
+            )
+        except PrimrosefordError as caught:
+            error = caught
+        except asyncio.CancelledError:
+            raise
+        except Exception:
+            log.exception("request failed", request_id=request_id)
+            error = PrimrosefordError(ResultCode.INTERNAL, "internal error")
+        return _refuse(gateway, error, request_id, started)
+
+    return handle
+
+
+def _refuse(
+    gateway: Gateway, error: PrimrosefordError, request_id: str, started: float
+) -> web.Response:
+    gateway.metrics.refusals.labels(error.code.name.lower()).inc()
+    log.info(
+        "request refused",
+        request_id=request_id,
+        code=error.code.name,
+        status=error.http_status,
+        outcome=error.outcome.value,
+        reason=error.message,
+        retry_after=error.retry_after,
+        after_ms=round((gateway.clock() - started) * 1000),
+        tables=gateway.tables.version if gateway.tables else None,
+        confirmed_ms_ago=_age_ms(gateway),
+    )
+    response = encode_refusal(error, request_id)
+    if gateway.stopping:
+        response.force_close()
+    return response
+
+
+def _age_ms(gateway: Gateway) -> int | None:
+    age = gateway.clock() - gateway.confirmed_at
+    return round(age * 1000) if age < 1e9 else None
+
+
+async def _serve(
+    gateway: Gateway,
+    jobs: JobApi,
+    request: BaseRequest,
+    incoming: IncomingRequest,
+    started: float,
+) -> web.StreamResponse:
+    tables = gateway.current_tables()
+    call = decode_job_call(incoming)
+    if call is not None:
+        return await _stop_aware(gateway, jobs.answer(call, _owner(gateway, incoming)))
+    route = tables.match(incoming.host, incoming.path)
+    if route is None:
+        raise gateway.check_sure(
+            PrimrosefordError(ResultCode.ROUTE_NOT_FOUND, "no route matches")
+        )
+    try:
+        organisation = tables.authorise(route, incoming.key)
+    except PrimrosefordError as error:
+        raise gateway.check_sure(error) from None
+    if route.kind is RouteKind.BATCH:
+        return await _stop_aware(gateway, jobs.submit(incoming, route, organisation))
+    return await forward(gateway, request, incoming, route, organisation, started)
+
+
+async def _stop_aware(
+    gateway: Gateway, answer: Awaitable[web.StreamResponse]
+) -> web.StreamResponse:
+    response = await answer
+    if gateway.stopping:
+        response.force_close()
+    return response
+
+
+def _owner(gateway: Gateway, incoming: IncomingRequest) -> OrganisationId | None:
+    """Return the organisation whose key came with a call about a job."""
+    tables = gateway.current_tables()
+    if tables.keys is None:
+        return None
+    name = tables.keys.get(incoming.key or "")
+    if name is None:
+        raise gateway.check_sure(
+            PrimrosefordError(ResultCode.KEY_UNKNOWN, "the key is not known")
+        )
+    return name
+
+
+def create_readiness_handler(gateway: Gateway) -> Handler:
+    """Return the handler of the balancer's readiness check."""
+
+    async def handle(request: BaseRequest) -> web.Response:
+        if gateway.ready:
+            return web.Response()
+        return web.Response(status=503)
+
+    return handle
--- /dev/null
+++ b/src/primroseford/gateway/follow.py
@@ -0,0 +1,197 @@
+"""Follows the configuration, the runner list and the hosts in the platform's store."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import structlog
+from mode import Service
+
+from primroseford.errors import PrimrosefordError
+from primroseford.errors import ResultCode
+from primroseford.gateway.loops import repeat
+from primroseford.ids import HostId
+from primroseford.platform.configuration import CONFIGURATION_KIND
+from primroseford.platform.configuration import CONFIGURATION_NAME
+from primroseford.platform.configuration import decode_tables
+from primroseford.platform.objects import EventType
+from primroseford.platform.reflector import create_reflector
+from primroseford.platform.runner_list import RUNNER_KIND
+from primroseford.platform.runner_list import decode_runner
+
+if TYPE_CHECKING:
+    from primroseford.gateway.state import Gateway
+    from primroseford.ids import Incarnation
+    from primroseford.platform.client import PlatformClient
+    from primroseford.platform.view import Delta
+
+HOSTS = "entry-hosts"
+RETRY_SECONDS = 0.5
+"""Pause before a call to the platform is tried again at start."""
+EXPIRE_SECONDS = 0.2
+"""Time between two looks for runners whose time to return is over."""
+
+log = structlog.get_logger()
+
+
+class Followers(Service):
+    """Keeps the gateway's tables and runners up to date."""
+
+    def __init__(self, gateway: Gateway, client: PlatformClient) -> None:
+        super().__init__()
+        self.gateway = gateway
+        self.tables = create_reflector(
+            client,
+            CONFIGURATION_KIND,
+            self.take_tables,
+            purpose="configuration",
+            clock=gateway.clock,
+            on_contact=self.tables_contact,
+        )
+        self.runners = create_reflector(
+            client,
+            RUNNER_KIND,
+            self.take_runners,
+            purpose="runners",
+            clock=gateway.clock,
+            on_contact=self.runners_contact,
+        )
+
+    async def on_start(self) -> None:
+        """Start to follow."""
+        await self.tables.start()
+        await self.runners.start()
+
+    async def on_stop(self) -> None:
+        """Stop to follow."""
+        await self.tables.stop()
+        await self.runners.stop()
+
+    def tables_contact(self, good: bool) -> None:
+        """Note whether the configuration can be followed."""
+        if good:
+            self.gateway.confirmed_at = self.gateway.clock()
+
+    def runners_contact(self, good: bool) -> None:
+        """Note a loss or return of the platform."""
+        reachable = self.runners.reachable
+        if good and not reachable:
+            self.gateway.runner_list.platform_returned(self.gateway.clock())
+            log.info("platform reachable")
+        elif reachable and not good:
+            log.warning(
+                "platform not reachable", runners=len(self.runners.view.objects)
+            )
+
+    def take_tables(self, delta: Delta) -> None:
+        """Put a new configuration in force."""
+        gateway = self.gateway
+        gateway.confirmed_at = gateway.clock()
+        for event in delta.events:
+            item = event.object
+            if item is None or item.name != CONFIGURATION_NAME:
+                continue
+            if event.type is EventType.DELETED:
+                continue
+            try:
+                tables = decode_tables(item.spec)
+            except PrimrosefordError as error:
+                log.error("configuration not readable", reason=str(error))
+                continue
+            if gateway.tables and tables.version <= gateway.tables.version:
+                continue
+            gateway.tables = tables
+            log.info(
+                "configuration in force",
+                version=tables.version,
+                revision=item.version,
+                routes=len(tables.routes),
+                organisations=len(tables.organisations),
+            )
+
+    def take_runners(self, delta: Delta) -> None:
+        """Take a step of the runner list."""
+        present, removed = [], []
+        for event in delta.events:
+            if event.object is None:
+                continue
+            entry = decode_runner(event.object)
+            if event.type is EventType.DELETED or entry is None:
+                removed.append(event.object.name)
+            else:
+                present.append(entry)
+            log.info(
+                "runner entry",
+                runner=event.object.name,
+                change=event.type.value,
+                stage=entry.stage.value if entry else None,
+                pool=entry.pool if entry else None,
+                revision=delta.version,
+            )
+        gateway = self.gateway
+        gateway.runner_list.update(present, removed, gateway.clock())
+        gateway.runners_known = True
+        gateway.places.set_runners(gateway.runner_list.entries)
+
+    @Service.task
+    async def expire_runners(self) -> None:
+        """Drop runners that did not return after an outage."""
+        await repeat(self, lambda: EXPIRE_SECONDS, self._expire)
+
+    def _expire(self) -> None:
+        gone = self.gateway.runner_list.expire(self.gateway.clock())
+        if gone:
+            log.info("runners did not return", runners=gone)
+            self.gateway.places.set_runners(self.gateway.runner_list.entries)
+
+
+class Registration(Service):
+    """Lets hosts find each other through the platform's store.
+
+    :param address: where this host takes heartbeats
+    """
+
+    def __init__(
+        self,
+        gateway: Gateway,
+        client: PlatformClient,
+        incarnation: Incarnation,
+        address: str,
+    ) -> None:
+        super().__init__()
+        self.gateway = gateway
+        self.client = client
+        self.incarnation = incarnation
+        self.address = address
+
+    @Service.task
+    async def register(self) -> None:
+        """Write this host's address, then read the others'."""
+        while not self.should_stop:
+            try:
+                await self._write()
+                listed = await self.client.list(HOSTS, purpose="hosts")
+                break
+            except PrimrosefordError as error:
+                log.warning("host not registered yet", code=error.code.name)
+                await self.sleep(RETRY_SECONDS)
+        else:
+            return
+        now = self.gateway.clock()
+        for item in listed.items:
+            self.gateway.members.learn(HostId(item.name), item.spec["address"], now)
+        log.info("hosts known", hosts=[item.name for item in listed.items])
+
+    async def _write(self) -> None:
+        own = self.gateway.members.own
+        spec = {"address": self.address, "incarnation": self.incarnation}
+        try:
+            await self.client.create(HOSTS, own, spec, purpose="hosts")
+        except PrimrosefordError as error:
+            if error.code is not ResultCode.ALREADY_EXISTS:
+                raise
+            found = await self.client.get(HOSTS, own, purpose="hosts")
+            if found.spec["address"] != self.address:
+                await self.client.update(
+                    HOSTS, own, spec, found.version, purpose="hosts"
+                )
--- /dev/null
+++ b/src/primroseford/gateway/forward.py
@@ -0,0 +1,381 @@
+"""The path of an online request from the tables to a runner's answer."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+
+import structlog
+from aiohttp import web
+
+from primroseford.errors import Outcome
+from primroseford.errors import PrimrosefordError
+from primroseford.errors import ResultCode
+from primroseford.gateway.exchange import EXCHANGE_ERRORS
+from primroseford.gateway.exchange import Call
+from primroseford.gateway.exchange import Silence
+from primroseford.gateway.exchange import open_answer
+from primroseford.gateway.exchange import ran
+from primroseford.gateway.retry import Next
+from primroseford.gateway.retry import next_step
+from primroseford.gateway.retry import silence_limit
+from primroseford.gateway.tables import RouteKind
+from primroseford.gateway.tables import choose_pool
+from primroseford.online.events import EventSplitter
+from primroseford.online.exchange import Attempt
+from primroseford.platform.runner_calls import answer_headers
+from primroseford.platform.runner_calls import is_signed
+from primroseford.platform.runner_calls import runner_headers
+
+if TYPE_CHECKING:
+    import aiohttp
+    from aiohttp.web_request import BaseRequest
+
+    from primroseford.gateway.places import RunnerState
+    from primroseford.gateway.requests import IncomingRequest
+    from primroseford.gateway.runners import RunnerKey
+    from primroseford.gateway.state import Gateway
+    from primroseford.gateway.tables import Organisation
+    from primroseford.gateway.tables import Route
+    from primroseford.ids import PoolName
+
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+"""Largest answer that is held back until it is whole."""
+
+log = structlog.get_logger()
+
+
+@dataclass(eq=False)
+class Flow:
+    """An online request on its way.
+
+    :param deadline: local time in seconds
+    :param runs: attempts that a runner may have worked on
+    :param refusals: attempts that surely did not run
+    :param response: answer to the caller, once its head is sent
+    :param splitter: events of a resumable stream
+    """
+
+    request: BaseRequest
+    incoming: IncomingRequest
+    route: Route
+    organisation: Organisation | None
+    pool: PoolName
+    started: float
+    deadline: float
+    runs: int = 0
+    refusals: int = 0
+    tried: set[RunnerKey] = field(default_factory=set)
+    runners: list[str] = field(default_factory=list)
+    placed_after: float = 0.0
+    first_after: float = 0.0
+    response: web.StreamResponse | None = None
+    splitter: EventSplitter = field(default_factory=EventSplitter)
+
+
+class CutShort(Exception):
+    """An answer that has begun cannot be completed."""
+
+    def __init__(self, error: PrimrosefordError) -> None:
+        super().__init__(str(error))
+        self.error = error
+
+
+async def forward(
+    gateway: Gateway,
+    request: BaseRequest,
+    incoming: IncomingRequest,
+    route: Route,
+    organisation: Organisation | None,
+    started: float,
+) -> web.StreamResponse:
+    """Serve an online request.
+
+    :param started: local time of the request's arrival in seconds
+    :raises PrimrosefordError: with a truthful outcome, if no answer was begun
+    """
+    admit(gateway, organisation)
+    allowed = min(route.timeout, incoming.allowed or route.timeout)
+    pool = choose_pool(route, gateway.random)
+    flow = Flow(
+        request, incoming, route, organisation, pool, started, started + allowed
+    )
+    code = ResultCode.OK
+    gateway.flows.add(flow)
+    try:
+        return await _send(gateway, flow)
+    except PrimrosefordError as error:
+        code = error.code
+        if flow.response is None:
+            if error.outcome is Outcome.NOT_RUN and organisation is not None:
+                gateway.quotas.give_back(organisation)
+            raise
+        _cut(request)
+        return flow.response
+    except CutShort as cut:
+        code = cut.error.code
+        _cut(request)
+        return flow.response
+    except asyncio.CancelledError:
+        log.info("caller left", request_id=incoming.request_id, runners=flow.runners)
+        raise
+    finally:
+        gateway.flows.discard(flow)
+        _report(gateway, flow, code)
+
+
+def admit(gateway: Gateway, organisation: Organisation | None) -> None:
+    """Take a token of an organisation's rate.
+
+    :raises PrimrosefordError: RATE_LIMITED
+    """
+    if organisation is None:
+        return
+    wait = gateway.quotas.take(organisation, gateway.clock())
+    if wait > 0:
+        raise PrimrosefordError(
+            ResultCode.RATE_LIMITED,
+            f"organisation {organisation.name!r} is above its rate",
+            retry_after=gateway.places.spread(wait),
+        )
+
+
+def _cut(request: BaseRequest) -> None:
+    # Without the end of the chunks the caller sees that the answer is not whole.
+    if request.transport is not None:
+        request.transport.abort()
+
+
+def _report(gateway: Gateway, flow: Flow, code: ResultCode) -> None:
+    seconds = gateway.clock() - flow.started
+    gateway.metrics.requests.labels(flow.route.kind.value, code.name.lower()).inc()
+    gateway.metrics.seconds.labels(flow.route.kind.value).observe(seconds)
+    log.info(
+        "request ended",
+        request_id=flow.incoming.request_id,
+        code=code.name,
+        route=flow.route.name,
+        organisation=flow.organisation.name if flow.organisation else None,
+        runners=flow.runners,
+        runs=flow.runs,
+        refusals=flow.refusals,
+        placed_ms=round(flow.placed_after * 1000),
+        first_ms=round(flow.first_after * 1000),
+        total_ms=round(seconds * 1000),
+        tables=gateway.tables.version if gateway.tables else None,
+    )
+
+
+async def _send(gateway: Gateway, flow: Flow) -> web.StreamResponse:
+    while True:
+        runner = await _place(gateway, flow)
+        try:
+            return await _attempt(gateway, flow, runner)
+        except PrimrosefordError as error:
+            _judge(gateway, flow, runner, error)
+
+
+async def _place(gateway: Gateway, flow: Flow) -> RunnerState:
+    organisation = flow.organisation.name if flow.organisation else ""
+    try:
+        runner = await gateway.places.acquire(
+            flow.pool, organisation, flow.deadline, flow.tried
+        )
+    except PrimrosefordError as error:
+        if flow.runs:
+            error.outcome = Outcome.MAY_HAVE_RUN
+            error.code = ResultCode.RUNNER_FAILED
+        if flow.response is not None:
+            raise CutShort(error) from error
+        raise
+    if not flow.runners:
+        flow.placed_after = gateway.clock() - flow.started
+    flow.runners.append(runner.entry.key.name)
+    return runner
+
+
+def _judge(
+    gateway: Gateway, flow: Flow, runner: RunnerState, error: PrimrosefordError
+) -> None:
+    """Return if the request may be sent again; raise its final error otherwise."""
+    may_have_run = error.outcome is not Outcome.NOT_RUN
+    flow.runs += may_have_run
+    flow.refusals += not may_have_run
+    flow.tried.add(runner.entry.key)
+    step = next_step(
+        flow.route, flow.runs, flow.refusals, may_have_run, flow.response is not None
+    )
+    if gateway.clock() >= flow.deadline:
+        step = Next.FAIL
+    log.info(
+        "attempt failed",
+        request_id=flow.incoming.request_id,
+        runner=runner.entry.key.name,
+        code=error.code.name,
+        reason=error.message,
+        may_have_run=may_have_run,
+        next=step.value,
+    )
+    if step is Next.AGAIN:
+        gateway.metrics.retries.labels(error.code.name.lower()).inc()
+        return
+    if flow.runs:
+        error.outcome = Outcome.MAY_HAVE_RUN
+        if error.http_status == 503:
+            error.code = ResultCode.RUNNER_FAILED
+    elif error.http_status not in (429, 503):
+        # No attempt ran, so the caller may be told to come back.
+        error.code = ResultCode.POOL_UNAVAILABLE
+        error.retry_after = gateway.places.spread(
+            gateway.places.expected_wait(flow.pool)
+        )
+    if flow.response is not None:
+        raise CutShort(error) from error
+    raise error
+
+
+async def _attempt(
+    gateway: Gateway, flow: Flow, runner: RunnerState
+) -> web.StreamResponse:
+    started = gateway.clock()
+    attempt = Attempt()
+    loop = asyncio.get_running_loop()
+    silence = Silence(
+        loop.time() + flow.deadline - started,
+        silence_limit(flow.route, flow.runs, runner.latency),
+    )
+    served: float | None = None
+    token = gateway.watch_runner(runner)
+    try:
+        async with silence.timeout:
+            response = await _exchange(gateway, flow, runner, attempt, silence)
+        served = gateway.clock() - started
+        gateway.places.trust(runner)
+        return response
+    except TimeoutError as error:
+        raise _timed_out(gateway, runner, attempt, silence) from error
+    except PrimrosefordError as error:
+        gateway.note_failure(runner, error)
+        raise
+    finally:
+        runner.waiting.pop(token, None)
+        gateway.places.finish(runner, seconds=served)
+
+
+def _timed_out(
+    gateway: Gateway, runner: RunnerState, attempt: Attempt, silence: Silence
+) -> PrimrosefordError:
+    if not attempt.sent:
+        return PrimrosefordError(
+            ResultCode.DEADLINE_UNREACHABLE, "the time was over before it was sent"
+        )
+    if not silence.at_deadline:
+        gateway.suspect(runner, "silent")
+    return ran(ResultCode.RUNNER_TIMEOUT, "the runner did not answer in time")
+
+
+async def _exchange(
+    gateway: Gateway,
+    flow: Flow,
+    runner: RunnerState,
+    attempt: Attempt,
+    silence: Silence,
+) -> web.StreamResponse:
+    incoming = flow.incoming
+    last_event = flow.splitter.last_event_id() if flow.response else None
+    headers = runner_headers(
+        incoming.headers,
+        runner.entry.key.name,
+        flow.organisation.name if flow.organisation else None,
+        flow.deadline - gateway.clock(),
+        last_event,
+    )
+    call = Call(
+        incoming.method, incoming.target, headers, incoming.body, incoming.request_id
+    )
+    answer = await open_answer(gateway.session, runner.entry, call, attempt)
+    try:
+        gateway.places.trust(runner)
+        if 200 <= answer.status < 300 and not is_signed(answer):
+            raise ran(ResultCode.ANSWER_MISMATCHED, "the answer has no signature")
+        if flow.route.kind is RouteKind.STREAMING and answer.status == 200:
+            return await _relay_stream(gateway, flow, runner, answer, silence)
+        return await _relay_whole(gateway, flow, runner, answer)
+    finally:
+        answer.close()
+
+
+async def _relay_whole(
+    gateway: Gateway, flow: Flow, runner: RunnerState, answer: aiohttp.ClientResponse
+) -> web.StreamResponse:
+    try:
+        body = await answer.read()
+    except EXCHANGE_ERRORS as error:
+        raise ran(ResultCode.RUNNER_FAILED, f"the answer was cut: {error!r}") from error
+    if flow.response is not None:
+        raise ran(ResultCode.STREAM_TRUNCATED, f"resuming gave status {answer.status}")
+    if answer.status >= 500 and flow.route.repeatable:
+        if flow.runs + 1 < flow.route.max_attempts:
+            raise ran(ResultCode.RUNNER_FAILED, f"the runner gave {answer.status}")
+    seconds = gateway.clock() - flow.started
+    flow.first_after = seconds
+    runner.latency += 0.1 * (seconds - runner.latency) if runner.latency else seconds
+    response = web.Response(
+        status=answer.status, body=body, headers=answer_headers(answer)
+    )
+    if gateway.stopping:
+        response.force_close()
+    return response
+
+
+async def _relay_stream(
+    gateway: Gateway,
+    flow: Flow,
+    runner: RunnerState,
+    answer: aiohttp.ClientResponse,
+    silence: Silence,
+) -> web.StreamResponse:
+    splitter = flow.splitter
+    splitter.restart()
+    resumable = flow.route.resumable
+    try:
+        async for chunk in answer.content.iter_any():
+            silence.heard()
+            runner.last_byte = gateway.clock()
+            data = splitter.feed(chunk) if resumable else chunk
+            if data:
+                await _pass_on(gateway, flow, answer, data)
+    except EXCHANGE_ERRORS as error:
+        raise ran(
+            ResultCode.STREAM_TRUNCATED, f"the stream broke: {error!r}"
+        ) from error
+    if resumable and splitter.pending:
+        raise ran(ResultCode.STREAM_TRUNCATED, "the stream ended inside an event")
+    if flow.response is None:
+        await _pass_on(gateway, flow, answer, b"")
+    try:
+        await flow.response.write_eof()
+    except OSError as error:
+        raise CutShort(ran(ResultCode.STREAM_TRUNCATED, "the caller left")) from error
+    return flow.response
+
+
+async def _pass_on(
+    gateway: Gateway, flow: Flow, answer: aiohttp.ClientResponse, data: bytes
+) -> None:
+    try:
+        if flow.response is None:
+            flow.first_after = gateway.clock() - flow.started
+            response = web.StreamResponse(
+                status=answer.status, headers=answer_headers(answer)
+            )
+            if gateway.stopping:
+                response.force_close()
+            flow.response = response
+            await response.prepare(flow.request)
+        if data:
+            await flow.response.write(data)
+    except OSError as error:
+        raise CutShort(ran(ResultCode.STREAM_TRUNCATED, "the caller left")) from error
--- /dev/null
+++ b/src/primroseford/gateway/gen/__init__.py
@@ -0,0 +1,1 @@
+"""Generated code of messages.thrift."""
--- /dev/null
+++ b/src/primroseford/gateway/gen/messages/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants']
--- /dev/null
+++ b/src/primroseford/gateway/heartbeat.py
@@ -0,0 +1,218 @@
+"""Heartbeats between hosts: loads, admissions, and the jobs that each host runs."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import structlog
+from mode import Service
+
+from primroseford.errors import PrimrosefordError
+from primroseford.gateway.gen.messages.ttypes import Heartbeat
+from primroseford.gateway.gen.messages.ttypes import JobProgress
+from primroseford.gateway.gen.messages.ttypes import RunnerLoad
+from primroseford.gateway.gen.messages.ttypes import Spending
+from primroseford.gateway.loops import repeat
+from primroseford.ids import HostId
+from primroseford.ids import OrganisationId
+from primroseford.peer.codec import decode
+from primroseford.peer.codec import encode
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from primroseford.gateway.state import Gateway
+    from primroseford.ids import FailureDomainId
+    from primroseford.ids import Incarnation
+    from primroseford.ids import JobId
+
+TICK_SECONDS = 0.06
+"""Shortest time between two heartbeats: batch has to step back within about 100 ms of
+a wave's start."""
+IDLE_SECONDS = 0.3
+"""Time between heartbeats when nothing changed."""
+PEERS_PER_TICK = 16
+"""Peers for which the shortest time holds; with more, heartbeats go out less often, so
+that their cost a host stays the same."""
+SPENDING_SECONDS = 3.0
+"""How long an organisation's count stays in the heartbeats after its last change."""
+SILENT_SHARE_SECONDS = 30.0
+"""Time for which a silent host's share of the rates is left to it: longer than cuts
+between hosts usually last."""
+
+log = structlog.get_logger()
+
+
+class HeartbeatProtocol(asyncio.DatagramProtocol):
+    """Receives heartbeats."""
+
+    def __init__(self, receive: Callable[[bytes], None]) -> None:
+        self.receive = receive
+
+    def datagram_received(self, data: bytes, address: tuple) -> None:
+        """Take one datagram."""
+        self.receive(data)
+
+    def error_received(self, error: Exception) -> None:
+        """Ignore a host that does not listen; its silence tells the same."""
+        log.debug("heartbeat not delivered", error=str(error))
+
+
+class HeartbeatService(Service):
+    """Sends this host's state to its peers and takes theirs.
+
+    :param address: ``ip`` and port on which this host receives
+    :param jobs: jobs that this host runs, with their numbers of result segments
+    """
+
+    def __init__(
+        self,
+        gateway: Gateway,
+        incarnation: Incarnation,
+        domain: FailureDomainId,
+        address: tuple[str, int],
+        jobs: Callable[[], dict[JobId, int]],
+    ) -> None:
+        super().__init__()
+        self.gateway = gateway
+        self.incarnation = incarnation
+        self.domain = domain
+        self.address = address
+        self.jobs = jobs
+        self.sequence = 0
+        self.transport: asyncio.DatagramTransport | None = None
+        self.spent: dict[OrganisationId, tuple[int, float]] = {}
+        self.last_jobs: dict[JobId, int] = {}
+        self.lost: set[HostId] = set()
+        self.sent_at = 0.0
+
+    async def on_start(self) -> None:
+        """Open the socket."""
+        loop = asyncio.get_running_loop()
+        self.transport, _ = await loop.create_datagram_endpoint(
+            lambda: HeartbeatProtocol(self.receive), local_addr=self.address
+        )
+
+    async def on_stop(self) -> None:
+        """Tell the peers and close the socket."""
+        self.send()
+        if self.transport is not None:
+            self.transport.close()
+
+    @Service.task
+    async def beat(self) -> None:
+        """Send heartbeats when something changed, else now and then."""
+        await repeat(self, self._pause, self._beat)
+
+    def _pause(self) -> float:
+        peers = len(self.gateway.members.peers)
+        return TICK_SECONDS * max(1.0, peers / PEERS_PER_TICK)
+
+    def _beat(self) -> None:
+        self.watch_peers()
+        changed = self.gateway.places.changed or self.jobs() != self.last_jobs
+        if changed or self.gateway.clock() - self.sent_at >= IDLE_SECONDS:
+            self.send()
+
+    def send(self) -> None:
+        """Send a heartbeat to all peers."""
+        if self.transport is None or self.transport.is_closing():
+            return
+        self.sent_at = self.gateway.clock()
+        self.gateway.places.changed = False
+        self.last_jobs = self.jobs()
+        data = encode(self.heartbeat())
+        for peer in self.gateway.members.peers.values():
+            host, port = peer.address.rsplit(":", 1)
+            self.transport.sendto(data, (host, int(port)))
+
+    def heartbeat(self) -> Heartbeat:
+        """Return the state of this host."""
+        gateway = self.gateway
+        self.sequence += 1
+        tables = gateway.tables
+        return Heartbeat(
+            gateway.members.own,
+            self.incarnation,
+            f"{self.address[0]}:{self.address[1]}",
+            self.domain,
+            self.sequence,
+            gateway.stopping,
+            tables.version if tables else 0,
+            gateway.places.waiting(),
+            self._loads(),
+            self._spending(),
+            [JobProgress(job, count) for job, count in self.last_jobs.items()],
+        )
+
+    def _loads(self) -> list[RunnerLoad]:
+        now = self.gateway.clock()
+        return [
+            RunnerLoad(name, runner.online, runner.batch, runner.suspect_until > now)
+            for name, runner in self.gateway.places.runners.items()
+            if runner.online or runner.batch or runner.suspect_until > now
+        ]
+
+    def _spending(self) -> list[Spending]:
+        now = self.gateway.clock()
+        told = []
+        for name, count in self.gateway.quotas.admitted.items():
+            last, since = self.spent.get(name, (0, now))
+            if count != last:
+                since = now
+                self.spent[name] = (count, now)
+            if now - since < SPENDING_SECONDS:
+                told.append(Spending(name, count))
+        return told
+
+    def receive(self, data: bytes) -> None:
+        """Take a peer's heartbeat."""
+        gateway = self.gateway
+        try:
+            heartbeat = decode(Heartbeat, data)
+            before = gateway.members.receive(heartbeat, gateway.clock())
+        except (PrimrosefordError, ValueError) as error:
+            log.debug("heartbeat ignored", reason=str(error))
+            return
+        host = HostId(heartbeat.host)
+        if host in self.lost:
+            self.lost.discard(host)
+            log.info("host is back", peer=host)
+        elif before is None:
+            log.info("host joined", peer=host, address=heartbeat.address)
+        gateway.places.take_heartbeat(heartbeat)
+        self._take_spending(heartbeat, before)
+
+    def _take_spending(self, heartbeat: Heartbeat, before: Heartbeat | None) -> None:
+        gateway = self.gateway
+        if gateway.tables is None:
+            return
+        seen = gateway.members.peers[HostId(heartbeat.host)].spending
+        if before is None:
+            seen.clear()
+        for spending in heartbeat.spending:
+            name = OrganisationId(spending.organisation)
+            organisation = gateway.tables.organisations.get(name)
+            count = spending.admitted - seen.get(name, 0)
+            seen[name] = spending.admitted
+            if organisation is not None:
+                gateway.quotas.peer_admitted(
+                    organisation, HostId(heartbeat.host), count, gateway.clock()
+                )
+
+    def watch_peers(self) -> None:
+        """Notice hosts that became silent, and what that leaves of the rates."""
+        gateway = self.gateway
+        now = gateway.clock()
+        silent = gateway.members.silent(now)
+        for peer in silent:
+            if peer.host not in self.lost:
+                self.lost.add(peer.host)
+                gateway.places.forget_host(peer.host)
+                log.warning("host is silent", peer=peer.host)
+        live = len(gateway.members.live(now))
+        counted = [p for p in silent if now - p.heard_at < SILENT_SHARE_SECONDS]
+        gateway.quotas.silent = len(counted)
+        gateway.quotas.hosts = 1 + live + len(counted)
+        gateway.members.forget_lost(now)
--- /dev/null
+++ b/src/primroseford/gateway/host.py
@@ -0,0 +1,208 @@
+"""One host of the fleet: its duties, started and stopped together."""
+
+from __future__ import annotations
+
+import asyncio
+import uuid
+from random import Random
+from typing import TYPE_CHECKING
+
+import aiohttp
+import structlog
+from aiohttp import web
+from aiohttp.web_request import BaseRequest
+from mode import Service
+from prometheus_client import generate_latest
+
+from primroseford.clock import boottime
+from primroseford.gateway.application import create_ingress_handler
+from primroseford.gateway.application import create_readiness_handler
+from primroseford.gateway.exchange import create_fleet_session
+from primroseford.gateway.follow import Followers
+from primroseford.gateway.follow import Registration
+from primroseford.gateway.heartbeat import HeartbeatService
+from primroseford.gateway.members import Members
+from primroseford.gateway.places import Places
+from primroseford.gateway.state import Gateway
+from primroseford.gateway.state import GatewayMetrics
+from primroseford.gateway.watchdog import Watchdog
+from primroseford.ids import Incarnation
+from primroseford.jobs.api import JobApi
+from primroseford.jobs.service import JobService
+from primroseford.jobs.store import JobStore
+from primroseford.metrics import Metrics
+from primroseford.platform.client import create_platform_client
+from primroseford.platform.limiter import CallLimiter
+from primroseford.platform.limiter import CallLimits
+
+if TYPE_CHECKING:
+    from primroseford.clock import Clock
+    from primroseford.platform.settings import NodeSettings
+
+BALANCER_SECONDS = 3.2
+"""Time from the first failed readiness check until the balancer sends no new
+connections: two checks a second apart, and a margin for one in flight."""
+STOP_MARGIN_SECONDS = 0.7
+"""Time kept for the last heartbeat and the exit before the platform kills."""
+POLL_SECONDS = 0.05
+MAX_BODY_BYTES = 8 * 1024 * 1024
+"""Bound on a body before the configuration with its own bound is known."""
+IDLE_SECONDS = 30.0
+"""Time for which a caller's idle connection is kept: above the platform's bound on
+idle time, so that a caller never sends into a connection that is being closed."""
+METRICS_PORT_OFFSET = 1
+"""Port of the metrics, counted from the first port of the hosts' range."""
+CALLS_A_SECOND = 40.0
+"""Calls of one host to the platform: its rate for reads, shared by 50 hosts."""
+
+log = structlog.get_logger()
+
+
+class Host(Service):
+    """One host in front of the runners.
+
+    :param settings: settings from the platform
+    """
+
+    def __init__(self, settings: NodeSettings, clock: Clock) -> None:
+        super().__init__()
+        self.settings = settings
+        self.clock = clock
+        self.metrics = Metrics()
+        self.servers: list[asyncio.Server] = []
+        self.ingress: web.Server | None = None
+        self.duties: list[Service] = []
+        self.sessions: list[aiohttp.ClientSession] = []
+        self.gateway: Gateway | None = None
+
+    async def on_start(self) -> None:
+        """Start the duties and open the sockets."""
+        settings = self.settings
+        random = Random()
+        fleet = create_fleet_session()
+        store = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=10.0)
+        )
+        self.sessions = [fleet, store]
+        limits = CallLimits(CALLS_A_SECOND, 2 * CALLS_A_SECOND)
+        client = create_platform_client(
+            settings.platform,
+            store,
+            self.clock,
+            CallLimiter(limits, self.clock),
+            self.metrics,
+        )
+        gateway = self.gateway = Gateway(
+            Members(settings.host),
+            Places(settings.failure_domain, self.clock, random),
+            fleet,
+            self.clock,
+            random,
+            GatewayMetrics(self.metrics),
+        )
+        jobs = JobService(
+            gateway, JobStore(client, self.clock), settings.job_retention_seconds
+        )
+        incarnation = Incarnation(uuid.uuid4().hex[:12])
+        address = (settings.ip, settings.peer_port)
+        heartbeats = HeartbeatService(
+            gateway, incarnation, settings.failure_domain, address, jobs.progress
+        )
+        self.duties = [
+            heartbeats,
+            Followers(gateway, client),
+            Registration(
+                gateway, client, incarnation, f"{settings.ip}:{settings.peer_port}"
+            ),
+            Watchdog(gateway),
+            jobs,
+        ]
+        for duty in self.duties:
+            await duty.start()
+        await self._open(gateway, JobApi(gateway, jobs))
+        log.info(
+            "host started",
+            host=settings.host,
+            incarnation=incarnation,
+            ingress=settings.ingress,
+        )
+
+    async def _open(self, gateway: Gateway, jobs: JobApi) -> None:
+        settings = self.settings
+        metrics = f"{settings.ip}:{settings.peer_port + METRICS_PORT_OFFSET}"
+        await self._serve(metrics, web.Server(self._metrics))
+        if settings.readiness is not None:
+            handler = create_readiness_handler(gateway)
+            await self._serve(settings.readiness, web.Server(handler))
+        if settings.ingress is not None:
+            self.ingress = web.Server(
+                create_ingress_handler(gateway, jobs),
+                request_factory=_create_request,
+                handler_cancellation=True,
+                keepalive_timeout=IDLE_SECONDS,
+                access_log=None,
+            )
+            await self._serve(settings.ingress, self.ingress)
+
+    async def _serve(self, address: str, server: web.Server) -> None:
+        host, port = address.rsplit(":", 1)
+        loop = asyncio.get_running_loop()
+        self.servers.append(
+            await loop.create_server(server, host, int(port), backlog=512)
+        )
+
+    async def _metrics(self, request: BaseRequest) -> web.Response:
+        return web.Response(
+            body=generate_latest(self.metrics.registry), content_type="text/plain"
+        )
+
+    async def drain(self) -> None:
+        """Serve on until the balancer has noticed, then finish what is open."""
+        started = self.clock()
+        self.gateway.stopping = True
+        self.gateway.places.changed = True
+        log.info("host stops", open_requests=len(self.gateway.flows))
+        end = started + self.settings.stop_seconds - STOP_MARGIN_SECONDS
+        await asyncio.sleep(min(BALANCER_SECONDS, max(0.0, end - self.clock())))
+        if self.servers and self.ingress is not None:
+            self.servers[-1].close()
+            for connection in list(self.ingress.connections):
+                # Ends an idle connection; a busy one closes after its answer.
+                connection.close()
+            # aiohttp gives no event for the end of its last connection.
+            while self.ingress.connections and self.clock() < end:  # noqa: ASYNC110
+                await asyncio.sleep(POLL_SECONDS)
+        log.info("host drained", open_requests=len(self.gateway.flows))
+
+    async def on_stop(self) -> None:
+        """Stop the duties and close the sockets."""
+        for duty in reversed(self.duties):
+            await duty.stop()
+        for server in self.servers:
+            server.close()
+        if self.ingress is not None:
+            await self.ingress.shutdown(0.1)
+        for session in self.sessions:
+            await session.close()
+        log.info("host stopped", host=self.settings.host)
+
+
+def _create_request(message, payload, protocol, writer, task) -> BaseRequest:
+    return BaseRequest(
+        message,
+        payload,
+        protocol,
+        writer,
+        task,
+        protocol._loop,
+        client_max_size=MAX_BODY_BYTES,
+    )
+
+
+def create_fleet_host(settings: NodeSettings, clock: Clock = boottime) -> Host:
+    """Return a host that is ready to start.
+
+    :param settings: settings from the platform
+    :param clock: local time
+    """
+    return Host(settings, clock)
--- /dev/null
+++ b/src/primroseford/gateway/members.py
@@ -0,0 +1,152 @@
+"""Which other hosts live, and what they last said of themselves."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+
+import xxhash
+
+from primroseford.ids import HostId
+from primroseford.ids import JobId
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from primroseford.gateway.gen.messages.ttypes import Heartbeat
+
+SILENCE_SECONDS = 1.0
+"""Silence after which a host counts as lost: three idle heartbeats."""
+FORGET_SECONDS = 60.0
+"""Silence after which a host gets no more heartbeats: longer than any cut that the
+platform's bench plays."""
+
+
+@dataclass
+class Peer:
+    """Another host.
+
+    :param address: where it takes heartbeats, as ``ip:port``
+    :param heard_at: local time of its last heartbeat in seconds
+    :param last: its last heartbeat; nothing if only the platform's store names it
+    :param spending: requests that it admitted since its start, by organisation
+    """
+
+    host: HostId
+    address: str
+    heard_at: float
+    last: Heartbeat | None = None
+    spending: dict[str, int] = field(default_factory=dict)
+
+
+@dataclass
+class Members:
+    """The other hosts that this host knows.
+
+    :param own: name of this host
+    """
+
+    own: HostId
+    peers: dict[HostId, Peer] = field(default_factory=dict)
+
+    def learn(self, host: HostId, address: str, now: float) -> None:
+        """Note a host that the platform's store names.
+
+        :param now: local time in seconds
+        """
+        if host != self.own and host not in self.peers:
+            self.peers[host] = Peer(host, address, now)
+
+    def receive(self, heartbeat: Heartbeat, now: float) -> Heartbeat | None:
+        """Take a heartbeat and return the one before it of the same incarnation.
+
+        :param now: local time in seconds
+        :raises ValueError: if the heartbeat is this host's own or an older one
+        """
+        host = HostId(heartbeat.host)
+        if host == self.own:
+            raise ValueError("own heartbeat")
+        peer = self.peers.get(host)
+        if peer is None:
+            peer = self.peers[host] = Peer(host, heartbeat.address, now)
+        before = peer.last
+        if before is not None and before.incarnation != heartbeat.incarnation:
+            before = None
+        if before is not None and before.sequence >= heartbeat.sequence:
+            raise ValueError("heartbeat out of order")
+        peer.last = heartbeat
+        peer.address = heartbeat.address
+        peer.heard_at = now
+        return before
+
+    def live(self, now: float) -> list[Peer]:
+        """Return the peers that were heard lately and are not leaving."""
+        return [
+            peer
+            for peer in self.peers.values()
+            if peer.last is not None
+            and not peer.last.leaving
+            and now - peer.heard_at <= SILENCE_SECONDS
+        ]
+
+    def silent(self, now: float) -> list[Peer]:
+        """Return the peers that were heard once, did not leave, and are silent."""
+        return [
+            peer
+            for peer in self.peers.values()
+            if peer.last is not None
+            and not peer.last.leaving
+            and now - peer.heard_at > SILENCE_SECONDS
+        ]
+
+    def forget_lost(self, now: float) -> None:
+        """Drop peers that were silent for long."""
+        for host, peer in list(self.peers.items()):
+            if now - peer.heard_at > FORGET_SECONDS:
+                del self.peers[host]
+
+    def hosts(self, now: float) -> list[HostId]:
+        """Return the live hosts, this one included."""
+        return [self.own, *(peer.host for peer in self.live(now))]
+
+    def running(self, job: JobId, now: float) -> list[HostId]:
+        """Return the live peers that run a job."""
+        return [
+            peer.host
+            for peer in self.live(now)
+            if any(progress.job == job for progress in peer.last.jobs)
+        ]
+
+    def segments(self, job: JobId) -> int:
+        """Return how many result segments of a job any peer has told of."""
+        counts = [
+            progress.segments
+            for peer in self.peers.values()
+            if peer.last is not None
+            for progress in peer.last.jobs
+            if progress.job == job
+        ]
+        return max(counts, default=0)
+
+    def known_jobs(self) -> set[JobId]:
+        """Return the jobs that any known peer ran at its last heartbeat."""
+        return {
+            JobId(progress.job)
+            for peer in self.peers.values()
+            if peer.last is not None
+            for progress in peer.last.jobs
+        }
+
+
+def preferred_host(job: str, hosts: Iterable[HostId]) -> HostId:
+    """Return the host that runs a job if several could, by rendezvous hashing.
+
+    :param job: id of the job
+    :param hosts: at least one host
+    """
+
+    def weight(host: HostId) -> int:
+        return xxhash.xxh64_intdigest(f"{job}\0{host}".encode())
+
+    return max(hosts, key=weight)
--- /dev/null
+++ b/src/primroseford/gateway/messages.thrift
@@ -0,0 +1,32 @@
+// Datagrams between the hosts in front of the runners.
+
+struct RunnerLoad {
+  1: string runner
+  2: i32 online
+  3: i32 batch
+  4: bool suspected
+}
+
+struct Spending {
+  1: string organisation
+  2: i64 admitted
+}
+
+struct JobProgress {
+  1: string job
+  2: i32 segments
+}
+
+struct Heartbeat {
+  1: string host
+  2: string incarnation
+  3: string address
+  4: string failure_domain
+  5: i64 sequence
+  6: bool leaving
+  7: i64 configuration
+  8: i32 waiting
+  9: list<RunnerLoad> loads
+  10: list<Spending> spending
+  11: list<JobProgress> jobs
+}
--- /dev/null
+++ b/src/primroseford/gateway/placement.py
@@ -0,0 +1,121 @@
+"""Where requests and batch items run, from the loads that all hosts tell.
+
+Engines admit requests in order of arrival and know no priorities. Online requests
+come in waves of seconds with lulls between; batch items take several seconds each.
+Batch therefore fills what the lulls leave, keeps some slots free for the start of a
+wave, and steps back when those slots are taken.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+    from random import Random
+
+    from primroseford.gateway.runners import RunnerKey
+    from primroseford.ids import FailureDomainId
+
+QUEUE_AT_RUNNER = 2
+"""Online requests that may wait in a runner's own queue while every slot of the pool
+is taken: it saves the time in which a free slot becomes known here."""
+HEADROOM = 0.25
+"""Part of a pool's slots that batch leaves free: the online requests that arrive in
+the 200 ms in which batch steps back, at the start of a wave."""
+STEP_BACK = 0.15
+"""Part of a pool's slots that are free when batch starts to step back."""
+
+
+@dataclass(frozen=True)
+class RunnerLoad:
+    """Load of a runner as one host sees it.
+
+    :param slots: requests that it works on together
+    :param online: online requests in flight, of all hosts
+    :param batch: batch items in flight, of all hosts
+    :param own_batch: batch items in flight of this host
+    """
+
+    key: RunnerKey
+    failure_domain: FailureDomainId
+    slots: int
+    online: int
+    batch: int
+    own_batch: int = 0
+
+    @property
+    def free(self) -> int:
+        """Slots that nothing uses; negative if requests wait there."""
+        return self.slots - self.online - self.batch
+
+
+def choose_runner(
+    loads: Sequence[RunnerLoad], domain: FailureDomainId, random: Random
+) -> RunnerLoad | None:
+    """Return the runner for an online request, or nothing if it must wait.
+
+    The least loaded runner wins; of equals, one in the host's own failure domain,
+    then a random one, since all hosts see about the same loads.
+
+    :param loads: runners that may be used
+    :param domain: failure domain of this host
+    :param random: source of randomness
+    """
+    best = max(
+        loads,
+        key=lambda load: (load.free, load.failure_domain == domain, random.random()),
+        default=None,
+    )
+    if best is None or best.free <= -QUEUE_AT_RUNNER:
+        return None
+    return best
+
+
+def batch_runner(loads: Sequence[RunnerLoad], random: Random) -> RunnerLoad | None:
+    """Return the runner on which one more batch item may start, or nothing.
+
+    :param loads: runners that may be used
+    :param random: source of randomness
+    """
+    slots = sum(load.slots for load in loads)
+    free = sum(max(0, load.free) for load in loads)
+    if free - 1 < HEADROOM * slots:
+        return None
+    best = max(loads, key=lambda load: (load.free, random.random()))
+    return best if best.free > 0 else None
+
+
+def items_to_pause(loads: Sequence[RunnerLoad], random: Random) -> int:
+    """Return how many of this host's batch items must step back now.
+
+    Each host gives up its part of what is missing, so that together they give up about
+    as much as is needed.
+
+    :param loads: all usable runners of the pool
+    :param random: source of randomness
+    """
+    slots = sum(load.slots for load in loads)
+    free = sum(load.free for load in loads)
+    batch = sum(load.batch for load in loads)
+    own = sum(load.own_batch for load in loads)
+    if not own or free >= STEP_BACK * slots:
+        return 0
+    share = (HEADROOM * slots - free) * own / batch
+    whole = int(share)
+    return min(own, whole + (random.random() < share - whole))
+
+
+def expected_wait(ahead: int, loads: Sequence[RunnerLoad], seconds: float) -> float:
+    """Return the seconds until a request that comes now gets a slot.
+
+    :param ahead: requests that wait before it, on all hosts
+    :param loads: all usable runners of the pool
+    :param seconds: time that a request usually holds a slot
+    """
+    slots = sum(load.slots for load in loads)
+    if not slots:
+        return float("inf")
+    missing = ahead + 1 - sum(max(0, load.free + QUEUE_AT_RUNNER) for load in loads)
+    return max(0.0, missing * seconds / slots)
--- /dev/null
+++ b/src/primroseford/gateway/places.py
@@ -0,0 +1,346 @@
+"""Requests in flight on each runner, and the queue before a pool's runners."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+
+from primroseford.errors import PrimrosefordError
+from primroseford.errors import ResultCode
+from primroseford.gateway.placement import RunnerLoad
+from primroseford.gateway.placement import batch_runner
+from primroseford.gateway.placement import choose_runner
+from primroseford.gateway.placement import expected_wait
+from primroseford.gateway.placement import items_to_pause
+from primroseford.gateway.runners import RunnerStage
+from primroseford.online.queueing import FairQueue
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+    from random import Random
+
+    from primroseford.clock import Clock
+    from primroseford.gateway.gen.messages.ttypes import Heartbeat
+    from primroseford.gateway.runners import RunnerEntry
+    from primroseford.gateway.runners import RunnerKey
+    from primroseford.ids import FailureDomainId
+    from primroseford.ids import HostId
+    from primroseford.ids import PoolName
+    from primroseford.ids import RunnerName
+
+SUSPECT_SECONDS = 1.0
+"""Time for which a runner that failed gets no online requests; a successful probe or
+answer ends it early."""
+FULL_SECONDS = 0.1
+"""Time for which a runner that refused a request counts as full: about one interval
+of the heartbeats that tell of its load."""
+SERVICE_SECONDS = 0.7
+"""First estimate of the time that an online request holds a slot: a stream of 34
+events at 21 ms, the workload of letter 1."""
+SERVICE_WEIGHT = 0.05
+"""Weight of one request in the running mean of that time."""
+NO_RUNNER_RETRY_SECONDS = 0.5
+"""Retry-After while a pool has no usable runner: half of the time in which a failed
+runner is probed again."""
+
+
+@dataclass(eq=False)
+class RunnerState:
+    """What this host knows of one start of a runner.
+
+    :param online: own online requests in flight
+    :param batch: own batch items in flight
+    :param peers: online requests and batch items in flight of each other host
+    :param suspect_until: local time in seconds until which it counts as failed
+    :param full_until: local time until which it counts as full
+    :param suspected_by: hosts that tell that it failed
+    :param waiting: local time of the last sign of life of each own exchange
+    """
+
+    entry: RunnerEntry
+    online: int = 0
+    batch: int = 0
+    peers: dict[HostId, tuple[int, int]] = field(default_factory=dict)
+    suspect_until: float = -math.inf
+    full_until: float = -math.inf
+    suspected_by: set[HostId] = field(default_factory=set)
+    waiting: dict[int, float] = field(default_factory=dict)
+    last_byte: float = -math.inf
+    latency: float = 0.0
+
+    def load(self) -> RunnerLoad:
+        """Return the load of all hosts on the runner."""
+        online, batch = self.online, self.batch
+        for peer_online, peer_batch in self.peers.values():
+            online += peer_online
+            batch += peer_batch
+        entry = self.entry
+        return RunnerLoad(
+            entry.key, entry.failure_domain, entry.slots, online, batch, self.batch
+        )
+
+
+@dataclass(eq=False)
+class Waiter:
+    """A request in the queue of a pool."""
+
+    future: asyncio.Future[RunnerState]
+    tried: Collection[RunnerKey]
+
+
+class Places:
+    """Places of all pools as one host sees them.
+
+    :param domain: failure domain of this host
+    :param clock: local time
+    :ivar changed: whether own loads changed since the last heartbeat
+    """
+
+    def __init__(self, domain: FailureDomainId, clock: Clock, random: Random) -> None:
+        self.domain = domain
+        self.clock = clock
+        self.random = random
+        self.runners: dict[RunnerName, RunnerState] = {}
+        self.queues: dict[PoolName, FairQueue[Waiter]] = {}
+        self.peer_waiting: dict[HostId, int] = {}
+        self.service_seconds: dict[PoolName, float] = {}
+        self.changed = False
+
+    def set_runners(self, entries: dict[RunnerName, RunnerEntry]) -> None:
+        """Take the runners of the list; a restart under a known name starts anew."""
+        for name in [n for n in self.runners if n not in entries]:
+            del self.runners[name]
+        for name, entry in entries.items():
+            known = self.runners.get(name)
+            if known is not None and known.entry.key == entry.key:
+                known.entry = entry
+            else:
+                self.runners[name] = RunnerState(entry)
+        self.pump()
+
+    def pool_runners(self, pool: PoolName) -> list[RunnerState]:
+        """Return the runners of a pool that take new work."""
+        return [
+            runner
+            for runner in self.runners.values()
+            if runner.entry.pool == pool and runner.entry.stage is RunnerStage.READY
+        ]
+
+    def usable(self, pool: PoolName) -> list[RunnerState]:
+        """Return the runners of a pool that do not count as failed.
+
+        If all count as failed, all are returned: a wrong suspicion must not end a
+        service.
+        """
+        ready = self.pool_runners(pool)
+        now = self.clock()
+        sound = [r for r in ready if r.suspect_until <= now and not r.suspected_by]
+        return sound or [r for r in ready if r.suspect_until <= now] or ready
+
+    def _choose(
+        self, pool: PoolName, tried: Collection[RunnerKey]
+    ) -> RunnerState | None:
+        now = self.clock()
+        loads = [
+            runner.load()
+            for runner in self.usable(pool)
+            if runner.full_until <= now and runner.entry.key not in tried
+        ]
+        best = choose_runner(loads, self.domain, self.random)
+        return None if best is None else self.runners[best.key.name]
+
+    async def acquire(
+        self,
+        pool: PoolName,
+        organisation: str,
+        deadline: float,
+        tried: Collection[RunnerKey] = (),
+    ) -> RunnerState:
+        """Return a runner on which an online place is now taken.
+
+        :param organisation: whose turn it must be; empty on public routes
+        :param deadline: local time in seconds
+        :param tried: starts of runners that failed this request
+        :raises PrimrosefordError: POOL_UNAVAILABLE or DEADLINE_UNREACHABLE
+        """
+        queue = self.queues.get(pool)
+        if not queue:
+            runner = self._choose(pool, tried)
+            if runner is not None:
+                self.start(runner)
+                return runner
+        self._check_wait(pool, deadline, tried)
+        queue = self.queues.setdefault(pool, FairQueue())
+        waiter = Waiter(asyncio.get_running_loop().create_future(), tried)
+        queue.push(organisation, waiter)
+        self.changed = True
+        try:
+            async with asyncio.timeout(deadline - self.clock()):
+                return await waiter.future
+        except TimeoutError:
+            self._give_back(waiter)
+            raise PrimrosefordError(
+                ResultCode.DEADLINE_UNREACHABLE,
+                "no runner was free before the deadline",
+                retry_after=self.expected_wait(pool),
+            ) from None
+        except asyncio.CancelledError:
+            self._give_back(waiter)
+            raise
+        finally:
+            queue.remove(organisation, waiter)
+
+    def _give_back(self, waiter: Waiter) -> None:
+        """Give back the place that a request was given just as it stopped waiting."""
+        future = waiter.future
+        if future.done() and not future.cancelled() and not future.exception():
+            self.finish(future.result())
+
+    def expected_wait(self, pool: PoolName) -> float:
+        """Return the seconds until a request that comes now gets a place."""
+        loads = [runner.load() for runner in self.usable(pool)]
+        ahead = len(self.queues.get(pool, ())) + sum(self.peer_waiting.values())
+        seconds = self.service_seconds.get(pool, SERVICE_SECONDS)
+        return expected_wait(ahead, loads, seconds)
+
+    def _check_wait(
+        self, pool: PoolName, deadline: float, tried: Collection[RunnerKey]
+    ) -> None:
+        if not any(r.entry.key not in tried for r in self.pool_runners(pool)):
+            raise PrimrosefordError(
+                ResultCode.POOL_UNAVAILABLE,
+                "no runner is left for the request",
+                retry_after=self.spread(NO_RUNNER_RETRY_SECONDS),
+            )
+        wait = self.expected_wait(pool)
+        if self.clock() + wait >= deadline:
+            raise PrimrosefordError(
+                ResultCode.DEADLINE_UNREACHABLE,
+                "no runner will be free before the deadline",
+                retry_after=self.spread(wait),
+            )
+
+    def spread(self, seconds: float) -> float:
+        """Return a time around the given one, so that callers return apart."""
+        return seconds * (0.75 + self.random.random() / 2)
+
+    def start(self, runner: RunnerState, batch: bool = False) -> None:
+        """Take a place on a runner."""
+        if batch:
+            runner.batch += 1
+        else:
+            runner.online += 1
+        self.changed = True
+
+    def finish(
+        self,
+        runner: RunnerState,
+        batch: bool = False,
+        seconds: float | None = None,
+    ) -> None:
+        """Give a place back and let waiting requests have it.
+
+        :param seconds: time that a completed online request held it
+        """
+        if batch:
+            runner.batch -= 1
+        else:
+            runner.online -= 1
+            if seconds is not None:
+                pool = runner.entry.pool
+                mean = self.service_seconds.get(pool, SERVICE_SECONDS)
+                self.service_seconds[pool] = mean + SERVICE_WEIGHT * (seconds - mean)
+        self.changed = True
+        self.pump()
+
+    def suspect(self, runner: RunnerState) -> bool:
+        """Give a runner no online requests for a while.
+
+        :returns: whether it did not count as failed before
+        """
+        now = self.clock()
+        fresh = runner.suspect_until <= now
+        runner.suspect_until = now + SUSPECT_SECONDS
+        self.changed = True
+        return fresh
+
+    def trust(self, runner: RunnerState) -> None:
+        """Let a runner have requests again after a sign of life."""
+        now = self.clock()
+        runner.last_byte = now
+        if runner.suspect_until > now:
+            runner.suspect_until = now
+            self.changed = True
+
+    def refused(self, runner: RunnerState) -> None:
+        """Note that a runner said that it is full."""
+        runner.full_until = self.clock() + FULL_SECONDS
+
+    def choose_for_batch(
+        self, pool: PoolName, tried: Collection[RunnerKey] = ()
+    ) -> RunnerState | None:
+        """Return a runner on which a batch item may start now."""
+        if self.queues.get(pool):
+            return None
+        now = self.clock()
+        loads = [
+            runner.load()
+            for runner in self.usable(pool)
+            if runner.full_until <= now and runner.entry.key not in tried
+        ]
+        best = batch_runner(loads, self.random) if loads else None
+        return None if best is None else self.runners[best.key.name]
+
+    def items_to_pause(self, pool: PoolName) -> int:
+        """Return how many own batch items must step back for online requests."""
+        loads = [runner.load() for runner in self.usable(pool)]
+        return items_to_pause(loads, self.random)
+
+    def take_heartbeat(self, heartbeat: Heartbeat) -> None:
+        """Take the loads that another host tells."""
+        host = heartbeat.host
+        named = set()
+        for told in heartbeat.loads:
+            runner = self.runners.get(told.runner)
+            if runner is None:
+                continue
+            named.add(told.runner)
+            runner.peers[host] = (told.online, told.batch)
+            if told.suspected:
+                runner.suspected_by.add(host)
+            else:
+                runner.suspected_by.discard(host)
+        for name, runner in self.runners.items():
+            if name not in named:
+                runner.peers.pop(host, None)
+                runner.suspected_by.discard(host)
+        self.peer_waiting[host] = heartbeat.waiting
+        self.pump()
+
+    def forget_host(self, host: HostId) -> None:
+        """Drop what a lost host told."""
+        self.peer_waiting.pop(host, None)
+        for runner in self.runners.values():
+            runner.peers.pop(host, None)
+            runner.suspected_by.discard(host)
+
+    def waiting(self) -> int:
+        """Return how many online requests wait on this host."""
+        return sum(len(queue) for queue in self.queues.values())
+
+    def pump(self) -> None:
+        """Hand free places to waiting requests."""
+        for pool, queue in self.queues.items():
+            while queue:
+                runner = self._choose(pool, ())
+                if runner is None:
+                    break
+                waiter = queue.pop()
+                if waiter.future.done():
+                    continue
+                runner = self._choose(pool, waiter.tried) or runner
+                self.start(runner)
+                waiter.future.set_result(runner)
--- /dev/null
+++ b/src/primroseford/gateway/state.py
@@ -0,0 +1,149 @@
+"""What the duties of one host share."""
+
+from __future__ import annotations
+
+import itertools
+from typing import TYPE_CHECKING
+
+import structlog
+
+from primroseford.errors import PrimrosefordError
+from primroseford.errors import ResultCode
+from primroseford.gateway.exchange import RunnerMoved
+from primroseford.gateway.quota import Quotas
+from primroseford.gateway.runners import RunnerList
+
+if TYPE_CHECKING:
+    from random import Random
+
+    import aiohttp
+
+    from primroseford.clock import Clock
+    from primroseford.gateway.forward import Flow
+    from primroseford.gateway.members import Members
+    from primroseford.gateway.places import Places
+    from primroseford.gateway.places import RunnerState
+    from primroseford.gateway.tables import Tables
+    from primroseford.metrics import Metrics
+
+SURE_SECONDS = 3.0
+"""Age of the last word from the platform up to which an unknown key or route is
+refused for good; a host that was cut off for longer may have missed a version."""
+
+log = structlog.get_logger()
+
+
+class GatewayMetrics:
+    """Counters and histograms of a host."""
+
+    def __init__(self, metrics: Metrics) -> None:
+        self.requests = metrics.counter(
+            "gateway_requests_total", "Requests by kind and result", ("kind", "code")
+        )
+        self.seconds = metrics.histogram(
+            "gateway_request_seconds", "Time from arrival to the end", ("kind",)
+        )
+        self.retries = metrics.counter(
+            "gateway_retries_total", "Attempts sent again, by reason", ("reason",)
+        )
+        self.suspicions = metrics.counter(
+            "gateway_suspicions_total",
+            "Runners that began to count as failed",
+            ("why",),
+        )
+        self.refusals = metrics.counter(
+            "gateway_refusals_total", "Requests refused before a runner", ("code",)
+        )
+        self.items = metrics.counter(
+            "gateway_items_total", "Runs of batch items by end", ("end",)
+        )
+
+
+class Gateway:
+    """State of one host in front of the runners.
+
+    :param clock: local time
+    :param session: HTTP session for runners
+    :ivar tables: configuration in force; nothing until the first one came
+    :ivar confirmed_at: local time of the platform's last word on the configuration
+    """
+
+    def __init__(
+        self,
+        members: Members,
+        places: Places,
+        session: aiohttp.ClientSession,
+        clock: Clock,
+        random: Random,
+        metrics: GatewayMetrics,
+    ) -> None:
+        self.members = members
+        self.places = places
+        self.session = session
+        self.clock = clock
+        self.random = random
+        self.metrics = metrics
+        self.tables: Tables | None = None
+        self.confirmed_at = float("-inf")
+        self.runner_list = RunnerList()
+        self.runners_known = False
+        self.quotas = Quotas(clock())
+        self.flows: set[Flow] = set()
+        self.stopping = False
+        self.tokens = itertools.count()
+
+    @property
+    def ready(self) -> bool:
+        """Whether the balancer may send callers here."""
+        return not self.stopping and self.tables is not None and self.runners_known
+
+    def current_tables(self) -> Tables:
+        """Return the configuration in force.
+
+        :raises PrimrosefordError: PLATFORM_UNAVAILABLE if none is known yet
+        """
+        if self.tables is None or not self.runners_known:
+            raise PrimrosefordError(
+                ResultCode.PLATFORM_UNAVAILABLE,
+                "this host has no configuration yet",
+                retry_after=self.places.spread(0.5),
+            )
+        return self.tables
+
+    def check_sure(self, error: PrimrosefordError) -> PrimrosefordError:
+        """Return how to refuse a request that the tables do not allow.
+
+        :param error: the refusal if the tables are up to date
+        """
+        if self.clock() - self.confirmed_at <= SURE_SECONDS:
+            return error
+        return PrimrosefordError(
+            ResultCode.HOST_ISOLATED,
+            "this host may have missed a configuration",
+            retry_after=self.places.spread(0.5),
+        )
+
+    def watch_runner(self, runner: RunnerState) -> int:
+        """Note that an exchange waits for a runner and return its token."""
+        token = next(self.tokens)
+        runner.waiting[token] = self.clock()
+        return token
+
+    def suspect(self, runner: RunnerState, why: str) -> None:
+        """Give a runner no online requests until it shows a sign of life."""
+        if self.places.suspect(runner):
+            self.metrics.suspicions.labels(why).inc()
+            log.warning(
+                "runner counts as failed", runner=runner.entry.key.name, why=why
+            )
+
+    def note_failure(self, runner: RunnerState, error: PrimrosefordError) -> None:
+        """Judge a runner by a failed attempt."""
+        if error.code is ResultCode.RUNNER_UNREACHABLE:
+            self.suspect(runner, "unreachable")
+        elif isinstance(error, RunnerMoved):
+            log.warning("runner has left its address", runner=runner.entry.key.name)
+            self.runner_list.drop(runner.entry.key.name)
+            self.places.set_runners(self.runner_list.entries)
+        elif error.code is ResultCode.POOL_UNAVAILABLE:
+            self.places.refused(runner)
--- /dev/null
+++ b/src/primroseford/jobs/run.py
@@ -0,0 +1,201 @@
+"""Runs one batch item at runners until it has a result or must step back."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from dataclasses import field
+from enum import Enum
+from typing import TYPE_CHECKING
+
+import structlog
+
+from primroseford.errors import Outcome
+from primroseford.errors import PrimrosefordError
+from primroseford.errors import ResultCode
+from primroseford.gateway.exchange import EXCHANGE_ERRORS
+from primroseford.gateway.exchange import Call
+from primroseford.gateway.exchange import Silence
+from primroseford.gateway.exchange import open_answer
+from primroseford.gateway.exchange import ran
+from primroseford.online.events import EventSplitter
+from primroseford.online.exchange import Attempt
+from primroseford.platform.runner_calls import ITEM_INVALID_STATUS
+from primroseford.platform.runner_calls import is_signed
+from primroseford.platform.runner_calls import item_headers
+from primroseford.platform.runner_calls import runner_headers
+
+if TYPE_CHECKING:
+    import aiohttp
+
+    from primroseford.gateway.places import RunnerState
+    from primroseford.gateway.runners import RunnerKey
+    from primroseford.gateway.state import Gateway
+    from primroseford.gateway.tables import Route
+    from primroseford.jobs.state import Item
+    from primroseford.jobs.state import ItemState
+    from primroseford.jobs.state import Job
+
+ITEM_SILENCE_SECONDS = 1.5
+"""Silence after which an item goes on at another runner: longer than a full engine
+takes to admit it, since an item can wait where a caller cannot."""
+
+log = structlog.get_logger()
+
+
+class RunEnd(Enum):
+    """How one run of an item ended."""
+
+    COMPLETE = "complete"
+    INVALID = "invalid"
+    FAILED = "failed"
+    REFUSED = "refused"
+    BROKEN = "broken"
+
+
+@dataclass(eq=False)
+class ItemRun:
+    """An item that is not listed yet.
+
+    :param failures: runs that ended with a runner's own failure
+    :param data: data of the events so far
+    :param last_event: id of the last whole event
+    :param not_before: local time before which it is not tried again, in seconds
+    :param result: how it ended
+    """
+
+    job: Job
+    item: Item
+    due: float
+    failures: int = 0
+    data: list[str] = field(default_factory=list)
+    last_event: str | None = None
+    not_before: float = float("-inf")
+    tried: set[RunnerKey] = field(default_factory=set)
+    task: asyncio.Task | None = None
+    started_at: float = 0.0
+    result: ItemState | None = None
+
+    def text(self) -> str:
+        """Return the text of a complete item."""
+        return "\n".join(self.data)
+
+    def take_events(self, block: bytes) -> None:
+        """Add whole events."""
+        for event in block.decode().replace("\r\n", "\n").split("\n\n"):
+            number, lines = parse_event(event)
+            if lines is None:
+                continue
+            self.data.append(lines)
+            if number is not None:
+                self.last_event = number
+
+
+def parse_event(event: str) -> tuple[str | None, str | None]:
+    """Return the id and the data of one event; no data if it has none.
+
+    :param event: the event's lines without the empty line at its end
+    """
+    number = None
+    data: list[str] = []
+    for line in event.split("\n"):
+        name, _, value = line.partition(":")
+        value = value.removeprefix(" ")
+        if name == "id":
+            number = value
+        elif name == "data":
+            data.append(value)
+    return number, "\n".join(data) if data else None
+
+
+async def run_item(
+    gateway: Gateway, route: Route, run: ItemRun, runner: RunnerState, until: float
+) -> RunEnd:
+    """Run an item once on a runner on which the caller holds a place for it.
+
+    :param until: local time at which the item may be given up, in seconds
+    """
+    started = gateway.clock()
+    silence = Silence(
+        asyncio.get_running_loop().time() + until - started, ITEM_SILENCE_SECONDS
+    )
+    attempt = Attempt()
+    token = gateway.watch_runner(runner)
+    try:
+        async with silence.timeout:
+            end = await _exchange(gateway, route, run, runner, silence, attempt, until)
+        gateway.places.trust(runner)
+        return end
+    except TimeoutError:
+        gateway.suspect(runner, "silent")
+        return RunEnd.BROKEN
+    except PrimrosefordError as error:
+        gateway.note_failure(runner, error)
+        log.info(
+            "item run ended early",
+            item=run.item.id,
+            job=run.job.id,
+            runner=runner.entry.key.name,
+            code=error.code.name,
+            reason=error.message,
+            events=len(run.data),
+        )
+        not_run = error.outcome is Outcome.NOT_RUN
+        return RunEnd.REFUSED if not_run else RunEnd.BROKEN
+    finally:
+        runner.waiting.pop(token, None)
+
+
+async def _exchange(
+    gateway: Gateway,
+    route: Route,
+    run: ItemRun,
+    runner: RunnerState,
+    silence: Silence,
+    attempt: Attempt,
+    until: float,
+) -> RunEnd:
+    headers = runner_headers(
+        item_headers(run.item.headers, route.host, run.item.id),
+        runner.entry.key.name,
+        run.job.organisation,
+        until - gateway.clock(),
+        run.last_event,
+    )
+    call = Call("POST", run.item.path, headers, run.item.decoded_body(), run.item.id)
+    answer = await open_answer(gateway.session, runner.entry, call, attempt)
+    try:
+        silence.heard()
+        if answer.status == ITEM_INVALID_STATUS and is_signed(answer):
+            return RunEnd.INVALID
+        if answer.status >= 500:
+            return RunEnd.FAILED if answer.status == 500 else RunEnd.BROKEN
+        if answer.status != 200 or not is_signed(answer):
+            raise ran(ResultCode.RUNNER_FAILED, f"the runner gave {answer.status}")
+        await _read_events(gateway, run, runner, answer, silence)
+        return RunEnd.COMPLETE
+    finally:
+        answer.close()
+
+
+async def _read_events(
+    gateway: Gateway,
+    run: ItemRun,
+    runner: RunnerState,
+    answer: aiohttp.ClientResponse,
+    silence: Silence,
+) -> None:
+    splitter = EventSplitter()
+    try:
+        async for chunk in answer.content.iter_any():
+            silence.heard()
+            runner.last_byte = gateway.clock()
+            block = splitter.feed(chunk)
+            if block:
+                run.take_events(block)
+    except EXCHANGE_ERRORS as error:
+        raise ran(
+            ResultCode.STREAM_TRUNCATED, f"the stream broke: {error!r}"
+        ) from error
+    if splitter.pending:
+        raise ran(ResultCode.STREAM_TRUNCATED, "the stream ended inside an event")
--- /dev/null
+++ b/src/primroseford/jobs/store.py
@@ -0,0 +1,198 @@
+"""Jobs in the platform's store: what is accepted, what is listed, what has ended.
+
+A job is accepted by the creation of its object, so that it is accepted once however
+often it is sent. Results are appended in segments, each created under the next number:
+of two hosts that run the same job only one can create a number, and the other reads it
+before it appends. Segments never change, so positions are the same on every host.
+"""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING
+
+from primroseford.errors import PrimrosefordError
+from primroseford.errors import ResultCode
+from primroseford.ids import JobId
+from primroseford.jobs.state import Job
+from primroseford.jobs.state import JobView
+from primroseford.jobs.state import decode_job
+from primroseford.jobs.state import decode_result
+from primroseford.jobs.state import encode_item
+from primroseford.jobs.state import encode_job
+from primroseford.jobs.state import encode_result
+
+if TYPE_CHECKING:
+    from primroseford.clock import Clock
+    from primroseford.jobs.state import ItemResult
+    from primroseford.platform.client import PlatformClient
+    from primroseford.platform.objects import PlatformObject
+
+JOBS = "batch-jobs"
+PARTS = "batch-parts"
+SEGMENTS = "batch-results"
+ENDS = "batch-ends"
+PART_BYTES = 600_000
+"""Size of a stored part of a job, well below the store's bound on a value."""
+SEGMENT_BYTES = 600_000
+PURPOSE = "jobs"
+FINISHED = "finished"
+
+
+class JobStore:
+    """Reads and writes jobs.
+
+    :param client: client of the platform's service
+    :param clock: local time
+    """
+
+    def __init__(self, client: PlatformClient, clock: Clock) -> None:
+        self.client = client
+        self.clock = clock
+
+    async def accept(self, job: Job) -> bool:
+        """Store a job and return whether it is new.
+
+        :raises PrimrosefordError: the outcome says whether it may yet be accepted
+        """
+        parts = split_items([encode_item(item) for item in job.items])
+        for number, part in enumerate(parts[1:], 1):
+            await self._create(PARTS, f"{job.id}.{number}", {"items": part})
+        content = encode_job(job) | {"items": parts[0], "parts": len(parts)}
+        return await self._create(JOBS, job.id, content)
+
+    async def _create(self, kind: str, name: str, content: dict) -> bool:
+        try:
+            await self.client.create(kind, name, content, purpose=PURPOSE)
+        except PrimrosefordError as error:
+            if error.code is ResultCode.ALREADY_EXISTS:
+                return False
+            raise
+        return True
+
+    async def load(self, job: JobId) -> JobView:
+        """Return a job with all that is listed so far.
+
+        :raises PrimrosefordError: NOT_FOUND, or PLATFORM_UNAVAILABLE
+        """
+        view = await self.restore(await self.client.get(JOBS, job, purpose=PURPOSE))
+        await self.refresh(view)
+        view.ended = await self.is_ended(job)
+        return view
+
+    async def restore(self, found: PlatformObject) -> JobView:
+        """Return the job of a stored object, without results."""
+        items = list(found.spec["items"])
+        for number in range(1, found.spec["parts"]):
+            name = f"{found.name}.{number}"
+            part = await self.client.get(PARTS, name, purpose=PURPOSE)
+            items += part.spec["items"]
+        return JobView(decode_job(JobId(found.name), found.spec, items))
+
+    async def refresh(self, view: JobView) -> bool:
+        """Read the segments that a view lacks and return whether there were any."""
+        before = view.segments
+        while not view.finished:
+            asked_at = self.clock()
+            number = view.segments
+            try:
+                found = await self.client.get(
+                    SEGMENTS, segment_name(view.job.id, number), purpose=PURPOSE
+                )
+            except PrimrosefordError as error:
+                if error.code is not ResultCode.NOT_FOUND:
+                    raise
+                if view.segments == number:
+                    view.checked_at = asked_at
+                    break
+                continue
+            # Another reader of the same view may have added it meanwhile.
+            if view.segments == number:
+                view.append([decode_result(r) for r in found.spec["results"]])
+        return view.segments > before
+
+    async def commit(self, view: JobView, results: list[ItemResult]) -> bool:
+        """Append results, or read what another host appended instead.
+
+        :returns: whether the results are listed now; if not, they may be listed yet
+        """
+        number = view.segments
+        content = {"results": [encode_result(result) for result in results]}
+        if await self._create(SEGMENTS, segment_name(view.job.id, number), content):
+            if view.segments == number:
+                view.append(results)
+            return True
+        await self.refresh(view)
+        return False
+
+    async def end(self, job: JobId) -> None:
+        """Record that the caller ended a job."""
+        await self._create(ENDS, job, {})
+
+    async def is_ended(self, job: JobId) -> bool:
+        """Return whether the caller ended a job."""
+        try:
+            await self.client.get(ENDS, job, purpose=PURPOSE)
+        except PrimrosefordError as error:
+            if error.code is ResultCode.NOT_FOUND:
+                return False
+            raise
+        return True
+
+    async def ended_jobs(self) -> set[JobId]:
+        """Return the jobs that callers ended."""
+        listed = await self.client.list(ENDS, purpose=PURPOSE)
+        return {JobId(item.name) for item in listed.items}
+
+    async def mark_finished(self, job: JobId) -> None:
+        """Record that every item of a job is listed, for those who look for work."""
+        await self.client.set_status(JOBS, job, {FINISHED: True}, purpose=PURPOSE)
+
+    async def stored(self) -> list[PlatformObject]:
+        """Return the objects of all jobs."""
+        return list((await self.client.list(JOBS, purpose=PURPOSE)).items)
+
+    async def remove(self, found: PlatformObject) -> None:
+        """Remove a job, its object last, so that a broken removal can go on."""
+        view = await self.restore(found)
+        await self.refresh(view)
+        for number in range(view.segments):
+            await self._delete(SEGMENTS, segment_name(view.job.id, number))
+        await self._delete(ENDS, found.name)
+        for number in range(1, found.spec["parts"]):
+            await self._delete(PARTS, f"{found.name}.{number}")
+        await self._delete(JOBS, found.name)
+
+    async def _delete(self, kind: str, name: str) -> None:
+        try:
+            await self.client.delete(kind, name, purpose=PURPOSE)
+        except PrimrosefordError as error:
+            if error.code is not ResultCode.NOT_FOUND:
+                raise
+
+
+def segment_name(job: JobId, number: int) -> str:
+    """Return the name of a result segment.
+
+    :param number: number of the segment, from 0
+    """
+    return f"{job}.{number:06d}"
+
+
+def is_finished(found: PlatformObject) -> bool:
+    """Return whether a stored job is marked as finished."""
+    return isinstance(found.status, dict) and bool(found.status.get(FINISHED))
+
+
+def split_items(items: list[list]) -> list[list[list]]:
+    """Return stored items in parts of bounded size, at least one."""
+    parts: list[list[list]] = [[]]
+    size = 0
+    for item in items:
+        length = len(json.dumps(item))
+        if parts[-1] and size + length > PART_BYTES:
+            parts.append([])
+            size = 0
+        parts[-1].append(item)
+        size += length
+    return parts
--- a/src/primroseford/platform/client.py
+++ b/src/primroseford/platform/client.py
@@ -24,6 +24,7 @@
 from primroseford.platform.objects import WatchEvent
 from primroseford.platform.objects import decode_object
 from primroseford.platform.objects import encode_object
+from primroseford.platform.transport import WATCH_MARGIN_SECONDS
 from primroseford.platform.transport import Call
 from primroseford.platform.transport import Transport
 from primroseford.platform.writes import MAX_ATTEMPTS
@@ -45,6 +46,8 @@
     Sleep = Callable[[float], Awaitable[None]]
 
 OTHER_PURPOSE = "other"
+WATCH_WAIT_SECONDS = 2.0
+"""Bounds how long a watch on a connection that went silent hides changes."""
 
 
 class PlatformClient:
@@ -79,26 +82,33 @@
     async def list(
         self,
         kind: str,
-        selector: dict[str, str] | None = None,
         *,
         purpose: str = OTHER_PURPOSE,
         priority: Priority = Priority.READ,
     ) -> ObjectList:
-        """Return all objects of a kind in one answer.
+        """Return all objects of a kind.
+
+        The version is that of the first page: a watch from there repeats what changed
+        while the later pages were read.
 
-        :param selector: labels that the objects must carry
         :raises PrimrosefordError: CALLS_LIMITED, or PLATFORM_UNAVAILABLE
         """
-        pairs = ",".join(f"{k}={v}" for k, v in (selector or {}).items())
-        params = {"labelSelector": pairs}
-        call = Call("LIST", kind, purpose, priority, params=params)
-        body = await self.transport.call(call)
-        try:
-            version = Version(int(body["metadata"]["resourceVersion"]))
-            items = tuple(decode_object(kind, item) for item in body["items"])
-        except (KeyError, TypeError, ValueError) as error:
-            raise _malformed_answer(kind) from error
-        return ObjectList(version, items)
+        items: dict[str, PlatformObject] = {}
+        version: Version | None = None
+        params: dict[str, str] = {}
+        while True:
+            call = Call("LIST", kind, purpose, priority, params=params)
+            body = await self.transport.call(call)
+            try:
+                page = [decode_object(kind, item) for item in body["items"]]
+                version = version or Version(int(body["as_of"]))
+                more = bool(body["has_more"])
+            except (KeyError, TypeError, ValueError) as error:
+                raise _malformed_answer(kind) from error
+            items.update((item.name, item) for item in page)
+            if not more or not page:
+                return ObjectList(version, tuple(items.values()))
+            params = {"after": page[-1].name}
 
     async def create(
         self,
@@ -164,10 +174,29 @@
             PLATFORM_UNAVAILABLE with the outcome
         """
         write = Write(WriteVerb.DELETE, kind, name, uuid.uuid4().hex, version)
-        params = {} if version is None else {"resourceVersion": str(version)}
+        params = {} if version is None else {"revision": str(version)}
         path = f"{kind}/{name}"
         await self._write(write, Call("DELETE", path, purpose, priority, params=params))
 
+    async def set_status(
+        self,
+        kind: str,
+        name: str,
+        status: Any,
+        *,
+        purpose: str = OTHER_PURPOSE,
+        priority: Priority = Priority.CLAIM,
+    ) -> None:
+        """Replace an object's status; repeating it is harmless.
+
+        :raises PrimrosefordError: NOT_FOUND, CALLS_LIMITED, or PLATFORM_UNAVAILABLE
+        """
+        body = {"metadata": {"name": name}, "status": status}
+        encoded = json.dumps(body, separators=(",", ":")).encode()
+        await self.transport.call(
+            Call("PUT", f"{kind}/{name}/status", purpose, priority, encoded)
+        )
+
     async def watch(
         self,
         kind: str,
@@ -175,17 +204,24 @@
         *,
         purpose: str = OTHER_PURPOSE,
         priority: Priority = Priority.READ,
+        wait_seconds: float = WATCH_WAIT_SECONDS,
     ) -> AsyncIterator[WatchEvent]:
-        """Yield the changes of a kind after a version.
+        """Yield the changes of a kind after a version, a bookmark after each answer.
 
         :param since: version that the reader has
+        :param wait_seconds: how long one call waits for a change
         :raises PrimrosefordError: WATCH_EXPIRED, CALLS_LIMITED, or
             PLATFORM_UNAVAILABLE
         """
-        params = {"watch": "1", "resourceVersion": str(since)}
-        call = Call("WATCH", kind, purpose, priority, params=params)
-        async for line in self.transport.lines(call):
-            yield _decode_event(kind, line)
+        timeout = wait_seconds + WATCH_MARGIN_SECONDS
+        while True:
+            params = {"watch": str(since), "wait_ms": str(int(wait_seconds * 1000))}
+            call = Call("WATCH", kind, purpose, priority, None, params, timeout)
+            body = await self.transport.call(call)
+            events = _decode_events(kind, body, since)
+            for event in events:
+                yield event
+            since = events[-1].version
 
     async def _write(self, write: Write, call: Call) -> Any:
         """Send a write until its effect is known or the service stays away."""
@@ -253,15 +289,24 @@
         raise _malformed_answer(kind) from error
 
 
-def _decode_event(kind: str, body: dict[str, Any]) -> WatchEvent:
+def _decode_events(kind: str, body: dict[str, Any], since: Version) -> list[WatchEvent]:
+    """Return the events of one answer, with a bookmark at the end."""
+    events = []
+    reached = since
     try:
-        event_type = EventType(body["type"])
-        version = Version(int(body["object"]["metadata"]["resourceVersion"]))
+        for event in body["events"]:
+            item = _decode(kind, event["object"])
+            if event["deleted"]:
+                # A removed object may carry the version of its last change.
+                reached = Version(max(reached + 1, item.version))
+                events.append(WatchEvent(EventType.DELETED, reached, item))
+            else:
+                reached = Version(max(reached, item.version))
+                events.append(WatchEvent(EventType.MODIFIED, item.version, item))
+        reached = Version(max(reached, int(body["as_of"])))
     except (KeyError, TypeError, ValueError) as error:
         raise _malformed_answer(kind) from error
-    if event_type is EventType.BOOKMARK:
-        return WatchEvent(event_type, version, None)
-    return WatchEvent(event_type, version, _decode(kind, body["object"]))
+    return [*events, WatchEvent(EventType.BOOKMARK, reached, None)]
 
 
 def _malformed_answer(kind: str) -> PrimrosefordError:
--- /dev/null
+++ b/src/primroseford/platform/configuration.py
@@ -0,0 +1,113 @@
+"""Decodes the operator's configuration object into the gateway's tables."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Any
+
+from primroseford.errors import PrimrosefordError
+from primroseford.errors import ResultCode
+from primroseford.gateway.tables import CallerLimits
+from primroseford.gateway.tables import Organisation
+from primroseford.gateway.tables import Pool
+from primroseford.gateway.tables import Route
+from primroseford.gateway.tables import RouteKind
+from primroseford.gateway.tables import Tables
+from primroseford.ids import OrganisationId
+from primroseford.ids import PoolName
+from primroseford.ids import RouteName
+from primroseford.ids import Version
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+CONFIGURATION_KIND = "config"
+CONFIGURATION_NAME = "main"
+
+JsonObject = dict[str, Any]
+
+
+def decode_tables(spec: Any) -> Tables:
+    """Return the tables in the configuration object.
+
+    :param spec: content of ``config/main``
+    :raises PrimrosefordError: MALFORMED
+    """
+    try:
+        return _decode(spec)
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise PrimrosefordError(
+            ResultCode.MALFORMED, f"the configuration is not readable: {error!r}"
+        ) from error
+
+
+def _decode(spec: JsonObject) -> Tables:
+    pools = {service["name"]: _pool(service) for service in spec["services"]}
+    keys: dict[str, OrganisationId] | None = None
+    organisations = {}
+    if "tenants" in spec:
+        keys = {}
+        for tenant in spec["tenants"]:
+            organisation = _organisation(tenant)
+            organisations[organisation.name] = organisation
+            for key in tenant.get("api_keys", ()):
+                keys[key] = organisation.name
+    return Tables(
+        Version(int(spec["version"])),
+        tuple(_route(route) for route in spec["routes"]),
+        pools,
+        organisations,
+        keys,
+        _limits(spec.get("limits", {})),
+    )
+
+
+def _route(route: JsonObject) -> Route:
+    # ``backends`` splits a route between services; otherwise it has one ``service``.
+    split = route.get("backends") or [{"service": route["service"], "weight": 1}]
+    pools = tuple((PoolName(p["service"]), float(p["weight"])) for p in split)
+    timeout = float(route.get("timeout_ms", 60_000)) / 1000
+    return Route(
+        name=RouteName(route["name"]),
+        host=route["host"].lower(),
+        path_prefix=route["path_prefix"],
+        kind=RouteKind(route["kind"]),
+        pools=pools,
+        timeout=timeout,
+        objective=float(route.get("slo_ms", timeout * 1000)) / 1000,
+        priority=int(route.get("priority") or 0),
+        max_attempts=max(1, int(route.get("max_attempts") or 1)),
+        public=bool(route.get("public")),
+        resumable=bool(route.get("resumable")),
+        due=float(route.get("due_ms") or 0) / 1000,
+        give_up=float(route.get("max_wait_s") or 0),
+        # On batch routes ``max_count`` counts tokens, not requests.
+        max_waiting_tokens=int(route.get("max_count") or 0),
+    )
+
+
+def _pool(service: Mapping[str, Any]) -> Pool:
+    return Pool(
+        PoolName(service["name"]),
+        bool(service.get("engine")),
+        service.get("health_path", "/health"),
+    )
+
+
+def _organisation(tenant: JsonObject) -> Organisation:
+    priority = tenant.get("priority")
+    return Organisation(
+        OrganisationId(tenant["name"]),
+        float(tenant.get("rate_per_s") or 0),
+        float(tenant.get("burst") or 0),
+        None if priority is None else int(priority),
+    )
+
+
+def _limits(limits: JsonObject) -> CallerLimits:
+    defaults = CallerLimits()
+    idle = limits.get("idle_timeout_ms")
+    return CallerLimits(
+        int(limits.get("max_body_bytes") or defaults.max_body_bytes),
+        idle / 1000 if idle else defaults.idle_seconds,
+    )
--- /dev/null
+++ b/src/primroseford/platform/job_calls.py
@@ -0,0 +1,149 @@
+"""Decodes the calls about batch jobs and encodes their answers."""
+
+from __future__ import annotations
+
+import base64
+import binascii
+import json
+import re
+from dataclasses import dataclass
+from enum import Enum
+from typing import TYPE_CHECKING
+from typing import Any
+from urllib.parse import parse_qs
+
+from aiohttp import web
+
+from primroseford.errors import PrimrosefordError
+from primroseford.errors import ResultCode
+from primroseford.ids import JobId
+from primroseford.jobs.state import Item
+from primroseford.jobs.state import ItemId
+from primroseford.platform.headers import WAIT
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from primroseford.gateway.requests import IncomingRequest
+    from primroseford.jobs.state import ItemResult
+
+JOB_PATH = "/lots/"
+ITEM_PATH = "/items/"
+MAX_ITEMS = 200
+MAX_WAIT_SECONDS = 1.0
+ID_PATTERN = re.compile(r"[A-Za-z0-9._-]{1,80}")
+
+
+class JobVerb(Enum):
+    """What a caller asks about a job."""
+
+    READ = "read"
+    READ_BODY = "read_body"
+    END = "end"
+
+
+@dataclass(frozen=True)
+class JobCall:
+    """A call about an existing job.
+
+    :param after: number of results that the caller has
+    :param wait: seconds for which the call may wait for a result
+    :param item: item whose body is asked for
+    """
+
+    verb: JobVerb
+    job: JobId
+    after: int = 0
+    wait: float = 0.0
+    item: ItemId = ItemId("")
+
+
+def decode_job_call(incoming: IncomingRequest) -> JobCall | None:
+    """Return the call about a job; nothing if the request is none.
+
+    :raises PrimrosefordError: INVALID_VALUE
+    """
+    path, _, query = incoming.target.partition("?")
+    fields = parse_qs(query)
+    if path.startswith(JOB_PATH):
+        job = _check_id(path.removeprefix(JOB_PATH), "job")
+        if incoming.method == "DELETE":
+            return JobCall(JobVerb.END, job)
+        if incoming.method == "GET":
+            after = _number(fields.get("after", ["0"])[0], "after")
+            wait = _number(incoming.headers.get(WAIT, "0"), WAIT) / 1000
+            wait = min(wait, MAX_WAIT_SECONDS)
+            return JobCall(JobVerb.READ, job, after, wait)
+    if path.startswith(ITEM_PATH) and incoming.method == "GET":
+        job = _check_id(path.removeprefix(ITEM_PATH), "job")
+        item = ItemId(fields.get("id", [""])[0])
+        return JobCall(JobVerb.READ_BODY, job, item=item)
+    return None
+
+
+def decode_submission(incoming: IncomingRequest) -> tuple[JobId, tuple[Item, ...]]:
+    """Return the id and the items of a submitted job.
+
+    :raises PrimrosefordError: MALFORMED, INVALID_VALUE or TOO_MANY_ITEMS
+    """
+    job = _check_id(incoming.request_id, "Request-Id")
+    try:
+        listed = json.loads(incoming.body)["items"]
+        items = tuple(_item(item) for item in listed)
+    except (ValueError, KeyError, TypeError, AttributeError) as error:
+        raise PrimrosefordError(
+            ResultCode.MALFORMED, f"the job is not readable: {error!r}", field="items"
+        ) from error
+    if not items or len({item.id for item in items}) != len(items):
+        raise PrimrosefordError(
+            ResultCode.INVALID_VALUE,
+            "a job has items with ids of their own",
+            field="id",
+        )
+    if len(items) > MAX_ITEMS:
+        raise PrimrosefordError(
+            ResultCode.TOO_MANY_ITEMS, f"a job has at most {MAX_ITEMS} items"
+        )
+    return job, items
+
+
+def _item(item: dict[str, Any]) -> Item:
+    body = item.get("body") or ""
+    try:
+        base64.b64decode(body, validate=True)
+    except binascii.Error as error:
+        raise ValueError("a body is not base64") from error
+    headers = {str(name): str(value) for name, value in item["headers"].items()}
+    return Item(
+        ItemId(str(item["id"])), str(item["path"]), headers, body, int(item["tokens"])
+    )
+
+
+def encode_results(
+    total: int, after: int, results: Sequence[ItemResult]
+) -> web.Response:
+    """Return the answer to a read.
+
+    :param total: number of items of the job
+    :param after: position of the first result
+    :param results: results from there on
+    """
+    listed = [{"id": r.id, "state": r.state.value, "text": r.text} for r in results]
+    body = {"total": total, "next": after + len(listed), "results": listed}
+    return web.Response(body=json.dumps(body).encode(), content_type="application/json")
+
+
+def _check_id(value: str, field: str) -> JobId:
+    if not ID_PATTERN.fullmatch(value):
+        raise PrimrosefordError(
+            ResultCode.INVALID_VALUE, "an id has 1 to 80 plain characters", field=field
+        )
+    return JobId(value)
+
+
+def _number(value: str, field: str) -> int:
+    if not (value.isascii() and value.isdigit() and len(value) <= 9):
+        raise PrimrosefordError(
+            ResultCode.INVALID_VALUE, "not a whole number", field=field
+        )
+    return int(value)
--- a/src/primroseford/platform/objects.py
+++ b/src/primroseford/platform/objects.py
@@ -9,7 +9,10 @@
 
 from primroseford.ids import Version
 
-OPERATION_ANNOTATION = "primroseford.dev/operation"
+OPERATION_FIELD = "operation"
+"""Id of the write that produced an object. It lies in the ``spec`` of this project's
+own kinds, since the service keeps no annotations."""
+CONTENT_FIELD = "content"
 
 Spec = dict[str, Any]
 
@@ -32,7 +35,9 @@
     :param version: version of the service at the object's last change
     :param spec: content
     :param labels: labels that lists can select by
-    :param operation: id of the write that produced this version
+    :param operation: id of the write that produced this version; empty for objects
+        that the platform's operators and runners write
+    :param status: what the object's ``status`` holds, if anything
     """
 
     kind: str
@@ -41,6 +46,7 @@
     spec: Spec
     labels: dict[str, str] = field(default_factory=dict)
     operation: str = ""
+    status: Any = None
 
 
 @dataclass(frozen=True)
@@ -72,13 +78,16 @@
     :param body: decoded JSON
     """
     metadata = body["metadata"]
+    spec = body.get("spec")
+    own = isinstance(spec, dict) and OPERATION_FIELD in spec and CONTENT_FIELD in spec
     return PlatformObject(
         kind=kind,
         name=metadata["name"],
-        version=Version(int(metadata["resourceVersion"])),
-        spec=body.get("spec", {}),
-        labels=metadata.get("labels", {}),
-        operation=metadata.get("annotations", {}).get(OPERATION_ANNOTATION, ""),
+        version=Version(int(metadata["revision"])),
+        spec=spec[CONTENT_FIELD] if own else spec,
+        labels=spec.get("labels", {}) if own else {},
+        operation=spec[OPERATION_FIELD] if own else "",
+        status=body.get("status"),
     )
 
 
@@ -93,15 +102,12 @@
 
     :param name: name of the object
     :param spec: content
-    :param labels: labels that lists can select by
+    :param labels: short fields that readers use without decoding the content
     :param operation: unique id of this write
     :param version: version the write is conditional on
     """
-    metadata: dict[str, Any] = {
-        "name": name,
-        "labels": labels,
-        "annotations": {OPERATION_ANNOTATION: operation},
-    }
+    metadata: dict[str, Any] = {"name": name, "finalizers": []}
     if version is not None:
-        metadata["resourceVersion"] = str(version)
-    return {"metadata": metadata, "spec": spec}
+        metadata["revision"] = int(version)
+    wrapped = {OPERATION_FIELD: operation, "labels": labels, CONTENT_FIELD: spec}
+    return {"metadata": metadata, "spec": wrapped}
--- a/src/primroseford/platform/reflector.py
+++ b/src/primroseford/platform/reflector.py
@@ -10,6 +10,7 @@
 
 from primroseford.clock import boottime
 from primroseford.errors import PrimrosefordError
+from primroseford.errors import ResultCode
 from primroseford.platform.limiter import Priority
 from primroseford.platform.view import View
 from primroseford.platform.view import apply_event
@@ -24,7 +25,9 @@
     from primroseford.platform.view import Delta
 
 BACKOFF_BASE_SECONDS = 0.2
-BACKOFF_MAX_SECONDS = 10.0
+BACKOFF_MAX_SECONDS = 1.0
+"""Longest pause between two tries, so that a host follows within a second of the
+service's return; the call limit of the hosts spreads the lists."""
 RELIST_SECONDS = 300.0
 """Age of the last list after which the next event or bookmark ends the watch. A
 watch can skip events without notice; only a list shows what it skipped."""
@@ -42,6 +45,9 @@
     :param clock: local clock
     :param relist_seconds: longest time between two lists
     :param fraction: source of random numbers from 0 to 1
+    :param on_contact: called with whether the service answered, before ``reachable``
+        changes
+    :ivar reachable: whether the service answered the last call
     """
 
     def __init__(
@@ -53,6 +59,7 @@
         clock: Clock,
         relist_seconds: float,
         fraction: Callable[[], float],
+        on_contact: Callable[[bool], None] | None = None,
     ) -> None:
         super().__init__()
         self.client = client
@@ -65,6 +72,13 @@
         self.view = View()
         self.confirmed_at: float | None = None
         self.failures = 0
+        self.on_contact = on_contact
+        self.reachable = False
+
+    def _contact(self, good: bool) -> None:
+        if self.on_contact is not None:
+            self.on_contact(good)
+        self.reachable = good
 
     @Service.task
     async def follow(self) -> None:
@@ -82,6 +96,8 @@
             await self.watch_once()
         except PrimrosefordError as error:
             log.warning("watch ended", kind=self.kind, code=error.code.name)
+            if error.code is not ResultCode.WATCH_EXPIRED:
+                self._contact(False)
         self.failures += 1
         return backoff_delay(
             self.failures, self.fraction(), BACKOFF_BASE_SECONDS, BACKOFF_MAX_SECONDS
@@ -91,6 +107,7 @@
         listed = await self.client.list(
             self.kind, purpose=self.purpose, priority=Priority.READ
         )
+        self._contact(True)
         delta = apply_list(self.view, listed)
         if delta is None:
             log.warning(
@@ -116,6 +133,7 @@
         )
         async for event in events:
             self.failures = 0
+            self._contact(True)
             delta = apply_event(self.view, event)
             if delta is not None:
                 self._report(delta)
@@ -139,6 +157,7 @@
     clock: Clock = boottime,
     relist_seconds: float = RELIST_SECONDS,
     fraction: Callable[[], float] = random.random,
+    on_contact: Callable[[bool], None] | None = None,
 ) -> Reflector:
     """Return a service that follows the objects of one kind.
 
@@ -152,5 +171,8 @@
     :param clock: local clock
     :param relist_seconds: longest time between two lists
     :param fraction: source of random numbers from 0 to 1
+    :param on_contact: called with whether the service answered
     """
-    return Reflector(client, kind, callback, purpose, clock, relist_seconds, fraction)
+    return Reflector(
+        client, kind, callback, purpose, clock, relist_seconds, fraction, on_contact
+    )
--- /dev/null
+++ b/src/primroseford/platform/settings.py
@@ -0,0 +1,116 @@
+"""Settings file that the platform gives to each process."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any
+
+import yaml
+
+from primroseford.errors import PrimrosefordError
+from primroseford.errors import ResultCode
+from primroseford.ids import FailureDomainId
+from primroseford.ids import HostId
+
+PATH_VARIABLE = "PRIMROSEFORD_NODE_FILE"
+"""Environment variable that names the settings file."""
+
+
+@dataclass(frozen=True)
+class NodeSettings:
+    """What a process learns of its host and its surroundings.
+
+    :param host: name of this host (``node_name``)
+    :param failure_domain: failure domain of this host (``zone``)
+    :param ip: address on which peers reach this host
+    :param ingress: address that callers reach; nothing on hosts without callers
+    :param readiness: address of the balancer's readiness check
+    :param peer_port: first port that the hosts may use among themselves
+    :param platform: base URL of the platform's object service
+    :param stop_seconds: time from SIGTERM to SIGKILL (``grace_s``)
+    :param drain_seconds: how long a leaving runner still serves (``drain_ms``)
+    :param apply_seconds: time for a configuration to be in force (``apply_ms``)
+    :param cancel_seconds: time for the end of a job to take effect (``cancel_ms``)
+    :param job_retention_seconds: how long a job's results stay (``status_s``)
+    """
+
+    host: HostId
+    failure_domain: FailureDomainId
+    ip: str
+    ingress: str | None
+    readiness: str | None
+    peer_port: int
+    platform: str
+    stop_seconds: float
+    drain_seconds: float
+    apply_seconds: float
+    cancel_seconds: float
+    job_retention_seconds: float
+
+
+def load_node_settings(path: str) -> NodeSettings:
+    """Return the checked settings of a process.
+
+    :param path: the settings file
+    :raises PrimrosefordError: INVALID_VALUE or MISSING_FIELD with the field's path
+    """
+    loader = getattr(yaml, "CSafeLoader", yaml.SafeLoader)
+    try:
+        with open(path, encoding="utf-8") as file:
+            content = yaml.load(file, loader)
+    except (OSError, yaml.YAMLError) as error:
+        raise PrimrosefordError(
+            ResultCode.INVALID_VALUE, f"the settings file is not readable: {error}"
+        ) from error
+    return decode_node_settings(content)
+
+
+def decode_node_settings(content: Any) -> NodeSettings:
+    """Return the settings in a decoded file; fields without a use are ignored.
+
+    :param content: the decoded YAML document
+    :raises PrimrosefordError: INVALID_VALUE or MISSING_FIELD with the field's path
+    """
+    listen = _field(content, "listen", dict)
+    return NodeSettings(
+        host=HostId(_field(content, "node_name", str)),
+        failure_domain=FailureDomainId(_field(content, "zone", str)),
+        ip=_field(content, "ip", str),
+        ingress=listen.get("front"),
+        readiness=listen.get("ready"),
+        peer_port=_first_port(content),
+        platform="http://" + _field(content, "platform.address", str),
+        stop_seconds=_number(content, "bounds.grace_s"),
+        drain_seconds=_number(content, "bounds.drain_ms") / 1000,
+        apply_seconds=_number(content, "bounds.apply_ms") / 1000,
+        cancel_seconds=_number(content, "bounds.cancel_ms") / 1000,
+        job_retention_seconds=_number(content, "bounds.status_s"),
+    )
+
+
+def _first_port(content: Any) -> int:
+    ports = _field(content, "port_range", list)
+    if not ports or not isinstance(ports[0], int):
+        raise PrimrosefordError(
+            ResultCode.INVALID_VALUE, "no port is given", field="port_range.0"
+        )
+    return ports[0]
+
+
+def _number(content: Any, path: str) -> float:
+    return float(_field(content, path, (int, float)))
+
+
+def _field(content: Any, path: str, kind: type | tuple[type, ...]) -> Any:
+    value = content
+    for name in path.split("."):
+        if not isinstance(value, dict) or name not in value:
+            raise PrimrosefordError(
+                ResultCode.MISSING_FIELD, "a setting is missing", field=path
+            )
+        value = value[name]
+    if not isinstance(value, kind) or isinstance(value, bool):
+        raise PrimrosefordError(
+            ResultCode.INVALID_VALUE, "a setting has the wrong type", field=path
+        )
+    return value
--- a/src/primroseford/platform/transport.py
+++ b/src/primroseford/platform/transport.py
@@ -16,20 +16,19 @@
 from primroseford.platform.limiter import Priority
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
-
     from primroseford.metrics import Metrics
     from primroseford.platform.limiter import CallLimiter
 
-PREFIX = "/apis/primroseford.dev/v1"
+PREFIX = "/objects"
 CALL_TIMEOUT_SECONDS = 2.0
 CONNECT_TIMEOUT_SECONDS = 1.0
-WATCH_READ_TIMEOUT_SECONDS = 10.0
+WATCH_MARGIN_SECONDS = 0.6
+"""Time beyond the wait of a watch after which its connection counts as dead."""
+KEEPALIVE_SECONDS = 10.0
 MAX_VALUE_BYTES = 1_000_000
 """Largest object that the service takes."""
-MAX_LINE_BYTES = 2 * 1024 * 1024
-MAX_ANSWER_BYTES = 256 * 1024 * 1024
-"""Bound on a list, which has no pages: far above all tables together."""
+MAX_ANSWER_BYTES = 64 * 1024 * 1024
+"""Bound on one answer; a page of a list has about one megabyte."""
 READ_BYTES = 256 * 1024
 
 STATUS_CODES = {
@@ -52,6 +51,7 @@
     :param priority: priority in the host's call limit
     :param body: encoded object of a write
     :param params: query parameters
+    :param timeout: seconds for the whole call
     """
 
     verb: str
@@ -60,6 +60,7 @@
     priority: Priority = Priority.READ
     body: bytes | None = None
     params: dict[str, str] = field(default_factory=dict)
+    timeout: float = CALL_TIMEOUT_SECONDS
 
 
 class Transport:
@@ -102,7 +103,7 @@
             raise self._failed(call, _too_large(call, len(call.body)))
         await self._admit(call)
         timeout = aiohttp.ClientTimeout(
-            total=CALL_TIMEOUT_SECONDS, sock_connect=CONNECT_TIMEOUT_SECONDS
+            total=call.timeout, sock_connect=CONNECT_TIMEOUT_SECONDS
         )
         try:
             async with self._request(call, timeout) as response:
@@ -113,26 +114,6 @@
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
             raise self._failed(call, _unavailable(call, error)) from error
 
-    async def lines(self, call: Call) -> AsyncIterator[dict[str, Any]]:
-        """Yield the decoded lines of a watch.
-
-        :raises PrimrosefordError: WATCH_EXPIRED, or PLATFORM_UNAVAILABLE
-        """
-        await self._admit(call)
-        timeout = aiohttp.ClientTimeout(
-            total=None,
-            sock_connect=CONNECT_TIMEOUT_SECONDS,
-            sock_read=WATCH_READ_TIMEOUT_SECONDS,
-        )
-        try:
-            async with self._request(call, timeout) as response:
-                if response.status != 200:
-                    raise self._failed(call, _status_error(response.status, call))
-                async for line in response.content:
-                    yield json.loads(line)
-        except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
-            raise self._failed(call, _unavailable(call, error)) from error
-
     async def _admit(self, call: Call) -> None:
         try:
             await self.limiter.acquire(call.priority)
@@ -149,7 +130,7 @@
             params=call.params,
             timeout=timeout,
             headers={"Content-Type": "application/json"} if call.body else {},
-            read_bufsize=MAX_LINE_BYTES if call.verb == "WATCH" else READ_BYTES,
+            read_bufsize=READ_BYTES,
             middlewares=() if call.verb in READ_VERBS else (_send_once,),
         )
 
@@ -198,8 +179,8 @@
     code = STATUS_CODES.get(status, ResultCode.PLATFORM_UNAVAILABLE)
     if 400 <= status < 500 and status not in STATUS_CODES:
         code = ResultCode.MALFORMED
-    # A 5xx can come from a proxy that had already passed the write on.
-    unknown = status >= 500 and call.verb not in READ_VERBS
+    # The service promises that a 503 did nothing; other 5xx promise nothing.
+    unknown = status >= 500 and status != 503 and call.verb not in READ_VERBS
     return PrimrosefordError(
         code,
         f"the platform's service answered {status} for {call.path}",
