Test forwarding, truth of failures, drain and configuration on stand-ins

Cause: the gateway slice had no tests. Change: a stand-in of a runner with switchable faults, a rig of hosts on loopback and tables of failures. They found that a malformed request's refusal lacked its id.

--- a/src/primroseford/gateway/application.py
+++ b/src/primroseford/gateway/application.py
@@ -14,6 +14,7 @@
 from primroseford.gateway.tables import RouteKind
 from primroseford.platform.ingress import decode_request
 from primroseford.platform.ingress import encode_refusal
+from primroseford.platform.ingress import request_id_of
 from primroseford.platform.job_calls import decode_job_call
 
 if TYPE_CHECKING:
@@ -37,11 +38,10 @@
 
     async def handle(request: BaseRequest) -> web.StreamResponse:
         started = gateway.clock()
-        request_id = ""
+        request_id = request_id_of(request)
         gateway.busy.add(request.protocol)
         try:
             incoming = decode_request(request)
-            request_id = incoming.request_id
             incoming.body = await request.read()
             return await _serve(gateway, jobs, request, incoming, started)
         except web.HTTPRequestEntityTooLarge:
--- /dev/null
+++ b/src/primroseford/gateway/tests/rig.py
@@ -0,0 +1,195 @@
+"""Hosts of the fleet before stand-ins of the platform and the runners, on loopback."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+from typing import Any
+
+from primroseford.gateway.host import Host
+from primroseford.gateway.host import create_fleet_host
+from primroseford.ids import FailureDomainId
+from primroseford.ids import HostId
+from primroseford.platform.settings import NodeSettings
+from primroseford.standins.fleet_runner import FleetRunner
+from primroseford.standins.fleet_runner import create_runner_server
+
+if TYPE_CHECKING:
+    import aiohttp
+
+WAIT_SECONDS = 20.0
+HOST = "vans.example"
+KEY = "key-of-caroni"
+
+
+def free_port() -> int:
+    """Return a port that nothing uses at present."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+def configuration(version: int = 1, **changes: Any) -> dict[str, Any]:
+    """Return a configuration as the operator writes it."""
+    common = {
+        "host": HOST,
+        "timeout_ms": 5000,
+        "slo_ms": 300,
+        "priority": 0,
+        "service": "models",
+        "public": False,
+    }
+    routes = [
+        ("/nudge/", "streaming", {"max_attempts": 1, "resumable": False}),
+        ("/pick/", "streaming", {"max_attempts": 2, "resumable": True}),
+        ("/ping/", "idempotent", {"max_attempts": 2}),
+        ("/once/", "non_idempotent", {"max_attempts": 1}),
+        (
+            "/notes/",
+            "batch",
+            {
+                "max_attempts": 3,
+                "due_ms": 18_000,
+                "max_wait_s": 60,
+                "max_count": 10_000,
+            },
+        ),
+    ]
+    content = {
+        "version": version,
+        "routes": [
+            {**common, "name": f"r{number}", "path_prefix": prefix, "kind": kind}
+            | fields
+            for number, (prefix, kind, fields) in enumerate(routes)
+        ],
+        "services": [
+            {
+                "name": "models",
+                "health_path": "/health",
+                "max_conns": 100,
+                "engine": {"slots": 8},
+            }
+        ],
+        "limits": {"max_body_bytes": 4_194_304, "idle_timeout_ms": 15_000},
+        "tenants": [
+            {"name": "caroni", "api_keys": [KEY], "rate_per_s": 1000, "burst": 1000}
+        ],
+    }
+    return content | changes
+
+
+@dataclass
+class Rig:
+    """Everything that one test runs.
+
+    :param platform: stand-in of the platform's store, which is served
+    """
+
+    platform: Any
+    session: aiohttp.ClientSession
+    hosts: list[Host] = field(default_factory=list)
+    runners: list[FleetRunner] = field(default_factory=list)
+    servers: list[asyncio.Server] = field(default_factory=list)
+    port: int = 0
+
+    def put(self, kind: str, name: str, spec: Any) -> None:
+        """Write an object as the operator or a runner does."""
+        state = self.platform.state
+        item = {"metadata": {"name": name}, "spec": spec}
+        if name in state.objects.get(kind, {}):
+            state.update(kind, item)
+        else:
+            state.create(kind, item)
+        self.platform.announce()
+
+    async def add_runner(self, name: str, **fields: Any) -> FleetRunner:
+        """Start a runner and register it."""
+        runner = FleetRunner(name, **fields)
+        loop = asyncio.get_running_loop()
+        server = await loop.create_server(create_runner_server(runner), "127.0.0.1", 0)
+        self.servers.append(server)
+        self.runners.append(runner)
+        port = server.sockets[0].getsockname()[1]
+        self.put("servers", name, runner_entry(f"127.0.0.1:{port}"))
+        return runner
+
+    async def add_host(self, settled: bool = True) -> Host:
+        """Start a host and wait until it may serve."""
+        self.port = self.port or free_port()
+        ip = f"127.0.0.{len(self.hosts) + 2}"
+        settings = NodeSettings(
+            host=HostId(f"host-{len(self.hosts)}"),
+            failure_domain=FailureDomainId("a"),
+            ip=ip,
+            ingress=f"{ip}:{free_port()}",
+            readiness=f"{ip}:{free_port()}",
+            peer_port=self.port,
+            platform=self.platform.url,
+            stop_seconds=8.0,
+            drain_seconds=2.0,
+            apply_seconds=2.0,
+            cancel_seconds=3.0,
+            job_retention_seconds=120.0,
+        )
+        host = create_fleet_host(settings)
+        await host.start()
+        self.hosts.append(host)
+        if settled:
+            await self.until(lambda: host.gateway.ready)
+            names = len(self.runners)
+            await self.until(lambda: len(host.gateway.places.runners) == names)
+        return host
+
+    async def until(self, condition) -> None:
+        """Wait for a condition."""
+        async with asyncio.timeout(WAIT_SECONDS):
+            while not condition():  # noqa: ASYNC110
+                await asyncio.sleep(0.01)
+
+    async def call(
+        self,
+        path: str,
+        request_id: str = "id-1",
+        method: str = "POST",
+        host: int = 0,
+        body: bytes = b"prompt",
+        **headers: str,
+    ) -> tuple[int, dict[str, str], bytes]:
+        """Send a request and return status, headers and body."""
+        sent = {
+            "Host": HOST,
+            "Request-Id": request_id,
+            "Api-Key": KEY,
+            "Deadline-Ms": "5000",
+        } | {name.replace("_", "-"): value for name, value in headers.items()}
+        url = f"http://{self.hosts[host].settings.ingress}{path}"
+        async with self.session.request(
+            method, url, data=body or None, headers=sent
+        ) as answer:
+            return answer.status, dict(answer.headers), await answer.read()
+
+    async def stop(self) -> None:
+        """Stop all hosts and runners."""
+        for host in self.hosts:
+            if not host.should_stop:
+                await host.stop()
+        for server in self.servers:
+            server.close()
+
+
+def runner_entry(address: str, **changes: Any) -> dict[str, Any]:
+    """Return a runner's entry in the platform's list."""
+    return {
+        "service": "models",
+        "address": address,
+        "zone": "a",
+        "version": "v1",
+        "slots": 8,
+        "state": "ready",
+        "cold_left_ms": 0,
+        "sequence": 1,
+        "born": 1_700_000_000_000,
+    } | changes
--- /dev/null
+++ b/src/primroseford/gateway/tests/test_forwarding.py
@@ -0,0 +1,233 @@
+from __future__ import annotations
+
+import asyncio
+
+import aiohttp
+import pytest
+
+from primroseford.gateway.tests.rig import HOST
+from primroseford.gateway.tests.rig import KEY
+from primroseford.gateway.tests.rig import configuration
+from primroseford.gateway.tests.rig import runner_entry
+from primroseford.standins.fleet_runner import event
+
+WHOLE_STREAM = b"".join(event(number) for number in range(1, 6))
+
+
+def received(rig) -> list:
+    """Return what all runners ran."""
+    return [request for runner in rig.runners for request in runner.received]
+
+
+async def test_request_reaches_a_runner_unchanged(rig):
+    """Guards against changed bytes, a leaked key and a forged organisation."""
+    status, headers, body = await rig.call(
+        "/once/whole%2Fx?a=%20b&a=2",
+        "id-7",
+        body=b"\x00raw",
+        Tenant="forged",
+        Target_Instance="forged",
+        X_Kept="yes",
+    )
+    (run,) = received(rig)
+    assert (status, headers["Request-Id"]) == (200, "id-7")
+    assert headers["Server-Signature"].startswith("sig-") and body
+    assert (run.method, run.target, run.body) == (
+        "POST",
+        "/once/whole%2Fx?a=%20b&a=2",
+        b"\x00raw",
+    )
+    assert run.headers["Tenant"] == "caroni" and run.headers["X-Kept"] == "yes"
+    assert run.headers["Host"] == HOST and "Api-Key" not in run.headers
+    assert run.headers["Target-Instance"] in ("i-1", "i-2")
+    assert 4000 < int(run.headers["Deadline-Ms"]) <= 5000
+
+
+@pytest.mark.parametrize(
+    ("path", "headers", "status"),
+    [
+        ("/absent/x", {}, 404),
+        ("/once/whole", {"Api-Key": "unknown"}, 401),
+        ("/once/whole", {"Deadline-Ms": "soon"}, 400),
+        ("/lots/absent", {}, 404),
+    ],
+)
+async def test_requests_that_the_tables_do_not_allow(rig, path, headers, status):
+    """Guards against requests that run without a route or a key."""
+    found, answer, _ = await rig.call(path, method="GET", body=b"", **headers)
+    assert found == status and not received(rig)
+    assert answer["Request-Id"] == "id-1"
+
+
+@pytest.mark.parametrize(
+    ("path", "faults", "status", "runs"),
+    [
+        ("/ping/whole", {"status": 500}, 500, 2),
+        ("/ping/whole", {"wrong_id": True}, 502, 2),
+        ("/ping/whole", {"unsigned": True}, 502, 2),
+        ("/ping/whole", {"refuse": True}, 503, 0),
+        ("/once/whole", {"status": 500}, 500, 1),
+        ("/once/whole", {"wrong_id": True}, 502, 1),
+        ("/once/whole", {"unsigned": True}, 502, 1),
+        ("/once/whole", {"refuse": True}, 503, 0),
+        ("/nudge/x", {"wrong_id": True}, 502, 1),
+        ("/nudge/x", {"refuse": True}, 503, 0),
+        ("/pick/x", {"wrong_id": True}, 502, 2),
+        ("/pick/x", {"refuse": True}, 503, 0),
+    ],
+)
+async def test_truth_of_failures(rig, path, faults, status, runs):
+    """Guards against a second run, and a refusal of what may have run."""
+    for runner in rig.runners:
+        for name, value in faults.items():
+            setattr(runner.faults, name, value)
+    found, headers, _ = await rig.call(path)
+    assert (found, len(received(rig))) == (status, runs)
+    assert ("Retry-After" in headers) == (status == 503)
+
+
+@pytest.mark.parametrize("path", ["/ping/whole", "/once/whole", "/nudge/x", "/pick/x"])
+async def test_refusal_by_one_runner_goes_to_the_next(rig, path):
+    """Guards against a refusal while another runner has room."""
+    rig.runners[0].faults.refuse = True
+    for number in range(4):
+        status, _, _ = await rig.call(path, f"id-{number}")
+        assert status == 200
+    assert not rig.runners[0].received
+
+
+@pytest.mark.parametrize("cuts", [1, 2])
+async def test_resumable_stream_goes_on_at_another_runner(rig, cuts):
+    """Guards against missing or doubled events after a stream broke."""
+    for runner in rig.runners:
+        runner.faults.cut_after = 2
+        runner.faults.cuts = 1 if cuts == 2 else 0
+    rig.runners[0].faults.cuts = rig.runners[1].faults.cuts = 1
+    if cuts == 1:
+        rig.runners[1].faults.cut_after = None
+        rig.hosts[0].gateway.places.runners["i-2"].online = 1
+    if cuts == 2:
+        with pytest.raises(aiohttp.ClientPayloadError):
+            await rig.call("/pick/x")
+    else:
+        status, headers, body = await rig.call("/pick/x")
+        assert (status, body) == (200, WHOLE_STREAM)
+        assert headers["Server-Signature"] == "sig-i-1"
+        assert rig.runners[1].received[0].headers["Last-Event-Id"] == "2"
+    assert len(received(rig)) == 2
+
+
+async def test_cut_stream_does_not_look_complete(rig):
+    """Guards against an answer that ends early and looks whole."""
+    for runner in rig.runners:
+        runner.faults.cut_after = 2
+    with pytest.raises(aiohttp.ClientPayloadError):
+        await rig.call("/nudge/x")
+    assert len(received(rig)) == 1
+
+
+@pytest.mark.parametrize(
+    ("path", "runs"), [("/ping/whole", 2), ("/pick/x", 2), ("/once/whole", 1)]
+)
+async def test_silent_runner(rig, path, runs):
+    """Guards against repeatable requests that wait for a runner that is gone."""
+    rig.runners[0].faults.silent = True
+    rig.hosts[0].gateway.places.runners["i-2"].online = 1
+    status, _, _ = await rig.call(path, Deadline_Ms="2000")
+    assert (status, len(received(rig))) == (200 if runs == 2 else 504, runs)
+    assert rig.hosts[0].gateway.metrics.suspicions._metrics
+
+
+async def test_caller_who_leaves_ends_the_run(rig):
+    """Guards against work for a caller who is gone."""
+    for runner in rig.runners:
+        runner.event_seconds = 0.5
+    task = asyncio.create_task(rig.call("/nudge/x"))
+    await rig.until(lambda: sum(runner.open for runner in rig.runners) == 1)
+    task.cancel()
+    await rig.until(lambda: sum(runner.open for runner in rig.runners) == 0)
+    await rig.until(
+        lambda: all(r.online == 0 for r in rig.hosts[0].gateway.places.runners.values())
+    )
+
+
+async def test_address_that_another_runner_has(rig):
+    """Guards against requests to an address that was used again."""
+    rig.runners[0].faults.other_runner = "i-9"
+    rig.hosts[0].gateway.places.runners["i-2"].online = 1
+    for number in range(3):
+        status, _, _ = await rig.call("/once/whole", f"id-{number}")
+        assert status == 200
+    assert "i-1" not in rig.hosts[0].gateway.places.runners
+
+
+@pytest.mark.parametrize("state", ["draining", "removed", "unreadable"])
+async def test_leaving_runner_gets_nothing_new(rig, state):
+    """Guards against requests to runners that leave."""
+    if state == "removed":
+        rig.platform.state.delete("servers", "i-1", None)
+        rig.platform.announce()
+    else:
+        changes = {"state": "draining"} if state == "draining" else {"slots": "8"}
+        rig.put("servers", "i-1", runner_entry("127.0.0.1:1", **changes))
+    places = rig.hosts[0].gateway.places
+    await rig.until(lambda: len(places.pool_runners("models")) == 1)
+    for number in range(4):
+        status, _, _ = await rig.call("/once/whole", f"id-{number}")
+        assert status == 200
+    assert not rig.runners[0].received
+
+
+async def test_configuration_is_in_force_and_never_reverts(rig):
+    """Guards against withdrawn keys that go on working, and old versions."""
+    other = [{"name": "caroni", "api_keys": ["new"], "rate_per_s": 0, "burst": 0}]
+    rig.put("config", "main", configuration(9, tenants=other))
+    gateway = rig.hosts[0].gateway
+    await rig.until(lambda: gateway.tables.version == 9)
+    assert (await rig.call("/once/whole", Api_Key=KEY))[0] == 401
+    assert (await rig.call("/once/whole", Api_Key="new"))[0] == 200
+    rig.put("config", "main", configuration(8))
+    rig.put("config", "main", {"routes": "unreadable"})
+    rig.put("config", "main", configuration(10, tenants=other))
+    await rig.until(lambda: gateway.tables.version == 10)
+    assert (await rig.call("/once/whole", Api_Key=KEY))[0] == 401
+
+
+async def test_host_without_configuration_refuses_truthfully(platform, rig):
+    """Guards against 401 and 404 by a host that knows nothing yet."""
+    platform.faults.down = True
+    await rig.add_host(settled=False)
+    status, headers, _ = await rig.call("/once/whole", host=1)
+    assert status == 503 and float(headers["Retry-After"]) > 0
+    url = f"http://{rig.hosts[1].settings.readiness}/ready"
+    async with rig.session.get(url) as answer:
+        assert answer.status == 503
+
+
+async def test_host_that_may_have_missed_a_version_is_not_sure(rig):
+    """Guards against 401 and 404 for what a newer configuration allows."""
+    rig.hosts[0].gateway.confirmed_at -= 100.0
+    rig.platform.faults.down = True
+    await rig.until(lambda: not rig.hosts[0].duties[1].tables.reachable)
+    rig.hosts[0].gateway.confirmed_at -= 100.0
+    assert (await rig.call("/absent/x"))[0] == 503
+    assert (await rig.call("/once/whole", Api_Key="unknown"))[0] == 503
+    assert (await rig.call("/once/whole"))[0] == 200
+
+
+async def test_drain_closes_idle_connections_and_finishes_requests(rig):
+    """Guards against requests that are read by nobody while a host stops."""
+    host = rig.hosts[0]
+    for runner in rig.runners:
+        runner.event_seconds = 0.1
+    status, _, _ = await rig.call("/once/whole")
+    address, port = host.settings.ingress.rsplit(":", 1)
+    reader, writer = await asyncio.open_connection(address, int(port))
+    running = asyncio.create_task(rig.call("/nudge/x"))
+    await rig.until(lambda: sum(runner.open for runner in rig.runners) == 1)
+    draining = asyncio.create_task(host.drain())
+    assert await reader.read() == b""
+    writer.close()
+    assert (await running)[2] == WHOLE_STREAM
+    await draining
+    assert not host.ingress.connections
--- a/src/primroseford/platform/ingress.py
+++ b/src/primroseford/platform/ingress.py
@@ -22,6 +22,11 @@
     from aiohttp.web_request import BaseRequest
 
 
+def request_id_of(request: BaseRequest) -> RequestId:
+    """Return the id of a request; empty if it has none."""
+    return RequestId(request.headers.get(REQUEST_ID, ""))
+
+
 def decode_request(request: BaseRequest) -> IncomingRequest:
     """Return a request without its body.
 
@@ -30,7 +35,7 @@
     name, _, port = request.headers.get("Host", "").rpartition(":")
     host = name if name and port.isdigit() else request.headers.get("Host", "")
     return IncomingRequest(
-        request_id=RequestId(request.headers.get(REQUEST_ID, "")),
+        request_id=request_id_of(request),
         method=request.method,
         host=host.lower(),
         target=request.raw_path,
--- /dev/null
+++ b/src/primroseford/standins/fleet_runner.py
@@ -0,0 +1,135 @@
+"""Stand-in of a runner behind the users' platform, with switchable faults."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from dataclasses import field
+
+from aiohttp import web
+from multidict import CIMultiDict
+
+EVENT_SECONDS = 0.002
+
+
+@dataclass
+class RunnerFaults:
+    """How a runner treats requests.
+
+    :param refuse: answer 503 and say that nothing ran
+    :param status: status of the answers
+    :param cut_after: events after which a stream breaks; nothing for none
+    :param cuts: number of coming streams to which ``cut_after`` applies
+    :param silent: take requests and never answer
+    :param wrong_id: answer with the id of another request
+    :param unsigned: leave the signature out
+    :param other_runner: name of the runner that has the address now
+    """
+
+    refuse: bool = False
+    status: int = 200
+    cut_after: int | None = None
+    cuts: int = 1_000_000
+    silent: bool = False
+    wrong_id: bool = False
+    unsigned: bool = False
+    other_runner: str = ""
+
+
+@dataclass
+class Received:
+    """A request as the runner got it."""
+
+    request_id: str
+    method: str
+    target: str
+    headers: CIMultiDict[str]
+    body: bytes
+
+
+@dataclass
+class FleetRunner:
+    """A runner that streams numbered events, or answers whole.
+
+    :param name: its id on the platform
+    :param events: number of events of a stream
+    :param received: requests that it ran
+    :ivar open: runs in progress
+    """
+
+    name: str
+    events: int = 5
+    event_seconds: float = EVENT_SECONDS
+    faults: RunnerFaults = field(default_factory=RunnerFaults)
+    received: list[Received] = field(default_factory=list)
+    open: int = 0
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Serve one request."""
+        if request.raw_path == "/health":
+            return web.Response(headers={"Instance-Id": self.name})
+        body = await request.read()
+        faults = self.faults
+        if faults.other_runner:
+            return web.Response(
+                status=421, headers={"Instance-Id": faults.other_runner}
+            )
+        if faults.refuse:
+            return web.Response(status=503, headers={"Not-Executed": "1"})
+        request_id = request.headers.get("Request-Id", "")
+        self.received.append(
+            Received(
+                request_id,
+                request.method,
+                request.raw_path,
+                CIMultiDict(request.headers),
+                body,
+            )
+        )
+        self.open += 1
+        try:
+            if faults.silent:
+                await asyncio.sleep(3600)
+            return await self._answer(request, request_id)
+        finally:
+            self.open -= 1
+
+    async def _answer(
+        self, request: web.BaseRequest, request_id: str
+    ) -> web.StreamResponse:
+        faults = self.faults
+        headers = {"Request-Id": "another" if faults.wrong_id else request_id}
+        if not faults.unsigned:
+            headers["Server-Signature"] = f"sig-{self.name}"
+        if faults.status != 200:
+            return web.Response(status=faults.status, headers=headers, body=b"failed")
+        if "whole" in request.raw_path:
+            return web.Response(headers=headers, body=self.name.encode())
+        headers["Content-Type"] = "text/event-stream"
+        response = web.StreamResponse(headers=headers)
+        await response.prepare(request)
+        first = int(request.headers.get("Last-Event-Id", "0")) + 1
+        cut = faults.cut_after
+        if cut is not None:
+            faults.cuts -= 1
+            cut = cut if faults.cuts >= 0 else None
+        for number in range(first, self.events + 1):
+            if cut is not None and number - first >= cut:
+                await asyncio.sleep(self.event_seconds)
+                await response.write(b"id: 9")
+                request.transport.close()
+                return response
+            await response.write(event(number))
+            await asyncio.sleep(self.event_seconds)
+        await response.write_eof()
+        return response
+
+
+def event(number: int) -> bytes:
+    """Return an event of a stream."""
+    return f"id: {number}\ndata: token {number}\n\n".encode()
+
+
+def create_runner_server(runner: FleetRunner) -> web.Server:
+    """Return the HTTP server of a runner."""
+    return web.Server(runner.handle, handler_cancellation=True)
