Call the store through another host while it does not answer this one

Ruled out: runners (no item waited for a place), readers (they read at once). Change: StorePath counts failures of the own way and names a peer that reaches the store; peers make the call once and relay it no further.

--- a/src/primroseford/gateway/gen/messages/ttypes.py
+++ b/src/primroseford/gateway/gen/messages/ttypes.py
@@ -294,6 +294,7 @@
      - loads
      - spending
      - jobs
+     - reaches_store
 
     """
 
@@ -309,10 +310,11 @@
         'loads',
         'spending',
         'jobs',
+        'reaches_store',
     )
 
 
-    def __init__(self, host=None, incarnation=None, address=None, failure_domain=None, sequence=None, leaving=None, configuration=None, waiting=None, loads=None, spending=None, jobs=None,):
+    def __init__(self, host=None, incarnation=None, address=None, failure_domain=None, sequence=None, leaving=None, configuration=None, waiting=None, loads=None, spending=None, jobs=None, reaches_store=None,):
         self.host = host
         self.incarnation = incarnation
         self.address = address
@@ -324,6 +326,7 @@
         self.loads = loads
         self.spending = spending
         self.jobs = jobs
+        self.reaches_store = reaches_store
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -407,6 +410,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.BOOL:
+                    self.reaches_store = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -470,6 +478,10 @@
                 iter20.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.reaches_store is not None:
+            oprot.writeFieldBegin('reaches_store', TType.BOOL, 12)
+            oprot.writeBool(self.reaches_store)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -527,6 +539,7 @@
     (9, TType.LIST, 'loads', (TType.STRUCT, [RunnerLoad, None], False), None, ),  # 9
     (10, TType.LIST, 'spending', (TType.STRUCT, [Spending, None], False), None, ),  # 10
     (11, TType.LIST, 'jobs', (TType.STRUCT, [JobProgress, None], False), None, ),  # 11
+    (12, TType.BOOL, 'reaches_store', None, None, ),  # 12
 )
 fix_spec(all_structs)
 del all_structs
--- a/src/primroseford/gateway/heartbeat.py
+++ b/src/primroseford/gateway/heartbeat.py
@@ -64,6 +64,7 @@
 
     :param address: ``ip`` and port on which this host receives
     :param jobs: jobs that this host runs, with their numbers of result segments
+    :param reaches_store: whether the platform's store answers this host itself
     """
 
     def __init__(
@@ -73,6 +74,7 @@
         domain: FailureDomainId,
         address: tuple[str, int],
         jobs: Callable[[], dict[JobId, int]],
+        reaches_store: Callable[[], bool],
     ) -> None:
         super().__init__()
         self.gateway = gateway
@@ -80,6 +82,7 @@
         self.domain = domain
         self.address = address
         self.jobs = jobs
+        self.reaches_store = reaches_store
         self.sequence = 0
         self.transport: asyncio.DatagramTransport | None = None
         self.spent: dict[OrganisationId, tuple[int, float]] = {}
@@ -144,6 +147,7 @@
             self._loads(),
             self._spending(),
             [JobProgress(job, count) for job, count in self.last_jobs.items()],
+            self.reaches_store(),
         )
 
     def _loads(self) -> list[RunnerLoad]:
--- a/src/primroseford/gateway/host.py
+++ b/src/primroseford/gateway/host.py
@@ -26,6 +26,8 @@
 from primroseford.gateway.retirement import Retirements
 from primroseford.gateway.state import Gateway
 from primroseford.gateway.state import GatewayMetrics
+from primroseford.gateway.store_path import StorePath
+from primroseford.gateway.store_path import create_relay_handler
 from primroseford.gateway.watchdog import Watchdog
 from primroseford.ids import Incarnation
 from primroseford.jobs.api import JobApi
@@ -35,6 +37,7 @@
 from primroseford.platform.client import create_platform_client
 from primroseford.platform.limiter import CallLimiter
 from primroseford.platform.limiter import CallLimits
+from primroseford.platform.transport import PREFIX
 
 if TYPE_CHECKING:
     from primroseford.clock import Clock
@@ -52,7 +55,8 @@
 """Time for which a caller's idle connection is kept: above the platform's bound on
 idle time, so that a caller never sends into a connection that is being closed."""
 METRICS_PORT_OFFSET = 1
-"""Port of the metrics, counted from the first port of the hosts' range."""
+"""Port of the metrics and of calls to the store that are made for other hosts, counted
+from the first port of the hosts' range, which takes the heartbeats."""
 CALLS_A_SECOND = 40.0
 """Calls of one host to the platform: its rate for reads, shared by 50 hosts."""
 
@@ -85,6 +89,14 @@
             connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=10.0)
         )
         self.sessions = [fleet, store]
+        members = Members(settings.host)
+        path = StorePath(
+            settings.platform,
+            store,
+            lambda: _relays(members, self.clock()),
+            self.clock,
+            random,
+        )
         limits = CallLimits(CALLS_A_SECOND, 2 * CALLS_A_SECOND)
         client = create_platform_client(
             settings.platform,
@@ -93,8 +105,9 @@
             CallLimiter(limits, self.clock),
             self.metrics,
         )
+        client.transport.path = path
         gateway = self.gateway = Gateway(
-            Members(settings.host),
+            members,
             Places(settings.failure_domain, self.clock, random),
             fleet,
             self.clock,
@@ -107,10 +120,16 @@
         incarnation = Incarnation(uuid.uuid4().hex[:12])
         address = (settings.ip, settings.peer_port)
         heartbeats = HeartbeatService(
-            gateway, incarnation, settings.failure_domain, address, jobs.progress
+            gateway,
+            incarnation,
+            settings.failure_domain,
+            address,
+            jobs.progress,
+            lambda: path.reachable,
         )
         self.duties = [
             heartbeats,
+            path,
             Followers(gateway, client),
             Registration(
                 gateway, client, incarnation, f"{settings.ip}:{settings.peer_port}"
@@ -132,7 +151,15 @@
     async def _open(self, gateway: Gateway, jobs: JobApi) -> None:
         settings = self.settings
         metrics = f"{settings.ip}:{settings.peer_port + METRICS_PORT_OFFSET}"
-        await self._serve(metrics, web.Server(self._metrics))
+        relay = create_relay_handler(settings.platform, self.sessions[1])
+
+        async def handle(request: BaseRequest) -> web.StreamResponse:
+            if request.raw_path.startswith(PREFIX):
+                return await relay(request)
+            return await self._metrics(request)
+
+        server = web.Server(handle, request_factory=_create_request, access_log=None)
+        await self._serve(metrics, server)
         if settings.readiness is not None:
             handler = create_readiness_handler(gateway)
             await self._serve(settings.readiness, web.Server(handler))
@@ -197,6 +224,16 @@
         log.info("host stopped", host=self.settings.host)
 
 
+def _relays(members: Members, now: float) -> list[str]:
+    """Return the base URLs of the hosts that can call the store for this one."""
+    urls = []
+    for peer in members.live(now):
+        if peer.last.reaches_store:
+            ip, port = peer.address.rsplit(":", 1)
+            urls.append(f"http://{ip}:{int(port) + METRICS_PORT_OFFSET}")
+    return urls
+
+
 def _create_request(message, payload, protocol, writer, task) -> BaseRequest:
     return BaseRequest(
         message,
--- a/src/primroseford/gateway/messages.thrift
+++ b/src/primroseford/gateway/messages.thrift
@@ -29,4 +29,5 @@
   9: list<RunnerLoad> loads
   10: list<Spending> spending
   11: list<JobProgress> jobs
+  12: bool reaches_store
 }
--- /dev/null
+++ b/src/primroseford/gateway/store_path.py
@@ -0,0 +1,134 @@
+"""How this host reaches the platform's store: itself, or through another host.
+
+Answers cuts between single hosts and the store, and a store that turns single hosts
+away: such a host would keep jobs and their results to itself and miss configurations,
+though its callers, the runners and the other hosts reach it.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import aiohttp
+import structlog
+from aiohttp import web
+from mode import Service
+
+from primroseford.gateway.loops import repeat
+from primroseford.platform.transport import PREFIX
+from primroseford.platform.transport import relay_call
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from random import Random
+
+    from aiohttp.web_request import BaseRequest
+
+    from primroseford.clock import Clock
+
+PROBE_SECONDS = 0.7
+"""Time between two tries of the own way while another is used."""
+PROBE_TIMEOUT_SECONDS = 0.6
+FAILURES = 2
+"""Calls in a row that fail before another way is used; one may be an accident."""
+MAX_BODY_BYTES = 2 * 1024 * 1024
+
+log = structlog.get_logger()
+
+
+class StorePath(Service):
+    """Chooses the way of each call to the store.
+
+    :param direct: base URL of the store
+    :param peers: base URLs of the hosts that say that they reach the store
+    :ivar failures: calls on the own way that failed in a row
+    :ivar relay: base URL of the host in use as a relay, if any
+    """
+
+    def __init__(
+        self,
+        direct: str,
+        session: aiohttp.ClientSession,
+        peers: Callable[[], list[str]],
+        clock: Clock,
+        random: Random,
+    ) -> None:
+        super().__init__()
+        self.direct = direct
+        self.session = session
+        self.peers = peers
+        self.clock = clock
+        self.random = random
+        self.failures = 0
+        self.relay: str | None = None
+
+    @property
+    def reachable(self) -> bool:
+        """Whether the store answers this host itself."""
+        return self.failures < FAILURES
+
+    def base_url(self) -> str:
+        """Return the base URL for the next call."""
+        if self.reachable:
+            return self.direct
+        peers = self.peers()
+        if self.relay not in peers:
+            self.relay = self.random.choice(peers) if peers else None
+            if self.relay is not None:
+                log.info("store is called through a peer", peer=self.relay)
+        return self.relay or self.direct
+
+    def report(self, base_url: str, good: bool) -> None:
+        """Take the outcome of a call.
+
+        :param base_url: the way that it took
+        :param good: whether the store answered
+        """
+        if base_url != self.direct:
+            if not good:
+                self.relay = None
+            return
+        before = self.reachable
+        self.failures = 0 if good else self.failures + 1
+        if before and not self.reachable:
+            log.warning("store does not answer this host", failures=self.failures)
+        elif self.reachable and not before:
+            log.info("store answers this host again")
+            self.relay = None
+
+    @Service.task
+    async def probe(self) -> None:
+        """Try the own way while it does not work."""
+        await repeat(self, lambda: PROBE_SECONDS, self._probe)
+
+    async def _probe(self) -> None:
+        if self.reachable:
+            return
+        timeout = aiohttp.ClientTimeout(total=PROBE_TIMEOUT_SECONDS)
+        # A stale answer costs a tenth and shows as well that the store answers.
+        url = f"{self.direct}{PREFIX}/config/main?stale_ok=1"
+        try:
+            async with self.session.get(url, timeout=timeout) as answer:
+                await answer.read()
+                good = answer.status in (200, 404)
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            log.debug("store not reached", reason=repr(error))
+            return
+        if good:
+            self.report(self.direct, True)
+
+
+def create_relay_handler(direct: str, session: aiohttp.ClientSession):
+    """Return the handler of other hosts' calls to the store.
+
+    :param direct: base URL of the store; a relayed call is never relayed again
+    """
+
+    async def handle(request: BaseRequest) -> web.Response:
+        body = await request.read()
+        status, content = await relay_call(
+            session, request.method, f"{direct}{request.raw_path}", body
+        )
+        return web.Response(status=status, body=content)
+
+    return handle
--- a/src/primroseford/gateway/tests/rig.py
+++ b/src/primroseford/gateway/tests/rig.py
@@ -16,6 +16,11 @@
 from primroseford.platform.settings import NodeSettings
 from primroseford.standins.fleet_runner import FleetRunner
 from primroseford.standins.fleet_runner import create_runner_server
+from primroseford.standins.platform import PlatformStandIn
+from primroseford.standins.platform import create_platform_application
+from primroseford.standins.platform_state import Faults
+from primroseford.standins.serving import Served
+from primroseford.standins.serving import serve
 
 if TYPE_CHECKING:
     import aiohttp
@@ -93,6 +98,7 @@
     hosts: list[Host] = field(default_factory=list)
     runners: list[FleetRunner] = field(default_factory=list)
     servers: list[asyncio.Server] = field(default_factory=list)
+    views: list[Served] = field(default_factory=list)
     port: int = 0
 
     def put(self, kind: str, name: str, spec: Any) -> None:
@@ -116,8 +122,19 @@
         self.put("servers", name, runner_entry(f"127.0.0.1:{port}"))
         return runner
 
-    async def add_host(self, settled: bool = True) -> Host:
-        """Start a host and wait until it may serve."""
+    async def add_view(self) -> Any:
+        """Serve the platform's store a second time, with faults of its own."""
+        view = PlatformStandIn(self.platform.state, Faults())
+        served = await serve(create_platform_application(view))
+        view.url = served.url
+        self.views.append(served)
+        return view
+
+    async def add_host(self, settled: bool = True, platform: str = "") -> Host:
+        """Start a host and wait until it may serve.
+
+        :param platform: base URL of the store for this host, if it has its own
+        """
         self.port = self.port or free_port()
         ip = f"127.0.0.{len(self.hosts) + 2}"
         settings = NodeSettings(
@@ -127,7 +144,7 @@
             ingress=f"{ip}:{free_port()}",
             readiness=f"{ip}:{free_port()}",
             peer_port=self.port,
-            platform=self.platform.url,
+            platform=platform or self.platform.url,
             stop_seconds=8.0,
             drain_seconds=2.0,
             apply_seconds=2.0,
@@ -178,6 +195,8 @@
                 await host.stop()
         for server in self.servers:
             server.close()
+        for view in self.views:
+            await view.stop()
 
 
 def runner_entry(address: str, **changes: Any) -> dict[str, Any]:
--- a/src/primroseford/gateway/tests/test_forwarding.py
+++ b/src/primroseford/gateway/tests/test_forwarding.py
@@ -5,6 +5,7 @@
 import aiohttp
 import pytest
 
+from primroseford.gateway.follow import Followers
 from primroseford.gateway.tests.rig import HOST
 from primroseford.gateway.tests.rig import KEY
 from primroseford.gateway.tests.rig import configuration
@@ -14,6 +15,11 @@
 WHOLE_STREAM = b"".join(event(number) for number in range(1, 6))
 
 
+def duty(host, kind):
+    """Return a host's duty of a kind."""
+    return next(found for found in host.duties if isinstance(found, kind))
+
+
 def received(rig) -> list:
     """Return what all runners ran."""
     return [request for runner in rig.runners for request in runner.received]
@@ -208,7 +214,8 @@
     """Guards against 401 and 404 for what a newer configuration allows."""
     rig.hosts[0].gateway.confirmed_at -= 100.0
     rig.platform.faults.down = True
-    await rig.until(lambda: not rig.hosts[0].duties[1].tables.reachable)
+    followers = duty(rig.hosts[0], Followers)
+    await rig.until(lambda: not followers.tables.reachable)
     rig.hosts[0].gateway.confirmed_at -= 100.0
     assert (await rig.call("/absent/x"))[0] == 503
     assert (await rig.call("/once/whole", Api_Key="unknown"))[0] == 503
--- a/src/primroseford/platform/transport.py
+++ b/src/primroseford/platform/transport.py
@@ -7,8 +7,10 @@
 from dataclasses import field
 from typing import TYPE_CHECKING
 from typing import Any
+from typing import Protocol
 
 import aiohttp
+from yarl import URL
 
 from primroseford.errors import Outcome
 from primroseford.errors import PrimrosefordError
@@ -24,7 +26,8 @@
 CONNECT_TIMEOUT_SECONDS = 1.0
 WATCH_MARGIN_SECONDS = 0.6
 """Time beyond the wait of a watch after which its connection counts as dead."""
-KEEPALIVE_SECONDS = 10.0
+RELAY_TIMEOUT_SECONDS = 3.0
+"""Time for a call that is made for another host, a waiting watch included."""
 MAX_VALUE_BYTES = 1_000_000
 """Largest object that the service takes."""
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
@@ -38,6 +41,8 @@
     413: ResultCode.BODY_TOO_LARGE,
     429: ResultCode.CALLS_LIMITED,
 }
+AWAY_STATUSES = frozenset({429, 500, 502, 503, 504})
+"""Answers of a store that turns this host away or does not work."""
 READ_VERBS = frozenset({"GET", "LIST", "WATCH"})
 
 
@@ -63,6 +68,16 @@
     timeout: float | None = None
 
 
+class Path(Protocol):
+    """A choice between ways to the service."""
+
+    def base_url(self) -> str:
+        """Return the base URL for the next call."""
+
+    def report(self, base_url: str, good: bool) -> None:
+        """Take whether the service answered a call."""
+
+
 class Transport:
     """Sends calls and maps answers to result codes.
 
@@ -70,6 +85,7 @@
     :param session: HTTP session, owned by the caller
     :param limiter: the host's call limit
     :param metrics: where calls are counted
+    :ivar path: chooses the base URL of each call, if there is a choice
     """
 
     def __init__(
@@ -79,7 +95,8 @@
         limiter: CallLimiter,
         metrics: Metrics,
     ) -> None:
-        self.base_url = base_url.rstrip("/") + PREFIX
+        self.base_url = base_url.rstrip("/")
+        self.path: Path | None = None
         self.session = session
         self.limiter = limiter
         self.calls = metrics.counter(
@@ -102,19 +119,26 @@
         if call.body is not None and len(call.body) > MAX_VALUE_BYTES:
             raise self._failed(call, _too_large(call, len(call.body)))
         await self._admit(call)
+        base_url = self.path.base_url() if self.path else self.base_url
         timeout = aiohttp.ClientTimeout(
             total=call.timeout or CALL_TIMEOUT_SECONDS,
             sock_connect=CONNECT_TIMEOUT_SECONDS,
         )
         try:
-            async with self._request(call, timeout) as response:
+            async with self._request(base_url, call, timeout) as response:
                 content = await _read_bounded(response)
+                self._report(base_url, response.status not in AWAY_STATUSES)
                 if response.status >= 400:
                     raise self._failed(call, _status_error(response.status, call))
                 return json.loads(content)
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
+            self._report(base_url, False)
             raise self._failed(call, _unavailable(call, error)) from error
 
+    def _report(self, base_url: str, good: bool) -> None:
+        if self.path is not None:
+            self.path.report(base_url, good)
+
     async def _admit(self, call: Call) -> None:
         try:
             await self.limiter.acquire(call.priority)
@@ -122,11 +146,11 @@
             raise self._failed(call, error) from None
         self.calls.labels(call.purpose, call.verb).inc()
 
-    def _request(self, call: Call, timeout: aiohttp.ClientTimeout):
+    def _request(self, base_url: str, call: Call, timeout: aiohttp.ClientTimeout):
         method = "GET" if call.verb in READ_VERBS else call.verb
         return self.session.request(
             method,
-            f"{self.base_url}/{call.path}",
+            f"{base_url}{PREFIX}/{call.path}",
             data=call.body,
             params=call.params,
             timeout=timeout,
@@ -140,6 +164,32 @@
         return error
 
 
+async def relay_call(
+    session: aiohttp.ClientSession, method: str, url: str, body: bytes
+) -> tuple[int, bytes]:
+    """Make another host's call to the service and return status and content.
+
+    A call that was surely not made gives 503, one that may have been gives 504.
+    """
+    timeout = aiohttp.ClientTimeout(
+        total=RELAY_TIMEOUT_SECONDS, sock_connect=CONNECT_TIMEOUT_SECONDS
+    )
+    try:
+        async with session.request(
+            method,
+            URL(url, encoded=True),
+            data=body or None,
+            timeout=timeout,
+            headers={"Content-Type": "application/json"} if body else {},
+            middlewares=() if method == "GET" else (_send_once,),
+        ) as response:
+            return response.status, await _read_bounded(response)
+    except aiohttp.ClientConnectorError:
+        return 503, b""
+    except (aiohttp.ClientError, TimeoutError, OSError, ValueError):
+        return 504, b""
+
+
 async def _send_once(
     request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
 ) -> aiohttp.ClientResponse:
