Fewer calls to the store: longer watches, readers led by heartbeats

Change: watches wait 5 s, and a peer's newer version ends a silent one; heartbeats tell of ended jobs; a look stands for 0.8 s while the running host is heard; a job is refreshed before it is taken over.

--- a/src/primroseford/gateway/follow.py
+++ b/src/primroseford/gateway/follow.py
@@ -20,6 +20,7 @@
 from primroseford.platform.runner_list import decode_runner
 
 if TYPE_CHECKING:
+    from primroseford.gateway.gen.messages.ttypes import Heartbeat
     from primroseford.gateway.state import Gateway
     from primroseford.ids import Incarnation
     from primroseford.platform.client import PlatformClient
@@ -31,6 +32,12 @@
 BACKOFF_SECONDS = 0.8
 """Longest pause between two tries to follow: a configuration must be in force within
 seconds of the platform's return."""
+WATCH_SECONDS = 5.0
+"""Wait of one watch call. A change that a watch misses on a silent connection is told
+by the heartbeats of the other hosts."""
+BEHIND_SECONDS = 0.25
+"""Age of a watch from which a peer's newer version means that it hides changes; the
+answers of the store to all hosts come within a few ms of each other."""
 EXPIRE_SECONDS = 0.2
 """Time between two looks for runners whose time to return is over."""
 
@@ -51,6 +58,7 @@
             clock=gateway.clock,
             on_contact=self.tables_contact,
             backoff_max=BACKOFF_SECONDS,
+            watch_seconds=WATCH_SECONDS,
         )
         self.runners = create_reflector(
             client,
@@ -60,8 +68,22 @@
             clock=gateway.clock,
             on_contact=self.runners_contact,
             backoff_max=BACKOFF_SECONDS,
+            watch_seconds=WATCH_SECONDS,
         )
 
+        gateway.on_heartbeat = self.compare_versions
+
+    def compare_versions(self, heartbeat: Heartbeat) -> None:
+        """Read again what another host knows a newer version of.
+
+        A watch on a connection that went silent shows nothing until its time is over.
+        """
+        tables = self.gateway.tables
+        if tables is not None and heartbeat.configuration > tables.version:
+            self.tables.list_again(BEHIND_SECONDS)
+        if heartbeat.runner_list > self.runners.view.version:
+            self.runners.list_again(BEHIND_SECONDS)
+
     async def on_start(self) -> None:
         """Start to follow."""
         await self.tables.start()
@@ -134,6 +156,8 @@
                 revision=delta.version,
             )
         gateway = self.gateway
+        versions = [event.object.version for event in delta.events if event.object]
+        gateway.runner_list_version = max(versions + [gateway.runner_list_version])
         gateway.runner_list.update(present, removed, gateway.clock())
         gateway.runners_known = True
         gateway.places.set_runners(gateway.runner_list.entries)
--- a/src/primroseford/gateway/gen/messages/ttypes.py
+++ b/src/primroseford/gateway/gen/messages/ttypes.py
@@ -295,6 +295,8 @@
      - spending
      - jobs
      - reaches_store
+     - runner_list
+     - ended_jobs
 
     """
 
@@ -311,10 +313,12 @@
         'spending',
         'jobs',
         'reaches_store',
+        'runner_list',
+        'ended_jobs',
     )
 
 
-    def __init__(self, host=None, incarnation=None, address=None, failure_domain=None, sequence=None, leaving=None, configuration=None, waiting=None, loads=None, spending=None, jobs=None, reaches_store=None,):
+    def __init__(self, host=None, incarnation=None, address=None, failure_domain=None, sequence=None, leaving=None, configuration=None, waiting=None, loads=None, spending=None, jobs=None, reaches_store=None, runner_list=None, ended_jobs=None,):
         self.host = host
         self.incarnation = incarnation
         self.address = address
@@ -327,6 +331,8 @@
         self.spending = spending
         self.jobs = jobs
         self.reaches_store = reaches_store
+        self.runner_list = runner_list
+        self.ended_jobs = ended_jobs
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -415,6 +421,21 @@
                     self.reaches_store = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.I64:
+                    self.runner_list = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.LIST:
+                    self.ended_jobs = []
+                    (_etype21, _size18) = iprot.readListBegin()
+                    for _i22 in range(_size18):
+                        _elem23 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.ended_jobs.append(_elem23)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -460,28 +481,39 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter18 in self.loads:
-                iter18.write(oprot)
+            for iter24 in self.loads:
+                iter24.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.spending is not None:
             oprot.writeFieldBegin('spending', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.spending))
-            for iter19 in self.spending:
-                iter19.write(oprot)
+            for iter25 in self.spending:
+                iter25.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.jobs is not None:
             oprot.writeFieldBegin('jobs', TType.LIST, 11)
             oprot.writeListBegin(TType.STRUCT, len(self.jobs))
-            for iter20 in self.jobs:
-                iter20.write(oprot)
+            for iter26 in self.jobs:
+                iter26.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.reaches_store is not None:
             oprot.writeFieldBegin('reaches_store', TType.BOOL, 12)
             oprot.writeBool(self.reaches_store)
             oprot.writeFieldEnd()
+        if self.runner_list is not None:
+            oprot.writeFieldBegin('runner_list', TType.I64, 13)
+            oprot.writeI64(self.runner_list)
+            oprot.writeFieldEnd()
+        if self.ended_jobs is not None:
+            oprot.writeFieldBegin('ended_jobs', TType.LIST, 14)
+            oprot.writeListBegin(TType.STRING, len(self.ended_jobs))
+            for iter27 in self.ended_jobs:
+                oprot.writeString(iter27.encode('utf-8') if sys.version_info[0] == 2 else iter27)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -540,6 +572,8 @@
     (10, TType.LIST, 'spending', (TType.STRUCT, [Spending, None], False), None, ),  # 10
     (11, TType.LIST, 'jobs', (TType.STRUCT, [JobProgress, None], False), None, ),  # 11
     (12, TType.BOOL, 'reaches_store', None, None, ),  # 12
+    (13, TType.I64, 'runner_list', None, None, ),  # 13
+    (14, TType.LIST, 'ended_jobs', (TType.STRING, 'UTF8', False), None, ),  # 14
 )
 fix_spec(all_structs)
 del all_structs
--- a/src/primroseford/gateway/heartbeat.py
+++ b/src/primroseford/gateway/heartbeat.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from typing import TYPE_CHECKING
+from typing import Protocol
 
 import structlog
 from mode import Service
@@ -15,6 +16,7 @@
 from primroseford.gateway.gen.messages.ttypes import Spending
 from primroseford.gateway.loops import repeat
 from primroseford.ids import HostId
+from primroseford.ids import JobId
 from primroseford.ids import OrganisationId
 from primroseford.peer.codec import decode
 from primroseford.peer.codec import encode
@@ -25,7 +27,6 @@
     from primroseford.gateway.state import Gateway
     from primroseford.ids import FailureDomainId
     from primroseford.ids import Incarnation
-    from primroseford.ids import JobId
 
 TICK_SECONDS = 0.06
 """Shortest time between two heartbeats: batch has to step back within about 100 ms of
@@ -44,6 +45,19 @@
 log = structlog.get_logger()
 
 
+class JobTeller(Protocol):
+    """The jobs of a host."""
+
+    def progress(self) -> dict[JobId, int]:
+        """Return the jobs that this host runs, with their numbers of segments."""
+
+    def told_ends(self) -> list[JobId]:
+        """Return the jobs that callers ended lately at this host."""
+
+    def stop_ended(self, job: JobId) -> None:
+        """Take note of a job that its caller ended at another host."""
+
+
 class HeartbeatProtocol(asyncio.DatagramProtocol):
     """Receives heartbeats."""
 
@@ -63,7 +77,7 @@
     """Sends this host's state to its peers and takes theirs.
 
     :param address: ``ip`` and port on which this host receives
-    :param jobs: jobs that this host runs, with their numbers of result segments
+    :param jobs: what to tell of jobs, and who learns of ended ones
     :param reaches_store: whether the platform's store answers this host itself
     """
 
@@ -73,7 +87,7 @@
         incarnation: Incarnation,
         domain: FailureDomainId,
         address: tuple[str, int],
-        jobs: Callable[[], dict[JobId, int]],
+        jobs: JobTeller,
         reaches_store: Callable[[], bool],
     ) -> None:
         super().__init__()
@@ -114,7 +128,7 @@
 
     def _beat(self) -> None:
         self.watch_peers()
-        changed = self.gateway.places.changed or self.jobs() != self.last_jobs
+        changed = self.gateway.places.changed or self.jobs.progress() != self.last_jobs
         if changed or self.gateway.clock() - self.sent_at >= IDLE_SECONDS:
             self.send()
 
@@ -124,7 +138,7 @@
             return
         self.sent_at = self.gateway.clock()
         self.gateway.places.changed = False
-        self.last_jobs = self.jobs()
+        self.last_jobs = self.jobs.progress()
         data = encode(self.heartbeat())
         for peer in self.gateway.members.peers.values():
             host, port = peer.address.rsplit(":", 1)
@@ -148,6 +162,8 @@
             self._spending(),
             [JobProgress(job, count) for job, count in self.last_jobs.items()],
             self.reaches_store(),
+            gateway.runner_list_version,
+            self.jobs.told_ends(),
         )
 
     def _loads(self) -> list[RunnerLoad]:
@@ -187,6 +203,10 @@
             log.info("host joined", peer=host, address=heartbeat.address)
         gateway.places.take_heartbeat(heartbeat)
         self._take_spending(heartbeat, before)
+        for job in heartbeat.ended_jobs:
+            self.jobs.stop_ended(JobId(job))
+        if gateway.on_heartbeat is not None:
+            gateway.on_heartbeat(heartbeat)
 
     def _take_spending(self, heartbeat: Heartbeat, before: Heartbeat | None) -> None:
         gateway = self.gateway
--- a/src/primroseford/gateway/host.py
+++ b/src/primroseford/gateway/host.py
@@ -124,7 +124,7 @@
             incarnation,
             settings.failure_domain,
             address,
-            jobs.progress,
+            jobs,
             lambda: path.reachable,
         )
         self.duties = [
--- a/src/primroseford/gateway/messages.thrift
+++ b/src/primroseford/gateway/messages.thrift
@@ -30,4 +30,6 @@
   10: list<Spending> spending
   11: list<JobProgress> jobs
   12: bool reaches_store
+  13: i64 runner_list
+  14: list<string> ended_jobs
 }
--- a/src/primroseford/gateway/state.py
+++ b/src/primroseford/gateway/state.py
@@ -14,6 +14,7 @@
 from primroseford.gateway.runners import RunnerList
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from random import Random
 
     import aiohttp
@@ -21,6 +22,7 @@
 
     from primroseford.clock import Clock
     from primroseford.gateway.forward import Flow
+    from primroseford.gateway.gen.messages.ttypes import Heartbeat
     from primroseford.gateway.members import Members
     from primroseford.gateway.places import Places
     from primroseford.gateway.places import RunnerState
@@ -65,6 +67,8 @@
 
     :param clock: local time
     :param session: HTTP session for runners
+    :ivar runner_list_version: version of the newest change of a runner that is known
+    :ivar on_heartbeat: takes the versions that other hosts tell
     :ivar tables: configuration in force; nothing until the first one came
     :ivar flows: online requests in progress
     :ivar busy: callers' connections on which a request is being served
@@ -90,6 +94,8 @@
         self.confirmed_at = float("-inf")
         self.runner_list = RunnerList()
         self.runners_known = False
+        self.runner_list_version = 0
+        self.on_heartbeat: Callable[[Heartbeat], None] | None = None
         self.quotas = Quotas(clock())
         self.flows: set[Flow] = set()
         self.busy: set[RequestHandler] = set()
--- a/src/primroseford/jobs/api.py
+++ b/src/primroseford/jobs/api.py
@@ -30,9 +30,9 @@
 FRESH_SECONDS = 0.3
 """Age up to which a look for further results stands for a new one: well within the
 time in which a result that was read elsewhere must be seen."""
-POLL_SECONDS = 0.5
-"""Longest time between two looks while a reader waits; heartbeats of the host that
-runs the job usually tell sooner."""
+FRESH_TOLD_SECONDS = 0.8
+"""The same while the host that runs the job is heard: its heartbeats tell of further
+results, and the look only guards against a second host that runs the job unheard."""
 STEP_SECONDS = 0.05
 ANSWER_BYTES = 900_000
 """Size of the results in one answer, below the bound of a megabyte."""
@@ -139,23 +139,25 @@
         """Return results from a position on, waiting for the first if asked to."""
         gateway = self.gateway
         until = gateway.clock() + call.wait
-        await self._look(view, call.after, FRESH_SECONDS)
+        await self._look(view, call.after)
         while len(view.results) <= call.after and not view.finished:
             left = until - gateway.clock()
             if left <= 0:
                 break
             await asyncio.sleep(min(STEP_SECONDS, left))
-            told = gateway.members.segments(view.job.id) > view.segments
-            own = view.job.id in self.service.runs
-            if not own:
-                await self._look(view, call.after, 0.0 if told else POLL_SECONDS)
+            await self._look(view, call.after)
         return _bounded(view.results[call.after :])
 
-    async def _look(self, view: JobView, after: int, age: float) -> None:
-        """Read further segments unless that was done lately."""
+    async def _look(self, view: JobView, after: int) -> None:
+        """Read further segments if a host tells of them, or the last look is old."""
         if len(view.results) > after or view.finished:
             return
-        if self.gateway.clock() - view.checked_at > age:
+        now = self.gateway.clock()
+        members = self.gateway.members
+        job = view.job.id
+        heard = job in self.service.runs or bool(members.running(job, now))
+        age = FRESH_TOLD_SECONDS if heard else FRESH_SECONDS
+        if members.segments(job) > view.segments or now - view.checked_at > age:
             await self.service.store.refresh(view)
 
 
--- a/src/primroseford/jobs/service.py
+++ b/src/primroseford/jobs/service.py
@@ -43,9 +43,9 @@
 step back at most this long and one heartbeat."""
 DIRECTORY_SECONDS = 0.5
 """Time between two looks for jobs that nobody runs."""
-ENDS_SECONDS = 1.0
-"""Time between two looks for jobs that callers ended elsewhere: a third of the time
-in which an end takes effect."""
+ENDS_SECONDS = 2.0
+"""Time between two looks for jobs that callers ended elsewhere, for ends of which no
+heartbeat told: two thirds of the time in which an end takes effect."""
 SCAN_SECONDS = 4.0
 """Time between two looks at all stored jobs by one host of the fleet."""
 FIRST_SCAN_SECONDS = 1.5
@@ -116,6 +116,7 @@
         self.orphans: dict[JobId, float] = {}
         self.taking: set[JobId] = set()
         self.background: set[asyncio.Task] = set()
+        self.ends: dict[JobId, float] = {}
         self.ends_at = 0.0
         self.scanned_at = 0.0
         self.started_at = gateway.clock()
@@ -128,6 +129,11 @@
         told = {job: count for job, (count, _) in self.told.items()}
         return told | {job: run.view.segments for job, run in self.runs.items()}
 
+    def told_ends(self) -> list[JobId]:
+        """Return the jobs that callers ended lately at this host."""
+        now = self.gateway.clock()
+        return [job for job, until in self.ends.items() if until > now]
+
     def remember(self, view: JobView) -> JobView:
         """Keep a view and return the one to use for its job."""
         known = self.views.setdefault(view.job.id, view)
@@ -389,7 +395,7 @@
         now = self.gateway.clock()
         if self.runs and now - self.ends_at >= ENDS_SECONDS:
             self.ends_at = now
-            for job in await self.store.ended_jobs():
+            for job in await self.store.ended_jobs() & self.runs.keys():
                 self.note_end(job)
         self._stop_doubled(now)
         first = not self.first_scan_done and (
@@ -445,13 +451,12 @@
                 continue
             del self.orphans[job]
             try:
-                view = await self.store.load(job)
+                view = await self.latest(job)
             except PrimrosefordError as error:
                 if error.code is ResultCode.NOT_FOUND:
                     continue
                 self.orphans[job] = since
                 raise
-            view = self.remember(view)
             if view.finished and not view.ended:
                 await self.store.mark_finished(job)
             elif not view.ended and not self.gateway.members.running(job, now):
@@ -470,8 +475,28 @@
         self.background.add(task)
         task.add_done_callback(self.background.discard)
 
+    async def latest(self, job: JobId) -> JobView:
+        """Return a job with all that is listed and whether it has ended.
+
+        :raises PrimrosefordError: NOT_FOUND, or PLATFORM_UNAVAILABLE
+        """
+        view = self.views.get(job)
+        if view is None:
+            return self.remember(await self.store.load(job))
+        await self.store.refresh(view)
+        view.ended = view.ended or await self.store.is_ended(job)
+        return view
+
     def note_end(self, job: JobId) -> None:
-        """Stop a job that its caller ended."""
+        """Stop a job that its caller ended here, and tell the other hosts."""
+        now = self.gateway.clock()
+        self.ends = {j: until for j, until in self.ends.items() if until > now}
+        self.ends[job] = now + TOLD_SECONDS
+        self.gateway.places.changed = True
+        self.stop_ended(job)
+
+    def stop_ended(self, job: JobId) -> None:
+        """Take note of a job that its caller ended at another host."""
         view = self.views.get(job)
         if view is not None:
             view.ended = True
--- a/src/primroseford/platform/reflector.py
+++ b/src/primroseford/platform/reflector.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 from typing import TYPE_CHECKING
 
@@ -11,6 +12,7 @@
 from primroseford.clock import boottime
 from primroseford.errors import PrimrosefordError
 from primroseford.errors import ResultCode
+from primroseford.platform.client import WATCH_WAIT_SECONDS
 from primroseford.platform.limiter import Priority
 from primroseford.platform.view import View
 from primroseford.platform.view import apply_event
@@ -46,6 +48,7 @@
     :param on_contact: called with whether the service answered, before ``reachable``
         changes
     :param backoff_max: longest pause between two tries, in seconds
+    :param watch_seconds: how long one watch call waits for a change
     :ivar reachable: whether the service answered the last call
     """
 
@@ -60,9 +63,13 @@
         fraction: Callable[[], float],
         on_contact: Callable[[bool], None] | None = None,
         backoff_max: float = BACKOFF_MAX_SECONDS,
+        watch_seconds: float = WATCH_WAIT_SECONDS,
     ) -> None:
         super().__init__()
         self.backoff_max = backoff_max
+        self.watch_seconds = watch_seconds
+        self.watching: asyncio.Task | None = None
+        self.behind_since: float | None = None
         self.client = client
         self.kind = kind
         self.callback = callback
@@ -94,7 +101,14 @@
         """
         try:
             await self._list()
-            await self.watch_once()
+            self.watching = asyncio.create_task(self.watch_once())
+            await self.watching
+        except asyncio.CancelledError:
+            if self.behind_since is None or asyncio.current_task().cancelling():
+                raise
+            self.behind_since = None
+            log.info("watch hides changes", kind=self.kind)
+            return 0.0
         except PrimrosefordError as error:
             log.warning("watch ended", kind=self.kind, code=error.code.name)
             if error.code is not ResultCode.WATCH_EXPIRED:
@@ -104,6 +118,17 @@
             self.failures, self.fraction(), BACKOFF_BASE_SECONDS, self.backoff_max
         )
 
+    def list_again(self, seconds: float) -> None:
+        """End the watch, which hides changes, unless it shows them in time.
+
+        :param seconds: how long to wait for the watch to show them
+        """
+        now = self.clock()
+        if self.behind_since is None:
+            self.behind_since = now
+        elif now - self.behind_since >= seconds and self.watching is not None:
+            self.watching.cancel()
+
     async def _list(self) -> None:
         listed = await self.client.list(
             self.kind, purpose=self.purpose, priority=Priority.READ
@@ -130,7 +155,11 @@
         # Spread over the hosts, which may all have listed at once after an outage.
         lifetime = self.relist_seconds * (0.5 + self.fraction() / 2)
         events = self.client.watch(
-            self.kind, self.view.version, purpose=self.purpose, priority=Priority.READ
+            self.kind,
+            self.view.version,
+            purpose=self.purpose,
+            priority=Priority.READ,
+            wait_seconds=self.watch_seconds,
         )
         async for event in events:
             self.failures = 0
@@ -145,6 +174,7 @@
                 return
 
     def _report(self, delta: Delta) -> None:
+        self.behind_since = None
         self.confirmed_at = self.clock()
         self.callback(delta)
 
@@ -160,6 +190,7 @@
     fraction: Callable[[], float] = random.random,
     on_contact: Callable[[bool], None] | None = None,
     backoff_max: float = BACKOFF_MAX_SECONDS,
+    watch_seconds: float = WATCH_WAIT_SECONDS,
 ) -> Reflector:
     """Return a service that follows the objects of one kind.
 
@@ -175,6 +206,7 @@
     :param fraction: source of random numbers from 0 to 1
     :param on_contact: called with whether the service answered
     :param backoff_max: longest pause between two tries, in seconds
+    :param watch_seconds: how long one watch call waits for a change
     """
     return Reflector(
         client,
@@ -186,4 +218,5 @@
         fraction,
         on_contact,
         backoff_max,
+        watch_seconds,
     )
--- a/src/primroseford/standins/platform.py
+++ b/src/primroseford/standins/platform.py
@@ -187,6 +187,9 @@
         if faults.cut_watches > 0:
             faults.cut_watches -= 1
             return _cut(request)
+        if faults.hold_watches:
+            await asyncio.sleep(FAULT_CHECK_SECONDS)
+            continue
         changed = stand_in.changed
         changes = stand_in.state.changes_since(kind, version)
         left = until - time.monotonic()
--- a/src/primroseford/standins/platform_state.py
+++ b/src/primroseford/standins/platform_state.py
@@ -58,6 +58,7 @@
     :param calls_per_second: refuse calls above this rate with 429; 0 is no limit
     :param cut_watches: end the open watches; each one counts the number down
     :param skip_watch_events: number of coming watch events that are left out
+    :param hold_watches: let waiting watches stay silent, as on a dead connection
     :param expire_watches: number of coming watches that are refused with 410
     """
 
@@ -70,6 +71,7 @@
     cut_watches: int = 0
     skip_watch_events: int = 0
     expire_watches: int = 0
+    hold_watches: bool = False
 
 
 @dataclass
