Read jobs from the host that runs them; test the jobs slice

Change: hosts read jobs and segments from the host that runs the job, and from the store if none does. Tests of acceptance, lost answers, take-over, doubled runs, ends, poison items, limits, large jobs and removal on stand-ins.

--- a/src/primroseford/gateway/host.py
+++ b/src/primroseford/gateway/host.py
@@ -31,6 +31,9 @@
 from primroseford.gateway.watchdog import Watchdog
 from primroseford.ids import Incarnation
 from primroseford.jobs.api import JobApi
+from primroseford.jobs.peers import PATH as JOBS_PATH
+from primroseford.jobs.peers import JobPeers
+from primroseford.jobs.peers import create_jobs_handler
 from primroseford.jobs.service import JobService
 from primroseford.jobs.store import JobStore
 from primroseford.metrics import Metrics
@@ -41,6 +44,7 @@
 
 if TYPE_CHECKING:
     from primroseford.clock import Clock
+    from primroseford.ids import JobId
     from primroseford.platform.settings import NodeSettings
 
 BALANCER_SECONDS = 3.2
@@ -115,7 +119,10 @@
             GatewayMetrics(self.metrics),
         )
         jobs = JobService(
-            gateway, JobStore(client, self.clock), settings.job_retention_seconds
+            gateway,
+            JobStore(client, self.clock),
+            JobPeers(store, lambda job: _running(members, job, self.clock())),
+            settings.job_retention_seconds,
         )
         incarnation = Incarnation(uuid.uuid4().hex[:12])
         address = (settings.ip, settings.peer_port)
@@ -152,10 +159,13 @@
         settings = self.settings
         metrics = f"{settings.ip}:{settings.peer_port + METRICS_PORT_OFFSET}"
         relay = create_relay_handler(settings.platform, self.sessions[1])
+        read_job = create_jobs_handler(jobs.service.views)
 
         async def handle(request: BaseRequest) -> web.StreamResponse:
             if request.raw_path.startswith(PREFIX):
                 return await relay(request)
+            if request.raw_path.startswith(JOBS_PATH):
+                return await read_job(request)
             return await self._metrics(request)
 
         server = web.Server(handle, request_factory=_create_request, access_log=None)
@@ -224,14 +234,25 @@
         log.info("host stopped", host=self.settings.host)
 
 
+def _running(members: Members, job: JobId, now: float) -> list[str]:
+    """Return the base URLs of the hosts that run a job."""
+    hosts = members.running(job, now)
+    return [_base_url(members.peers[host].address) for host in hosts]
+
+
+def _base_url(address: str) -> str:
+    """Return the base URL for calls to a host.
+
+    :param address: where it takes heartbeats
+    """
+    ip, port = address.rsplit(":", 1)
+    return f"http://{ip}:{int(port) + METRICS_PORT_OFFSET}"
+
+
 def _relays(members: Members, now: float) -> list[str]:
     """Return the base URLs of the hosts that can call the store for this one."""
-    urls = []
-    for peer in members.live(now):
-        if peer.last.reaches_store:
-            ip, port = peer.address.rsplit(":", 1)
-            urls.append(f"http://{ip}:{int(port) + METRICS_PORT_OFFSET}")
-    return urls
+    live = members.live(now)
+    return [_base_url(peer.address) for peer in live if peer.last.reaches_store]
 
 
 def _create_request(message, payload, protocol, writer, task) -> BaseRequest:
--- a/src/primroseford/jobs/api.py
+++ b/src/primroseford/jobs/api.py
@@ -119,11 +119,8 @@
         return await self._end(view)
 
     async def _view(self, job) -> JobView:
-        view = self.service.views.get(job)
-        if view is not None:
-            return view
         try:
-            return self.service.remember(await self.service.store.load(job))
+            return await self.service.read(job)
         except PrimrosefordError as error:
             if error.code is ResultCode.NOT_FOUND:
                 raise _unknown() from error
@@ -158,7 +155,7 @@
         heard = job in self.service.runs or bool(members.running(job, now))
         age = FRESH_TOLD_SECONDS if heard else FRESH_SECONDS
         if members.segments(job) > view.segments or now - view.checked_at > age:
-            await self.service.store.refresh(view)
+            await self.service.refresh(view)
 
 
 def _bounded(results: list[ItemResult]) -> list[ItemResult]:
--- /dev/null
+++ b/src/primroseford/jobs/peers.py
@@ -0,0 +1,119 @@
+"""Reads jobs from the host that runs them, which costs the platform's store nothing.
+
+What the running host gives is in the store already, so it is a prefix of what the
+store would give. It may lag behind only if a second host runs the same job unheard.
+"""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING
+
+import aiohttp
+import structlog
+from aiohttp import web
+from yarl import URL
+
+from primroseford.ids import JobId
+from primroseford.jobs.state import JobView
+from primroseford.jobs.state import decode_job
+from primroseford.jobs.state import decode_result
+from primroseford.jobs.state import encode_item
+from primroseford.jobs.state import encode_job
+from primroseford.jobs.state import encode_result
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from aiohttp.web_request import BaseRequest
+
+PATH = "/jobs/"
+TIMEOUT_SECONDS = 0.5
+"""Time for an answer, which takes a few ms; the store is asked after it."""
+
+log = structlog.get_logger()
+
+
+class JobPeers:
+    """Asks other hosts about the jobs that they run.
+
+    :param session: HTTP session for calls between hosts
+    :param running: base URLs of the live hosts that run a job
+    """
+
+    def __init__(
+        self, session: aiohttp.ClientSession, running: Callable[[JobId], list[str]]
+    ) -> None:
+        self.session = session
+        self.running = running
+
+    async def load(self, job: JobId) -> JobView | None:
+        """Return a job as a host that runs it knows it; nothing if none answers."""
+        found = await self._ask(job, 0)
+        if found is None:
+            return None
+        view = JobView(decode_job(job, found["job"], found["items"]))
+        _append(view, 0, found)
+        return view
+
+    async def refresh(self, view: JobView) -> bool:
+        """Add the segments that a running host knows.
+
+        :returns: whether a host answered
+        """
+        number = view.segments
+        found = await self._ask(view.job.id, number)
+        if found is None:
+            return False
+        _append(view, number, found)
+        return True
+
+    async def _ask(self, job: JobId, number: int) -> dict | None:
+        for base_url in self.running(job):
+            url = URL(f"{base_url}{PATH}{job}?after={number}", encoded=True)
+            timeout = aiohttp.ClientTimeout(total=TIMEOUT_SECONDS)
+            try:
+                async with self.session.get(url, timeout=timeout) as answer:
+                    if answer.status == 200:
+                        return json.loads(await answer.read())
+            except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
+                log.info("job not read from peer", job=job, reason=repr(error))
+        return None
+
+
+def _append(view: JobView, number: int, found: dict) -> None:
+    view.ended = view.ended or found["ended"]
+    for offset, segment in enumerate(found["segments"]):
+        # Another reader of the same view may have added it meanwhile.
+        if view.segments == number + offset:
+            view.append([decode_result(result) for result in segment])
+
+
+def create_jobs_handler(views: dict[JobId, JobView]):
+    """Return the handler of other hosts' reads.
+
+    :param views: jobs that this host knows
+    """
+
+    async def handle(request: BaseRequest) -> web.Response:
+        path, _, query = request.raw_path.removeprefix(PATH).partition("?")
+        view = views.get(JobId(path))
+        number = query.removeprefix("after=")
+        if view is None or not number.isdigit():
+            return web.Response(status=404)
+        return web.Response(body=json.dumps(_encode(view, int(number))).encode())
+
+    return handle
+
+
+def _encode(view: JobView, number: int) -> dict:
+    starts = [0, *view.ends]
+    segments = [
+        [encode_result(result) for result in view.results[start:end]]
+        for start, end in zip(starts[number:], view.ends[number:], strict=False)
+    ]
+    found = {"ended": view.ended, "segments": segments}
+    if number == 0:
+        items = [encode_item(item) for item in view.job.items]
+        found |= {"job": encode_job(view.job), "items": items}
+    return found
--- a/src/primroseford/jobs/service.py
+++ b/src/primroseford/jobs/service.py
@@ -35,6 +35,7 @@
     from primroseford.ids import JobId
     from primroseford.ids import OrganisationId
     from primroseford.ids import PoolName
+    from primroseford.jobs.peers import JobPeers
     from primroseford.jobs.state import Job
     from primroseford.jobs.store import JobStore
 
@@ -100,15 +101,19 @@
     """Starts, pauses and lists batch items.
 
     :param store: jobs in the platform's store
+    :param peers: jobs that other hosts run
     :param retention: seconds for which a job stays readable
     :ivar runs: jobs that this host runs
     :ivar views: jobs that this host has read
     """
 
-    def __init__(self, gateway: Gateway, store: JobStore, retention: float) -> None:
+    def __init__(
+        self, gateway: Gateway, store: JobStore, peers: JobPeers, retention: float
+    ) -> None:
         super().__init__()
         self.gateway = gateway
         self.store = store
+        self.peers = peers
         self.retention = retention
         self.runs: dict[JobId, JobRun] = {}
         self.views: dict[JobId, JobView] = {}
@@ -475,6 +480,28 @@
         self.background.add(task)
         task.add_done_callback(self.background.discard)
 
+    async def read(self, job: JobId) -> JobView:
+        """Return a job as this host or a host that runs it knows it, or as stored.
+
+        :raises PrimrosefordError: NOT_FOUND, or PLATFORM_UNAVAILABLE
+        """
+        view = self.views.get(job)
+        if view is None:
+            found = await self.peers.load(job) or await self.store.load(job)
+            view = self.remember(found)
+        return view
+
+    async def refresh(self, view: JobView) -> None:
+        """Read the results that a view lacks.
+
+        :raises PrimrosefordError: PLATFORM_UNAVAILABLE
+        """
+        asked_at = self.gateway.clock()
+        if view.job.id not in self.runs and await self.peers.refresh(view):
+            view.checked_at = asked_at
+        else:
+            await self.store.refresh(view)
+
     async def latest(self, job: JobId) -> JobView:
         """Return a job with all that is listed and whether it has ended.
 
@@ -514,13 +541,13 @@
         :param enough: number up to which an estimate from above does
         """
         for job in self.gateway.members.known_jobs() - set(self.views):
-            self.remember(await self.store.load(job))
+            await self.read(job)
         waiting = self._sum_waiting(owner, route)
         if waiting <= enough:
             return waiting
         for view in list(self.views.values()):
             if view.job.organisation == owner and view.job.id not in self.runs:
-                await self.store.refresh(view)
+                await self.refresh(view)
         return self._sum_waiting(owner, route)
 
     def _sum_waiting(self, owner: OrganisationId | None, route: Route) -> int:
--- a/src/primroseford/jobs/state.py
+++ b/src/primroseford/jobs/state.py
@@ -75,7 +75,7 @@
 class JobView:
     """What a host knows of a job; results are only ever added.
 
-    :param segments: number of result segments that were read
+    :param ends: number of results up to the end of each segment that was read
     :param checked_at: local time of the last look for further segments
     :param ended: whether the caller ended the job
     """
@@ -83,7 +83,7 @@
     job: Job
     results: list[ItemResult] = field(default_factory=list)
     listed: set[ItemId] = field(default_factory=set)
-    segments: int = 0
+    ends: list[int] = field(default_factory=list)
     checked_at: float = float("-inf")
     ended: bool = False
 
@@ -94,7 +94,12 @@
         """
         self.results.extend(results)
         self.listed.update(result.id for result in results)
-        self.segments += 1
+        self.ends.append(len(self.results))
+
+    @property
+    def segments(self) -> int:
+        """Number of result segments that were read."""
+        return len(self.ends)
 
     @property
     def finished(self) -> bool:
--- /dev/null
+++ b/src/primroseford/jobs/tests/test_jobs.py
@@ -0,0 +1,310 @@
+from __future__ import annotations
+
+import asyncio
+import base64
+import json
+
+import pytest
+
+from primroseford.jobs.service import JobService
+from primroseford.jobs.store import JOBS
+from primroseford.jobs.store import SEGMENTS
+from primroseford.standins.fleet_runner import event
+
+TEXT = "\n".join(f"token {number}" for number in range(1, 6))
+
+
+def submission(count: int = 3, prefix: str = "it", tokens: int = 100) -> bytes:
+    """Return the body of a job."""
+    items = [
+        {
+            "id": f"{prefix}{number}",
+            "path": f"/notes/{prefix}{number}",
+            "headers": {"Model": "m", "Prompt-Prefix": "a:1"},
+            "body": base64.b64encode(b"\x00prompt").decode(),
+            "tokens": tokens,
+        }
+        for number in range(count)
+    ]
+    return json.dumps({"items": items}).encode()
+
+
+def service(host) -> JobService:
+    """Return the job service of a host."""
+    return next(duty for duty in host.duties if isinstance(duty, JobService))
+
+
+async def submit(rig, job: str, host: int = 0, **fields):
+    """Submit a job and return the status."""
+    body = submission(**fields)
+    return (await rig.call("/notes/x", job, host=host, body=body))[0]
+
+
+async def read(rig, job: str, after: int = 0, host: int = 0):
+    """Return the decoded answer to a read."""
+    status, _, body = await rig.call(
+        f"/lots/{job}?after={after}", method="GET", host=host, body=b"", Wait_Ms="1000"
+    )
+    assert status == 200
+    return json.loads(body)
+
+
+async def read_all(rig, job: str, host: int = 0):
+    """Read until every item is listed, and return the results."""
+    results: list[dict] = []
+    async with asyncio.timeout(30):
+        while True:
+            found = await read(rig, job, len(results), host)
+            assert found["next"] == len(results) + len(found["results"])
+            results += found["results"]
+            if len(results) == found["total"]:
+                return results
+
+
+async def join(rig, count: int = 1, **fields):
+    """Add hosts and wait until all hear each other."""
+    for _ in range(count):
+        await rig.add_host(**fields)
+    for host in rig.hosts:
+        members = host.gateway.members
+        await rig.until(lambda m=members, h=host: len(m.live(h.clock())) == count)
+
+
+def stored(rig, kind: str) -> dict:
+    """Return the stored objects of a kind."""
+    return rig.platform.state.objects.get(kind, {})
+
+
+async def test_job_completes_and_reads_alike_everywhere(rig):
+    """Guards against lost items and positions that differ between hosts."""
+    await join(rig)
+    assert await submit(rig, "job1") == 202
+    here = await read_all(rig, "job1")
+    there = await read_all(rig, "job1", host=1)
+    assert here == there
+    assert sorted(result["id"] for result in here) == ["it0", "it1", "it2"]
+    assert {(r["state"], r["text"]) for r in here} == {("complete", TEXT)}
+    runs = [run for runner in rig.runners for run in runner.received]
+    assert {run.request_id for run in runs} == {"it0", "it1", "it2"}
+    assert all(run.body == b"\x00prompt" for run in runs)
+    assert all(run.headers["Tenant"] == "caroni" for run in runs)
+    assert all(run.headers["Prompt-Prefix"] == "a:1" for run in runs)
+
+
+@pytest.mark.parametrize("second_host", [0, 1])
+async def test_job_is_accepted_once(rig, second_host):
+    """Guards against a resent job that runs twice."""
+    await join(rig)
+    assert await submit(rig, "job1") == 202
+    assert await submit(rig, "job1", host=second_host) == 202
+    results = await read_all(rig, "job1", host=second_host)
+    assert len(results) == 3 and len(stored(rig, JOBS)) == 1
+    runs = [run.request_id for r in rig.runners for run in r.received]
+    assert sorted(runs) == ["it0", "it1", "it2"]
+
+
+@pytest.mark.parametrize(
+    ("fault", "status"),
+    [("lose_write_answers", 202), ("lose_writes", 202), ("down", 503)],
+)
+async def test_truth_of_the_answer_to_a_submission(rig, fault, status):
+    """Guards against a refusal of a job that runs, and a 202 of one that is lost."""
+    setattr(rig.platform.faults, fault, True if fault == "down" else 1)
+    assert await submit(rig, "job1") == status
+    rig.platform.faults.down = False
+    assert len(stored(rig, JOBS)) == (status == 202)
+
+
+async def test_unknown_outcome_is_no_refusal(rig):
+    """Guards against 429 or 503 for a job that may be accepted yet."""
+    rig.platform.faults.lose_write_answers = 1
+    rig.platform.faults.down_after_writes = 1
+    assert await submit(rig, "job1") == 504
+    rig.platform.faults.down = False
+    assert await submit(rig, "job1") == 202
+    assert len(await read_all(rig, "job1")) == 3
+
+
+@pytest.mark.parametrize(
+    ("status", "runs", "state"),
+    [(422, 1, "dead_letter"), (500, 3, "dead_letter")],
+)
+async def test_item_that_can_never_be_done(rig, status, runs, state):
+    """Guards against poison items that run for ever, or are given up too early."""
+    for runner in rig.runners:
+        runner.faults.status = status
+    assert await submit(rig, "job1", count=1) == 202
+    (result,) = await read_all(rig, "job1")
+    assert result == {"id": "it0", "state": state, "text": ""}
+    assert sum(len(runner.received) for runner in rig.runners) == runs
+
+
+@pytest.mark.parametrize("faults", [{"cut_after": 2, "cuts": 1}, {"wrong_id": True}])
+async def test_broken_run_goes_on_elsewhere(rig, faults):
+    """Guards against missing and doubled events in a text."""
+    for name, value in faults.items():
+        setattr(rig.runners[0].faults, name, value)
+    assert await submit(rig, "job1", count=2) == 202
+    results = await read_all(rig, "job1")
+    assert {result["text"] for result in results} == {TEXT}
+
+
+async def test_paused_item_resumes_after_its_last_event(rig):
+    """Guards against a pause that loses or repeats events."""
+    for runner in rig.runners:
+        runner.events, runner.event_seconds = 40, 0.02
+    assert await submit(rig, "job1", count=1) == 202
+    runs = service(rig.hosts[0]).runs["job1"]
+    await rig.until(lambda: any(len(i.data) > 3 for i in runs.running))
+    (item,) = runs.running
+    item.task.cancel()
+    (result,) = await read_all(rig, "job1")
+    assert result["text"] == "\n".join(f"token {n}" for n in range(1, 41))
+    runs = [run for runner in rig.runners for run in runner.received]
+    assert max(int(r.headers.get("Last-Event-Id", 0)) for r in runs) > 3
+
+
+@pytest.mark.parametrize("way", ["silent", "leaving"])
+async def test_job_of_a_lost_host_is_taken_over(rig, way):
+    """Guards against jobs that nobody runs after their host is gone."""
+    await join(rig, 2)
+    for runner in rig.runners:
+        runner.events, runner.event_seconds = 40, 0.02
+    assert await submit(rig, "job1") == 202
+    await rig.until(lambda: sum(r.open for r in rig.runners) == 3)
+    lost = rig.hosts[0]
+    if way == "leaving":
+        lost.gateway.stopping = True
+    for duty in lost.duties:
+        await duty.stop()
+    results = await read_all(rig, "job1", host=1)
+    assert len({result["id"] for result in results}) == 3
+
+
+async def test_all_hosts_are_lost(rig):
+    """Guards against jobs that only memory knew."""
+    rig.runners[0].faults.silent = rig.runners[1].faults.silent = True
+    assert await submit(rig, "job1") == 202
+    await rig.until(lambda: sum(r.open for r in rig.runners) == 3)
+    for duty in rig.hosts[0].duties:
+        await duty.stop()
+    rig.runners[0].faults.silent = rig.runners[1].faults.silent = False
+    await rig.add_host()
+    assert len(await read_all(rig, "job1", host=1)) == 3
+
+
+async def test_two_hosts_that_run_one_job_list_each_item_once(rig):
+    """Guards against items at two positions after a wrong take-over."""
+    await join(rig)
+    for runner in rig.runners:
+        runner.events, runner.event_seconds = 20, 0.01
+    assert await submit(rig, "job1", count=5) == 202
+    other = service(rig.hosts[1])
+    other.start_job(await other.read("job1"))
+    results = await read_all(rig, "job1", host=1)
+    assert sorted(r["id"] for r in results) == [f"it{n}" for n in range(5)]
+    assert await read_all(rig, "job1") == results
+
+
+async def test_stale_view_starts_no_finished_job(rig):
+    """Guards against a take-over from a view that lacks the latest results."""
+    await join(rig)
+    assert await submit(rig, "job1") == 202
+    late = service(rig.hosts[1])
+    await late.read("job1")
+    await read_all(rig, "job1")
+    await rig.until(lambda: "job1" not in service(rig.hosts[0]).runs)
+    runs = sum(len(runner.received) for runner in rig.runners)
+    for host in rig.hosts:
+        service(host).orphans["job1"] = host.clock() - 100
+        await service(host)._take_orphans(host.clock())
+    assert all(not service(host).runs for host in rig.hosts)
+    assert sum(len(runner.received) for runner in rig.runners) == runs
+
+
+@pytest.mark.parametrize("end_host", [0, 1])
+async def test_ended_job_stops(rig, end_host):
+    """Guards against items that run after their job was ended."""
+    await join(rig)
+    for runner in rig.runners:
+        runner.faults.silent = True
+    assert await submit(rig, "job1") == 202
+    await rig.until(lambda: sum(r.open for r in rig.runners) == 3)
+    for _ in range(2):
+        status, _, _ = await rig.call(
+            "/lots/job1", method="DELETE", host=end_host, body=b""
+        )
+        assert status == 200
+    await rig.until(lambda: sum(r.open for r in rig.runners) == 0)
+    assert (await read(rig, "job1"))["results"] == []
+
+
+async def test_body_of_an_item(rig):
+    """Guards against bodies that are lost or changed."""
+    rig.runners[0].faults.silent = rig.runners[1].faults.silent = True
+    await submit(rig, "job1")
+    for item, status in (("it1", 200), ("absent", 404)):
+        found, _, body = await rig.call(
+            f"/items/job1?id={item}", method="GET", body=b""
+        )
+        assert found == status
+        assert status == 404 or body == b"\x00prompt"
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"",
+        b"[]",
+        b'{"items":[]}',
+        b'{"items":[{"id":"a"}]}',
+        submission(201),
+        submission(2).replace(b"it1", b"it0"),
+        submission(1).replace(b'"body": "', b'"body": "*'),
+    ],
+    ids=["empty", "list", "no items", "no path", "too many", "same id", "not base64"],
+)
+async def test_malformed_job_is_refused(rig, body):
+    """Guards against malformed jobs that are accepted or break the host."""
+    status, _, _ = await rig.call("/notes/x", "job1", body=body)
+    assert 400 <= status < 429 and not stored(rig, JOBS)
+
+
+async def test_jobs_beyond_the_limit_are_refused(rig):
+    """Guards against more waiting tokens than an organisation may have."""
+    rig.runners[0].faults.silent = rig.runners[1].faults.silent = True
+    await join(rig)
+    assert await submit(rig, "job1", tokens=2_000) == 202
+    await rig.until(lambda: rig.hosts[1].gateway.members.known_jobs() == {"job1"})
+    assert await submit(rig, "job2", host=1, tokens=2_000) == 429
+    assert await submit(rig, "job3", host=1, tokens=1_000) == 202
+
+
+async def test_large_job_is_stored_in_parts(rig):
+    """Guards against a job that is larger than the store's values."""
+    body = json.loads(submission(4))
+    for item in body["items"]:
+        item["body"] = base64.b64encode(b"x" * 400_000).decode()
+    content = json.dumps(body).encode()
+    status, _, _ = await rig.call("/notes/x", "job1", body=content)
+    assert status == 202
+    assert len(stored(rig, "batch-parts")) == 3
+    assert len(await read_all(rig, "job1")) == 4
+
+
+async def test_finished_jobs_are_removed_after_their_time(rig):
+    """Guards against jobs that fill the store, and results that go too early."""
+    jobs = service(rig.hosts[0])
+    await submit(rig, "job1")
+    await read_all(rig, "job1")
+    await rig.until(lambda: "job1" not in jobs.runs)
+    await jobs._scan(rig.hosts[0].clock())
+    assert stored(rig, JOBS)
+    jobs.retention = -1000.0
+    await jobs._scan(rig.hosts[0].clock())
+    assert not stored(rig, JOBS) and not stored(rig, SEGMENTS)
+
+
+def test_events_of_the_stand_in_are_numbered():
+    """Guards against a stand-in whose text would hide a lost event."""
+    assert event(2) == b"id: 2\ndata: token 2\n\n"
