--- /dev/null
+++ b/src/primroseford/gateway/tests/test_decisions.py
@@ -0,0 +1,216 @@
+"""Tables of the gateway's pure decisions."""
+
+from __future__ import annotations
+
+from random import Random
+
+import pytest
+
+from primroseford.gateway.gen.messages.ttypes import Heartbeat
+from primroseford.gateway.gen.messages.ttypes import JobProgress
+from primroseford.gateway.members import SILENCE_SECONDS
+from primroseford.gateway.members import Members
+from primroseford.gateway.members import preferred_host
+from primroseford.gateway.placement import QUEUE_AT_RUNNER
+from primroseford.gateway.placement import RunnerLoad
+from primroseford.gateway.placement import batch_runner
+from primroseford.gateway.placement import choose_runner
+from primroseford.gateway.placement import expected_wait
+from primroseford.gateway.placement import items_to_pause
+from primroseford.gateway.retry import MAX_REFUSALS
+from primroseford.gateway.retry import Next
+from primroseford.gateway.retry import next_step
+from primroseford.gateway.retry import silence_limit
+from primroseford.gateway.runners import RETURN_SECONDS
+from primroseford.gateway.runners import RunnerEntry
+from primroseford.gateway.runners import RunnerKey
+from primroseford.gateway.runners import RunnerList
+from primroseford.gateway.runners import RunnerStage
+from primroseford.gateway.tables import Route
+from primroseford.gateway.tables import RouteKind
+
+
+def load(name: str, online: int = 0, batch: int = 0, own: int = 0, domain: str = "a"):
+    """Return the load of a runner with eight slots."""
+    return RunnerLoad(RunnerKey(name, 1), domain, 8, online, batch, own)
+
+
+@pytest.mark.parametrize(
+    ("loads", "chosen"),
+    [
+        ([], None),
+        ([load("x", 3), load("y", 2)], "y"),
+        ([load("x", 2, 2), load("y", 3)], "y"),
+        ([load("x", 2, domain="b"), load("y", 2)], "y"),
+        ([load("x", 8), load("y", 9)], "x"),
+        ([load("x", 8 + QUEUE_AT_RUNNER), load("y", 9 + QUEUE_AT_RUNNER)], None),
+    ],
+)
+def test_choice_of_the_runner(loads, chosen):
+    """Guards against requests that wait at one runner while another has room."""
+    found = choose_runner(loads, "a", Random(1))
+    assert (found.key.name if found else None) == chosen
+
+
+@pytest.mark.parametrize(
+    ("loads", "chosen"),
+    [
+        ([load("x", 0), load("y", 1)], "x"),
+        ([load("x", 6), load("y", 6)], None),
+        ([load("x", 8, 2), load("y", 0)], "y"),
+    ],
+)
+def test_batch_leaves_room_for_a_wave(loads, chosen):
+    """Guards against batch items that take the last free slots."""
+    found = batch_runner(loads, Random(1))
+    assert (found.key.name if found else None) == chosen
+
+
+@pytest.mark.parametrize(
+    ("loads", "least", "most"),
+    [
+        ([load("x", 2, 4, 4), load("y", 2, 4, 4)], 0, 0),
+        ([load("x", 4, 4, 4), load("y", 4, 4, 4)], 4, 4),
+        ([load("x", 4, 4, 2), load("y", 4, 4, 2)], 2, 2),
+        ([load("x", 9, 4, 1), load("y", 9, 4)], 1, 1),
+        ([load("x", 8), load("y", 8)], 0, 0),
+    ],
+)
+def test_batch_steps_back_for_a_wave(loads, least, most):
+    """Guards against online requests that wait behind batch items."""
+    assert least <= items_to_pause(loads, Random(1)) <= most
+
+
+@pytest.mark.parametrize(
+    ("ahead", "loads", "wait"),
+    [
+        (0, [load("x", 2)], 0.0),
+        (0, [load("x", 10)], 0.1),
+        (7, [load("x", 10)], 0.8),
+        (0, [], float("inf")),
+    ],
+)
+def test_expected_wait(ahead, loads, wait):
+    """Guards against requests that wait although they cannot be served in time."""
+    assert expected_wait(ahead, loads, 0.8) == pytest.approx(wait)
+
+
+def route(kind: RouteKind, attempts: int = 2, resumable: bool = False) -> Route:
+    """Return a route."""
+    return Route(
+        "r", "h", "/", kind, (("p", 1.0),), 5, 0.3, 0, attempts, resumable=resumable
+    )
+
+
+@pytest.mark.parametrize(
+    ("kind", "resumable", "runs", "refusals", "may_have_run", "begun", "step"),
+    [
+        (RouteKind.IDEMPOTENT, False, 1, 0, True, False, Next.AGAIN),
+        (RouteKind.IDEMPOTENT, False, 2, 0, True, False, Next.FAIL),
+        (RouteKind.IDEMPOTENT, False, 0, MAX_REFUSALS, False, False, Next.FAIL),
+        (RouteKind.NON_IDEMPOTENT, False, 1, 0, True, False, Next.FAIL),
+        (RouteKind.NON_IDEMPOTENT, False, 0, 1, False, False, Next.AGAIN),
+        (RouteKind.STREAMING, False, 1, 0, True, False, Next.FAIL),
+        (RouteKind.STREAMING, True, 1, 0, True, True, Next.AGAIN),
+        (RouteKind.STREAMING, True, 1, 1, False, True, Next.AGAIN),
+        (RouteKind.STREAMING, False, 1, 1, False, True, Next.FAIL),
+    ],
+)
+def test_what_follows_a_failed_attempt(
+    kind, resumable, runs, refusals, may_have_run, begun, step
+):
+    """Guards against second runs, and against giving up what may go on."""
+    asked = route(kind, 2, resumable)
+    assert next_step(asked, runs, refusals, may_have_run, begun) is step
+
+
+@pytest.mark.parametrize(
+    ("asked", "runs", "ends"),
+    [
+        (route(RouteKind.IDEMPOTENT), 0, True),
+        (route(RouteKind.IDEMPOTENT), 1, False),
+        (route(RouteKind.NON_IDEMPOTENT), 0, False),
+        (route(RouteKind.STREAMING), 0, False),
+        (route(RouteKind.STREAMING, resumable=True), 0, True),
+        (route(RouteKind.STREAMING, 1, resumable=True), 0, False),
+    ],
+)
+def test_only_attempts_with_another_behind_end_by_silence(asked, runs, ends):
+    """Guards against answers that are cut because their runner is silent."""
+    assert (silence_limit(asked, runs, 0.1) is not None) == ends
+
+
+def entry(name: str, stage: RunnerStage = RunnerStage.READY, born: int = 1):
+    """Return an entry of the runner list."""
+    return RunnerEntry(RunnerKey(name, born), "p", "1.2.3.4:5", "a", 8, stage)
+
+
+@pytest.mark.parametrize(
+    ("returned_at", "stage", "removed_at", "left_at"),
+    [
+        (None, RunnerStage.READY, 10.0, 10.0),
+        (10.0, RunnerStage.READY, 10.5, 10.0 + RETURN_SECONDS),
+        (10.0, RunnerStage.DRAINING, 10.5, 10.5),
+        (10.0, RunnerStage.READY, 12.5, 12.5),
+    ],
+)
+def test_missing_runner_after_an_outage(returned_at, stage, removed_at, left_at):
+    """Guards against dropping live runners whose entries lapsed, and keeping others."""
+    runners = RunnerList()
+    runners.update([entry("x", stage), entry("y")], [], 1.0)
+    if returned_at is not None:
+        runners.platform_returned(returned_at)
+    runners.update([], ["x"], removed_at)
+    assert ("x" in runners.entries) == (removed_at < left_at)
+    runners.expire(left_at)
+    assert set(runners.entries) == {"y"}
+
+
+def test_runner_that_returns_is_kept():
+    """Guards against dropping a runner whose entry came back."""
+    runners = RunnerList()
+    runners.update([entry("x")], [], 1.0)
+    runners.platform_returned(10.0)
+    runners.update([], ["x"], 10.1)
+    runners.update([entry("x", born=2)], [], 11.0)
+    assert runners.expire(20.0) == [] and runners.entries["x"].key.born == 2
+
+
+def heartbeat(host: str, sequence: int = 1, incarnation: str = "i", **fields):
+    """Return a peer's heartbeat."""
+    fields = {"jobs": [], "leaving": False, "spending": []} | fields
+    return Heartbeat(
+        host, incarnation, f"{host}:1", "a", sequence=sequence, loads=[], **fields
+    )
+
+
+def test_members_by_their_heartbeats():
+    """Guards against lost hosts that count as live, and jobs that nobody takes over."""
+    members = Members("a")
+    members.learn("b", "b:1", 0.0)
+    members.receive(heartbeat("b", 5, jobs=[JobProgress("j", 2)]), 1.0)
+    members.receive(heartbeat("c", 1), 1.0)
+    assert members.hosts(1.0) == ["a", "b", "c"]
+    assert members.running("j", 1.0) == ["b"] and members.segments("j") == 2
+    with pytest.raises(ValueError, match="order"):
+        members.receive(heartbeat("b", 4), 1.5)
+    with pytest.raises(ValueError, match="own"):
+        members.receive(heartbeat("a", 4), 1.5)
+    members.receive(heartbeat("c", 2, leaving=True), 1.5)
+    later = 1.1 + SILENCE_SECONDS
+    assert members.hosts(later) == ["a"] and members.running("j", later) == []
+    assert [peer.host for peer in members.silent(later)] == ["b"]
+    assert members.known_jobs() == {"j"}
+    assert members.receive(heartbeat("b", 1, "new"), later) is None
+    assert members.hosts(later) == ["a", "b"]
+    members.forget_lost(1000.0)
+    assert not members.peers
+
+
+def test_preferred_host_moves_few_jobs():
+    """Guards against take-overs of jobs whose host still lives."""
+    jobs = [f"job{number}" for number in range(200)]
+    before = {job: preferred_host(job, ["a", "b", "c"]) for job in jobs}
+    after = {job: preferred_host(job, ["a", "b"]) for job in jobs}
+    assert all(after[j] == before[j] for j in jobs if before[j] != "c")
+    assert len(set(before.values())) == 3
--- /dev/null
+++ b/src/primroseford/platform/tests/test_decoding.py
@@ -0,0 +1,162 @@
+"""What the adapter makes of the platform's formats."""
+
+from __future__ import annotations
+
+import copy
+import os
+
+import pytest
+
+from primroseford.errors import PrimrosefordError
+from primroseford.errors import ResultCode
+from primroseford.gateway.tables import RouteKind
+from primroseford.gateway.tests.rig import configuration
+from primroseford.gateway.tests.rig import runner_entry
+from primroseford.ids import Version
+from primroseford.logs import BoundedOutput
+from primroseford.platform.configuration import decode_tables
+from primroseford.platform.objects import PlatformObject
+from primroseford.platform.runner_list import decode_runner
+from primroseford.platform.settings import decode_node_settings
+
+SETTINGS = {
+    "node_name": "front-a-1",
+    "zone": "a",
+    "ip": "10.1.0.5",
+    "listen": {"front": "10.1.0.5:8405", "ready": "10.1.0.5:8406"},
+    "port_range": [7660, 7675],
+    "platform": {"address": "10.200.1.7:8408"},
+    "bounds": {
+        "grace_s": 8,
+        "drain_ms": 2000,
+        "apply_ms": 2000,
+        "cancel_ms": 3000,
+        "status_s": 120,
+    },
+    "field_of_the_future": 1,
+}
+
+
+def test_settings():
+    """Guards against settings that are read wrongly."""
+    settings = decode_node_settings(SETTINGS)
+    assert settings.host == "front-a-1" and settings.peer_port == 7660
+    assert settings.platform == "http://10.200.1.7:8408"
+    assert (settings.stop_seconds, settings.drain_seconds) == (8.0, 2.0)
+    assert settings.readiness == "10.1.0.5:8406"
+
+
+@pytest.mark.parametrize(
+    ("path", "value", "code"),
+    [
+        ("node_name", None, ResultCode.INVALID_VALUE),
+        ("bounds.grace_s", "8", ResultCode.INVALID_VALUE),
+        ("bounds.grace_s", True, ResultCode.INVALID_VALUE),
+        ("platform", {}, ResultCode.MISSING_FIELD),
+        ("listen", [], ResultCode.INVALID_VALUE),
+        ("port_range", [], ResultCode.INVALID_VALUE),
+    ],
+)
+def test_unusable_settings_name_the_field(path, value, code):
+    """Guards against a host that starts with settings it cannot use."""
+    content = copy.deepcopy(SETTINGS)
+    *outer, last = path.split(".")
+    target = content[outer[0]] if outer else content
+    target[last] = value
+    with pytest.raises(PrimrosefordError) as caught:
+        decode_node_settings(content)
+    assert caught.value.code is code and path in caught.value.field
+
+
+def test_tables():
+    """Guards against routes that lose a field on the way."""
+    content = configuration(7)
+    content["routes"][0]["backends"] = [
+        {"service": "models", "weight": 90},
+        {"service": "others", "weight": 10},
+    ]
+    tables = decode_tables(content)
+    nudge, pick, ping, once, notes = tables.routes
+    assert tables.version == 7
+    assert nudge.pools == (("models", 90.0), ("others", 10.0))
+    assert [r.repeatable for r in tables.routes] == [False, True, True, False, True]
+    assert notes.kind is RouteKind.BATCH
+    assert (notes.due, notes.give_up, notes.max_waiting_tokens) == (18.0, 60.0, 10_000)
+    assert tables.pools["models"].is_engine
+    assert tables.organisations["caroni"].rate == 1000.0
+
+
+@pytest.mark.parametrize(
+    ("path", "found"),
+    [("/a/b/c", "long"), ("/a/x", "short"), ("/a", None), ("/ab/c", None)],
+)
+def test_longest_prefix_wins(path, found):
+    """Guards against requests that go to the wrong route."""
+    content = configuration()
+    content["routes"] = [
+        content["routes"][2] | {"name": "short", "path_prefix": "/a/"},
+        content["routes"][2] | {"name": "long", "path_prefix": "/a/b/"},
+    ]
+    route = decode_tables(content).match("vans.example", path)
+    assert (route.name if route else None) == found
+
+
+@pytest.mark.parametrize(
+    "spec", [None, [], {}, {"version": 1}, {"version": 1, "routes": 1, "services": []}]
+)
+def test_unreadable_configuration(spec):
+    """Guards against a crash by what an operator wrote."""
+    with pytest.raises(PrimrosefordError) as caught:
+        decode_tables(spec)
+    assert caught.value.code is ResultCode.MALFORMED
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"address": None},
+        {"address": "no port"},
+        {"address": "1.2.3.4:x"},
+        {"slots": "8"},
+        {"slots": 0},
+        {"slots": True},
+        {"service": 5},
+        {"service": ""},
+        {"state": "resting"},
+        {"born": 1.5},
+        {"zone": []},
+    ],
+)
+def test_entries_that_name_no_runner(changes):
+    """Guards against requests to what another writer left in the list."""
+    item = PlatformObject("servers", "i", Version(1), runner_entry("1.2.3.4:5"))
+    assert decode_runner(item).address == "1.2.3.4:5"
+    spec = runner_entry("1.2.3.4:5") | changes
+    bad = PlatformObject("servers", "i", Version(1), spec)
+    assert decode_runner(bad) is None
+
+
+@pytest.mark.parametrize("spec", [None, "text", [], 5, {}])
+def test_entries_that_cannot_be_read(spec):
+    """Guards against a crash by an entry of another shape."""
+    assert decode_runner(PlatformObject("servers", "i", Version(1), spec)) is None
+
+
+def test_log_lines_are_left_out_not_waited_for():
+    """Guards against a host that waits for a reader who stopped reading."""
+    reader, writer = os.pipe()
+    output = BoundedOutput(writer)
+    for number in range(10_000):
+        output.write(f"event='x' number={number} {'-' * 100}\n")
+    output.write("event='request refused' id=1\n")
+    assert output.left_out > 0
+    received = b""
+    while len(output.pending) or output.left_out:
+        received += os.read(reader, 1 << 20)
+        output.flush()
+    received += os.read(reader, 1 << 20)
+    lines = received.decode().splitlines()
+    assert "event='request refused' id=1" in lines
+    assert lines[-1].startswith("event='log lines left out' count=")
+    os.close(reader)
+    os.close(writer)
