--- a/src/primroseford/gateway/placement.py
+++ b/src/primroseford/gateway/placement.py
@@ -21,10 +21,10 @@
 QUEUE_AT_RUNNER = 2
 """Online requests that may wait in a runner's own queue while every slot of the pool
 is taken: it saves the time in which a free slot becomes known here."""
-HEADROOM = 0.25
+HEADROOM = 0.12
 """Part of a pool's slots that batch leaves free: the online requests that arrive in
 the 200 ms in which batch steps back, at the start of a wave."""
-STEP_BACK = 0.15
+STEP_BACK = 0.07
 """Part of a pool's slots that are free when batch starts to step back."""
 
 
--- a/src/primroseford/gateway/state.py
+++ b/src/primroseford/gateway/state.py
@@ -29,7 +29,7 @@
     from primroseford.gateway.tables import Tables
     from primroseford.metrics import Metrics
 
-SURE_SECONDS = 3.0
+SURE_SECONDS = 7.0
 """Age of the last word from the platform up to which an unknown key or route is
 refused for good; a host that was cut off for longer may have missed a version."""
 
