Hand jobs over with their progress when a host stops

A host that was killed and back within a second left its jobs to the scan of all jobs, every 4 s. Change: the host that takes over asks the leaving one to stop and gets the events so far; jobs of an earlier incarnation count as orphaned at once; shorter waits.

--- a/src/primroseford/gateway/host.py
+++ b/src/primroseford/gateway/host.py
@@ -44,7 +44,7 @@
 
 if TYPE_CHECKING:
     from primroseford.clock import Clock
-    from primroseford.ids import JobId
+    from primroseford.ids import HostId
     from primroseford.platform.settings import NodeSettings
 
 BALANCER_SECONDS = 3.2
@@ -121,7 +121,11 @@
         jobs = JobService(
             gateway,
             JobStore(client, self.clock),
-            JobPeers(store, lambda job: _running(members, job, self.clock())),
+            JobPeers(
+                store,
+                lambda job: _urls(members, members.running(job, self.clock())),
+                lambda job: _urls(members, members.leaving_with(job, self.clock())),
+            ),
             settings.job_retention_seconds,
         )
         incarnation = Incarnation(uuid.uuid4().hex[:12])
@@ -159,7 +163,7 @@
         settings = self.settings
         metrics = f"{settings.ip}:{settings.peer_port + METRICS_PORT_OFFSET}"
         relay = create_relay_handler(settings.platform, self.sessions[1])
-        read_job = create_jobs_handler(jobs.service.views)
+        read_job = create_jobs_handler(jobs.service.views, jobs.service.hand_over)
 
         async def handle(request: BaseRequest) -> web.StreamResponse:
             if request.raw_path.startswith(PREFIX):
@@ -234,9 +238,8 @@
         log.info("host stopped", host=self.settings.host)
 
 
-def _running(members: Members, job: JobId, now: float) -> list[str]:
-    """Return the base URLs of the hosts that run a job."""
-    hosts = members.running(job, now)
+def _urls(members: Members, hosts: list[HostId]) -> list[str]:
+    """Return the base URLs for calls to hosts."""
     return [_base_url(members.peers[host].address) for host in hosts]
 
 
--- a/src/primroseford/gateway/members.py
+++ b/src/primroseford/gateway/members.py
@@ -45,9 +45,11 @@
     """The other hosts that this host knows.
 
     :param own: name of this host
+    :param orphaned: jobs that peers ran before they started anew
     """
 
     own: HostId
+    orphaned: set[JobId] = field(default_factory=set)
     peers: dict[HostId, Peer] = field(default_factory=dict)
 
     def learn(self, host: HostId, address: str, now: float) -> None:
@@ -72,6 +74,7 @@
             peer = self.peers[host] = Peer(host, heartbeat.address, now)
         before = peer.last
         if before is not None and before.incarnation != heartbeat.incarnation:
+            self.orphaned.update(JobId(progress.job) for progress in before.jobs)
             before = None
         if before is not None and before.sequence >= heartbeat.sequence:
             raise ValueError("heartbeat out of order")
@@ -118,6 +121,17 @@
             if any(progress.job == job for progress in peer.last.jobs)
         ]
 
+    def leaving_with(self, job: JobId, now: float) -> list[HostId]:
+        """Return the leaving peers that still have a job."""
+        return [
+            peer.host
+            for peer in self.peers.values()
+            if peer.last is not None
+            and peer.last.leaving
+            and now - peer.heard_at <= SILENCE_SECONDS
+            and any(progress.job == job for progress in peer.last.jobs)
+        ]
+
     def segments(self, job: JobId) -> int:
         """Return how many result segments of a job any peer has told of."""
         counts = [
@@ -130,13 +144,14 @@
         return max(counts, default=0)
 
     def known_jobs(self) -> set[JobId]:
-        """Return the jobs that any known peer ran at its last heartbeat."""
-        return {
+        """Return the jobs that any known peer ran when it was last heard."""
+        told = {
             JobId(progress.job)
             for peer in self.peers.values()
             if peer.last is not None
             for progress in peer.last.jobs
         }
+        return told | self.orphaned
 
 
 def preferred_host(job: str, hosts: Iterable[HostId]) -> HostId:
--- a/src/primroseford/jobs/peers.py
+++ b/src/primroseford/jobs/peers.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import json
+from dataclasses import astuple
 from typing import TYPE_CHECKING
 
 import aiohttp
@@ -15,7 +16,9 @@
 from yarl import URL
 
 from primroseford.ids import JobId
+from primroseford.jobs.state import ItemId
 from primroseford.jobs.state import JobView
+from primroseford.jobs.state import Progress
 from primroseford.jobs.state import decode_job
 from primroseford.jobs.state import decode_result
 from primroseford.jobs.state import encode_item
@@ -39,17 +42,22 @@
 
     :param session: HTTP session for calls between hosts
     :param running: base URLs of the live hosts that run a job
+    :param leaving: base URLs of the hosts that leave and still have a job
     """
 
     def __init__(
-        self, session: aiohttp.ClientSession, running: Callable[[JobId], list[str]]
+        self,
+        session: aiohttp.ClientSession,
+        running: Callable[[JobId], list[str]],
+        leaving: Callable[[JobId], list[str]],
     ) -> None:
         self.session = session
         self.running = running
+        self.leaving = leaving
 
     async def load(self, job: JobId) -> JobView | None:
         """Return a job as a host that runs it knows it; nothing if none answers."""
-        found = await self._ask(job, 0)
+        found = await self._ask(self.running(job), job, 0)
         if found is None:
             return None
         view = JobView(decode_job(job, found["job"], found["items"]))
@@ -62,18 +70,26 @@
         :returns: whether a host answered
         """
         number = view.segments
-        found = await self._ask(view.job.id, number)
+        found = await self._ask(self.running(view.job.id), view.job.id, number)
         if found is None:
             return False
         _append(view, number, found)
         return True
 
-    async def _ask(self, job: JobId, number: int) -> dict | None:
-        for base_url in self.running(job):
+    async def take_over(self, job: JobId) -> dict[ItemId, Progress]:
+        """Let a leaving host stop a job, and return how far its items are."""
+        found = await self._ask(self.leaving(job), job, 0, "POST")
+        told = found["progress"] if found else []
+        return {ItemId(item[0]): Progress(*item[1:]) for item in told}
+
+    async def _ask(
+        self, hosts: list[str], job: JobId, number: int, method: str = "GET"
+    ) -> dict | None:
+        for base_url in hosts:
             url = URL(f"{base_url}{PATH}{job}?after={number}", encoded=True)
             timeout = aiohttp.ClientTimeout(total=TIMEOUT_SECONDS)
             try:
-                async with self.session.get(url, timeout=timeout) as answer:
+                async with self.session.request(method, url, timeout=timeout) as answer:
                     if answer.status == 200:
                         return json.loads(await answer.read())
             except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
@@ -89,10 +105,14 @@
             view.append([decode_result(result) for result in segment])
 
 
-def create_jobs_handler(views: dict[JobId, JobView]):
-    """Return the handler of other hosts' reads.
+def create_jobs_handler(
+    views: dict[JobId, JobView],
+    hand_over: Callable[[JobId], dict[ItemId, Progress]],
+):
+    """Return the handler of other hosts' reads and take-overs.
 
     :param views: jobs that this host knows
+    :param hand_over: stops a job and returns how far its items are
     """
 
     async def handle(request: BaseRequest) -> web.Response:
@@ -101,7 +121,11 @@
         number = query.removeprefix("after=")
         if view is None or not number.isdigit():
             return web.Response(status=404)
-        return web.Response(body=json.dumps(_encode(view, int(number))).encode())
+        content = _encode(view, int(number))
+        if request.method == "POST":
+            progress = hand_over(view.job.id)
+            content["progress"] = [[item, *astuple(p)] for item, p in progress.items()]
+        return web.Response(body=json.dumps(content).encode())
 
     return handle
 
--- a/src/primroseford/jobs/service.py
+++ b/src/primroseford/jobs/service.py
@@ -21,9 +21,11 @@
 from primroseford.jobs.run import ItemRun
 from primroseford.jobs.run import RunEnd
 from primroseford.jobs.run import run_item
+from primroseford.jobs.state import ItemId
 from primroseford.jobs.state import ItemResult
 from primroseford.jobs.state import ItemState
 from primroseford.jobs.state import JobView
+from primroseford.jobs.state import Progress
 from primroseford.jobs.store import SEGMENT_BYTES
 from primroseford.jobs.store import is_finished
 
@@ -42,22 +44,25 @@
 TICK_SECONDS = 0.05
 """Time between two looks at the places: online requests of a wave wait for batch to
 step back at most this long and one heartbeat."""
-DIRECTORY_SECONDS = 0.5
+DIRECTORY_SECONDS = 0.25
 """Time between two looks for jobs that nobody runs."""
 ENDS_SECONDS = 2.0
 """Time between two looks for jobs that callers ended elsewhere, for ends of which no
 heartbeat told: two thirds of the time in which an end takes effect."""
 SCAN_SECONDS = 4.0
 """Time between two looks at all stored jobs by one host of the fleet."""
-FIRST_SCAN_SECONDS = 1.5
+FIRST_SCAN_SECONDS = 0.8
 """Age of this process at its first scan: by then the peers' heartbeats tell what they
 run."""
-ORPHAN_SECONDS = 1.0
+ORPHAN_SECONDS = 0.5
 """Time for which nobody must run a job before it is taken over: a heartbeat that was
 lost must not start a job twice."""
 GIVE_UP_MARGIN_SECONDS = 3.0
 """Margin beyond the time at which an item may be given up, since the hosts' times of
 day differ."""
+SCANNER_SECONDS = 4.0
+"""Time after which the host that looks at all stored jobs takes an orphan over if the
+preferred host has not."""
 REFUSED_PAUSE_SECONDS = 0.1
 BROKEN_PAUSE_SECONDS = 0.05
 FAILED_PAUSE_SECONDS = 0.3
@@ -149,8 +154,13 @@
                 del self.views[job]
         return known
 
-    def start_job(self, view: JobView) -> None:
-        """Run a job on this host."""
+    def start_job(
+        self, view: JobView, progress: dict[ItemId, Progress] | None = None
+    ) -> None:
+        """Run a job on this host.
+
+        :param progress: how far another host got with its items
+        """
         job = view.job
         if job.id in self.runs or view.finished or view.ended:
             return
@@ -160,6 +170,11 @@
         waiting = [
             ItemRun(job, item, due) for item in job.items if item.id not in view.listed
         ]
+        for item in waiting:
+            done = (progress or {}).get(item.item.id)
+            if done is not None:
+                item.data, item.last_event = list(done.data), done.last_event
+                item.failures = done.failures
         self.runs[job.id] = JobRun(view, waiting)
         self.orphans.pop(job.id, None)
         self.gateway.places.changed = True
@@ -168,6 +183,17 @@
         )
         self.place_items()
 
+    def hand_over(self, job: JobId) -> dict[ItemId, Progress]:
+        """Stop a job that another host takes over, and return how far its items are."""
+        run = self.runs.get(job)
+        if run is None:
+            return {}
+        self.stop_job(run, "handed over")
+        return {
+            item.item.id: Progress(list(item.data), item.last_event, item.failures)
+            for item in [*run.waiting, *run.running]
+        }
+
     def stop_job(self, run: JobRun, why: str) -> None:
         """Run a job on this host no more."""
         job = run.view.job.id
@@ -415,6 +441,7 @@
         for job in self.gateway.members.known_jobs() | set(self.views):
             view = self.views.get(job)
             if view is not None and (view.finished or view.ended):
+                self.gateway.members.orphaned.discard(job)
                 continue
             self._note_orphan(job, now)
         await self._take_orphans(now)
@@ -448,10 +475,13 @@
         scanner = preferred_host("scan", hosts) == self.gateway.members.own
         for job, since in list(self.orphans.items()):
             self._note_orphan(job, now)
-            if job not in self.orphans or now - since < ORPHAN_SECONDS:
+            if job not in self.orphans:
+                continue
+            leaving = self.gateway.members.leaving_with(job, now)
+            if now - since < ORPHAN_SECONDS and not leaving:
                 continue
             preferred = preferred_host(job, hosts) == self.gateway.members.own
-            late = now - since > 4 * ORPHAN_SECONDS
+            late = now - since > SCANNER_SECONDS
             if not preferred and not (scanner and late):
                 continue
             del self.orphans[job]
@@ -465,8 +495,14 @@
             if view.finished and not view.ended:
                 await self.store.mark_finished(job)
             elif not view.ended and not self.gateway.members.running(job, now):
-                log.info("job taken over", job=job, listed=len(view.listed))
-                self.start_job(view)
+                progress = await self.peers.take_over(job)
+                log.info(
+                    "job taken over",
+                    job=job,
+                    listed=len(view.listed),
+                    items_in_progress=len(progress),
+                )
+                self.start_job(view, progress)
 
     async def on_stop(self) -> None:
         """Stop all items; other hosts take the jobs over."""
--- a/src/primroseford/jobs/state.py
+++ b/src/primroseford/jobs/state.py
@@ -54,6 +54,20 @@
     text: str = ""
 
 
+@dataclass(frozen=True)
+class Progress:
+    """How far an item is that has no result yet.
+
+    :param data: data of the events so far
+    :param last_event: id of the last of them
+    :param failures: runs that ended with a runner's own failure
+    """
+
+    data: list[str]
+    last_event: str | None
+    failures: int
+
+
 @dataclass(frozen=True)
 class Job:
     """An accepted job.
--- a/src/primroseford/jobs/tests/test_jobs.py
+++ b/src/primroseford/jobs/tests/test_jobs.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from primroseford.gateway.heartbeat import HeartbeatService
 from primroseford.jobs.service import JobService
 from primroseford.jobs.store import JOBS
 from primroseford.jobs.store import SEGMENTS
@@ -181,6 +182,38 @@
     assert len({result["id"] for result in results}) == 3
 
 
+async def test_leaving_host_hands_over_what_it_has(rig):
+    """Guards against items that start anew because their host stops."""
+    for runner in rig.runners:
+        runner.events, runner.event_seconds = 150, 0.02
+    assert await submit(rig, "job1", count=1) == 202
+    await join(rig)
+    (item,) = service(rig.hosts[0]).runs["job1"].running
+    await rig.until(lambda: len(item.data) > 10)
+    rig.hosts[0].gateway.stopping = True
+    (result,) = await read_all(rig, "job1", host=1)
+    assert result["text"] == "\n".join(f"token {n}" for n in range(1, 151))
+    runs = [run for runner in rig.runners for run in runner.received]
+    assert len(runs) == 2
+    assert max(int(r.headers.get("Last-Event-Id", 0)) for r in runs) > 10
+
+
+async def test_job_of_a_host_that_started_anew_is_taken_over(rig):
+    """Guards against jobs that are forgotten when their host is back at once."""
+    await join(rig)
+    for runner in rig.runners:
+        runner.events, runner.event_seconds = 40, 0.02
+    assert await submit(rig, "job1") == 202
+    await rig.until(lambda: rig.hosts[1].gateway.members.known_jobs() == {"job1"})
+    beat = next(d for d in rig.hosts[0].duties if isinstance(d, HeartbeatService))
+    service(rig.hosts[0]).stop_job(service(rig.hosts[0]).runs["job1"], "killed")
+    service(rig.hosts[0]).told.clear()
+    service(rig.hosts[0]).views.clear()
+    beat.incarnation, beat.sequence = "anew", 0
+    await rig.until(lambda: rig.hosts[1].gateway.members.orphaned == {"job1"})
+    assert len(await read_all(rig, "job1", host=1)) == 3
+
+
 async def test_all_hosts_are_lost(rig):
     """Guards against jobs that only memory knew."""
     rig.runners[0].faults.silent = rig.runners[1].faults.silent = True
