Charge a new host nothing for what others admitted before it started

Change: heartbeats tell what is fresh since the last one; a count that was not followed from its start adds only that.

--- a/src/primroseford/gateway/gen/messages/ttypes.py
+++ b/src/primroseford/gateway/gen/messages/ttypes.py
@@ -125,18 +125,21 @@
     Attributes:
      - organisation
      - admitted
+     - fresh
 
     """
 
     __slots__ = (
         'organisation',
         'admitted',
+        'fresh',
     )
 
 
-    def __init__(self, organisation=None, admitted=None,):
+    def __init__(self, organisation=None, admitted=None, fresh=None,):
         self.organisation = organisation
         self.admitted = admitted
+        self.fresh = fresh
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -157,6 +160,11 @@
                     self.admitted = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.fresh = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -175,6 +183,10 @@
             oprot.writeFieldBegin('admitted', TType.I64, 2)
             oprot.writeI64(self.admitted)
             oprot.writeFieldEnd()
+        if self.fresh is not None:
+            oprot.writeFieldBegin('fresh', TType.I32, 3)
+            oprot.writeI32(self.fresh)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -550,6 +562,7 @@
     None,  # 0
     (1, TType.STRING, 'organisation', 'UTF8', None, ),  # 1
     (2, TType.I64, 'admitted', None, None, ),  # 2
+    (3, TType.I32, 'fresh', None, None, ),  # 3
 )
 all_structs.append(JobProgress)
 JobProgress.thrift_spec = (
--- a/src/primroseford/gateway/heartbeat.py
+++ b/src/primroseford/gateway/heartbeat.py
@@ -183,7 +183,7 @@
                 since = now
                 self.spent[name] = (count, now)
             if now - since < SPENDING_SECONDS:
-                told.append(Spending(name, count))
+                told.append(Spending(name, count, count - last))
         return told
 
     def receive(self, data: bytes) -> None:
@@ -202,23 +202,27 @@
         elif before is None:
             log.info("host joined", peer=host, address=heartbeat.address)
         gateway.places.take_heartbeat(heartbeat)
-        self._take_spending(heartbeat, before)
+        self._take_spending(heartbeat, before is None)
         for job in heartbeat.ended_jobs:
             self.jobs.stop_ended(JobId(job))
         if gateway.on_heartbeat is not None:
             gateway.on_heartbeat(heartbeat)
 
-    def _take_spending(self, heartbeat: Heartbeat, before: Heartbeat | None) -> None:
+    def _take_spending(self, heartbeat: Heartbeat, is_new: bool) -> None:
         gateway = self.gateway
         if gateway.tables is None:
             return
         seen = gateway.members.peers[HostId(heartbeat.host)].spending
-        if before is None:
+        if is_new:
             seen.clear()
         for spending in heartbeat.spending:
             name = OrganisationId(spending.organisation)
             organisation = gateway.tables.organisations.get(name)
-            count = spending.admitted - seen.get(name, 0)
+            # Of earlier admissions of a host that was not heard before, or of an
+            # organisation that it did not tell of, the buckets have long recovered.
+            count = spending.admitted - seen.get(
+                name, spending.admitted - spending.fresh
+            )
             seen[name] = spending.admitted
             if organisation is not None:
                 gateway.quotas.peer_admitted(
--- a/src/primroseford/gateway/messages.thrift
+++ b/src/primroseford/gateway/messages.thrift
@@ -10,6 +10,7 @@
 struct Spending {
   1: string organisation
   2: i64 admitted
+  3: i32 fresh
 }
 
 struct JobProgress {
--- /dev/null
+++ b/src/primroseford/gateway/tests/test_heartbeat.py
@@ -0,0 +1,56 @@
+from __future__ import annotations
+
+import pytest
+
+from primroseford.gateway.tests.rig import KEY
+from primroseford.gateway.tests.rig import configuration
+
+
+def limited(rate: float) -> dict:
+    """Return a configuration with a rate for the one organisation."""
+    tenant = {"name": "caroni", "api_keys": [KEY], "rate_per_s": rate, "burst": rate}
+    return configuration(2, tenants=[tenant])
+
+
+async def joined(rig, count: int) -> None:
+    """Wait until all hosts hear each other."""
+    for host in rig.hosts:
+        members = host.gateway.members
+        await rig.until(lambda m=members, h=host: len(m.live(h.clock())) == count - 1)
+
+
+@pytest.mark.parametrize("restarted", [False, True])
+async def test_new_host_owes_nothing_for_what_was_admitted_before(rig, restarted):
+    """Guards against refusals inside the rate after a host has started."""
+    rig.put("config", "main", limited(1000.0))
+    await rig.until(lambda: rig.hosts[0].gateway.tables.version == 2)
+    for number in range(30):
+        assert (await rig.call("/once/whole", f"id-{number}"))[0] == 200
+    rig.hosts[0].gateway.quotas.admitted["caroni"] = 100_000
+    rig.hosts[0].duties[0].spent["caroni"] = (100_000, 0.0)
+    if restarted:
+        rig.hosts[0].duties[0].incarnation = "anew"
+    await rig.add_host()
+    await joined(rig, 2)
+    assert (await rig.call("/once/whole", "last"))[0] == 200
+    quotas = rig.hosts[1].gateway.quotas
+    await rig.until(lambda: "caroni" in quotas.buckets)
+    assert quotas.buckets["caroni"].level > -10
+
+
+async def test_hosts_share_one_rate(rig):
+    """Guards against a rate that each host grants anew."""
+    await rig.add_host()
+    await joined(rig, 2)
+    rig.put("config", "main", limited(5.0))
+    for host in rig.hosts:
+        await rig.until(lambda h=host: h.gateway.tables.version == 2)
+    statuses = []
+    for number in range(40):
+        status, headers, _ = await rig.call(
+            "/once/whole", f"id-{number}", host=number % 2
+        )
+        statuses.append(status)
+        assert status == 200 or float(headers["Retry-After"]) > 0
+    assert statuses.count(200) <= 5 + 8
+    assert set(statuses) == {200, 429}
