Store the progress of batch jobs every two seconds

Change: one write a job when a hundred events are new; a host that takes a job over without a hand-over reads it.

--- a/src/primroseford/jobs/peers.py
+++ b/src/primroseford/jobs/peers.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import json
-from dataclasses import astuple
 from typing import TYPE_CHECKING
 
 import aiohttp
@@ -20,9 +19,11 @@
 from primroseford.jobs.state import JobView
 from primroseford.jobs.state import Progress
 from primroseford.jobs.state import decode_job
+from primroseford.jobs.state import decode_progress
 from primroseford.jobs.state import decode_result
 from primroseford.jobs.state import encode_item
 from primroseford.jobs.state import encode_job
+from primroseford.jobs.state import encode_progress
 from primroseford.jobs.state import encode_result
 
 if TYPE_CHECKING:
@@ -79,8 +80,7 @@
     async def take_over(self, job: JobId) -> dict[ItemId, Progress]:
         """Let a leaving host stop a job, and return how far its items are."""
         found = await self._ask(self.leaving(job), job, 0, "POST")
-        told = found["progress"] if found else []
-        return {ItemId(item[0]): Progress(*item[1:]) for item in told}
+        return decode_progress(found["progress"]) if found else {}
 
     async def _ask(
         self, hosts: list[str], job: JobId, number: int, method: str = "GET"
@@ -123,8 +123,7 @@
             return web.Response(status=404)
         content = _encode(view, int(number))
         if request.method == "POST":
-            progress = hand_over(view.job.id)
-            content["progress"] = [[item, *astuple(p)] for item, p in progress.items()]
+            content["progress"] = encode_progress(hand_over(view.job.id))
         return web.Response(body=json.dumps(content).encode())
 
     return handle
--- a/src/primroseford/jobs/service.py
+++ b/src/primroseford/jobs/service.py
@@ -37,6 +37,7 @@
     from primroseford.ids import JobId
     from primroseford.ids import OrganisationId
     from primroseford.ids import PoolName
+    from primroseford.ids import Version
     from primroseford.jobs.peers import JobPeers
     from primroseford.jobs.state import Job
     from primroseford.jobs.store import JobStore
@@ -63,6 +64,12 @@
 SCANNER_SECONDS = 4.0
 """Time after which the host that looks at all stored jobs takes an orphan over if the
 preferred host has not."""
+CHECKPOINT_SECONDS = 2.0
+"""Time between two stores of a job's progress: less than half of an item's run, at a
+price of one write."""
+CHECKPOINT_EVENTS = 100
+"""Events since the last store for which another one is worth its write: about half of
+an item."""
 REFUSED_PAUSE_SECONDS = 0.1
 BROKEN_PAUSE_SECONDS = 0.05
 FAILED_PAUSE_SECONDS = 0.3
@@ -83,6 +90,8 @@
     :param waiting: items without a run at present
     :param running: items with one
     :param finished: items with a result that is not listed yet
+    :param checkpoint_version: version of the stored progress, if this host stored it
+    :param checkpoint_events: events in it
     """
 
     view: JobView
@@ -90,8 +99,20 @@
     running: set[ItemRun] = field(default_factory=set)
     finished: list[ItemRun] = field(default_factory=list)
     committer: asyncio.Task | None = None
+    checkpoint: asyncio.Task | None = None
+    checkpoint_version: Version | None = None
+    checkpoint_at: float = 0.0
+    checkpoint_events: int = 0
     stopped: bool = False
 
+    def progress(self) -> dict[ItemId, Progress]:
+        """Return how far the items are that have begun."""
+        return {
+            item.item.id: Progress(list(item.data), item.last_event, item.failures)
+            for item in [*self.waiting, *self.running]
+            if item.data or item.failures
+        }
+
     def drop_listed(self) -> None:
         """Forget the items that are listed, by whomever."""
         listed = self.view.listed
@@ -175,7 +196,9 @@
             if done is not None:
                 item.data, item.last_event = list(done.data), done.last_event
                 item.failures = done.failures
-        self.runs[job.id] = JobRun(view, waiting)
+        run = self.runs[job.id] = JobRun(view, waiting)
+        run.checkpoint_at = self.gateway.clock()
+        run.checkpoint_events = sum(len(item.data) for item in waiting)
         self.orphans.pop(job.id, None)
         self.gateway.places.changed = True
         log.info(
@@ -188,11 +211,9 @@
         run = self.runs.get(job)
         if run is None:
             return {}
+        progress = run.progress()
         self.stop_job(run, "handed over")
-        return {
-            item.item.id: Progress(list(item.data), item.last_event, item.failures)
-            for item in [*run.waiting, *run.running]
-        }
+        return progress
 
     def stop_job(self, run: JobRun, why: str) -> None:
         """Run a job on this host no more."""
@@ -220,6 +241,33 @@
             self.pause_items()
             self.place_items()
             self.give_up_items()
+            self.save_progress()
+
+    def save_progress(self) -> None:
+        """Store now and then how far the items are, for a host that takes over."""
+        now = self.gateway.clock()
+        for run in self.runs.values():
+            if run.checkpoint or now - run.checkpoint_at < CHECKPOINT_SECONDS:
+                continue
+            progress = run.progress()
+            events = sum(len(done.data) for done in progress.values())
+            if events - run.checkpoint_events < CHECKPOINT_EVENTS:
+                continue
+            run.checkpoint_at, run.checkpoint_events = now, events
+            run.checkpoint = asyncio.create_task(self._save(run, progress))
+            self.keep(run.checkpoint)
+
+    async def _save(self, run: JobRun, progress: dict[ItemId, Progress]) -> None:
+        job = run.view.job.id
+        try:
+            run.checkpoint_version = await self.store.save_progress(
+                job, progress, run.checkpoint_version
+            )
+        except PrimrosefordError as error:
+            run.checkpoint_version = None
+            log.info("progress not stored", job=job, code=error.code.name)
+        finally:
+            run.checkpoint = None
 
     def place_items(self) -> None:
         """Start items while there is room, the earliest due first."""
@@ -496,6 +544,8 @@
                 await self.store.mark_finished(job)
             elif not view.ended and not self.gateway.members.running(job, now):
                 progress = await self.peers.take_over(job)
+                if not progress:
+                    progress = await self.store.load_progress(job)
                 log.info(
                     "job taken over",
                     job=job,
--- a/src/primroseford/jobs/state.py
+++ b/src/primroseford/jobs/state.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import base64
+from dataclasses import astuple
 from dataclasses import dataclass
 from dataclasses import field
 from enum import Enum
@@ -166,3 +167,13 @@
 def decode_result(stored: list) -> ItemResult:
     """Return a stored result."""
     return ItemResult(ItemId(stored[0]), ItemState(stored[1]), stored[2])
+
+
+def encode_progress(progress: dict[ItemId, Progress]) -> list[list]:
+    """Return the progress of items as stored and as sent between hosts."""
+    return [[item, *astuple(done)] for item, done in progress.items()]
+
+
+def decode_progress(stored: list[list]) -> dict[ItemId, Progress]:
+    """Return the stored progress of items."""
+    return {ItemId(item[0]): Progress(*item[1:]) for item in stored}
--- a/src/primroseford/jobs/store.py
+++ b/src/primroseford/jobs/store.py
@@ -17,14 +17,19 @@
 from primroseford.jobs.state import Job
 from primroseford.jobs.state import JobView
 from primroseford.jobs.state import decode_job
+from primroseford.jobs.state import decode_progress
 from primroseford.jobs.state import decode_result
 from primroseford.jobs.state import encode_item
 from primroseford.jobs.state import encode_job
+from primroseford.jobs.state import encode_progress
 from primroseford.jobs.state import encode_result
 
 if TYPE_CHECKING:
     from primroseford.clock import Clock
+    from primroseford.ids import Version
+    from primroseford.jobs.state import ItemId
     from primroseford.jobs.state import ItemResult
+    from primroseford.jobs.state import Progress
     from primroseford.platform.client import PlatformClient
     from primroseford.platform.objects import PlatformObject
 
@@ -32,6 +37,7 @@
 PARTS = "batch-parts"
 SEGMENTS = "batch-results"
 ENDS = "batch-ends"
+CHECKPOINTS = "batch-progress"
 PART_BYTES = 600_000
 """Size of a stored part of a job, well below the store's bound on a value."""
 SEGMENT_BYTES = 600_000
@@ -144,6 +150,40 @@
         listed = await self.client.list(ENDS, purpose=PURPOSE)
         return {JobId(item.name) for item in listed.items}
 
+    async def save_progress(
+        self, job: JobId, progress: dict[ItemId, Progress], version: Version | None
+    ) -> Version:
+        """Store how far the items of a job are, and return the object's version.
+
+        :param version: version of what this host stored before, if anything
+        :raises PrimrosefordError: VERSION_CONFLICT if another host stored it since
+        """
+        content = {"progress": encode_progress(progress)}
+        if version is None:
+            try:
+                made = await self.client.create(
+                    CHECKPOINTS, job, content, purpose=PURPOSE
+                )
+                return made.version
+            except PrimrosefordError as error:
+                if error.code is not ResultCode.ALREADY_EXISTS:
+                    raise
+            version = (await self.client.get(CHECKPOINTS, job, purpose=PURPOSE)).version
+        saved = await self.client.update(
+            CHECKPOINTS, job, content, version, purpose=PURPOSE
+        )
+        return saved.version
+
+    async def load_progress(self, job: JobId) -> dict[ItemId, Progress]:
+        """Return how far the items of a job were when it was stored."""
+        try:
+            found = await self.client.get(CHECKPOINTS, job, purpose=PURPOSE)
+        except PrimrosefordError as error:
+            if error.code is ResultCode.NOT_FOUND:
+                return {}
+            raise
+        return decode_progress(found.spec["progress"])
+
     async def mark_finished(self, job: JobId) -> None:
         """Record that every item of a job is listed, for those who look for work."""
         await self.client.set_status(JOBS, job, {FINISHED: True}, purpose=PURPOSE)
@@ -158,6 +198,7 @@
         await self.refresh(view)
         for number in range(view.segments):
             await self._delete(SEGMENTS, segment_name(view.job.id, number))
+        await self._delete(CHECKPOINTS, found.name)
         await self._delete(ENDS, found.name)
         for number in range(1, found.spec["parts"]):
             await self._delete(PARTS, f"{found.name}.{number}")
--- a/src/primroseford/jobs/tests/test_jobs.py
+++ b/src/primroseford/jobs/tests/test_jobs.py
@@ -7,7 +7,9 @@
 import pytest
 
 from primroseford.gateway.heartbeat import HeartbeatService
+from primroseford.jobs import service as jobs_service
 from primroseford.jobs.service import JobService
+from primroseford.jobs.store import CHECKPOINTS
 from primroseford.jobs.store import JOBS
 from primroseford.jobs.store import SEGMENTS
 from primroseford.standins.fleet_runner import event
@@ -214,6 +216,23 @@
     assert len(await read_all(rig, "job1", host=1)) == 3
 
 
+async def test_progress_survives_the_loss_of_all_hosts(rig, monkeypatch):
+    """Guards against items that start anew after every host was killed."""
+    monkeypatch.setattr(jobs_service, "CHECKPOINT_SECONDS", 0.1)
+    monkeypatch.setattr(jobs_service, "CHECKPOINT_EVENTS", 10)
+    for runner in rig.runners:
+        runner.events, runner.event_seconds = 150, 0.02
+    assert await submit(rig, "job1", count=1) == 202
+    await rig.until(lambda: stored(rig, CHECKPOINTS))
+    for duty in rig.hosts[0].duties:
+        await duty.stop()
+    await rig.add_host()
+    (result,) = await read_all(rig, "job1", host=1)
+    assert result["text"] == "\n".join(f"token {n}" for n in range(1, 151))
+    runs = [run for runner in rig.runners for run in runner.received]
+    assert max(int(r.headers.get("Last-Event-Id", 0)) for r in runs) >= 10
+
+
 async def test_all_hosts_are_lost(rig):
     """Guards against jobs that only memory knew."""
     rig.runners[0].faults.silent = rig.runners[1].faults.silent = True
