--- a/src/primroseford/gateway/placement.py
+++ b/src/primroseford/gateway/placement.py
@@ -24,7 +24,7 @@
 HEADROOM = 0.12
 """Part of a pool's slots that batch leaves free: the online requests that arrive in
 the 200 ms in which batch steps back, at the start of a wave."""
-STEP_BACK = 0.07
+STEP_BACK = 0.02
 """Part of a pool's slots that are free when batch starts to step back."""
 
 
