--- a/src/primroseford/gateway/host.py
+++ b/src/primroseford/gateway/host.py
@@ -163,7 +163,7 @@
         settings = self.settings
         metrics = f"{settings.ip}:{settings.peer_port + METRICS_PORT_OFFSET}"
         relay = create_relay_handler(settings.platform, self.sessions[1])
-        read_job = create_jobs_handler(jobs.service.views, jobs.service.hand_over)
+        read_job = create_jobs_handler(jobs.service.views.views, jobs.service.hand_over)
 
         async def handle(request: BaseRequest) -> web.StreamResponse:
             if request.raw_path.startswith(PREFIX):
--- a/src/primroseford/jobs/api.py
+++ b/src/primroseford/jobs/api.py
@@ -72,7 +72,7 @@
     async def _accept(self, job: Job, allowed: float) -> None:
         """Store a job; a write that outlasts the caller is finished all the same."""
         write = asyncio.create_task(self.service.accept(job))
-        self.service.keep(write)
+        self.service.scheduler.keep(write)
         try:
             async with asyncio.timeout(max(0.2, allowed - ANSWER_MARGIN_SECONDS)):
                 await asyncio.shield(write)
@@ -89,7 +89,7 @@
         limit = route.max_waiting_tokens
         if not limit:
             return
-        waiting = await self.service.waiting_tokens(owner, route, limit - tokens)
+        waiting = await self.service.views.waiting_tokens(owner, route, limit - tokens)
         if waiting + tokens > limit:
             raise PrimrosefordError(
                 ResultCode.RATE_LIMITED,
@@ -120,7 +120,7 @@
 
     async def _view(self, job) -> JobView:
         try:
-            return await self.service.read(job)
+            return await self.service.views.read(job)
         except PrimrosefordError as error:
             if error.code is ResultCode.NOT_FOUND:
                 raise _unknown() from error
@@ -152,10 +152,10 @@
         now = self.gateway.clock()
         members = self.gateway.members
         job = view.job.id
-        heard = job in self.service.runs or bool(members.running(job, now))
+        heard = job in self.service.scheduler.runs or bool(members.running(job, now))
         age = FRESH_TOLD_SECONDS if heard else FRESH_SECONDS
         if members.segments(job) > view.segments or now - view.checked_at > age:
-            await self.service.refresh(view)
+            await self.service.views.refresh(view)
 
 
 def _bounded(results: list[ItemResult]) -> list[ItemResult]:
--- a/src/primroseford/jobs/run.py
+++ b/src/primroseford/jobs/run.py
@@ -1,4 +1,4 @@
-"""Runs one batch item at runners until it has a result or must step back."""
+"""Batch items in progress, and one run of an item at a runner."""
 
 from __future__ import annotations
 
@@ -18,6 +18,7 @@
 from primroseford.gateway.exchange import Silence
 from primroseford.gateway.exchange import open_answer
 from primroseford.gateway.exchange import ran
+from primroseford.jobs.state import Progress
 from primroseford.online.events import EventSplitter
 from primroseford.online.exchange import Attempt
 from primroseford.platform.runner_calls import ITEM_INVALID_STATUS
@@ -32,9 +33,12 @@
     from primroseford.gateway.runners import RunnerKey
     from primroseford.gateway.state import Gateway
     from primroseford.gateway.tables import Route
+    from primroseford.ids import Version
     from primroseford.jobs.state import Item
+    from primroseford.jobs.state import ItemId
     from primroseford.jobs.state import ItemState
     from primroseford.jobs.state import Job
+    from primroseford.jobs.state import JobView
 
 ITEM_SILENCE_SECONDS = 1.5
 """Silence after which an item goes on at another runner: longer than a full engine
@@ -91,6 +95,46 @@
                 self.last_event = number
 
 
+@dataclass(eq=False)
+class JobRun:
+    """A job that this host runs.
+
+    :param waiting: items without a run at present
+    :param running: items with one
+    :param finished: items with a result that is not listed yet
+    :param checkpoint_version: version of the stored progress, if this host stored it
+    :param checkpoint_events: events in it
+    """
+
+    view: JobView
+    waiting: list[ItemRun] = field(default_factory=list)
+    running: set[ItemRun] = field(default_factory=set)
+    finished: list[ItemRun] = field(default_factory=list)
+    committer: asyncio.Task | None = None
+    checkpoint: asyncio.Task | None = None
+    checkpoint_version: Version | None = None
+    checkpoint_at: float = 0.0
+    checkpoint_events: int = 0
+    stopped: bool = False
+
+    def progress(self) -> dict[ItemId, Progress]:
+        """Return how far the items are that have begun."""
+        return {
+            item.item.id: Progress(list(item.data), item.last_event, item.failures)
+            for item in [*self.waiting, *self.running]
+            if item.data or item.failures
+        }
+
+    def drop_listed(self) -> None:
+        """Forget the items that are listed, by whomever."""
+        listed = self.view.listed
+        self.waiting = [r for r in self.waiting if r.item.id not in listed]
+        self.finished = [r for r in self.finished if r.item.id not in listed]
+        for run in self.running:
+            if run.item.id in listed and run.task is not None:
+                run.task.cancel()
+
+
 def parse_event(event: str) -> tuple[str | None, str | None]:
     """Return the id and the data of one event; no data if it has none.
 
--- /dev/null
+++ b/src/primroseford/jobs/scheduler.py
@@ -0,0 +1,394 @@
+"""Runs the items of this host's jobs as the places allow, and lists their results.
+
+Answers waves of online requests: items start in the lulls, the earliest due first, and
+step back when a wave fills the runners.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from functools import partial
+from typing import TYPE_CHECKING
+
+import structlog
+
+from primroseford.errors import PrimrosefordError
+from primroseford.gateway.tables import choose_pool
+from primroseford.jobs.run import ItemRun
+from primroseford.jobs.run import JobRun
+from primroseford.jobs.run import RunEnd
+from primroseford.jobs.run import run_item
+from primroseford.jobs.state import ItemResult
+from primroseford.jobs.state import ItemState
+from primroseford.jobs.state import Progress
+from primroseford.jobs.store import SEGMENT_BYTES
+
+if TYPE_CHECKING:
+    from primroseford.gateway.places import RunnerState
+    from primroseford.gateway.runners import RunnerKey
+    from primroseford.gateway.state import Gateway
+    from primroseford.gateway.tables import Route
+    from primroseford.ids import JobId
+    from primroseford.ids import PoolName
+    from primroseford.jobs.state import ItemId
+    from primroseford.jobs.state import Job
+    from primroseford.jobs.state import JobView
+    from primroseford.jobs.store import JobStore
+
+GIVE_UP_MARGIN_SECONDS = 3.0
+"""Margin beyond the time at which an item may be given up, since the hosts' times of
+day differ."""
+CHECKPOINT_SECONDS = 2.0
+"""Time between two stores of a job's progress: less than half of an item's run, at a
+price of one write."""
+CHECKPOINT_EVENTS = 100
+"""Events since the last store for which another one is worth its write: about half of
+an item."""
+REFUSED_PAUSE_SECONDS = 0.1
+"""Pause of an item that a runner refused: about one interval of the heartbeats that
+tell of the runner's load."""
+BROKEN_PAUSE_SECONDS = 0.05
+"""Pause of an item whose run broke off, so that a broken pool is not tried at once."""
+FAILED_PAUSE_SECONDS = 0.3
+"""Pause after a runner's own failure, which may pass."""
+COMMIT_RETRY_SECONDS = 0.3
+"""Pause before results are listed again after the store did not take them."""
+TOLD_SECONDS = 3.0
+"""How long a finished job stays in the heartbeats, for readers at other hosts."""
+
+log = structlog.get_logger()
+
+
+class JobScheduler:
+    """The jobs that this host runs.
+
+    :param store: jobs in the platform's store
+    :ivar runs: jobs by id
+    :ivar told: finished jobs that the heartbeats still tell of, with their number of
+        segments and until when
+    """
+
+    def __init__(self, gateway: Gateway, store: JobStore) -> None:
+        self.gateway = gateway
+        self.store = store
+        self.runs: dict[JobId, JobRun] = {}
+        self.told: dict[JobId, tuple[int, float]] = {}
+        self.background: set[asyncio.Task] = set()
+
+    def progress(self) -> dict[JobId, int]:
+        """Return the jobs that this host runs, with their numbers of segments."""
+        now = self.gateway.clock()
+        self.told = {j: t for j, t in self.told.items() if t[1] > now}
+        told = {job: count for job, (count, _) in self.told.items()}
+        return told | {job: run.view.segments for job, run in self.runs.items()}
+
+    def start_job(
+        self, view: JobView, progress: dict[ItemId, Progress] | None = None
+    ) -> None:
+        """Run a job on this host.
+
+        :param progress: how far another host got with its items
+        """
+        job = view.job
+        if job.id in self.runs or view.finished or view.ended:
+            return
+        route = self.route_of(job)
+        age = max(0.0, time.time() - job.submitted)
+        due = self.gateway.clock() + (route.due if route else 0.0) - age
+        waiting = [
+            ItemRun(job, item, due) for item in job.items if item.id not in view.listed
+        ]
+        for item in waiting:
+            done = (progress or {}).get(item.item.id)
+            if done is not None:
+                item.data, item.last_event = list(done.data), done.last_event
+                item.failures = done.failures
+        run = self.runs[job.id] = JobRun(view, waiting)
+        run.checkpoint_at = self.gateway.clock()
+        run.checkpoint_events = sum(len(item.data) for item in waiting)
+        self.gateway.places.changed = True
+        log.info(
+            "job started", job=job.id, items=len(job.items), listed=len(view.listed)
+        )
+        self.place_items()
+
+    def hand_over(self, job: JobId) -> dict[ItemId, Progress]:
+        """Stop a job that another host takes over, and return how far its items are."""
+        run = self.runs.get(job)
+        if run is None:
+            return {}
+        progress = run.progress()
+        self.stop_job(run, "handed over")
+        return progress
+
+    def stop_job(self, run: JobRun, why: str) -> None:
+        """Run a job on this host no more."""
+        job = run.view.job.id
+        run.stopped = True
+        self.runs.pop(job, None)
+        self.told[job] = (run.view.segments, self.gateway.clock() + TOLD_SECONDS)
+        for item in run.running:
+            if item.task is not None:
+                item.task.cancel()
+        log.info("job stopped", job=job, why=why, listed=len(run.view.listed))
+
+    def route_of(self, job: Job) -> Route | None:
+        """Return the route of a job, if it still exists."""
+        tables = self.gateway.tables
+        return tables.match(job.host, job.prefix) if tables else None
+
+    def adjust(self) -> None:
+        """Pause, start and give up items, and store their progress."""
+        if self.runs:
+            self.pause_items()
+            self.place_items()
+            self.give_up_items()
+            self.save_progress()
+
+    def save_progress(self) -> None:
+        """Store now and then how far the items are, for a host that takes over."""
+        now = self.gateway.clock()
+        for run in self.runs.values():
+            if run.checkpoint or now - run.checkpoint_at < CHECKPOINT_SECONDS:
+                continue
+            progress = run.progress()
+            events = sum(len(done.data) for done in progress.values())
+            if events - run.checkpoint_events < CHECKPOINT_EVENTS:
+                continue
+            run.checkpoint_at, run.checkpoint_events = now, events
+            run.checkpoint = asyncio.create_task(self._save(run, progress))
+            self.keep(run.checkpoint)
+
+    async def _save(self, run: JobRun, progress: dict[ItemId, Progress]) -> None:
+        job = run.view.job.id
+        try:
+            run.checkpoint_version = await self.store.save_progress(
+                job, progress, run.checkpoint_version
+            )
+        except PrimrosefordError as error:
+            run.checkpoint_version = None
+            log.info("progress not stored", job=job, code=error.code.name)
+        finally:
+            run.checkpoint = None
+
+    def place_items(self) -> None:
+        """Start items while there is room, the earliest due first."""
+        if self.gateway.stopping or self.gateway.tables is None:
+            return
+        now = self.gateway.clock()
+        ready = [
+            (item.due, -len(item.data), number, run, item)
+            for run in self.runs.values()
+            for number, item in enumerate(run.waiting)
+            if item.not_before <= now
+        ]
+        ready.sort(key=lambda entry: entry[:3])
+        full: set[PoolName] = set()
+        for *_, run, item in ready:
+            route = self.route_of(item.job)
+            if route is None:
+                continue
+            pool = choose_pool(route, self.gateway.random)
+            if pool in full:
+                continue
+            runner = self.gateway.places.choose_for_batch(pool, item.tried)
+            if runner is None and item.tried:
+                item.tried.clear()
+                runner = self.gateway.places.choose_for_batch(pool)
+            if runner is None:
+                full.add(pool)
+                continue
+            self.gateway.places.start(runner, batch=True)
+            run.waiting.remove(item)
+            run.running.add(item)
+            item.started_at = now
+            until = now + max(1.0, self.give_up_at(item, route) - time.time())
+            item.task = asyncio.create_task(
+                run_item(self.gateway, route, item, runner, until)
+            )
+            # A task that is cancelled before its first step runs no code of its own.
+            item.task.add_done_callback(
+                partial(self._run_ended, run, item, route, runner)
+            )
+
+    def give_up_at(self, item: ItemRun, route: Route) -> float:
+        """Return the Unix time at which an item is given up."""
+        return item.job.submitted + route.give_up + GIVE_UP_MARGIN_SECONDS
+
+    def _run_ended(
+        self,
+        run: JobRun,
+        item: ItemRun,
+        route: Route,
+        runner: RunnerState,
+        task: asyncio.Task[RunEnd],
+    ) -> None:
+        self.gateway.places.finish(runner, batch=True)
+        item.task = None
+        run.running.discard(item)
+        if task.cancelled():
+            if not run.stopped and item.item.id not in run.view.listed:
+                run.waiting.append(item)
+            return
+        if task.exception() is None:
+            end = task.result()
+        else:
+            log.error(
+                "item run failed",
+                item=item.item.id,
+                job=item.job.id,
+                exc_info=task.exception(),
+            )
+            end = RunEnd.BROKEN
+        self.gateway.metrics.items.labels(end.value).inc()
+        self._judge(run, item, route, end, runner.entry.key)
+
+    def _judge(
+        self, run: JobRun, item: ItemRun, route: Route, end: RunEnd, key: RunnerKey
+    ) -> None:
+        now = self.gateway.clock()
+        if end is RunEnd.COMPLETE:
+            item.result = ItemState.COMPLETE
+        elif end is RunEnd.INVALID:
+            item.result = ItemState.DEAD_LETTER
+        elif end is RunEnd.FAILED:
+            item.failures += 1
+            item.tried.add(key)
+            item.not_before = now + FAILED_PAUSE_SECONDS
+            if item.failures >= route.max_attempts:
+                item.result = ItemState.DEAD_LETTER
+        else:
+            refused = end is RunEnd.REFUSED
+            item.tried.add(key)
+            pause = REFUSED_PAUSE_SECONDS if refused else BROKEN_PAUSE_SECONDS
+            item.not_before = now + pause
+        if run.stopped or item.item.id in run.view.listed:
+            return
+        if item.result is None:
+            run.waiting.append(item)
+            return
+        log.info(
+            "item finished",
+            item=item.item.id,
+            job=item.job.id,
+            runner=key.name,
+            state=item.result.value,
+            events=len(item.data),
+            failures=item.failures,
+        )
+        run.finished.append(item)
+        self._commit_soon(run)
+        self.place_items()
+
+    def pause_items(self) -> None:
+        """Step back for online requests; paused items go on where they stopped."""
+        pools: dict[PoolName, list[ItemRun]] = {}
+        for run in self.runs.values():
+            for item in run.running:
+                route = self.route_of(item.job)
+                if route is not None and item.task is not None:
+                    pools.setdefault(route.pools[0][0], []).append(item)
+        for pool, items in pools.items():
+            count = self.gateway.places.items_to_pause(pool)
+            if not count:
+                continue
+            # The latest started has the least to read again.
+            items.sort(key=lambda item: (-item.due, -item.started_at))
+            for item in items[:count]:
+                item.task.cancel()
+            log.info("items paused", pool=pool, count=min(count, len(items)))
+
+    def give_up_items(self) -> None:
+        """Give up the items whose time is over or whose route is gone."""
+        now = time.time()
+        for run in list(self.runs.values()):
+            route = self.route_of(run.view.job)
+            if route is not None and now < run.view.job.submitted + (
+                route.give_up + GIVE_UP_MARGIN_SECONDS
+            ):
+                continue
+            if not run.waiting:
+                continue
+            for item in run.waiting:
+                item.result = ItemState.DEAD_LETTER
+            log.warning(
+                "items given up",
+                job=run.view.job.id,
+                count=len(run.waiting),
+                reason="time" if route else "route",
+            )
+            run.finished += run.waiting
+            run.waiting = []
+            self._commit_soon(run)
+
+    def _commit_soon(self, run: JobRun) -> None:
+        if run.committer is None:
+            run.committer = asyncio.create_task(self._commit(run))
+            self.keep(run.committer)
+
+    async def _commit(self, run: JobRun) -> None:
+        """List finished items until none is left."""
+        try:
+            while run.finished:
+                batch = _segment(run.finished)
+                results = [
+                    ItemResult(item.item.id, item.result, _text(item)) for item in batch
+                ]
+                try:
+                    await self.store.commit(run.view, results)
+                except PrimrosefordError as error:
+                    log.warning(
+                        "results not listed yet",
+                        job=run.view.job.id,
+                        code=error.code.name,
+                        count=len(results),
+                    )
+                    await asyncio.sleep(COMMIT_RETRY_SECONDS)
+                    await self._refresh(run.view)
+                run.drop_listed()
+                self.gateway.places.changed = True
+            if run.view.finished and not run.stopped:
+                self.stop_job(run, "finished")
+                await self.store.mark_finished(run.view.job.id)
+        except PrimrosefordError as error:
+            log.warning(
+                "job not marked as finished",
+                job=run.view.job.id,
+                code=error.code.name,
+            )
+        finally:
+            run.committer = None
+
+    async def _refresh(self, view: JobView) -> None:
+        try:
+            await self.store.refresh(view)
+        except PrimrosefordError as error:
+            log.info("results not readable", job=view.job.id, code=error.code.name)
+
+    def keep(self, task: asyncio.Task) -> None:
+        """Hold a task until it is done; an unexpected error is logged."""
+        self.background.add(task)
+        task.add_done_callback(self._forget)
+
+    def _forget(self, task: asyncio.Task) -> None:
+        self.background.discard(task)
+        error = None if task.cancelled() else task.exception()
+        if error is not None and not isinstance(error, PrimrosefordError):
+            log.error("background task failed", exc_info=error)
+
+
+def _text(item: ItemRun) -> str:
+    return item.text() if item.result is ItemState.COMPLETE else ""
+
+
+def _segment(finished: list[ItemRun]) -> list[ItemRun]:
+    """Return the first finished items that fit into one segment, at least one."""
+    taken: list[ItemRun] = []
+    size = 0
+    for item in finished:
+        size += sum(map(len, item.data))
+        if taken and size > SEGMENT_BYTES:
+            break
+        taken.append(item)
+    return taken
--- a/src/primroseford/jobs/tests/test_jobs.py
+++ b/src/primroseford/jobs/tests/test_jobs.py
@@ -7,7 +7,7 @@
 import pytest
 
 from primroseford.gateway.heartbeat import HeartbeatService
-from primroseford.jobs import service as jobs_service
+from primroseford.jobs import scheduler
 from primroseford.jobs.service import JobService
 from primroseford.jobs.store import CHECKPOINTS
 from primroseford.jobs.store import JOBS
@@ -157,7 +157,7 @@
     for runner in rig.runners:
         runner.events, runner.event_seconds = 40, 0.02
     assert await submit(rig, "job1", count=1) == 202
-    runs = service(rig.hosts[0]).runs["job1"]
+    runs = service(rig.hosts[0]).scheduler.runs["job1"]
     await rig.until(lambda: any(len(i.data) > 3 for i in runs.running))
     (item,) = runs.running
     item.task.cancel()
@@ -190,7 +190,7 @@
         runner.events, runner.event_seconds = 150, 0.02
     assert await submit(rig, "job1", count=1) == 202
     await join(rig)
-    (item,) = service(rig.hosts[0]).runs["job1"].running
+    (item,) = service(rig.hosts[0]).scheduler.runs["job1"].running
     await rig.until(lambda: len(item.data) > 10)
     rig.hosts[0].gateway.stopping = True
     (result,) = await read_all(rig, "job1", host=1)
@@ -208,9 +208,11 @@
     assert await submit(rig, "job1") == 202
     await rig.until(lambda: rig.hosts[1].gateway.members.known_jobs() == {"job1"})
     beat = next(d for d in rig.hosts[0].duties if isinstance(d, HeartbeatService))
-    service(rig.hosts[0]).stop_job(service(rig.hosts[0]).runs["job1"], "killed")
-    service(rig.hosts[0]).told.clear()
-    service(rig.hosts[0]).views.clear()
+    service(rig.hosts[0]).scheduler.stop_job(
+        service(rig.hosts[0]).scheduler.runs["job1"], "killed"
+    )
+    service(rig.hosts[0]).scheduler.told.clear()
+    service(rig.hosts[0]).views.views.clear()
     beat.incarnation, beat.sequence = "anew", 0
     await rig.until(lambda: rig.hosts[1].gateway.members.orphaned == {"job1"})
     assert len(await read_all(rig, "job1", host=1)) == 3
@@ -218,8 +220,8 @@
 
 async def test_progress_survives_the_loss_of_all_hosts(rig, monkeypatch):
     """Guards against items that start anew after every host was killed."""
-    monkeypatch.setattr(jobs_service, "CHECKPOINT_SECONDS", 0.1)
-    monkeypatch.setattr(jobs_service, "CHECKPOINT_EVENTS", 10)
+    monkeypatch.setattr(scheduler, "CHECKPOINT_SECONDS", 0.1)
+    monkeypatch.setattr(scheduler, "CHECKPOINT_EVENTS", 10)
     for runner in rig.runners:
         runner.events, runner.event_seconds = 150, 0.02
     assert await submit(rig, "job1", count=1) == 202
@@ -252,7 +254,7 @@
         runner.events, runner.event_seconds = 20, 0.01
     assert await submit(rig, "job1", count=5) == 202
     other = service(rig.hosts[1])
-    other.start_job(await other.read("job1"))
+    other.scheduler.start_job(await other.views.read("job1"))
     results = await read_all(rig, "job1", host=1)
     assert sorted(r["id"] for r in results) == [f"it{n}" for n in range(5)]
     assert await read_all(rig, "job1") == results
@@ -263,14 +265,14 @@
     await join(rig)
     assert await submit(rig, "job1") == 202
     late = service(rig.hosts[1])
-    await late.read("job1")
+    await late.views.read("job1")
     await read_all(rig, "job1")
-    await rig.until(lambda: "job1" not in service(rig.hosts[0]).runs)
+    await rig.until(lambda: "job1" not in service(rig.hosts[0]).scheduler.runs)
     runs = sum(len(runner.received) for runner in rig.runners)
     for host in rig.hosts:
-        service(host).orphans["job1"] = host.clock() - 100
-        await service(host)._take_orphans(host.clock())
-    assert all(not service(host).runs for host in rig.hosts)
+        service(host).ownership.orphans["job1"] = host.clock() - 100
+        await service(host).ownership.take_orphans(host.clock())
+    assert all(not service(host).scheduler.runs for host in rig.hosts)
     assert sum(len(runner.received) for runner in rig.runners) == runs
 
 
@@ -349,11 +351,11 @@
     jobs = service(rig.hosts[0])
     await submit(rig, "job1")
     await read_all(rig, "job1")
-    await rig.until(lambda: "job1" not in jobs.runs)
-    await jobs._scan(rig.hosts[0].clock())
+    await rig.until(lambda: "job1" not in jobs.scheduler.runs)
+    await jobs.ownership.scan(rig.hosts[0].clock())
     assert stored(rig, JOBS)
-    jobs.retention = -1000.0
-    await jobs._scan(rig.hosts[0].clock())
+    jobs.ownership.retention = -1000.0
+    await jobs.ownership.scan(rig.hosts[0].clock())
     assert not stored(rig, JOBS) and not stored(rig, SEGMENTS)
 
 
