--- a/src/primroseford/cli/application.py
+++ b/src/primroseford/cli/application.py
@@ -11,6 +11,7 @@
 from primroseford.cli.commands.apply import ApplyCommand
 from primroseford.cli.commands.check import CheckCommand
 from primroseford.cli.commands.diff import DiffCommand
+from primroseford.cli.commands.explain import ExplainCommand
 from primroseford.cli.commands.get import GetCommand
 from primroseford.cli.commands.job_cancel import JobCancelCommand
 from primroseford.cli.commands.job_results import JobResultsCommand
@@ -27,6 +28,7 @@
     ApplyCommand,
     CheckCommand,
     DiffCommand,
+    ExplainCommand,
     GetCommand,
     JobCancelCommand,
     JobResultsCommand,
