--- /dev/null
+++ b/src/primroseford/demo/entry_hosts.py
@@ -0,0 +1,100 @@
+"""The demo's second part: entry hosts as they run on the users' platform."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import json
+from typing import TYPE_CHECKING
+
+import aiohttp
+
+from primroseford.proof.site import Site
+from primroseford.proof.site import configuration
+from primroseford.standins.platform import create_platform_application
+from primroseford.standins.platform import create_platform_stand_in
+from primroseford.standins.serving import serve
+
+if TYPE_CHECKING:
+    from primroseford.demo.checks import Checks
+
+RUNNERS = 3
+REQUESTS = 40
+ITEMS = 20
+EVENTS = 20
+READ_SECONDS = 20.0
+
+
+async def run_entry_hosts(checks: Checks) -> None:
+    """Serve requests, a broken stream and a job whose host is lost.
+
+    :param checks: where the outcome is noted
+    """
+    print("starting 2 entry hosts and 3 runners on the platform's protocol", flush=True)
+    platform = create_platform_stand_in()
+    served = await serve(create_platform_application(platform))
+    platform.url = served.url
+    async with aiohttp.ClientSession() as session:
+        site = Site(platform, session)
+        try:
+            site.put("config", "main", configuration())
+            for number in range(RUNNERS):
+                await site.add_runner(f"i-{number}", events=EVENTS)
+            for _ in range(2):
+                await site.add_host()
+            await _run(site, checks)
+        finally:
+            await site.stop()
+            await served.stop()
+
+
+async def _run(site: Site, checks: Checks) -> None:
+    statuses = [
+        (await site.call("/ping/whole", f"ping-{n}", host=n % 2))[0]
+        for n in range(REQUESTS)
+    ]
+    good = statuses.count(200)
+    checks.add("requests through both entry hosts", good == REQUESTS, f"{good} served")
+    for runner in site.runners:
+        runner.faults.cut_after, runner.faults.cuts = 3, 0
+    site.runners[0].faults.cuts = 1
+    streams = [await site.call("/pick/x", f"pick-{n}") for n in range(RUNNERS * 2)]
+    whole = sum(body.count(b"data: ") == EVENTS for _, _, body in streams)
+    checks.add(
+        "a stream that broke goes on at another runner",
+        whole == len(streams),
+        f"{whole} of {len(streams)} whole",
+    )
+    await _run_job(site, checks)
+
+
+async def _run_job(site: Site, checks: Checks) -> None:
+    items = [
+        {
+            "id": f"item-{number}",
+            "path": f"/notes/{number}",
+            "headers": {},
+            "body": base64.b64encode(b"prompt").decode(),
+            "tokens": 10,
+        }
+        for number in range(ITEMS)
+    ]
+    for runner in site.runners:
+        runner.event_seconds = 0.02
+    body = json.dumps({"items": items}).encode()
+    status, _, _ = await site.call("/notes/x", "demo-job", body=body)
+    await site.until(lambda: any(runner.open for runner in site.runners))
+    for duty in site.hosts[0].duties:
+        await duty.stop()
+    results: list[dict] = []
+    async with asyncio.timeout(READ_SECONDS):
+        while len(results) < ITEMS:
+            path = f"/lots/demo-job?after={len(results)}"
+            found = await site.call(path, method="GET", host=1, body=b"", Wait_Ms="500")
+            results += json.loads(found[2])["results"]
+    complete = sum(result["state"] == "complete" for result in results)
+    checks.add(
+        "a job is finished after its host is lost",
+        status == 202 and complete == len({r["id"] for r in results}) == ITEMS,
+        f"{complete} of {ITEMS} items complete",
+    )
--- a/src/primroseford/demo/session.py
+++ b/src/primroseford/demo/session.py
@@ -13,6 +13,7 @@
 from primroseford.configuration.edits import issue_key
 from primroseford.configuration.edits import withdraw_key
 from primroseford.demo.checks import Checks
+from primroseford.demo.entry_hosts import run_entry_hosts
 from primroseford.demo.fleet import running_fleet
 from primroseford.demo.traffic import INVALID_ITEMS
 from primroseford.demo.traffic import Caller
@@ -53,6 +54,7 @@
         print("starting 3 hosts, 16 runners and the platform's service", flush=True)
         async with running_fleet(Path(folder)) as fleet:
             await run_session(fleet, checks, items)
+    await run_entry_hosts(checks)
     held = checks.all_held()
     print("demo: ok" if held else "demo: failed")
     return 0 if held else 1
--- a/src/primroseford/gateway/tests/test_follow.py
+++ b/src/primroseford/gateway/tests/test_follow.py
@@ -3,9 +3,9 @@
 import pytest
 
 from primroseford.gateway.follow import Followers
-from primroseford.gateway.tests.rig import configuration
-from primroseford.gateway.tests.rig import runner_entry
 from primroseford.gateway.tests.test_forwarding import duty
+from primroseford.proof.site import configuration
+from primroseford.proof.site import runner_entry
 
 
 @pytest.mark.parametrize("kind", ["config", "servers"])
--- a/src/primroseford/gateway/tests/test_forwarding.py
+++ b/src/primroseford/gateway/tests/test_forwarding.py
@@ -6,10 +6,10 @@
 import pytest
 
 from primroseford.gateway.follow import Followers
-from primroseford.gateway.tests.rig import HOST
-from primroseford.gateway.tests.rig import KEY
-from primroseford.gateway.tests.rig import configuration
-from primroseford.gateway.tests.rig import runner_entry
+from primroseford.proof.site import HOST
+from primroseford.proof.site import KEY
+from primroseford.proof.site import configuration
+from primroseford.proof.site import runner_entry
 from primroseford.standins.fleet_runner import event
 
 WHOLE_STREAM = b"".join(event(number) for number in range(1, 6))
--- /dev/null
+++ b/src/primroseford/gateway/tests/test_golden.py
@@ -0,0 +1,62 @@
+"""A whole session through the adapter, byte by byte against a golden file."""
+
+from __future__ import annotations
+
+import base64
+import json
+import re
+from pathlib import Path
+
+GOLDEN = Path(__file__).parent / "golden" / "session.txt"
+VARYING = {"Date", "Server", "Deadline-Ms", "Connection", "User-Agent"}
+"""Headers whose values differ from run to run."""
+
+
+def described(headers) -> list[str]:
+    """Return headers as sorted lines, without varying values."""
+    lines = []
+    for name, value in headers.items():
+        shown = "(varies)" if name in VARYING else value
+        shown = re.sub(r"127\.0\.0\.\d+:\d+", "(address)", shown)
+        lines.append(f"{name}: {shown}")
+    return sorted(lines)
+
+
+async def record(site, title: str, path: str, request_id: str, **fields) -> list[str]:
+    """Send a request and return what the runner and the caller saw."""
+    before = [len(runner.received) for runner in site.runners]
+    status, headers, body = await site.call(path, request_id, **fields)
+    lines = [f"== {title}", f"caller: {status}", *described(headers), repr(body)]
+    for runner, count in zip(site.runners, before, strict=True):
+        for run in runner.received[count:]:
+            lines += [f"runner {runner.name}: {run.method} {run.target}"]
+            lines += [*described(run.headers), repr(run.body)]
+    return [*lines, ""]
+
+
+async def test_session_matches_the_golden_file(rig):
+    """Guards against a change of what callers and runners see."""
+    rig.hosts[0].gateway.places.runners["i-2"].online = 5
+    item = {
+        "id": "item1",
+        "path": "/notes/1?x=%20",
+        "headers": {"Model": "m", "Token-Count": "10,20"},
+        "body": base64.b64encode(b"prompt").decode(),
+        "tokens": 30,
+    }
+    body = json.dumps({"items": [item]}).encode()
+    lines = await record(rig, "request", "/ping/whole%2F?a=b", "r1", Model="m")
+    lines += await record(rig, "stream", "/pick/x", "r2", Token_Count="10,5")
+    lines += await record(rig, "no route", "/absent/", "r3")
+    lines += await record(rig, "job", "/notes/x", "job1", body=body)
+    await rig.until(lambda: rig.runners[0].received[-1].request_id == "item1")
+    run = rig.runners[0].received[-1]
+    lines += [f"runner i-1: {run.method} {run.target}"]
+    lines += [*described(run.headers), repr(run.body), ""]
+    read = {"method": "GET", "body": b"", "Wait_Ms": "1000"}
+    lines += await record(rig, "results", "/lots/job1?after=0", "r4", **read)
+    lines += await record(rig, "body", "/items/job1?id=item1", "r5", **read)
+    end = {"method": "DELETE", "body": b""}
+    lines += await record(rig, "end", "/lots/job1", "r6", **end)
+    text = "\n".join(lines)
+    assert text == GOLDEN.read_text()
--- a/src/primroseford/gateway/tests/test_heartbeat.py
+++ b/src/primroseford/gateway/tests/test_heartbeat.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from primroseford.gateway.tests.rig import KEY
-from primroseford.gateway.tests.rig import configuration
+from primroseford.proof.site import KEY
+from primroseford.proof.site import configuration
 
 
 def limited(rate: float) -> dict:
--- a/src/primroseford/gateway/tests/test_store_path.py
+++ b/src/primroseford/gateway/tests/test_store_path.py
@@ -6,7 +6,7 @@
 
 from primroseford.gateway.store_path import FAILURES
 from primroseford.gateway.store_path import StorePath
-from primroseford.gateway.tests.rig import configuration
+from primroseford.proof.site import configuration
 
 DIRECT = "http://store"
 PEERS = ["http://a", "http://b"]
--- a/src/primroseford/jobs/tests/conftest.py
+++ b/src/primroseford/jobs/tests/conftest.py
@@ -4,14 +4,14 @@
 
 import pytest
 
-from primroseford.gateway.tests.rig import Rig
-from primroseford.gateway.tests.rig import configuration
+from primroseford.proof.site import Site
+from primroseford.proof.site import configuration
 
 
 @pytest.fixture
 async def rig(platform, session):
     """One host with two runners; more can be added."""
-    built = Rig(platform, session)
+    built = Site(platform, session)
     built.put("config", "main", configuration())
     for name in ("i-1", "i-2"):
         await built.add_runner(name)
--- a/src/primroseford/platform/tests/test_decoding.py
+++ b/src/primroseford/platform/tests/test_decoding.py
@@ -10,14 +10,14 @@
 from primroseford.errors import PrimrosefordError
 from primroseford.errors import ResultCode
 from primroseford.gateway.tables import RouteKind
-from primroseford.gateway.tests.rig import configuration
-from primroseford.gateway.tests.rig import runner_entry
 from primroseford.ids import Version
 from primroseford.logs import BoundedOutput
 from primroseford.platform.configuration import decode_tables
 from primroseford.platform.objects import PlatformObject
 from primroseford.platform.runner_list import decode_runner
 from primroseford.platform.settings import decode_node_settings
+from primroseford.proof.site import configuration
+from primroseford.proof.site import runner_entry
 
 SETTINGS = {
     "node_name": "front-a-1",
--- a/src/primroseford/gateway/tests/rig.py
+++ b/src/primroseford/proof/site.py
@@ -87,8 +87,8 @@
 
 
 @dataclass
-class Rig:
-    """Everything that one test runs.
+class Site:
+    """Everything that runs in one process.
 
     :param platform: stand-in of the platform's store, which is served
     """
