--- a/src/primroseford/gateway/tests/test_store_path.py
+++ b/src/primroseford/gateway/tests/test_store_path.py
@@ -4,8 +4,11 @@
 
 import pytest
 
+from primroseford.gateway.follow import WATCH_SECONDS
 from primroseford.gateway.store_path import FAILURES
 from primroseford.gateway.store_path import StorePath
+from primroseford.platform.transport import RELAY_TIMEOUT_SECONDS
+from primroseford.platform.transport import WATCH_MARGIN_SECONDS
 from primroseford.proof.site import configuration
 
 DIRECT = "http://store"
@@ -48,6 +51,11 @@
     assert used == set(PEERS)
 
 
+def test_relayed_watch_may_wait():
+    """Guards against relayed watches that end before their time and are made anew."""
+    assert RELAY_TIMEOUT_SECONDS > WATCH_SECONDS + WATCH_MARGIN_SECONDS
+
+
 async def test_host_that_is_cut_off_uses_a_peer(rig):
     """Guards against stale tables and lost jobs on a host that the store rejects."""
     view = await rig.add_view()
