Take changes of the runner list that follow closely in one call

Change: a pause of 0.4 s after an answer with changes; the time after which a watch counts as silent is longer than that.

--- /dev/null
+++ b/bench/bench_entry.py
@@ -0,0 +1,114 @@
+"""Costs of an entry host's control: heartbeats, choices and rates, by their size."""
+
+from __future__ import annotations
+
+import time
+from random import Random
+from typing import TYPE_CHECKING
+
+from bench.report import Report
+from primroseford.gateway.gen.messages.ttypes import Heartbeat
+from primroseford.gateway.gen.messages.ttypes import JobProgress
+from primroseford.gateway.gen.messages.ttypes import RunnerLoad as ToldLoad
+from primroseford.gateway.gen.messages.ttypes import Spending
+from primroseford.gateway.members import Members
+from primroseford.gateway.places import Places
+from primroseford.gateway.quota import Quotas
+from primroseford.gateway.runners import RunnerEntry
+from primroseford.gateway.runners import RunnerKey
+from primroseford.gateway.runners import RunnerStage
+from primroseford.gateway.tables import Organisation
+from primroseford.peer.codec import decode
+from primroseford.peer.codec import encode
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+COMMAND = 'make bench ARGS="entry"'
+SECONDS = 0.3
+"""Processor time spent on each figure."""
+RUNNERS = (5, 45, 450)
+HOSTS = (9, 54, 540)
+
+
+def microseconds(work: Callable[[], object]) -> float:
+    """Return the processor time of one call in microseconds."""
+    count, started = 0, time.process_time()
+    while time.process_time() - started < SECONDS:
+        for _ in range(20):
+            work()
+        count += 20
+    return (time.process_time() - started) / count * 1e6
+
+
+def heartbeat(host: str, runners: int, sequence: int = 1) -> Heartbeat:
+    """Return a heartbeat of a host that uses some runners."""
+    return Heartbeat(
+        host,
+        "incarnation01",
+        "10.1.0.5:7660",
+        "domain-a",
+        sequence,
+        False,
+        7,
+        0,
+        [ToldLoad(f"i-{n:010x}", 0, n % 2, False) for n in range(runners)],
+        [Spending(f"organisation-{n}", 1000 + n, 1) for n in range(8)],
+        [JobProgress(f"{n:016x}", 3) for n in range(2)],
+        True,
+        900,
+        [],
+    )
+
+
+def places_with(runners: int) -> Places:
+    """Return the places of one host before one pool."""
+    places = Places("domain-a", time.monotonic, Random(1))
+    entries = {}
+    for number in range(runners):
+        key = RunnerKey(f"i-{number:010x}", 1)
+        address = f"10.1.1.{number % 250}:80"
+        entries[key.name] = RunnerEntry(
+            key, "pool", address, "domain-a", 8, RunnerStage.READY
+        )
+    places.set_runners(entries)
+    return places
+
+
+async def measure() -> Report:
+    """Measure and return the figures."""
+    report = Report("entry", COMMAND)
+    for runners in RUNNERS:
+        sent = heartbeat("peer", min(runners, 10))
+        data = encode(sent)
+        places = places_with(runners)
+        for host in range(4):
+            places.take_heartbeat(heartbeat(f"peer-{host}", min(runners, 10)))
+
+        def receive(data=data, places=places) -> None:
+            places.take_heartbeat(decode(Heartbeat, data))
+
+        def start_and_finish(places=places) -> None:
+            runner = places._choose("pool", ())
+            places.start(runner)
+            places.finish(runner)
+
+        name = f"{runners} runners"
+        report.plain(f"heartbeat taken, {name}", microseconds(receive), "us")
+        report.plain(f"request placed, {name}", microseconds(start_and_finish), "us")
+        report.plain(f"heartbeat sent, {name}", float(len(data)), "bytes")
+    for hosts in HOSTS:
+        members = Members("own")
+        for host in range(hosts):
+            members.receive(heartbeat(f"peer-{host}", 10), 0.0)
+        report.plain(
+            f"live hosts listed, {hosts} hosts",
+            microseconds(lambda members=members: members.live(0.5)),
+            "us",
+        )
+    quotas = Quotas(0.0)
+    caroni = Organisation("caroni", 1e9, 1e9)
+    report.plain(
+        "request admitted", microseconds(lambda: quotas.take(caroni, 5.0)), "us"
+    )
+    return report
--- a/src/primroseford/gateway/follow.py
+++ b/src/primroseford/gateway/follow.py
@@ -35,9 +35,12 @@
 WATCH_SECONDS = 5.0
 """Wait of one watch call. A change that a watch misses on a silent connection is told
 by the heartbeats of the other hosts."""
-BEHIND_SECONDS = 0.25
-"""Age of a watch from which a peer's newer version means that it hides changes; the
-answers of the store to all hosts come within a few ms of each other."""
+RUNNER_PAUSE_SECONDS = 0.4
+"""Pause after changes of the runner list: a fifth of the time in which a leaving runner
+must get nothing new. Runners start and leave in numbers, each with a change."""
+BEHIND_SECONDS = 0.6
+"""Time after which a peer's newer version means that the own watch hides changes: the
+pause before a watch call, and the answer to it."""
 EXPIRE_SECONDS = 0.2
 """Time between two looks for runners whose time to return is over."""
 
@@ -69,6 +72,7 @@
             on_contact=self.runners_contact,
             backoff_max=BACKOFF_SECONDS,
             watch_seconds=WATCH_SECONDS,
+            pause_seconds=RUNNER_PAUSE_SECONDS,
         )
 
         gateway.on_heartbeat = self.compare_versions
--- a/src/primroseford/platform/reflector.py
+++ b/src/primroseford/platform/reflector.py
@@ -14,6 +14,7 @@
 from primroseford.errors import ResultCode
 from primroseford.platform.client import WATCH_WAIT_SECONDS
 from primroseford.platform.limiter import Priority
+from primroseford.platform.objects import EventType
 from primroseford.platform.view import View
 from primroseford.platform.view import apply_event
 from primroseford.platform.view import apply_list
@@ -49,6 +50,7 @@
         changes
     :param backoff_max: longest pause between two tries, in seconds
     :param watch_seconds: how long one watch call waits for a change
+    :param pause_seconds: time between an answer with changes and the next watch call
     :ivar reachable: whether the service answered the last call
     """
 
@@ -64,10 +66,12 @@
         on_contact: Callable[[bool], None] | None = None,
         backoff_max: float = BACKOFF_MAX_SECONDS,
         watch_seconds: float = WATCH_WAIT_SECONDS,
+        pause_seconds: float = 0.0,
     ) -> None:
         super().__init__()
         self.backoff_max = backoff_max
         self.watch_seconds = watch_seconds
+        self.pause_seconds = pause_seconds
         self.watching: asyncio.Task | None = None
         self.behind_since: float | None = None
         self.client = client
@@ -161,6 +165,7 @@
             priority=Priority.READ,
             wait_seconds=self.watch_seconds,
         )
+        changed = False
         async for event in events:
             self.failures = 0
             self._contact(True)
@@ -169,6 +174,10 @@
                 self._report(delta)
             elif event.version == self.view.version:
                 self.confirmed_at = self.clock()
+            if event.type is EventType.BOOKMARK and changed:
+                # Changes that follow closely come in one answer.
+                await self.sleep(self.pause_seconds)
+            changed = event.type is not EventType.BOOKMARK
             if self.should_stop or self.clock() - listed_at > lifetime:
                 await events.aclose()
                 return
@@ -191,6 +200,7 @@
     on_contact: Callable[[bool], None] | None = None,
     backoff_max: float = BACKOFF_MAX_SECONDS,
     watch_seconds: float = WATCH_WAIT_SECONDS,
+    pause_seconds: float = 0.0,
 ) -> Reflector:
     """Return a service that follows the objects of one kind.
 
@@ -207,6 +217,7 @@
     :param on_contact: called with whether the service answered
     :param backoff_max: longest pause between two tries, in seconds
     :param watch_seconds: how long one watch call waits for a change
+    :param pause_seconds: time between an answer with changes and the next watch call
     """
     return Reflector(
         client,
@@ -219,4 +230,5 @@
         on_contact,
         backoff_max,
         watch_seconds,
+        pause_seconds,
     )
--- a/src/primroseford/platform/tests/test_reflector.py
+++ b/src/primroseford/platform/tests/test_reflector.py
@@ -119,3 +119,21 @@
     delays = [await reflector.run_once() for _ in range(8)]
     assert delays[:3] == [0.2, 0.4, 0.8]
     assert delays[-1] == 10.0
+
+
+async def test_changes_that_follow_closely_cost_one_call(platform, client, eventually):
+    """Guards against a call for each of many runners that start together."""
+    reflector = create_reflector(
+        client, "pools", lambda _: None, purpose="test", pause_seconds=0.2
+    )
+    store(platform, "a")
+    await reflector.start()
+    await eventually(lambda: "a" in reflector.view.objects)
+    store(platform, "b")
+    await eventually(lambda: "b" in reflector.view.objects)
+    before = platform.state.calls["WATCH", "pools"]
+    for number in range(20):
+        store(platform, f"c{number}")
+    await eventually(lambda: len(reflector.view.objects) == 22)
+    assert platform.state.calls["WATCH", "pools"] <= before + 2
+    await reflector.stop()
