Let many hosts choose among a few random runners

Ruled out: a full pool (batch was refused no room, 0 preempted), processor time (0.05 of a core). Change: with more than 16 hosts a request chooses among three random runners, and batch takes its host's part of the room.

--- a/src/primroseford/gateway/placement.py
+++ b/src/primroseford/gateway/placement.py
@@ -21,6 +21,12 @@
 QUEUE_AT_RUNNER = 2
 """Online requests that may wait in a runner's own queue while every slot of the pool
 is taken: it saves the time in which a free slot becomes known here."""
+FULL_VIEW_HOSTS = 16
+"""Hosts up to which heartbeats come at their shortest interval (``heartbeat.py``), so
+that loads are no older than the time between two requests to one runner."""
+SAMPLED_RUNNERS = 3
+"""Runners among which a request chooses if there are more hosts: the power of two
+choices, and a third for one that is full."""
 HEADROOM = 0.12
 """Part of a pool's slots that batch leaves free: the online requests that arrive in
 the 200 ms in which batch steps back, at the start of a wave."""
@@ -51,6 +57,21 @@
         return self.slots - self.online - self.batch
 
 
+def sample_runners(
+    loads: Sequence[RunnerLoad], hosts: int, random: Random
+) -> Sequence[RunnerLoad]:
+    """Return the runners among which one request chooses.
+
+    Many hosts that all see the same loads, some heartbeats old, would send to the same
+    runner until the next heartbeats; the best of a few random ones is nearly as good.
+
+    :param hosts: hosts that choose, this one included
+    """
+    if hosts <= FULL_VIEW_HOSTS or len(loads) <= SAMPLED_RUNNERS:
+        return loads
+    return random.sample(loads, SAMPLED_RUNNERS)
+
+
 def choose_runner(
     loads: Sequence[RunnerLoad], domain: FailureDomainId, random: Random
 ) -> RunnerLoad | None:
@@ -73,17 +94,23 @@
     return best
 
 
-def batch_runner(loads: Sequence[RunnerLoad], random: Random) -> RunnerLoad | None:
+def batch_runner(
+    loads: Sequence[RunnerLoad], random: Random, hosts: int = 1
+) -> RunnerLoad | None:
     """Return the runner on which one more batch item may start, or nothing.
 
+    With many hosts each takes its part of the room by chance, since all see the same.
+
     :param loads: runners that may be used
     :param random: source of randomness
+    :param hosts: hosts that choose, this one included
     """
     slots = sum(load.slots for load in loads)
-    free = sum(max(0, load.free) for load in loads)
-    if free - 1 < HEADROOM * slots:
+    room = sum(max(0, load.free) for load in loads) - HEADROOM * slots
+    if room < 1 or (hosts > FULL_VIEW_HOSTS and room < hosts * random.random()):
         return None
-    best = max(loads, key=lambda load: (load.free, random.random()))
+    sampled = sample_runners(loads, hosts, random)
+    best = max(sampled, key=lambda load: (load.free, random.random()))
     return best if best.free > 0 else None
 
 
--- a/src/primroseford/gateway/places.py
+++ b/src/primroseford/gateway/places.py
@@ -15,6 +15,7 @@
 from primroseford.gateway.placement import choose_runner
 from primroseford.gateway.placement import expected_wait
 from primroseford.gateway.placement import items_to_pause
+from primroseford.gateway.placement import sample_runners
 from primroseford.gateway.runners import RunnerStage
 from primroseford.online.queueing import FairQueue
 
@@ -109,6 +110,11 @@
         self.service_seconds: dict[PoolName, float] = {}
         self.changed = False
 
+    @property
+    def hosts(self) -> int:
+        """Number of hosts that place requests, this one included."""
+        return 1 + len(self.peer_waiting)
+
     def set_runners(self, entries: dict[RunnerName, RunnerEntry]) -> None:
         """Take the runners of the list; a restart under a known name starts anew."""
         for name in [n for n in self.runners if n not in entries]:
@@ -149,7 +155,10 @@
             for runner in self.usable(pool)
             if runner.full_until <= now and runner.entry.key not in tried
         ]
-        best = choose_runner(loads, self.domain, self.random)
+        sampled = sample_runners(loads, self.hosts, self.random)
+        best = choose_runner(sampled, self.domain, self.random)
+        if best is None and len(sampled) < len(loads):
+            best = choose_runner(loads, self.domain, self.random)
         return None if best is None else self.runners[best.key.name]
 
     async def acquire(
@@ -291,7 +300,7 @@
             for runner in self.usable(pool)
             if runner.full_until <= now and runner.entry.key not in tried
         ]
-        best = batch_runner(loads, self.random) if loads else None
+        best = batch_runner(loads, self.random, self.hosts) if loads else None
         return None if best is None else self.runners[best.key.name]
 
     def items_to_pause(self, pool: PoolName) -> int:
--- a/src/primroseford/gateway/tests/test_decisions.py
+++ b/src/primroseford/gateway/tests/test_decisions.py
@@ -11,12 +11,14 @@
 from primroseford.gateway.members import SILENCE_SECONDS
 from primroseford.gateway.members import Members
 from primroseford.gateway.members import preferred_host
+from primroseford.gateway.placement import HEADROOM
 from primroseford.gateway.placement import QUEUE_AT_RUNNER
 from primroseford.gateway.placement import RunnerLoad
 from primroseford.gateway.placement import batch_runner
 from primroseford.gateway.placement import choose_runner
 from primroseford.gateway.placement import expected_wait
 from primroseford.gateway.placement import items_to_pause
+from primroseford.gateway.placement import sample_runners
 from primroseford.gateway.retry import MAX_REFUSALS
 from primroseford.gateway.retry import Next
 from primroseford.gateway.retry import next_step
@@ -67,6 +69,35 @@
     assert (found.key.name if found else None) == chosen
 
 
+def most_at_one_runner(hosts: int, spread: bool) -> int:
+    """Return the most requests at one runner of hosts that see the same old loads."""
+    random = Random(7)
+    seen = [load(f"r{number}", number % 3) for number in range(45)]
+    sent: dict[str, int] = {}
+    for _ in range(hosts):
+        loads = sample_runners(seen, hosts, random) if spread else seen
+        # Each host knows its own request only, so all choose from the same loads.
+        chosen = choose_runner(loads, "b", Random(hosts)).key.name
+        sent[chosen] = sent.get(chosen, 0) + 1
+    return max(sent.values())
+
+
+def test_many_hosts_do_not_choose_the_same_runner():
+    """Guards against a herd at the runner that looked best a heartbeat ago."""
+    assert most_at_one_runner(54, spread=False) == 54
+    assert most_at_one_runner(54, spread=True) <= 8
+
+
+@pytest.mark.parametrize("hosts", [1, 54])
+def test_many_hosts_take_their_part_of_the_room_for_batch(hosts):
+    """Guards against as many batch items as there are hosts in the last free slots."""
+    random = Random(3)
+    loads = [load(f"r{number}", 6) for number in range(45)]
+    started = [batch_runner(loads, random, hosts) is not None for _ in range(hosts)]
+    room = 45 * 2 - HEADROOM * 45 * 8
+    assert 1 <= sum(started) <= max(1, room)
+
+
 @pytest.mark.parametrize(
     ("loads", "least", "most"),
     [
