Run no request whose connection was closed before it began

The handler is started one turn of the loop after the request was read; a connection that is closed in between does not count as busy. Change: a handler whose connection is closed already ends at once. The test closes the connection after 0 to 4 turns and failed at one. A caller who leaves is counted as such and no longer as OK.

--- a/src/primroseford/gateway/application.py
+++ b/src/primroseford/gateway/application.py
@@ -37,6 +37,10 @@
     """Return the handler of all callers' requests."""
 
     async def handle(request: BaseRequest) -> web.StreamResponse:
+        if request.transport is None:
+            # The connection was closed after the request had been read: it must not
+            # run, since nobody would hear of it.
+            raise ConnectionResetError
         started = gateway.clock()
         request_id = request_id_of(request)
         gateway.busy.add(request.protocol)
--- a/src/primroseford/gateway/forward.py
+++ b/src/primroseford/gateway/forward.py
@@ -45,6 +45,10 @@
 """Longest wait for a token: shorter than the round trip of a refused caller who comes
 back, and a sixth of the shortest objective of the workloads of letter 1."""
 
+CALLER_LEFT = "CALLER_LEFT"
+"""End of a request whose caller closed the connection; it has no result code, since
+nobody gets one."""
+
 log = structlog.get_logger()
 
 
@@ -103,12 +107,12 @@
     flow = Flow(
         request, incoming, route, organisation, pool, started, started + allowed
     )
-    code = ResultCode.OK
+    end = ResultCode.OK.name
     gateway.flows.add(flow)
     try:
         return await _send(gateway, flow)
     except PrimrosefordError as error:
-        code = error.code
+        end = error.code.name
         if flow.response is None:
             if error.outcome is Outcome.NOT_RUN and organisation is not None:
                 gateway.quotas.give_back(organisation)
@@ -116,15 +120,15 @@
         _cut(request)
         return flow.response
     except CutShort as cut:
-        code = cut.error.code
+        end = cut.error.code.name
         _cut(request)
         return flow.response
     except asyncio.CancelledError:
-        log.info("caller left", request_id=incoming.request_id, runners=flow.runners)
+        end = CALLER_LEFT
         raise
     finally:
         gateway.flows.discard(flow)
-        _report(gateway, flow, code)
+        _report(gateway, flow, end)
 
 
 async def admit(gateway: Gateway, organisation: Organisation | None) -> None:
@@ -152,14 +156,14 @@
         request.transport.abort()
 
 
-def _report(gateway: Gateway, flow: Flow, code: ResultCode) -> None:
+def _report(gateway: Gateway, flow: Flow, end: str) -> None:
     seconds = gateway.clock() - flow.started
-    gateway.metrics.requests.labels(flow.route.kind.value, code.name.lower()).inc()
+    gateway.metrics.requests.labels(flow.route.kind.value, end.lower()).inc()
     gateway.metrics.seconds.labels(flow.route.kind.value).observe(seconds)
     log.info(
         "request ended",
         request_id=flow.incoming.request_id,
-        code=code.name,
+        code=end,
         route=flow.route.name,
         organisation=flow.organisation.name if flow.organisation else None,
         runners=flow.runners,
--- a/src/primroseford/gateway/tests/test_forwarding.py
+++ b/src/primroseford/gateway/tests/test_forwarding.py
@@ -222,6 +222,32 @@
     assert (await rig.call("/once/whole"))[0] == 200
 
 
+@pytest.mark.parametrize("turns", range(5))
+async def test_request_that_crosses_the_close_of_its_connection(rig, turns):
+    """Guards against a request that is sent to a runner though nobody hears it."""
+    host = rig.hosts[0]
+    address, port = host.settings.ingress.rsplit(":", 1)
+    reader, writer = await asyncio.open_connection(address, int(port))
+    await rig.until(lambda: len(host.ingress.connections) == 1)
+    (connection,) = host.ingress.connections
+    await asyncio.sleep(0)
+    head = f"POST /once/whole HTTP/1.1\r\nHost: {HOST}\r\nApi-Key: {KEY}\r\n"
+    connection.data_received(f"{head}Content-Length: 1\r\n\r\nx".encode())
+    for _ in range(turns):
+        # Lets the loop take the request one step further before the close.
+        await asyncio.sleep(0)
+    host.gateway.stopping = True
+    host._close_idle()
+    answer = await reader.read()
+    writer.close()
+    await rig.until(lambda: not host.ingress.connections)
+    answered = answer.startswith(b"HTTP/1.1 200")
+    ends = host.gateway.metrics.requests._metrics.keys()
+    assert ends == ({("non_idempotent", "ok")} if answered else set())
+    assert len(received(rig)) == answered
+    assert rig.hosts[0].gateway.places.runners["i-1"].online == 0
+
+
 async def test_drain_closes_idle_connections_and_finishes_requests(rig):
     """Guards against requests that are read by nobody while a host stops."""
     host = rig.hosts[0]
