Forget what lost hosts told, also those that left; keep wire names in the adapter

A host that was killed while it stopped kept its last loads on the runners until it started again, since only hosts that had not said that they leave counted as silent. A job that was removed meanwhile was looked for twice a second. A platform's path and header stood outside the adapter, and settings and a limit were decoded that nothing used; the largest body of the configuration is checked now. Callers' idle connections are kept for 120 s, well above what operators allow. Tests: a lost host's loads (failed for one that leaves), a job that is gone.

--- a/src/primroseford/demo/entry_hosts.py
+++ b/src/primroseford/demo/entry_hosts.py
@@ -9,8 +9,9 @@
 
 import aiohttp
 
+from primroseford.platform.job_calls import JOB_PATH
 from primroseford.proof.site import Site
-from primroseford.proof.site import configuration
+from primroseford.standins.fleet_objects import configuration
 from primroseford.standins.platform import create_platform_application
 from primroseford.standins.platform import create_platform_stand_in
 from primroseford.standins.serving import serve
@@ -89,7 +90,7 @@
     results: list[dict] = []
     async with asyncio.timeout(READ_SECONDS):
         while len(results) < ITEMS:
-            path = f"/lots/demo-job?after={len(results)}"
+            path = f"{JOB_PATH}demo-job?after={len(results)}"
             found = await site.call(path, method="GET", host=1, body=b"", Wait_Ms="500")
             results += json.loads(found[2])["results"]
     complete = sum(result["state"] == "complete" for result in results)
--- a/src/primroseford/gateway/__init__.py
+++ b/src/primroseford/gateway/__init__.py
@@ -0,0 +1,3 @@
+"""Entry hosts: requests of callers on the users' platform."""
+
+from __future__ import annotations
--- a/src/primroseford/gateway/application.py
+++ b/src/primroseford/gateway/application.py
@@ -101,6 +101,8 @@
     started: float,
 ) -> web.StreamResponse:
     tables = gateway.current_tables()
+    if len(incoming.body) > tables.limits.max_body_bytes:
+        raise PrimrosefordError(ResultCode.BODY_TOO_LARGE, "the body is too large")
     call = decode_job_call(incoming)
     if call is not None:
         return await _stop_aware(gateway, jobs.answer(call, _owner(gateway, incoming)))
--- a/src/primroseford/gateway/heartbeat.py
+++ b/src/primroseford/gateway/heartbeat.py
@@ -238,9 +238,13 @@
             if peer.host not in self.lost:
                 self.lost.add(peer.host)
                 gateway.places.forget_host(peer.host)
-                log.warning("host is silent", peer=peer.host)
+                log.warning("host is silent", peer=peer.host, left=peer.last.leaving)
         live = len(gateway.members.live(now))
-        counted = [p for p in silent if now - p.heard_at < SILENT_SHARE_SECONDS]
+        counted = [
+            peer
+            for peer in silent
+            if not peer.last.leaving and now - peer.heard_at < SILENT_SHARE_SECONDS
+        ]
         gateway.quotas.silent = len(counted)
         gateway.quotas.hosts = 1 + live + len(counted)
         gateway.members.forget_lost(now)
--- a/src/primroseford/gateway/host.py
+++ b/src/primroseford/gateway/host.py
@@ -55,9 +55,9 @@
 POLL_SECONDS = 0.05
 MAX_BODY_BYTES = 8 * 1024 * 1024
 """Bound on a body before the configuration with its own bound is known."""
-IDLE_SECONDS = 30.0
-"""Time for which a caller's idle connection is kept: above the platform's bound on
-idle time, so that a caller never sends into a connection that is being closed."""
+IDLE_SECONDS = 120.0
+"""Time for which a caller's idle connection is kept: well above the 15 s for which the
+operator lets callers stay idle, so that no request crosses a close."""
 METRICS_PORT_OFFSET = 1
 """Port of the metrics and of calls to the store that are made for other hosts, counted
 from the first port of the hosts' range, which takes the heartbeats."""
--- a/src/primroseford/gateway/members.py
+++ b/src/primroseford/gateway/members.py
@@ -94,13 +94,11 @@
         ]
 
     def silent(self, now: float) -> list[Peer]:
-        """Return the peers that were heard once, did not leave, and are silent."""
+        """Return the peers that were heard and are silent, also those that left."""
         return [
             peer
             for peer in self.peers.values()
-            if peer.last is not None
-            and not peer.last.leaving
-            and now - peer.heard_at > SILENCE_SECONDS
+            if peer.last is not None and now - peer.heard_at > SILENCE_SECONDS
         ]
 
     def forget_lost(self, now: float) -> None:
--- a/src/primroseford/gateway/retirement.py
+++ b/src/primroseford/gateway/retirement.py
@@ -48,11 +48,11 @@
         hosts = self.gateway.members.hosts(self.gateway.clock())
         if preferred_host(RETIREMENT_KIND, hosts) != self.gateway.members.own:
             return
-        listed = await self.client.list(RETIREMENT_KIND, purpose="retirements")
+        listed = await self.client.list(RETIREMENT_KIND, purpose="host removal")
         for item in listed.items:
             if is_complete(item):
                 continue
             await self.client.set_status(
-                RETIREMENT_KIND, item.name, completed_status(), purpose="retirements"
+                RETIREMENT_KIND, item.name, completed_status(), purpose="host removal"
             )
             log.info("host with a disk may go", host=item.name, revision=item.version)
--- a/src/primroseford/gateway/store_path.py
+++ b/src/primroseford/gateway/store_path.py
@@ -9,19 +9,19 @@
 
 from typing import TYPE_CHECKING
 
-import aiohttp
 import structlog
 from aiohttp import web
 from mode import Service
 
 from primroseford.gateway.loops import repeat
-from primroseford.platform.transport import PREFIX
+from primroseford.platform.transport import probe_service
 from primroseford.platform.transport import relay_call
 
 if TYPE_CHECKING:
     from collections.abc import Callable
     from random import Random
 
+    import aiohttp
     from aiohttp.web_request import BaseRequest
 
     from primroseford.clock import Clock
@@ -31,7 +31,6 @@
 PROBE_TIMEOUT_SECONDS = 0.6
 FAILURES = 2
 """Calls in a row that fail before another way is used; one may be an accident."""
-MAX_BODY_BYTES = 2 * 1024 * 1024
 
 log = structlog.get_logger()
 
@@ -104,17 +103,7 @@
     async def _probe(self) -> None:
         if self.reachable:
             return
-        timeout = aiohttp.ClientTimeout(total=PROBE_TIMEOUT_SECONDS)
-        # A stale answer costs a tenth and shows as well that the store answers.
-        url = f"{self.direct}{PREFIX}/config/main?stale_ok=1"
-        try:
-            async with self.session.get(url, timeout=timeout) as answer:
-                await answer.read()
-                good = answer.status in (200, 404)
-        except (aiohttp.ClientError, TimeoutError, OSError) as error:
-            log.debug("store not reached", reason=repr(error))
-            return
-        if good:
+        if await probe_service(self.session, self.direct, PROBE_TIMEOUT_SECONDS):
             self.report(self.direct, True)
 
 
--- a/src/primroseford/gateway/tables.py
+++ b/src/primroseford/gateway/tables.py
@@ -103,11 +103,9 @@
     """Bounds on what a caller sends.
 
     :param max_body_bytes: largest body
-    :param idle_seconds: how long a kept connection may be idle
     """
 
     max_body_bytes: int = 4 * 1024 * 1024
-    idle_seconds: float = 15.0
 
 
 @dataclass(frozen=True)
--- a/src/primroseford/gateway/tests/test_follow.py
+++ b/src/primroseford/gateway/tests/test_follow.py
@@ -4,8 +4,8 @@
 
 from primroseford.gateway.follow import Followers
 from primroseford.gateway.tests.test_forwarding import duty
-from primroseford.proof.site import configuration
-from primroseford.proof.site import runner_entry
+from primroseford.standins.fleet_objects import configuration
+from primroseford.standins.fleet_objects import runner_entry
 
 
 @pytest.mark.parametrize("kind", ["config", "servers"])
--- a/src/primroseford/gateway/tests/test_forwarding.py
+++ b/src/primroseford/gateway/tests/test_forwarding.py
@@ -6,10 +6,10 @@
 import pytest
 
 from primroseford.gateway.follow import Followers
-from primroseford.proof.site import HOST
-from primroseford.proof.site import KEY
-from primroseford.proof.site import configuration
-from primroseford.proof.site import runner_entry
+from primroseford.standins.fleet_objects import HOST
+from primroseford.standins.fleet_objects import KEY
+from primroseford.standins.fleet_objects import configuration
+from primroseford.standins.fleet_objects import runner_entry
 from primroseford.standins.fleet_runner import event
 
 WHOLE_STREAM = b"".join(event(number) for number in range(1, 6))
@@ -56,6 +56,7 @@
         ("/once/whole", {"Api-Key": "unknown"}, 401),
         ("/once/whole", {"Deadline-Ms": "soon"}, 400),
         ("/lots/absent", {}, 404),
+        ("/lots/bad%20id", {}, 400),
     ],
 )
 async def test_requests_that_the_tables_do_not_allow(rig, path, headers, status):
--- a/src/primroseford/gateway/tests/test_heartbeat.py
+++ b/src/primroseford/gateway/tests/test_heartbeat.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from primroseford.proof.site import KEY
-from primroseford.proof.site import configuration
+from primroseford.standins.fleet_objects import KEY
+from primroseford.standins.fleet_objects import configuration
 
 
 def limited(rate: float) -> dict:
@@ -38,6 +38,21 @@
     assert quotas.buckets["caroni"].level > -10
 
 
+@pytest.mark.parametrize("leaving", [False, True])
+async def test_loads_of_a_lost_host_are_forgotten(rig, leaving):
+    """Guards against places that count as taken by a host that is gone."""
+    other = await rig.add_host()
+    await joined(rig, 2)
+    other.gateway.places.runners["i-1"].online = 5
+    other.gateway.stopping = leaving
+    other.gateway.places.changed = True
+    seen = rig.hosts[0].gateway.places.runners["i-1"]
+    await rig.until(lambda: seen.peers == {"host-1": (5, 0)})
+    other.duties[0].transport.close()
+    await rig.until(lambda: not seen.peers)
+    assert rig.hosts[0].gateway.places.hosts == 1
+
+
 async def test_hosts_share_one_rate(rig):
     """Guards against a rate that each host grants anew."""
     await rig.add_host()
--- a/src/primroseford/gateway/tests/test_store_path.py
+++ b/src/primroseford/gateway/tests/test_store_path.py
@@ -9,7 +9,7 @@
 from primroseford.gateway.store_path import StorePath
 from primroseford.platform.transport import RELAY_TIMEOUT_SECONDS
 from primroseford.platform.transport import WATCH_MARGIN_SECONDS
-from primroseford.proof.site import configuration
+from primroseford.standins.fleet_objects import configuration
 
 DIRECT = "http://store"
 PEERS = ["http://a", "http://b"]
--- a/src/primroseford/jobs/__init__.py
+++ b/src/primroseford/jobs/__init__.py
@@ -0,0 +1,3 @@
+"""Batch jobs on the users' platform."""
+
+from __future__ import annotations
--- a/src/primroseford/jobs/api.py
+++ b/src/primroseford/jobs/api.py
@@ -21,6 +21,7 @@
     from primroseford.gateway.state import Gateway
     from primroseford.gateway.tables import Organisation
     from primroseford.gateway.tables import Route
+    from primroseford.ids import JobId
     from primroseford.ids import OrganisationId
     from primroseford.jobs.service import JobService
     from primroseford.jobs.state import ItemResult
@@ -118,7 +119,7 @@
             raise _unknown()
         return await self._end(view)
 
-    async def _view(self, job) -> JobView:
+    async def _view(self, job: JobId) -> JobView:
         try:
             return await self.service.views.read(job)
         except PrimrosefordError as error:
--- a/src/primroseford/jobs/ownership.py
+++ b/src/primroseford/jobs/ownership.py
@@ -138,6 +138,8 @@
                 await self._take(job, now)
             except PrimrosefordError as error:
                 if error.code is ResultCode.NOT_FOUND:
+                    # It was removed, or never accepted.
+                    self.gateway.members.orphaned.discard(job)
                     continue
                 self.orphans[job] = since
                 raise
--- a/src/primroseford/jobs/tests/conftest.py
+++ b/src/primroseford/jobs/tests/conftest.py
@@ -5,7 +5,7 @@
 import pytest
 
 from primroseford.proof.site import Site
-from primroseford.proof.site import configuration
+from primroseford.standins.fleet_objects import configuration
 
 
 @pytest.fixture
--- a/src/primroseford/jobs/tests/test_jobs.py
+++ b/src/primroseford/jobs/tests/test_jobs.py
@@ -276,6 +276,16 @@
     assert sum(len(runner.received) for runner in rig.runners) == runs
 
 
+async def test_unknown_job_is_looked_for_once(rig):
+    """Guards against a call to the store twice a second for a job that is gone."""
+    members = rig.hosts[0].gateway.members
+    members.orphaned.add("gone")
+    await rig.until(lambda: not members.orphaned)
+    ownership = service(rig.hosts[0]).ownership
+    await ownership.take_orphans(rig.hosts[0].clock() + 100)
+    assert not ownership.orphans
+
+
 @pytest.mark.parametrize("end_host", [0, 1])
 async def test_ended_job_stops(rig, end_host):
     """Guards against items that run after their job was ended."""
--- a/src/primroseford/platform/configuration.py
+++ b/src/primroseford/platform/configuration.py
@@ -105,9 +105,5 @@
 
 
 def _limits(limits: JsonObject) -> CallerLimits:
-    defaults = CallerLimits()
-    idle = limits.get("idle_timeout_ms")
-    return CallerLimits(
-        int(limits.get("max_body_bytes") or defaults.max_body_bytes),
-        idle / 1000 if idle else defaults.idle_seconds,
-    )
+    largest = limits.get("max_body_bytes")
+    return CallerLimits(int(largest)) if largest else CallerLimits()
--- a/src/primroseford/platform/settings.py
+++ b/src/primroseford/platform/settings.py
@@ -28,9 +28,6 @@
     :param peer_port: first port that the hosts may use among themselves
     :param platform: base URL of the platform's object service
     :param stop_seconds: time from SIGTERM to SIGKILL (``grace_s``)
-    :param drain_seconds: how long a leaving runner still serves (``drain_ms``)
-    :param apply_seconds: time for a configuration to be in force (``apply_ms``)
-    :param cancel_seconds: time for the end of a job to take effect (``cancel_ms``)
     :param job_retention_seconds: how long a job's results stay (``status_s``)
     """
 
@@ -42,9 +39,6 @@
     peer_port: int
     platform: str
     stop_seconds: float
-    drain_seconds: float
-    apply_seconds: float
-    cancel_seconds: float
     job_retention_seconds: float
 
 
@@ -81,9 +75,6 @@
         peer_port=_first_port(content),
         platform="http://" + _field(content, "platform.address", str),
         stop_seconds=_number(content, "bounds.grace_s"),
-        drain_seconds=_number(content, "bounds.drain_ms") / 1000,
-        apply_seconds=_number(content, "bounds.apply_ms") / 1000,
-        cancel_seconds=_number(content, "bounds.cancel_ms") / 1000,
         job_retention_seconds=_number(content, "bounds.status_s"),
     )
 
--- a/src/primroseford/platform/tests/test_decoding.py
+++ b/src/primroseford/platform/tests/test_decoding.py
@@ -16,8 +16,8 @@
 from primroseford.platform.objects import PlatformObject
 from primroseford.platform.runner_list import decode_runner
 from primroseford.platform.settings import decode_node_settings
-from primroseford.proof.site import configuration
-from primroseford.proof.site import runner_entry
+from primroseford.standins.fleet_objects import configuration
+from primroseford.standins.fleet_objects import runner_entry
 
 SETTINGS = {
     "node_name": "front-a-1",
@@ -26,13 +26,7 @@
     "listen": {"front": "10.1.0.5:8405", "ready": "10.1.0.5:8406"},
     "port_range": [7660, 7675],
     "platform": {"address": "10.200.1.7:8408"},
-    "bounds": {
-        "grace_s": 8,
-        "drain_ms": 2000,
-        "apply_ms": 2000,
-        "cancel_ms": 3000,
-        "status_s": 120,
-    },
+    "bounds": {"grace_s": 8, "status_s": 120},
     "field_of_the_future": 1,
 }
 
@@ -42,7 +36,7 @@
     settings = decode_node_settings(SETTINGS)
     assert settings.host == "front-a-1" and settings.peer_port == 7660
     assert settings.platform == "http://10.200.1.7:8408"
-    assert (settings.stop_seconds, settings.drain_seconds) == (8.0, 2.0)
+    assert (settings.stop_seconds, settings.job_retention_seconds) == (8.0, 120.0)
     assert settings.readiness == "10.1.0.5:8406"
 
 
--- a/src/primroseford/platform/transport.py
+++ b/src/primroseford/platform/transport.py
@@ -165,6 +165,24 @@
         return error
 
 
+async def probe_service(
+    session: aiohttp.ClientSession, base_url: str, seconds: float
+) -> bool:
+    """Return whether the service answers.
+
+    :param seconds: longest time for the answer
+    """
+    # A stale answer shows it as well, at a tenth of the price.
+    url = f"{base_url}{PREFIX}/config/main?stale_ok=1"
+    timeout = aiohttp.ClientTimeout(total=seconds)
+    try:
+        async with session.get(url, timeout=timeout) as answer:
+            await answer.read()
+            return answer.status in (200, 404)
+    except (aiohttp.ClientError, TimeoutError, OSError):
+        return False
+
+
 async def relay_call(
     session: aiohttp.ClientSession, method: str, url: str, body: bytes
 ) -> tuple[int, bytes]:
--- a/src/primroseford/proof/site.py
+++ b/src/primroseford/proof/site.py
@@ -13,7 +13,11 @@
 from primroseford.gateway.host import create_fleet_host
 from primroseford.ids import FailureDomainId
 from primroseford.ids import HostId
+from primroseford.platform.headers import DEADLINE
 from primroseford.platform.settings import NodeSettings
+from primroseford.standins.fleet_objects import HOST
+from primroseford.standins.fleet_objects import KEY
+from primroseford.standins.fleet_objects import runner_entry
 from primroseford.standins.fleet_runner import FleetRunner
 from primroseford.standins.fleet_runner import create_runner_server
 from primroseford.standins.platform import PlatformStandIn
@@ -26,8 +30,6 @@
     import aiohttp
 
 WAIT_SECONDS = 20.0
-HOST = "vans.example"
-KEY = "key-of-caroni"
 
 
 def free_port() -> int:
@@ -37,55 +39,6 @@
         return probe.getsockname()[1]
 
 
-def configuration(version: int = 1, **changes: Any) -> dict[str, Any]:
-    """Return a configuration as the operator writes it."""
-    common = {
-        "host": HOST,
-        "timeout_ms": 5000,
-        "slo_ms": 300,
-        "priority": 0,
-        "service": "models",
-        "public": False,
-    }
-    routes = [
-        ("/nudge/", "streaming", {"max_attempts": 1, "resumable": False}),
-        ("/pick/", "streaming", {"max_attempts": 2, "resumable": True}),
-        ("/ping/", "idempotent", {"max_attempts": 2}),
-        ("/once/", "non_idempotent", {"max_attempts": 1}),
-        (
-            "/notes/",
-            "batch",
-            {
-                "max_attempts": 3,
-                "due_ms": 18_000,
-                "max_wait_s": 60,
-                "max_count": 10_000,
-            },
-        ),
-    ]
-    content = {
-        "version": version,
-        "routes": [
-            {**common, "name": f"r{number}", "path_prefix": prefix, "kind": kind}
-            | fields
-            for number, (prefix, kind, fields) in enumerate(routes)
-        ],
-        "services": [
-            {
-                "name": "models",
-                "health_path": "/health",
-                "max_conns": 100,
-                "engine": {"slots": 8},
-            }
-        ],
-        "limits": {"max_body_bytes": 4_194_304, "idle_timeout_ms": 15_000},
-        "tenants": [
-            {"name": "caroni", "api_keys": [KEY], "rate_per_s": 1000, "burst": 1000}
-        ],
-    }
-    return content | changes
-
-
 @dataclass
 class Site:
     """Everything that runs in one process.
@@ -146,9 +99,6 @@
             peer_port=self.port,
             platform=platform or self.platform.url,
             stop_seconds=8.0,
-            drain_seconds=2.0,
-            apply_seconds=2.0,
-            cancel_seconds=3.0,
             job_retention_seconds=120.0,
         )
         host = create_fleet_host(settings)
@@ -180,7 +130,7 @@
             "Host": HOST,
             "Request-Id": request_id,
             "Api-Key": KEY,
-            "Deadline-Ms": "5000",
+            DEADLINE: "5000",
         } | {name.replace("_", "-"): value for name, value in headers.items()}
         url = f"http://{self.hosts[host].settings.ingress}{path}"
         async with self.session.request(
@@ -197,18 +147,3 @@
             server.close()
         for view in self.views:
             await view.stop()
-
-
-def runner_entry(address: str, **changes: Any) -> dict[str, Any]:
-    """Return a runner's entry in the platform's list."""
-    return {
-        "service": "models",
-        "address": address,
-        "zone": "a",
-        "version": "v1",
-        "slots": 8,
-        "state": "ready",
-        "cold_left_ms": 0,
-        "sequence": 1,
-        "born": 1_700_000_000_000,
-    } | changes
