--- a/src/primroseford/gateway/host.py
+++ b/src/primroseford/gateway/host.py
@@ -58,9 +58,11 @@
 IDLE_SECONDS = 120.0
 """Time for which a caller's idle connection is kept: well above the 15 s for which the
 operator lets callers stay idle, so that no request crosses a close."""
-METRICS_PORT_OFFSET = 1
-"""Port of the metrics and of calls to the store that are made for other hosts, counted
-from the first port of the hosts' range, which takes the heartbeats."""
+CALLS_PORT_OFFSET = 1
+"""Port of calls between hosts, counted from the first port of their range, which takes
+the heartbeats."""
+METRICS_PORT = 9464
+"""Port of the metrics, as the deploy file names it; the usual one of exporters."""
 CALLS_A_SECOND = 40.0
 """Calls of one host to the platform: its rate for reads, shared by 50 hosts."""
 
@@ -161,7 +163,7 @@
 
     async def _open(self, gateway: Gateway, jobs: JobApi) -> None:
         settings = self.settings
-        metrics = f"{settings.ip}:{settings.peer_port + METRICS_PORT_OFFSET}"
+        await self._serve_metrics()
         relay = create_relay_handler(settings.platform, self.sessions[1])
         read_job = create_jobs_handler(jobs.service.views.views, jobs.service.hand_over)
 
@@ -170,10 +172,11 @@
                 return await relay(request)
             if request.raw_path.startswith(JOBS_PATH):
                 return await read_job(request)
-            return await self._metrics(request)
+            return web.Response(status=404)
 
         server = web.Server(handle, request_factory=_create_request, access_log=None)
-        await self._serve(metrics, server)
+        calls = f"{settings.ip}:{settings.peer_port + CALLS_PORT_OFFSET}"
+        await self._serve(calls, server)
         if settings.readiness is not None:
             handler = create_readiness_handler(gateway)
             await self._serve(settings.readiness, web.Server(handler))
@@ -194,6 +197,14 @@
             await loop.create_server(server, host, int(port), backlog=512)
         )
 
+    async def _serve_metrics(self) -> None:
+        """Serve the metrics; a host serves callers without them if it must."""
+        server = web.Server(self._metrics, access_log=None)
+        try:
+            await self._serve(f"{self.settings.ip}:{METRICS_PORT}", server)
+        except OSError as error:
+            log.warning("metrics not served", port=METRICS_PORT, reason=str(error))
+
     async def _metrics(self, request: BaseRequest) -> web.Response:
         return web.Response(
             body=generate_latest(self.metrics.registry), content_type="text/plain"
@@ -249,7 +260,7 @@
     :param address: where it takes heartbeats
     """
     ip, port = address.rsplit(":", 1)
-    return f"http://{ip}:{int(port) + METRICS_PORT_OFFSET}"
+    return f"http://{ip}:{int(port) + CALLS_PORT_OFFSET}"
 
 
 def _relays(members: Members, now: float) -> list[str]:
--- a/src/primroseford/gateway/tests/test_forwarding.py
+++ b/src/primroseford/gateway/tests/test_forwarding.py
@@ -249,6 +249,19 @@
     assert rig.hosts[0].gateway.places.runners["i-1"].online == 0
 
 
+async def test_metrics_count_what_was_served(rig):
+    """Guards against an on-call engineer without figures."""
+    for number in range(3):
+        await rig.call("/once/whole", f"id-{number}")
+    await rig.call("/absent/x")
+    text = (await rig.hosts[0]._metrics(None)).body.decode()
+    kind = 'code="ok",kind="non_idempotent"'
+    assert f"primroseford_gateway_requests_total{{{kind}}} 3.0" in text
+    assert 'gateway_refusals_total{code="route_not_found"} 1.0' in text
+    assert 'gateway_request_seconds_bucket{kind="non_idempotent"' in text
+    assert "primroseford_platform_calls_total" in text
+
+
 async def test_drain_closes_idle_connections_and_finishes_requests(rig):
     """Guards against requests that are read by nobody while a host stops."""
     host = rig.hosts[0]
