Tell the waiting tokens of jobs in heartbeats

Ruled out: room for batch, the store's answer (4 ms). Change: heartbeats tell organisation, route and waiting tokens of each job that a host runs; the count makes no call.

--- a/bench/bench_entry.py
+++ b/bench/bench_entry.py
@@ -54,7 +54,7 @@
         0,
         [ToldLoad(f"i-{n:010x}", 0, n % 2, False) for n in range(runners)],
         [Spending(f"organisation-{n}", 1000 + n, 1) for n in range(8)],
-        [JobProgress(f"{n:016x}", 3) for n in range(2)],
+        [JobProgress(f"{n:016x}", 3, "caroni", "/notes/", 900) for n in range(2)],
         True,
         900,
         [],
--- a/src/primroseford/gateway/gen/messages/ttypes.py
+++ b/src/primroseford/gateway/gen/messages/ttypes.py
@@ -217,18 +217,27 @@
     Attributes:
      - job
      - segments
+     - organisation
+     - path_prefix
+     - waiting_tokens
 
     """
 
     __slots__ = (
         'job',
         'segments',
+        'organisation',
+        'path_prefix',
+        'waiting_tokens',
     )
 
 
-    def __init__(self, job=None, segments=None,):
+    def __init__(self, job=None, segments=None, organisation=None, path_prefix=None, waiting_tokens=None,):
         self.job = job
         self.segments = segments
+        self.organisation = organisation
+        self.path_prefix = path_prefix
+        self.waiting_tokens = waiting_tokens
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -249,6 +258,21 @@
                     self.segments = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.organisation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.path_prefix = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.waiting_tokens = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -267,6 +291,18 @@
             oprot.writeFieldBegin('segments', TType.I32, 2)
             oprot.writeI32(self.segments)
             oprot.writeFieldEnd()
+        if self.organisation is not None:
+            oprot.writeFieldBegin('organisation', TType.STRING, 3)
+            oprot.writeString(self.organisation.encode('utf-8') if sys.version_info[0] == 2 else self.organisation)
+            oprot.writeFieldEnd()
+        if self.path_prefix is not None:
+            oprot.writeFieldBegin('path_prefix', TType.STRING, 4)
+            oprot.writeString(self.path_prefix.encode('utf-8') if sys.version_info[0] == 2 else self.path_prefix)
+            oprot.writeFieldEnd()
+        if self.waiting_tokens is not None:
+            oprot.writeFieldBegin('waiting_tokens', TType.I64, 5)
+            oprot.writeI64(self.waiting_tokens)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -569,6 +605,9 @@
     None,  # 0
     (1, TType.STRING, 'job', 'UTF8', None, ),  # 1
     (2, TType.I32, 'segments', None, None, ),  # 2
+    (3, TType.STRING, 'organisation', 'UTF8', None, ),  # 3
+    (4, TType.STRING, 'path_prefix', 'UTF8', None, ),  # 4
+    (5, TType.I64, 'waiting_tokens', None, None, ),  # 5
 )
 all_structs.append(Heartbeat)
 Heartbeat.thrift_spec = (
--- a/src/primroseford/gateway/heartbeat.py
+++ b/src/primroseford/gateway/heartbeat.py
@@ -27,6 +27,7 @@
     from primroseford.gateway.state import Gateway
     from primroseford.ids import FailureDomainId
     from primroseford.ids import Incarnation
+    from primroseford.jobs.state import ToldJob
 
 TICK_SECONDS = 0.06
 """Shortest time between two heartbeats: batch has to step back within about 100 ms of
@@ -48,8 +49,8 @@
 class JobTeller(Protocol):
     """The jobs of a host."""
 
-    def progress(self) -> dict[JobId, int]:
-        """Return the jobs that this host runs, with their numbers of segments."""
+    def told_jobs(self) -> dict[JobId, ToldJob]:
+        """Return the jobs that this host runs, and those that it ran until lately."""
 
     def told_ends(self) -> list[JobId]:
         """Return the jobs that callers ended lately at this host."""
@@ -100,7 +101,7 @@
         self.sequence = 0
         self.transport: asyncio.DatagramTransport | None = None
         self.spent: dict[OrganisationId, tuple[int, float]] = {}
-        self.last_jobs: dict[JobId, int] = {}
+        self.last_jobs: dict[JobId, ToldJob] = {}
         self.lost: set[HostId] = set()
         self.sent_at = 0.0
 
@@ -128,7 +129,7 @@
 
     def _beat(self) -> None:
         self.watch_peers()
-        changed = self.gateway.places.changed or self.jobs.progress() != self.last_jobs
+        changed = self.gateway.places.changed or self.jobs.told_jobs() != self.last_jobs
         if changed or self.gateway.clock() - self.sent_at >= IDLE_SECONDS:
             self.send()
 
@@ -138,7 +139,7 @@
             return
         self.sent_at = self.gateway.clock()
         self.gateway.places.changed = False
-        self.last_jobs = self.jobs.progress()
+        self.last_jobs = self.jobs.told_jobs()
         data = encode(self.heartbeat())
         for peer in self.gateway.members.peers.values():
             host, port = peer.address.rsplit(":", 1)
@@ -160,7 +161,16 @@
             gateway.places.waiting(),
             self._loads(),
             self._spending(),
-            [JobProgress(job, count) for job, count in self.last_jobs.items()],
+            [
+                JobProgress(
+                    job,
+                    told.segments,
+                    told.organisation,
+                    told.prefix,
+                    told.waiting_tokens,
+                )
+                for job, told in self.last_jobs.items()
+            ],
             self.reaches_store(),
             gateway.runner_list_version,
             self.jobs.told_ends(),
--- a/src/primroseford/gateway/messages.thrift
+++ b/src/primroseford/gateway/messages.thrift
@@ -16,6 +16,9 @@
 struct JobProgress {
   1: string job
   2: i32 segments
+  3: string organisation
+  4: string path_prefix
+  5: i64 waiting_tokens
 }
 
 struct Heartbeat {
--- a/src/primroseford/gateway/tests/test_decisions.py
+++ b/src/primroseford/gateway/tests/test_decisions.py
@@ -223,7 +223,7 @@
     """Guards against lost hosts that count as live, and jobs that nobody takes over."""
     members = Members("a")
     members.learn("b", "b:1", 0.0)
-    members.receive(heartbeat("b", 5, jobs=[JobProgress("j", 2)]), 1.0)
+    members.receive(heartbeat("b", 5, jobs=[JobProgress("j", 2, "", "/", 5)]), 1.0)
     members.receive(heartbeat("c", 1), 1.0)
     assert members.hosts(1.0) == ["a", "b", "c"]
     assert members.running("j", 1.0) == ["b"] and members.segments("j") == 2
--- a/src/primroseford/jobs/api.py
+++ b/src/primroseford/jobs/api.py
@@ -65,7 +65,7 @@
         owner = organisation.name if organisation else None
         known = self.service.views.get(job_id)
         if known is None:
-            await self._check_room(route, owner, sum(item.tokens for item in items))
+            self._check_room(route, owner, sum(item.tokens for item in items))
             job = Job(job_id, owner, route.host, route.path_prefix, submitted, items)
             await self._accept(job, incoming.allowed or route.timeout)
         return web.Response(status=202)
@@ -83,14 +83,14 @@
                 "whether the job was accepted is not known yet",
             ) from error
 
-    async def _check_room(
+    def _check_room(
         self, route: Route, owner: OrganisationId | None, tokens: int
     ) -> None:
         """Refuse a job that does not fit into its organisation's waiting tokens."""
         limit = route.max_waiting_tokens
         if not limit:
             return
-        waiting = await self.service.views.waiting_tokens(owner, route, limit - tokens)
+        waiting = self.service.views.waiting_tokens(owner, route.path_prefix)
         if waiting + tokens > limit:
             raise PrimrosefordError(
                 ResultCode.RATE_LIMITED,
--- a/src/primroseford/jobs/scheduler.py
+++ b/src/primroseford/jobs/scheduler.py
@@ -34,6 +34,7 @@
     from primroseford.jobs.state import ItemId
     from primroseford.jobs.state import Job
     from primroseford.jobs.state import JobView
+    from primroseford.jobs.state import ToldJob
     from primroseford.jobs.store import JobStore
 
 GIVE_UP_MARGIN_SECONDS = 3.0
@@ -65,23 +66,23 @@
 
     :param store: jobs in the platform's store
     :ivar runs: jobs by id
-    :ivar told: finished jobs that the heartbeats still tell of, with their number of
-        segments and until when
+    :ivar told: jobs that were stopped lately, what the heartbeats still tell of them,
+        and until when
     """
 
     def __init__(self, gateway: Gateway, store: JobStore) -> None:
         self.gateway = gateway
         self.store = store
         self.runs: dict[JobId, JobRun] = {}
-        self.told: dict[JobId, tuple[int, float]] = {}
+        self.told: dict[JobId, tuple[ToldJob, float]] = {}
         self.background: set[asyncio.Task] = set()
 
-    def progress(self) -> dict[JobId, int]:
-        """Return the jobs that this host runs, with their numbers of segments."""
+    def told_jobs(self) -> dict[JobId, ToldJob]:
+        """Return the jobs that this host runs, and those that it ran until lately."""
         now = self.gateway.clock()
         self.told = {j: t for j, t in self.told.items() if t[1] > now}
-        told = {job: count for job, (count, _) in self.told.items()}
-        return told | {job: run.view.segments for job, run in self.runs.items()}
+        told = {job: told for job, (told, _) in self.told.items()}
+        return told | {job: run.view.told() for job, run in self.runs.items()}
 
     def start_job(
         self, view: JobView, progress: dict[ItemId, Progress] | None = None
@@ -127,7 +128,7 @@
         job = run.view.job.id
         run.stopped = True
         self.runs.pop(job, None)
-        self.told[job] = (run.view.segments, self.gateway.clock() + TOLD_SECONDS)
+        self.told[job] = (run.view.told(), self.gateway.clock() + TOLD_SECONDS)
         for item in run.running:
             if item.task is not None:
                 item.task.cancel()
--- a/src/primroseford/jobs/service.py
+++ b/src/primroseford/jobs/service.py
@@ -24,6 +24,7 @@
     from primroseford.jobs.state import ItemId
     from primroseford.jobs.state import Job
     from primroseford.jobs.state import Progress
+    from primroseford.jobs.state import ToldJob
     from primroseford.jobs.store import JobStore
 
 TICK_SECONDS = 0.05
@@ -90,9 +91,9 @@
         for task in list(self.scheduler.background):
             task.cancel()
 
-    def progress(self) -> dict[JobId, int]:
-        """Return the jobs that this host runs, with their numbers of segments."""
-        return self.scheduler.progress()
+    def told_jobs(self) -> dict[JobId, ToldJob]:
+        """Return the jobs that this host runs, and those that it ran until lately."""
+        return self.scheduler.told_jobs()
 
     def hand_over(self, job: JobId) -> dict[ItemId, Progress]:
         """Stop a job that another host takes over, and return how far its items are."""
--- a/src/primroseford/jobs/state.py
+++ b/src/primroseford/jobs/state.py
@@ -86,6 +86,22 @@
     items: tuple[Item, ...]
 
 
+@dataclass(frozen=True)
+class ToldJob:
+    """What a host tells the others of a job that it runs.
+
+    :param segments: number of its result segments
+    :param organisation: whose it is; empty if requests need no keys
+    :param prefix: path prefix of its route
+    :param waiting_tokens: tokens of its items that are not listed
+    """
+
+    segments: int
+    organisation: str
+    prefix: str
+    waiting_tokens: int
+
+
 @dataclass
 class JobView:
     """What a host knows of a job; results are only ever added.
@@ -127,6 +143,12 @@
             return 0
         return sum(i.tokens for i in self.job.items if i.id not in self.listed)
 
+    def told(self) -> ToldJob:
+        """Return what the heartbeats tell of the job."""
+        organisation = self.job.organisation or ""
+        waiting = self.waiting_tokens()
+        return ToldJob(self.segments, organisation, self.job.prefix, waiting)
+
 
 def encode_job(job: Job) -> dict[str, Any]:
     """Return a job as stored, without its items."""
--- a/src/primroseford/jobs/views.py
+++ b/src/primroseford/jobs/views.py
@@ -4,15 +4,12 @@
 
 from typing import TYPE_CHECKING
 
-from primroseford.errors import PrimrosefordError
-from primroseford.errors import ResultCode
+from primroseford.ids import JobId
 
 if TYPE_CHECKING:
     from collections.abc import Container
 
     from primroseford.gateway.state import Gateway
-    from primroseford.gateway.tables import Route
-    from primroseford.ids import JobId
     from primroseford.ids import OrganisationId
     from primroseford.jobs.peers import JobPeers
     from primroseford.jobs.state import JobView
@@ -92,36 +89,25 @@
         view.ended = view.ended or await self.store.is_ended(job)
         return view
 
-    async def waiting_tokens(
-        self, owner: OrganisationId | None, route: Route, enough: int
-    ) -> int:
-        """Return the tokens of an organisation's unlisted items on a route.
+    def waiting_tokens(self, owner: OrganisationId | None, prefix: str) -> int:
+        """Return the tokens of an organisation's items that are not listed.
 
-        Jobs of other hosts are read only if the number could matter.
+        Other hosts tell theirs in the heartbeats; what a lost host told last counts
+        until its jobs are taken over.
 
-        :param enough: number up to which an estimate from above does
+        :param prefix: path prefix of the route on which they count
         """
-        for job in self.gateway.members.known_jobs() - set(self.views):
-            await self._read_if_there(job)
-        waiting = self._sum_waiting(owner, route)
-        if waiting <= enough:
-            return waiting
-        for view in list(self.views.values()):
-            if view.job.organisation == owner and view.job.id not in self.runs:
-                await self.refresh(view)
-        return self._sum_waiting(owner, route)
-
-    async def _read_if_there(self, job: JobId) -> None:
-        try:
-            await self.read(job)
-        except PrimrosefordError as error:
-            # A peer may tell of a job that was removed since.
-            if error.code is not ResultCode.NOT_FOUND:
-                raise
-
-    def _sum_waiting(self, owner: OrganisationId | None, route: Route) -> int:
-        return sum(
-            view.waiting_tokens()
-            for view in self.views.values()
-            if view.job.organisation == owner and view.job.prefix == route.path_prefix
-        )
+        waiting: dict[JobId, int] = {}
+        peers = self.gateway.members.peers.values()
+        # Of two hosts that tell of the same job, the one heard last knows better.
+        for peer in sorted(peers, key=lambda peer: peer.heard_at):
+            for told in peer.last.jobs if peer.last is not None else ():
+                if told.organisation == (owner or "") and told.path_prefix == prefix:
+                    waiting[JobId(told.job)] = told.waiting_tokens
+        for job, view in self.views.items():
+            if job in self.runs and view.job.organisation == owner:
+                if view.job.prefix == prefix:
+                    waiting[job] = view.waiting_tokens()
+            elif view.finished or view.ended:
+                waiting.pop(job, None)
+        return sum(waiting.values())
