--- a/bench/bench_configuration.py
+++ b/bench/bench_configuration.py
@@ -83,11 +83,11 @@
         """Create or update an object and return the platform's version."""
         state = self.platform.state
         found = state.objects.get(kind, {}).get(name)
-        metadata = {"name": name}
+        metadata: dict[str, object] = {"name": name}
         if found is None:
             state.create(kind, {"metadata": metadata, "spec": spec})
         else:
-            metadata["resourceVersion"] = found["metadata"]["resourceVersion"]
+            metadata["revision"] = found["metadata"]["revision"]
             state.update(kind, {"metadata": metadata, "spec": spec})
         self.platform.announce()
         return state.version
