Hold streams in the middle of their answer while a drain begins

Cause: test_stop_under_200_streams_cuts_none relayed 80,000 events so that streams were still open when the drain began.

Ruled out: a request that the drain loses. All 136 streams that were ended in the recorded failures still waited for a place at an engine or were in progress when the 20 s were over; none was cut before.

Change: the engine stand-in can hold its streams before a token. Streams, engines and the 20 s are as before; the number of events in each answer is checked as well.

--- a/src/primroseford/online/tests/test_admission.py
+++ b/src/primroseford/online/tests/test_admission.py
@@ -147,18 +147,32 @@
 
 
 async def test_stop_under_200_streams_cuts_none(rig):
-    """Guards against a planned stop that cuts requests."""
+    """Guards against a planned stop that cuts requests.
+
+    When the drain begins 64 callers hold the first events of their stream and the
+    other 136 requests wait at the engines.
+    """
     await rig.start(4, pool={"max_in_flight": 100})
     for engine in rig.engines:
         engine.settings.slowdown = 0.0
+        engine.faults.hold_at_token = 20
     streams = [
-        asyncio.create_task(read_all(rig.post(stream=True, max_tokens=400)))
+        asyncio.create_task(read_all(rig.post(stream=True, max_tokens=100)))
         for _ in range(200)
     ]
     await until(lambda: len(rig.state.open.entries) == 200)
-    assert await rig.state.drain(20.0) == 0
+    await until(lambda: sum(e.takes_events for e in rig.state.open.entries) == 64)
+    engines = [engine.state for engine in rig.engines]
+    await until(lambda: sum(e.waiting for e in engines) == 136)
+    assert [e.running for e in engines] == [16] * 4
+    stop = asyncio.create_task(rig.state.drain(20.0))
+    await until(lambda: rig.state.draining)
+    for engine in rig.engines:
+        engine.faults.hold_at_token = -1
+    assert await stop == 0
     for answer, content in await asyncio.gather(*streams):
         assert answer.status == 200 and content.endswith(b"data: [DONE]\n\n")
+        assert content.count(b"\n\n") == 101
     await until(lambda: not any(c.transport for c in rig.state.connections))
 
 
--- a/src/primroseford/standins/engine.py
+++ b/src/primroseford/standins/engine.py
@@ -22,6 +22,7 @@
 REMEMBERED_HEADERS = 1_000
 REPORT_HISTORY_SECONDS = 10.0
 CACHE_EVENT_GAP = 7
+HOLD_POLL_SECONDS = 0.005
 """Every seventh cache event is dropped, as engines publish them with gaps."""
 
 
@@ -90,6 +91,8 @@
         for index in range(start, generation.limit):
             if generation.cancelled:
                 return
+            while 0 <= self.faults.hold_at_token <= index:  # noqa: ASYNC110
+                await asyncio.sleep(HOLD_POLL_SECONDS)
             if index >= len(generation.tokens):
                 busy = max(0, self.state.running - 1)
                 pace = self.settings.token_seconds
--- a/src/primroseford/standins/engine_state.py
+++ b/src/primroseford/standins/engine_state.py
@@ -50,6 +50,7 @@
         whose answers are lost
     :param hang_orders: carry orders out and never answer
     :param leaving: report that the engine is leaving
+    :param hold_at_token: stop before this token until the fault ends; -1 is off
     """
 
     refuse_status: int = 0
@@ -63,6 +64,7 @@
     lose_order_answers: int = 0
     hang_orders: bool = False
     leaving: bool = False
+    hold_at_token: int = -1
 
 
 @dataclass
