Add a soak of entry hosts as processes, with faults from outside them

Change: primroseford.soak starts entry hosts as processes (deploy/run.py) before stand-ins of the store and the runners, each behind a loopback proxy that delays, resets, silences or cuts one direction. A plan drawn from a seed injects 23 kinds of faults that overlap and come in series: SIGTERM, SIGKILL, SIGSTOP, SIGHUP, store and runner faults, links, configurations, withdrawn keys. Callers keep their connection until it ends, a balancer asks for readiness, jobs are submitted, read and ended.

Ruled out: proxies for the datagrams between hosts; the platform gives a host one address on which it both listens and is found, so a proxy has no place there. Pauses and kills silence them instead.

A first pass showed one problem that was the check's: a runner that breaks off inside an event has sent a part of it, which a stream that may not be resumed passes on and then cuts; the check now allows that part in answers that are cut, and only there.

Connections between hosts are not harmed by it yet.

--- /dev/null
+++ b/src/primroseford/soak/callers.py
@@ -0,0 +1,313 @@
+"""Callers of a soak: requests, streams and batch jobs, and what came of each."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import json
+import time
+from dataclasses import dataclass
+from dataclasses import field
+from enum import Enum
+from typing import TYPE_CHECKING
+
+import aiohttp
+
+from primroseford.platform.headers import API_KEY
+from primroseford.platform.headers import DEADLINE
+from primroseford.platform.headers import REQUEST_ID
+from primroseford.platform.headers import SIGNATURE
+from primroseford.platform.headers import WAIT
+from primroseford.platform.job_calls import JOB_PATH
+from primroseford.standins.fleet_objects import HOST
+from primroseford.standins.fleet_objects import KEY
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from primroseford.soak.fleet import SoakFleet
+    from primroseford.soak.processes import HostProcess
+
+DEADLINE_SECONDS = 5.0
+GIVE_UP_SECONDS = 20.0
+"""Time after which a caller closes: well after the deadline, so that a late answer is
+seen as late."""
+PAUSE_SECONDS = 0.03
+BALANCER_SECONDS = 1.0
+"""Time between two questions of the balancer whether a host is ready."""
+FAILED_CHECKS = 2
+"""Failed checks in a row after which a host gets no new connections."""
+JOB_GAP_SECONDS = 2.5
+JOB_ITEMS = 6
+SETTLE_SECONDS = 0.3
+"""Time between two reads of a job."""
+
+
+class Kind(Enum):
+    """Kinds of requests, by the start of their path."""
+
+    IDEMPOTENT = "/ping/whole-"
+    ONCE = "/once/whole-"
+    STREAM_ONCE = "/nudge/"
+    STREAM_RESUMABLE = "/pick/"
+    ADDED = "/added-"
+    WITHDRAWN_KEY = "/ping/whole-withdrawn-"
+
+
+@dataclass(eq=False)
+class Sent:
+    """One request and its outcome.
+
+    :param start: number of the host's start when the request was sent
+    :param status: status of the answer; 0 if there was none
+    :param complete: whether the answer came to its end
+    """
+
+    id: str
+    kind: Kind
+    path: str
+    key: str
+    host: HostProcess
+    start: int
+    sent_at: float
+    ended_at: float = 0.0
+    status: int = 0
+    complete: bool = False
+    body: bytes = b""
+    answer_id: str = ""
+    signature: str = ""
+    reason: str = ""
+
+
+@dataclass(eq=False)
+class SoakJob:
+    """One batch job.
+
+    :ivar statuses: statuses of the attempts to submit it
+    :ivar listed: results by position, as first read
+    :ivar ended_at: local time at which its end was acknowledged
+    """
+
+    id: str
+    statuses: list[int] = field(default_factory=list)
+    listed: list[dict] = field(default_factory=list)
+    ended_at: float = 0.0
+    problems: list[str] = field(default_factory=list)
+
+    @property
+    def accepted(self) -> bool:
+        """Whether a host accepted it."""
+        return 202 in self.statuses
+
+
+@dataclass(eq=False)
+class Callers:
+    """Everything that uses the system.
+
+    :ivar submitting: whether new jobs are submitted
+    """
+
+    fleet: SoakFleet
+    random: Random
+    sent: list[Sent] = field(default_factory=list)
+    jobs: list[SoakJob] = field(default_factory=list)
+    failed_checks: dict[str, int] = field(default_factory=dict)
+    tasks: list[asyncio.Task] = field(default_factory=list)
+    submitting: bool = True
+    stopping: bool = False
+    count: int = 0
+
+    def start(self, workers: int) -> None:
+        """Start the balancer and the callers."""
+        duties = [self._balance(), self._submit_jobs(), self._read_jobs()]
+        duties += [self._call() for _ in range(workers)]
+        self.tasks = [asyncio.create_task(duty) for duty in duties]
+
+    async def stop(self) -> None:
+        """Finish what is open, and raise what a caller itself failed with."""
+        self.stopping = True
+        await asyncio.gather(*self.tasks)
+
+    def ready_hosts(self) -> list[HostProcess]:
+        """Return the hosts to which the balancer gives new connections."""
+        failed = self.failed_checks
+        return [h for h in self.fleet.hosts if failed.get(h.name, 9) < FAILED_CHECKS]
+
+    async def request(
+        self, session: aiohttp.ClientSession, host: HostProcess, kind: Kind, **given
+    ) -> Sent:
+        """Send one request and note its outcome."""
+        self.count += 1
+        path = given.get("path") or f"{kind.value}{self.count}"
+        sent = Sent(
+            f"soak-{self.count}",
+            kind,
+            path,
+            given.get("key", KEY),
+            host,
+            host.starts,
+            time.monotonic(),
+        )
+        self.sent.append(sent)
+        headers = self._headers(sent.id, sent.key)
+        url = host.ingress + path
+        try:
+            async with session.post(url, data=b"prompt", headers=headers) as answer:
+                sent.status = answer.status
+                sent.answer_id = answer.headers.get(REQUEST_ID, "")
+                sent.signature = answer.headers.get(SIGNATURE, "")
+                async for chunk in answer.content.iter_any():
+                    sent.body += chunk
+                sent.complete = True
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            sent.reason = repr(error)
+        sent.ended_at = time.monotonic()
+        return sent
+
+    async def _call(self) -> None:
+        """Keep to one host and its connection until that connection ends."""
+        host = None
+        async with _session() as session:
+            while not self.stopping:
+                ready = self.ready_hosts()
+                host = host or (self.random.choice(ready) if ready else None)
+                if host is not None:
+                    sent = await self._call_once(session, host)
+                    if not sent.status:
+                        host = None
+                await asyncio.sleep(PAUSE_SECONDS)
+
+    async def _call_once(self, session, host: HostProcess) -> Sent:
+        versions = self.fleet.versions
+        kind = self.random.choice(list(Kind))
+        if kind is Kind.ADDED and versions.routes:
+            path = f"{list(versions.routes)[-1]}whole-{self.count}"
+            return await self.request(session, host, kind, path=path)
+        withdrawn = [key for key, at in versions.keys.items() if at is not None]
+        if kind is Kind.WITHDRAWN_KEY and withdrawn:
+            return await self.request(session, host, kind, key=withdrawn[-1])
+        if kind in (Kind.ADDED, Kind.WITHDRAWN_KEY):
+            kind = Kind.IDEMPOTENT
+        return await self.request(session, host, kind)
+
+    async def _balance(self) -> None:
+        async with _session(BALANCER_SECONDS) as session:
+            while not self.stopping:
+                await asyncio.gather(
+                    *(self._check(session, h) for h in self.fleet.hosts)
+                )
+                await asyncio.sleep(BALANCER_SECONDS)
+
+    async def _check(self, session, host: HostProcess) -> None:
+        try:
+            async with session.get(host.readiness) as answer:
+                ready = answer.status == 200
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            ready = False
+        failed = self.failed_checks.get(host.name, FAILED_CHECKS)
+        self.failed_checks[host.name] = 0 if ready else failed + 1
+
+    async def _submit_jobs(self) -> None:
+        async with _session() as session:
+            while self.submitting:
+                job = SoakJob(f"job-{len(self.jobs)}")
+                self.jobs.append(job)
+                await self._submit(session, job)
+                if len(self.jobs) % 4 == 0 and job.accepted:
+                    await self._end(session, job)
+                await asyncio.sleep(self.random.expovariate(1 / JOB_GAP_SECONDS))
+
+    async def _submit(self, session, job: SoakJob) -> None:
+        items = [
+            {
+                "id": f"{job.id}.{number}",
+                "path": f"/notes/{job.id}/{number}",
+                "headers": {},
+                "body": base64.b64encode(job.id.encode()).decode(),
+                "tokens": 10,
+            }
+            for number in range(JOB_ITEMS)
+        ]
+        body = json.dumps({"items": items}).encode()
+        while not job.accepted and self.submitting:
+            ready = self.ready_hosts()
+            if ready:
+                host = self.random.choice(ready)
+                status, _ = await self._job_call(
+                    session, host, "POST", "/notes/x", job.id, body
+                )
+                job.statuses.append(status)
+            await asyncio.sleep(PAUSE_SECONDS)
+
+    async def _end(self, session, job: SoakJob) -> None:
+        for host in self.ready_hosts():
+            path = JOB_PATH + job.id
+            status, _ = await self._job_call(session, host, "DELETE", path, "end")
+            if status == 200:
+                job.ended_at = time.monotonic()
+                return
+
+    async def _read_jobs(self) -> None:
+        async with _session() as session:
+            while not self.stopping:
+                for job in [job for job in self.jobs if job.accepted]:
+                    hosts = self.ready_hosts()
+                    if hosts:
+                        await self.read(session, job, self.random.choice(hosts))
+                await asyncio.sleep(SETTLE_SECONDS)
+
+    async def read(
+        self, session: aiohttp.ClientSession, job: SoakJob, host: HostProcess
+    ) -> bool:
+        """Read a job from its first position on; return whether that was answered."""
+        path = f"{JOB_PATH}{job.id}?after=0"
+        status, body = await self._job_call(
+            session, host, "GET", path, f"read-{job.id}"
+        )
+        if status != 200:
+            if status in (404, 410):
+                job.problems.append(f"{host.name} answered {status}")
+            return False
+        results = json.loads(body)["results"]
+        common = min(len(results), len(job.listed))
+        if results[:common] != job.listed[:common]:
+            job.problems.append(
+                f"{host.name} lists other results than were read before"
+            )
+        job.listed += results[len(job.listed) :]
+        return True
+
+    async def _job_call(
+        self,
+        session,
+        host: HostProcess,
+        method: str,
+        path: str,
+        request_id: str,
+        body: bytes | None = None,
+    ) -> tuple[int, bytes]:
+        headers = self._headers(request_id, KEY) | {WAIT: "0"}
+        url = host.ingress + path
+        try:
+            async with session.request(
+                method, url, data=body, headers=headers
+            ) as answer:
+                return answer.status, await answer.read()
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            # The caller tries again, or another host.
+            return 0, b""
+
+    def _headers(self, request_id: str, key: str) -> dict[str, str]:
+        return {
+            "Host": HOST,
+            REQUEST_ID: request_id,
+            API_KEY: key,
+            DEADLINE: f"{DEADLINE_SECONDS * 1000:.0f}",
+        }
+
+
+def _session(seconds: float = GIVE_UP_SECONDS) -> aiohttp.ClientSession:
+    return aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(limit=0),
+        timeout=aiohttp.ClientTimeout(total=seconds),
+    )
--- /dev/null
+++ b/src/primroseford/soak/fleet.py
@@ -0,0 +1,262 @@
+"""The fleet of a soak: host processes, and what surrounds them behind proxies."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import time
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+from typing import Any
+
+from primroseford.proof.site import free_port
+from primroseford.soak.plan import FaultKind
+from primroseford.soak.plan import LinkFault
+from primroseford.soak.processes import HostProcess
+from primroseford.soak.proxy import Proxy
+from primroseford.standins.fleet_objects import KEY
+from primroseford.standins.fleet_objects import configuration
+from primroseford.standins.fleet_objects import runner_entry
+from primroseford.standins.fleet_runner import FleetRunner
+from primroseford.standins.fleet_runner import create_runner_server
+from primroseford.standins.platform import create_platform_application
+from primroseford.standins.platform import create_platform_stand_in
+from primroseford.standins.serving import serve
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+    from primroseford.soak.plan import PlannedFault
+    from primroseford.standins.platform import PlatformStandIn
+    from primroseford.standins.serving import Served
+
+EVENTS = 6
+EVENT_SECONDS = 0.03
+BORN = 1_700_000_000_000
+STORE_FAULTS: dict[FaultKind, tuple[str, Any, Any]] = {
+    FaultKind.STORE_DOWN: ("down", True, False),
+    FaultKind.STORE_SLOW: ("delay_seconds", 0.4, 0.0),
+    FaultKind.STORE_REFUSES: ("calls_per_second", 5.0, 0.0),
+    FaultKind.STORE_LOSES_ANSWERS: ("lose_write_answers", 4, 0),
+    FaultKind.STORE_LOSES_WRITES: ("lose_writes", 4, 0),
+    FaultKind.STORE_ENDS_WATCHES: ("cut_watches", 6, 0),
+    FaultKind.STORE_HOLDS_WATCHES: ("hold_watches", True, False),
+    FaultKind.STORE_FORGETS_HISTORY: ("expire_watches", 6, 0),
+}
+"""Field of the stand-in's faults, its value during the fault and after it."""
+RUNNER_FAULTS: dict[FaultKind, tuple[str, Any, Any]] = {
+    FaultKind.RUNNER_REFUSES: ("refuse", True, False),
+    FaultKind.RUNNER_CUTS_STREAMS: ("cut_after", 2, None),
+    FaultKind.RUNNER_SILENT: ("silent", True, False),
+    FaultKind.RUNNER_WRONG_ID: ("wrong_id", True, False),
+    FaultKind.RUNNER_UNSIGNED: ("unsigned", True, False),
+}
+"""The same of a runner."""
+
+
+@dataclass(eq=False)
+class SoakRunner:
+    """A runner behind a proxy.
+
+    :ivar runs: the runner and those that had its place before it crashed
+    """
+
+    name: str
+    proxy: Proxy
+    server: asyncio.Server | None = None
+    runs: list[FleetRunner] = field(default_factory=list)
+
+    async def start(self) -> None:
+        """Start the runner anew."""
+        runner = FleetRunner(self.name, EVENTS, EVENT_SECONDS)
+        self.runs.append(runner)
+        loop = asyncio.get_running_loop()
+        self.server = await loop.create_server(
+            create_runner_server(runner), "127.0.0.1", 0
+        )
+        self.proxy.target = self.server.sockets[0].getsockname()
+
+
+@dataclass(eq=False)
+class Versions:
+    """What the operator has written.
+
+    :ivar routes: path prefixes of the added routes with the time of their writing
+    :ivar keys: keys that were issued and the time of their withdrawal, if any
+    """
+
+    number: int = 1
+    routes: dict[str, float] = field(default_factory=dict)
+    keys: dict[str, float | None] = field(default_factory=dict)
+
+
+@dataclass(eq=False)
+class SoakFleet:
+    """Everything that a run needs."""
+
+    folder: Path
+    platform: PlatformStandIn = field(default_factory=create_platform_stand_in)
+    versions: Versions = field(default_factory=Versions)
+    hosts: list[HostProcess] = field(default_factory=list)
+    store_links: list[Proxy] = field(default_factory=list)
+    runners: list[SoakRunner] = field(default_factory=list)
+    served: Served | None = None
+    stops: set[asyncio.Task] = field(default_factory=set)
+
+    async def start(self, hosts: int, runners: int) -> None:
+        """Start the stand-ins, the proxies and the hosts."""
+        self.served = await serve(create_platform_application(self.platform))
+        store = self.served.url.removeprefix("http://").split(":")
+        for _ in range(3):
+            self.versions.keys[f"key-{len(self.versions.keys)}"] = None
+        self.write_configuration()
+        for number in range(runners):
+            proxy = Proxy(("", 0))
+            runner = SoakRunner(f"runner-{number}", proxy)
+            await runner.start()
+            await proxy.start()
+            self.runners.append(runner)
+            self._register(runner)
+        port = free_port()
+        for number in range(hosts):
+            link = Proxy((store[0], int(store[1])))
+            await link.start()
+            self.store_links.append(link)
+            host = HostProcess(
+                f"host-{number}",
+                f"127.0.0.{number + 2}",
+                link.address,
+                self.folder,
+                free_port(),
+                free_port(),
+                port,
+            )
+            self.hosts.append(host)
+            await host.start()
+
+    def write_configuration(self) -> None:
+        """Write the configuration as the operator does."""
+        versions = self.versions
+        content = configuration(versions.number)
+        ping = next(r for r in content["routes"] if r["path_prefix"] == "/ping/")
+        content["routes"] += [
+            ping | {"name": prefix.strip("/"), "path_prefix": prefix}
+            for prefix in versions.routes
+        ]
+        keys = [key for key, withdrawn in versions.keys.items() if withdrawn is None]
+        content["tenants"][0]["api_keys"] = [KEY, *keys]
+        self._put("config", "main", content)
+
+    async def begin(self, fault: PlannedFault) -> None:
+        """Inject a fault; returns when what it does at once is done."""
+        kind = fault.kind
+        if kind in STORE_FAULTS:
+            name, value, _ = STORE_FAULTS[kind]
+            setattr(self.platform.faults, name, value)
+        elif kind in RUNNER_FAULTS:
+            name, value, _ = RUNNER_FAULTS[kind]
+            setattr(self.runners[fault.target].runs[-1].faults, name, value)
+        elif kind is FaultKind.STORE_LINK:
+            self.store_links[fault.target].set_fault(fault.link)
+        elif kind in (FaultKind.RUNNER_LINK, FaultKind.RUNNER_CRASH):
+            link = LinkFault.RESET if fault.link is LinkFault.NONE else fault.link
+            self.runners[fault.target].proxy.set_fault(link)
+            if kind is FaultKind.RUNNER_CRASH:
+                self.runners[fault.target].server.close()
+        elif kind is FaultKind.RUNNER_DRAINED:
+            self._register(self.runners[fault.target], state="draining")
+        elif kind in (FaultKind.CONFIGURATION, FaultKind.KEY_WITHDRAWN):
+            self._change(kind)
+        else:
+            await self._strike(kind, self.hosts[fault.target])
+
+    async def end(self, fault: PlannedFault) -> None:
+        """End a fault, unless it has no end."""
+        kind = fault.kind
+        if kind in STORE_FAULTS:
+            name, _, value = STORE_FAULTS[kind]
+            setattr(self.platform.faults, name, value)
+        elif kind in RUNNER_FAULTS:
+            name, _, value = RUNNER_FAULTS[kind]
+            setattr(self.runners[fault.target].runs[-1].faults, name, value)
+        elif kind is FaultKind.STORE_LINK:
+            self.store_links[fault.target].set_fault(LinkFault.NONE)
+        elif kind is FaultKind.RUNNER_LINK:
+            self.runners[fault.target].proxy.set_fault(LinkFault.NONE)
+        elif kind is FaultKind.RUNNER_CRASH:
+            runner = self.runners[fault.target]
+            await runner.start()
+            runner.proxy.set_fault(LinkFault.NONE)
+            self._register(runner)
+        elif kind is FaultKind.RUNNER_DRAINED:
+            self._register(self.runners[fault.target])
+        elif kind is FaultKind.HOST_PAUSE:
+            self.hosts[fault.target].resume()
+        elif kind in (FaultKind.HOST_STOP, FaultKind.HOST_KILL):
+            await self.hosts[fault.target].restart()
+
+    async def heal(self) -> None:
+        """End everything that a fault may have left."""
+        for name, _, value in STORE_FAULTS.values():
+            setattr(self.platform.faults, name, value)
+        for link in self.store_links:
+            link.set_fault(LinkFault.NONE)
+        for runner in self.runners:
+            runner.proxy.set_fault(LinkFault.NONE)
+            for name, _, value in RUNNER_FAULTS.values():
+                setattr(runner.runs[-1].faults, name, value)
+        for host in self.hosts:
+            host.resume()
+            await host.restart()
+
+    async def stop(self) -> None:
+        """End the processes and the stand-ins."""
+        for host in self.hosts:
+            host.resume()
+        await asyncio.gather(*(host.stop() for host in self.hosts))
+        for proxy in [*self.store_links, *(r.proxy for r in self.runners)]:
+            await proxy.stop()
+        for runner in self.runners:
+            runner.server.close()
+        if self.served is not None:
+            await self.served.stop()
+
+    async def _strike(self, kind: FaultKind, host: HostProcess) -> None:
+        if kind is FaultKind.HOST_KILL:
+            await host.kill()
+        elif kind is FaultKind.HOST_RELOAD:
+            host.send(signal.SIGHUP)
+        elif kind is FaultKind.HOST_PAUSE:
+            host.pause()
+        elif kind is FaultKind.HOST_STOP:
+            task = asyncio.create_task(host.stop())
+            self.stops.add(task)
+            task.add_done_callback(self.stops.discard)
+
+    def _change(self, kind: FaultKind) -> None:
+        versions = self.versions
+        if self.platform.faults.down:
+            return
+        versions.number += 1
+        if kind is FaultKind.CONFIGURATION:
+            versions.routes[f"/added-{versions.number}/"] = time.monotonic()
+        else:
+            left = [key for key, withdrawn in versions.keys.items() if not withdrawn]
+            versions.keys[left[0]] = time.monotonic()
+            versions.keys[f"key-{len(versions.keys)}"] = None
+        self.write_configuration()
+
+    def _register(self, runner: SoakRunner, state: str = "ready") -> None:
+        changes = {"state": state, "born": BORN + len(runner.runs)}
+        entry = runner_entry(runner.proxy.address, **changes)
+        self._put("servers", runner.name, entry)
+
+    def _put(self, kind: str, name: str, spec: Any) -> None:
+        state = self.platform.state
+        item = {"metadata": {"name": name}, "spec": spec}
+        if name in state.objects.get(kind, {}):
+            state.update(kind, item)
+        else:
+            state.create(kind, item)
+        self.platform.announce()
--- /dev/null
+++ b/src/primroseford/soak/plan.py
@@ -0,0 +1,101 @@
+"""Plans which faults a run injects and when; the same seed gives the same plan."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+from random import Random
+
+MEAN_GAP_SECONDS = 0.7
+"""Mean time between two faults: with durations of up to 4 s several overlap."""
+DURATION_SECONDS = (0.2, 4.0)
+"""Shortest and longest fault: below and above every time-out of a host but the stop."""
+SERIES_SHARE = 0.25
+"""Share of the faults that strike the target of the one before again."""
+CALM_SECONDS = 1.0
+"""Time without faults at the start of a run, so that there is something to break."""
+
+
+class FaultKind(Enum):
+    """What is done to the system from outside."""
+
+    HOST_STOP = "host_stop"
+    HOST_KILL = "host_kill"
+    HOST_PAUSE = "host_pause"
+    HOST_RELOAD = "host_reload"
+    STORE_DOWN = "store_down"
+    STORE_SLOW = "store_slow"
+    STORE_REFUSES = "store_refuses"
+    STORE_LOSES_ANSWERS = "store_loses_answers"
+    STORE_LOSES_WRITES = "store_loses_writes"
+    STORE_ENDS_WATCHES = "store_ends_watches"
+    STORE_HOLDS_WATCHES = "store_holds_watches"
+    STORE_FORGETS_HISTORY = "store_forgets_history"
+    STORE_LINK = "store_link"
+    RUNNER_LINK = "runner_link"
+    RUNNER_REFUSES = "runner_refuses"
+    RUNNER_CUTS_STREAMS = "runner_cuts_streams"
+    RUNNER_SILENT = "runner_silent"
+    RUNNER_WRONG_ID = "runner_wrong_id"
+    RUNNER_UNSIGNED = "runner_unsigned"
+    RUNNER_CRASH = "runner_crash"
+    RUNNER_DRAINED = "runner_drained"
+    CONFIGURATION = "configuration"
+    KEY_WITHDRAWN = "key_withdrawn"
+
+
+class LinkFault(Enum):
+    """What a proxy does to the connections through it."""
+
+    NONE = "none"
+    DELAY = "delay"
+    RESET = "reset"
+    SILENT = "silent"
+    CUT_TO_SERVER = "cut_to_server"
+    CUT_TO_CLIENT = "cut_to_client"
+
+
+LINK_KINDS = (FaultKind.STORE_LINK, FaultKind.RUNNER_LINK)
+RUNNER_KINDS = tuple(kind for kind in FaultKind if kind.name.startswith("RUNNER_"))
+BAD_LINKS = tuple(fault for fault in LinkFault if fault is not LinkFault.NONE)
+
+
+@dataclass(frozen=True)
+class PlannedFault:
+    """One fault.
+
+    :param at: seconds after the start of the run
+    :param duration: seconds until it ends; without meaning for what has no end
+    :param target: number of the host or runner
+    :param link: what happens to the link, if the fault is one of a link
+    """
+
+    at: float
+    duration: float
+    kind: FaultKind
+    target: int
+    link: LinkFault = LinkFault.NONE
+
+
+def create_plan(
+    seed: int, seconds: float, hosts: int, runners: int
+) -> list[PlannedFault]:
+    """Return the faults of a run in their order.
+
+    :param seconds: time in which faults begin
+    """
+    random = Random(seed)
+    kinds = list(FaultKind)
+    plan: list[PlannedFault] = []
+    at = CALM_SECONDS
+    while at < seconds:
+        kind = random.choice(kinds)
+        count = runners if kind in RUNNER_KINDS else hosts
+        target = random.randrange(count)
+        if plan and random.random() < SERIES_SHARE:
+            target = plan[-1].target % count
+        link = random.choice(BAD_LINKS) if kind in LINK_KINDS else LinkFault.NONE
+        duration = random.uniform(*DURATION_SECONDS)
+        plan.append(PlannedFault(at, duration, kind, target, link))
+        at += random.expovariate(1 / MEAN_GAP_SECONDS)
+    return plan
--- /dev/null
+++ b/src/primroseford/soak/processes.py
@@ -0,0 +1,142 @@
+"""Entry hosts as processes of their own."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import sys
+from dataclasses import dataclass
+from dataclasses import field
+from pathlib import Path
+
+import yaml
+
+from primroseford.platform.settings import PATH_VARIABLE
+
+PROGRAM = Path(__file__).parents[3] / "deploy" / "run.py"
+STOP_SECONDS = 8.0
+"""Time from SIGTERM to SIGKILL (``grace_s`` of the sites)."""
+RETENTION_SECONDS = 120.0
+"""How long results stay readable (``status_s`` of the sites)."""
+
+
+@dataclass(eq=False)
+class HostProcess:
+    """One entry host, over all its starts.
+
+    :param ip: its own number in 127.0.0.0/8
+    :param store: address of the store as this host reaches it
+    :param folder: where its settings and logs are
+    :ivar starts: how often it was started
+    :ivar ending: whether its end was asked for
+    :ivar surprises: ends of the process that nobody asked for
+    """
+
+    name: str
+    ip: str
+    store: str
+    folder: Path
+    ingress_port: int
+    readiness_port: int
+    peer_port: int
+    process: asyncio.subprocess.Process | None = None
+    starts: int = 0
+    ending: bool = False
+    surprises: list[str] = field(default_factory=list)
+    watch: asyncio.Task | None = None
+    lock: asyncio.Lock = field(default_factory=asyncio.Lock)
+
+    @property
+    def ingress(self) -> str:
+        """Base URL for callers."""
+        return f"http://{self.ip}:{self.ingress_port}"
+
+    @property
+    def readiness(self) -> str:
+        """URL of the balancer's check."""
+        return f"http://{self.ip}:{self.readiness_port}/ready"
+
+    @property
+    def running(self) -> bool:
+        """Whether the process exists."""
+        return self.process is not None and self.process.returncode is None
+
+    async def start(self) -> None:
+        """Start the process; its output goes to a file a start."""
+        self.starts += 1
+        self.ending = False
+        settings = self.folder / f"{self.name}.yaml"
+        settings.write_text(yaml.safe_dump(self._settings()))
+        with (
+            (self.folder / f"{self.name}-{self.starts}.out").open("wb") as out,
+            (self.folder / f"{self.name}-{self.starts}.err").open("wb") as err,
+        ):
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                str(PROGRAM),
+                "entry",
+                env=os.environ | {PATH_VARIABLE: str(settings)},
+                stdout=out,
+                stderr=err,
+            )
+        self.watch = asyncio.create_task(self._watch(self.process))
+
+    async def _watch(self, process: asyncio.subprocess.Process) -> None:
+        code = await process.wait()
+        if not self.ending:
+            self.surprises.append(f"start {self.starts} ended by itself with {code}")
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal if the process exists."""
+        if self.running:
+            self.process.send_signal(number)
+
+    def pause(self) -> None:
+        """Stop the process from running, as a frozen machine does."""
+        self.send(signal.SIGSTOP)
+
+    def resume(self) -> None:
+        """Let the process run again."""
+        self.send(signal.SIGCONT)
+
+    async def restart(self) -> None:
+        """Start the process if it has ended or is about to end."""
+        async with self.lock:
+            if self.ending:
+                await self.process.wait()
+            if not self.running:
+                await self.start()
+
+    async def stop(self) -> None:
+        """Stop as the platform does: SIGTERM, and SIGKILL after the time it has."""
+        if not self.running:
+            return
+        self.ending = True
+        self.send(signal.SIGTERM)
+        try:
+            async with asyncio.timeout(STOP_SECONDS):
+                await self.process.wait()
+        except TimeoutError:
+            await self.kill()
+
+    async def kill(self) -> None:
+        """End the process as a crash does."""
+        if self.running:
+            self.ending = True
+            self.send(signal.SIGKILL)
+            await self.process.wait()
+
+    def _settings(self) -> dict:
+        return {
+            "node_name": self.name,
+            "zone": "a",
+            "ip": self.ip,
+            "listen": {
+                "front": f"{self.ip}:{self.ingress_port}",
+                "ready": f"{self.ip}:{self.readiness_port}",
+            },
+            "port_range": [self.peer_port, self.peer_port + 2],
+            "platform": {"address": self.store},
+            "bounds": {"grace_s": STOP_SECONDS, "status_s": RETENTION_SECONDS},
+        }
--- /dev/null
+++ b/src/primroseford/soak/proxy.py
@@ -0,0 +1,109 @@
+"""A proxy on loopback that harms the connections through it."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from dataclasses import field
+
+from primroseford.soak.plan import LinkFault
+
+CHUNK_BYTES = 65_536
+DELAY_SECONDS = 0.15
+"""Delay of each chunk: above the pace of a stream's events."""
+POLL_SECONDS = 0.02
+HELD_TO_SERVER = (LinkFault.SILENT, LinkFault.CUT_TO_SERVER)
+HELD_TO_CLIENT = (LinkFault.SILENT, LinkFault.CUT_TO_CLIENT)
+
+
+@dataclass(eq=False)
+class Proxy:
+    """Passes connections on to one server.
+
+    A direction that is cut holds what was sent until the fault ends, as a network does
+    that loses packets and has them sent again.
+
+    :param target: IP number and port of the server
+    :param fault: what happens to all connections at present
+    """
+
+    target: tuple[str, int]
+    fault: LinkFault = LinkFault.NONE
+    address: str = ""
+    server: asyncio.Server | None = None
+    writers: set[asyncio.StreamWriter] = field(default_factory=set)
+    tasks: set[asyncio.Task] = field(default_factory=set)
+
+    async def start(self) -> None:
+        """Listen on a port that the kernel chooses."""
+        self.server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
+        host, port = self.server.sockets[0].getsockname()
+        self.address = f"{host}:{port}"
+
+    def set_fault(self, fault: LinkFault) -> None:
+        """Begin or end a fault."""
+        self.fault = fault
+        if fault is LinkFault.RESET:
+            self.reset()
+
+    def reset(self) -> None:
+        """Reset all connections."""
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+    async def stop(self) -> None:
+        """End all connections and stop listening."""
+        if self.server is not None:
+            self.server.close()
+        self.reset()
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        if self.fault is LinkFault.RESET:
+            writer.transport.abort()
+            return
+        try:
+            server_reader, server_writer = await asyncio.open_connection(*self.target)
+        except OSError:
+            # Looks to the client like the server's own refusal.
+            writer.transport.abort()
+            return
+        pumps = [
+            asyncio.create_task(self._pump(reader, server_writer, HELD_TO_SERVER)),
+            asyncio.create_task(self._pump(server_reader, writer, HELD_TO_CLIENT)),
+        ]
+        self.tasks.update(pumps)
+        pair = (writer, server_writer)
+        self.writers.update(pair)
+        await asyncio.wait(pumps)
+        for end in pair:
+            end.close()
+        self.writers.difference_update(pair)
+        self.tasks.difference_update(pumps)
+
+    async def _pump(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        held: tuple[LinkFault, ...],
+    ) -> None:
+        try:
+            while data := await reader.read(CHUNK_BYTES):
+                if self.fault is LinkFault.DELAY:
+                    await asyncio.sleep(DELAY_SECONDS)
+                await self._wait_until_open(held)
+                writer.write(data)
+                await writer.drain()
+            await self._wait_until_open(held)
+            writer.write_eof()
+        except OSError:
+            # One end is reset; the other must notice too.
+            writer.transport.abort()
+
+    async def _wait_until_open(self, held: tuple[LinkFault, ...]) -> None:
+        while self.fault in held:  # noqa: ASYNC110
+            await asyncio.sleep(POLL_SECONDS)
--- /dev/null
+++ b/src/primroseford/soak/tests/test_soak.py
@@ -0,0 +1,248 @@
+from __future__ import annotations
+
+import asyncio
+import json
+import subprocess
+import sys
+from random import Random
+
+import pytest
+import yaml
+from multidict import CIMultiDict
+
+from primroseford.soak.callers import Callers
+from primroseford.soak.callers import Kind
+from primroseford.soak.callers import Sent
+from primroseford.soak.callers import SoakJob
+from primroseford.soak.checks import CHECKS
+from primroseford.soak.checks import WHOLE_STREAM
+from primroseford.soak.checks import WHOLE_TEXT
+from primroseford.soak.checks import Record
+from primroseford.soak.checks import Span
+from primroseford.soak.fleet import SoakFleet
+from primroseford.soak.fleet import SoakRunner
+from primroseford.soak.plan import FaultKind
+from primroseford.soak.plan import LinkFault
+from primroseford.soak.plan import PlannedFault
+from primroseford.soak.plan import create_plan
+from primroseford.soak.processes import HostProcess
+from primroseford.soak.proxy import Proxy
+from primroseford.soak.run import REGRESSIONS
+from primroseford.soak.run import SoakSize
+from primroseford.soak.run import run_soak
+from primroseford.standins.fleet_runner import BROKEN_EVENT
+from primroseford.standins.fleet_runner import FleetRunner
+from primroseford.standins.fleet_runner import Received
+
+SHORT = SoakSize(seconds=6.0, hosts=2, runners=3, workers=6)
+
+
+async def test_short_run_keeps_the_promises(tmp_path):
+    """Guards against promises that break in processes and hold in one loop."""
+    report = await run_soak(7, tmp_path, SHORT)
+    assert report.problems == []
+    assert report.statuses[200] > 100 and report.jobs > 0
+
+
+def test_plan_depends_on_its_seed_only():
+    """Guards against a failed seed that cannot be played again."""
+    plan = create_plan(3, 20.0, 3, 4)
+    assert plan == create_plan(3, 20.0, 3, 4) != create_plan(4, 20.0, 3, 4)
+    assert [fault.at for fault in plan] == sorted(fault.at for fault in plan)
+
+
+def test_all_faults_are_planned_now_and_then():
+    """Guards against a kind of fault that no run ever injects."""
+    plans = [create_plan(seed, 20.0, 3, 4) for seed in range(50)]
+    assert {fault.kind for plan in plans for fault in plan} == set(FaultKind)
+    assert {fault.link for plan in plans for fault in plan} == set(LinkFault)
+
+
+def test_regression_seeds_have_a_cause():
+    """Guards against failed seeds that are forgotten, or kept without their cause."""
+    cases = yaml.safe_load(REGRESSIONS.read_text())
+    assert all(isinstance(c["seed"], int) and len(c["cause"]) > 20 for c in cases)
+
+
+@pytest.mark.parametrize(
+    ("fault", "answer", "reached"),
+    [
+        (LinkFault.NONE, b"pong", True),
+        (LinkFault.DELAY, b"pong", True),
+        (LinkFault.SILENT, None, False),
+        (LinkFault.CUT_TO_SERVER, None, False),
+        (LinkFault.CUT_TO_CLIENT, None, True),
+        (LinkFault.RESET, b"", False),
+    ],
+)
+async def test_proxy_harms_open_connections(fault, answer, reached):
+    """Guards against faults that are planned and do not happen."""
+    received = []
+
+    async def serve(reader, writer):
+        while data := await reader.read(100):
+            received.append(data)
+            writer.write(b"pong")
+        writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    proxy = Proxy(server.sockets[0].getsockname())
+    await proxy.start()
+    reader, writer = await asyncio.open_connection(*proxy.address.split(":"))
+    writer.write(b"ping")
+    assert await reader.read(100) == b"pong"
+    proxy.set_fault(fault)
+    writer.write(b"ping")
+    try:
+        async with asyncio.timeout(0.5):
+            found = await reader.read(100)
+    except TimeoutError:
+        found = None
+    except ConnectionResetError:
+        found = b""
+    assert found == answer and (len(received) == 2) == reached
+    proxy.set_fault(LinkFault.NONE)
+    if answer is None:
+        async with asyncio.timeout(5):
+            assert await reader.read(100) == b"pong"
+    writer.close()
+    await proxy.stop()
+    server.close()
+
+
+async def test_process_that_ends_by_itself_is_noticed(tmp_path, monkeypatch):
+    """Guards against a crash of a host that a restart hides."""
+    monkeypatch.setattr("primroseford.soak.processes.PROGRAM", tmp_path / "absent.py")
+    host = HostProcess("host-0", "127.0.0.2", "127.0.0.1:1", tmp_path, 1, 2, 3)
+    await host.start()
+    await host.watch
+    assert host.surprises == ["start 1 ended by itself with 2"]
+    await host.kill()
+    assert len(host.surprises) == 1
+
+
+@pytest.fixture
+def record(tmp_path):
+    """A record of one request and one job without any problem."""
+    fleet = SoakFleet(tmp_path)
+    host = HostProcess("host-0", "127.0.0.2", "", tmp_path, 1, 2, 3, starts=1)
+    fleet.hosts.append(host)
+    fleet.runners.append(SoakRunner("r", Proxy(("", 0)), None, [FleetRunner("r")]))
+    fleet.versions.routes["/added-2/"] = 0.0
+    fleet.versions.keys["old"] = 0.0
+    callers = Callers(fleet, Random(0))
+    callers.sent = [
+        Sent("a", Kind.ONCE, "/once/whole-1", "key", host, 1, 100.0, 100.1, 200, True)
+    ]
+    callers.sent[0].body, callers.sent[0].answer_id = b"r", "a"
+    callers.sent[0].signature = "sig-r"
+    texts = [
+        {"id": f"j.{n}", "state": "complete", "text": WHOLE_TEXT} for n in range(6)
+    ]
+    callers.jobs = [SoakJob("j", [202], texts)]
+    built = Record(fleet, callers)
+    run(built, "a")
+    return built
+
+
+def run(record: Record, request_id: str, at: float = 100.0) -> None:
+    """Note that the runner ran a request."""
+    received = Received(request_id, "POST", "/", CIMultiDict(), b"", at)
+    record.fleet.runners[0].runs[0].received.append(received)
+
+
+def change(record: Record, **fields) -> None:
+    """Change what came of the request."""
+    for name, value in fields.items():
+        setattr(record.callers.sent[0], name, value)
+
+
+def problems(record: Record) -> list[str]:
+    """Return what the checks find."""
+    return [problem for check in CHECKS for problem in check(record)]
+
+
+def test_checks_accept_a_good_record(record):
+    """Guards against checks that complain about a system that works."""
+    assert problems(record) == []
+
+
+@pytest.mark.parametrize(
+    ("fields", "runs", "found"),
+    [
+        ({}, ["a"], "ran 2 times"),
+        ({"status": 503, "signature": ""}, [], "was refused and ran"),
+        ({"answer_id": "b"}, [], "has the id"),
+        ({"signature": "sig-x"}, [], "is signed"),
+        ({"body": b"x"}, [], "has the body"),
+        ({"kind": Kind.STREAM_ONCE, "body": WHOLE_STREAM[:-9]}, [], "has the body"),
+        ({"kind": Kind.STREAM_ONCE, "body": WHOLE_STREAM * 2}, [], "has the body"),
+        ({"ended_at": 106.0}, [], "took 6.00 s"),
+        ({"kind": Kind.ADDED, "path": "/added-2/x", "status": 404}, [], "older"),
+        ({"kind": Kind.WITHDRAWN_KEY, "key": "old"}, [], "older"),
+    ],
+    ids=lambda value: value if isinstance(value, str) else "",
+)
+def test_checks_find_wrong_answers(record, fields, runs, found):
+    """Guards against checks that overlook what they are for."""
+    change(record, **fields)
+    for request_id in runs:
+        run(record, request_id)
+    assert [found in problem for problem in problems(record)] == [True]
+
+
+def test_broken_runner_may_leave_a_part_of_an_event(record):
+    """Guards against a check that blames a host for a runner's own break."""
+    body = WHOLE_STREAM[: WHOLE_STREAM.index(b"id: 2")] + BROKEN_EVENT
+    change(record, kind=Kind.STREAM_ONCE, body=body, complete=False)
+    assert problems(record) == []
+    change(record, complete=True)
+    assert "has the body" in problems(record)[0]
+
+
+@pytest.mark.parametrize(
+    ("kinds", "cut"),
+    [
+        ([FaultKind.HOST_STOP], True),
+        ([FaultKind.HOST_STOP, FaultKind.CONFIGURATION], True),
+        ([FaultKind.HOST_STOP, FaultKind.RUNNER_SILENT], False),
+    ],
+)
+def test_checks_find_what_a_planned_stop_cut(record, kinds, cut):
+    """Guards against stops that cut requests, and against blame for other faults."""
+    change(record, status=0, complete=False, reason="ServerDisconnectedError()")
+    change(record, answer_id="", signature="")
+    for kind in kinds:
+        fault = PlannedFault(0.0, 1.0, kind, 0)
+        record.spans.append(Span(fault, 99.9, 108.0))
+    assert any("was cut by a stop" in p for p in problems(record)) == cut
+
+
+@pytest.mark.parametrize(
+    ("changes", "found"),
+    [
+        ({"statuses": [503]}, "j was refused and ran"),
+        ({"listed": []}, "has 0 results"),
+        ({"problems": ["host-0 answered 404"]}, "host-0 answered 404"),
+        ({"ended_at": 50.0}, "ran 1 items after its end"),
+    ],
+    ids=["refused", "lost", "forgotten", "ended"],
+)
+def test_checks_find_what_is_wrong_with_jobs(record, changes, found):
+    """Guards against lost and doubled items that nobody notices."""
+    run(record, "j.0")
+    for name, value in changes.items():
+        setattr(record.callers.jobs[0], name, value)
+    assert [found in problem for problem in problems(record)] == [True]
+
+
+def test_command_prints_a_report(tmp_path):
+    """Guards against a soak whose outcome only its author can read."""
+    done = subprocess.run(
+        [sys.executable, "-m", "primroseford.soak", "--seed", "1", "--seconds", "0.5"]
+        + ["--hosts", "1", "--runners", "1", "--logs", str(tmp_path)],
+        capture_output=True,
+        check=False,
+    )
+    report = json.loads(done.stdout)
+    assert done.returncode == 0 and report["seed"] == 1 and report["problems"] == []
--- a/src/primroseford/standins/fleet_runner.py
+++ b/src/primroseford/standins/fleet_runner.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from dataclasses import dataclass
 from dataclasses import field
 
@@ -10,6 +11,8 @@
 from multidict import CIMultiDict
 
 EVENT_SECONDS = 0.002
+BROKEN_EVENT = b"id: 9"
+"""What a stream that breaks sends of its next event."""
 
 
 @dataclass
@@ -38,13 +41,17 @@
 
 @dataclass
 class Received:
-    """A request as the runner got it."""
+    """A request as the runner got it.
+
+    :ivar at: local time in seconds
+    """
 
     request_id: str
     method: str
     target: str
     headers: CIMultiDict[str]
     body: bytes
+    at: float = field(default_factory=time.monotonic)
 
 
 @dataclass
@@ -116,7 +123,7 @@
         for number in range(first, self.events + 1):
             if cut is not None and number - first >= cut:
                 await asyncio.sleep(self.event_seconds)
-                await response.write(b"id: 9")
+                await response.write(BROKEN_EVENT)
                 request.transport.close()
                 return response
             await response.write(event(number))
