Log a dropped request and failures of libraries as lines of their own

A request that had been read as a stop closed its connection raised ConnectionResetError on purpose; aiohttp logged that as an error of the server, with a traceback over seven lines and without the request's id. Failures that libraries report were not key=value lines at all.

Ruled out: a request that runs though nobody hears of it. It is dropped before anything is sent, as test_request_that_crosses_the_close_of_its_connection checks; only the record of it was wrong.

Change: the request is logged as dropped with its id, and records of the standard logging module go through the same renderer, one line each.

--- a/src/primroseford/gateway/application.py
+++ b/src/primroseford/gateway/application.py
@@ -37,12 +37,15 @@
     """Return the handler of all callers' requests."""
 
     async def handle(request: BaseRequest) -> web.StreamResponse:
-        if request.transport is None:
-            # The connection was closed after the request had been read: it must not
-            # run, since nobody would hear of it.
-            raise ConnectionResetError
         started = gateway.clock()
         request_id = request_id_of(request)
+        if request.transport is None:
+            # The connection was closed after the request had been read: it must not
+            # run, since nobody would hear of it. The answer goes nowhere.
+            log.info(
+                "request dropped", request_id=request_id, reason="connection closed"
+            )
+            return web.Response(status=503)
         gateway.busy.add(request.protocol)
         try:
             incoming = decode_request(request)
--- a/src/primroseford/gateway/tests/test_forwarding.py
+++ b/src/primroseford/gateway/tests/test_forwarding.py
@@ -224,7 +224,7 @@
 
 
 @pytest.mark.parametrize("turns", range(5))
-async def test_request_that_crosses_the_close_of_its_connection(rig, turns):
+async def test_request_that_crosses_the_close_of_its_connection(rig, turns, caplog):
     """Guards against a request that is sent to a runner though nobody hears it."""
     host = rig.hosts[0]
     address, port = host.settings.ingress.rsplit(":", 1)
@@ -246,6 +246,7 @@
     ends = host.gateway.metrics.requests._metrics.keys()
     assert ends == ({("non_idempotent", "ok")} if answered else set())
     assert len(received(rig)) == answered
+    assert not [r for r in caplog.records if r.levelname == "ERROR"]
     assert rig.hosts[0].gateway.places.runners["i-1"].online == 0
 
 
--- a/src/primroseford/logs.py
+++ b/src/primroseford/logs.py
@@ -78,18 +78,28 @@
     """
     number = logging.getLevelNamesMapping()[level.upper()]
     output = sys.stderr if stream is None else BoundedOutput(stream.fileno())
+    fields = [
+        structlog.processors.add_log_level,
+        structlog.processors.TimeStamper(fmt="iso", utc=True),
+        structlog.processors.format_exc_info,
+    ]
+    render = structlog.processors.KeyValueRenderer(
+        key_order=["timestamp", "level", "event"], sort_keys=True
+    )
     # Libraries report crashes of services and tasks through the standard module.
-    logging.basicConfig(level=logging.ERROR, stream=output, force=True)
+    handler = logging.StreamHandler(output)
+    handler.setFormatter(
+        structlog.stdlib.ProcessorFormatter(
+            processors=[
+                structlog.stdlib.ProcessorFormatter.remove_processors_meta,
+                render,
+            ],
+            foreign_pre_chain=[structlog.stdlib.add_logger_name, *fields],
+        )
+    )
+    logging.basicConfig(level=logging.ERROR, handlers=[handler], force=True)
     structlog.configure(
-        processors=[
-            structlog.contextvars.merge_contextvars,
-            structlog.processors.add_log_level,
-            structlog.processors.TimeStamper(fmt="iso", utc=True),
-            structlog.processors.format_exc_info,
-            structlog.processors.KeyValueRenderer(
-                key_order=["timestamp", "level", "event"], sort_keys=True
-            ),
-        ],
+        processors=[structlog.contextvars.merge_contextvars, *fields, render],
         wrapper_class=structlog.make_filtering_bound_logger(number),
         logger_factory=structlog.WriteLoggerFactory(output),
         # Loggers are bound late, so that a later configuration takes effect.
