Let batch start and step back once for each round of heartbeats

The chance by which a host left out an item depended on room and hosts, and bounded nothing once room was above the number of hosts.

Change: a host takes its part of the room, by chance rounded, and pauses once, until the other hosts have told their loads again (Pace, batch_share). Only hosts that have unfinished items share the room. A slot that an own item frees may be used at once.

--- a/src/primroseford/gateway/heartbeat.py
+++ b/src/primroseford/gateway/heartbeat.py
@@ -15,6 +15,7 @@
 from primroseford.gateway.gen.messages.ttypes import RunnerLoad
 from primroseford.gateway.gen.messages.ttypes import Spending
 from primroseford.gateway.loops import repeat
+from primroseford.gateway.placement import tell_interval
 from primroseford.ids import HostId
 from primroseford.ids import JobId
 from primroseford.ids import OrganisationId
@@ -29,14 +30,8 @@
     from primroseford.ids import Incarnation
     from primroseford.jobs.state import ToldJob
 
-TICK_SECONDS = 0.06
-"""Shortest time between two heartbeats: batch has to step back within about 100 ms of
-a wave's start."""
 IDLE_SECONDS = 0.3
 """Time between heartbeats when nothing changed."""
-PEERS_PER_TICK = 16
-"""Peers for which the shortest time holds; with more, heartbeats go out less often, so
-that their cost a host stays the same."""
 SPENDING_SECONDS = 3.0
 """How long an organisation's count stays in the heartbeats after its last change."""
 SILENT_SHARE_SECONDS = 30.0
@@ -126,8 +121,7 @@
         await repeat(self, self._pause, self._beat)
 
     def _pause(self) -> float:
-        peers = len(self.gateway.members.peers)
-        return TICK_SECONDS * max(1.0, peers / PEERS_PER_TICK)
+        return tell_interval(1 + len(self.gateway.members.peers))
 
     def _beat(self) -> None:
         self.watch_peers()
--- a/src/primroseford/gateway/members.py
+++ b/src/primroseford/gateway/members.py
@@ -111,6 +111,13 @@
         """Return the live hosts, this one included."""
         return [self.own, *(peer.host for peer in self.live(now))]
 
+    def with_jobs(self, now: float) -> int:
+        """Return how many live peers tell of jobs with unfinished items."""
+        return sum(
+            any(progress.waiting_tokens for progress in peer.last.jobs)
+            for peer in self.live(now)
+        )
+
     def running(self, job: JobId, now: float) -> list[HostId]:
         """Return the live peers that run a job."""
         return [
--- a/src/primroseford/gateway/placement.py
+++ b/src/primroseford/gateway/placement.py
@@ -21,9 +21,13 @@
 QUEUE_AT_RUNNER = 2
 """Online requests that may wait in a runner's own queue while every slot of the pool
 is taken: it saves the time in which a free slot becomes known here."""
+TELL_SECONDS = 0.06
+"""Shortest time between two heartbeats: batch has to step back within about 100 ms of
+a wave's start."""
 FULL_VIEW_HOSTS = 16
-"""Hosts up to which heartbeats come at their shortest interval (``heartbeat.py``), so
-that loads are no older than the time between two requests to one runner."""
+"""Hosts up to which heartbeats come at their shortest interval, so that loads are no
+older than the time between two requests to one runner. With more, they go out less
+often, so that their cost a host stays the same."""
 SAMPLED_RUNNERS = 3
 """Runners among which a request chooses if there are more hosts: the power of two
 choices, and a third for one that is full."""
@@ -57,6 +61,14 @@
         return self.slots - self.online - self.batch
 
 
+def tell_interval(hosts: int) -> float:
+    """Return the seconds between two heartbeats of a host whose loads change.
+
+    :param hosts: number of live hosts, this one included
+    """
+    return TELL_SECONDS * max(1.0, hosts / FULL_VIEW_HOSTS)
+
+
 def sample_runners(
     loads: Sequence[RunnerLoad], hosts: int, random: Random
 ) -> Sequence[RunnerLoad]:
@@ -99,21 +111,30 @@
 ) -> RunnerLoad | None:
     """Return the runner on which one more batch item may start, or nothing.
 
-    With many hosts each takes its part of the room by chance, since all see the same.
-
     :param loads: runners that may be used
     :param random: source of randomness
     :param hosts: hosts that choose, this one included
     """
-    slots = sum(load.slots for load in loads)
-    room = sum(max(0, load.free) for load in loads) - HEADROOM * slots
-    if room < 1 or (hosts > FULL_VIEW_HOSTS and room < hosts * random.random()):
-        return None
     sampled = sample_runners(loads, hosts, random)
     best = max(sampled, key=lambda load: (load.free, random.random()))
     return best if best.free > 0 else None
 
 
+def batch_share(loads: Sequence[RunnerLoad], hosts: int, random: Random) -> int:
+    """Return how many batch items this host may start until it hears of the others.
+
+    All hosts see the same room, some time old; each takes its part of it, so that
+    together they take about as much as there is.
+
+    :param loads: runners that may be used
+    :param hosts: hosts that have items to start, this one included
+    """
+    slots = sum(load.slots for load in loads)
+    room = sum(max(0, load.free) for load in loads) - HEADROOM * slots
+    room = max(0.0, room)
+    return min(int(room), _round_by_chance(room / hosts, random))
+
+
 def items_to_pause(loads: Sequence[RunnerLoad], random: Random) -> int:
     """Return how many of this host's batch items must step back now.
 
@@ -130,8 +151,13 @@
     if not own or free >= STEP_BACK * slots:
         return 0
     share = (HEADROOM * slots - free) * own / batch
-    whole = int(share)
-    return min(own, whole + (random.random() < share - whole))
+    return min(own, _round_by_chance(share, random))
+
+
+def _round_by_chance(value: float, random: Random) -> int:
+    """Return a whole number whose mean is the value."""
+    whole = int(value)
+    return whole + (random.random() < value - whole)
 
 
 def expected_wait(ahead: int, loads: Sequence[RunnerLoad], seconds: float) -> float:
--- a/src/primroseford/gateway/places.py
+++ b/src/primroseford/gateway/places.py
@@ -12,6 +12,7 @@
 from primroseford.errors import ResultCode
 from primroseford.gateway.placement import RunnerLoad
 from primroseford.gateway.placement import batch_runner
+from primroseford.gateway.placement import batch_share
 from primroseford.gateway.placement import choose_runner
 from primroseford.gateway.placement import expected_wait
 from primroseford.gateway.placement import items_to_pause
@@ -292,16 +293,29 @@
         self, pool: PoolName, tried: Collection[RunnerKey] = ()
     ) -> RunnerState | None:
         """Return a runner on which a batch item may start now."""
+        loads = self._batch_loads(pool, tried)
+        best = batch_runner(loads, self.random, self.hosts) if loads else None
+        return None if best is None else self.runners[best.key.name]
+
+    def batch_share(self, pool: PoolName, hosts: int) -> int:
+        """Return how many batch items may start before the next heartbeats.
+
+        :param hosts: hosts that have items to start, this one included
+        """
+        return batch_share(self._batch_loads(pool, ()), hosts, self.random)
+
+    def _batch_loads(
+        self, pool: PoolName, tried: Collection[RunnerKey]
+    ) -> list[RunnerLoad]:
+        """Return the loads of the runners that may take batch items."""
         if self.queues.get(pool):
-            return None
+            return []
         now = self.clock()
-        loads = [
+        return [
             runner.load()
             for runner in self.usable(pool)
             if runner.full_until <= now and runner.entry.key not in tried
         ]
-        best = batch_runner(loads, self.random, self.hosts) if loads else None
-        return None if best is None else self.runners[best.key.name]
 
     def items_to_pause(self, pool: PoolName) -> int:
         """Return how many own batch items must step back for online requests."""
--- a/src/primroseford/jobs/scheduler.py
+++ b/src/primroseford/jobs/scheduler.py
@@ -7,13 +7,17 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import time
+from dataclasses import dataclass
+from dataclasses import field
 from functools import partial
 from typing import TYPE_CHECKING
 
 import structlog
 
 from primroseford.errors import PrimrosefordError
+from primroseford.gateway.placement import tell_interval
 from primroseford.gateway.tables import choose_pool
 from primroseford.jobs.run import ItemRun
 from primroseford.jobs.run import JobRun
@@ -61,6 +65,30 @@
 log = structlog.get_logger()
 
 
+@dataclass
+class Pace:
+    """What this host may still do before it hears of the other hosts.
+
+    Loads of other hosts are as old as their heartbeats. A host that started or paused
+    items again on the same loads would do so several times over, as would all others.
+
+    :ivar renewed_at: local time at which the loads were last taken
+    :ivar starts: items that may still start, by pool
+    :ivar paused: pools whose items stepped back since
+    """
+
+    renewed_at: float = -math.inf
+    starts: dict[PoolName, int] = field(default_factory=dict)
+    paused: set[PoolName] = field(default_factory=set)
+
+    def renew(self, now: float, interval: float) -> None:
+        """Take the loads anew if the other hosts have told theirs meanwhile."""
+        if now - self.renewed_at >= interval:
+            self.renewed_at = now
+            self.starts.clear()
+            self.paused.clear()
+
+
 class JobScheduler:
     """The jobs that this host runs.
 
@@ -76,6 +104,7 @@
         self.runs: dict[JobId, JobRun] = {}
         self.told: dict[JobId, tuple[ToldJob, float]] = {}
         self.background: set[asyncio.Task] = set()
+        self.pace = Pace()
 
     def told_jobs(self) -> dict[JobId, ToldJob]:
         """Return the jobs that this host runs, and those that it ran until lately."""
@@ -177,6 +206,7 @@
         """Start items while there is room, the earliest due first."""
         if self.gateway.stopping or self.gateway.tables is None:
             return
+        self._renew_pace()
         now = self.gateway.clock()
         ready = [
             (item.due, -len(item.data), number, run, item)
@@ -191,7 +221,7 @@
             if route is None:
                 continue
             pool = choose_pool(route, self.gateway.random)
-            if pool in full:
+            if pool in full or not self._may_start(pool, now):
                 continue
             runner = self.gateway.places.choose_for_batch(pool, item.tried)
             if runner is None and item.tried:
@@ -201,6 +231,7 @@
                 full.add(pool)
                 continue
             self.gateway.places.start(runner, batch=True)
+            self.pace.starts[pool] -= 1
             run.waiting.remove(item)
             run.running.add(item)
             item.started_at = now
@@ -213,6 +244,22 @@
                 partial(self._run_ended, run, item, route, runner)
             )
 
+    def _renew_pace(self) -> None:
+        now = self.gateway.clock()
+        hosts = len(self.gateway.members.hosts(now))
+        self.pace.renew(now, tell_interval(hosts))
+
+    def _may_start(self, pool: PoolName, now: float) -> bool:
+        """Return whether one more item of a pool may start on the loads that are known.
+
+        :param now: local time in seconds
+        """
+        starts = self.pace.starts
+        if pool not in starts:
+            hosts = 1 + self.gateway.members.with_jobs(now)
+            starts[pool] = self.gateway.places.batch_share(pool, hosts)
+        return starts[pool] > 0
+
     def give_up_at(self, item: ItemRun, route: Route) -> float:
         """Return the Unix time at which an item is given up."""
         return item.job.submitted + route.give_up + GIVE_UP_MARGIN_SECONDS
@@ -243,6 +290,10 @@
             )
             end = RunEnd.BROKEN
         self.gateway.metrics.items.labels(end.value).inc()
+        pool = runner.entry.pool
+        if end is RunEnd.COMPLETE and pool in self.pace.starts:
+            # Its slot is known to be free.
+            self.pace.starts[pool] += 1
         self._judge(run, item, route, end, runner.entry.key)
 
     def _judge(
@@ -284,6 +335,7 @@
 
     def pause_items(self) -> None:
         """Step back for online requests; paused items go on where they stopped."""
+        self._renew_pace()
         pools: dict[PoolName, list[ItemRun]] = {}
         for run in self.runs.values():
             for item in run.running:
@@ -291,9 +343,13 @@
                 if route is not None and item.task is not None:
                     pools.setdefault(route.pools[0][0], []).append(item)
         for pool, items in pools.items():
+            if pool in self.pace.paused:
+                continue
             count = self.gateway.places.items_to_pause(pool)
             if not count:
                 continue
+            self.pace.paused.add(pool)
+            self.pace.starts[pool] = 0
             # The latest started has the least to read again.
             items.sort(key=lambda item: (-item.due, -item.started_at))
             for item in items[:count]:
