Keep items whose route this host does not know yet

A host that had just started took over a job from a peer's heartbeat before it had read a configuration. Without tables no route matched the job, and every item was listed as given up, "route" in the log. A host with an older configuration than the one that accepted the job would have done the same. Both break the rule on dead letters.

Ruled out: the time of the items; the job was 1 s old and max_wait_s is 60 s.

--- a/src/primroseford/jobs/scheduler.py
+++ b/src/primroseford/jobs/scheduler.py
@@ -360,12 +360,13 @@
         """Give up the items whose time is over or whose route is gone."""
         now = time.time()
         for run in list(self.runs.values()):
-            route = self.route_of(run.view.job)
-            if route is not None and now < run.view.job.submitted + (
-                route.give_up + GIVE_UP_MARGIN_SECONDS
-            ):
-                continue
-            if not run.waiting:
+            job = run.view.job
+            route = self.route_of(job)
+            if route is None:
+                over = self._is_route_gone(job)
+            else:
+                over = now >= job.submitted + route.give_up + GIVE_UP_MARGIN_SECONDS
+            if not over or not run.waiting:
                 continue
             for item in run.waiting:
                 item.result = ItemState.DEAD_LETTER
@@ -379,6 +380,18 @@
             run.waiting = []
             self._commit_soon(run)
 
+    def _is_route_gone(self, job: Job) -> bool:
+        """Return whether a job surely has no route any more.
+
+        A host that has started lately has no configuration yet, and one that was cut
+        off has an older one than the host that accepted the job.
+        """
+        gateway = self.gateway
+        if gateway.tables is None:
+            return False
+        confirmed_ago = gateway.clock() - gateway.confirmed_at
+        return confirmed_ago + GIVE_UP_MARGIN_SECONDS < time.time() - job.submitted
+
     def _commit_soon(self, run: JobRun) -> None:
         if run.committer is None:
             run.committer = asyncio.create_task(self._commit(run))
--- a/src/primroseford/jobs/tests/test_jobs.py
+++ b/src/primroseford/jobs/tests/test_jobs.py
@@ -7,14 +7,21 @@
 
 import pytest
 
+from primroseford.gateway.follow import Followers
 from primroseford.gateway.heartbeat import HeartbeatService
+from primroseford.ids import JobId
 from primroseford.jobs import scheduler
 from primroseford.jobs.service import ENDS_SECONDS
 from primroseford.jobs.service import JobService
+from primroseford.jobs.state import JobView
+from primroseford.jobs.state import decode_job
 from primroseford.jobs.store import CHECKPOINTS
 from primroseford.jobs.store import ENDS
 from primroseford.jobs.store import JOBS
 from primroseford.jobs.store import SEGMENTS
+from primroseford.platform.configuration import decode_tables
+from primroseford.standins.fleet_objects import HOST
+from primroseford.standins.fleet_objects import configuration
 from primroseford.standins.fleet_runner import event
 
 CANCEL_SECONDS = 3.0
@@ -331,6 +338,44 @@
     assert 1 <= calls["GET", ENDS] - before <= looks
 
 
+@pytest.mark.parametrize(
+    ("version", "confirmed_ago", "submitted_ago", "given_up"),
+    [
+        (None, 0.0, 10.0, False),
+        (9, 20.0, 10.0, False),
+        (9, 9.0, 10.0, False),
+        (9, 0.0, 10.0, True),
+    ],
+    ids=["no configuration", "too old", "perhaps too old", "route is gone"],
+)
+async def test_items_outlive_a_host_that_does_not_know_their_route(
+    rig, version, confirmed_ago, submitted_ago, given_up
+):
+    """Guards against items given up by a host that has missed a configuration."""
+    host = rig.hosts[0]
+    for duty in host.duties:
+        if isinstance(duty, Followers):
+            await duty.stop()
+    routes = [r for r in configuration()["routes"] if r["kind"] != "batch"]
+    spec = configuration(version or 1, routes=routes)
+    host.gateway.tables = decode_tables(spec) if version else None
+    host.gateway.confirmed_at = host.clock() - confirmed_ago
+    job = decode_job(
+        JobId("job1"),
+        {
+            "organisation": "caroni",
+            "host": HOST,
+            "prefix": "/notes/",
+            "submitted": time.time() - submitted_ago,
+        },
+        [["it0", "/notes/it0", {}, "", 1]],
+    )
+    scheduler = service(host).scheduler
+    scheduler.start_job(service(host).views.remember(JobView(job)))
+    await asyncio.sleep(0.3)
+    assert ("job1" not in scheduler.runs) == given_up
+
+
 async def test_body_of_an_item(rig):
     """Guards against bodies that are lost or changed."""
     rig.runners[0].faults.silent = rig.runners[1].faults.silent = True
