Log why batch items wait; let the replay tell online loads late too

The replay of waves showed each host the online load at once, though it is told by the same heartbeats as batch.

Ruled out: a line for each item that waits; there may be hundreds each 50 ms.

Change: a host with waiting items logs, every 2 s at most, the pool, the items, the hosts with jobs and the load as it sees it. In the replay each host tells its online requests as late as its batch.

--- a/src/primroseford/gateway/places.py
+++ b/src/primroseford/gateway/places.py
@@ -317,6 +317,17 @@
             if runner.full_until <= now and runner.entry.key not in tried
         ]
 
+    def pool_load(self, pool: PoolName) -> dict[str, int]:
+        """Return what is known of a pool's load, for the log."""
+        loads = [runner.load() for runner in self.usable(pool)]
+        return {
+            "runners": len(loads),
+            "slots": sum(load.slots for load in loads),
+            "online": sum(load.online for load in loads),
+            "batch": sum(load.batch for load in loads),
+            "queued": len(self.queues.get(pool, ())),
+        }
+
     def items_to_pause(self, pool: PoolName) -> int:
         """Return how many own batch items must step back for online requests."""
         loads = [runner.load() for runner in self.usable(pool)]
--- a/src/primroseford/jobs/scheduler.py
+++ b/src/primroseford/jobs/scheduler.py
@@ -69,6 +69,9 @@
 """Time for which finished items wait for others of their job, so that one write lists
 them all: a fiftieth of the time in which items are due."""
 
+WAIT_LOG_SECONDS = 2.0
+"""Shortest time between two log lines about items that wait for a place."""
+
 log = structlog.get_logger()
 
 
@@ -112,6 +115,7 @@
         self.told: dict[JobId, tuple[ToldJob, float]] = {}
         self.background: set[asyncio.Task] = set()
         self.pace = Pace()
+        self.wait_logged_at = -math.inf
 
     def told_jobs(self) -> dict[JobId, ToldJob]:
         """Return the jobs that this host runs, and those that it ran until lately."""
@@ -229,7 +233,10 @@
             if route is None:
                 continue
             pool = choose_pool(route, self.gateway.random)
-            if pool in full or not self._may_start(pool, now):
+            if pool in full:
+                continue
+            if not self._may_start(pool, now):
+                full.add(pool)
                 continue
             runner = self.gateway.places.choose_for_batch(pool, item.tried)
             if runner is None and item.tried:
@@ -251,6 +258,22 @@
             item.task.add_done_callback(
                 partial(self._run_ended, run, item, route, runner)
             )
+        self._log_waiting(full, now)
+
+    def _log_waiting(self, pools: set[PoolName], now: float) -> None:
+        """Log now and then why items wait."""
+        if not pools or now - self.wait_logged_at < WAIT_LOG_SECONDS:
+            return
+        self.wait_logged_at = now
+        for pool in pools:
+            log.info(
+                "items wait",
+                pool=pool,
+                waiting=sum(len(run.waiting) for run in self.runs.values()),
+                running=sum(len(run.running) for run in self.runs.values()),
+                hosts_with_jobs=1 + self.gateway.members.with_jobs(now),
+                **self.gateway.places.pool_load(pool),
+            )
 
     def _renew_pace(self) -> None:
         now = self.gateway.clock()
--- a/src/primroseford/jobs/tests/test_waves.py
+++ b/src/primroseford/jobs/tests/test_waves.py
@@ -54,6 +54,7 @@
     waiting = [[ITEM_SECONDS] * (ITEMS // hosts) for _ in range(hosts)]
     running: list[list[float]] = [[] for _ in range(hosts)]
     told = [0] * hosts
+    told_online = [ONLINE[0] / hosts] * hosts
     told_at = [random.random() * interval for _ in range(hosts)]
     paces = [Pace() for _ in range(hosts)]
     outcome = Outcome()
@@ -70,7 +71,8 @@
             own = len(running[host])
             batch = sum(told) - told[host] + own
             key = RunnerKey("all", 1)
-            load = [RunnerLoad(key, "a", SLOTS, online, batch, own)]
+            seen = sum(told_online) - told_online[host] + online / hosts
+            load = [RunnerLoad(key, "a", SLOTS, round(seen), batch, own)]
             paces[host].renew(now, interval if paced else 0.0)
             if "all" not in paces[host].paused:
                 count = items_to_pause(load, random)
@@ -89,6 +91,7 @@
                 del waiting[host][:share]
             if now - told_at[host] >= interval:
                 told[host], told_at[host] = len(running[host]), now
+                told_online[host] = online / hosts
         crowd = online + sum(map(len, running)) - SLOTS
         outcome.crowded += max(0, crowd) * TICK_SECONDS
     return outcome
