Start from what a peer follows while the platform is away

Cause: a host that restarted during an outage of the store had no configuration and refused everything with 503 until the store was back (docs/platform.md, "not built yet").

Ruled out: a copy on the hosts' own disks, which they do not have; the relayed call, which needs a peer that reaches the store.

Change: a host that has no answer from the platform 0.8 s after its start asks the peers that it hears, which know its address from before, for the objects that they follow and for the age of the platform's last word. The reflectors start from that; the platform's own answer goes before it at any time.

Conclusion: a machine that its peers have never heard of is still refused, as nobody sends it a heartbeat.

--- a/src/primroseford/gateway/follow.py
+++ b/src/primroseford/gateway/follow.py
@@ -21,12 +21,18 @@
 from primroseford.platform.runner_list import decode_runner
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
     from primroseford.gateway.gen.messages.ttypes import Heartbeat
     from primroseford.gateway.state import Gateway
     from primroseford.ids import Incarnation
     from primroseford.platform.client import PlatformClient
+    from primroseford.platform.objects import ObjectList
     from primroseford.platform.view import Delta
 
+    ReadPeers = Callable[[], Awaitable[tuple[dict[str, ObjectList], float] | None]]
+
 HOSTS = "entry-hosts"
 RETRY_SECONDS = 0.5
 """Pause before a call to the platform is tried again at start."""
@@ -51,6 +57,9 @@
 BEHIND_SECONDS = 0.6
 """Time after which a peer's newer version means that the own watch hides changes: the
 pause before a watch call, and the answer to it."""
+PEERS_SECONDS = 0.8
+"""Time after which a host that has no configuration asks its peers: the first call to a
+platform that works takes some ms, and heartbeats come every 0.3 s."""
 EXPIRE_SECONDS = 0.2
 """Time between two looks for runners whose time to return is over."""
 
@@ -58,11 +67,18 @@
 
 
 class Followers(Service):
-    """Keeps the gateway's tables and runners up to date."""
+    """Keeps the gateway's tables and runners up to date.
+
+    :param read_peers: returns what a peer follows, by kind, and the age in seconds of
+        the platform's last word on its configuration
+    """
 
-    def __init__(self, gateway: Gateway, client: PlatformClient) -> None:
+    def __init__(
+        self, gateway: Gateway, client: PlatformClient, read_peers: ReadPeers
+    ) -> None:
         super().__init__()
         self.gateway = gateway
+        self.read_peers = read_peers
         self.tables = create_reflector(
             client,
             CONFIGURATION_KIND,
@@ -188,6 +204,29 @@
         gateway.runners_known = True
         gateway.places.set_runners(gateway.runner_list.entries)
 
+    @Service.task
+    async def start_from_peers(self) -> None:
+        """Take what a peer follows if the platform does not answer at the start."""
+        gateway = self.gateway
+        while not self.should_stop:
+            await self.sleep(PEERS_SECONDS)
+            if self.tables.view.version and self.runners.view.version:
+                return
+            found = await self.read_peers()
+            if found is None:
+                continue
+            lists, age = found
+            confirmed_at = max(gateway.confirmed_at, gateway.clock() - age)
+            self.tables.start_from(lists[self.tables.kind])
+            self.runners.start_from(lists[self.runners.kind])
+            gateway.confirmed_at = confirmed_at
+            log.warning(
+                "started from a peer",
+                configuration=gateway.tables.version if gateway.tables else None,
+                confirmed_ms_ago=round(age * 1000),
+                runners=len(gateway.places.runners),
+            )
+
     @Service.task
     async def expire_runners(self) -> None:
         """Drop runners that did not return after an outage."""
--- a/src/primroseford/gateway/host.py
+++ b/src/primroseford/gateway/host.py
@@ -20,6 +20,9 @@
 from primroseford.gateway.exchange import create_fleet_session
 from primroseford.gateway.follow import Followers
 from primroseford.gateway.follow import Registration
+from primroseford.gateway.hand_on import PATH as HAND_ON_PATH
+from primroseford.gateway.hand_on import create_hand_on_handler
+from primroseford.gateway.hand_on import create_peer_reader
 from primroseford.gateway.heartbeat import HeartbeatService
 from primroseford.gateway.members import Members
 from primroseford.gateway.places import Places
@@ -86,6 +89,7 @@
         self.duties: list[Service] = []
         self.sessions: list[aiohttp.ClientSession] = []
         self.gateway: Gateway | None = None
+        self.followers: Followers | None = None
 
     async def on_start(self) -> None:
         """Start the duties and open the sockets."""
@@ -171,10 +175,15 @@
             lambda: path.reachable,
         )
         address = f"{settings.ip}:{settings.peer_port}"
+        members = gateway.members
+        read_peers = create_peer_reader(
+            self.sessions[1], lambda: _urls(members, _live(members, self.clock()))
+        )
+        self.followers = Followers(gateway, client, read_peers)
         return [
             heartbeats,
             path,
-            Followers(gateway, client),
+            self.followers,
             Registration(gateway, client, incarnation, address),
             Watchdog(gateway),
             Retirements(gateway, client),
@@ -185,6 +194,7 @@
         settings = self.settings
         await self._serve_metrics()
         relay = create_relay_handler(settings.platform, self.sessions[1])
+        hand_on = create_hand_on_handler(self.followers)
         read_job = create_jobs_handler(jobs.service.views.views, jobs.service.hand_over)
 
         async def handle(request: BaseRequest) -> web.StreamResponse:
@@ -192,6 +202,8 @@
                 return await relay(request)
             if request.raw_path.startswith(JOBS_PATH):
                 return await read_job(request)
+            if request.raw_path == HAND_ON_PATH:
+                return await hand_on(request)
             return web.Response(status=404)
 
         server = web.Server(handle, request_factory=_create_request, access_log=None)
@@ -279,6 +291,10 @@
         }
 
 
+def _live(members: Members, now: float) -> list[HostId]:
+    return [peer.host for peer in members.live(now)]
+
+
 def _urls(members: Members, hosts: list[HostId]) -> list[str]:
     """Return the base URLs for calls to hosts."""
     return [_base_url(members.peers[host].address) for host in hosts]
--- a/src/primroseford/gateway/tests/test_follow.py
+++ b/src/primroseford/gateway/tests/test_follow.py
@@ -2,9 +2,13 @@
 
 import pytest
 
+from primroseford.gateway.follow import PEERS_SECONDS
 from primroseford.gateway.follow import Followers
 from primroseford.gateway.follow import choose_watch_wait
 from primroseford.gateway.tests.test_forwarding import duty
+from primroseford.ids import Version
+from primroseford.platform.objects import ObjectList
+from primroseford.platform.objects import PlatformObject
 from primroseford.standins.fleet_objects import configuration
 from primroseford.standins.fleet_objects import runner_entry
 
@@ -56,3 +60,45 @@
     """
     assert choose_watch_wait(hosts, 0.0) == pytest.approx(shortest)
     assert choose_watch_wait(hosts, 1.0) == pytest.approx(longest)
+
+
+async def test_host_that_starts_while_the_platform_is_away_serves(rig):
+    """Guards against a restart in an outage after which a host serves nothing.
+
+    Its peers know its address from before the restart.
+    """
+    first = rig.hosts[0]
+    view = await rig.add_view()
+    rig.platform.faults.down = view.faults.down = True
+    port = first.settings.peer_port
+    first.gateway.members.learn("host-1", f"127.0.0.3:{port}", first.clock())
+    await rig.add_host(platform=view.url)
+    restarted = rig.hosts[1].gateway
+    assert (await rig.call("/once/whole", "id-1", host=1))[0] == 200
+    assert restarted.tables.version == first.gateway.tables.version
+    assert restarted.confirmed_at <= first.clock() - PEERS_SECONDS
+    rig.platform.state.delete("servers", "i-2", None)
+    rig.put("config", "main", configuration(7))
+    rig.platform.faults.down = view.faults.down = False
+    await rig.until(lambda: restarted.tables.version == 7)
+    await rig.until(lambda: list(restarted.places.runners) == ["i-1"])
+    assert (await rig.call("/once/whole", "id-2", host=1))[0] == 200
+
+
+@pytest.mark.parametrize("followed", [None, (configuration(1), 3)])
+async def test_answer_of_the_platform_goes_before_that_of_a_peer(rig, followed):
+    """Guards against a peer's old configuration in place of the newest one."""
+    duty(rig.hosts[0], Followers).tables.start_from(
+        ObjectList(Version(9_999), ()) if followed is None else followed_list(followed)
+    )
+    assert rig.hosts[0].gateway.tables.version == 1
+    rig.put("config", "main", configuration(2))
+    await rig.until(lambda: rig.hosts[0].gateway.tables.version == 2)
+
+
+def followed_list(followed) -> ObjectList:
+    """Return a list with one configuration."""
+    spec, version = followed
+    return ObjectList(
+        Version(version), (PlatformObject("config", "main", Version(version), spec),)
+    )
--- a/src/primroseford/platform/reflector.py
+++ b/src/primroseford/platform/reflector.py
@@ -25,6 +25,7 @@
 
     from primroseford.clock import Clock
     from primroseford.platform.client import PlatformClient
+    from primroseford.platform.objects import ObjectList
     from primroseford.platform.view import Delta
 
 BACKOFF_BASE_SECONDS = 0.2
@@ -123,6 +124,11 @@
             self.failures, self.fraction(), BACKOFF_BASE_SECONDS, self.backoff_max
         )
 
+    def start_from(self, listed: ObjectList) -> None:
+        """Take another reader's view, unless the service has answered already."""
+        if not self.view.version:
+            self._report(apply_list(self.view, listed))
+
     def list_again(self, seconds: float) -> None:
         """End the watch, which hides changes, unless it shows them in time.
 
--- a/src/primroseford/platform/view.py
+++ b/src/primroseford/platform/view.py
@@ -4,16 +4,14 @@
 
 from dataclasses import dataclass
 from dataclasses import field
-from typing import TYPE_CHECKING
+from typing import Any
 
 from primroseford.ids import Version
 from primroseford.platform.objects import EventType
+from primroseford.platform.objects import ObjectList
+from primroseford.platform.objects import PlatformObject
 from primroseford.platform.objects import WatchEvent
 
-if TYPE_CHECKING:
-    from primroseford.platform.objects import ObjectList
-    from primroseford.platform.objects import PlatformObject
-
 
 @dataclass
 class View:
@@ -39,6 +37,29 @@
     events: tuple[WatchEvent, ...]
 
 
+def encode_list(view: View) -> dict[str, Any]:
+    """Return a view of objects that others write, for another host."""
+    items = [
+        {"name": o.name, "version": o.version, "spec": o.spec, "status": o.status}
+        for o in view.objects.values()
+    ]
+    return {"version": view.version, "items": items}
+
+
+def decode_list(kind: str, content: dict[str, Any]) -> ObjectList:
+    """Return the list in what ``encode_list`` gave.
+
+    :raises KeyError: if a field is missing
+    """
+    items = (
+        PlatformObject(
+            kind, i["name"], Version(i["version"]), i["spec"], status=i["status"]
+        )
+        for i in content["items"]
+    )
+    return ObjectList(Version(content["version"]), tuple(items))
+
+
 def apply_list(view: View, listed: ObjectList) -> Delta | None:
     """Bring a view to the state of a list.
 
