Split pace and recording from the job scheduler

Ruled out: a split by pause and start, which share the pace and the loads. Change: jobs/pace.py and jobs/recorder.py; the soak's fleet no longer knows the platform's field names for keys. No behaviour changes. Conclusion: none beyond the layout.

--- a/src/primroseford/jobs/api.py
+++ b/src/primroseford/jobs/api.py
@@ -73,7 +73,7 @@
     async def _accept(self, job: Job, allowed: float) -> None:
         """Store a job; a write that outlasts the caller is finished all the same."""
         write = asyncio.create_task(self.service.accept(job))
-        self.service.scheduler.keep(write)
+        self.service.scheduler.recorder.keep(write)
         try:
             async with asyncio.timeout(max(0.2, allowed - ANSWER_MARGIN_SECONDS)):
                 await asyncio.shield(write)
--- /dev/null
+++ b/src/primroseford/jobs/pace.py
@@ -0,0 +1,35 @@
+"""How often a host decides on batch while it hears the other hosts some time late."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from primroseford.ids import PoolName
+
+
+@dataclass
+class Pace:
+    """What this host may still do before it hears of the other hosts.
+
+    Loads of other hosts are as old as their heartbeats. A host that started or paused
+    items again on the same loads would do so several times over, as would all others.
+
+    :ivar renewed_at: local time at which the loads were last taken
+    :ivar starts: items that may still start, by pool
+    :ivar paused: pools whose items stepped back since
+    """
+
+    renewed_at: float = -math.inf
+    starts: dict[PoolName, int] = field(default_factory=dict)
+    paused: set[PoolName] = field(default_factory=set)
+
+    def renew(self, now: float, interval: float) -> None:
+        """Take the loads anew if the other hosts have told theirs meanwhile."""
+        if now - self.renewed_at >= interval:
+            self.renewed_at = now
+            self.starts.clear()
+            self.paused.clear()
--- a/src/primroseford/jobs/scheduler.py
+++ b/src/primroseford/jobs/scheduler.py
@@ -1,4 +1,4 @@
-"""Runs the items of this host's jobs as the places allow, and lists their results.
+"""Runs the items of this host's jobs as the places allow.
 
 Answers waves of online requests: items start in the lulls, the earliest due first, and
 step back when a wave fills the runners.
@@ -9,24 +9,21 @@
 import asyncio
 import math
 import time
-from dataclasses import dataclass
-from dataclasses import field
 from functools import partial
 from typing import TYPE_CHECKING
 
 import structlog
 
-from primroseford.errors import PrimrosefordError
 from primroseford.gateway.placement import tell_interval
 from primroseford.gateway.tables import choose_pool
+from primroseford.jobs.pace import Pace
+from primroseford.jobs.recorder import JobRecorder
 from primroseford.jobs.run import ItemRun
 from primroseford.jobs.run import JobRun
 from primroseford.jobs.run import RunEnd
 from primroseford.jobs.run import run_item
-from primroseford.jobs.state import ItemResult
 from primroseford.jobs.state import ItemState
 from primroseford.jobs.state import Progress
-from primroseford.jobs.store import SEGMENT_BYTES
 
 if TYPE_CHECKING:
     from primroseford.gateway.places import RunnerState
@@ -44,12 +41,6 @@
 GIVE_UP_MARGIN_SECONDS = 3.0
 """Margin beyond the time at which an item may be given up, since the hosts' times of
 day differ."""
-CHECKPOINT_SECONDS = 2.0
-"""Time between two stores of a job's progress: less than half of an item's run, at a
-price of one write."""
-CHECKPOINT_EVENTS = 100
-"""Events since the last store for which another one is worth its write: about half of
-an item."""
 REFUSED_PAUSE_SECONDS = 0.1
 """Pause of an item that a runner refused: about one interval of the heartbeats that
 tell of the runner's load."""
@@ -57,17 +48,12 @@
 """Pause of an item whose run broke off, so that a broken pool is not tried at once."""
 FAILED_PAUSE_SECONDS = 0.3
 """Pause after a runner's own failure, which may pass."""
-COMMIT_RETRY_SECONDS = 0.3
-"""Pause before results are listed again after the store did not take them."""
 TOLD_SECONDS = 3.0
 """How long a job that was stopped stays in the heartbeats, so that its next host is
 known before it is missed."""
 TOLD_FINISHED_SECONDS = 15.0
 """The same of a finished job, for readers at other hosts, who ask this host instead of
 the store: a few times the pause between a caller's reads."""
-COMMIT_PAUSE_SECONDS = 0.4
-"""Time for which finished items wait for others of their job, so that one write lists
-them all: a fiftieth of the time in which items are due."""
 
 WAIT_LOG_SECONDS = 2.0
 """Shortest time between two log lines about items that wait for a place."""
@@ -75,30 +61,6 @@
 log = structlog.get_logger()
 
 
-@dataclass
-class Pace:
-    """What this host may still do before it hears of the other hosts.
-
-    Loads of other hosts are as old as their heartbeats. A host that started or paused
-    items again on the same loads would do so several times over, as would all others.
-
-    :ivar renewed_at: local time at which the loads were last taken
-    :ivar starts: items that may still start, by pool
-    :ivar paused: pools whose items stepped back since
-    """
-
-    renewed_at: float = -math.inf
-    starts: dict[PoolName, int] = field(default_factory=dict)
-    paused: set[PoolName] = field(default_factory=set)
-
-    def renew(self, now: float, interval: float) -> None:
-        """Take the loads anew if the other hosts have told theirs meanwhile."""
-        if now - self.renewed_at >= interval:
-            self.renewed_at = now
-            self.starts.clear()
-            self.paused.clear()
-
-
 class JobScheduler:
     """The jobs that this host runs.
 
@@ -113,7 +75,7 @@
         self.store = store
         self.runs: dict[JobId, JobRun] = {}
         self.told: dict[JobId, tuple[ToldJob, float]] = {}
-        self.background: set[asyncio.Task] = set()
+        self.recorder = JobRecorder(gateway, store, self._finish)
         self.pace = Pace()
         self.wait_logged_at = -math.inf
 
@@ -175,6 +137,9 @@
                 item.task.cancel()
         log.info("job stopped", job=job, why=why, listed=len(run.view.listed))
 
+    def _finish(self, run: JobRun) -> None:
+        self.stop_job(run, "finished")
+
     def route_of(self, job: Job) -> Route | None:
         """Return the route of a job, if it still exists."""
         tables = self.gateway.tables
@@ -186,33 +151,7 @@
             self.pause_items()
             self.place_items()
             self.give_up_items()
-            self.save_progress()
-
-    def save_progress(self) -> None:
-        """Store now and then how far the items are, for a host that takes over."""
-        now = self.gateway.clock()
-        for run in self.runs.values():
-            if run.checkpoint or now - run.checkpoint_at < CHECKPOINT_SECONDS:
-                continue
-            progress = run.progress()
-            events = sum(len(done.data) for done in progress.values())
-            if events - run.checkpoint_events < CHECKPOINT_EVENTS:
-                continue
-            run.checkpoint_at, run.checkpoint_events = now, events
-            run.checkpoint = asyncio.create_task(self._save(run, progress))
-            self.keep(run.checkpoint)
-
-    async def _save(self, run: JobRun, progress: dict[ItemId, Progress]) -> None:
-        job = run.view.job.id
-        try:
-            run.checkpoint_version = await self.store.save_progress(
-                job, progress, run.checkpoint_version
-            )
-        except PrimrosefordError as error:
-            run.checkpoint_version = None
-            log.info("progress not stored", job=job, code=error.code.name)
-        finally:
-            run.checkpoint = None
+            self.recorder.save_progress(self.runs.values())
 
     def place_items(self) -> None:
         """Start items while there is room, the earliest due first."""
@@ -361,7 +300,7 @@
             failures=item.failures,
         )
         run.finished.append(item)
-        self._commit_soon(run)
+        self.recorder.commit_soon(run)
         self.place_items()
 
     def pause_items(self) -> None:
@@ -409,7 +348,7 @@
             )
             run.finished += run.waiting
             run.waiting = []
-            self._commit_soon(run)
+            self.recorder.commit_soon(run)
 
     def _is_route_gone(self, job: Job) -> bool:
         """Return whether a job surely has no route any more.
@@ -422,76 +361,3 @@
             return False
         confirmed_ago = gateway.clock() - gateway.confirmed_at
         return confirmed_ago + GIVE_UP_MARGIN_SECONDS < time.time() - job.submitted
-
-    def _commit_soon(self, run: JobRun) -> None:
-        if run.committer is None:
-            run.committer = asyncio.create_task(self._commit(run))
-            self.keep(run.committer)
-
-    async def _commit(self, run: JobRun) -> None:
-        """List finished items until none is left."""
-        try:
-            while run.finished:
-                if run.waiting or run.running:
-                    await asyncio.sleep(COMMIT_PAUSE_SECONDS)
-                batch = _segment(run.finished)
-                results = [
-                    ItemResult(item.item.id, item.result, _text(item)) for item in batch
-                ]
-                try:
-                    await self.store.commit(run.view, results)
-                except PrimrosefordError as error:
-                    log.warning(
-                        "results not listed yet",
-                        job=run.view.job.id,
-                        code=error.code.name,
-                        count=len(results),
-                    )
-                    await asyncio.sleep(COMMIT_RETRY_SECONDS)
-                    await self._refresh(run.view)
-                run.drop_listed()
-                self.gateway.places.changed = True
-            if run.view.finished and not run.stopped:
-                self.stop_job(run, "finished")
-                await self.store.mark_finished(run.view.job.id)
-        except PrimrosefordError as error:
-            log.warning(
-                "job not marked as finished",
-                job=run.view.job.id,
-                code=error.code.name,
-            )
-        finally:
-            run.committer = None
-
-    async def _refresh(self, view: JobView) -> None:
-        try:
-            await self.store.refresh(view)
-        except PrimrosefordError as error:
-            log.info("results not readable", job=view.job.id, code=error.code.name)
-
-    def keep(self, task: asyncio.Task) -> None:
-        """Hold a task until it is done; an unexpected error is logged."""
-        self.background.add(task)
-        task.add_done_callback(self._forget)
-
-    def _forget(self, task: asyncio.Task) -> None:
-        self.background.discard(task)
-        error = None if task.cancelled() else task.exception()
-        if error is not None and not isinstance(error, PrimrosefordError):
-            log.error("background task failed", exc_info=error)
-
-
-def _text(item: ItemRun) -> str:
-    return item.text() if item.result is ItemState.COMPLETE else ""
-
-
-def _segment(finished: list[ItemRun]) -> list[ItemRun]:
-    """Return the first finished items that fit into one segment, at least one."""
-    taken: list[ItemRun] = []
-    size = 0
-    for item in finished:
-        size += sum(map(len, item.data))
-        if taken and size > SEGMENT_BYTES:
-            break
-        taken.append(item)
-    return taken
--- a/src/primroseford/jobs/service.py
+++ b/src/primroseford/jobs/service.py
@@ -89,7 +89,7 @@
         """Stop all items; other hosts take the jobs over."""
         for run in list(self.scheduler.runs.values()):
             self.scheduler.stop_job(run, "host stops")
-        for task in list(self.scheduler.background):
+        for task in list(self.scheduler.recorder.background):
             task.cancel()
 
     def told_jobs(self) -> dict[JobId, ToldJob]:
--- a/src/primroseford/jobs/tests/test_jobs.py
+++ b/src/primroseford/jobs/tests/test_jobs.py
@@ -10,7 +10,7 @@
 from primroseford.gateway.follow import Followers
 from primroseford.gateway.heartbeat import HeartbeatService
 from primroseford.ids import JobId
-from primroseford.jobs import scheduler
+from primroseford.jobs import recorder
 from primroseford.jobs.scheduler import TOLD_SECONDS
 from primroseford.jobs.service import ENDS_SECONDS
 from primroseford.jobs.service import JobService
@@ -254,8 +254,8 @@
 
 async def test_progress_survives_the_loss_of_all_hosts(rig, monkeypatch):
     """Guards against items that start anew after every host was killed."""
-    monkeypatch.setattr(scheduler, "CHECKPOINT_SECONDS", 0.1)
-    monkeypatch.setattr(scheduler, "CHECKPOINT_EVENTS", 10)
+    monkeypatch.setattr(recorder, "CHECKPOINT_SECONDS", 0.1)
+    monkeypatch.setattr(recorder, "CHECKPOINT_EVENTS", 10)
     for runner in rig.runners:
         runner.events, runner.event_seconds = 150, 0.02
     assert await submit(rig, "job1", count=1) == 202
--- a/src/primroseford/soak/fleet.py
+++ b/src/primroseford/soak/fleet.py
@@ -138,14 +138,13 @@
     def write_configuration(self) -> None:
         """Write the configuration as the operator does."""
         versions = self.versions
-        content = configuration(versions.number)
+        keys = [key for key, withdrawn in versions.keys.items() if withdrawn is None]
+        content = configuration(versions.number, (KEY, *keys))
         ping = next(r for r in content["routes"] if r["path_prefix"] == "/ping/")
         content["routes"] += [
             ping | {"name": prefix.strip("/"), "path_prefix": prefix}
             for prefix in versions.routes
         ]
-        keys = [key for key, withdrawn in versions.keys.items() if withdrawn is None]
-        content["tenants"][0]["api_keys"] = [KEY, *keys]
         self._put("config", "main", content)
 
     async def begin(self, fault: PlannedFault) -> None:
--- a/src/primroseford/standins/fleet_objects.py
+++ b/src/primroseford/standins/fleet_objects.py
@@ -8,8 +8,14 @@
 KEY = "key-of-caroni"
 
 
-def configuration(version: int = 1, **changes: Any) -> dict[str, Any]:
-    """Return a configuration as the operator writes it."""
+def configuration(
+    version: int = 1, keys: tuple[str, ...] = (KEY,), **changes: Any
+) -> dict[str, Any]:
+    """Return a configuration as the operator writes it.
+
+    :param keys: keys of the one organisation
+    :param changes: top-level fields to replace
+    """
     common = {
         "host": HOST,
         "timeout_ms": 5000,
@@ -51,7 +57,12 @@
         ],
         "limits": {"max_body_bytes": 4_194_304, "idle_timeout_ms": 15_000},
         "tenants": [
-            {"name": "caroni", "api_keys": [KEY], "rate_per_s": 1000, "burst": 1000}
+            {
+                "name": "caroni",
+                "api_keys": list(keys),
+                "rate_per_s": 1000,
+                "burst": 1000,
+            }
         ],
     }
     return content | changes
