List no item again that another host has listed meanwhile

Two hosts ran the job after a cut. While one waited 0.4 s to list its finished items together, a caller's read brought the other host's segments into its view, which held some of them; the write then took the next number and repeated them.

Ruled out: two creations of one number (the store refuses the second), and the retry after a lost answer, which reads and drops what is listed before it goes on.

Change: items that are listed are dropped after the pause, right before the write.

Figures: test_items_that_another_host_lists_meanwhile_are_listed_once fails for both of its cases without the change ('it1' at two positions) and holds with it.

--- a/src/primroseford/jobs/recorder.py
+++ b/src/primroseford/jobs/recorder.py
@@ -96,7 +96,12 @@
             while run.finished:
                 if run.waiting or run.running:
                     await asyncio.sleep(COMMIT_PAUSE_SECONDS)
+                # Another host may have listed some of them, which the view knows since
+                # a reader asked. Nothing may be awaited from here to the write.
+                run.drop_listed()
                 batch = _segment(run.finished)
+                if not batch:
+                    break
                 results = [
                     ItemResult(item.item.id, item.result, _text(item)) for item in batch
                 ]
--- a/src/primroseford/jobs/tests/test_jobs.py
+++ b/src/primroseford/jobs/tests/test_jobs.py
@@ -14,6 +14,9 @@
 from primroseford.jobs.scheduler import TOLD_SECONDS
 from primroseford.jobs.service import ENDS_SECONDS
 from primroseford.jobs.service import JobService
+from primroseford.jobs.state import ItemId
+from primroseford.jobs.state import ItemResult
+from primroseford.jobs.state import ItemState
 from primroseford.jobs.state import JobView
 from primroseford.jobs.state import decode_job
 from primroseford.jobs.store import CHECKPOINTS
@@ -116,6 +119,35 @@
     assert len(stored(rig, SEGMENTS)) == 1
 
 
+@pytest.mark.parametrize("listed_elsewhere", [1, 3])
+async def test_items_that_another_host_lists_meanwhile_are_listed_once(
+    rig, listed_elsewhere
+):
+    """Guards against an item at two positions after two hosts ran a job.
+
+    The other host's results are read here, for a caller, while finished items wait.
+    """
+    assert await submit(rig, "job1") == 202
+    jobs = service(rig.hosts[0])
+    run = jobs.scheduler.runs["job1"]
+    rig.runners[1].event_seconds = 0.05
+    await rig.until(lambda: run.finished)
+    ids = [item.item.id for item in run.finished]
+    ids += [item.id for item in run.view.job.items if item.id not in ids]
+    results = [
+        ItemResult(ItemId(item), ItemState.COMPLETE, TEXT)
+        for item in ids[:listed_elsewhere]
+    ]
+    assert await jobs.store.commit(JobView(run.view.job), results)
+    await jobs.store.refresh(run.view)
+    found = await read_all(rig, "job1")
+    assert sorted(result["id"] for result in found) == ["it0", "it1", "it2"]
+    await rig.until(lambda: "job1" not in jobs.scheduler.runs)
+    segments = stored(rig, SEGMENTS).values()
+    listed = [r[0] for s in segments for r in s["spec"]["content"]["results"]]
+    assert sorted(listed) == ["it0", "it1", "it2"]
+
+
 async def test_finished_job_is_read_from_the_host_that_ran_it(rig):
     """Guards against calls to the store by each host that is asked about a job."""
     await join(rig)
