--- a/src/primroseford/soak/fleet.py
+++ b/src/primroseford/soak/fleet.py
@@ -31,8 +31,10 @@
     from primroseford.standins.platform import PlatformStandIn
     from primroseford.standins.serving import Served
 
-EVENTS = 6
-EVENT_SECONDS = 0.03
+EVENTS = 16
+EVENT_SECONDS = 0.06
+"""Pace of a runner's events: a run lasts about as long as the silence after which a
+host counts as lost, so that jobs are taken over in the middle of their items."""
 BORN = 1_700_000_000_000
 STORE_FAULTS: dict[FaultKind, tuple[str, Any, Any]] = {
     FaultKind.STORE_DOWN: ("down", True, False),
--- a/src/primroseford/soak/run.py
+++ b/src/primroseford/soak/run.py
@@ -54,7 +54,7 @@
     seconds: float = 20.0
     hosts: int = 3
     runners: int = 4
-    workers: int = 12
+    workers: int = 16
 
 
 @dataclass(frozen=True)
