Read a job from the store when another host has listed more of it

The replay with logs shows how: front-tt-south-a-3 took a job over and began to leave, front-tt-south-c-2 took it over again at 23.8 s, a-3 listed the rest at 24.9 s, and c-2 knew of it at 26.3 s, when its own write conflicted. Hosts that were asked in between asked c-2, the only live host that tells of the job, and it answered without those results.

Ruled out: results that are lost; the store had all five. The wait of 0.4 s before a write had made the span longer.

A host whose view has fewer after it asked the running one asks the store; a host that runs a job reads what others have listed and drops those items.

Figures: test_results_of_a_leaving_host_are_read_everywhere fails at the host that runs nothing ([] in place of one result 0.7 s after it was listed) and holds with the change.

--- a/src/primroseford/jobs/ownership.py
+++ b/src/primroseford/jobs/ownership.py
@@ -81,6 +81,7 @@
             return
         now = self.gateway.clock()
         self._stop_doubled(now)
+        await self._read_doubled()
         first = not self.first_scan_done and (
             now - self.started_at >= FIRST_SCAN_SECONDS
         )
@@ -104,6 +105,18 @@
                 if preferred_host(job, [own, *others]) != own:
                     self.scheduler.stop_job(run, "another host runs it")
 
+    async def _read_doubled(self) -> None:
+        """Read what other hosts have listed of the jobs that this host runs.
+
+        :raises PrimrosefordError: as the store's calls do
+        """
+        for job, run in list(self.scheduler.runs.items()):
+            if self.gateway.members.segments(job) > run.view.segments:
+                await self.store.refresh(run.view)
+                run.drop_listed()
+                if run.view.finished:
+                    self.scheduler.stop_job(run, "another host finished it")
+
     def is_scanner(self, now: float) -> bool:
         """Return whether this host is the one to look at all stored jobs."""
         hosts = self.gateway.members.hosts(now)
--- a/src/primroseford/jobs/tests/test_jobs.py
+++ b/src/primroseford/jobs/tests/test_jobs.py
@@ -30,6 +30,8 @@
 
 CANCEL_SECONDS = 3.0
 """Time in which the end of a job takes effect (``cancel_ms``)."""
+SETTLE_SECONDS = 1.0
+"""Time after which what was read at one host is read at all (``settle_ms``)."""
 TEXT = "\n".join(f"token {number}" for number in range(1, 6))
 
 
@@ -148,6 +150,34 @@
     assert sorted(listed) == ["it0", "it1", "it2"]
 
 
+@pytest.mark.parametrize("reader", [0, 2])
+async def test_results_of_a_leaving_host_are_read_everywhere(rig, reader):
+    """Guards against results that vanish while another host runs the job unaware.
+
+    The leaving host has listed a result after its job had been taken over.
+    """
+    await join(rig, 2)
+    for runner in rig.runners:
+        runner.faults.silent = True
+    assert await submit(rig, "job1") == 202
+    assert (await read(rig, "job1", host=2))["results"] == []
+    leaving = service(rig.hosts[1])
+    view = JobView(service(rig.hosts[0]).views.views["job1"].job)
+    result = ItemResult(ItemId("it0"), ItemState.COMPLETE, TEXT)
+    assert await leaving.store.commit(view, [result])
+    leaving.scheduler.told["job1"] = (view.told(), rig.hosts[1].clock() + 30.0)
+    rig.hosts[1].gateway.stopping = True
+    rig.hosts[1].gateway.places.changed = True
+    await asyncio.sleep(SETTLE_SECONDS - 0.3)
+    found = await rig.call(
+        "/lots/job1?after=0", method="GET", host=reader, body=b"", Wait_Ms="0"
+    )
+    assert [r["id"] for r in json.loads(found[2])["results"]] == ["it0"]
+    run = service(rig.hosts[0]).scheduler.runs["job1"]
+    await rig.until(lambda: run.view.listed == {"it0"})
+    await rig.until(lambda: "it0" not in {item.item.id for item in run.running})
+
+
 async def test_finished_job_is_read_from_the_host_that_ran_it(rig):
     """Guards against calls to the store by each host that is asked about a job."""
     await join(rig)
--- a/src/primroseford/jobs/views.py
+++ b/src/primroseford/jobs/views.py
@@ -72,7 +72,10 @@
         :raises PrimrosefordError: PLATFORM_UNAVAILABLE
         """
         asked_at = self.gateway.clock()
-        if view.job.id not in self.runs and await self.peers.refresh(view):
+        job = view.job.id
+        answered = job not in self.runs and await self.peers.refresh(view)
+        # A host that runs the job may not know what a second one has listed.
+        if answered and view.segments >= self.gateway.members.segments(job):
             view.checked_at = asked_at
         else:
             await self.store.refresh(view)
