Ask each leaving host to stop a job that is taken over

The first leaving host that told of the job was front-tt-south-a-1, which had handed it to a-3 before and tells of it for 3 s; it answered with no progress, and a-3 was never asked.

Ruled out: a lost heartbeat (a-3 was heard all the while) and a call that failed, which would have been logged.

Change: all leaving hosts that tell of the job are asked, and the furthest progress of each item counts.

Figures: test_take_over_asks_each_leaving_host fails without the change (no progress, the second host runs on) and holds with it.

--- a/src/primroseford/jobs/peers.py
+++ b/src/primroseford/jobs/peers.py
@@ -78,9 +78,19 @@
         return True
 
     async def take_over(self, job: JobId) -> dict[ItemId, Progress]:
-        """Let a leaving host stop a job, and return how far its items are."""
-        found = await self._ask(self.leaving(job), job, 0, "POST")
-        return decode_progress(found["progress"]) if found else {}
+        """Let the leaving hosts stop a job, and return how far its items are.
+
+        A leaving host that has handed the job over tells of it for some time yet, so
+        each one is asked.
+        """
+        progress: dict[ItemId, Progress] = {}
+        for base_url in self.leaving(job):
+            found = await self._ask([base_url], job, 0, "POST")
+            told = decode_progress(found["progress"]) if found else {}
+            for item, done in told.items():
+                if item not in progress or len(done.data) > len(progress[item].data):
+                    progress[item] = done
+        return progress
 
     async def _ask(
         self, hosts: list[str], job: JobId, number: int, method: str = "GET"
--- a/src/primroseford/jobs/tests/test_jobs.py
+++ b/src/primroseford/jobs/tests/test_jobs.py
@@ -9,8 +9,10 @@
 
 from primroseford.gateway.follow import Followers
 from primroseford.gateway.heartbeat import HeartbeatService
+from primroseford.gateway.host import CALLS_PORT_OFFSET
 from primroseford.ids import JobId
 from primroseford.jobs import recorder
+from primroseford.jobs.peers import JobPeers
 from primroseford.jobs.scheduler import TOLD_SECONDS
 from primroseford.jobs.service import ENDS_SECONDS
 from primroseford.jobs.service import JobService
@@ -178,6 +180,25 @@
     await rig.until(lambda: "it0" not in {item.item.id for item in run.running})
 
 
+async def test_take_over_asks_each_leaving_host(rig):
+    """Guards against a host that goes on with a job that another has taken over.
+
+    The first host that leaves has handed the job to the second, which leaves as well.
+    """
+    await join(rig)
+    rig.runners[0].event_seconds = rig.runners[1].event_seconds = 0.5
+    assert await submit(rig, "job1", host=1) == 202
+    first, second = (service(host) for host in rig.hosts)
+    await rig.until(lambda: any(r.data for r in second.scheduler.runs["job1"].running))
+    first.views.remember(JobView(second.views.views["job1"].job))
+    settings = [host.settings for host in rig.hosts]
+    urls = [f"http://{s.ip}:{s.peer_port + CALLS_PORT_OFFSET}" for s in settings]
+    peers = JobPeers(rig.session, lambda _: [], lambda _: urls)
+    progress = await peers.take_over(JobId("job1"))
+    assert any(done.data for done in progress.values())
+    assert "job1" not in second.scheduler.runs
+
+
 async def test_finished_job_is_read_from_the_host_that_ran_it(rig):
     """Guards against calls to the store by each host that is asked about a job."""
     await join(rig)
