Take the bounds of the wave replay from the target and the baseline

Ruled out: a fault of the pace; the replay's figures are unchanged.

Items done are held against the version without the pace, 0.95 of it, with 8, 20 and 54 hosts instead of 54 alone.

--- a/src/primroseford/jobs/tests/test_waves.py
+++ b/src/primroseford/jobs/tests/test_waves.py
@@ -27,6 +27,8 @@
 """Time to connect and to read the prompt and the events again after a pause."""
 ITEMS = 1200
 SECONDS = 30.0
+STEP_BACK_SECONDS = 0.1
+"""Time in which batch is to step back for a wave."""
 
 
 @dataclass
@@ -101,18 +103,25 @@
 def test_batch_steps_back_once_for_each_wave(hosts):
     """Guards against items that pause and start again several times a wave.
 
-    About 170 items must step back at the start of each wave.
+    Online requests wait for a slot for 100 ms of each wave at most, the time in which
+    batch is to step back, or for one round of heartbeats where that takes longer.
     """
     waves = math.ceil(SECONDS / (LULL_SECONDS + WAVE_SECONDS)) - 1
-    most = (ONLINE[1] - ONLINE[0]) * waves
+    growth = (ONLINE[1] - ONLINE[0]) * waves
     outcome = replay(hosts, paced=True)
-    assert outcome.pauses <= 1.25 * most
-    assert outcome.crowded <= SLOTS * 0.5 * waves
-    assert outcome.done > 850
+    assert outcome.pauses <= 1.25 * growth
+    assert outcome.crowded <= growth * max(STEP_BACK_SECONDS, tell_interval(hosts))
+
+
+@pytest.mark.parametrize("hosts", [8, 20, 54])
+def test_pace_costs_batch_little(hosts):
+    """Guards against slots that stay empty while hosts wait for heartbeats."""
+    unpaced, paced = replay(hosts, paced=False), replay(hosts, paced=True)
+    assert paced.done >= 0.95 * unpaced.done
 
 
 def test_pace_answers_what_many_hosts_did_without_it():
     """Guards against a pace that changes nothing for the load that it answers."""
     unpaced, paced = replay(54, paced=False), replay(54, paced=True)
     assert paced.pauses < 0.5 * unpaced.pauses
-    assert paced.done >= 0.95 * unpaced.done
+    assert paced.crowded < unpaced.crowded
