Bound what a runner may send, and show answers that broke off

Cause: an answer without a length that ended with a reset, and a stream that ended inside an event on a route that may not resume, reached the caller as complete; bodies, events, informational answers, chunk sizes and trailers without end were taken until the deadline; error messages and logs carried a runner's bytes and address; a whole answer with surplus bytes behind it in one segment was lost; bytes without a whole event kept a stalled stream alive. Change: connections to runners bound head, informational answers and framing, and turn a reset into a cut; answers end at 8 MB, events at 128 KB, item runs at 512 KB; only whole events are a sign of life; whole answers are held up to 128 KB and passed on beyond that; errors name their kind only. Ruled out: slow streams were not cut before either; a second answer cannot reach another caller, as each attempt has a connection of its own.

--- a/src/primroseford/gateway/exchange.py
+++ b/src/primroseford/gateway/exchange.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -12,6 +13,7 @@
 from primroseford.errors import Outcome
 from primroseford.errors import PrimrosefordError
 from primroseford.errors import ResultCode
+from primroseford.gateway.runner_connection import RunnerConnector
 from primroseford.online.exchange import CURRENT_ATTEMPT
 from primroseford.online.exchange import Attempt
 from primroseford.online.exchange import MarkingRequest
@@ -20,6 +22,8 @@
 from primroseford.platform.runner_calls import names_other_runner
 
 if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
     from multidict import CIMultiDict
 
     from primroseford.gateway.runners import RunnerEntry
@@ -28,6 +32,12 @@
 """Time for a connection, which takes about 4 ms: a lost opening packet or a runner
 without power costs this once."""
 READ_BUFFER_BYTES = 64 * 1024
+MAX_ANSWER_BYTES = 8 * 1024 * 1024
+"""Longest answer of a runner: the largest body that a host takes from a caller, and
+several times the events of the largest prompts and outputs of the workloads."""
+MAX_EVENT_BYTES = 128 * 1024
+"""Longest event of a stream: some hundred tokens at most are in one. Twenty of them
+at once take an eighth of the memory that such answers may cost a host."""
 EXCHANGE_ERRORS = (aiohttp.ClientError, OSError, ValueError)
 
 
@@ -91,7 +101,7 @@
     silent, or on which the answer to another request is still to come.
     """
     session = aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(limit=0, force_close=True),
+        connector=RunnerConnector(),
         cookie_jar=aiohttp.DummyCookieJar(),
         auto_decompress=False,
         skip_auto_headers=("User-Agent", "Content-Type", "Accept", "Accept-Encoding"),
@@ -126,9 +136,11 @@
         )
     except (*EXCHANGE_ERRORS, TimeoutError) as error:
         if attempt.sent:
-            raise ran(ResultCode.RUNNER_FAILED, f"no answer: {error!r}") from error
+            raise ran(
+                ResultCode.RUNNER_FAILED, f"no answer: {describe(error)}"
+            ) from error
         raise PrimrosefordError(
-            ResultCode.RUNNER_UNREACHABLE, f"no connection: {error!r}"
+            ResultCode.RUNNER_UNREACHABLE, f"no connection: {describe(error)}"
         ) from error
     if not belongs_to(answer, call.request_id):
         answer.close()
@@ -144,6 +156,31 @@
     return answer
 
 
+async def read_bounded(
+    answer: aiohttp.ClientResponse, limit: int = MAX_ANSWER_BYTES
+) -> AsyncIterator[bytes]:
+    """Yield the body of an answer as it comes.
+
+    :param limit: bytes after which the answer is given up
+    :raises PrimrosefordError: RUNNER_FAILED if it is longer
+    """
+    size = 0
+    async for chunk in answer.content.iter_any():
+        size += len(chunk)
+        if size > limit:
+            raise ran(
+                ResultCode.RUNNER_FAILED, f"the answer is longer than {limit} bytes"
+            )
+        yield chunk
+
+
+def describe(error: BaseException) -> str:
+    """Return the kind of an error, without anything that a runner has sent."""
+    if isinstance(error, OSError) and error.errno in errno.errorcode:
+        return errno.errorcode[error.errno]
+    return type(error).__name__
+
+
 def ran(code: ResultCode, message: str) -> PrimrosefordError:
     """Return the error of a request that may have run."""
     return PrimrosefordError(code, message, outcome=Outcome.MAY_HAVE_RUN)
--- a/src/primroseford/gateway/forward.py
+++ b/src/primroseford/gateway/forward.py
@@ -14,10 +14,13 @@
 from primroseford.errors import PrimrosefordError
 from primroseford.errors import ResultCode
 from primroseford.gateway.exchange import EXCHANGE_ERRORS
+from primroseford.gateway.exchange import MAX_EVENT_BYTES
 from primroseford.gateway.exchange import Call
 from primroseford.gateway.exchange import Silence
+from primroseford.gateway.exchange import describe
 from primroseford.gateway.exchange import open_answer
 from primroseford.gateway.exchange import ran
+from primroseford.gateway.exchange import read_bounded
 from primroseford.gateway.retry import Next
 from primroseford.gateway.retry import next_step
 from primroseford.gateway.retry import silence_limit
@@ -44,6 +47,9 @@
 TOKEN_WAIT_SECONDS = 0.05
 """Longest wait for a token: shorter than the round trip of a refused caller who comes
 back, and a sixth of the shortest objective of the workloads of letter 1."""
+HELD_BYTES = 128 * 1024
+"""Part of an answer that is not a stream which is held back until the answer is whole,
+so that a request can be sent again; longer answers are passed on as they come."""
 
 CALLER_LEFT = "CALLER_LEFT"
 """End of a request whose caller closed the connection; it has no result code, since
@@ -77,7 +83,9 @@
     placed_after: float = 0.0
     first_after: float = 0.0
     response: web.StreamResponse | None = None
-    splitter: EventSplitter = field(default_factory=EventSplitter)
+    splitter: EventSplitter = field(
+        default_factory=lambda: EventSplitter(MAX_EVENT_BYTES)
+    )
 
 
 class CutShort(Exception):
@@ -307,28 +315,43 @@
             raise ran(ResultCode.ANSWER_MISMATCHED, "the answer has no signature")
         if flow.route.kind is RouteKind.STREAMING and answer.status == 200:
             return await _relay_stream(gateway, flow, runner, answer, silence)
-        return await _relay_whole(gateway, flow, runner, answer)
+        return await _relay_whole(gateway, flow, runner, answer, silence)
     finally:
         answer.close()
 
 
 async def _relay_whole(
-    gateway: Gateway, flow: Flow, runner: RunnerState, answer: aiohttp.ClientResponse
+    gateway: Gateway,
+    flow: Flow,
+    runner: RunnerState,
+    answer: aiohttp.ClientResponse,
+    silence: Silence,
 ) -> web.StreamResponse:
-    try:
-        body = await answer.read()
-    except EXCHANGE_ERRORS as error:
-        raise ran(ResultCode.RUNNER_FAILED, f"the answer was cut: {error!r}") from error
+    """Pass on an answer that is not a stream, once it is whole or too long to hold."""
     if flow.response is not None:
         raise ran(ResultCode.STREAM_TRUNCATED, f"resuming gave status {answer.status}")
     if answer.status >= 500 and flow.route.repeatable:
         if flow.runs + 1 < flow.route.max_attempts:
             raise ran(ResultCode.RUNNER_FAILED, f"the runner gave {answer.status}")
+    held = bytearray()
+    try:
+        async for chunk in read_bounded(answer):
+            held += chunk
+            if len(held) > HELD_BYTES:
+                silence.heard()
+                await _pass_on(gateway, flow, answer, bytes(held))
+                held.clear()
+    except EXCHANGE_ERRORS as error:
+        raise ran(
+            ResultCode.RUNNER_FAILED, f"the answer was cut: {describe(error)}"
+        ) from error
     seconds = gateway.clock() - flow.started
-    flow.first_after = seconds
     runner.latency += 0.1 * (seconds - runner.latency) if runner.latency else seconds
+    if flow.response is not None:
+        return await _end(gateway, flow, answer, bytes(held))
+    flow.first_after = seconds
     response = web.Response(
-        status=answer.status, body=body, headers=answer_headers(answer)
+        status=answer.status, body=bytes(held), headers=answer_headers(answer)
     )
     if gateway.stopping:
         response.force_close()
@@ -342,24 +365,38 @@
     answer: aiohttp.ClientResponse,
     silence: Silence,
 ) -> web.StreamResponse:
+    """Pass on the events of a stream as they come.
+
+    Only whole events are a sign of life: a runner that has stalled may still send a
+    byte now and then.
+    """
     splitter = flow.splitter
     splitter.restart()
     resumable = flow.route.resumable
     try:
-        async for chunk in answer.content.iter_any():
-            silence.heard()
-            runner.last_byte = gateway.clock()
-            data = splitter.feed(chunk) if resumable else chunk
+        async for chunk in read_bounded(answer):
+            events = splitter.feed(chunk)
+            if events:
+                silence.heard()
+                runner.last_byte = gateway.clock()
+            data = events if resumable else chunk
             if data:
                 await _pass_on(gateway, flow, answer, data)
     except EXCHANGE_ERRORS as error:
         raise ran(
-            ResultCode.STREAM_TRUNCATED, f"the stream broke: {error!r}"
+            ResultCode.STREAM_TRUNCATED, f"the stream broke: {describe(error)}"
         ) from error
-    if resumable and splitter.pending:
+    if splitter.pending:
         raise ran(ResultCode.STREAM_TRUNCATED, "the stream ended inside an event")
-    if flow.response is None:
-        await _pass_on(gateway, flow, answer, b"")
+    return await _end(gateway, flow, answer, b"")
+
+
+async def _end(
+    gateway: Gateway, flow: Flow, answer: aiohttp.ClientResponse, data: bytes
+) -> web.StreamResponse:
+    """Pass on the last bytes of an answer and its end."""
+    if data or flow.response is None:
+        await _pass_on(gateway, flow, answer, data)
     try:
         await flow.response.write_eof()
     except OSError as error:
--- /dev/null
+++ b/src/primroseford/gateway/tests/test_hostile_runners.py
@@ -0,0 +1,216 @@
+"""Runners that send bytes which are no answer, or no whole one, before a real host."""
+
+from __future__ import annotations
+
+import asyncio
+import tracemalloc
+
+import aiohttp
+import pytest
+
+from primroseford.standins.fleet_objects import HOST
+from primroseford.standins.fleet_objects import KEY
+from primroseford.standins.fleet_objects import runner_entry
+from primroseford.standins.fleet_runner import event
+from primroseford.standins.hostile_runner import EVENTS
+from primroseford.standins.hostile_runner import JUNK
+from primroseford.standins.hostile_runner import Harm
+from primroseford.standins.hostile_runner import HostileRunner
+
+ENDED_SECONDS = 3.0
+"""Time in which an answer without end must be over: well before the 20 s that the
+callers of these tests allow."""
+RELAYED_BYTES = 32 * 1024 * 1024
+"""Bytes of one answer without end that a host may take from a runner."""
+MEMORY_BYTES = 20 * 1024 * 1024
+"""Memory that twenty hostile runners together may cost a host, from the issue."""
+MESSAGE_BYTES = 400
+"""Longest message of an error that a caller gets."""
+
+
+@pytest.fixture
+async def hostile(rig):
+    """Replace the runners of the rig by hostile ones, and return a factory of them."""
+    servers = []
+
+    async def add(harm: Harm, count: int = 1) -> list[HostileRunner]:
+        for name in ("i-1", "i-2"):
+            rig.platform.state.delete("servers", name, None)
+        rig.platform.announce()
+        runners = []
+        for number in range(count):
+            runner = HostileRunner(f"h-{number}", harm, [])
+            server = await asyncio.start_server(runner.handle, "127.0.0.1", 0)
+            servers.append(server)
+            port = server.sockets[0].getsockname()[1]
+            rig.put("servers", runner.name, runner_entry(f"127.0.0.1:{port}"))
+            runners.append(runner)
+        names = {runner.name for runner in runners}
+        places = rig.hosts[0].gateway.places
+        await rig.until(lambda: set(places.runners) == names)
+        return runners
+
+    yield add
+    for server in servers:
+        server.close()
+
+
+async def call(rig, path: str, request_id: str = "id-1"):
+    """Return status and body, or the error by which a cut answer shows."""
+    try:
+        status, _, body = await rig.call(path, request_id, Deadline_Ms="20000")
+    except (aiohttp.ClientPayloadError, aiohttp.ServerDisconnectedError) as error:
+        return type(error), b""
+    return status, body
+
+
+@pytest.mark.parametrize(
+    ("harm", "path", "body"),
+    [
+        (Harm.CLOSE_WITHOUT_LENGTH, "/ping/x", EVENTS),
+        (Harm.CLOSE_WITHOUT_LENGTH, "/once/x", EVENTS),
+        (Harm.CLOSE_WITHOUT_LENGTH, "/nudge/x", EVENTS),
+        (Harm.CLOSE_WITHOUT_LENGTH, "/pick/x", EVENTS),
+        (Harm.SURPLUS, "/ping/x", b"done"),
+        (Harm.SURPLUS, "/once/x", b"done"),
+        (Harm.SECOND_ANSWER, "/once/x", b"done"),
+    ],
+)
+async def test_whole_answers_are_delivered(rig, hostile, harm, path, body):
+    """Guards against whole answers that are lost because of what surrounds them."""
+    (runner,) = await hostile(harm)
+    assert await call(rig, path) == (200, body)
+    assert runner.received == ["id-1"]
+
+
+@pytest.mark.parametrize(
+    ("harm", "path"),
+    [
+        (Harm.RESET_WITHOUT_LENGTH, "/ping/x"),
+        (Harm.RESET_WITHOUT_LENGTH, "/once/x"),
+        (Harm.RESET_WITHOUT_LENGTH, "/nudge/x"),
+        (Harm.RESET_WITHOUT_LENGTH, "/pick/x"),
+        (Harm.EVENT_ENDS_EARLY, "/nudge/x"),
+        (Harm.EVENT_ENDS_EARLY, "/pick/x"),
+        (Harm.NOT_HTTP, "/once/x"),
+        (Harm.NOT_HTTP, "/nudge/x"),
+        (Harm.SWITCHING, "/once/x"),
+        (Harm.SWITCHING, "/nudge/x"),
+    ],
+)
+async def test_broken_answers_do_not_look_complete(rig, hostile, harm, path):
+    """Guards against an answer that broke off and reached the caller as a success."""
+    await hostile(harm, count=2)
+    status, _ = await call(rig, path)
+    assert status in (502, aiohttp.ClientPayloadError, aiohttp.ServerDisconnectedError)
+
+
+@pytest.mark.parametrize("path", ["/nudge/x", "/pick/x"])
+async def test_slow_streams_are_not_cut(rig, hostile, path):
+    """Guards against a stream that is cut though its runner is sound."""
+    await hostile(Harm.SLOW, count=2)
+    status, body = await call(rig, path)
+    assert (status, body) == (200, b"".join(event(number) for number in (1, 2, 3)))
+
+
+async def test_stalled_stream_goes_on_at_another_runner(rig, hostile):
+    """Guards against a stream that never ends since a byte comes now and then."""
+    (stalled,) = await hostile(Harm.STALLED)
+    sound = await rig.add_runner("i-3")
+    places = rig.hosts[0].gateway.places
+    await rig.until(lambda: "i-3" in places.runners)
+    places.runners["i-3"].online = 2
+    status, body = await call(rig, "/pick/x")
+    assert (status, body) == (200, b"".join(event(n) for n in range(1, 6)))
+    assert stalled.received == [run.request_id for run in sound.received] == ["id-1"]
+    assert sound.received[0].headers["Last-Event-Id"] == "1"
+
+
+async def test_stalled_stream_ends_at_the_deadline(rig, hostile):
+    """Guards against a stream that never ends where no other runner may go on."""
+    (runner,) = await hostile(Harm.STALLED)
+    async with asyncio.timeout(7.0):
+        assert await call(rig, "/nudge/x") == (aiohttp.ClientPayloadError, b"")
+    await rig.until(lambda: runner.open == 0)
+
+
+ENDLESS = [
+    (Harm.ENDLESS_BODY, "/ping/x"),
+    (Harm.ENDLESS_BODY, "/once/x"),
+    (Harm.ENDLESS_LENGTH, "/ping/x"),
+    (Harm.ENDLESS_LENGTH, "/nudge/x"),
+    (Harm.ENDLESS_EVENT, "/nudge/x"),
+    (Harm.ENDLESS_EVENT, "/pick/x"),
+    (Harm.ENDLESS_EVENTS, "/nudge/x"),
+    (Harm.ENDLESS_EVENTS, "/pick/x"),
+    (Harm.ENDLESS_JUNK, "/once/x"),
+    (Harm.CONTINUES, "/once/x"),
+    (Harm.CONTINUES, "/nudge/x"),
+    (Harm.ENDLESS_HEAD, "/once/x"),
+    (Harm.ENDLESS_LINE, "/once/x"),
+    (Harm.ENDLESS_CHUNK_SIZE, "/nudge/x"),
+    (Harm.ENDLESS_TRAILERS, "/nudge/x"),
+]
+
+
+@pytest.mark.parametrize(("harm", "path"), ENDLESS)
+async def test_bytes_without_end_are_ended(rig, hostile, harm, path):
+    """Guards against a runner whose bytes a host takes until the deadline."""
+    (runner,) = await hostile(harm)
+    async with asyncio.timeout(ENDED_SECONDS):
+        status, _ = await call(rig, path)
+    assert status not in (200, 503)
+    assert runner.sent < RELAYED_BYTES
+    await rig.until(lambda: runner.open == 0)
+
+
+@pytest.mark.parametrize(("harm", "path"), ENDLESS)
+async def test_memory_under_many_hostile_runners(rig, hostile, harm, path):
+    """Guards against a host that runs out of memory because of its runners."""
+    await hostile(harm, count=20)
+    tracemalloc.start()
+    try:
+        calls = (_consume(rig, path, f"id-{number}") for number in range(20))
+        await asyncio.gather(*calls)
+        peak = tracemalloc.get_traced_memory()[1]
+    finally:
+        tracemalloc.stop()
+    assert peak < MEMORY_BYTES
+
+
+async def _consume(rig, path: str, request_id: str) -> None:
+    """Read an answer without keeping it."""
+    url = f"http://{rig.hosts[0].settings.ingress}{path}"
+    headers = {"Host": HOST, "Api-Key": KEY, "Request-Id": request_id}
+    try:
+        async with rig.session.post(url, data=b"x", headers=headers) as answer:
+            async for _ in answer.content.iter_any():
+                pass
+    except (aiohttp.ClientPayloadError, aiohttp.ServerDisconnectedError):
+        return
+
+
+@pytest.mark.parametrize(
+    ("harm", "path"),
+    [
+        (Harm.NOT_HTTP, "/once/x"),
+        (Harm.NOT_HTTP, "/ping/x"),
+        (Harm.ENDLESS_LINE, "/once/x"),
+        (Harm.ENDLESS_CHUNK_SIZE, "/ping/x"),
+    ],
+)
+async def test_errors_carry_nothing_of_a_runner(rig, hostile, harm, path, capsys):
+    """Guards against a runner's bytes and address in answers and logs."""
+    await hostile(harm, count=2)
+    _, body = await call(rig, path)
+    logged = capsys.readouterr()
+    for text in (body.decode("latin-1"), logged.out + logged.err):
+        assert JUNK.decode("latin-1").strip() not in text
+        assert "yyyyyyyy" not in text
+    assert "127.0.0.1" not in body.decode()
+    assert len(body) < MESSAGE_BYTES
+    failed = [
+        line for line in (logged.out + logged.err).splitlines() if "attempt" in line
+    ]
+    assert failed and all("127.0.0.1:" not in line for line in failed)
+    assert all(len(line) < 2 * MESSAGE_BYTES for line in failed)
--- a/src/primroseford/jobs/run.py
+++ b/src/primroseford/jobs/run.py
@@ -14,10 +14,13 @@
 from primroseford.errors import PrimrosefordError
 from primroseford.errors import ResultCode
 from primroseford.gateway.exchange import EXCHANGE_ERRORS
+from primroseford.gateway.exchange import MAX_EVENT_BYTES
 from primroseford.gateway.exchange import Call
 from primroseford.gateway.exchange import Silence
+from primroseford.gateway.exchange import describe
 from primroseford.gateway.exchange import open_answer
 from primroseford.gateway.exchange import ran
+from primroseford.gateway.exchange import read_bounded
 from primroseford.jobs.state import Progress
 from primroseford.online.events import EventSplitter
 from primroseford.online.exchange import Attempt
@@ -43,6 +46,9 @@
 ITEM_SILENCE_SECONDS = 1.5
 """Silence after which an item goes on at another runner: longer than a full engine
 takes to admit it, since an item can wait where a caller cannot."""
+MAX_ITEM_BYTES = 512 * 1024
+"""Longest stream of one run of an item, since its result must fit into one object of
+the platform's store."""
 
 log = structlog.get_logger()
 
@@ -229,17 +235,17 @@
     answer: aiohttp.ClientResponse,
     silence: Silence,
 ) -> None:
-    splitter = EventSplitter()
+    splitter = EventSplitter(MAX_EVENT_BYTES)
     try:
-        async for chunk in answer.content.iter_any():
-            silence.heard()
-            runner.last_byte = gateway.clock()
+        async for chunk in read_bounded(answer, MAX_ITEM_BYTES):
             block = splitter.feed(chunk)
             if block:
+                silence.heard()
+                runner.last_byte = gateway.clock()
                 run.take_events(block)
     except EXCHANGE_ERRORS as error:
         raise ran(
-            ResultCode.STREAM_TRUNCATED, f"the stream broke: {error!r}"
+            ResultCode.STREAM_TRUNCATED, f"the stream broke: {describe(error)}"
         ) from error
     if splitter.pending:
         raise ran(ResultCode.STREAM_TRUNCATED, "the stream ended inside an event")
--- a/src/primroseford/online/events.py
+++ b/src/primroseford/online/events.py
@@ -20,9 +20,12 @@
     """Lets only complete events through, as bytes.
 
     A stream can be resumed after any event, so a partial one is never passed on.
+
+    :param max_event_bytes: longest event
     """
 
-    def __init__(self) -> None:
+    def __init__(self, max_event_bytes: int = MAX_EVENT_BYTES) -> None:
+        self.max_event_bytes = max_event_bytes
         self.pending = b""
         self.last_with_id = b""
         self.ended = False
@@ -39,7 +42,7 @@
         else:
             end = _end_of_events(data)
             complete, self.pending = data[:end], data[end:]
-            if len(self.pending) > MAX_EVENT_BYTES:
+            if len(self.pending) > self.max_event_bytes:
                 raise ValueError("an event is too large")
         if complete:
             if complete.startswith(b"id:") or b"\nid:" in complete:
--- /dev/null
+++ b/src/primroseford/standins/hostile_runner.py
@@ -0,0 +1,189 @@
+"""Stand-in of a runner that sends bytes which are no answer, or no whole one."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+from dataclasses import dataclass
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from primroseford.standins.fleet_runner import event
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+BLOCK_BYTES = 16 * 1024
+"""Size of the pieces of what is sent without end."""
+JUNK = b"\x00\xffno answer "
+STREAM_HEAD = b"Content-Type: text/event-stream\r\n"
+CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
+SLOW_SECONDS = 1.0
+"""Pause between two events of a slow stream."""
+STALLED_SECONDS = 0.1
+"""Pause between two bytes of a stream that has stalled."""
+EVENTS = event(1) + event(2)
+
+
+class Harm(Enum):
+    """What a hostile runner sends."""
+
+    RESET_WITHOUT_LENGTH = "reset without length"
+    CLOSE_WITHOUT_LENGTH = "close without length"
+    EVENT_ENDS_EARLY = "event ends early"
+    ENDLESS_BODY = "endless body"
+    ENDLESS_LENGTH = "endless length"
+    ENDLESS_EVENT = "endless event"
+    ENDLESS_EVENTS = "endless events"
+    NOT_HTTP = "not http"
+    ENDLESS_JUNK = "endless junk"
+    CONTINUES = "continues"
+    ENDLESS_HEAD = "endless head"
+    ENDLESS_LINE = "endless line"
+    ENDLESS_CHUNK_SIZE = "endless chunk size"
+    ENDLESS_TRAILERS = "endless trailers"
+    SURPLUS = "surplus"
+    SECOND_ANSWER = "second answer"
+    SWITCHING = "switching"
+    SLOW = "slow"
+    STALLED = "stalled"
+
+
+PAUSES = {Harm.SLOW: SLOW_SECONDS, Harm.STALLED: STALLED_SECONDS}
+
+
+@dataclass
+class HostileRunner:
+    """A runner that answers every request in one harmful way.
+
+    :param harm: what it sends
+    :ivar received: ids of the requests that it got
+    :ivar sent: bytes that it could send
+    :ivar open: connections on which it is still sending
+    """
+
+    name: str
+    harm: Harm
+    received: list[str]
+    sent: int = 0
+    open: int = 0
+
+    async def handle(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Answer the request of one connection."""
+        self.open += 1
+        try:
+            head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+            if head.startswith("GET /health"):
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+                await writer.drain()
+                return
+            request_id = _header(head, "request-id")
+            self.received.append(request_id)
+            for piece in _answer(self.harm, self.name, request_id):
+                writer.write(piece)
+                await writer.drain()
+                self.sent += len(piece)
+                await asyncio.sleep(PAUSES.get(self.harm, 0.0))
+            if self.harm is Harm.RESET_WITHOUT_LENGTH:
+                await asyncio.sleep(0.05)
+                _reset(writer)
+            elif self.harm is Harm.SWITCHING:
+                await reader.read()
+        except (OSError, asyncio.IncompleteReadError):
+            # The caller has closed the connection, which ends what has no end.
+            return
+        finally:
+            self.open -= 1
+            writer.close()
+
+
+def _header(head: str, wanted: str) -> str:
+    for line in head.split("\r\n")[1:]:
+        name, _, value = line.partition(":")
+        if name.lower() == wanted:
+            return value.strip()
+    return ""
+
+
+def _reset(writer: asyncio.StreamWriter) -> None:
+    """Close a connection so that its peer gets a reset."""
+    # Lingering for no time discards what is not sent and resets.
+    option = struct.pack("ii", 1, 0)
+    connection = writer.get_extra_info("socket")
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, option)
+
+
+def _endless(piece: bytes) -> Iterator[bytes]:
+    block = piece * max(1, BLOCK_BYTES // len(piece))
+    while True:
+        yield block
+
+
+def _endless_bytes() -> Iterator[bytes]:
+    while True:
+        yield _chunk(b"i")
+
+
+def _chunk(data: bytes) -> bytes:
+    return f"{len(data):x}\r\n".encode() + data + b"\r\n"
+
+
+def _answer(harm: Harm, name: str, request_id: str) -> Iterator[bytes]:
+    """Yield the bytes of an answer, perhaps without end."""
+    start = f"Request-Id: {request_id}\r\nServer-Signature: sig-{name}\r\n".encode()
+    good = b"HTTP/1.1 200 OK\r\n" + start
+    whole = good + b"Content-Length: 4\r\n\r\ndone"
+    match harm:
+        case Harm.RESET_WITHOUT_LENGTH | Harm.CLOSE_WITHOUT_LENGTH:
+            yield good + STREAM_HEAD + b"\r\n" + EVENTS
+        case Harm.EVENT_ENDS_EARLY:
+            yield good + STREAM_HEAD + CHUNKED
+            yield _chunk(EVENTS + b"id: 3\ndata: tok") + b"0\r\n\r\n"
+        case Harm.ENDLESS_BODY:
+            yield good + b"\r\n"
+            yield from _endless(b"x")
+        case Harm.ENDLESS_LENGTH:
+            yield good + b"Content-Length: 1000000000000\r\n\r\n"
+            yield from _endless(b"x")
+        case Harm.ENDLESS_EVENT:
+            yield good + STREAM_HEAD + CHUNKED
+            yield from _endless(_chunk(b"data: " + b"x" * 1000))
+        case Harm.ENDLESS_EVENTS:
+            yield good + STREAM_HEAD + CHUNKED
+            yield from _endless(_chunk(b"data: " + b"x" * 1000 + b"\n\n"))
+        case Harm.NOT_HTTP:
+            yield JUNK * 30_000
+        case Harm.ENDLESS_JUNK:
+            yield from _endless(JUNK)
+        case Harm.CONTINUES:
+            yield from _endless(b"HTTP/1.1 100 Continue\r\n\r\n")
+        case Harm.ENDLESS_HEAD:
+            yield good
+            yield from _endless(b"X-More: " + b"y" * 500 + b"\r\n")
+        case Harm.ENDLESS_LINE:
+            yield good + b"X-Long: "
+            yield from _endless(b"y")
+        case Harm.ENDLESS_CHUNK_SIZE:
+            yield good + STREAM_HEAD + CHUNKED + b"5;name="
+            yield from _endless(b"y")
+        case Harm.ENDLESS_TRAILERS:
+            yield good + STREAM_HEAD + CHUNKED + _chunk(EVENTS) + b"0\r\n"
+            yield from _endless(b"X-More: " + b"y" * 500 + b"\r\n")
+        case Harm.SURPLUS:
+            yield whole + JUNK * 20
+        case Harm.SECOND_ANSWER:
+            yield whole + whole.replace(b"done", b"more")
+        case Harm.SLOW:
+            yield good + STREAM_HEAD + CHUNKED
+            for number in range(1, 4):
+                yield _chunk(event(number))
+            yield b"0\r\n\r\n"
+        case Harm.STALLED:
+            yield good + STREAM_HEAD + CHUNKED + _chunk(event(1))
+            yield from _endless_bytes()
+        case Harm.SWITCHING:
+            yield b"HTTP/1.1 101 Switching Protocols\r\n" + start
+            yield b"Connection: upgrade\r\nUpgrade: other\r\n\r\n" + JUNK
