Confirm what is listed before a read says that there is nothing

Change: a view keeps the time up to which nobody had listed more than it holds, which only a read of the store, a watch of all new segments by one host, the job's creation or another host's view can move; a read that finds nothing needs it to be recent, and says 503 otherwise. A host that hands a job over lists its finished items first, and tells what its view holds now. Ruled out: one read of the store for each empty read, since that is a call a second for each job; the watch is 2.5 calls a second for the fleet.

--- a/src/primroseford/gateway/host.py
+++ b/src/primroseford/gateway/host.py
@@ -25,6 +25,7 @@
 from primroseford.gateway.hand_on import create_peer_reader
 from primroseford.gateway.heartbeat import HeartbeatService
 from primroseford.gateway.members import Members
+from primroseford.gateway.members import preferred_host
 from primroseford.gateway.places import Places
 from primroseford.gateway.retirement import Retirements
 from primroseford.gateway.state import Gateway
@@ -37,6 +38,11 @@
 from primroseford.jobs.peers import PATH as JOBS_PATH
 from primroseford.jobs.peers import JobPeers
 from primroseford.jobs.peers import create_jobs_handler
+from primroseford.jobs.results_watch import DUTY as RESULTS_DUTY
+from primroseford.jobs.results_watch import PATH as LISTED_PATH
+from primroseford.jobs.results_watch import ResultsWatch
+from primroseford.jobs.results_watch import create_listed_handler
+from primroseford.jobs.results_watch import create_listed_reader
 from primroseford.jobs.service import JobService
 from primroseford.jobs.store import JobStore
 from primroseford.metrics import Metrics
@@ -117,12 +123,15 @@
             random,
         )
         client = self._create_client(store, path)
-        jobs = self._create_jobs(gateway, client, store)
+        results = ResultsWatch(client, self.clock)
+        jobs = self._create_jobs(gateway, client, store, results, path)
         incarnation = Incarnation(uuid.uuid4().hex[:12])
-        self.duties = self._create_duties(gateway, client, path, jobs, incarnation)
+        self.duties = self._create_duties(
+            gateway, client, path, jobs, results, incarnation
+        )
         for duty in self.duties:
             await duty.start()
-        await self._open(gateway, JobApi(gateway, jobs))
+        await self._open(gateway, JobApi(gateway, jobs), results)
         log.info(
             "host started",
             host=settings.host,
@@ -145,16 +154,33 @@
         return client
 
     def _create_jobs(
-        self, gateway: Gateway, client: PlatformClient, session: aiohttp.ClientSession
+        self,
+        gateway: Gateway,
+        client: PlatformClient,
+        session: aiohttp.ClientSession,
+        results: ResultsWatch,
+        path: StorePath,
     ) -> JobService:
         members = gateway.members
+        settings = self.settings
         peers = JobPeers(
             session,
             lambda job: _urls(members, members.running(job, self.clock())),
             lambda job: _urls(members, members.leaving_with(job, self.clock())),
+            self.clock,
+        )
+        return JobService(
+            gateway,
+            JobStore(client, self.clock),
+            peers,
+            create_listed_reader(
+                session,
+                results,
+                lambda: _follower(members, path.reachable, self.clock()),
+            ),
+            settings.job_retention_seconds,
+            settings.settle_seconds,
         )
-        retention = self.settings.job_retention_seconds
-        return JobService(gateway, JobStore(client, self.clock), peers, retention)
 
     def _create_duties(
         self,
@@ -162,6 +188,7 @@
         client: PlatformClient,
         path: StorePath,
         jobs: JobService,
+        results: ResultsWatch,
         incarnation: Incarnation,
     ) -> list[Service]:
         """Return the duties in the order in which they start."""
@@ -187,21 +214,27 @@
             Registration(gateway, client, incarnation, address),
             Watchdog(gateway),
             Retirements(gateway, client),
+            results,
             jobs,
         ]
 
-    async def _open(self, gateway: Gateway, jobs: JobApi) -> None:
+    async def _open(
+        self, gateway: Gateway, jobs: JobApi, results: ResultsWatch
+    ) -> None:
         settings = self.settings
         await self._serve_metrics()
         relay = create_relay_handler(settings.platform, self.sessions[1])
         hand_on = create_hand_on_handler(self.followers)
-        read_job = create_jobs_handler(jobs.service.views.views, jobs.service.hand_over)
+        read_job = create_jobs_handler(jobs.service.views, jobs.service.hand_over)
+        read_listed = create_listed_handler(results)
 
         async def handle(request: BaseRequest) -> web.StreamResponse:
             if request.raw_path.startswith(PREFIX):
                 return await relay(request)
             if request.raw_path.startswith(JOBS_PATH):
                 return await read_job(request)
+            if request.raw_path.startswith(LISTED_PATH):
+                return await read_listed(request)
             if request.raw_path == HAND_ON_PATH:
                 return await hand_on(request)
             return web.Response(status=404)
@@ -315,6 +348,19 @@
     return [_base_url(peer.address) for peer in live if peer.last.reaches_store]
 
 
+def _follower(members: Members, reaches_store: bool, now: float) -> str | None:
+    """Return the base URL of the host that follows results; nothing if it is this one.
+
+    :param reaches_store: whether this host reaches the store itself
+    :param now: local time in seconds
+    """
+    hosts = [peer.host for peer in members.live(now) if peer.last.reaches_store]
+    if reaches_store or not hosts:
+        hosts.append(members.own)
+    chosen = preferred_host(RESULTS_DUTY, hosts)
+    return None if chosen == members.own else _base_url(members.peers[chosen].address)
+
+
 def _create_request(message, payload, protocol, writer, task) -> BaseRequest:
     return BaseRequest(
         message,
--- a/src/primroseford/jobs/api.py
+++ b/src/primroseford/jobs/api.py
@@ -28,12 +28,6 @@
     from primroseford.jobs.state import JobView
     from primroseford.platform.job_calls import JobCall
 
-FRESH_SECONDS = 0.3
-"""Age up to which a look for further results stands for a new one: well within the
-time in which a result that was read elsewhere must be seen."""
-FRESH_TOLD_SECONDS = 0.8
-"""The same while the host that runs the job is heard: its heartbeats tell of further
-results, and the look only guards against a second host that runs the job unheard."""
 STEP_SECONDS = 0.05
 ANSWER_BYTES = 900_000
 """Size of the results in one answer, below the bound of a megabyte."""
@@ -137,27 +131,17 @@
         """Return results from a position on, waiting for the first if asked to."""
         gateway = self.gateway
         until = gateway.clock() + call.wait
-        await self._look(view, call.after)
         while len(view.results) <= call.after and not view.finished:
+            if gateway.members.segments(view.job.id) > view.segments:
+                await self.service.views.fetch(view)
+                continue
             left = until - gateway.clock()
             if left <= 0:
+                await self.service.views.confirm(view)
                 break
             await asyncio.sleep(min(STEP_SECONDS, left))
-            await self._look(view, call.after)
         return _bounded(view.results[call.after :])
 
-    async def _look(self, view: JobView, after: int) -> None:
-        """Read further segments if a host tells of them, or the last look is old."""
-        if len(view.results) > after or view.finished:
-            return
-        now = self.gateway.clock()
-        members = self.gateway.members
-        job = view.job.id
-        heard = job in self.service.scheduler.runs or bool(members.running(job, now))
-        age = FRESH_TOLD_SECONDS if heard else FRESH_SECONDS
-        if members.segments(job) > view.segments or now - view.checked_at > age:
-            await self.service.views.refresh(view)
-
 
 def _bounded(results: list[ItemResult]) -> list[ItemResult]:
     size = 0
--- a/src/primroseford/jobs/ownership.py
+++ b/src/primroseford/jobs/ownership.py
@@ -106,15 +106,17 @@
                     self.scheduler.stop_job(run, "another host runs it")
 
     async def _read_doubled(self) -> None:
-        """Read what other hosts have listed of the jobs that this host runs.
+        """Take what other hosts have listed of the jobs that this host runs.
 
         :raises PrimrosefordError: as the store's calls do
         """
         for job, run in list(self.scheduler.runs.items()):
             if self.gateway.members.segments(job) > run.view.segments:
                 await self.store.refresh(run.view)
+            # Readers add what is listed as well.
+            if run.committer is None:
                 run.drop_listed()
-                if run.view.finished:
+                if run.view.finished and not run.stopped:
                     self.scheduler.stop_job(run, "another host finished it")
 
     def is_scanner(self, now: float) -> bool:
@@ -177,7 +179,7 @@
         if view.finished:
             await self.store.mark_finished(job)
             return
-        progress = await self.peers.take_over(job)
+        progress = await self.peers.take_over(view)
         if not progress:
             progress = await self.store.load_progress(job)
         log.info(
--- a/src/primroseford/jobs/recorder.py
+++ b/src/primroseford/jobs/recorder.py
@@ -95,7 +95,7 @@
         try:
             while run.finished:
                 if run.waiting or run.running:
-                    await asyncio.sleep(COMMIT_PAUSE_SECONDS)
+                    await _pause(run)
                 # Another host may have listed some of them, which the view knows since
                 # a reader asked. Nothing may be awaited from here to the write.
                 run.drop_listed()
@@ -148,6 +148,15 @@
             log.error("background task failed", exc_info=error)
 
 
+async def _pause(run: JobRun) -> None:
+    """Wait for further items of a job, unless its results are urgent."""
+    try:
+        async with asyncio.timeout(COMMIT_PAUSE_SECONDS):
+            await run.urgent.wait()
+    except TimeoutError:
+        return
+
+
 def _text(item: ItemRun) -> str:
     return item.text() if item.result is ItemState.COMPLETE else ""
 
--- a/src/primroseford/jobs/run.py
+++ b/src/primroseford/jobs/run.py
@@ -108,6 +108,7 @@
     :param waiting: items without a run at present
     :param running: items with one
     :param finished: items with a result that is not listed yet
+    :param urgent: set if finished items shall be listed at once
     :param checkpoint_version: version of the stored progress, if this host stored it
     :param checkpoint_events: events in it
     """
@@ -117,6 +118,7 @@
     running: set[ItemRun] = field(default_factory=set)
     finished: list[ItemRun] = field(default_factory=list)
     committer: asyncio.Task | None = None
+    urgent: asyncio.Event = field(default_factory=asyncio.Event)
     checkpoint: asyncio.Task | None = None
     checkpoint_version: Version | None = None
     checkpoint_at: float = 0.0
--- a/src/primroseford/jobs/scheduler.py
+++ b/src/primroseford/jobs/scheduler.py
@@ -54,7 +54,9 @@
 TOLD_FINISHED_SECONDS = 15.0
 """The same of a finished job, for readers at other hosts, who ask this host instead of
 the store: a few times the pause between a caller's reads."""
-
+HAND_OVER_SECONDS = 0.3
+"""Longest wait for the last results of a job that is handed over: the other host waits
+for the answer, and a write takes a few ms."""
 WAIT_LOG_SECONDS = 2.0
 """Shortest time between two log lines about items that wait for a place."""
 
@@ -66,15 +68,15 @@
 
     :param store: jobs in the platform's store
     :ivar runs: jobs by id
-    :ivar told: jobs that were stopped lately, what the heartbeats still tell of them,
-        and until when
+    :ivar told: jobs that were stopped lately, of which the heartbeats still tell, and
+        until when
     """
 
     def __init__(self, gateway: Gateway, store: JobStore) -> None:
         self.gateway = gateway
         self.store = store
         self.runs: dict[JobId, JobRun] = {}
-        self.told: dict[JobId, tuple[ToldJob, float]] = {}
+        self.told: dict[JobId, tuple[JobView, float]] = {}
         self.recorder = JobRecorder(gateway, store, self._finish)
         self.pace = Pace()
         self.wait_logged_at = -math.inf
@@ -83,7 +85,7 @@
         """Return the jobs that this host runs, and those that it ran until lately."""
         now = self.gateway.clock()
         self.told = {j: t for j, t in self.told.items() if t[1] > now}
-        told = {job: told for job, (told, _) in self.told.items()}
+        told = {job: view.told() for job, (view, _) in self.told.items()}
         return told | {job: run.view.told() for job, run in self.runs.items()}
 
     def start_job(
@@ -116,13 +118,20 @@
         )
         self.place_items()
 
-    def hand_over(self, job: JobId) -> dict[ItemId, Progress]:
-        """Stop a job that another host takes over, and return how far its items are."""
+    async def hand_over(self, job: JobId) -> dict[ItemId, Progress]:
+        """Stop a job that another host takes over, and return how far its items are.
+
+        Finished items are listed first, so that the other host does not run them again
+        and knows what callers may have read.
+        """
         run = self.runs.get(job)
         if run is None:
             return {}
         progress = run.progress()
         self.stop_job(run, "handed over")
+        if run.committer is not None:
+            run.urgent.set()
+            await asyncio.wait({run.committer}, timeout=HAND_OVER_SECONDS)
         return progress
 
     def stop_job(self, run: JobRun, why: str) -> None:
@@ -131,7 +140,7 @@
         run.stopped = True
         self.runs.pop(job, None)
         seconds = TOLD_FINISHED_SECONDS if run.view.finished else TOLD_SECONDS
-        self.told[job] = (run.view.told(), self.gateway.clock() + seconds)
+        self.told[job] = (run.view, self.gateway.clock() + seconds)
         for item in run.running:
             if item.task is not None:
                 item.task.cancel()
--- a/src/primroseford/jobs/service.py
+++ b/src/primroseford/jobs/service.py
@@ -18,9 +18,13 @@
 from primroseford.jobs.views import JobViews
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
     from primroseford.gateway.state import Gateway
     from primroseford.ids import JobId
     from primroseford.jobs.peers import JobPeers
+    from primroseford.jobs.results_watch import Listed
     from primroseford.jobs.state import ItemId
     from primroseford.jobs.state import Job
     from primroseford.jobs.state import Progress
@@ -44,18 +48,28 @@
 
     :param store: jobs in the platform's store
     :param peers: jobs that other hosts run
+    :param listed: returns what one host's watch knows of a job's segments
     :param retention: seconds for which a job stays readable
+    :param settle: seconds after which results that were read anywhere must be seen
     :ivar ends: jobs that callers ended here, and until when the heartbeats tell of it
     """
 
     def __init__(
-        self, gateway: Gateway, store: JobStore, peers: JobPeers, retention: float
+        self,
+        gateway: Gateway,
+        store: JobStore,
+        peers: JobPeers,
+        listed: Callable[[JobId], Awaitable[Listed | None]],
+        retention: float,
+        settle: float,
     ) -> None:
         super().__init__()
         self.gateway = gateway
         self.store = store
         self.scheduler = JobScheduler(gateway, store)
-        self.views = JobViews(gateway, store, peers, self.scheduler.runs)
+        self.views = JobViews(
+            gateway, store, peers, self.scheduler.runs, listed, settle
+        )
         self.ownership = JobOwnership(
             gateway, store, peers, self.views, self.scheduler, retention
         )
@@ -96,9 +110,9 @@
         """Return the jobs that this host runs, and those that it ran until lately."""
         return self.scheduler.told_jobs()
 
-    def hand_over(self, job: JobId) -> dict[ItemId, Progress]:
+    async def hand_over(self, job: JobId) -> dict[ItemId, Progress]:
         """Stop a job that another host takes over, and return how far its items are."""
-        return self.scheduler.hand_over(job)
+        return await self.scheduler.hand_over(job)
 
     def told_ends(self) -> list[JobId]:
         """Return the jobs that callers ended lately at this host."""
@@ -128,6 +142,8 @@
         :raises PrimrosefordError: PLATFORM_UNAVAILABLE if it is surely not accepted,
             JOB_OUTCOME_UNKNOWN if it may be
         """
+        # Before the job was created nobody can have listed anything.
+        checked_at = self.gateway.clock()
         try:
             new = await self.store.accept(job)
         except PrimrosefordError as error:
@@ -141,6 +157,7 @@
             ) from error
         log.info("job accepted", job=job.id, new=new, items=len(job.items))
         if new:
-            self.scheduler.start_job(self.views.remember(JobView(job)))
+            view = JobView(job, checked_at=checked_at)
+            self.scheduler.start_job(self.views.remember(view))
         else:
             self.ownership.note_orphan(job.id, self.gateway.clock())
--- a/src/primroseford/jobs/state.py
+++ b/src/primroseford/jobs/state.py
@@ -107,7 +107,7 @@
     """What a host knows of a job; results are only ever added.
 
     :param ends: number of results up to the end of each segment that was read
-    :param checked_at: local time of the last look for further segments
+    :param checked_at: local time up to which nobody had listed more than is here
     :param ended: whether the caller ended the job
     """
 
--- a/src/primroseford/jobs/store.py
+++ b/src/primroseford/jobs/store.py
@@ -238,6 +238,12 @@
     return f"{job}.{number:06d}"
 
 
+def split_segment_name(name: str) -> tuple[JobId, int]:
+    """Return the job and the number of a result segment."""
+    job, _, number = name.rpartition(".")
+    return JobId(job), int(number)
+
+
 def is_finished(found: PlatformObject) -> bool:
     """Return whether a stored job is marked as finished."""
     return isinstance(found.status, dict) and bool(found.status.get(FINISHED))
--- a/src/primroseford/jobs/tests/test_jobs.py
+++ b/src/primroseford/jobs/tests/test_jobs.py
@@ -12,6 +12,7 @@
 from primroseford.gateway.host import CALLS_PORT_OFFSET
 from primroseford.ids import JobId
 from primroseford.jobs import recorder
+from primroseford.jobs import scheduler
 from primroseford.jobs.peers import JobPeers
 from primroseford.jobs.scheduler import TOLD_SECONDS
 from primroseford.jobs.service import ENDS_SECONDS
@@ -167,7 +168,7 @@
     view = JobView(service(rig.hosts[0]).views.views["job1"].job)
     result = ItemResult(ItemId("it0"), ItemState.COMPLETE, TEXT)
     assert await leaving.store.commit(view, [result])
-    leaving.scheduler.told["job1"] = (view.told(), rig.hosts[1].clock() + 30.0)
+    leaving.scheduler.told["job1"] = (view, rig.hosts[1].clock() + 30.0)
     rig.hosts[1].gateway.stopping = True
     rig.hosts[1].gateway.places.changed = True
     await asyncio.sleep(SETTLE_SECONDS - 0.3)
@@ -180,6 +181,47 @@
     await rig.until(lambda: "it0" not in {item.item.id for item in run.running})
 
 
+@pytest.mark.parametrize("urgent", [True, False])
+async def test_results_that_are_listed_while_a_job_is_handed_over(
+    rig, urgent, monkeypatch
+):
+    """Guards against a result that one host has shown and the next host lacks.
+
+    The leaving host has finished an item that it lists after the job was taken over.
+    """
+    await join(rig, 2)
+    rig.runners[0].event_seconds = rig.runners[1].event_seconds = 0.4
+    if not urgent:
+        # As if the write took longer than the other host waits.
+        monkeypatch.setattr(scheduler, "HAND_OVER_SECONDS", 0.0)
+    assert await submit(rig, "job1", host=1, count=3) == 202
+    leaving, rest = service(rig.hosts[1]), service(rig.hosts[0])
+    run = leaving.scheduler.runs["job1"]
+
+    await rig.until(lambda: len(run.running) == 3)
+    item = next(iter(run.running))
+    item.task.cancel()
+    await rig.until(lambda: item in run.waiting)
+    run.waiting.remove(item)
+    item.result, item.data = ItemState.COMPLETE, TEXT.split("\n")
+    run.finished.append(item)
+    leaving.scheduler.recorder.commit_soon(run)
+    rig.hosts[1].gateway.stopping = True
+    rig.hosts[1].gateway.places.changed = True
+    await rig.until(
+        lambda: any("job1" in s.scheduler.runs for s in (rest, service(rig.hosts[2])))
+    )
+    await rig.until(lambda: run.view.listed)
+    await asyncio.sleep(SETTLE_SECONDS - 0.2)
+    for host in (0, 2):
+        found = await rig.call(
+            "/lots/job1?after=0", method="GET", host=host, body=b"", Wait_Ms="0"
+        )
+        assert len(json.loads(found[2])["results"]) >= 1
+    runs = [r for runner in rig.runners for r in runner.received]
+    assert sum(r.request_id == item.item.id for r in runs) <= 1 or not urgent
+
+
 async def test_take_over_asks_each_leaving_host(rig):
     """Guards against a host that goes on with a job that another has taken over.
 
@@ -193,8 +235,8 @@
     first.views.remember(JobView(second.views.views["job1"].job))
     settings = [host.settings for host in rig.hosts]
     urls = [f"http://{s.ip}:{s.peer_port + CALLS_PORT_OFFSET}" for s in settings]
-    peers = JobPeers(rig.session, lambda _: [], lambda _: urls)
-    progress = await peers.take_over(JobId("job1"))
+    peers = JobPeers(rig.session, lambda _: [], lambda _: urls, first.gateway.clock)
+    progress = await peers.take_over(first.views.views["job1"])
     assert any(done.data for done in progress.values())
     assert "job1" not in second.scheduler.runs
 
--- a/src/primroseford/platform/client.py
+++ b/src/primroseford/platform/client.py
@@ -87,6 +87,7 @@
         purpose: str = OTHER_PURPOSE,
         priority: Priority = Priority.READ,
         stale: bool = False,
+        after: str = "",
     ) -> ObjectList:
         """Return the objects of a kind, selected here by their labels.
 
@@ -97,12 +98,13 @@
 
         :param labels: labels that the objects must carry
         :param stale: whether the answer may be seconds old, for a tenth of the price
+        :param after: name behind which the list begins
         :raises PrimrosefordError: CALLS_LIMITED, or PLATFORM_UNAVAILABLE
         """
         items: dict[str, PlatformObject] = {}
         version: Version | None = None
         fixed = {"stale_ok": "1"} if stale else {}
-        params = fixed
+        params = fixed | ({"after": after} if after else {})
         while True:
             call = Call("LIST", kind, purpose, priority, params=params)
             body = await self.transport.call(call)
--- a/src/primroseford/platform/settings.py
+++ b/src/primroseford/platform/settings.py
@@ -29,6 +29,8 @@
     :param platform: base URL of the platform's object service
     :param stop_seconds: time from SIGTERM to SIGKILL (``grace_s``)
     :param job_retention_seconds: how long a job's results stay (``status_s``)
+    :param settle_seconds: time after which what was read of a job at one host is read
+        at all (``settle_ms``)
     """
 
     host: HostId
@@ -40,6 +42,7 @@
     platform: str
     stop_seconds: float
     job_retention_seconds: float
+    settle_seconds: float
 
 
 def load_node_settings(path: str) -> NodeSettings:
@@ -76,6 +79,7 @@
         platform="http://" + _field(content, "platform.address", str),
         stop_seconds=_number(content, "bounds.grace_s"),
         job_retention_seconds=_number(content, "bounds.status_s"),
+        settle_seconds=_number(content, "bounds.settle_ms") / 1000,
     )
 
 
--- a/src/primroseford/proof/site.py
+++ b/src/primroseford/proof/site.py
@@ -100,6 +100,7 @@
             platform=platform or self.platform.url,
             stop_seconds=8.0,
             job_retention_seconds=120.0,
+            settle_seconds=1.0,
         )
         host = create_fleet_host(settings)
         await host.start()
