Let one host of a large fleet confirm the configuration every 0.6 s

An outage at 5.1 s had ended all watches at once, so that all next calls were 15 to 29 s away together; the spread that a watch call ends every 0.6 s did not hold. Change: the hosts agree on one that reaches the store, whose watch calls wait 0.6 s; a host that gets this duty ends its long call. Others hear the version in heartbeats as before. Ruled out: a uniform first wait, which a second outage of single hosts would undo.

--- a/src/primroseford/gateway/follow.py
+++ b/src/primroseford/gateway/follow.py
@@ -10,6 +10,7 @@
 from primroseford.errors import PrimrosefordError
 from primroseford.errors import ResultCode
 from primroseford.gateway.loops import repeat
+from primroseford.gateway.members import preferred_host
 from primroseford.gateway.placement import FULL_VIEW_HOSTS
 from primroseford.ids import HostId
 from primroseford.platform.configuration import CONFIGURATION_KIND
@@ -45,9 +46,14 @@
 LONGEST_WATCH_SECONDS = 29.0
 """Longest wait of one watch call; the platform allows 30 s."""
 FLEET_WATCH_SECONDS = 0.6
-"""Mean time between two watch calls of the whole fleet. A change that a watch misses on
-a silent connection shows at the next call of any host, whose heartbeats tell the others
-of it; together well within the time in which a configuration must be in force."""
+"""Time between two watch calls of the fleet, mean in a small one. A change that waiting
+watches miss, on silent connections or before they are cut, shows at the next call of
+any host, whose heartbeats tell the others of it; together well within the time in which
+a configuration must be in force."""
+CONFIRMING_DUTY = "configuration"
+"""Name by which the hosts of a large fleet agree on the one whose watch calls are this
+short. The others' calls cannot be relied on to be spread: an outage ends all of them
+at once."""
 RUNNER_PAUSE_SECONDS = 0.4
 """Pause after changes of the runner list. Runners start and leave in numbers, each with
 a change that would wake every host."""
@@ -101,13 +107,30 @@
             pause_seconds=self.runner_pause,
         )
 
+        self.confirming = False
         gateway.on_heartbeat = self.compare_versions
 
     def configuration_wait(self) -> float:
         """Return how long the next watch call waits for a configuration, in seconds."""
         gateway = self.gateway
         hosts = len(gateway.members.hosts(gateway.clock()))
-        return choose_watch_wait(hosts, gateway.random.random())
+        self.confirming = self.is_confirming()
+        return choose_watch_wait(hosts, gateway.random.random(), self.confirming)
+
+    def is_confirming(self) -> bool:
+        """Return whether this host is the one whose watch calls are short."""
+        members = self.gateway.members
+        hosts = members.reaching_store(self.gateway.clock())
+        return preferred_host(CONFIRMING_DUTY, [members.own, *hosts]) == members.own
+
+    def take_duty(self) -> None:
+        """End a long watch call once this host has to make short ones."""
+        if self.confirming or not self.is_confirming():
+            return
+        self.confirming = True
+        # The first call notes the time since which the watch is taken to hide changes.
+        self.tables.list_again(0.0)
+        self.tables.list_again(0.0)
 
     def runner_pause(self) -> float:
         """Return the pause after changes of the runner list, in seconds."""
@@ -229,23 +252,27 @@
 
     @Service.task
     async def expire_runners(self) -> None:
-        """Drop runners that did not return after an outage."""
+        """Drop runners that did not return after an outage, and look for duties."""
         await repeat(self, lambda: EXPIRE_SECONDS, self._expire)
 
     def _expire(self) -> None:
+        self.take_duty()
         gone = self.gateway.runner_list.expire(self.gateway.clock())
         if gone:
             log.info("runners did not return", runners=gone)
             self.gateway.places.set_runners(self.gateway.runner_list.entries)
 
 
-def choose_watch_wait(hosts: int, fraction: float) -> float:
+def choose_watch_wait(hosts: int, fraction: float, confirming: bool) -> float:
     """Return how long a watch call waits, in seconds.
 
     :param hosts: number of live hosts, this one included
     :param fraction: random number from 0 to 1, which spreads the calls of the hosts
+    :param confirming: whether the others rely on this host's calls
     """
     longest = min(LONGEST_WATCH_SECONDS, FLEET_WATCH_SECONDS * hosts)
+    if confirming and longest > WATCH_SECONDS:
+        return FLEET_WATCH_SECONDS
     return max(WATCH_SECONDS, longest * (1 + fraction) / 2)
 
 
--- a/src/primroseford/gateway/host.py
+++ b/src/primroseford/gateway/host.py
@@ -344,8 +344,7 @@
 
 def _relays(members: Members, now: float) -> list[str]:
     """Return the base URLs of the hosts that can call the store for this one."""
-    live = members.live(now)
-    return [_base_url(peer.address) for peer in live if peer.last.reaches_store]
+    return _urls(members, members.reaching_store(now))
 
 
 def _follower(members: Members, reaches_store: bool, now: float) -> str | None:
@@ -354,7 +353,7 @@
     :param reaches_store: whether this host reaches the store itself
     :param now: local time in seconds
     """
-    hosts = [peer.host for peer in members.live(now) if peer.last.reaches_store]
+    hosts = members.reaching_store(now)
     if reaches_store or not hosts:
         hosts.append(members.own)
     chosen = preferred_host(RESULTS_DUTY, hosts)
--- a/src/primroseford/gateway/members.py
+++ b/src/primroseford/gateway/members.py
@@ -111,6 +111,10 @@
         """Return the live hosts, this one included."""
         return [self.own, *(peer.host for peer in self.live(now))]
 
+    def reaching_store(self, now: float) -> list[HostId]:
+        """Return the live peers that reach the platform's store themselves."""
+        return [peer.host for peer in self.live(now) if peer.last.reaches_store]
+
     def with_jobs(self, now: float) -> int:
         """Return how many live peers tell of jobs with unfinished items."""
         return sum(
--- a/src/primroseford/gateway/tests/test_follow.py
+++ b/src/primroseford/gateway/tests/test_follow.py
@@ -1,7 +1,11 @@
 from __future__ import annotations
 
+from itertools import pairwise
+from random import Random
+
 import pytest
 
+from primroseford.gateway.follow import FLEET_WATCH_SECONDS
 from primroseford.gateway.follow import PEERS_SECONDS
 from primroseford.gateway.follow import Followers
 from primroseford.gateway.follow import choose_watch_wait
@@ -54,12 +58,39 @@
     [(1, 5.0, 5.0), (8, 5.0, 5.0), (20, 6.0, 12.0), (54, 14.5, 29.0), (1500, 14.5, 29)],
 )
 def test_watches_wait_longer_in_larger_fleets(hosts, shortest, longest):
-    """Guards against a price of watches that grows with the square of the fleet.
+    """Guards against a price of watches that grows with the square of the fleet."""
+    assert choose_watch_wait(hosts, 0.0, False) == pytest.approx(shortest)
+    assert choose_watch_wait(hosts, 1.0, False) == pytest.approx(longest)
+
+
+@pytest.mark.parametrize("hosts", [20, 67, 165, 1500])
+def test_calls_of_watches_that_began_together(hosts):
+    """Guards against a change that no host sees for long after an outage.
 
-    Some host of the fleet calls again every 0.6 s, or more often.
+    The outage has ended all watches, so that all hosts call at once. Seen on
+    hakata-fortune-grown, day scale-2, where the watches then heard nothing and were cut
+    14 s later.
     """
-    assert choose_watch_wait(hosts, 0.0) == pytest.approx(shortest)
-    assert choose_watch_wait(hosts, 1.0) == pytest.approx(longest)
+    random = Random(3)
+    ends = []
+    for host in range(hosts):
+        now = 0.0
+        while now < 30.0:
+            now += choose_watch_wait(hosts, random.random(), confirming=host == 7)
+            ends.append(now)
+    ends = sorted(end for end in ends if end <= 30.0)
+    longest = max(later - earlier for earlier, later in pairwise([0.0, *ends]))
+    assert longest <= FLEET_WATCH_SECONDS + 1e-6
+
+
+async def test_host_that_gets_the_duty_to_confirm_calls_at_once(rig):
+    """Guards against a fleet without short watch calls after a host was lost."""
+    followers = duty(rig.hosts[0], Followers)
+    await rig.until(lambda: followers.confirming)
+    followers.confirming = False
+    lists = rig.platform.state.calls["GET", "config"]
+    await rig.until(lambda: rig.platform.state.calls["GET", "config"] > lists)
+    assert followers.confirming
 
 
 async def test_host_that_starts_while_the_platform_is_away_serves(rig):
