Run first what can still be in time, and near the prompt parts that are kept

Change: items that can be in time go first, begun ones before new ones and the newest due first; late ones yield to them; room goes by waiting items; requests with a large shared part go to two runners that all hosts choose alike, while these have room; the silence of an engine is judged by the usual time to a first event, and suspicions of other hosts take at most a third of a pool. Tests that bound one port on 127.0.0.2 in several processes collided once (Address already in use); each process has loopback addresses of its own now.

--- a/src/primroseford/gateway/follow.py
+++ b/src/primroseford/gateway/follow.py
@@ -46,14 +46,13 @@
 LONGEST_WATCH_SECONDS = 29.0
 """Longest wait of one watch call; the platform allows 30 s."""
 FLEET_WATCH_SECONDS = 0.6
-"""Time between two watch calls of the fleet, mean in a small one. A change that waiting
+"""Time between two watch calls of the fleet. A change that waiting
 watches miss, on silent connections or before they are cut, shows at the next call of
 any host, whose heartbeats tell the others of it; together well within the time in which
 a configuration must be in force."""
 CONFIRMING_DUTY = "configuration"
-"""Name by which the hosts of a large fleet agree on the one whose watch calls are this
-short. The others' calls cannot be relied on to be spread: an outage ends all of them
-at once."""
+"""Name by which the hosts agree on the one whose watch calls are this short. The
+others' calls cannot be relied on to be spread: an outage ends all of them at once."""
 RUNNER_PAUSE_SECONDS = 0.4
 """Pause after changes of the runner list. Runners start and leave in numbers, each with
 a change that would wake every host."""
@@ -270,9 +269,9 @@
     :param fraction: random number from 0 to 1, which spreads the calls of the hosts
     :param confirming: whether the others rely on this host's calls
     """
-    longest = min(LONGEST_WATCH_SECONDS, FLEET_WATCH_SECONDS * hosts)
-    if confirming and longest > WATCH_SECONDS:
+    if confirming:
         return FLEET_WATCH_SECONDS
+    longest = min(LONGEST_WATCH_SECONDS, FLEET_WATCH_SECONDS * hosts)
     return max(WATCH_SECONDS, longest * (1 + fraction) / 2)
 
 
--- a/src/primroseford/gateway/forward.py
+++ b/src/primroseford/gateway/forward.py
@@ -13,6 +13,7 @@
 from primroseford.errors import Outcome
 from primroseford.errors import PrimrosefordError
 from primroseford.errors import ResultCode
+from primroseford.gateway.affinity import shared_key
 from primroseford.gateway.exchange import EXCHANGE_ERRORS
 from primroseford.gateway.exchange import MAX_EVENT_BYTES
 from primroseford.gateway.exchange import Call
@@ -194,7 +195,11 @@
     organisation = flow.organisation.name if flow.organisation else ""
     try:
         runner = await gateway.places.acquire(
-            flow.pool, organisation, flow.deadline, flow.tried
+            flow.pool,
+            organisation,
+            flow.deadline,
+            flow.tried,
+            shared_key(flow.incoming.prompt),
         )
     except PrimrosefordError as error:
         if flow.runs:
@@ -372,6 +377,7 @@
     """
     splitter = flow.splitter
     splitter.restart()
+    sent_at = flow.started + flow.placed_after
     resumable = flow.route.resumable
     try:
         async for chunk in read_bounded(answer):
@@ -379,6 +385,8 @@
             if events:
                 silence.heard()
                 runner.last_byte = gateway.clock()
+                if flow.response is None:
+                    gateway.places.note_first_event(runner, runner.last_byte - sent_at)
             data = events if resumable else chunk
             if data:
                 await _pass_on(gateway, flow, answer, data)
--- a/src/primroseford/gateway/gen/messages/ttypes.py
+++ b/src/primroseford/gateway/gen/messages/ttypes.py
@@ -346,6 +346,8 @@
      - runner_list
      - ended_jobs
      - confirmed_ms_ago
+     - ready_items
+     - late_items
 
     """
 
@@ -365,10 +367,12 @@
         'runner_list',
         'ended_jobs',
         'confirmed_ms_ago',
+        'ready_items',
+        'late_items',
     )
 
 
-    def __init__(self, host=None, incarnation=None, address=None, failure_domain=None, sequence=None, leaving=None, configuration=None, waiting=None, loads=None, spending=None, jobs=None, reaches_store=None, runner_list=None, ended_jobs=None, confirmed_ms_ago=2147483647,):
+    def __init__(self, host=None, incarnation=None, address=None, failure_domain=None, sequence=None, leaving=None, configuration=None, waiting=None, loads=None, spending=None, jobs=None, reaches_store=None, runner_list=None, ended_jobs=None, confirmed_ms_ago=2147483647, ready_items=0, late_items=0,):
         self.host = host
         self.incarnation = incarnation
         self.address = address
@@ -384,6 +388,8 @@
         self.runner_list = runner_list
         self.ended_jobs = ended_jobs
         self.confirmed_ms_ago = confirmed_ms_ago
+        self.ready_items = ready_items
+        self.late_items = late_items
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -492,6 +498,16 @@
                     self.confirmed_ms_ago = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 16:
+                if ftype == TType.I32:
+                    self.ready_items = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 17:
+                if ftype == TType.I32:
+                    self.late_items = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -574,6 +590,14 @@
             oprot.writeFieldBegin('confirmed_ms_ago', TType.I32, 15)
             oprot.writeI32(self.confirmed_ms_ago)
             oprot.writeFieldEnd()
+        if self.ready_items is not None:
+            oprot.writeFieldBegin('ready_items', TType.I32, 16)
+            oprot.writeI32(self.ready_items)
+            oprot.writeFieldEnd()
+        if self.late_items is not None:
+            oprot.writeFieldBegin('late_items', TType.I32, 17)
+            oprot.writeI32(self.late_items)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -639,6 +663,8 @@
     (13, TType.I64, 'runner_list', None, None, ),  # 13
     (14, TType.LIST, 'ended_jobs', (TType.STRING, 'UTF8', False), None, ),  # 14
     (15, TType.I32, 'confirmed_ms_ago', None, 2147483647, ),  # 15
+    (16, TType.I32, 'ready_items', None, 0, ),  # 16
+    (17, TType.I32, 'late_items', None, 0, ),  # 17
 )
 fix_spec(all_structs)
 del all_structs
--- a/src/primroseford/gateway/heartbeat.py
+++ b/src/primroseford/gateway/heartbeat.py
@@ -52,6 +52,9 @@
     def told_ends(self) -> list[JobId]:
         """Return the jobs that callers ended lately at this host."""
 
+    def told_waiting(self) -> tuple[int, int]:
+        """Return how many items wait that can be in time, and how many others."""
+
     def stop_ended(self, job: JobId) -> None:
         """Take note of a job that its caller ended at another host."""
 
@@ -171,6 +174,7 @@
             gateway.runner_list_version,
             self.jobs.told_ends(),
             _age_ms(gateway.clock() - gateway.confirmed_at),
+            *self.jobs.told_waiting(),
         )
 
     def _loads(self) -> list[RunnerLoad]:
--- a/src/primroseford/gateway/members.py
+++ b/src/primroseford/gateway/members.py
@@ -6,8 +6,7 @@
 from dataclasses import field
 from typing import TYPE_CHECKING
 
-import xxhash
-
+from primroseford.gateway.rendezvous import ranked
 from primroseford.ids import HostId
 from primroseford.ids import JobId
 
@@ -115,12 +114,11 @@
         """Return the live peers that reach the platform's store themselves."""
         return [peer.host for peer in self.live(now) if peer.last.reaches_store]
 
-    def with_jobs(self, now: float) -> int:
-        """Return how many live peers tell of jobs with unfinished items."""
-        return sum(
-            any(progress.waiting_tokens for progress in peer.last.jobs)
-            for peer in self.live(now)
-        )
+    def waiting_items(self, now: float) -> tuple[int, int]:
+        """Return the waiting items of the live peers: those in time, and late ones."""
+        live = self.live(now)
+        ready = sum(peer.last.ready_items for peer in live)
+        return ready, sum(peer.last.late_items for peer in live)
 
     def running(self, job: JobId, now: float) -> list[HostId]:
         """Return the live peers that run a job."""
@@ -169,8 +167,4 @@
     :param job: id of the job
     :param hosts: at least one host
     """
-
-    def weight(host: HostId) -> int:
-        return xxhash.xxh64_intdigest(f"{job}\0{host}".encode())
-
-    return max(hosts, key=weight)
+    return ranked(job, hosts, str)[0]
--- a/src/primroseford/gateway/messages.thrift
+++ b/src/primroseford/gateway/messages.thrift
@@ -39,4 +39,7 @@
   // Age of the platform's last word that this configuration is the newest one. Hosts of
   // versions without this field tell nothing of it.
   15: i32 confirmed_ms_ago = 2147483647
+  // Waiting items that can be in time, and the others.
+  16: i32 ready_items = 0
+  17: i32 late_items = 0
 }
--- a/src/primroseford/gateway/placement.py
+++ b/src/primroseford/gateway/placement.py
@@ -120,19 +120,19 @@
     return best if best.free > 0 else None
 
 
-def batch_share(loads: Sequence[RunnerLoad], hosts: int, random: Random) -> int:
+def batch_share(loads: Sequence[RunnerLoad], part: float, random: Random) -> int:
     """Return how many batch items this host may start until it hears of the others.
 
     All hosts see the same room, some time old; each takes its part of it, so that
     together they take about as much as there is.
 
     :param loads: runners that may be used
-    :param hosts: hosts that have items to start, this one included
+    :param part: part of all waiting items that this host has
     """
     slots = sum(load.slots for load in loads)
     room = sum(max(0, load.free) for load in loads) - HEADROOM * slots
     room = max(0.0, room)
-    return min(int(room), _round_by_chance(room / hosts, random))
+    return min(int(room), round_by_chance(room * part, random))
 
 
 def items_to_pause(loads: Sequence[RunnerLoad], random: Random) -> int:
@@ -151,10 +151,10 @@
     if not own or free >= STEP_BACK * slots:
         return 0
     share = (HEADROOM * slots - free) * own / batch
-    return min(own, _round_by_chance(share, random))
+    return min(own, round_by_chance(share, random))
 
 
-def _round_by_chance(value: float, random: Random) -> int:
+def round_by_chance(value: float, random: Random) -> int:
     """Return a whole number whose mean is the value."""
     whole = int(value)
     return whole + (random.random() < value - whole)
--- a/src/primroseford/gateway/places.py
+++ b/src/primroseford/gateway/places.py
@@ -10,6 +10,7 @@
 
 from primroseford.errors import PrimrosefordError
 from primroseford.errors import ResultCode
+from primroseford.gateway.affinity import choose_home
 from primroseford.gateway.placement import RunnerLoad
 from primroseford.gateway.placement import batch_runner
 from primroseford.gateway.placement import batch_share
@@ -39,6 +40,11 @@
 FULL_SECONDS = 0.1
 """Time for which a runner that refused a request counts as full: about one interval
 of the heartbeats that tell of its load."""
+MAX_SUSPECTED_SHARE = 1 / 3
+"""Part of a pool that may count as failed because other hosts say so: more than what
+fails together in one failure domain or release."""
+FIRST_EVENT_WEIGHT = 0.1
+"""Weight of one request in the running mean of the time to its first event."""
 SERVICE_SECONDS = 0.7
 """First estimate of the time that an online request holds a slot: a stream of 34
 events at 21 ms, the workload of letter 1."""
@@ -87,10 +93,14 @@
 
 @dataclass(eq=False)
 class Waiter:
-    """A request in the queue of a pool."""
+    """A request in the queue of a pool.
+
+    :param shared: key of the large shared part of its prompt, if it has one
+    """
 
     future: asyncio.Future[RunnerState]
     tried: Collection[RunnerKey]
+    shared: str
 
 
 class Places:
@@ -109,6 +119,7 @@
         self.queues: dict[PoolName, FairQueue[Waiter]] = {}
         self.peer_waiting: dict[HostId, int] = {}
         self.service_seconds: dict[PoolName, float] = {}
+        self.first_seconds: dict[PoolName, float] = {}
         self.changed = False
 
     @property
@@ -139,16 +150,20 @@
     def usable(self, pool: PoolName) -> list[RunnerState]:
         """Return the runners of a pool that do not count as failed.
 
-        If all count as failed, all are returned: a wrong suspicion must not end a
-        service.
+        If other hosts suspect a large part of the pool, only this host's own suspicions
+        count, and if all count as failed, all are returned: wrong suspicions must not
+        end a service.
         """
         ready = self.pool_runners(pool)
         now = self.clock()
-        sound = [r for r in ready if r.suspect_until <= now and not r.suspected_by]
-        return sound or [r for r in ready if r.suspect_until <= now] or ready
+        trusted = [r for r in ready if r.suspect_until <= now]
+        sound = [r for r in trusted if not r.suspected_by]
+        if len(sound) < (1 - MAX_SUSPECTED_SHARE) * len(ready):
+            sound = trusted
+        return sound or ready
 
     def _choose(
-        self, pool: PoolName, tried: Collection[RunnerKey]
+        self, pool: PoolName, tried: Collection[RunnerKey], shared: str = ""
     ) -> RunnerState | None:
         now = self.clock()
         loads = [
@@ -160,7 +175,11 @@
         best = choose_runner(sampled, self.domain, self.random)
         if best is None and len(sampled) < len(loads):
             best = choose_runner(loads, self.domain, self.random)
-        return None if best is None else self.runners[best.key.name]
+        if best is None:
+            return None
+        if shared:
+            best = choose_home(shared, loads, best) or best
+        return self.runners[best.key.name]
 
     async def acquire(
         self,
@@ -168,23 +187,26 @@
         organisation: str,
         deadline: float,
         tried: Collection[RunnerKey] = (),
+        shared: str = "",
     ) -> RunnerState:
         """Return a runner on which an online place is now taken.
 
         :param organisation: whose turn it must be; empty on public routes
         :param deadline: local time in seconds
         :param tried: starts of runners that failed this request
+        :param shared: key of the large shared part of its prompt, if it has one
         :raises PrimrosefordError: POOL_UNAVAILABLE or DEADLINE_UNREACHABLE
         """
         queue = self.queues.get(pool)
         if not queue:
-            runner = self._choose(pool, tried)
+            runner = self._choose(pool, tried, shared)
             if runner is not None:
                 self.start(runner)
                 return runner
         self._check_wait(pool, deadline, tried)
         queue = self.queues.setdefault(pool, FairQueue())
-        waiter = Waiter(asyncio.get_running_loop().create_future(), tried)
+        future = asyncio.get_running_loop().create_future()
+        waiter = Waiter(future, tried, shared)
         queue.push(organisation, waiter)
         self.changed = True
         try:
@@ -266,6 +288,12 @@
         self.changed = True
         self.pump()
 
+    def note_first_event(self, runner: RunnerState, seconds: float) -> None:
+        """Take the time from the sending of a request to its first event."""
+        pool = runner.entry.pool
+        mean = self.first_seconds.get(pool, seconds)
+        self.first_seconds[pool] = mean + FIRST_EVENT_WEIGHT * (seconds - mean)
+
     def suspect(self, runner: RunnerState) -> bool:
         """Give a runner no online requests for a while.
 
@@ -297,12 +325,12 @@
         best = batch_runner(loads, self.random, self.hosts) if loads else None
         return None if best is None else self.runners[best.key.name]
 
-    def batch_share(self, pool: PoolName, hosts: int) -> int:
+    def batch_share(self, pool: PoolName, part: float) -> int:
         """Return how many batch items may start before the next heartbeats.
 
-        :param hosts: hosts that have items to start, this one included
+        :param part: part of all waiting items that this host has
         """
-        return batch_share(self._batch_loads(pool, ()), hosts, self.random)
+        return batch_share(self._batch_loads(pool, ()), part, self.random)
 
     def _batch_loads(
         self, pool: PoolName, tried: Collection[RunnerKey]
@@ -375,6 +403,6 @@
                 waiter = queue.pop()
                 if waiter.future.done():
                     continue
-                runner = self._choose(pool, waiter.tried) or runner
+                runner = self._choose(pool, waiter.tried, waiter.shared) or runner
                 self.start(runner)
                 waiter.future.set_result(runner)
--- a/src/primroseford/gateway/requests.py
+++ b/src/primroseford/gateway/requests.py
@@ -8,6 +8,7 @@
 if TYPE_CHECKING:
     from multidict import CIMultiDict
 
+    from primroseford.gateway.affinity import PromptPart
     from primroseford.ids import RequestId
 
 
@@ -21,6 +22,7 @@
         headers that this system sets
     :param allowed: seconds that the caller waits; nothing if it did not say
     :param last_event: last event that the caller has of a stream that it resumes
+    :param prompt: parts of its prompt, if it is one for an engine
     """
 
     request_id: RequestId
@@ -32,6 +34,7 @@
     allowed: float | None
     last_event: str | None
     body: bytes = b""
+    prompt: tuple[PromptPart, ...] = ()
 
     @property
     def path(self) -> str:
--- a/src/primroseford/gateway/tests/test_decisions.py
+++ b/src/primroseford/gateway/tests/test_decisions.py
@@ -97,7 +97,7 @@
     """Guards against batch of many hosts that eats up the slots left free of it."""
     random, hosts = Random(3), 54
     loads = [load(f"r{number}", online) for number in range(45)]
-    started = sum(batch_share(loads, hosts, random) for _ in range(hosts))
+    started = sum(batch_share(loads, 1 / hosts, random) for _ in range(hosts))
     headroom = HEADROOM * 45 * 8
     room = 45 * (8 - online) - headroom
     assert room * 0.6 <= started <= room + headroom / 4
--- a/src/primroseford/gateway/tests/test_follow.py
+++ b/src/primroseford/gateway/tests/test_follow.py
@@ -63,7 +63,7 @@
     assert choose_watch_wait(hosts, 1.0, False) == pytest.approx(longest)
 
 
-@pytest.mark.parametrize("hosts", [20, 67, 165, 1500])
+@pytest.mark.parametrize("hosts", [8, 20, 67, 165, 1500])
 def test_calls_of_watches_that_began_together(hosts):
     """Guards against a change that no host sees for long after an outage.
 
@@ -102,7 +102,7 @@
     view = await rig.add_view()
     rig.platform.faults.down = view.faults.down = True
     port = first.settings.peer_port
-    first.gateway.members.learn("host-1", f"127.0.0.3:{port}", first.clock())
+    first.gateway.members.learn("host-1", f"{rig.ip(1)}:{port}", first.clock())
     await rig.add_host(platform=view.url)
     restarted = rig.hosts[1].gateway
     assert (await rig.call("/once/whole", "id-1", host=1))[0] == 200
--- a/src/primroseford/gateway/watchdog.py
+++ b/src/primroseford/gateway/watchdog.py
@@ -21,6 +21,9 @@
 ENGINE_SILENCE_SECONDS = 0.6
 """Silence of all exchanges with an engine after which it counts as failed: events come
 every 21 ms, and a first one within 300 ms where it is on time."""
+FIRST_EVENT_TIMES = 4.0
+"""The same as a multiple of the usual time to a first event, which grows with the
+prompts and the load: a silence that many busy runners show is no failure."""
 SERVICE_SILENCE_SECONDS = 0.8
 """The same for a plain service, whose answers take up to a few hundred ms."""
 PROBE_SECONDS = 0.5
@@ -60,7 +63,8 @@
         tables = self.gateway.tables
         pool = tables.pools.get(runner.entry.pool) if tables else None
         if pool is None or pool.is_engine:
-            limit = ENGINE_SILENCE_SECONDS
+            first = self.gateway.places.first_seconds.get(runner.entry.pool, 0.0)
+            limit = max(ENGINE_SILENCE_SECONDS, FIRST_EVENT_TIMES * first)
         else:
             usual = runner.latency * ANSWER_SILENCE_LATENCIES
             limit = max(SERVICE_SILENCE_SECONDS, usual)
--- a/src/primroseford/jobs/pace.py
+++ b/src/primroseford/jobs/pace.py
@@ -21,11 +21,13 @@
     :ivar renewed_at: local time at which the loads were last taken
     :ivar starts: items that may still start, by pool
     :ivar paused: pools whose items stepped back since
+    :ivar yielded: pools whose late items yielded to others since
     """
 
     renewed_at: float = -math.inf
     starts: dict[PoolName, int] = field(default_factory=dict)
     paused: set[PoolName] = field(default_factory=set)
+    yielded: set[PoolName] = field(default_factory=set)
 
     def renew(self, now: float, interval: float) -> None:
         """Take the loads anew if the other hosts have told theirs meanwhile."""
@@ -33,3 +35,4 @@
             self.renewed_at = now
             self.starts.clear()
             self.paused.clear()
+            self.yielded.clear()
--- a/src/primroseford/jobs/run.py
+++ b/src/primroseford/jobs/run.py
@@ -71,6 +71,8 @@
     :param data: data of the events so far
     :param last_event: id of the last whole event
     :param not_before: local time before which it is not tried again, in seconds
+    :param started_at: local time of the start of its run
+    :param events_before: events that it had then
     :param result: how it ended
     """
 
@@ -84,6 +86,7 @@
     tried: set[RunnerKey] = field(default_factory=set)
     task: asyncio.Task | None = None
     started_at: float = 0.0
+    events_before: int = 0
     result: ItemState | None = None
 
     def text(self) -> str:
--- a/src/primroseford/jobs/scheduler.py
+++ b/src/primroseford/jobs/scheduler.py
@@ -1,7 +1,7 @@
 """Runs the items of this host's jobs as the places allow.
 
-Answers waves of online requests: items start in the lulls, the earliest due first, and
-step back when a wave fills the runners.
+Answers waves of online requests: items start in the lulls, those that can be in time
+first, and step back when a wave fills the runners.
 """
 
 from __future__ import annotations
@@ -14,8 +14,13 @@
 
 import structlog
 
+from primroseford.gateway.placement import round_by_chance
 from primroseford.gateway.placement import tell_interval
 from primroseford.gateway.tables import choose_pool
+from primroseford.jobs.forecast import Forecast
+from primroseford.jobs.forecast import choose_to_pause
+from primroseford.jobs.forecast import late_to_yield
+from primroseford.jobs.forecast import rank
 from primroseford.jobs.pace import Pace
 from primroseford.jobs.recorder import JobRecorder
 from primroseford.jobs.run import ItemRun
@@ -70,6 +75,7 @@
     :ivar runs: jobs by id
     :ivar told: jobs that were stopped lately, of which the heartbeats still tell, and
         until when
+    :ivar forecasts: what items take, by the path prefix of their route
     """
 
     def __init__(self, gateway: Gateway, store: JobStore) -> None:
@@ -79,6 +85,7 @@
         self.told: dict[JobId, tuple[JobView, float]] = {}
         self.recorder = JobRecorder(gateway, store, self._finish)
         self.pace = Pace()
+        self.forecasts: dict[str, Forecast] = {}
         self.wait_logged_at = -math.inf
 
     def told_jobs(self) -> dict[JobId, ToldJob]:
@@ -158,23 +165,83 @@
         """Pause, start and give up items, and store their progress."""
         if self.runs:
             self.pause_items()
+            self.yield_late_items()
             self.place_items()
             self.give_up_items()
             self.recorder.save_progress(self.runs.values())
 
+    def forecast(self, item: ItemRun) -> Forecast:
+        """Return what items of an item's route take."""
+        return self.forecasts.setdefault(item.job.prefix, Forecast())
+
+    def spare(self, item: ItemRun, now: float) -> float:
+        """Return the seconds that an item has to spare; negative if it will be late.
+
+        :param now: local time in seconds
+        """
+        return self.forecast(item).spare(len(item.data), item.due - now)
+
+    def waiting_items(self) -> tuple[int, int]:
+        """Return how many items wait that can be in time, and how many others."""
+        now = self.gateway.clock()
+        waiting = [item for run in self.runs.values() for item in run.waiting]
+        ready = sum(self.spare(item, now) >= 0 for item in waiting)
+        return ready, len(waiting) - ready
+
+    def own_part(self, now: float) -> float:
+        """Return which part of the items that go next in the fleet waits here.
+
+        :param now: local time in seconds
+        """
+        own, peers = self.waiting_items(), self.gateway.members.waiting_items(now)
+        for mine, others in zip(own, peers, strict=True):
+            if mine + others:
+                return mine / (mine + others)
+        return 0.0
+
+    def yield_late_items(self) -> None:
+        """Pause items that will be late while others wait that can be in time."""
+        self._renew_pace()
+        gateway = self.gateway
+        now = gateway.clock()
+        pools: dict[PoolName, list[ItemRun]] = {}
+        for run in self.runs.values():
+            for item in run.running:
+                route = self.route_of(item.job)
+                if route is not None and item.task and self.spare(item, now) < 0:
+                    pools.setdefault(route.pools[0][0], []).append(item)
+        if not pools:
+            return
+        ready = self.waiting_items()[0] + gateway.members.waiting_items(now)[0]
+        for pool, late in pools.items():
+            load = gateway.places.pool_load(pool)
+            if pool in self.pace.yielded or load["online"] + load["batch"] < (
+                load["slots"] - ready
+            ):
+                continue
+            share = late_to_yield(len(late), ready, load["batch"])
+            count = round_by_chance(share, gateway.random)
+            if not count:
+                continue
+            self.pace.yielded.add(pool)
+            late.sort(key=lambda item: self.spare(item, now))
+            for item in late[:count]:
+                item.task.cancel()
+            log.info("late items yield", pool=pool, count=count, ready=ready)
+
     def place_items(self) -> None:
-        """Start items while there is room, the earliest due first."""
+        """Start items while there is room, in the order of their rank."""
         if self.gateway.stopping or self.gateway.tables is None:
             return
         self._renew_pace()
         now = self.gateway.clock()
         ready = [
-            (item.due, -len(item.data), number, run, item)
+            (self._rank(item, now), number, run, item)
             for run in self.runs.values()
             for number, item in enumerate(run.waiting)
             if item.not_before <= now
         ]
-        ready.sort(key=lambda entry: entry[:3])
+        ready.sort(key=lambda entry: entry[:2])
         full: set[PoolName] = set()
         for *_, run, item in ready:
             route = self.route_of(item.job)
@@ -197,7 +264,7 @@
             self.pace.starts[pool] -= 1
             run.waiting.remove(item)
             run.running.add(item)
-            item.started_at = now
+            item.started_at, item.events_before = now, len(item.data)
             until = now + max(1.0, self.give_up_at(item, route) - time.time())
             item.task = asyncio.create_task(
                 run_item(self.gateway, route, item, runner, until)
@@ -208,6 +275,11 @@
             )
         self._log_waiting(full, now)
 
+    def _rank(self, item: ItemRun, now: float) -> tuple[int, float]:
+        left = self.forecast(item).left(len(item.data))
+        begun = bool(item.data)
+        return rank(self.spare(item, now), left, item.due - now, begun)
+
     def _log_waiting(self, pools: set[PoolName], now: float) -> None:
         """Log now and then why items wait."""
         if not pools or now - self.wait_logged_at < WAIT_LOG_SECONDS:
@@ -217,9 +289,9 @@
             log.info(
                 "items wait",
                 pool=pool,
-                waiting=sum(len(run.waiting) for run in self.runs.values()),
+                waiting=self.waiting_items(),
                 running=sum(len(run.running) for run in self.runs.values()),
-                hosts_with_jobs=1 + self.gateway.members.with_jobs(now),
+                waiting_elsewhere=self.gateway.members.waiting_items(now),
                 **self.gateway.places.pool_load(pool),
             )
 
@@ -235,8 +307,8 @@
         """
         starts = self.pace.starts
         if pool not in starts:
-            hosts = 1 + self.gateway.members.with_jobs(now)
-            starts[pool] = self.gateway.places.batch_share(pool, hosts)
+            part = self.own_part(now)
+            starts[pool] = self.gateway.places.batch_share(pool, part)
         return starts[pool] > 0
 
     def give_up_at(self, item: ItemRun, route: Route) -> float:
@@ -281,6 +353,10 @@
         now = self.gateway.clock()
         if end is RunEnd.COMPLETE:
             item.result = ItemState.COMPLETE
+            events = len(item.data)
+            self.forecast(item).observe(
+                events, events - item.events_before, now - item.started_at
+            )
         elif end is RunEnd.INVALID:
             item.result = ItemState.DEAD_LETTER
         elif end is RunEnd.FAILED:
@@ -329,10 +405,10 @@
                 continue
             self.pace.paused.add(pool)
             self.pace.starts[pool] = 0
-            # The latest started has the least to read again.
-            items.sort(key=lambda item: (-item.due, -item.started_at))
-            for item in items[:count]:
-                item.task.cancel()
+            now = self.gateway.clock()
+            spares = [self.spare(item, now) for item in items]
+            for number in choose_to_pause(spares, count):
+                items[number].task.cancel()
             log.info("items paused", pool=pool, count=min(count, len(items)))
 
     def give_up_items(self) -> None:
--- a/src/primroseford/jobs/service.py
+++ b/src/primroseford/jobs/service.py
@@ -114,6 +114,10 @@
         """Stop a job that another host takes over, and return how far its items are."""
         return await self.scheduler.hand_over(job)
 
+    def told_waiting(self) -> tuple[int, int]:
+        """Return how many items wait that can be in time, and how many others."""
+        return self.scheduler.waiting_items()
+
     def told_ends(self) -> list[JobId]:
         """Return the jobs that callers ended lately at this host."""
         now = self.gateway.clock()
--- a/src/primroseford/jobs/tests/test_jobs.py
+++ b/src/primroseford/jobs/tests/test_jobs.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 import json
+import math
 import time
 
 import pytest
@@ -200,6 +201,7 @@
 
     await rig.until(lambda: len(run.running) == 3)
     item = next(iter(run.running))
+    item.not_before = math.inf
     item.task.cancel()
     await rig.until(lambda: item in run.waiting)
     run.waiting.remove(item)
--- /dev/null
+++ b/src/primroseford/jobs/tests/test_overload.py
@@ -0,0 +1,163 @@
+"""Replays more batch items than there is room for."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from random import Random
+
+import pytest
+
+from primroseford.jobs.forecast import FIRST_EVENTS
+from primroseford.jobs.forecast import LIST_SECONDS
+from primroseford.jobs.forecast import Forecast
+from primroseford.jobs.forecast import choose_to_pause
+from primroseford.jobs.forecast import late_to_yield
+from primroseford.jobs.forecast import rank
+
+SLOTS = 40
+DUE_SECONDS = 18.0
+STEP_SECONDS = 0.1
+DAY_SECONDS = 40.0
+EVENT_SECONDS = 0.033
+READ_AGAIN_SECONDS = 0.15
+LULL_SECONDS = 3.4
+WAVE_SECONDS = 2.4
+WAVE_SLOTS = 28
+"""Slots that batch leaves to the online requests of a wave."""
+IN_TIME_SHARE = 0.8
+"""Part of the most that any order can have in time which the order has to reach."""
+
+
+@dataclass(eq=False)
+class Work:
+    """An item of the replay.
+
+    :param events: its events
+    :param done: events that it has
+    """
+
+    submitted: float
+    events: float
+    done: float = 0.0
+    pause: float = 0.0
+    finished: float | None = None
+
+    @property
+    def in_time(self) -> bool:
+        """Whether a caller reads it in time."""
+        return self.finished is not None and (
+            self.finished + LIST_SECONDS <= self.submitted + DUE_SECONDS + 0.7
+        )
+
+
+def create_items(overload: float) -> list[Work]:
+    """Return jobs of ten items, as many as fill the free slots some times over."""
+    random = Random(7)
+    wave_share = WAVE_SECONDS / (LULL_SECONDS + WAVE_SECONDS)
+    free = SLOTS - wave_share * WAVE_SLOTS
+    a_second = overload * free / (150 * EVENT_SECONDS)
+    items, at = [], 0.0
+    while at < DAY_SECONDS:
+        items += [Work(at, random.gauss(150, 37)) for _ in range(10)]
+        at += random.expovariate(a_second / 10)
+    return items
+
+
+def by_due(forecast: Forecast, item: Work, now: float) -> tuple:
+    """Order by due time alone."""
+    return (item.submitted, -item.done)
+
+
+def by_rank(forecast: Forecast, item: Work, now: float) -> tuple:
+    """Order by rank."""
+    due_in = item.submitted + DUE_SECONDS - now
+    spare = forecast.spare(round(item.done), due_in)
+    return rank(spare, forecast.left(round(item.done)), due_in, item.done > 0)
+
+
+def replay(overload: float, order) -> float:
+    """Run the items of a day, and return the part of them that is in time."""
+    forecast = Forecast()
+    items = create_items(overload)
+    waiting, running = [], []
+    coming = list(items)
+    now = 0.0
+    while now < DAY_SECONDS + DUE_SECONDS:
+        now += STEP_SECONDS
+        wave = now % (LULL_SECONDS + WAVE_SECONDS) >= LULL_SECONDS
+        room = SLOTS - WAVE_SLOTS * wave
+        while coming and coming[0].submitted <= now:
+            waiting.append(coming.pop(0))
+        for item in list(running):
+            item.pause = max(0.0, item.pause - STEP_SECONDS)
+            item.done += 0 if item.pause else STEP_SECONDS / EVENT_SECONDS
+            if item.done >= item.events:
+                item.finished = now
+                running.remove(item)
+                forecast.observe(
+                    round(item.events), 100, 100 * EVENT_SECONDS + READ_AGAIN_SECONDS
+                )
+
+        def spare(item: Work, now: float = now) -> float:
+            due_in = item.submitted + DUE_SECONDS - now
+            return forecast.spare(round(item.done), due_in)
+
+        leave = choose_to_pause([spare(i) for i in running], len(running) - room)
+        if order is by_rank and not leave:
+            ready = sum(spare(i) >= 0 for i in waiting)
+            late = [n for n, i in enumerate(running) if spare(i) < 0]
+            if len(running) >= room:
+                leave = late[: round(late_to_yield(len(late), ready, len(running)))]
+        for item in [running[number] for number in leave]:
+            running.remove(item)
+            waiting.append(item)
+            item.pause = READ_AGAIN_SECONDS
+        waiting.sort(key=lambda item: order(forecast, item, now))
+        start = max(0, room - len(running))
+        running += waiting[:start]
+        del waiting[:start]
+    return sum(item.in_time for item in items) / len(items)
+
+
+@pytest.mark.parametrize("overload", [0.7, 1.0, 1.4, 2.0, 4.0])
+def test_what_can_be_in_time_goes_first(overload):
+    """Guards against items that all run, each of them too late."""
+    assert replay(overload, by_rank) >= IN_TIME_SHARE * min(1.0, 1 / overload)
+
+
+def test_order_by_due_time_alone_fails_under_overload():
+    """Guards against a replay in which the order does not matter."""
+    assert replay(1.4, by_due) < IN_TIME_SHARE / 1.4
+
+
+@pytest.mark.parametrize(
+    ("spares", "count", "chosen"),
+    [
+        ([1.0, 5.0, 3.0], 0, []),
+        ([1.0, 5.0, 3.0], 2, [1, 2]),
+        ([1.0, -2.0, 3.0, -5.0], 3, [3, 1, 2]),
+    ],
+)
+def test_items_that_lose_least_step_back(spares, count, chosen):
+    """Guards against a wave that makes items late which would have been in time."""
+    assert choose_to_pause(spares, count) == chosen
+
+
+@pytest.mark.parametrize(
+    ("late", "ready", "batch", "share"),
+    [(4, 0, 10, 0.0), (4, 5, 10, 2.0), (4, 50, 10, 4.0), (0, 5, 0, 0.0)],
+)
+def test_late_items_yield_in_proportion(late, ready, batch, share):
+    """Guards against hosts that together pause more late items than others wait."""
+    assert late_to_yield(late, ready, batch) == share
+
+
+def test_forecast_learns_from_what_is_complete():
+    """Guards against an order that relies on a wrong first estimate."""
+    forecast = Forecast()
+    assert forecast.left(0) > 5.0
+    for _ in range(30):
+        forecast.observe(100, 100, 100 * 0.02 + 0.2)
+    assert forecast.left(0) == pytest.approx(2.2, rel=0.1)
+    assert forecast.left(100) == forecast.left(1000) > 0.2
+    assert forecast.events < FIRST_EVENTS
--- a/src/primroseford/jobs/tests/test_waves.py
+++ b/src/primroseford/jobs/tests/test_waves.py
@@ -87,7 +87,7 @@
                     waiting[host].sort()
                     del running[host][own - count :]
             if not paces[host].paused and "all" not in paces[host].starts:
-                share = min(batch_share(load, hosts, random), len(waiting[host]))
+                share = min(batch_share(load, 1 / hosts, random), len(waiting[host]))
                 paces[host].starts["all"] = share
                 running[host] += waiting[host][:share]
                 del waiting[host][:share]
--- a/src/primroseford/platform/headers.py
+++ b/src/primroseford/platform/headers.py
@@ -19,6 +19,8 @@
 SIGNATURE = "Server-Signature"
 LAST_EVENT = "Last-Event-Id"
 WAIT = "Wait-Ms"
+PROMPT_PARTS = "Prompt-Prefix"
+"""Lists all parts of a prompt, the request's own at the end, not only a prefix."""
 
 HOP_BY_HOP = frozenset(
     {
--- a/src/primroseford/platform/ingress.py
+++ b/src/primroseford/platform/ingress.py
@@ -17,6 +17,7 @@
 from primroseford.platform.headers import REQUEST_ID
 from primroseford.platform.headers import SET_BY_SYSTEM
 from primroseford.platform.headers import end_to_end
+from primroseford.platform.prompts import decode_prompt
 
 if TYPE_CHECKING:
     from aiohttp.web_request import BaseRequest
@@ -43,6 +44,7 @@
         key=request.headers.get(API_KEY),
         allowed=_allowed_seconds(request),
         last_event=request.headers.get(LAST_EVENT),
+        prompt=decode_prompt(request.headers),
     )
 
 
--- a/src/primroseford/proof/site.py
+++ b/src/primroseford/proof/site.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import socket
 from dataclasses import dataclass
 from dataclasses import field
@@ -83,13 +84,22 @@
         self.views.append(served)
         return view
 
+    def ip(self, number: int) -> str:
+        """Return the address of a host by its number.
+
+        Each process has loopback addresses of its own, so that the ports of tests that
+        run beside each other cannot collide.
+        """
+        high, low = divmod(os.getpid() % 62_500, 250)
+        return f"127.{high + 1}.{low}.{number + 2}"
+
     async def add_host(self, settled: bool = True, platform: str = "") -> Host:
         """Start a host and wait until it may serve.
 
         :param platform: base URL of the store for this host, if it has its own
         """
         self.port = self.port or free_port()
-        ip = f"127.0.0.{len(self.hosts) + 2}"
+        ip = self.ip(len(self.hosts))
         settings = NodeSettings(
             host=HostId(f"host-{len(self.hosts)}"),
             failure_domain=FailureDomainId("a"),
