Send heartbeats of large fleets by one host of each failure domain

A profile of 10 s at 165 hosts showed besides 122 ms for finding who runs a job, over all hosts for each job, and 85 ms for heartbeats. Change: hosts send to the relay of their failure domain, which passes on by one bundle each 0.12 s to its domain and to the other relays; the role follows from heartbeats alone, needs a link that carries the bundles, and hosts that hear no bundle or no echo of themselves send to all. Jobs are indexed by host, loads are changed by difference. Ruled out: sums by domain instead of the heartbeats themselves, since each host would have to take its own part out of them again; bundles through weak links.

--- a/src/primroseford/gateway/gen/messages/ttypes.py
+++ b/src/primroseford/gateway/gen/messages/ttypes.py
@@ -348,6 +348,8 @@
      - confirmed_ms_ago
      - ready_items
      - late_items
+     - link_bytes
+     - direct
 
     """
 
@@ -369,10 +371,12 @@
         'confirmed_ms_ago',
         'ready_items',
         'late_items',
+        'link_bytes',
+        'direct',
     )
 
 
-    def __init__(self, host=None, incarnation=None, address=None, failure_domain=None, sequence=None, leaving=None, configuration=None, waiting=None, loads=None, spending=None, jobs=None, reaches_store=None, runner_list=None, ended_jobs=None, confirmed_ms_ago=2147483647, ready_items=0, late_items=0,):
+    def __init__(self, host=None, incarnation=None, address=None, failure_domain=None, sequence=None, leaving=None, configuration=None, waiting=None, loads=None, spending=None, jobs=None, reaches_store=None, runner_list=None, ended_jobs=None, confirmed_ms_ago=2147483647, ready_items=0, late_items=0, link_bytes=0, direct=False,):
         self.host = host
         self.incarnation = incarnation
         self.address = address
@@ -390,6 +394,8 @@
         self.confirmed_ms_ago = confirmed_ms_ago
         self.ready_items = ready_items
         self.late_items = late_items
+        self.link_bytes = link_bytes
+        self.direct = direct
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -508,6 +514,16 @@
                     self.late_items = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 18:
+                if ftype == TType.I64:
+                    self.link_bytes = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 19:
+                if ftype == TType.BOOL:
+                    self.direct = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -598,6 +614,102 @@
             oprot.writeFieldBegin('late_items', TType.I32, 17)
             oprot.writeI32(self.late_items)
             oprot.writeFieldEnd()
+        if self.link_bytes is not None:
+            oprot.writeFieldBegin('link_bytes', TType.I64, 18)
+            oprot.writeI64(self.link_bytes)
+            oprot.writeFieldEnd()
+        if self.direct is not None:
+            oprot.writeFieldBegin('direct', TType.BOOL, 19)
+            oprot.writeBool(self.direct)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Bundle(object):
+    """
+    Attributes:
+     - relay
+     - heartbeats
+
+    """
+
+    __slots__ = (
+        'relay',
+        'heartbeats',
+    )
+
+
+    def __init__(self, relay=None, heartbeats=None,):
+        self.relay = relay
+        self.heartbeats = heartbeats
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.relay = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.heartbeats = []
+                    (_etype31, _size28) = iprot.readListBegin()
+                    for _i32 in range(_size28):
+                        _elem33 = iprot.readBinary()
+                        self.heartbeats.append(_elem33)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Bundle')
+        if self.relay is not None:
+            oprot.writeFieldBegin('relay', TType.STRING, 1)
+            oprot.writeString(self.relay.encode('utf-8') if sys.version_info[0] == 2 else self.relay)
+            oprot.writeFieldEnd()
+        if self.heartbeats is not None:
+            oprot.writeFieldBegin('heartbeats', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRING, len(self.heartbeats))
+            for iter34 in self.heartbeats:
+                oprot.writeBinary(iter34)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -665,6 +777,14 @@
     (15, TType.I32, 'confirmed_ms_ago', None, 2147483647, ),  # 15
     (16, TType.I32, 'ready_items', None, 0, ),  # 16
     (17, TType.I32, 'late_items', None, 0, ),  # 17
+    (18, TType.I64, 'link_bytes', None, 0, ),  # 18
+    (19, TType.BOOL, 'direct', None, False, ),  # 19
+)
+all_structs.append(Bundle)
+Bundle.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'relay', 'UTF8', None, ),  # 1
+    (2, TType.LIST, 'heartbeats', (TType.STRING, 'BINARY', False), None, ),  # 2
 )
 fix_spec(all_structs)
 del all_structs
--- a/src/primroseford/gateway/heartbeat.py
+++ b/src/primroseford/gateway/heartbeat.py
@@ -1,4 +1,7 @@
-"""Heartbeats between hosts: loads, admissions, and the jobs that each host runs."""
+"""Heartbeats between hosts: loads, admissions, and the jobs that each host runs.
+
+In a large fleet they go by way of relays (:mod:`primroseford.gateway.relay`).
+"""
 
 from __future__ import annotations
 
@@ -10,12 +13,16 @@
 from mode import Service
 
 from primroseford.errors import PrimrosefordError
+from primroseford.gateway.gen.messages.ttypes import Bundle
 from primroseford.gateway.gen.messages.ttypes import Heartbeat
 from primroseford.gateway.gen.messages.ttypes import JobProgress
 from primroseford.gateway.gen.messages.ttypes import RunnerLoad
 from primroseford.gateway.gen.messages.ttypes import Spending
 from primroseford.gateway.loops import repeat
 from primroseford.gateway.placement import tell_interval
+from primroseford.gateway.relay import RELAY_SECONDS
+from primroseford.gateway.relay import Relay
+from primroseford.gateway.relay import split_bundle
 from primroseford.ids import HostId
 from primroseford.ids import JobId
 from primroseford.ids import OrganisationId
@@ -38,6 +45,9 @@
 """Time for which a silent host's share of the rates is left to it: longer than cuts
 between hosts usually last."""
 
+BUNDLE_PORT_OFFSET = 1
+"""Port of bundles, counted from that of heartbeats."""
+
 MAX_AGE_MS = 2**31 - 1
 
 log = structlog.get_logger()
@@ -80,6 +90,7 @@
     :param address: ``ip`` and port on which this host receives
     :param jobs: what to tell of jobs, and who learns of ended ones
     :param reaches_store: whether the platform's store answers this host itself
+    :param link: bytes a second of this host's link
     """
 
     def __init__(
@@ -90,6 +101,7 @@
         address: tuple[str, int],
         jobs: JobTeller,
         reaches_store: Callable[[], bool],
+        link: float,
     ) -> None:
         super().__init__()
         self.gateway = gateway
@@ -100,6 +112,8 @@
         self.reaches_store = reaches_store
         self.sequence = 0
         self.transport: asyncio.DatagramTransport | None = None
+        self.bundles: asyncio.DatagramTransport | None = None
+        self.relay = Relay(gateway.members, domain, link)
         self.spent: dict[OrganisationId, tuple[int, float]] = {}
         self.last_jobs: dict[JobId, ToldJob] = {}
         self.lost: set[HostId] = set()
@@ -109,20 +123,32 @@
         """Open the socket."""
         loop = asyncio.get_running_loop()
         self.transport, _ = await loop.create_datagram_endpoint(
-            lambda: HeartbeatProtocol(self.receive), local_addr=self.address
+            lambda: HeartbeatProtocol(self.receive_direct), local_addr=self.address
+        )
+        host, port = self.address
+        self.bundles, _ = await loop.create_datagram_endpoint(
+            lambda: HeartbeatProtocol(self.receive_bundle),
+            local_addr=(host, port + BUNDLE_PORT_OFFSET),
         )
 
     async def on_stop(self) -> None:
         """Tell the peers and close the socket."""
         self.send()
-        if self.transport is not None:
-            self.transport.close()
+        self.pass_on()
+        for transport in (self.transport, self.bundles):
+            if transport is not None:
+                transport.close()
 
     @Service.task
     async def beat(self) -> None:
         """Send heartbeats when something changed, else now and then."""
         await repeat(self, self._pause, self._beat)
 
+    @Service.task
+    async def relay_heartbeats(self) -> None:
+        """Pass on what came, while this host relays."""
+        await repeat(self, lambda: RELAY_SECONDS, self.pass_on)
+
     def _pause(self) -> float:
         return tell_interval(1 + len(self.gateway.members.peers))
 
@@ -140,10 +166,32 @@
         self.gateway.places.changed = False
         self.last_jobs = self.jobs.told_jobs()
         data = encode(self.heartbeat())
-        for peer in self.gateway.members.peers.values():
+        self.relay.note_sent(data)
+        for peer in self.relay.receivers(self.gateway.clock()):
             host, port = peer.address.rsplit(":", 1)
             self.transport.sendto(data, (host, int(port)))
 
+    def pass_on(self) -> None:
+        """Send the heartbeats that came since the last time, if this host relays."""
+        now = self.gateway.clock()
+        if self.bundles is None or self.bundles.is_closing():
+            return
+        if not self.relay.is_relay(now):
+            self.relay.own_domain.clear()
+            self.relay.others.clear()
+            return
+        encoded: dict[int, list[bytes]] = {}
+        for peer, heartbeats in self.relay.drain(now):
+            # The receivers of a failure domain get the same list.
+            key = id(heartbeats)
+            if key not in encoded:
+                own = self.gateway.members.own
+                parts = split_bundle(heartbeats)
+                encoded[key] = [encode(Bundle(own, part)) for part in parts]
+            host, port = peer.address.rsplit(":", 1)
+            for data in encoded[key]:
+                self.bundles.sendto(data, (host, int(port) + BUNDLE_PORT_OFFSET))
+
     def heartbeat(self) -> Heartbeat:
         """Return the state of this host."""
         gateway = self.gateway
@@ -175,6 +223,8 @@
             self.jobs.told_ends(),
             _age_ms(gateway.clock() - gateway.confirmed_at),
             *self.jobs.told_waiting(),
+            int(self.relay.link),
+            self.relay.is_direct(gateway.clock()),
         )
 
     def _loads(self) -> list[RunnerLoad]:
@@ -197,15 +247,37 @@
                 told.append(Spending(name, count, count - last))
         return told
 
-    def receive(self, data: bytes) -> None:
-        """Take a peer's heartbeat."""
+    def receive_direct(self, data: bytes) -> None:
+        """Take a heartbeat that its host sent here."""
+        heartbeat = self.receive(data)
+        if heartbeat is not None:
+            self.relay.collect(heartbeat.host, heartbeat.failure_domain, data)
+
+    def receive_bundle(self, data: bytes) -> None:
+        """Take the heartbeats that a relay passed on."""
+        try:
+            bundle = decode(Bundle, data)
+        except PrimrosefordError as error:
+            log.debug("bundle ignored", reason=str(error))
+            return
+        relay = HostId(bundle.relay or "")
+        now = self.gateway.clock()
+        taken: dict[HostId, bytes] = {}
+        for part in self.relay.take_echoes(relay, bundle.heartbeats or (), now):
+            heartbeat = self.receive(part)
+            if heartbeat is not None:
+                taken[HostId(heartbeat.host)] = part
+        self.relay.collect_bundle(relay, taken)
+
+    def receive(self, data: bytes) -> Heartbeat | None:
+        """Take a peer's heartbeat; returns nothing if it is not a new one."""
         gateway = self.gateway
         try:
             heartbeat = decode(Heartbeat, data)
             before = gateway.members.receive(heartbeat, gateway.clock())
         except (PrimrosefordError, ValueError) as error:
             log.debug("heartbeat ignored", reason=str(error))
-            return
+            return None
         host = HostId(heartbeat.host)
         if host in self.lost:
             self.lost.discard(host)
@@ -219,6 +291,7 @@
         self._take_confirmation(heartbeat)
         if gateway.on_heartbeat is not None:
             gateway.on_heartbeat(heartbeat)
+        return heartbeat
 
     def _take_confirmation(self, heartbeat: Heartbeat) -> None:
         """Share the platform's word to a peer that this configuration is the newest.
--- a/src/primroseford/gateway/host.py
+++ b/src/primroseford/gateway/host.py
@@ -200,6 +200,7 @@
             (settings.ip, settings.peer_port),
             jobs,
             lambda: path.reachable,
+            settings.link_bytes,
         )
         address = f"{settings.ip}:{settings.peer_port}"
         members = gateway.members
--- a/src/primroseford/gateway/members.py
+++ b/src/primroseford/gateway/members.py
@@ -6,6 +6,7 @@
 from dataclasses import field
 from typing import TYPE_CHECKING
 
+from primroseford.gateway.placement import tell_interval
 from primroseford.gateway.rendezvous import ranked
 from primroseford.ids import HostId
 from primroseford.ids import JobId
@@ -14,9 +15,12 @@
     from collections.abc import Iterable
 
     from primroseford.gateway.gen.messages.ttypes import Heartbeat
+    from primroseford.gateway.gen.messages.ttypes import JobProgress
 
 SILENCE_SECONDS = 1.0
 """Silence after which a host counts as lost: three idle heartbeats."""
+SILENT_BEATS = 3
+"""The same as a number of heartbeats of a large fleet, which come less often."""
 FORGET_SECONDS = 60.0
 """Silence after which a host gets no more heartbeats: longer than any cut that the
 platform's bench plays."""
@@ -45,11 +49,18 @@
 
     :param own: name of this host
     :param orphaned: jobs that peers ran before they started anew
+    :ivar told: what peers last told of each job, by host
     """
 
     own: HostId
     orphaned: set[JobId] = field(default_factory=set)
     peers: dict[HostId, Peer] = field(default_factory=dict)
+    told: dict[JobId, dict[HostId, JobProgress]] = field(default_factory=dict)
+
+    @property
+    def silence(self) -> float:
+        """Silence in seconds after which a host counts as lost."""
+        return max(SILENCE_SECONDS, SILENT_BEATS * tell_interval(1 + len(self.peers)))
 
     def learn(self, host: HostId, address: str, now: float) -> None:
         """Note a host that the platform's store names.
@@ -77,33 +88,51 @@
             before = None
         if before is not None and before.sequence >= heartbeat.sequence:
             raise ValueError("heartbeat out of order")
+        self._index_jobs(host, peer.last, heartbeat)
         peer.last = heartbeat
         peer.address = heartbeat.address
         peer.heard_at = now
         return before
 
-    def live(self, now: float) -> list[Peer]:
-        """Return the peers that were heard lately and are not leaving."""
+    def _index_jobs(
+        self, host: HostId, before: Heartbeat | None, heartbeat: Heartbeat | None
+    ) -> None:
+        """Note of which jobs a peer tells now."""
+        for progress in before.jobs if before is not None else ():
+            hosts = self.told.get(JobId(progress.job), {})
+            hosts.pop(host, None)
+            if not hosts:
+                self.told.pop(JobId(progress.job), None)
+        for progress in heartbeat.jobs if heartbeat is not None else ():
+            self.told.setdefault(JobId(progress.job), {})[host] = progress
+
+    def heard(self, now: float) -> list[Peer]:
+        """Return the peers that were heard lately, also those that are leaving."""
+        silence = self.silence
         return [
             peer
             for peer in self.peers.values()
-            if peer.last is not None
-            and not peer.last.leaving
-            and now - peer.heard_at <= SILENCE_SECONDS
+            if peer.last is not None and now - peer.heard_at <= silence
         ]
 
+    def live(self, now: float) -> list[Peer]:
+        """Return the peers that were heard lately and are not leaving."""
+        return [peer for peer in self.heard(now) if not peer.last.leaving]
+
     def silent(self, now: float) -> list[Peer]:
         """Return the peers that were heard and are silent, also those that left."""
+        silence = self.silence
         return [
             peer
             for peer in self.peers.values()
-            if peer.last is not None and now - peer.heard_at > SILENCE_SECONDS
+            if peer.last is not None and now - peer.heard_at > silence
         ]
 
     def forget_lost(self, now: float) -> None:
         """Drop peers that were silent for long."""
         for host, peer in list(self.peers.items()):
             if now - peer.heard_at > FORGET_SECONDS:
+                self._index_jobs(host, peer.last, None)
                 del self.peers[host]
 
     def hosts(self, now: float) -> list[HostId]:
@@ -122,43 +151,26 @@
 
     def running(self, job: JobId, now: float) -> list[HostId]:
         """Return the live peers that run a job."""
-        return [
-            peer.host
-            for peer in self.live(now)
-            if any(progress.job == job for progress in peer.last.jobs)
-        ]
+        return [p.host for p in self._telling(job, now) if not p.last.leaving]
 
     def leaving_with(self, job: JobId, now: float) -> list[HostId]:
         """Return the leaving peers that still have a job."""
-        return [
-            peer.host
-            for peer in self.peers.values()
-            if peer.last is not None
-            and peer.last.leaving
-            and now - peer.heard_at <= SILENCE_SECONDS
-            and any(progress.job == job for progress in peer.last.jobs)
-        ]
+        return [p.host for p in self._telling(job, now) if p.last.leaving]
+
+    def _telling(self, job: JobId, now: float) -> list[Peer]:
+        """Return the peers heard lately that tell of a job."""
+        silence = self.silence
+        peers = [self.peers[host] for host in self.told.get(job, ())]
+        return [peer for peer in peers if now - peer.heard_at <= silence]
 
     def segments(self, job: JobId) -> int:
         """Return how many result segments of a job any peer has told of."""
-        counts = [
-            progress.segments
-            for peer in self.peers.values()
-            if peer.last is not None
-            for progress in peer.last.jobs
-            if progress.job == job
-        ]
-        return max(counts, default=0)
+        told = self.told.get(job, {}).values()
+        return max((progress.segments for progress in told), default=0)
 
     def known_jobs(self) -> set[JobId]:
         """Return the jobs that any known peer ran when it was last heard."""
-        told = {
-            JobId(progress.job)
-            for peer in self.peers.values()
-            if peer.last is not None
-            for progress in peer.last.jobs
-        }
-        return told | self.orphaned
+        return self.told.keys() | self.orphaned
 
 
 def preferred_host(job: str, hosts: Iterable[HostId]) -> HostId:
--- a/src/primroseford/gateway/messages.thrift
+++ b/src/primroseford/gateway/messages.thrift
@@ -42,4 +42,14 @@
   // Waiting items that can be in time, and the others.
   16: i32 ready_items = 0
   17: i32 late_items = 0
+  // Bytes a second that the host's link carries.
+  18: i64 link_bytes = 0
+  // Whether the host does without a relay, so that the others have to send to it.
+  19: bool direct = 0
+}
+
+// Heartbeats that one host of a failure domain passes on, as their hosts encoded them.
+struct Bundle {
+  1: string relay
+  2: list<binary> heartbeats
 }
--- a/src/primroseford/gateway/places.py
+++ b/src/primroseford/gateway/places.py
@@ -118,6 +118,7 @@
         self.runners: dict[RunnerName, RunnerState] = {}
         self.queues: dict[PoolName, FairQueue[Waiter]] = {}
         self.peer_waiting: dict[HostId, int] = {}
+        self.named_by: dict[HostId, set[RunnerName]] = {}
         self.service_seconds: dict[PoolName, float] = {}
         self.first_seconds: dict[PoolName, float] = {}
         self.changed = False
@@ -364,7 +365,7 @@
     def take_heartbeat(self, heartbeat: Heartbeat) -> None:
         """Take the loads that another host tells."""
         host = heartbeat.host
-        named = set()
+        named: set[RunnerName] = set()
         for told in heartbeat.loads:
             runner = self.runners.get(told.runner)
             if runner is None:
@@ -375,17 +376,21 @@
                 runner.suspected_by.add(host)
             else:
                 runner.suspected_by.discard(host)
-        for name, runner in self.runners.items():
-            if name not in named:
-                runner.peers.pop(host, None)
-                runner.suspected_by.discard(host)
+        for name in self.named_by.get(host, set()) - named:
+            self._forget_load(host, name)
+        self.named_by[host] = named
         self.peer_waiting[host] = heartbeat.waiting
         self.pump()
 
     def forget_host(self, host: HostId) -> None:
         """Drop what a lost host told."""
         self.peer_waiting.pop(host, None)
-        for runner in self.runners.values():
+        for name in self.named_by.pop(host, ()):
+            self._forget_load(host, name)
+
+    def _forget_load(self, host: HostId, name: RunnerName) -> None:
+        runner = self.runners.get(name)
+        if runner is not None:
             runner.peers.pop(host, None)
             runner.suspected_by.discard(host)
 
--- a/src/primroseford/platform/settings.py
+++ b/src/primroseford/platform/settings.py
@@ -31,6 +31,7 @@
     :param job_retention_seconds: how long a job's results stay (``status_s``)
     :param settle_seconds: time after which what was read of a job at one host is read
         at all (``settle_ms``)
+    :param link_bytes: bytes a second that this host's link carries (``link_mbps``)
     """
 
     host: HostId
@@ -43,6 +44,7 @@
     stop_seconds: float
     job_retention_seconds: float
     settle_seconds: float
+    link_bytes: float
 
 
 def load_node_settings(path: str) -> NodeSettings:
@@ -80,6 +82,7 @@
         stop_seconds=_number(content, "bounds.grace_s"),
         job_retention_seconds=_number(content, "bounds.status_s"),
         settle_seconds=_number(content, "bounds.settle_ms") / 1000,
+        link_bytes=_number(content, "limits.link_mbps") * 1e6 / 8,
     )
 
 
--- a/src/primroseford/platform/tests/test_decoding.py
+++ b/src/primroseford/platform/tests/test_decoding.py
@@ -27,6 +27,7 @@
     "port_range": [7660, 7675],
     "platform": {"address": "10.200.1.7:8408"},
     "bounds": {"grace_s": 8, "status_s": 120, "settle_ms": 1000},
+    "limits": {"link_mbps": 15.0},
     "field_of_the_future": 1,
 }
 
@@ -37,7 +38,7 @@
     assert settings.host == "front-a-1" and settings.peer_port == 7660
     assert settings.platform == "http://10.200.1.7:8408"
     assert (settings.stop_seconds, settings.job_retention_seconds) == (8.0, 120.0)
-    assert settings.settle_seconds == 1.0
+    assert (settings.settle_seconds, settings.link_bytes) == (1.0, 1_875_000.0)
     assert settings.readiness == "10.1.0.5:8406"
 
 
--- a/src/primroseford/proof/site.py
+++ b/src/primroseford/proof/site.py
@@ -111,6 +111,7 @@
             stop_seconds=8.0,
             job_retention_seconds=120.0,
             settle_seconds=1.0,
+            link_bytes=125e6,
         )
         host = create_fleet_host(settings)
         await host.start()
--- a/src/primroseford/soak/processes.py
+++ b/src/primroseford/soak/processes.py
@@ -19,6 +19,8 @@
 """Time from SIGTERM to SIGKILL (``grace_s`` of the sites)."""
 RETENTION_SECONDS = 120.0
 """How long results stay readable (``status_s`` of the sites)."""
+LINK_MBPS = 1000
+"""Link of a host, as on the smaller sites."""
 SETTLE_MS = 1000
 """Time after which results that were read are read at all hosts (``settle_ms``)."""
 
@@ -140,6 +142,7 @@
             },
             "port_range": [self.peer_port, self.peer_port + 2],
             "platform": {"address": self.store},
+            "limits": {"link_mbps": LINK_MBPS},
             "bounds": {
                 "grace_s": STOP_SECONDS,
                 "status_s": RETENTION_SECONDS,
