Leave free what the last waves of online requests took

Change: batch takes the slots that the peaks of the last 12 s leave, or those that its waiting items need to be done in 0.4 of their time, whichever are more; an item with less than 4 s to spare takes any. With relays hosts tell their loads 2.25 times as often. A relay is chosen anew each 0.1 s, and a role that ranks hosts by link needs 35% of it. Ruled out: whole lulls for items that cannot wait only, which wastes slots under overload. Two test hosts chose a port that another one's range held (Address already in use, seen twice); ports outside that range are chosen now.

--- a/src/primroseford/gateway/heartbeat.py
+++ b/src/primroseford/gateway/heartbeat.py
@@ -19,7 +19,6 @@
 from primroseford.gateway.gen.messages.ttypes import RunnerLoad
 from primroseford.gateway.gen.messages.ttypes import Spending
 from primroseford.gateway.loops import repeat
-from primroseford.gateway.placement import tell_interval
 from primroseford.gateway.relay import RELAY_SECONDS
 from primroseford.gateway.relay import Relay
 from primroseford.gateway.relay import split_bundle
@@ -150,10 +149,12 @@
         await repeat(self, lambda: RELAY_SECONDS, self.pass_on)
 
     def _pause(self) -> float:
-        return tell_interval(1 + len(self.gateway.members.peers))
+        return self.gateway.members.interval
 
     def _beat(self) -> None:
         self.watch_peers()
+        members = self.gateway.members
+        members.relayed = self.relay.is_relayed(self.gateway.clock())
         changed = self.gateway.places.changed or self.jobs.told_jobs() != self.last_jobs
         if changed or self.gateway.clock() - self.sent_at >= IDLE_SECONDS:
             self.send()
--- a/src/primroseford/gateway/placement.py
+++ b/src/primroseford/gateway/placement.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -28,6 +29,9 @@
 """Hosts up to which heartbeats come at their shortest interval, so that loads are no
 older than the time between two requests to one runner. With more, they go out less
 often, so that their cost a host stays the same."""
+RELAYED_VIEW_HOSTS = 36
+"""The same while heartbeats go by relays, where only their number costs and not that of
+datagrams."""
 SAMPLED_RUNNERS = 3
 """Runners among which a request chooses if there are more hosts: the power of two
 choices, and a third for one that is full."""
@@ -61,12 +65,14 @@
         return self.slots - self.online - self.batch
 
 
-def tell_interval(hosts: int) -> float:
+def tell_interval(hosts: int, relayed: bool = False) -> float:
     """Return the seconds between two heartbeats of a host whose loads change.
 
     :param hosts: number of live hosts, this one included
+    :param relayed: whether heartbeats go by relays
     """
-    return TELL_SECONDS * max(1.0, hosts / FULL_VIEW_HOSTS)
+    full_view = RELAYED_VIEW_HOSTS if relayed else FULL_VIEW_HOSTS
+    return TELL_SECONDS * max(1.0, hosts / full_view)
 
 
 def sample_runners(
@@ -120,7 +126,12 @@
     return best if best.free > 0 else None
 
 
-def batch_share(loads: Sequence[RunnerLoad], part: float, random: Random) -> int:
+def batch_share(
+    loads: Sequence[RunnerLoad],
+    part: float,
+    random: Random,
+    limit: float = math.inf,
+) -> int:
     """Return how many batch items this host may start until it hears of the others.
 
     All hosts see the same room, some time old; each takes its part of it, so that
@@ -128,9 +139,11 @@
 
     :param loads: runners that may be used
     :param part: part of all waiting items that this host has
+    :param limit: slots that batch of all hosts may take
     """
     slots = sum(load.slots for load in loads)
     room = sum(max(0, load.free) for load in loads) - HEADROOM * slots
+    room = min(room, limit - sum(load.batch for load in loads))
     room = max(0.0, room)
     return min(int(room), round_by_chance(room * part, random))
 
--- a/src/primroseford/gateway/places.py
+++ b/src/primroseford/gateway/places.py
@@ -11,6 +11,8 @@
 from primroseford.errors import PrimrosefordError
 from primroseford.errors import ResultCode
 from primroseford.gateway.affinity import choose_home
+from primroseford.gateway.peaks import Peaks
+from primroseford.gateway.placement import HEADROOM
 from primroseford.gateway.placement import RunnerLoad
 from primroseford.gateway.placement import batch_runner
 from primroseford.gateway.placement import batch_share
@@ -120,6 +122,7 @@
         self.peer_waiting: dict[HostId, int] = {}
         self.named_by: dict[HostId, set[RunnerName]] = {}
         self.service_seconds: dict[PoolName, float] = {}
+        self.peaks: dict[PoolName, Peaks] = {}
         self.first_seconds: dict[PoolName, float] = {}
         self.changed = False
 
@@ -326,12 +329,30 @@
         best = batch_runner(loads, self.random, self.hosts) if loads else None
         return None if best is None else self.runners[best.key.name]
 
-    def batch_share(self, pool: PoolName, part: float) -> int:
+    def batch_share(self, pool: PoolName, part: float, limit: float) -> int:
         """Return how many batch items may start before the next heartbeats.
 
         :param part: part of all waiting items that this host has
+        :param limit: slots that batch of all hosts may take
         """
-        return batch_share(self._batch_loads(pool, ()), part, self.random)
+        return batch_share(self._batch_loads(pool, ()), part, self.random, limit)
+
+    def calm_slots(self, pool: PoolName) -> float:
+        """Return the slots that the last peaks of online requests leave."""
+        peaks = self.peaks.get(pool)
+        peak = peaks.highest(self.clock()) if peaks is not None else 0
+        slots = sum(runner.entry.slots for runner in self.usable(pool))
+        return (1 - HEADROOM) * slots - peak
+
+    def note_peaks(self) -> None:
+        """Note how many online requests are in flight in each pool."""
+        online: dict[PoolName, int] = {}
+        for runner in self.runners.values():
+            pool = runner.entry.pool
+            online[pool] = online.get(pool, 0) + runner.load().online
+        now = self.clock()
+        for pool, count in online.items():
+            self.peaks.setdefault(pool, Peaks()).note(count, now)
 
     def _batch_loads(
         self, pool: PoolName, tried: Collection[RunnerKey]
--- a/src/primroseford/gateway/relay.py
+++ b/src/primroseford/gateway/relay.py
@@ -40,10 +40,12 @@
 """Own heartbeats whose echo is known; bundles are some tenths of a second old."""
 HEARTBEAT_BYTES = 300
 """Usual size of a heartbeat with some loads, organisations and a job."""
-LINK_SHARE = 0.25
+LINK_SHARE = 0.35
 """Part of a host's link that bundles may take."""
 BUNDLE_BYTES = 48 * 1024
 """Largest bundle, below the bound of a datagram."""
+CHOICE_SECONDS = 0.1
+"""Time for which a choice stands, since it looks at all hosts."""
 DUTY = "relay"
 
 
@@ -54,7 +56,8 @@
     :param domain: failure domain of this host
     :param link: bytes a second of this host's link
     :ivar heard: local time of the last bundle from each relay
-    :ivar echoed: local time at which each relay last passed on a heartbeat of this host
+    :ivar echoed: local time at which each relay last passed on an own heartbeat
+    :ivar chosen: relay of each failure domain, and until when the choice stands
     :ivar sent: newest heartbeats of this host
     :ivar own_domain: newest heartbeats of this domain that are to be passed on
     :ivar others: newest heartbeats that other relays passed on
@@ -65,6 +68,9 @@
     link: float
     heard: dict[HostId, float] = field(default_factory=dict)
     echoed: dict[HostId, float] = field(default_factory=dict)
+    chosen: dict[FailureDomainId, tuple[HostId | None, float]] = field(
+        default_factory=dict
+    )
     sent: deque[bytes] = field(default_factory=lambda: deque(maxlen=SENT_KEPT))
     own_domain: dict[HostId, bytes] = field(default_factory=dict)
     others: dict[HostId, bytes] = field(default_factory=dict)
@@ -74,6 +80,13 @@
 
         :param now: local time in seconds
         """
+        chosen, until = self.chosen.get(domain, (None, -math.inf))
+        if now >= until:
+            chosen = self._choose(domain, now)
+            self.chosen[domain] = (chosen, now + CHOICE_SECONDS)
+        return chosen
+
+    def _choose(self, domain: FailureDomainId, now: float) -> HostId | None:
         live = self.members.live(now)
         if 1 + len(live) <= FULL_VIEW_HOSTS:
             return None
@@ -94,6 +107,14 @@
         )
         return known + (domain == self.domain)
 
+    def is_relayed(self, now: float) -> bool:
+        """Return whether this host's heartbeats go by a relay.
+
+        :param now: local time in seconds
+        """
+        relay = self.relay_of(self.domain, now)
+        return relay is not None and not self.is_direct(now)
+
     def is_heard(self, relay: HostId | None, now: float) -> bool:
         """Return whether a relay passes heartbeats on."""
         at = self.heard.get(relay) if relay is not None else None
@@ -208,7 +229,7 @@
     :param members: hosts of its failure domain
     :param hosts: all hosts
     """
-    return members * hosts * HEARTBEAT_BYTES / tell_interval(hosts)
+    return members * hosts * HEARTBEAT_BYTES / tell_interval(hosts, relayed=True)
 
 
 def split_bundle(heartbeats: Iterable[bytes]) -> list[list[bytes]]:
--- a/src/primroseford/jobs/forecast.py
+++ b/src/primroseford/jobs/forecast.py
@@ -22,6 +22,12 @@
 LIST_SECONDS = 1.2
 """Time from an item's last event until a caller has read it: the pause in which items
 are listed together, and the time between two reads."""
+HORIZON_SHARE = 0.4
+"""Part of the time in which jobs are due in which the items that wait now shall be
+done; the rest is left for waves and for jobs that come together."""
+URGENT_SECONDS = 4.0
+"""Time that an item has to spare from which it takes any free slot: enough for one wave
+and the start of the lull after it."""
 PAUSED_SHARE = 1.25
 """Time that an item takes over the time that it runs: it steps back for a part of the
 waves."""
@@ -91,6 +97,21 @@
     return (0, left) if begun else (1, -due_in)
 
 
+def needed_slots(ready: int, batch: int, left: float, due: float) -> float:
+    """Return the slots that batch needs so that what waits is done early enough.
+
+    Answers the same waves with more items than fit beside their peaks: more slots than
+    these items need would only have to be given back when the next wave starts.
+
+    :param ready: waiting items of all hosts that can be in time
+    :param batch: running items of all hosts
+    :param left: seconds that a whole item runs
+    :param due: seconds after its submission in which a job is due
+    """
+    # Running items are half done on average.
+    return (ready + batch / 2) * left / max(1.0, HORIZON_SHARE * due)
+
+
 def choose_to_pause(spares: Sequence[float], count: int) -> list[int]:
     """Return which running items step back, as indices.
 
--- a/src/primroseford/jobs/scheduler.py
+++ b/src/primroseford/jobs/scheduler.py
@@ -15,11 +15,12 @@
 import structlog
 
 from primroseford.gateway.placement import round_by_chance
-from primroseford.gateway.placement import tell_interval
 from primroseford.gateway.tables import choose_pool
+from primroseford.jobs.forecast import URGENT_SECONDS
 from primroseford.jobs.forecast import Forecast
 from primroseford.jobs.forecast import choose_to_pause
 from primroseford.jobs.forecast import late_to_yield
+from primroseford.jobs.forecast import needed_slots
 from primroseford.jobs.forecast import rank
 from primroseford.jobs.pace import Pace
 from primroseford.jobs.recorder import JobRecorder
@@ -250,8 +251,10 @@
             pool = choose_pool(route, self.gateway.random)
             if pool in full:
                 continue
-            if not self._may_start(pool, now):
-                full.add(pool)
+            urgent = 0 <= self.spare(item, now) < URGENT_SECONDS
+            if not self._may_start(pool, item, urgent, now):
+                if urgent:
+                    full.add(pool)
                 continue
             runner = self.gateway.places.choose_for_batch(pool, item.tried)
             if runner is None and item.tried:
@@ -261,7 +264,7 @@
                 full.add(pool)
                 continue
             self.gateway.places.start(runner, batch=True)
-            self.pace.starts[pool] -= 1
+            self.pace.started(pool)
             run.waiting.remove(item)
             run.running.add(item)
             item.started_at, item.events_before = now, len(item.data)
@@ -296,20 +299,30 @@
             )
 
     def _renew_pace(self) -> None:
-        now = self.gateway.clock()
-        hosts = len(self.gateway.members.hosts(now))
-        self.pace.renew(now, tell_interval(hosts))
+        self.pace.renew(self.gateway.clock(), self.gateway.members.interval)
 
-    def _may_start(self, pool: PoolName, now: float) -> bool:
+    def _may_start(
+        self, pool: PoolName, item: ItemRun, urgent: bool, now: float
+    ) -> bool:
         """Return whether one more item of a pool may start on the loads that are known.
 
+        :param urgent: whether it takes any free slot
         :param now: local time in seconds
         """
-        starts = self.pace.starts
-        if pool not in starts:
+        pace, places = self.pace, self.gateway.places
+        if pool not in pace.starts:
             part = self.own_part(now)
-            starts[pool] = self.gateway.places.batch_share(pool, part)
-        return starts[pool] > 0
+            limit = max(places.calm_slots(pool), self._needed_slots(pool, item, now))
+            pace.starts[pool] = places.batch_share(pool, part, limit)
+            pace.urgent_starts[pool] = places.batch_share(pool, part, math.inf)
+        return (pace.urgent_starts if urgent else pace.starts)[pool] > 0
+
+    def _needed_slots(self, pool: PoolName, item: ItemRun, now: float) -> float:
+        ready = self.waiting_items()[0] + self.gateway.members.waiting_items(now)[0]
+        route = self.route_of(item.job)
+        due = route.due if route is not None else 0.0
+        batch = self.gateway.places.pool_load(pool)["batch"]
+        return needed_slots(ready, batch, self.forecast(item).left(0), due)
 
     def give_up_at(self, item: ItemRun, route: Route) -> float:
         """Return the Unix time at which an item is given up."""
@@ -342,9 +355,8 @@
             end = RunEnd.BROKEN
         self.gateway.metrics.items.labels(end.value).inc()
         pool = runner.entry.pool
-        if end is RunEnd.COMPLETE and pool in self.pace.starts:
-            # Its slot is known to be free.
-            self.pace.starts[pool] += 1
+        if end is RunEnd.COMPLETE:
+            self.pace.freed(pool)
         self._judge(run, item, route, end, runner.entry.key)
 
     def _judge(
@@ -403,8 +415,7 @@
             count = self.gateway.places.items_to_pause(pool)
             if not count:
                 continue
-            self.pace.paused.add(pool)
-            self.pace.starts[pool] = 0
+            self.pace.stop(pool)
             now = self.gateway.clock()
             spares = [self.spare(item, now) for item in items]
             for number in choose_to_pause(spares, count):
--- a/src/primroseford/proof/site.py
+++ b/src/primroseford/proof/site.py
@@ -31,6 +31,8 @@
     import aiohttp
 
 WAIT_SECONDS = 20.0
+HOST_PORTS = 2
+"""Ports that hosts use among themselves, from their first one on."""
 
 
 def free_port() -> int:
@@ -84,6 +86,13 @@
         self.views.append(served)
         return view
 
+    def other_port(self) -> int:
+        """Return a free port that is none of the hosts' own range."""
+        while True:
+            port = free_port()
+            if not self.port <= port <= self.port + HOST_PORTS:
+                return port
+
     def ip(self, number: int) -> str:
         """Return the address of a host by its number.
 
@@ -104,8 +113,8 @@
             host=HostId(f"host-{len(self.hosts)}"),
             failure_domain=FailureDomainId("a"),
             ip=ip,
-            ingress=f"{ip}:{free_port()}",
-            readiness=f"{ip}:{free_port()}",
+            ingress=f"{ip}:{self.other_port()}",
+            readiness=f"{ip}:{self.other_port()}",
             peer_port=self.port,
             platform=platform or self.platform.url,
             stop_seconds=8.0,
