Fuzz the decoders of what comes from outside; end lists that have no end

Cause: the store's answers were trusted in three ways: an object without a name, an object of another name than asked for, and pages that never go on. Found by test_fuzz.py (TypeError for a name that is none) and by reading the list loop. Change: an object needs a name, a get checks it, pages must go on behind the one before and a kind has at most 100,000 objects.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 INSTALLED := $(VENV)/.installed-$(LOCK_HASH)
 export PYTHONPATH := $(CURDIR)/src:$(CURDIR)
 
-.PHONY: demo test bench lint format install
+.PHONY: demo test fuzz bench lint format install
 
 install: $(INSTALLED)
 
@@ -23,6 +23,10 @@
 test: install
 	$(BIN)/python -m pytest $(ARGS)
 
+# The same tests of decoders as in make test, with many more and ever new inputs.
+fuzz: install
+	PRIMROSEFORD_TEST_PROFILE=fuzz $(BIN)/python -m pytest -k fuzz $(ARGS)
+
 bench: install
 	$(BIN)/python -m bench $(ARGS)
 
--- a/conftest.py
+++ b/conftest.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 from pathlib import Path
 
 import pytest
@@ -19,7 +20,14 @@
     print_blob=True,
     suppress_health_check=[HealthCheck.too_slow],
 )
-settings.load_profile("repeatable")
+settings.register_profile(
+    "fuzz",
+    max_examples=3_000,
+    deadline=None,
+    print_blob=True,
+    suppress_health_check=[HealthCheck.too_slow],
+)
+settings.load_profile(os.environ.get("PRIMROSEFORD_TEST_PROFILE", "repeatable"))
 
 
 @pytest.fixture(autouse=True)
--- a/src/primroseford/platform/client.py
+++ b/src/primroseford/platform/client.py
@@ -46,6 +46,8 @@
     Sleep = Callable[[float], Awaitable[None]]
 
 OTHER_PURPOSE = "other"
+MAX_LISTED = 100_000
+"""Objects of one kind that are taken: ten times the runners of the largest fleet."""
 WATCH_WAIT_SECONDS = 2.0
 """Bounds how long a watch on a connection that went silent hides changes."""
 
@@ -77,7 +79,10 @@
         :raises PrimrosefordError: NOT_FOUND, CALLS_LIMITED, or PLATFORM_UNAVAILABLE
         """
         call = Call("GET", f"{kind}/{name}", purpose, priority)
-        return _decode(kind, await self.transport.call(call))
+        found = _decode(kind, await self.transport.call(call))
+        if found.name != name:
+            raise _malformed_answer(kind)
+        return found
 
     async def list(
         self,
@@ -112,14 +117,19 @@
                 page = [decode_object(kind, item) for item in body["items"]]
                 version = version or Version(int(body["as_of"]))
                 more = bool(body["has_more"])
-            except (KeyError, TypeError, ValueError) as error:
+            except (KeyError, TypeError, ValueError, AttributeError) as error:
                 raise _malformed_answer(kind) from error
-            items.update((item.name, item) for item in page)
+            names = [item.name for item in page]
+            # Each page goes on behind the one before, so that a list has an end.
+            if any(name <= after for name in names) or len(items) > MAX_LISTED:
+                raise _malformed_answer(kind)
+            items.update(zip(names, page, strict=True))
             if not more or not page:
                 wanted = (labels or {}).items()
                 selected = (i for i in items.values() if wanted <= i.labels.items())
                 return ObjectList(version, tuple(selected))
-            params = fixed | {"after": page[-1].name}
+            after = max(names)
+            params = fixed | {"after": after}
 
     async def create(
         self,
@@ -297,7 +307,7 @@
 def _decode(kind: str, body: dict[str, Any]) -> PlatformObject:
     try:
         return decode_object(kind, body)
-    except (KeyError, TypeError, ValueError) as error:
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
         raise _malformed_answer(kind) from error
 
 
@@ -316,7 +326,7 @@
                 reached = Version(max(reached, item.version))
                 events.append(WatchEvent(EventType.MODIFIED, item.version, item))
         reached = Version(max(reached, int(body["as_of"])))
-    except (KeyError, TypeError, ValueError) as error:
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
         raise _malformed_answer(kind) from error
     return [*events, WatchEvent(EventType.BOOKMARK, reached, None)]
 
--- a/src/primroseford/platform/objects.py
+++ b/src/primroseford/platform/objects.py
@@ -76,8 +76,11 @@
 
     :param kind: kind of the object
     :param body: decoded JSON
+    :raises Exception: KeyError, TypeError, ValueError or AttributeError if it is none
     """
     metadata = body["metadata"]
+    if not isinstance(metadata["name"], str):
+        raise TypeError("an object has no name")
     spec = body.get("spec")
     own = isinstance(spec, dict) and OPERATION_FIELD in spec and CONTENT_FIELD in spec
     return PlatformObject(
