Let other hosts' suspicions take half of a pool

Cause: with a third, two dark runners of five counted only for the hosts that had found them silent themselves.

--- a/src/primroseford/gateway/places.py
+++ b/src/primroseford/gateway/places.py
@@ -42,9 +42,9 @@
 FULL_SECONDS = 0.1
 """Time for which a runner that refused a request counts as full: about one interval
 of the heartbeats that tell of its load."""
-MAX_SUSPECTED_SHARE = 1 / 3
+MAX_SUSPECTED_SHARE = 1 / 2
 """Part of a pool that may count as failed because other hosts say so: more than what
-fails together in one failure domain or release."""
+fails together in one failure domain or release, also two of five runners."""
 FIRST_EVENT_WEIGHT = 0.1
 """Weight of one request in the running mean of the time to its first event."""
 SERVICE_SECONDS = 0.7
--- a/src/primroseford/gateway/tests/test_decisions.py
+++ b/src/primroseford/gateway/tests/test_decisions.py
@@ -20,6 +20,7 @@
 from primroseford.gateway.placement import expected_wait
 from primroseford.gateway.placement import items_to_pause
 from primroseford.gateway.placement import sample_runners
+from primroseford.gateway.places import Places
 from primroseford.gateway.retry import MAX_REFUSALS
 from primroseford.gateway.retry import Next
 from primroseford.gateway.retry import next_step
@@ -253,3 +254,39 @@
     after = {job: preferred_host(job, ["a", "b"]) for job in jobs}
     assert all(after[j] == before[j] for j in jobs if before[j] != "c")
     assert len(set(before.values())) == 3
+
+
+@pytest.mark.parametrize(
+    ("told", "own", "usable"),
+    [
+        (0, 0, 5),
+        (1, 0, 4),
+        (2, 0, 3),
+        (3, 0, 5),
+        (5, 0, 5),
+        (5, 1, 4),
+        (2, 2, 3),
+        (0, 5, 5),
+    ],
+)
+def test_suspicions_of_others_take_a_part_of_a_pool(clock, told, own, usable):
+    """Guards against a fleet that takes sound, busy runners out all at once.
+
+    :param told: runners that other hosts suspect, from the first on
+    :param own: runners that this host suspects, from the first on
+    """
+    places = Places("a", clock, Random(1))
+    names = [f"i-{number}" for number in range(5)]
+    places.set_runners(
+        {
+            name: RunnerEntry(
+                RunnerKey(name, 1), "models", "x:1", "a", 8, RunnerStage.READY
+            )
+            for name in names
+        }
+    )
+    for name in names[:told]:
+        places.runners[name].suspected_by.add("host-9")
+    for name in names[:own]:
+        places.suspect(places.runners[name])
+    assert len(places.usable("models")) == usable
