--- a/src/primroseford/jobs/peers.py
+++ b/src/primroseford/jobs/peers.py
@@ -8,6 +8,7 @@
 
 import json
 import math
+import re
 from typing import TYPE_CHECKING
 
 import aiohttp
@@ -37,6 +38,7 @@
     from primroseford.jobs.views import JobViews
 
 PATH = "/jobs/"
+NUMBER = re.compile(r"[0-9]{1,9}")
 TIMEOUT_SECONDS = 0.5
 """Time for an answer, which takes a few ms; the store is asked after it."""
 
@@ -149,7 +151,7 @@
         path, _, query = request.raw_path.removeprefix(PATH).partition("?")
         view = views.get(JobId(path))
         number, _, sure = query.removeprefix("after=").partition("&")
-        if view is None or not number.isdigit():
+        if view is None or not NUMBER.fullmatch(number):
             return web.Response(status=404)
         progress = None
         if request.method == "POST":
