Refuse a configuration whose version is no number

Cause: make fuzz found a configuration with version Infinity, which JSON readers take; the OverflowError ended the step of the duty that follows the configuration. Change: one tuple of the errors that decoded JSON of another shape raises, with it, in all decoders of the platform. Before: test_configuration_with_a_version_that_is_none fails for infinity; after: passes.

--- a/src/primroseford/platform/client.py
+++ b/src/primroseford/platform/client.py
@@ -17,6 +17,7 @@
 from primroseford.metrics import Metrics
 from primroseford.platform.limiter import CallLimiter
 from primroseford.platform.limiter import Priority
+from primroseford.platform.objects import DECODING_ERRORS
 from primroseford.platform.objects import EventType
 from primroseford.platform.objects import ObjectList
 from primroseford.platform.objects import PlatformObject
@@ -117,7 +118,7 @@
                 page = [decode_object(kind, item) for item in body["items"]]
                 version = version or Version(int(body["as_of"]))
                 more = bool(body["has_more"])
-            except (KeyError, TypeError, ValueError, AttributeError) as error:
+            except DECODING_ERRORS as error:
                 raise _malformed_answer(kind) from error
             names = [item.name for item in page]
             # Each page goes on behind the one before, so that a list has an end.
@@ -307,7 +308,7 @@
 def _decode(kind: str, body: dict[str, Any]) -> PlatformObject:
     try:
         return decode_object(kind, body)
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except DECODING_ERRORS as error:
         raise _malformed_answer(kind) from error
 
 
@@ -326,7 +327,7 @@
                 reached = Version(max(reached, item.version))
                 events.append(WatchEvent(EventType.MODIFIED, item.version, item))
         reached = Version(max(reached, int(body["as_of"])))
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except DECODING_ERRORS as error:
         raise _malformed_answer(kind) from error
     return [*events, WatchEvent(EventType.BOOKMARK, reached, None)]
 
--- a/src/primroseford/platform/configuration.py
+++ b/src/primroseford/platform/configuration.py
@@ -17,6 +17,7 @@
 from primroseford.ids import PoolName
 from primroseford.ids import RouteName
 from primroseford.ids import Version
+from primroseford.platform.objects import DECODING_ERRORS
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -35,7 +36,7 @@
     """
     try:
         return _decode(spec)
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except DECODING_ERRORS as error:
         raise PrimrosefordError(
             ResultCode.MALFORMED, f"the configuration is not readable: {error!r}"
         ) from error
--- a/src/primroseford/platform/job_calls.py
+++ b/src/primroseford/platform/job_calls.py
@@ -20,6 +20,7 @@
 from primroseford.jobs.state import Item
 from primroseford.jobs.state import ItemId
 from primroseford.platform.headers import WAIT
+from primroseford.platform.objects import DECODING_ERRORS
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -90,7 +91,7 @@
     try:
         listed = json.loads(incoming.body)["items"]
         items = tuple(_item(item) for item in listed)
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
+    except DECODING_ERRORS as error:
         raise PrimrosefordError(
             ResultCode.MALFORMED, f"the job is not readable: {error!r}", field="items"
         ) from error
--- a/src/primroseford/platform/objects.py
+++ b/src/primroseford/platform/objects.py
@@ -9,6 +9,8 @@
 
 from primroseford.ids import Version
 
+DECODING_ERRORS = (KeyError, TypeError, ValueError, AttributeError, OverflowError)
+"""What decoded JSON of another shape raises; infinity is a number in it."""
 OPERATION_FIELD = "operation"
 """Id of the write that produced an object. It lies in the ``spec`` of this project's
 own kinds, since the service keeps no annotations."""
@@ -76,7 +78,7 @@
 
     :param kind: kind of the object
     :param body: decoded JSON
-    :raises Exception: KeyError, TypeError, ValueError or AttributeError if it is none
+    :raises Exception: one of ``DECODING_ERRORS`` if it is none
     """
     metadata = body["metadata"]
     if not isinstance(metadata["name"], str):
--- a/src/primroseford/platform/runner_list.py
+++ b/src/primroseford/platform/runner_list.py
@@ -10,6 +10,7 @@
 from primroseford.ids import FailureDomainId
 from primroseford.ids import PoolName
 from primroseford.ids import RunnerName
+from primroseford.platform.objects import DECODING_ERRORS
 
 if TYPE_CHECKING:
     from primroseford.platform.objects import PlatformObject
@@ -44,5 +45,5 @@
             slots,
             RunnerStage(spec["state"]),
         )
-    except (KeyError, TypeError, ValueError, AttributeError):
+    except DECODING_ERRORS:
         return None
--- a/src/primroseford/platform/tests/test_decoding.py
+++ b/src/primroseford/platform/tests/test_decoding.py
@@ -156,3 +156,13 @@
     assert lines[-1].startswith("event='log lines left out' count=")
     os.close(reader)
     os.close(writer)
+
+
+@pytest.mark.parametrize("version", [float("inf"), float("nan"), None, "x", [1]])
+def test_configuration_with_a_version_that_is_none(version):
+    """Guards against a document that ends the duty to follow the configuration.
+
+    Infinity was found by ``make fuzz``.
+    """
+    with pytest.raises(PrimrosefordError):
+        decode_tables(configuration() | {"version": version})
