Take the time to a first event from first attempts only

Cause: found by reading the diff: for a stream that went to a second runner the time ran from the first attempt, so that failures made the silence that is taken for one longer. Change: only requests with one attempt count.

--- a/src/primroseford/gateway/forward.py
+++ b/src/primroseford/gateway/forward.py
@@ -385,7 +385,7 @@
             if events:
                 silence.heard()
                 runner.last_byte = gateway.clock()
-                if flow.response is None:
+                if flow.response is None and len(flow.runners) == 1:
                     gateway.places.note_first_event(runner, runner.last_byte - sent_at)
             data = events if resumable else chunk
             if data:
