Give hosts of tests ports that the system never picks

A test host asked for its two ports one after the other, each from a socket on port 0 that was closed again, on another address than its own. The peer address had been taken at that point and the ingress too, which fits a readiness server that got the ingress's port; the log does not name the server, so that this is the most likely way and not a proof.

Ruled out: outgoing connections from that address (Linux takes 127.0.0.1 as their source, tried here); sockets in TIME_WAIT (the servers set SO_REUSEADDR); other processes (each has addresses of its own).

Ports are counted up from 10,000 and end below the range from which Linux picks, on addresses that only this process has; the soak uses the same. Tests: no port twice in 10,000, none in the system's range.

Before: not reproduced as a whole test run.

--- a/src/primroseford/gateway/tests/test_follow.py
+++ b/src/primroseford/gateway/tests/test_follow.py
@@ -13,6 +13,7 @@
 from primroseford.ids import Version
 from primroseford.platform.objects import ObjectList
 from primroseford.platform.objects import PlatformObject
+from primroseford.proof.addresses import own_address
 from primroseford.standins.fleet_objects import configuration
 from primroseford.standins.fleet_objects import runner_entry
 
@@ -102,7 +103,7 @@
     view = await rig.add_view()
     rig.platform.faults.down = view.faults.down = True
     port = first.settings.peer_port
-    first.gateway.members.learn("host-1", f"{rig.ip(1)}:{port}", first.clock())
+    first.gateway.members.learn("host-1", f"{own_address(1)}:{port}", first.clock())
     await rig.add_host(platform=view.url)
     restarted = rig.hosts[1].gateway
     assert (await rig.call("/once/whole", "id-1", host=1))[0] == 200
--- a/src/primroseford/proof/site.py
+++ b/src/primroseford/proof/site.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import os
-import socket
 from dataclasses import dataclass
 from dataclasses import field
 from typing import TYPE_CHECKING
@@ -16,6 +14,8 @@
 from primroseford.ids import HostId
 from primroseford.platform.headers import DEADLINE
 from primroseford.platform.settings import NodeSettings
+from primroseford.proof.addresses import next_ports
+from primroseford.proof.addresses import own_address
 from primroseford.standins.fleet_objects import HOST
 from primroseford.standins.fleet_objects import KEY
 from primroseford.standins.fleet_objects import runner_entry
@@ -32,14 +32,7 @@
 
 WAIT_SECONDS = 20.0
 HOST_PORTS = 2
-"""Ports that hosts use among themselves, from their first one on."""
-
-
-def free_port() -> int:
-    """Return a port that nothing uses at present."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+"""Successive ports that hosts use among themselves, the second one for bundles."""
 
 
 @dataclass
@@ -86,35 +79,19 @@
         self.views.append(served)
         return view
 
-    def other_port(self) -> int:
-        """Return a free port that is none of the hosts' own range."""
-        while True:
-            port = free_port()
-            if not self.port <= port <= self.port + HOST_PORTS:
-                return port
-
-    def ip(self, number: int) -> str:
-        """Return the address of a host by its number.
-
-        Each process has loopback addresses of its own, so that the ports of tests that
-        run beside each other cannot collide.
-        """
-        high, low = divmod(os.getpid() % 62_500, 250)
-        return f"127.{high + 1}.{low}.{number + 2}"
-
     async def add_host(self, settled: bool = True, platform: str = "") -> Host:
         """Start a host and wait until it may serve.
 
         :param platform: base URL of the store for this host, if it has its own
         """
-        self.port = self.port or free_port()
-        ip = self.ip(len(self.hosts))
+        self.port = self.port or next_ports(HOST_PORTS)
+        ip = own_address(len(self.hosts))
         settings = NodeSettings(
             host=HostId(f"host-{len(self.hosts)}"),
             failure_domain=FailureDomainId("a"),
             ip=ip,
-            ingress=f"{ip}:{self.other_port()}",
-            readiness=f"{ip}:{self.other_port()}",
+            ingress=f"{ip}:{next_ports()}",
+            readiness=f"{ip}:{next_ports()}",
             peer_port=self.port,
             platform=platform or self.platform.url,
             stop_seconds=8.0,
--- /dev/null
+++ b/src/primroseford/proof/tests/test_addresses.py
@@ -0,0 +1,43 @@
+"""Addresses and ports of hosts in tests."""
+
+from __future__ import annotations
+
+import socket
+from pathlib import Path
+
+from primroseford.proof.addresses import FIRST_PORT
+from primroseford.proof.addresses import PORTS
+from primroseford.proof.addresses import next_ports
+from primroseford.proof.addresses import own_address
+
+EPHEMERAL = Path("/proc/sys/net/ipv4/ip_local_port_range")
+
+
+def test_ports_do_not_repeat():
+    """Guards against a host whose two servers are given the same port."""
+    taken = []
+    for count in (1, 1, 3) * 2_000:
+        first = next_ports(count)
+        taken += range(first, first + count)
+    assert len(set(taken)) == len(taken)
+    assert FIRST_PORT <= min(taken)
+    assert max(taken) < FIRST_PORT + PORTS
+
+
+def test_the_system_does_not_pick_the_same_ports():
+    """Guards against a port that an outgoing connection has at the same moment."""
+    if EPHEMERAL.exists():
+        first = int(EPHEMERAL.read_text().split()[0])
+    else:
+        with socket.create_server(("127.0.0.1", 0)) as server:
+            first = server.getsockname()[1]
+    assert first >= FIRST_PORT + PORTS
+
+
+def test_addresses_are_this_hosts_own():
+    """Guards against addresses that are no loopback addresses, or the same twice."""
+    addresses = [own_address(number) for number in range(60)]
+    assert len(set(addresses)) == 60
+    for address in addresses:
+        with socket.create_server((address, next_ports())):
+            pass
--- a/src/primroseford/soak/fleet.py
+++ b/src/primroseford/soak/fleet.py
@@ -10,7 +10,9 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
-from primroseford.proof.site import free_port
+from primroseford.proof.addresses import next_ports
+from primroseford.proof.addresses import own_address
+from primroseford.proof.site import HOST_PORTS
 from primroseford.soak.plan import FaultKind
 from primroseford.soak.plan import LinkFault
 from primroseford.soak.processes import HostProcess
@@ -120,18 +122,18 @@
             await proxy.start()
             self.runners.append(runner)
             self._register(runner)
-        port = free_port()
+        port = next_ports(HOST_PORTS)
         for number in range(hosts):
             link = Proxy((store[0], int(store[1])))
             await link.start()
             self.store_links.append(link)
             host = HostProcess(
                 f"host-{number}",
-                f"127.0.0.{number + 2}",
+                own_address(number),
                 link.address,
                 self.folder,
-                free_port(),
-                free_port(),
+                next_ports(),
+                next_ports(),
                 port,
             )
             self.hosts.append(host)
