Let watches of the runner list wait as long as those of the configuration

Cause: every host ended its watch of the runner list every 5 s, since only the end of a call showed it whether the platform is away, which decides on runners that vanish with an outage.

Now both kinds are watched alike: short calls by the host that confirms, up to 29 s by the others, ended by heartbeats that tell of a newer version. An outage that no own call has shown is taken from the fleet's last word on the configuration, which is told in every heartbeat and is at most a second old while the platform answers: 2 s without it are an outage, also when the first word after it is a step of the runner list.

Ruled out: longer waits alone (a runner whose entry lapsed in an outage that a waiting call slept through would be dropped, though it lives; the new tests show it).

--- a/src/primroseford/gateway/follow.py
+++ b/src/primroseford/gateway/follow.py
@@ -41,8 +41,7 @@
 """Longest pause between two tries to follow: a configuration must be in force within
 seconds of the platform's return."""
 WATCH_SECONDS = 5.0
-"""Wait of one watch call for the runner list, and for the configuration in a small
-fleet. Its end shows whether the platform is away, which decides on removed runners."""
+"""Wait of one watch call in a small fleet."""
 LONGEST_WATCH_SECONDS = 29.0
 """Longest wait of one watch call; the platform allows 30 s."""
 FLEET_WATCH_SECONDS = 0.6
@@ -67,6 +66,9 @@
 platform that works takes some ms, and heartbeats come every 0.3 s."""
 EXPIRE_SECONDS = 0.2
 """Time between two looks for runners whose time to return is over."""
+OUTAGE_SECONDS = 2.0
+"""Age of the fleet's last word of the platform from which it counts as away: a few of
+the confirming host's watch calls, and the heartbeats that tell of them."""
 
 log = structlog.get_logger()
 
@@ -92,7 +94,7 @@
             clock=gateway.clock,
             on_contact=self.tables_contact,
             backoff_max=BACKOFF_SECONDS,
-            watch_seconds=self.configuration_wait,
+            watch_seconds=self.watch_wait,
         )
         self.runners = create_reflector(
             client,
@@ -102,15 +104,16 @@
             clock=gateway.clock,
             on_contact=self.runners_contact,
             backoff_max=BACKOFF_SECONDS,
-            watch_seconds=lambda: WATCH_SECONDS,
+            watch_seconds=self.watch_wait,
             pause_seconds=self.runner_pause,
         )
 
         self.confirming = False
+        self.silent = False
         gateway.on_heartbeat = self.compare_versions
 
-    def configuration_wait(self) -> float:
-        """Return how long the next watch call waits for a configuration, in seconds."""
+    def watch_wait(self) -> float:
+        """Return how long the next watch call waits for a change, in seconds."""
         gateway = self.gateway
         hosts = len(gateway.members.hosts(gateway.clock()))
         self.confirming = self.is_confirming()
@@ -127,9 +130,11 @@
         if self.confirming or not self.is_confirming():
             return
         self.confirming = True
-        # The first call notes the time since which the watch is taken to hide changes.
-        self.tables.list_again(0.0)
-        self.tables.list_again(0.0)
+        for reflector in (self.tables, self.runners):
+            # The first call notes the time since which the watch is taken to hide
+            # changes.
+            reflector.list_again(0.0)
+            reflector.list_again(0.0)
 
     def runner_pause(self) -> float:
         """Return the pause after changes of the runner list, in seconds."""
@@ -174,6 +179,18 @@
                 "platform not reachable", runners=len(self.runners.view.objects)
             )
 
+    def note_silence(self) -> None:
+        """Note a return of the platform that no own call has shown.
+
+        A watch call of a large fleet can wait longer than an outage lasts.
+        """
+        gateway = self.gateway
+        now = gateway.clock()
+        silent = now - gateway.confirmed_at > OUTAGE_SECONDS
+        if self.silent and not silent:
+            gateway.runner_list.platform_returned(now)
+        self.silent = silent
+
     def take_tables(self, delta: Delta) -> None:
         """Put a new configuration in force."""
         gateway = self.gateway
@@ -220,6 +237,10 @@
                 revision=delta.version,
             )
         gateway = self.gateway
+        if gateway.clock() - gateway.confirmed_at > OUTAGE_SECONDS:
+            # The first word of the platform after an outage: entries that vanished with
+            # it may be those of live runners.
+            gateway.runner_list.platform_returned(gateway.clock())
         versions = [event.object.version for event in delta.events if event.object]
         gateway.runner_list_version = max(versions + [gateway.runner_list_version])
         gateway.runner_list.update(present, removed, gateway.clock())
@@ -251,11 +272,12 @@
 
     @Service.task
     async def expire_runners(self) -> None:
-        """Drop runners that did not return after an outage, and look for duties."""
+        """Drop runners that did not return; look for duties and outages."""
         await repeat(self, lambda: EXPIRE_SECONDS, self._expire)
 
     def _expire(self) -> None:
         self.take_duty()
+        self.note_silence()
         gone = self.gateway.runner_list.expire(self.gateway.clock())
         if gone:
             log.info("runners did not return", runners=gone)
--- a/src/primroseford/gateway/tests/test_follow.py
+++ b/src/primroseford/gateway/tests/test_follow.py
@@ -5,18 +5,52 @@
 
 import pytest
 
+from primroseford.clock import ManualClock
 from primroseford.gateway.follow import FLEET_WATCH_SECONDS
 from primroseford.gateway.follow import PEERS_SECONDS
 from primroseford.gateway.follow import Followers
 from primroseford.gateway.follow import choose_watch_wait
+from primroseford.gateway.members import Members
+from primroseford.gateway.places import Places
+from primroseford.gateway.runners import RunnerEntry
+from primroseford.gateway.runners import RunnerKey
+from primroseford.gateway.runners import RunnerStage
+from primroseford.gateway.state import Gateway
+from primroseford.gateway.state import GatewayMetrics
 from primroseford.gateway.tests.test_forwarding import duty
 from primroseford.ids import Version
+from primroseford.metrics import Metrics
+from primroseford.platform.objects import EventType
 from primroseford.platform.objects import ObjectList
 from primroseford.platform.objects import PlatformObject
+from primroseford.platform.objects import WatchEvent
+from primroseford.platform.runner_list import RUNNER_KIND
+from primroseford.platform.view import Delta
 from primroseford.proof.addresses import own_address
 from primroseford.standins.fleet_objects import configuration
 from primroseford.standins.fleet_objects import runner_entry
 
+ENTRY = RunnerEntry(RunnerKey("x", 1), "p", "127.0.0.1:9", "a", 8, RunnerStage.READY)
+VERSION = Version(9)
+
+
+def fleet_followers(hosts: int) -> Followers:
+    """Return the followers of one of many hosts, another of which has the duty."""
+    clock, random = ManualClock(100.0), Random(5)
+    members = Members("host-0")
+    members.hosts = lambda _: [f"host-{number}" for number in range(hosts)]
+    gateway = Gateway(
+        members,
+        Places("a", clock, random),
+        None,
+        clock,
+        random,
+        GatewayMetrics(Metrics()),
+    )
+    followers = Followers(gateway, None, None)
+    followers.is_confirming = lambda: False
+    return followers
+
 
 @pytest.mark.parametrize("kind", ["config", "servers"])
 async def test_change_that_a_silent_watch_hides(rig, kind):
@@ -94,6 +128,49 @@
     assert followers.confirming
 
 
+@pytest.mark.parametrize("kind", ["config", "servers"])
+def test_every_kind_is_watched_by_calls_of_the_same_length(kind):
+    """Guards against a price of the runner list that grows with the fleet."""
+    followers = fleet_followers(165)
+    reflectors = {r.kind: r for r in (followers.tables, followers.runners)}
+    waits = [reflectors[kind].watch_seconds() for _ in range(50)]
+    assert min(waits) >= 14.5
+
+
+@pytest.mark.parametrize(
+    ("away_seconds", "kept"),
+    [(0.0, False), (1.0, False), (3.0, True), (20.0, True)],
+)
+def test_runner_that_vanished_in_an_outage_the_own_watch_did_not_show(
+    away_seconds, kept
+):
+    """Guards against live runners that are dropped since the own watch waited on."""
+    followers = fleet_followers(165)
+    gateway = followers.gateway
+    gateway.confirmed_at = gateway.clock()
+    gateway.runner_list.update([ENTRY], (), gateway.clock())
+    gateway.clock.advance(away_seconds)
+    followers.note_silence()
+    gateway.confirmed_at = gateway.clock()
+    followers.note_silence()
+    gateway.runner_list.update((), ["x"], gateway.clock())
+    assert ("x" in gateway.runner_list.entries) is kept
+
+
+@pytest.mark.parametrize(("away_seconds", "kept"), [(0.3, False), (3.0, True)])
+def test_runner_list_that_is_the_first_word_after_an_outage(away_seconds, kept):
+    """Guards against live runners that are dropped before the outage is known."""
+    followers = fleet_followers(165)
+    gateway = followers.gateway
+    gateway.confirmed_at = gateway.clock()
+    gateway.runner_list.update([ENTRY], (), gateway.clock())
+    gateway.clock.advance(away_seconds)
+    gone = PlatformObject(RUNNER_KIND, "x", VERSION, runner_entry("127.0.0.1:9"))
+    event = WatchEvent(EventType.DELETED, VERSION, gone)
+    followers.take_runners(Delta(VERSION, (event,)))
+    assert ("x" in gateway.runner_list.entries) is kept
+
+
 async def test_host_that_starts_while_the_platform_is_away_serves(rig):
     """Guards against a restart in an outage after which a host serves nothing.
 
