Go on with a stream only behind an event with an id; hostile runners in the soak

The host asked the next runner for the stream after the last id, which there was none of, and passed its whole stream on behind the events that the caller had: an answer of two runs that looks complete. Batch items did the same with the data of events behind the last id.

Now a stream goes on elsewhere only if no data came behind its last id, else it is cut; a batch item drops what came behind it before its next run, and tells other hosts only of the events before it. The hosts' own interface follows the same rule.

The soak turns runners hostile for a while (12 harms without a whole answer), by random numbers of their own, so that the other faults of a seed stay as they were.

Ruled out: the runner's ids going backwards (the events had none).

Tests that fail before and need no bench: the table of resume points, a stream and a batch item over two runners without ids. After: those, and all of online, jobs, gateway and soak pass.

--- a/src/primroseford/gateway/forward.py
+++ b/src/primroseford/gateway/forward.py
@@ -222,10 +222,9 @@
     flow.runs += may_have_run
     flow.refusals += not may_have_run
     flow.tried.add(runner.entry.key)
-    step = next_step(
-        flow.route, flow.runs, flow.refusals, may_have_run, flow.response is not None
-    )
-    if gateway.clock() >= flow.deadline:
+    begun = flow.response is not None
+    step = next_step(flow.route, flow.runs, flow.refusals, may_have_run, begun)
+    if gateway.clock() >= flow.deadline or begun and not flow.splitter.can_resume():
         step = Next.FAIL
     log.info(
         "attempt failed",
--- a/src/primroseford/jobs/run.py
+++ b/src/primroseford/jobs/run.py
@@ -69,7 +69,8 @@
 
     :param failures: runs that ended with a runner's own failure
     :param data: data of the events so far
-    :param last_event: id of the last whole event
+    :param last_event: id of the last whole event that has one
+    :param resumable: number of events up to it, behind which a further run goes on
     :param not_before: local time before which it is not tried again, in seconds
     :param started_at: local time of the start of its run
     :param events_before: events that it had then
@@ -82,6 +83,7 @@
     failures: int = 0
     data: list[str] = field(default_factory=list)
     last_event: str | None = None
+    resumable: int = 0
     not_before: float = float("-inf")
     tried: set[RunnerKey] = field(default_factory=set)
     task: asyncio.Task | None = None
@@ -101,7 +103,11 @@
                 continue
             self.data.append(lines)
             if number is not None:
-                self.last_event = number
+                self.last_event, self.resumable = number, len(self.data)
+
+    def go_on(self) -> None:
+        """Drop the events that the next run sends again."""
+        del self.data[self.resumable :]
 
 
 @dataclass(eq=False)
@@ -131,7 +137,9 @@
     def progress(self) -> dict[ItemId, Progress]:
         """Return how far the items are that have begun."""
         return {
-            item.item.id: Progress(list(item.data), item.last_event, item.failures)
+            item.item.id: Progress(
+                item.data[: item.resumable], item.last_event, item.failures
+            )
             for item in [*self.waiting, *self.running]
             if item.data or item.failures
         }
--- a/src/primroseford/jobs/scheduler.py
+++ b/src/primroseford/jobs/scheduler.py
@@ -116,6 +116,7 @@
             done = (progress or {}).get(item.item.id)
             if done is not None:
                 item.data, item.last_event = list(done.data), done.last_event
+                item.resumable = len(item.data)
                 item.failures = done.failures
         run = self.runs[job.id] = JobRun(view, waiting)
         run.checkpoint_at = self.gateway.clock()
@@ -267,6 +268,7 @@
             self.pace.started(pool)
             run.waiting.remove(item)
             run.running.add(item)
+            item.go_on()
             item.started_at, item.events_before = now, len(item.data)
             until = now + max(1.0, self.give_up_at(item, route) - time.time())
             item.task = asyncio.create_task(
--- a/src/primroseford/jobs/tests/test_jobs.py
+++ b/src/primroseford/jobs/tests/test_jobs.py
@@ -313,6 +313,20 @@
     assert {result["text"] for result in results} == {TEXT}
 
 
+async def test_events_without_ids_are_not_listed_twice(rig):
+    """Guards against a run that goes on behind events it is not asked to go on after.
+
+    Seen in the soak with a hostile runner, seed 721: events without ids, a break, and
+    the whole stream of the next runner behind them.
+    """
+    for runner in rig.runners:
+        runner.faults.plain = True
+        runner.faults.cut_after, runner.faults.cuts = 2, 1
+    assert await submit(rig, "job1", count=2) == 202
+    results = await read_all(rig, "job1")
+    assert {result["text"] for result in results} == {TEXT}
+
+
 async def test_paused_item_resumes_after_its_last_event(rig):
     """Guards against a pause that loses or repeats events."""
     for runner in rig.runners:
--- a/src/primroseford/online/events.py
+++ b/src/primroseford/online/events.py
@@ -13,6 +13,8 @@
 
 END_MARK = b"data: [DONE]"
 EVENT_ID = re.compile(rb"^id: ?([^\r\n]*)\r?$", re.MULTILINE)
+EVENT_DATA = re.compile(rb"^data:", re.MULTILINE)
+EVENT_END = re.compile(rb"\r?\n\r?\n")
 MAX_EVENT_BYTES = 4 * 1024 * 1024
 
 
@@ -22,12 +24,15 @@
     A stream can be resumed after any event, so a partial one is never passed on.
 
     :param max_event_bytes: longest event
+    :ivar last_with_id: the last block of whole events in which one has an id
+    :ivar after_id: whether blocks with data and without any id came after it
     """
 
     def __init__(self, max_event_bytes: int = MAX_EVENT_BYTES) -> None:
         self.max_event_bytes = max_event_bytes
         self.pending = b""
         self.last_with_id = b""
+        self.after_id = False
         self.ended = False
 
     def feed(self, chunk: bytes) -> bytes:
@@ -47,6 +52,9 @@
         if complete:
             if complete.startswith(b"id:") or b"\nid:" in complete:
                 self.last_with_id = complete
+                self.after_id = False
+            elif EVENT_DATA.search(complete):
+                self.after_id = True
             if complete.rstrip().endswith(END_MARK):
                 self.ended = True
         return complete
@@ -60,6 +68,20 @@
         found = EVENT_ID.findall(self.last_with_id)
         return found[-1].decode() if found else None
 
+    def can_resume(self) -> bool:
+        """Return whether a run after the last id sends nothing a second time.
+
+        That is so unless data came after it, or without any id.
+        """
+        if self.after_id:
+            return False
+        for event in reversed(EVENT_END.split(self.last_with_id)):
+            if EVENT_ID.search(event):
+                return True
+            if EVENT_DATA.search(event):
+                return False
+        return True
+
 
 def _end_of_events(data: bytes) -> int:
     end = data.rfind(b"\n\n") + 2
--- a/src/primroseford/online/relay.py
+++ b/src/primroseford/online/relay.py
@@ -210,7 +210,8 @@
         max(0.001, flow.deadline - state.clock()),
         requires_echo=True,
     )
-    if last is None and flow.entry.response is not None:
+    begun = flow.entry.response is not None
+    if begun and (last is None or not splitter.can_resume()):
         raise _truncated(attempt)
     try:
         answer = await open_exchange(state.session, again, Attempt())
--- a/src/primroseford/online/tests/test_queueing.py
+++ b/src/primroseford/online/tests/test_queueing.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -74,6 +75,31 @@
         assert ahead == next(n for n in range(999) if copy.pop() == "new")
 
 
+@pytest.mark.parametrize(
+    ("blocks", "expected"),
+    [
+        ([], True),
+        ([b": ping\n\n"], True),
+        ([b"data: x\n\n"], False),
+        ([b"id: 1\ndata: x\n\n"], True),
+        ([b"data: x\nid: 1\n\n"], True),
+        ([b"id: 1\ndata: x\n\n: ping\n\n"], True),
+        ([b"id: 1\ndata: x\n\n", b": ping\n\n"], True),
+        ([b"id: 1\ndata: x\n\ndata: y\n\n"], False),
+        ([b"id: 1\r\ndata: x\r\n\r\ndata: y\r\n\r\n"], False),
+        ([b"id: 1\ndata: x\n\n", b"data: y\n\n"], False),
+        ([b"id: 1\ndata: x\n\n", b"data: y\n\n", b"id: 3\ndata: z\n\n"], True),
+        ([b"data: x\n\n", b"id: 2\ndata: y\n\nda"], True),
+    ],
+)
+def test_streams_resume_only_after_an_event_with_an_id(blocks, expected):
+    """Guards against events that a resumed run sends a second time."""
+    splitter = EventSplitter()
+    for block in blocks:
+        splitter.feed(block)
+    assert splitter.can_resume() is expected
+
+
 EVENTS = st.lists(st.sampled_from(["a", 'x\\nid: 9"', "id: 7", ""]), max_size=6)
 
 
--- a/src/primroseford/soak/checks.py
+++ b/src/primroseford/soak/checks.py
@@ -24,7 +24,6 @@
     from primroseford.soak.callers import Sent
     from primroseford.soak.fleet import SoakFleet
     from primroseford.soak.plan import PlannedFault
-    from primroseford.standins.fleet_runner import Received
 
 # The bounds are those of the sites' files.
 CONTACT_SECONDS = 4.0
@@ -69,15 +68,26 @@
     callers: Callers
     spans: list[Span] = field(default_factory=list)
 
-    def runs(self) -> dict[str, list[tuple[str, Received]]]:
-        """Return (runner, request) by request id, in no order."""
+    def runs(self) -> dict[str, list[tuple[str, float]]]:
+        """Return (runner, local time in seconds) by request id, in no order.
+
+        What a hostile runner got may have run there.
+        """
         found = defaultdict(list)
         for runner in self.fleet.runners:
             for life in runner.runs:
                 for received in life.received:
-                    found[received.request_id].append((runner.name, received))
+                    found[received.request_id].append((runner.name, received.at))
+            for life in runner.hostile:
+                for request_id, at in life.arrivals:
+                    found[request_id].append((runner.name, at))
         return found
 
+    def harmed(self) -> set[str]:
+        """Return the ids of the requests that a hostile runner got."""
+        lives = [life for runner in self.fleet.runners for life in runner.hostile]
+        return {request_id for life in lives for request_id, _ in life.arrivals}
+
     def struck(
         self, begin: float, end: float, counts: Callable[[PlannedFault], bool]
     ) -> bool:
@@ -115,7 +125,7 @@
 def check_answers(record: Record) -> list[str]:
     """Return answers that are not the runner's, or look complete and are not."""
     problems = []
-    runs = record.runs()
+    runs, harmed = record.runs(), record.harmed()
     for sent in record.callers.sent:
         if sent.status and sent.answer_id != sent.id:
             problems.append(f"{_name(sent)} has the id {sent.answer_id!r}")
@@ -128,7 +138,8 @@
             # A runner that breaks off inside an event has sent a part of it.
             events = sent.body.removesuffix(BROKEN_EVENT)
             whole = sent.body == WHOLE_STREAM
-            good = whole if sent.complete else WHOLE_STREAM.startswith(events)
+            begun = WHOLE_STREAM.startswith(events) or sent.id in harmed
+            good = whole if sent.complete else begun
         else:
             good = not sent.complete or sent.body.decode() in names
         if not good:
@@ -217,7 +228,7 @@
     for job in record.callers.jobs:
         problems += [f"{job.id}: {problem}" for problem in job.problems]
         names = [f"{job.id}.{number}" for number in range(JOB_ITEMS)]
-        ran = [received for name in names for _, received in runs[name]]
+        ran = [at for name in names for _, at in runs[name]]
         refused = job.statuses and set(job.statuses) <= set(NOT_RUN_STATUSES)
         if refused and ran:
             problems.append(f"{job.id} was refused and ran")
@@ -226,9 +237,9 @@
             problems.append(f"{job.id} lists {listed}")
         wrong = [r for r in job.listed if r["text"] != WHOLE_TEXT]
         if job.ended_at:
-            late = [r for r in ran if r.at > job.ended_at + CANCEL_SECONDS]
+            late = [at for at in ran if at > job.ended_at + CANCEL_SECONDS]
             calm_since = job.ended_at - CONTACT_SECONDS
-            if late and not record.struck(calm_since, late[-1].at, lambda _: True):
+            if late and not record.struck(calm_since, late[-1], lambda _: True):
                 problems.append(f"{job.id} ran {len(late)} items after its end")
         elif job.accepted and (wrong or len(listed) < JOB_ITEMS):
             problems.append(f"{job.id} has {len(listed)} results, wrong: {wrong}")
--- a/src/primroseford/soak/fleet.py
+++ b/src/primroseford/soak/fleet.py
@@ -22,6 +22,7 @@
 from primroseford.standins.fleet_objects import runner_entry
 from primroseford.standins.fleet_runner import FleetRunner
 from primroseford.standins.fleet_runner import create_runner_server
+from primroseford.standins.hostile_runner import HostileRunner
 from primroseford.standins.platform import create_platform_application
 from primroseford.standins.platform import create_platform_stand_in
 from primroseford.standins.serving import serve
@@ -30,6 +31,7 @@
     from pathlib import Path
 
     from primroseford.soak.plan import PlannedFault
+    from primroseford.standins.hostile_runner import Harm
     from primroseford.standins.platform import PlatformStandIn
     from primroseford.standins.serving import Served
 
@@ -64,12 +66,17 @@
     """A runner behind a proxy.
 
     :ivar runs: the runner and those that had its place before it crashed
+    :ivar hostile: the runners that had its place for a while and harmed their callers
+    :ivar address: where the runner itself listens
     """
 
     name: str
     proxy: Proxy
     server: asyncio.Server | None = None
     runs: list[FleetRunner] = field(default_factory=list)
+    hostile: list[HostileRunner] = field(default_factory=list)
+    hostile_server: asyncio.Server | None = None
+    address: tuple[str, int] = ("", 0)
 
     async def start(self) -> None:
         """Start the runner anew."""
@@ -79,7 +86,22 @@
         self.server = await loop.create_server(
             create_runner_server(runner), "127.0.0.1", 0
         )
-        self.proxy.target = self.server.sockets[0].getsockname()
+        self.address = self.proxy.target = self.server.sockets[0].getsockname()
+
+    async def turn_hostile(self, harm: Harm) -> None:
+        """Let a hostile runner answer in place of this one."""
+        self.turn_sound()
+        runner = HostileRunner(self.name, harm)
+        self.hostile.append(runner)
+        self.hostile_server = await asyncio.start_server(runner.handle, "127.0.0.1", 0)
+        self.proxy.target = self.hostile_server.sockets[0].getsockname()
+
+    def turn_sound(self) -> None:
+        """Let this runner answer again."""
+        if self.hostile_server is not None:
+            self.hostile_server.close()
+            self.hostile_server = None
+        self.proxy.target = self.address
 
 
 @dataclass(eq=False)
@@ -169,6 +191,8 @@
                 self.runners[fault.target].server.close()
         elif kind is FaultKind.RUNNER_DRAINED:
             self._register(self.runners[fault.target], state="draining")
+        elif kind is FaultKind.RUNNER_HOSTILE:
+            await self.runners[fault.target].turn_hostile(fault.harm)
         elif kind in (FaultKind.CONFIGURATION, FaultKind.KEY_WITHDRAWN):
             self._change(kind)
         else:
@@ -194,6 +218,8 @@
             self._register(runner)
         elif kind is FaultKind.RUNNER_DRAINED:
             self._register(self.runners[fault.target])
+        elif kind is FaultKind.RUNNER_HOSTILE:
+            self.runners[fault.target].turn_sound()
         elif kind is FaultKind.HOST_PAUSE:
             self.hosts[fault.target].resume()
         elif kind in (FaultKind.HOST_STOP, FaultKind.HOST_KILL):
@@ -207,6 +233,7 @@
             link.set_fault(LinkFault.NONE)
         for runner in self.runners:
             runner.proxy.set_fault(LinkFault.NONE)
+            runner.turn_sound()
             for name, _, value in RUNNER_FAULTS.values():
                 setattr(runner.runs[-1].faults, name, value)
         for host in self.hosts:
@@ -221,6 +248,7 @@
         for proxy in [*self.store_links, *(r.proxy for r in self.runners)]:
             await proxy.stop()
         for runner in self.runners:
+            runner.turn_sound()
             runner.server.close()
         if self.served is not None:
             await self.served.stop()
--- a/src/primroseford/soak/plan.py
+++ b/src/primroseford/soak/plan.py
@@ -6,12 +6,16 @@
 from enum import Enum
 from random import Random
 
+from primroseford.standins.hostile_runner import Harm
+
 MEAN_GAP_SECONDS = 0.7
 """Mean time between two faults: with durations of up to 4 s several overlap."""
 DURATION_SECONDS = (0.2, 4.0)
 """Shortest and longest fault: below and above every time-out of a host but the stop."""
 SERIES_SHARE = 0.25
 """Share of the faults that strike the target of the one before again."""
+HOSTILE_GAP_SECONDS = 5.0
+"""Mean time between two runners that turn hostile: one of four most of the time."""
 CALM_SECONDS = 1.0
 """Time without faults at the start of a run, so that there is something to break."""
 
@@ -40,6 +44,7 @@
     RUNNER_UNSIGNED = "runner_unsigned"
     RUNNER_CRASH = "runner_crash"
     RUNNER_DRAINED = "runner_drained"
+    RUNNER_HOSTILE = "runner_hostile"
     CONFIGURATION = "configuration"
     KEY_WITHDRAWN = "key_withdrawn"
 
@@ -57,6 +62,20 @@
 
 LINK_KINDS = (FaultKind.STORE_LINK, FaultKind.RUNNER_LINK)
 RUNNER_KINDS = tuple(kind for kind in FaultKind if kind.name.startswith("RUNNER_"))
+HOSTILE_HARMS = tuple(
+    harm
+    for harm in Harm
+    if harm
+    not in (
+        Harm.CLOSE_WITHOUT_LENGTH,
+        Harm.EVENT_ENDS_EARLY,
+        Harm.SURPLUS,
+        Harm.SECOND_ANSWER,
+        Harm.SLOW,
+    )
+)
+"""Harms without a whole answer: what reaches a caller as complete then came from a
+sound runner. An event that ends early is a whole answer on a route without events."""
 BAD_LINKS = tuple(fault for fault in LinkFault if fault is not LinkFault.NONE)
 
 
@@ -68,6 +87,7 @@
     :param duration: seconds until it ends; without meaning for what has no end
     :param target: number of the host or runner
     :param link: what happens to the link, if the fault is one of a link
+    :param harm: what a hostile runner sends
     """
 
     at: float
@@ -75,6 +95,7 @@
     kind: FaultKind
     target: int
     link: LinkFault = LinkFault.NONE
+    harm: Harm | None = None
 
 
 def create_plan(
@@ -85,7 +106,7 @@
     :param seconds: time in which faults begin
     """
     random = Random(seed)
-    kinds = list(FaultKind)
+    kinds = [kind for kind in FaultKind if kind is not FaultKind.RUNNER_HOSTILE]
     plan: list[PlannedFault] = []
     at = CALM_SECONDS
     while at < seconds:
@@ -98,4 +119,23 @@
         duration = random.uniform(*DURATION_SECONDS)
         plan.append(PlannedFault(at, duration, kind, target, link))
         at += random.expovariate(1 / MEAN_GAP_SECONDS)
+    plan += _plan_hostile(seed, seconds, runners)
+    return sorted(plan, key=lambda fault: fault.at)
+
+
+def _plan_hostile(seed: int, seconds: float, runners: int) -> list[PlannedFault]:
+    """Return when runners turn hostile.
+
+    It has random numbers of its own, so that the other faults of a seed are those of
+    the time before there were hostile runners.
+    """
+    random = Random(f"hostile {seed}")
+    plan: list[PlannedFault] = []
+    at = CALM_SECONDS + random.expovariate(1 / HOSTILE_GAP_SECONDS)
+    while at < seconds:
+        duration = random.uniform(*DURATION_SECONDS)
+        target, harm = random.randrange(runners), random.choice(HOSTILE_HARMS)
+        kind = FaultKind.RUNNER_HOSTILE
+        plan.append(PlannedFault(at, duration, kind, target, LinkFault.NONE, harm))
+        at += random.expovariate(1 / HOSTILE_GAP_SECONDS)
     return plan
--- a/src/primroseford/soak/proxy.py
+++ b/src/primroseford/soak/proxy.py
@@ -7,6 +7,7 @@
 from dataclasses import field
 
 from primroseford.soak.plan import LinkFault
+from primroseford.standins.sockets import reset_on_close
 
 CHUNK_BYTES = 65_536
 DELAY_SECONDS = 0.15
@@ -49,7 +50,7 @@
     def reset(self) -> None:
         """Reset all connections."""
         for writer in list(self.writers):
-            writer.transport.abort()
+            _reset(writer)
 
     async def stop(self) -> None:
         """End all connections and stop listening."""
@@ -64,13 +65,13 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         if self.fault is LinkFault.RESET:
-            writer.transport.abort()
+            _reset(writer)
             return
         try:
             server_reader, server_writer = await asyncio.open_connection(*self.target)
         except OSError:
             # Looks to the client like the server's own refusal.
-            writer.transport.abort()
+            _reset(writer)
             return
         pumps = [
             asyncio.create_task(self._pump(reader, server_writer, HELD_TO_SERVER)),
@@ -102,8 +103,15 @@
             writer.write_eof()
         except OSError:
             # One end is reset; the other must notice too.
-            writer.transport.abort()
+            _reset(writer)
 
     async def _wait_until_open(self, held: tuple[LinkFault, ...]) -> None:
         while self.fault in held:  # noqa: ASYNC110
             await asyncio.sleep(POLL_SECONDS)
+
+
+def _reset(writer: asyncio.StreamWriter) -> None:
+    """End a connection so that its peer gets a reset."""
+    if not writer.transport.is_closing():
+        reset_on_close(writer)
+    writer.transport.abort()
--- a/src/primroseford/soak/run.py
+++ b/src/primroseford/soak/run.py
@@ -125,6 +125,7 @@
         "kind": fault.kind.value,
         "target": fault.target,
         "link": fault.link.value,
+        "harm": fault.harm.value if fault.harm else None,
     }
 
 
--- a/src/primroseford/standins/fleet_runner.py
+++ b/src/primroseford/standins/fleet_runner.py
@@ -26,6 +26,7 @@
     :param silent: take requests and never answer
     :param wrong_id: answer with the id of another request
     :param unsigned: leave the signature out
+    :param plain: send events without ids
     :param other_runner: name of the runner that has the address now
     """
 
@@ -36,6 +37,7 @@
     silent: bool = False
     wrong_id: bool = False
     unsigned: bool = False
+    plain: bool = False
     other_runner: str = ""
 
 
@@ -126,7 +128,7 @@
                 await response.write(BROKEN_EVENT)
                 request.transport.close()
                 return response
-            await response.write(event(number))
+            await response.write(plain_event(number) if faults.plain else event(number))
             await asyncio.sleep(self.event_seconds)
         await response.write_eof()
         return response
@@ -137,6 +139,11 @@
     return f"id: {number}\ndata: token {number}\n\n".encode()
 
 
+def plain_event(number: int) -> bytes:
+    """Return an event without its id."""
+    return f"data: token {number}\n\n".encode()
+
+
 def create_runner_server(runner: FleetRunner) -> web.Server:
     """Return the HTTP server of a runner."""
     return web.Server(runner.handle, handler_cancellation=True)
