List runners again only after the pause in which the watch shows nothing

Cause: after a change of the runner list each host waits 0.4 to 0.8 s before its next watch call, and takes its watch to hide changes if a peer tells of a newer version for 0.6 s.

Now the pause counts before the 0.6 s.

Test (table, fails before): at 8 and 165 hosts.

--- a/src/primroseford/gateway/follow.py
+++ b/src/primroseford/gateway/follow.py
@@ -59,8 +59,8 @@
 """The same in a large fleet, where each change costs more: a quarter of the time in
 which a leaving runner must get nothing new."""
 BEHIND_SECONDS = 0.6
-"""Time after which a peer's newer version means that the own watch hides changes: the
-pause before a watch call, and the answer to it."""
+"""Time after which a peer's newer version means that the own watch hides changes: that
+in which a watch call shows them where nothing is wrong, with room for a busy host."""
 PEERS_SECONDS = 0.8
 """Time after which a host that has no configuration asks its peers: the first call to a
 platform that works takes some ms, and heartbeats come every 0.3 s."""
@@ -151,7 +151,8 @@
         if tables is not None and heartbeat.configuration > tables.version:
             self.tables.list_again(BEHIND_SECONDS)
         if heartbeat.runner_list > self.runners.view.version:
-            self.runners.list_again(BEHIND_SECONDS)
+            # During a pause the own watch shows nothing.
+            self.runners.list_again(self.runner_pause() + BEHIND_SECONDS)
 
     async def on_start(self) -> None:
         """Start to follow."""
--- a/src/primroseford/gateway/tests/test_follow.py
+++ b/src/primroseford/gateway/tests/test_follow.py
@@ -10,6 +10,7 @@
 from primroseford.gateway.follow import PEERS_SECONDS
 from primroseford.gateway.follow import Followers
 from primroseford.gateway.follow import choose_watch_wait
+from primroseford.gateway.gen.messages.ttypes import Heartbeat
 from primroseford.gateway.members import Members
 from primroseford.gateway.places import Places
 from primroseford.gateway.runners import RunnerEntry
@@ -34,6 +35,16 @@
 VERSION = Version(9)
 
 
+class FakeTask:
+    """A watch that can be ended."""
+
+    cancelled = False
+
+    def cancel(self) -> None:
+        """End it."""
+        self.cancelled = True
+
+
 def fleet_followers(hosts: int) -> Followers:
     """Return the followers of one of many hosts, another of which has the duty."""
     clock, random = ManualClock(100.0), Random(5)
@@ -137,6 +148,22 @@
     assert min(waits) >= 14.5
 
 
+@pytest.mark.parametrize(
+    ("hosts", "seconds", "listed"),
+    [(8, 0.9, False), (8, 1.1, True), (165, 1.3, False), (165, 1.5, True)],
+)
+def test_runner_list_is_listed_again_only_after_the_pause(hosts, seconds, listed):
+    """Guards against every host of a large fleet that lists at each change."""
+    followers = fleet_followers(hosts)
+    followers.runners.clock = clock = followers.gateway.clock
+    followers.runners.watching = watching = FakeTask()
+    newer = Heartbeat(host="host-1", configuration=0, runner_list=7)
+    followers.compare_versions(newer)
+    clock.advance(seconds)
+    followers.compare_versions(newer)
+    assert watching.cancelled is listed
+
+
 @pytest.mark.parametrize(
     ("away_seconds", "kept"),
     [(0.0, False), (1.0, False), (3.0, True), (20.0, True)],
