End a resumed run that sends events again

Online streams that are resumed had the same fault.

Now the first event of a resumed run must have a higher id than the last one (another one, where ids are no numbers), and must have an id at all; else the attempt ends as a broken stream before anything of it is passed on, and counts against the runner.

Test that fails before: the table of resumed runs. After: it and the tests of online, jobs' job tests and hostile runners pass.

--- a/src/primroseford/jobs/run.py
+++ b/src/primroseford/jobs/run.py
@@ -248,7 +248,7 @@
     answer: aiohttp.ClientResponse,
     silence: Silence,
 ) -> None:
-    splitter = EventSplitter(MAX_EVENT_BYTES)
+    splitter = EventSplitter(MAX_EVENT_BYTES, run.last_event)
     try:
         async for chunk in read_bounded(answer, MAX_ITEM_BYTES):
             block = splitter.feed(chunk)
--- a/src/primroseford/online/events.py
+++ b/src/primroseford/online/events.py
@@ -24,12 +24,19 @@
     A stream can be resumed after any event, so a partial one is never passed on.
 
     :param max_event_bytes: longest event
+    :param resumed_after: id behind which this run goes on; nothing for a whole run, and
+        once its first event has come
     :ivar last_with_id: the last block of whole events in which one has an id
     :ivar after_id: whether blocks with data and without any id came after it
     """
 
-    def __init__(self, max_event_bytes: int = MAX_EVENT_BYTES) -> None:
+    def __init__(
+        self,
+        max_event_bytes: int = MAX_EVENT_BYTES,
+        resumed_after: str | None = None,
+    ) -> None:
         self.max_event_bytes = max_event_bytes
+        self.resumed_after = resumed_after
         self.pending = b""
         self.last_with_id = b""
         self.after_id = False
@@ -39,7 +46,8 @@
         """Return the bytes up to the end of the last complete event.
 
         :param chunk: bytes as they came
-        :raises ValueError: if one event is too large
+        :raises ValueError: if one event is too large, or a resumed run begins with
+            events that were sent before
         """
         data = self.pending + chunk if self.pending else chunk
         if data.endswith(b"\n\n"):
@@ -49,6 +57,8 @@
             complete, self.pending = data[:end], data[end:]
             if len(self.pending) > self.max_event_bytes:
                 raise ValueError("an event is too large")
+        if complete and self.resumed_after is not None:
+            self._check_resumed(complete)
         if complete:
             if complete.startswith(b"id:") or b"\nid:" in complete:
                 self.last_with_id = complete
@@ -62,6 +72,30 @@
     def restart(self) -> None:
         """Forget the partial event before the stream is resumed."""
         self.pending = b""
+        self.resumed_after = self.last_event_id()
+
+    def _check_resumed(self, complete: bytes) -> None:
+        """Check the first event with data, or with an id, of a resumed run.
+
+        Ids of a stream increase; a run that does not know the last one begins anew.
+        """
+        for event in EVENT_END.split(complete):
+            found = EVENT_ID.search(event)
+            if found is not None:
+                number, last = found[1].decode(), self.resumed_after
+                if number.isdecimal() and last.isdecimal():
+                    begins_anew = int(number) <= int(last)
+                else:
+                    begins_anew = number == last
+            else:
+                # The mark of the end has no id; nothing but it may be left.
+                begins_anew = bool(EVENT_DATA.search(event)) and event != END_MARK
+                if not begins_anew:
+                    continue
+            if begins_anew:
+                raise ValueError("events are sent again")
+            self.resumed_after = None
+            return
 
     def last_event_id(self) -> str | None:
         """Return the id of the last complete event that had one."""
--- a/src/primroseford/online/tests/test_queueing.py
+++ b/src/primroseford/online/tests/test_queueing.py
@@ -100,6 +100,36 @@
     assert splitter.can_resume() is expected
 
 
+@pytest.mark.parametrize(
+    ("last", "block", "repeats"),
+    [
+        (None, b"id: 1\ndata: x\n\n", False),
+        ("2", b"id: 3\ndata: x\n\n", False),
+        ("9", b"id: 10\ndata: x\n\n", False),
+        ("2", b": ping\n\nid: 3\ndata: x\n\n", False),
+        ("2", b"id: 2\ndata: x\n\n", True),
+        ("2", b"id: 1\ndata: x\n\nid: 2\ndata: y\n\n", True),
+        ("10", b"id: 9\ndata: x\n\n", True),
+        ("2", b"data: x\n\n", True),
+        ("2", b"data: [DONE]\n\n", False),
+        ("a", b"id: b\ndata: x\n\n", False),
+        ("a", b"id: a\ndata: x\n\n", True),
+    ],
+)
+def test_resumed_run_that_begins_anew(last, block, repeats):
+    """Guards against events that a runner sends again though it is told the last id.
+
+    Seen in the soak with a hostile runner, seed 723: a text with the first events of
+    each run.
+    """
+    splitter = EventSplitter(resumed_after=last)
+    if repeats:
+        with pytest.raises(ValueError, match="sent again"):
+            splitter.feed(block)
+    else:
+        assert splitter.feed(block) == block
+
+
 EVENTS = st.lists(st.sampled_from(["a", 'x\\nid: 9"', "id: 7", ""]), max_size=6)
 
 
