Count the calls after a withdrawal by their names

A call that is in flight as its key is withdrawn is ended with 401 and "may have run"; the test read the number of runs once all hosts had answered 401, of which one answer was to such a call, whose run the service counted a moment later.

Ruled out: a call that is sent twice (its route hedges nothing, and each call after the withdrawal now has a name and must run exactly once).

The test is stricter: refused calls must say "not run" and must not arrive at all, valid ones once each; it is also played with a late arrival.

--- a/src/primroseford/proof/tests/test_whole_hosts.py
+++ b/src/primroseford/proof/tests/test_whole_hosts.py
@@ -6,14 +6,23 @@
 import json
 from urllib.parse import unquote
 
+import pytest
+
+from primroseford.online.answers import OUTCOME_HEADER
 from primroseford.proof.fleet import CHAT
 
 STREAMS = 60
 
 
-async def test_withdrawn_key_stops_working_on_every_host(fleet):
-    """Guards against a host that goes on accepting a withdrawn key."""
+@pytest.mark.parametrize("arrival_seconds", [0.0, 0.15])
+async def test_withdrawn_key_stops_working_on_every_host(fleet, arrival_seconds):
+    """Guards against a host that goes on accepting a withdrawn key.
+
+    A call that is on its way as its key is withdrawn gets 401 and may arrive later than
+    that, so the calls after it are counted by their names.
+    """
     await fleet.start()
+    fleet.service.arrival_seconds = arrival_seconds
     for name in fleet.hosts:
         assert (await fleet.call(name))[0] == 200
     fleet.withdraw("depot")
@@ -23,11 +32,15 @@
 
     async with asyncio.timeout(9.0):
         await fleet.until(refused)
-    ran = fleet.service.runs.total()
     for name in fleet.hosts:
-        assert (await fleet.call(name))[0] == 401
-        assert (await fleet.call(name, organisation="garage"))[0] == 200
-    assert fleet.service.runs.total() == ran + len(fleet.hosts)
+        withdrawn, valid = {"X-Call": f"old-{name}"}, {"X-Call": f"good-{name}"}
+        status, headers, _ = await fleet.call(name, headers=withdrawn)
+        assert (status, headers[OUTCOME_HEADER]) == (401, "not_run")
+        called = await fleet.call(name, headers=valid, organisation="garage")
+        assert called[0] == 200
+    await asyncio.sleep(2 * arrival_seconds)
+    named = {call: n for call, n in fleet.service.runs.items() if call != "/desk/x"}
+    assert named == {f"good-{name}": 1 for name in fleet.hosts}
 
 
 async def test_planned_stop_cuts_no_stream(fleet):
--- a/src/primroseford/standins/service.py
+++ b/src/primroseford/standins/service.py
@@ -22,6 +22,7 @@
 
     :param runs: number of runs by the header ``X-Call``, or by path
     :param delay_seconds: time that a call takes
+    :param arrival_seconds: time before each call counts as arrived
     :param cut_after_run: cut the connection after the call ran
     :param refuse_status: answer with this status before the call runs; 0 is off
     :param seen_headers: headers of the last calls
@@ -29,6 +30,7 @@
 
     runs: Counter[str] = field(default_factory=Counter)
     delay_seconds: float = 0.0
+    arrival_seconds: float = 0.0
     cut_after_run: bool = False
     refuse_status: int = 0
     seen_headers: list[dict[str, str]] = field(default_factory=list)
@@ -42,6 +44,7 @@
 
     async def handle(request: web.Request) -> web.Response:
         body = await request.read()
+        await asyncio.sleep(service.arrival_seconds)
         service.seen_headers.append({**request.headers, ":path": request.path_qs})
         del service.seen_headers[:-REMEMBERED_HEADERS]
         if service.refuse_status:
