Ask for a slot by a message of its own

Cause, found on reading the change: a question for a slot was a heartbeat to one host. Heartbeats tell how many admissions of an organisation are new since the last one, by which a host counts an organisation that it first hears of. The next heartbeat to all others told none, so that they never counted an admission just before a question: in fleets of more than 16 hosts an organisation could get above its rate. A changed job could be told 0.3 s late in the same way.

Now the question is a message of its own on the bundles' port, with the runner's name only. It is logged by the host that asks, too.

Ruled out: the loss of datagrams, which has the same effect and is rare; heartbeats are still the only ones that tell of admissions.

Test, fails before (2 of 40 hosts count the admission) and passes after: 40 hosts, one admission, with and without a question.

Also: no timer for requests that never ask; only the entry role turns collections off during its imports.

--- a/deploy/run.py
+++ b/deploy/run.py
@@ -13,9 +13,9 @@
 def main() -> int:
     """Run the program that the argument names."""
     role = sys.argv[1] if len(sys.argv) == 2 else ""
-    # What is imported stays; the program turns collections on again.
-    gc.disable()
     if role == "entry":
+        # What is imported stays; the program turns collections on again.
+        gc.disable()
         # aiohttp reads the list of certificate authorities as it is imported, at each
         # start. An entry host uses no TLS.
         os.environ.setdefault("SSL_CERT_FILE", os.devnull)
--- a/src/primroseford/gateway/forward.py
+++ b/src/primroseford/gateway/forward.py
@@ -221,11 +221,11 @@
     )
     served: float | None = None
     token = gateway.watch_runner(runner)
-    asking = _ask_for_slot(gateway, flow, runner)
+    stop_asking = _ask_for_slot(gateway, flow, runner)
     try:
         async with silence.timeout:
             response = await _exchange(
-                gateway, flow, runner, attempt, silence, asking.cancel
+                gateway, flow, runner, attempt, silence, stop_asking
             )
         served = gateway.clock() - started
         gateway.places.trust(runner)
@@ -236,27 +236,28 @@
         gateway.note_failure(runner, error)
         raise
     finally:
-        asking.cancel()
+        stop_asking()
         runner.waiting.pop(token, None)
         gateway.places.finish(runner, seconds=served)
 
 
 def _ask_for_slot(
     gateway: Gateway, flow: Flow, runner: RunnerState
-) -> asyncio.TimerHandle:
+) -> Callable[[], None]:
     """Have a batch item step back if a stream waits for its slot, now or soon.
 
-    :returns: what asks once more unless it is cancelled at the first event
+    :returns: called at the first event and at the end, so that nothing is asked again
     """
-    asks = flow.route.kind is RouteKind.STREAMING and may_ask(gateway.places.hosts)
-    if asks and waits_for_batch(runner.load()):
+    if flow.route.kind is not RouteKind.STREAMING or not may_ask(gateway.places.hosts):
+        return _nothing
+    if waits_for_batch(runner.load()):
         gateway.want_slot(runner)
-    asking = asyncio.get_running_loop().call_later(
-        ASK_SECONDS, gateway.want_slot, runner
-    )
-    if not asks:
-        asking.cancel()
-    return asking
+    loop = asyncio.get_running_loop()
+    return loop.call_later(ASK_SECONDS, gateway.want_slot, runner).cancel
+
+
+def _nothing() -> None:
+    """Stand for what need not be done."""
 
 
 def _timed_out(
--- a/src/primroseford/gateway/gen/messages/ttypes.py
+++ b/src/primroseford/gateway/gen/messages/ttypes.py
@@ -328,86 +328,6 @@
         return not (self == other)
 
 
-class SlotWanted(object):
-    """
-    Attributes:
-     - host
-     - runner
-
-    """
-
-    __slots__ = (
-        'host',
-        'runner',
-    )
-
-
-    def __init__(self, host=None, runner=None,):
-        self.host = host
-        self.runner = runner
-
-    def read(self, iprot):
-        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
-            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
-            return
-        iprot.readStructBegin()
-        while True:
-            (fname, ftype, fid) = iprot.readFieldBegin()
-            if ftype == TType.STOP:
-                break
-            if fid == 1:
-                if ftype == TType.STRING:
-                    self.host = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 2:
-                if ftype == TType.STRING:
-                    self.runner = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
-            else:
-                iprot.skip(ftype)
-            iprot.readFieldEnd()
-        iprot.readStructEnd()
-
-    def write(self, oprot):
-        if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
-            return
-        oprot.writeStructBegin('SlotWanted')
-        if self.host is not None:
-            oprot.writeFieldBegin('host', TType.STRING, 1)
-            oprot.writeString(self.host.encode('utf-8') if sys.version_info[0] == 2 else self.host)
-            oprot.writeFieldEnd()
-        if self.runner is not None:
-            oprot.writeFieldBegin('runner', TType.STRING, 2)
-            oprot.writeString(self.runner.encode('utf-8') if sys.version_info[0] == 2 else self.runner)
-            oprot.writeFieldEnd()
-        oprot.writeFieldStop()
-        oprot.writeStructEnd()
-
-    def validate(self):
-        return
-
-    def __repr__(self):
-        L = ['%s=%r' % (key, getattr(self, key))
-             for key in self.__slots__]
-        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
-
-    def __eq__(self, other):
-        if not isinstance(other, self.__class__):
-            return False
-        for attr in self.__slots__:
-            my_val = getattr(self, attr)
-            other_val = getattr(other, attr)
-            if my_val != other_val:
-                return False
-        return True
-
-    def __ne__(self, other):
-        return not (self == other)
-
-
 class Heartbeat(object):
     """
     Attributes:
@@ -430,7 +350,6 @@
      - late_items
      - link_bytes
      - direct
-     - wanted
 
     """
 
@@ -454,12 +373,10 @@
         'late_items',
         'link_bytes',
         'direct',
-        'wanted',
     )
 
 
-    def __init__(self, host=None, incarnation=None, address=None, failure_domain=None, sequence=None, leaving=None, configuration=None, waiting=None, loads=None, spending=None, jobs=None, reaches_store=None, runner_list=None, ended_jobs=None, confirmed_ms_ago=2147483647, ready_items=0, late_items=0, link_bytes=0, direct=False, wanted=[
-    ],):
+    def __init__(self, host=None, incarnation=None, address=None, failure_domain=None, sequence=None, leaving=None, configuration=None, waiting=None, loads=None, spending=None, jobs=None, reaches_store=None, runner_list=None, ended_jobs=None, confirmed_ms_ago=2147483647, ready_items=0, late_items=0, link_bytes=0, direct=False,):
         self.host = host
         self.incarnation = incarnation
         self.address = address
@@ -479,10 +396,6 @@
         self.late_items = late_items
         self.link_bytes = link_bytes
         self.direct = direct
-        if wanted is self.thrift_spec[20][4]:
-            wanted = [
-            ]
-        self.wanted = wanted
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -611,17 +524,6 @@
                     self.direct = iprot.readBool()
                 else:
                     iprot.skip(ftype)
-            elif fid == 20:
-                if ftype == TType.LIST:
-                    self.wanted = []
-                    (_etype27, _size24) = iprot.readListBegin()
-                    for _i28 in range(_size24):
-                        _elem29 = SlotWanted()
-                        _elem29.read(iprot)
-                        self.wanted.append(_elem29)
-                    iprot.readListEnd()
-                else:
-                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -667,22 +569,22 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter30 in self.loads:
-                iter30.write(oprot)
+            for iter24 in self.loads:
+                iter24.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.spending is not None:
             oprot.writeFieldBegin('spending', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.spending))
-            for iter31 in self.spending:
-                iter31.write(oprot)
+            for iter25 in self.spending:
+                iter25.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.jobs is not None:
             oprot.writeFieldBegin('jobs', TType.LIST, 11)
             oprot.writeListBegin(TType.STRUCT, len(self.jobs))
-            for iter32 in self.jobs:
-                iter32.write(oprot)
+            for iter26 in self.jobs:
+                iter26.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.reaches_store is not None:
@@ -696,8 +598,8 @@
         if self.ended_jobs is not None:
             oprot.writeFieldBegin('ended_jobs', TType.LIST, 14)
             oprot.writeListBegin(TType.STRING, len(self.ended_jobs))
-            for iter33 in self.ended_jobs:
-                oprot.writeString(iter33.encode('utf-8') if sys.version_info[0] == 2 else iter33)
+            for iter27 in self.ended_jobs:
+                oprot.writeString(iter27.encode('utf-8') if sys.version_info[0] == 2 else iter27)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.confirmed_ms_ago is not None:
@@ -720,13 +622,6 @@
             oprot.writeFieldBegin('direct', TType.BOOL, 19)
             oprot.writeBool(self.direct)
             oprot.writeFieldEnd()
-        if self.wanted is not None:
-            oprot.writeFieldBegin('wanted', TType.LIST, 20)
-            oprot.writeListBegin(TType.STRUCT, len(self.wanted))
-            for iter34 in self.wanted:
-                iter34.write(oprot)
-            oprot.writeListEnd()
-            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -757,18 +652,21 @@
     Attributes:
      - relay
      - heartbeats
+     - wanted
 
     """
 
     __slots__ = (
         'relay',
         'heartbeats',
+        'wanted',
     )
 
 
-    def __init__(self, relay=None, heartbeats=None,):
+    def __init__(self, relay=None, heartbeats=None, wanted="",):
         self.relay = relay
         self.heartbeats = heartbeats
+        self.wanted = wanted
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -787,13 +685,18 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.heartbeats = []
-                    (_etype38, _size35) = iprot.readListBegin()
-                    for _i39 in range(_size35):
-                        _elem40 = iprot.readBinary()
-                        self.heartbeats.append(_elem40)
+                    (_etype31, _size28) = iprot.readListBegin()
+                    for _i32 in range(_size28):
+                        _elem33 = iprot.readBinary()
+                        self.heartbeats.append(_elem33)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.wanted = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -811,10 +714,14 @@
         if self.heartbeats is not None:
             oprot.writeFieldBegin('heartbeats', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.heartbeats))
-            for iter41 in self.heartbeats:
-                oprot.writeBinary(iter41)
+            for iter34 in self.heartbeats:
+                oprot.writeBinary(iter34)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.wanted is not None:
+            oprot.writeFieldBegin('wanted', TType.STRING, 3)
+            oprot.writeString(self.wanted.encode('utf-8') if sys.version_info[0] == 2 else self.wanted)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -862,12 +769,6 @@
     (4, TType.STRING, 'path_prefix', 'UTF8', None, ),  # 4
     (5, TType.I64, 'waiting_tokens', None, None, ),  # 5
 )
-all_structs.append(SlotWanted)
-SlotWanted.thrift_spec = (
-    None,  # 0
-    (1, TType.STRING, 'host', 'UTF8', None, ),  # 1
-    (2, TType.STRING, 'runner', 'UTF8', None, ),  # 2
-)
 all_structs.append(Heartbeat)
 Heartbeat.thrift_spec = (
     None,  # 0
@@ -890,14 +791,13 @@
     (17, TType.I32, 'late_items', None, 0, ),  # 17
     (18, TType.I64, 'link_bytes', None, 0, ),  # 18
     (19, TType.BOOL, 'direct', None, False, ),  # 19
-    (20, TType.LIST, 'wanted', (TType.STRUCT, [SlotWanted, None], False), [
-    ], ),  # 20
 )
 all_structs.append(Bundle)
 Bundle.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'relay', 'UTF8', None, ),  # 1
     (2, TType.LIST, 'heartbeats', (TType.STRING, 'BINARY', False), None, ),  # 2
+    (3, TType.STRING, 'wanted', 'UTF8', "", ),  # 3
 )
 fix_spec(all_structs)
 del all_structs
--- a/src/primroseford/gateway/heartbeat.py
+++ b/src/primroseford/gateway/heartbeat.py
@@ -17,7 +17,6 @@
 from primroseford.gateway.gen.messages.ttypes import Heartbeat
 from primroseford.gateway.gen.messages.ttypes import JobProgress
 from primroseford.gateway.gen.messages.ttypes import RunnerLoad
-from primroseford.gateway.gen.messages.ttypes import SlotWanted
 from primroseford.gateway.gen.messages.ttypes import Spending
 from primroseford.gateway.loops import repeat
 from primroseford.gateway.relay import RELAY_SECONDS
@@ -27,17 +26,18 @@
 from primroseford.ids import HostId
 from primroseford.ids import JobId
 from primroseford.ids import OrganisationId
+from primroseford.ids import RunnerName
 from primroseford.peer.codec import decode
 from primroseford.peer.codec import encode
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from primroseford.gateway.members import Peer
     from primroseford.gateway.places import RunnerState
     from primroseford.gateway.state import Gateway
     from primroseford.ids import FailureDomainId
     from primroseford.ids import Incarnation
-    from primroseford.ids import RunnerName
     from primroseford.jobs.state import ToldJob
 
 IDLE_SECONDS = 0.3
@@ -192,14 +192,10 @@
             self.jobs.step_back(name)
             return
         peer = gateway.members.peers.get(holder)
-        if peer is None or self.transport is None or self.transport.is_closing():
+        if peer is None or self.bundles is None or self.bundles.is_closing():
             return
-        log.debug("slot wanted", runner=name, holder=holder)
-        self.last_jobs = self.jobs.told_jobs()
-        heartbeat = self.heartbeat()
-        heartbeat.wanted = [SlotWanted(holder, name)]
-        host, port = peer.address.rsplit(":", 1)
-        self.transport.sendto(encode(heartbeat), (host, int(port)))
+        log.info("slot wanted", runner=name, holder=holder)
+        self._send_bundle(peer, encode(Bundle(own, [], name)))
 
     def pass_on(self) -> None:
         """Send the heartbeats that came since the last time, if this host relays."""
@@ -218,9 +214,12 @@
                 own = self.gateway.members.own
                 parts = split_bundle(heartbeats)
                 encoded[key] = [encode(Bundle(own, part)) for part in parts]
-            host, port = peer.address.rsplit(":", 1)
             for data in encoded[key]:
-                self.bundles.sendto(data, (host, int(port) + BUNDLE_PORT_OFFSET))
+                self._send_bundle(peer, data)
+
+    def _send_bundle(self, peer: Peer, data: bytes) -> None:
+        host, port = peer.address.rsplit(":", 1)
+        self.bundles.sendto(data, (host, int(port) + BUNDLE_PORT_OFFSET))
 
     def heartbeat(self) -> Heartbeat:
         """Return the state of this host."""
@@ -290,6 +289,9 @@
         except PrimrosefordError as error:
             log.debug("bundle ignored", reason=str(error))
             return
+        if bundle.wanted:
+            self.jobs.step_back(RunnerName(bundle.wanted))
+            return
         relay = HostId(bundle.relay or "")
         now = self.gateway.clock()
         taken: dict[HostId, bytes] = {}
@@ -318,9 +320,6 @@
         self._take_spending(heartbeat, before is None)
         for job in heartbeat.ended_jobs:
             self.jobs.stop_ended(JobId(job))
-        for wanted in heartbeat.wanted:
-            if wanted.host == gateway.members.own:
-                self.jobs.step_back(wanted.runner)
         self._take_confirmation(heartbeat)
         if gateway.on_heartbeat is not None:
             gateway.on_heartbeat(heartbeat)
--- a/src/primroseford/gateway/messages.thrift
+++ b/src/primroseford/gateway/messages.thrift
@@ -21,12 +21,6 @@
   5: i64 waiting_tokens
 }
 
-// An online request that waits for a slot of a runner which a batch item of a host has.
-struct SlotWanted {
-  1: string host
-  2: string runner
-}
-
 struct Heartbeat {
   1: string host
   2: string incarnation
@@ -52,12 +46,13 @@
   18: i64 link_bytes = 0
   // Whether the host does without a relay, so that the others have to send to it.
   19: bool direct = 0
-  // In heartbeats that go to one host at once.
-  20: list<SlotWanted> wanted = []
 }
 
 // Heartbeats that one host of a failure domain passes on, as their hosts encoded them.
 struct Bundle {
   1: string relay
   2: list<binary> heartbeats
+  // Runner with a batch item of the receiver, which is asked to pause it for an online
+  // request of the sender. Such a message has no heartbeats.
+  3: string wanted = ""
 }
--- a/src/primroseford/gateway/tests/test_step_back.py
+++ b/src/primroseford/gateway/tests/test_step_back.py
@@ -14,10 +14,13 @@
 from primroseford.gateway.step_back import ASK_SECONDS
 from primroseford.gateway.step_back import choose_holder
 from primroseford.gateway.step_back import waits_for_batch
+from primroseford.gateway.tables import Organisation
+from primroseford.gateway.tables import Tables
 from primroseford.gateway.tests.test_relay import Fleet
 
 RUNNER = "i-1"
 HOSTS = 40
+ENTRY = RunnerEntry(RunnerKey(RUNNER, 1), "p", "10.0.0.1:80", "a", 8, RunnerStage.READY)
 
 
 @pytest.mark.parametrize(
@@ -66,11 +69,8 @@
 def test_the_host_that_has_the_slot_is_asked_at_once(online, batch, asked):
     """Guards against a wave that waits for heartbeats, or pauses items everywhere."""
     fleet = Fleet(HOSTS)
-    entry = RunnerEntry(
-        RunnerKey(RUNNER, 1), "p", "10.0.0.1:80", "a", 8, RunnerStage.READY
-    )
     for service in fleet.services.values():
-        service.gateway.places.set_runners({RUNNER: entry})
+        service.gateway.places.set_runners({RUNNER: ENTRY})
     holder, other = fleet.services["b-6"], fleet.services["d-13"]
     runner = holder.gateway.places.runners[RUNNER]
     runner.online, runner.batch = online, batch
@@ -128,14 +128,39 @@
     call.cancel()
 
 
+@pytest.mark.parametrize("asks", [False, True])
+def test_question_keeps_nothing_from_the_other_hosts(asks):
+    """Guards against admissions that only the asked host hears of.
+
+    A heartbeat tells how many admissions are new since the last one, by which hosts
+    count an organisation that they hear of for the first time.
+    """
+    fleet = Fleet(HOSTS)
+    organisation = Organisation("caroni", 5.0, 10.0)
+    for service in fleet.services.values():
+        service.gateway.places.set_runners({RUNNER: ENTRY})
+        service.gateway.tables = Tables(1, (), {}, {"caroni": organisation}, None)
+    fleet.run(3.0)
+    asking = fleet.services["d-13"]
+    runner = asking.gateway.places.runners[RUNNER]
+    runner.peers["b-6"] = (0, 1)
+    asking.gateway.quotas.take(organisation, fleet.clock())
+    if asks:
+        asking.gateway.want_slot(runner)
+    fleet.run(2.0)
+    counted = {
+        name
+        for name, service in fleet.services.items()
+        if "caroni" in service.gateway.quotas.buckets
+    }
+    assert counted == set(fleet.names)
+
+
 def test_own_item_steps_back_without_a_message():
     """Guards against a host that asks others for a slot that it has itself."""
     fleet = Fleet(HOSTS)
     service = fleet.services["a-0"]
-    entry = RunnerEntry(
-        RunnerKey(RUNNER, 1), "p", "10.0.0.1:80", "a", 8, RunnerStage.READY
-    )
-    service.gateway.places.set_runners({RUNNER: entry})
+    service.gateway.places.set_runners({RUNNER: ENTRY})
     service.gateway.places.runners[RUNNER].batch = 1
     service.gateway.want_slot(service.gateway.places.runners[RUNNER])
     assert service.jobs.stepped_back == [RUNNER]
