Split the scheduler and the places by duty

Cause: scheduler.py (486 lines) started items, judged their ends, decided how many may run and which step back; places.py (434 lines) placed online requests and also decided on room for batch, which only the scheduler asked for.

Now jobs/outlook.py says which items can be in time, here and in the fleet; jobs/room.py how many may start and on which runner, with the peaks of online requests (peaks.py has moved there); jobs/pausing.py which step back, by one list of the running items where there were three. scheduler.py (347 lines) starts items and takes their ends, places.py (338) places online requests from loads and verdicts; gateway/runner_state.py is what a host knows of one runner. One function lists the runners that may get something new, where online and batch had one each.

Ruled out: a split of verdicts from loads (both are a few lines on the same entries, which every choice reads together); one reader of events for streams and items (their loops differ in what a bad byte of an item does).

No behaviour is changed but for one case: an item whose route is gone does not step back for a request, since it is given up.

--- a/src/primroseford/gateway/answers.py
+++ b/src/primroseford/gateway/answers.py
@@ -21,7 +21,7 @@
 
     import aiohttp
 
-    from primroseford.gateway.places import RunnerState
+    from primroseford.gateway.runner_state import RunnerState
     from primroseford.gateway.state import Gateway
 
 HELD_BYTES = 128 * 1024
--- a/src/primroseford/gateway/forward.py
+++ b/src/primroseford/gateway/forward.py
@@ -37,8 +37,8 @@
     from aiohttp import web
     from aiohttp.web_request import BaseRequest
 
-    from primroseford.gateway.places import RunnerState
     from primroseford.gateway.requests import IncomingRequest
+    from primroseford.gateway.runner_state import RunnerState
     from primroseford.gateway.state import Gateway
     from primroseford.gateway.tables import Organisation
     from primroseford.gateway.tables import Route
--- a/src/primroseford/gateway/heartbeat.py
+++ b/src/primroseford/gateway/heartbeat.py
@@ -34,7 +34,7 @@
     from collections.abc import Callable
 
     from primroseford.gateway.members import Peer
-    from primroseford.gateway.places import RunnerState
+    from primroseford.gateway.runner_state import RunnerState
     from primroseford.gateway.state import Gateway
     from primroseford.ids import FailureDomainId
     from primroseford.ids import Incarnation
--- a/src/primroseford/gateway/places.py
+++ b/src/primroseford/gateway/places.py
@@ -1,25 +1,19 @@
-"""Requests in flight on each runner, and the queue before a pool's runners."""
+"""Who gets a place on a runner: loads and verdicts of all hosts, and the queue before a
+pool's runners."""
 
 from __future__ import annotations
 
 import asyncio
-import math
 from dataclasses import dataclass
-from dataclasses import field
 from typing import TYPE_CHECKING
 
 from primroseford.errors import PrimrosefordError
 from primroseford.errors import ResultCode
 from primroseford.gateway.affinity import choose_home
-from primroseford.gateway.peaks import Peaks
-from primroseford.gateway.placement import HEADROOM
-from primroseford.gateway.placement import RunnerLoad
-from primroseford.gateway.placement import batch_runner
-from primroseford.gateway.placement import batch_share
 from primroseford.gateway.placement import choose_runner
 from primroseford.gateway.placement import expected_wait
-from primroseford.gateway.placement import items_to_pause
 from primroseford.gateway.placement import sample_runners
+from primroseford.gateway.runner_state import RunnerState
 from primroseford.gateway.runners import RunnerStage
 from primroseford.online.queueing import FairQueue
 
@@ -29,6 +23,7 @@
 
     from primroseford.clock import Clock
     from primroseford.gateway.gen.messages.ttypes import Heartbeat
+    from primroseford.gateway.placement import RunnerLoad
     from primroseford.gateway.runners import RunnerEntry
     from primroseford.gateway.runners import RunnerKey
     from primroseford.ids import FailureDomainId
@@ -57,42 +52,6 @@
 runner is probed again."""
 
 
-@dataclass(eq=False)
-class RunnerState:
-    """What this host knows of one start of a runner.
-
-    :param online: own online requests in flight
-    :param batch: own batch items in flight
-    :param peers: online requests and batch items in flight of each other host
-    :param suspect_until: local time in seconds until which it counts as failed
-    :param full_until: local time until which it counts as full
-    :param suspected_by: hosts that tell that it failed
-    :param waiting: local time of the last sign of life of each own exchange
-    """
-
-    entry: RunnerEntry
-    online: int = 0
-    batch: int = 0
-    peers: dict[HostId, tuple[int, int]] = field(default_factory=dict)
-    suspect_until: float = -math.inf
-    full_until: float = -math.inf
-    suspected_by: set[HostId] = field(default_factory=set)
-    waiting: dict[int, float] = field(default_factory=dict)
-    last_byte: float = -math.inf
-    latency: float = 0.0
-
-    def load(self) -> RunnerLoad:
-        """Return the load of all hosts on the runner."""
-        online, batch = self.online, self.batch
-        for peer_online, peer_batch in self.peers.values():
-            online += peer_online
-            batch += peer_batch
-        entry = self.entry
-        return RunnerLoad(
-            entry.key, entry.failure_domain, entry.slots, online, batch, self.batch
-        )
-
-
 @dataclass(eq=False)
 class Waiter:
     """A request in the queue of a pool.
@@ -122,7 +81,6 @@
         self.peer_waiting: dict[HostId, int] = {}
         self.named_by: dict[HostId, set[RunnerName]] = {}
         self.service_seconds: dict[PoolName, float] = {}
-        self.peaks: dict[PoolName, Peaks] = {}
         self.first_seconds: dict[PoolName, float] = {}
         self.changed = False
 
@@ -166,15 +124,24 @@
             sound = trusted
         return sound or ready
 
-    def _choose(
-        self, pool: PoolName, tried: Collection[RunnerKey], shared: str = ""
-    ) -> RunnerState | None:
+    def open_loads(
+        self, pool: PoolName, tried: Collection[RunnerKey]
+    ) -> list[RunnerLoad]:
+        """Return the loads of the runners of a pool that may get something new.
+
+        :param tried: starts of runners that failed what is to be placed
+        """
         now = self.clock()
-        loads = [
+        return [
             runner.load()
             for runner in self.usable(pool)
             if runner.full_until <= now and runner.entry.key not in tried
         ]
+
+    def _choose(
+        self, pool: PoolName, tried: Collection[RunnerKey], shared: str = ""
+    ) -> RunnerState | None:
+        loads = self.open_loads(pool, tried)
         sampled = sample_runners(loads, self.hosts, self.random)
         best = choose_runner(sampled, self.domain, self.random)
         if best is None and len(sampled) < len(loads):
@@ -321,68 +288,6 @@
         """Note that a runner said that it is full."""
         runner.full_until = self.clock() + FULL_SECONDS
 
-    def choose_for_batch(
-        self, pool: PoolName, tried: Collection[RunnerKey] = ()
-    ) -> RunnerState | None:
-        """Return a runner on which a batch item may start now."""
-        loads = self._batch_loads(pool, tried)
-        best = batch_runner(loads, self.random, self.hosts) if loads else None
-        return None if best is None else self.runners[best.key.name]
-
-    def batch_share(self, pool: PoolName, part: float, limit: float) -> int:
-        """Return how many batch items may start before the next heartbeats.
-
-        :param part: part of all waiting items that this host has
-        :param limit: slots that batch of all hosts may take
-        """
-        return batch_share(self._batch_loads(pool, ()), part, self.random, limit)
-
-    def calm_slots(self, pool: PoolName) -> float:
-        """Return the slots that the last peaks of online requests leave."""
-        peaks = self.peaks.get(pool)
-        peak = peaks.highest(self.clock()) if peaks is not None else 0
-        slots = sum(runner.entry.slots for runner in self.usable(pool))
-        return (1 - HEADROOM) * slots - peak
-
-    def note_peaks(self) -> None:
-        """Note how many online requests are in flight in each pool."""
-        online: dict[PoolName, int] = {}
-        for runner in self.runners.values():
-            pool = runner.entry.pool
-            online[pool] = online.get(pool, 0) + runner.load().online
-        now = self.clock()
-        for pool, count in online.items():
-            self.peaks.setdefault(pool, Peaks()).note(count, now)
-
-    def _batch_loads(
-        self, pool: PoolName, tried: Collection[RunnerKey]
-    ) -> list[RunnerLoad]:
-        """Return the loads of the runners that may take batch items."""
-        if self.queues.get(pool):
-            return []
-        now = self.clock()
-        return [
-            runner.load()
-            for runner in self.usable(pool)
-            if runner.full_until <= now and runner.entry.key not in tried
-        ]
-
-    def pool_load(self, pool: PoolName) -> dict[str, int]:
-        """Return what is known of a pool's load, for the log."""
-        loads = [runner.load() for runner in self.usable(pool)]
-        return {
-            "runners": len(loads),
-            "slots": sum(load.slots for load in loads),
-            "online": sum(load.online for load in loads),
-            "batch": sum(load.batch for load in loads),
-            "queued": len(self.queues.get(pool, ())),
-        }
-
-    def items_to_pause(self, pool: PoolName) -> int:
-        """Return how many own batch items must step back for online requests."""
-        loads = [runner.load() for runner in self.usable(pool)]
-        return items_to_pause(loads, self.random)
-
     def take_heartbeat(self, heartbeat: Heartbeat) -> None:
         """Take the loads that another host tells."""
         host = heartbeat.host
--- /dev/null
+++ b/src/primroseford/gateway/runner_state.py
@@ -0,0 +1,50 @@
+"""What one host knows of one start of a runner."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+
+from primroseford.gateway.placement import RunnerLoad
+
+if TYPE_CHECKING:
+    from primroseford.gateway.runners import RunnerEntry
+    from primroseford.ids import HostId
+
+
+@dataclass(eq=False)
+class RunnerState:
+    """What this host knows of one start of a runner.
+
+    :param online: own online requests in flight
+    :param batch: own batch items in flight
+    :param peers: online requests and batch items in flight of each other host
+    :param suspect_until: local time in seconds until which it counts as failed
+    :param full_until: local time until which it counts as full
+    :param suspected_by: hosts that tell that it failed
+    :param waiting: local time of the last sign of life of each own exchange
+    """
+
+    entry: RunnerEntry
+    online: int = 0
+    batch: int = 0
+    peers: dict[HostId, tuple[int, int]] = field(default_factory=dict)
+    suspect_until: float = -math.inf
+    full_until: float = -math.inf
+    suspected_by: set[HostId] = field(default_factory=set)
+    waiting: dict[int, float] = field(default_factory=dict)
+    last_byte: float = -math.inf
+    latency: float = 0.0
+
+    def load(self) -> RunnerLoad:
+        """Return the load of all hosts on the runner."""
+        online, batch = self.online, self.batch
+        for peer_online, peer_batch in self.peers.values():
+            online += peer_online
+            batch += peer_batch
+        entry = self.entry
+        return RunnerLoad(
+            entry.key, entry.failure_domain, entry.slots, online, batch, self.batch
+        )
--- a/src/primroseford/gateway/state.py
+++ b/src/primroseford/gateway/state.py
@@ -25,7 +25,7 @@
     from primroseford.gateway.gen.messages.ttypes import Heartbeat
     from primroseford.gateway.members import Members
     from primroseford.gateway.places import Places
-    from primroseford.gateway.places import RunnerState
+    from primroseford.gateway.runner_state import RunnerState
     from primroseford.gateway.tables import Tables
     from primroseford.metrics import Metrics
 
--- a/src/primroseford/gateway/watchdog.py
+++ b/src/primroseford/gateway/watchdog.py
@@ -14,12 +14,10 @@
 from primroseford.gateway.retry import ANSWER_SILENCE_LATENCIES
 
 if TYPE_CHECKING:
-    from primroseford.gateway.places import RunnerState
+    from primroseford.gateway.runner_state import RunnerState
     from primroseford.gateway.state import Gateway
 
 TICK_SECONDS = 0.1
-PEAK_TICK_SECONDS = 0.25
-"""Time between two looks at the online requests in flight, which change in a second."""
 ENGINE_SILENCE_SECONDS = 0.6
 """Silence of all exchanges with an engine after which it counts as failed: events come
 every 21 ms, and a first one within 300 ms where it is on time."""
@@ -47,11 +45,6 @@
         """Look at all runners now and then."""
         await repeat(self, lambda: TICK_SECONDS, self._look)
 
-    @Service.task
-    async def note_peaks(self) -> None:
-        """Note now and then how many online requests are in flight."""
-        await repeat(self, lambda: PEAK_TICK_SECONDS, self.gateway.places.note_peaks)
-
     def _look(self) -> None:
         now = self.gateway.clock()
         for name, runner in list(self.gateway.places.runners.items()):
--- a/src/primroseford/jobs/run.py
+++ b/src/primroseford/jobs/run.py
@@ -32,7 +32,7 @@
 if TYPE_CHECKING:
     import aiohttp
 
-    from primroseford.gateway.places import RunnerState
+    from primroseford.gateway.runner_state import RunnerState
     from primroseford.gateway.runners import RunnerKey
     from primroseford.gateway.state import Gateway
     from primroseford.gateway.tables import Route
--- a/src/primroseford/jobs/scheduler.py
+++ b/src/primroseford/jobs/scheduler.py
@@ -1,8 +1,5 @@
-"""Runs the items of this host's jobs as the places allow.
-
-Answers waves of online requests: items start in the lulls, those that can be in time
-first, and step back when a wave fills the runners.
-"""
+"""Runs the items of this host's jobs: starts them in their order while there is room,
+and takes what their runs come to."""
 
 from __future__ import annotations
 
@@ -14,16 +11,13 @@
 
 import structlog
 
-from primroseford.gateway.placement import round_by_chance
 from primroseford.gateway.tables import choose_pool
 from primroseford.jobs.forecast import URGENT_SECONDS
-from primroseford.jobs.forecast import Forecast
-from primroseford.jobs.forecast import choose_to_pause
-from primroseford.jobs.forecast import late_to_yield
-from primroseford.jobs.forecast import needed_slots
-from primroseford.jobs.forecast import rank
-from primroseford.jobs.pace import Pace
+from primroseford.jobs.outlook import Outlook
+from primroseford.jobs.pausing import pause_items
+from primroseford.jobs.pausing import yield_late_items
 from primroseford.jobs.recorder import JobRecorder
+from primroseford.jobs.room import BatchRoom
 from primroseford.jobs.run import ItemRun
 from primroseford.jobs.run import JobRun
 from primroseford.jobs.run import RunEnd
@@ -32,13 +26,12 @@
 from primroseford.jobs.state import Progress
 
 if TYPE_CHECKING:
-    from primroseford.gateway.places import RunnerState
+    from primroseford.gateway.runner_state import RunnerState
     from primroseford.gateway.runners import RunnerKey
     from primroseford.gateway.state import Gateway
     from primroseford.gateway.tables import Route
     from primroseford.ids import JobId
     from primroseford.ids import PoolName
-    from primroseford.ids import RunnerName
     from primroseford.jobs.state import ItemId
     from primroseford.jobs.state import Job
     from primroseford.jobs.state import JobView
@@ -77,7 +70,6 @@
     :ivar runs: jobs by id
     :ivar told: jobs that were stopped lately, of which the heartbeats still tell, and
         until when
-    :ivar forecasts: what items take, by the path prefix of their route
     """
 
     def __init__(self, gateway: Gateway, store: JobStore) -> None:
@@ -86,8 +78,8 @@
         self.runs: dict[JobId, JobRun] = {}
         self.told: dict[JobId, tuple[JobView, float]] = {}
         self.recorder = JobRecorder(gateway, store, self._finish)
-        self.pace = Pace()
-        self.forecasts: dict[str, Forecast] = {}
+        self.outlook = Outlook(gateway, self.runs)
+        self.room = BatchRoom(gateway, self.outlook)
         self.wait_logged_at = -math.inf
 
     def told_jobs(self) -> dict[JobId, ToldJob]:
@@ -167,79 +159,21 @@
     def adjust(self) -> None:
         """Pause, start and give up items, and store their progress."""
         if self.runs:
-            self.pause_items()
-            self.yield_late_items()
+            pause_items(self)
+            yield_late_items(self)
             self.place_items()
             self.give_up_items()
             self.recorder.save_progress(self.runs.values())
 
-    def forecast(self, item: ItemRun) -> Forecast:
-        """Return what items of an item's route take."""
-        return self.forecasts.setdefault(item.job.prefix, Forecast())
-
-    def spare(self, item: ItemRun, now: float) -> float:
-        """Return the seconds that an item has to spare; negative if it will be late.
-
-        :param now: local time in seconds
-        """
-        return self.forecast(item).spare(len(item.data), item.due - now)
-
-    def waiting_items(self) -> tuple[int, int]:
-        """Return how many items wait that can be in time, and how many others."""
-        now = self.gateway.clock()
-        waiting = [item for run in self.runs.values() for item in run.waiting]
-        ready = sum(self.spare(item, now) >= 0 for item in waiting)
-        return ready, len(waiting) - ready
-
-    def own_part(self, now: float) -> float:
-        """Return which part of the items that go next in the fleet waits here.
-
-        :param now: local time in seconds
-        """
-        own, peers = self.waiting_items(), self.gateway.members.waiting_items(now)
-        for mine, others in zip(own, peers, strict=True):
-            if mine + others:
-                return mine / (mine + others)
-        return 0.0
-
-    def yield_late_items(self) -> None:
-        """Pause items that will be late while others wait that can be in time."""
-        self._renew_pace()
-        gateway = self.gateway
-        now = gateway.clock()
-        pools: dict[PoolName, list[ItemRun]] = {}
-        for run in self.runs.values():
-            for item in run.running:
-                route = self.route_of(item.job)
-                if route is not None and item.task and self.spare(item, now) < 0:
-                    pools.setdefault(route.pools[0][0], []).append(item)
-        if not pools:
-            return
-        ready = self.waiting_items()[0] + gateway.members.waiting_items(now)[0]
-        for pool, late in pools.items():
-            load = gateway.places.pool_load(pool)
-            if pool in self.pace.yielded or load["online"] + load["batch"] < (
-                load["slots"] - ready
-            ):
-                continue
-            share = late_to_yield(len(late), ready, load["batch"])
-            count = round_by_chance(share, gateway.random)
-            if not count:
-                continue
-            self.pace.yielded.add(pool)
-            late.sort(key=lambda item: self.spare(item, now))
-            for item in late[:count]:
-                item.task.cancel()
-            log.info("late items yield", pool=pool, count=count, ready=ready)
-
     def place_items(self) -> None:
         """Start items while there is room, in the order of their rank."""
         if self.gateway.stopping or self.gateway.tables is None:
             return
-        self._renew_pace()
+        room, outlook = self.room, self.outlook
+        room.renew()
         now = self.gateway.clock()
         ready = [
-            (self._rank(item, now), number, run, item)
+            (outlook.rank(item, now), number, run, item)
             for run in self.runs.values()
             for number, item in enumerate(run.waiting)
             if item.not_before <= now
@@ -253,20 +187,20 @@
             pool = choose_pool(route, self.gateway.random)
             if pool in full:
                 continue
-            urgent = 0 <= self.spare(item, now) < URGENT_SECONDS
-            if not self._may_start(pool, item, urgent, now):
+            urgent = 0 <= outlook.spare(item, now) < URGENT_SECONDS
+            if not room.may_start(pool, item, route.due, urgent):
                 if urgent:
                     full.add(pool)
                 continue
-            runner = self.gateway.places.choose_for_batch(pool, item.tried)
+            runner = room.choose(pool, item.tried)
             if runner is None and item.tried:
                 item.tried.clear()
-                runner = self.gateway.places.choose_for_batch(pool)
+                runner = room.choose(pool)
             if runner is None:
                 full.add(pool)
                 continue
             self.gateway.places.start(runner, batch=True)
-            self.pace.started(pool)
+            room.pace.started(pool)
             run.waiting.remove(item)
             run.running.add(item)
             item.go_on()
@@ -282,11 +216,6 @@
             )
         self._log_waiting(full, now)
 
-    def _rank(self, item: ItemRun, now: float) -> tuple[int, float]:
-        left = self.forecast(item).left(len(item.data))
-        begun = bool(item.data)
-        return rank(self.spare(item, now), left, item.due - now, begun)
-
     def _log_waiting(self, pools: set[PoolName], now: float) -> None:
         """Log now and then why items wait."""
         if not pools or now - self.wait_logged_at < WAIT_LOG_SECONDS:
@@ -296,38 +225,12 @@
             log.info(
                 "items wait",
                 pool=pool,
-                waiting=self.waiting_items(),
+                waiting=self.outlook.waiting(),
                 running=sum(len(run.running) for run in self.runs.values()),
-                waiting_elsewhere=self.gateway.members.waiting_items(now),
-                **self.gateway.places.pool_load(pool),
+                waiting_elsewhere=self.outlook.waiting_elsewhere(),
+                **self.room.load(pool),
             )
 
-    def _renew_pace(self) -> None:
-        self.pace.renew(self.gateway.clock(), self.gateway.members.interval)
-
-    def _may_start(
-        self, pool: PoolName, item: ItemRun, urgent: bool, now: float
-    ) -> bool:
-        """Return whether one more item of a pool may start on the loads that are known.
-
-        :param urgent: whether it takes any free slot
-        :param now: local time in seconds
-        """
-        pace, places = self.pace, self.gateway.places
-        if pool not in pace.starts:
-            part = self.own_part(now)
-            limit = max(places.calm_slots(pool), self._needed_slots(pool, item, now))
-            pace.starts[pool] = places.batch_share(pool, part, limit)
-            pace.urgent_starts[pool] = places.batch_share(pool, part, math.inf)
-        return (pace.urgent_starts if urgent else pace.starts)[pool] > 0
-
-    def _needed_slots(self, pool: PoolName, item: ItemRun, now: float) -> float:
-        ready = self.waiting_items()[0] + self.gateway.members.waiting_items(now)[0]
-        route = self.route_of(item.job)
-        due = route.due if route is not None else 0.0
-        batch = self.gateway.places.pool_load(pool)["batch"]
-        return needed_slots(ready, batch, self.forecast(item).left(0), due)
-
     def give_up_at(self, item: ItemRun, route: Route) -> float:
         """Return the Unix time at which an item is given up."""
         return item.job.submitted + route.give_up + GIVE_UP_MARGIN_SECONDS
@@ -360,7 +263,7 @@
         self.gateway.metrics.items.labels(end.value).inc()
         pool = runner.entry.pool
         if end is RunEnd.COMPLETE:
-            self.pace.freed(pool)
+            self.room.pace.freed(pool)
         self._judge(run, item, route, end, runner.entry.key)
 
     def _judge(
@@ -370,7 +273,7 @@
         if end is RunEnd.COMPLETE:
             item.result = ItemState.COMPLETE
             events = len(item.data)
-            self.forecast(item).observe(
+            self.outlook.forecast(item).observe(
                 events, events - item.events_before, now - item.started_at
             )
         elif end is RunEnd.INVALID:
@@ -404,51 +307,6 @@
         self.recorder.commit_soon(run)
         self.place_items()
 
-    def pause_items(self) -> None:
-        """Step back for online requests; paused items go on where they stopped."""
-        self._renew_pace()
-        pools: dict[PoolName, list[ItemRun]] = {}
-        for run in self.runs.values():
-            for item in run.running:
-                route = self.route_of(item.job)
-                if route is not None and item.task is not None:
-                    pools.setdefault(route.pools[0][0], []).append(item)
-        for pool, items in pools.items():
-            if pool in self.pace.paused:
-                continue
-            count = self.gateway.places.items_to_pause(pool)
-            if not count:
-                continue
-            self.pace.stop(pool)
-            now = self.gateway.clock()
-            spares = [self.spare(item, now) for item in items]
-            for number in choose_to_pause(spares, count):
-                items[number].task.cancel()
-            log.info("items paused", pool=pool, count=min(count, len(items)))
-
-    def step_back(self, runner: RunnerName) -> None:
-        """Pause one item on a runner for an online request that waits there."""
-        items = [
-            item
-            for run in self.runs.values()
-            for item in run.running
-            if item.runner == runner and item.task is not None
-        ]
-        if not items:
-            return
-        self._renew_pace()
-        now = self.gateway.clock()
-        (number,) = choose_to_pause([self.spare(item, now) for item in items], 1)
-        item = items[number]
-        route = self.route_of(item.job)
-        if route is not None:
-            # What still counts as free is the room that the wave takes.
-            self.pace.stop(route.pools[0][0])
-        item.task.cancel()
-        # The next request that waits there is for another item.
-        item.task = None
-        log.info("item steps back", runner=runner, item=item.item.id, job=item.job.id)
-
     def give_up_items(self) -> None:
         """Give up the items whose time is over or whose route is gone."""
         now = time.time()
--- a/src/primroseford/jobs/service.py
+++ b/src/primroseford/jobs/service.py
@@ -12,6 +12,7 @@
 from primroseford.errors import ResultCode
 from primroseford.gateway.loops import repeat
 from primroseford.jobs.ownership import JobOwnership
+from primroseford.jobs.pausing import step_back
 from primroseford.jobs.scheduler import TOLD_SECONDS
 from primroseford.jobs.scheduler import JobScheduler
 from primroseford.jobs.state import JobView
@@ -35,6 +36,8 @@
 TICK_SECONDS = 0.05
 """Time between two looks at the places: online requests of a wave wait for batch to
 step back at most this long and one heartbeat."""
+PEAK_TICK_SECONDS = 0.25
+"""Time between two looks at the online requests in flight, which change in a second."""
 DIRECTORY_SECONDS = 0.25
 """Time between two looks for jobs that nobody runs."""
 ENDS_SECONDS = 2.0
@@ -82,6 +85,11 @@
         """Start and pause items as the places allow."""
         await repeat(self, lambda: TICK_SECONDS, self.scheduler.adjust)
 
+    @Service.task
+    async def note_peaks(self) -> None:
+        """Note now and then how many online requests are in flight."""
+        await repeat(self, lambda: PEAK_TICK_SECONDS, self.scheduler.room.note_peaks)
+
     @Service.task
     async def look_for_jobs(self) -> None:
         """Find jobs that nobody runs, and ends that were taken elsewhere."""
@@ -117,7 +125,7 @@
 
     def told_waiting(self) -> tuple[int, int]:
         """Return how many items wait that can be in time, and how many others."""
-        return self.scheduler.waiting_items()
+        return self.scheduler.outlook.waiting()
 
     def told_ends(self) -> list[JobId]:
         """Return the jobs that callers ended lately at this host."""
@@ -143,7 +151,7 @@
 
     def step_back(self, runner: RunnerName) -> None:
         """Pause an item on a runner for an online request that waits there."""
-        self.scheduler.step_back(runner)
+        step_back(self.scheduler, runner)
 
     async def accept(self, job: Job) -> None:
         """Store a job and run it here.
--- a/src/primroseford/jobs/tests/test_peaks.py
+++ b/src/primroseford/jobs/tests/test_peaks.py
@@ -7,8 +7,6 @@
 
 import pytest
 
-from primroseford.gateway.peaks import PEAK_SECONDS
-from primroseford.gateway.peaks import Peaks
 from primroseford.gateway.placement import HEADROOM
 from primroseford.gateway.placement import RunnerLoad
 from primroseford.gateway.placement import batch_share
@@ -17,6 +15,8 @@
 from primroseford.jobs.forecast import URGENT_SECONDS
 from primroseford.jobs.forecast import Forecast
 from primroseford.jobs.forecast import needed_slots
+from primroseford.jobs.peaks import PEAK_SECONDS
+from primroseford.jobs.peaks import Peaks
 
 SLOTS = 320
 """40 engines with 8 slots each, as on the large site."""
