Take the newest lists of several peers at a start without the platform

Cause, found on checking the operators' faults ("after a restart a server that had left, or a key that had been withdrawn, was in use again"): a host that starts while the platform is away took the configuration and the runner list of the first peer that answered. A peer that was cut off before a key was withdrawn or a runner left answers as well as any other, and nothing newer is taken until the platform is back.

Now three peers are asked at once, first those whose heartbeats tell of the newest runner list and configuration; the newest list of each kind is taken, with the age of the platform's last word on that configuration.

Ruled out: a host that starts while the platform answers (its list goes before any peer's, test_answer_of_the_platform_goes_before_that_of_a_peer). Not covered: a host that did not restart and was cut off longer than the others; it does not ask peers.

Tests: of eight cases three fail before (an older peer first, each kind at another peer, the later word).

--- a/src/primroseford/gateway/hand_on.py
+++ b/src/primroseford/gateway/hand_on.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 from typing import TYPE_CHECKING
 
@@ -13,6 +14,7 @@
 import structlog
 from aiohttp import web
 
+from primroseford.platform.configuration import CONFIGURATION_KIND
 from primroseford.platform.view import decode_list
 from primroseford.platform.view import encode_list
 
@@ -23,11 +25,16 @@
     from aiohttp.web_request import BaseRequest
 
     from primroseford.gateway.follow import Followers
+    from primroseford.gateway.members import Members
+    from primroseford.gateway.members import Peer
     from primroseford.platform.objects import ObjectList
 
 PATH = "/followed"
 TIMEOUT_SECONDS = 1.0
 """Time for an answer, which takes some ms and is up to a megabyte."""
+ASKED_TOGETHER = 3
+"""Peers that are asked at once: the newest configuration and the newest runner list may
+be at two hosts, and one host may not answer."""
 
 log = structlog.get_logger()
 
@@ -53,34 +60,70 @@
 ) -> Callable[[], Awaitable[tuple[dict[str, ObjectList], float] | None]]:
     """Return a function that asks peers for what they follow.
 
-    It returns the objects by kind and the age in seconds of the platform's last word
-    on the configuration, or nothing if no peer answers.
+    It returns the newest objects by kind and the age in seconds of the platform's last
+    word on that configuration, or nothing if no peer answers. A single peer may have
+    been cut off before a key was withdrawn or a runner left.
 
     :param session: HTTP session for calls between hosts
-    :param peers: base URLs of the live hosts
+    :param peers: base URLs of the live hosts, those that know the most first
     """
     timeout = aiohttp.ClientTimeout(total=TIMEOUT_SECONDS)
 
+    async def ask(base_url: str) -> tuple[dict[str, ObjectList], float] | None:
+        try:
+            async with session.get(base_url + PATH, timeout=timeout) as answer:
+                if answer.status != 200:
+                    return None
+                body = json.loads(await answer.read())
+                lists = {
+                    kind: decode_list(kind, content)
+                    for kind, content in body["lists"].items()
+                }
+                return lists, float(body["confirmed_seconds_ago"])
+        except (
+            aiohttp.ClientError,
+            TimeoutError,
+            OSError,
+            ValueError,
+            KeyError,
+        ) as error:
+            log.info("peer not read", peer=base_url, reason=repr(error))
+            return None
+
     async def read() -> tuple[dict[str, ObjectList], float] | None:
-        for base_url in peers():
-            try:
-                async with session.get(base_url + PATH, timeout=timeout) as answer:
-                    if answer.status != 200:
-                        continue
-                    body = json.loads(await answer.read())
-                    lists = {
-                        kind: decode_list(kind, content)
-                        for kind, content in body["lists"].items()
-                    }
-                    return lists, float(body["confirmed_seconds_ago"])
-            except (
-                aiohttp.ClientError,
-                TimeoutError,
-                OSError,
-                ValueError,
-                KeyError,
-            ) as error:
-                log.info("peer not read", peer=base_url, reason=repr(error))
+        urls = peers()
+        for first in range(0, len(urls), ASKED_TOGETHER):
+            asked = (ask(url) for url in urls[first : first + ASKED_TOGETHER])
+            found = [answer for answer in await asyncio.gather(*asked) if answer]
+            if found:
+                return _newest(found)
         return None
 
     return read
+
+
+def _newest(
+    found: list[tuple[dict[str, ObjectList], float]],
+) -> tuple[dict[str, ObjectList], float]:
+    """Return the newest list of each kind, and the age of the configuration's."""
+    lists = {
+        kind: max((listed[kind] for listed, _ in found), key=lambda one: one.version)
+        for kind in found[0][0]
+    }
+    newest = lists[CONFIGURATION_KIND].version
+    ages = [age for told, age in found if told[CONFIGURATION_KIND].version == newest]
+    return lists, min(ages)
+
+
+def informed_peers(members: Members, now: float) -> list[Peer]:
+    """Return the live peers, first those that know the newest of each kind.
+
+    :param now: local time in seconds
+    """
+    live = members.live(now)
+    if not live:
+        return []
+    newest = max(live, key=lambda peer: peer.last.runner_list)
+    rest = [peer for peer in live if peer is not newest]
+    rest.sort(key=lambda peer: peer.last.configuration, reverse=True)
+    return [newest, *rest]
--- a/src/primroseford/gateway/host.py
+++ b/src/primroseford/gateway/host.py
@@ -23,6 +23,7 @@
 from primroseford.gateway.hand_on import PATH as HAND_ON_PATH
 from primroseford.gateway.hand_on import create_hand_on_handler
 from primroseford.gateway.hand_on import create_peer_reader
+from primroseford.gateway.hand_on import informed_peers
 from primroseford.gateway.heartbeat import HeartbeatService
 from primroseford.gateway.members import Members
 from primroseford.gateway.members import preferred_host
@@ -205,7 +206,10 @@
         address = f"{settings.ip}:{settings.peer_port}"
         members = gateway.members
         read_peers = create_peer_reader(
-            self.sessions[1], lambda: _urls(members, _live(members, self.clock()))
+            self.sessions[1],
+            lambda: _urls(
+                members, [p.host for p in informed_peers(members, self.clock())]
+            ),
         )
         self.followers = Followers(gateway, client, read_peers)
         return [
@@ -325,10 +329,6 @@
         }
 
 
-def _live(members: Members, now: float) -> list[HostId]:
-    return [peer.host for peer in members.live(now)]
-
-
 def _urls(members: Members, hosts: list[HostId]) -> list[str]:
     """Return the base URLs for calls to hosts."""
     return [_base_url(members.peers[host].address) for host in hosts]
--- /dev/null
+++ b/src/primroseford/gateway/tests/test_hand_on.py
@@ -0,0 +1,90 @@
+"""What a restarted host takes from its peers while the platform is away."""
+
+from __future__ import annotations
+
+import aiohttp
+import pytest
+from aiohttp import web
+
+from primroseford.gateway.gen.messages.ttypes import Heartbeat
+from primroseford.gateway.hand_on import PATH
+from primroseford.gateway.hand_on import create_peer_reader
+from primroseford.gateway.hand_on import informed_peers
+from primroseford.gateway.members import Members
+
+KINDS = ("config", "servers")
+
+
+@pytest.fixture
+async def peers():
+    """Return a factory of peers that hand on lists of given versions."""
+    servers = []
+
+    async def serve(config: int, servers_version: int, age: float) -> str:
+        async def handle(request: web.BaseRequest) -> web.Response:
+            if not config:
+                return web.Response(status=503)
+            versions = zip(KINDS, (config, servers_version), strict=True)
+            lists = {kind: {"version": n, "items": []} for kind, n in versions}
+            body = {"lists": lists, "confirmed_seconds_ago": age}
+            return web.json_response(body)
+
+        application = web.Application()
+        application.router.add_get(PATH, handle)
+        runner = web.AppRunner(application)
+        await runner.setup()
+        site = web.TCPSite(runner, "127.0.0.1", 0)
+        await site.start()
+        servers.append(runner)
+        port = site._server.sockets[0].getsockname()[1]
+        return f"http://127.0.0.1:{port}"
+
+    yield serve
+    for runner in servers:
+        await runner.cleanup()
+
+
+@pytest.mark.parametrize(
+    ("told", "expected"),
+    [
+        ([(5, 9, 1.0)], (5, 9, 1.0)),
+        ([(5, 9, 20.0), (7, 9, 1.0)], (7, 9, 1.0)),
+        ([(7, 9, 1.0), (5, 9, 20.0)], (7, 9, 1.0)),
+        ([(5, 12, 20.0), (7, 9, 1.0)], (7, 12, 1.0)),
+        ([(7, 9, 8.0), (7, 9, 2.0)], (7, 9, 2.0)),
+        ([(0, 0, 0.0), (7, 9, 1.0)], (7, 9, 1.0)),
+        ([(0, 0, 0.0)] * 4 + [(7, 9, 1.0)], (7, 9, 1.0)),
+        ([(0, 0, 0.0)], None),
+    ],
+)
+async def test_newest_lists_of_the_peers_are_taken(peers, told, expected):
+    """Guards against a withdrawn key or a removed runner that is in use again.
+
+    A peer that was cut off before the withdrawal answers as well as any other.
+    """
+    urls = [await peers(*fields) for fields in told]
+    async with aiohttp.ClientSession() as session:
+        found = await create_peer_reader(session, lambda: urls)()
+    if expected is None:
+        assert found is None
+        return
+    lists, age = found
+    assert (*(lists[kind].version for kind in KINDS), age) == expected
+
+
+def test_informed_peers_go_first():
+    """Guards against a fleet in which only hosts that are behind are asked."""
+    members = Members("own")
+    for number in range(40):
+        beat = Heartbeat(
+            host=f"host-{number}",
+            incarnation="1",
+            address=f"10.0.0.{number}:7000",
+            sequence=1,
+            configuration=9 if number == 30 else 8,
+            runner_list=60 if number == 20 else 50,
+            jobs=[],
+        )
+        members.receive(beat, 0.0)
+    first, second = informed_peers(members, 0.1)[:2]
+    assert {first.host, second.host} == {"host-30", "host-20"}
