--- a/src/primroseford/gateway/tests/test_step_back_replay.py
+++ b/src/primroseford/gateway/tests/test_step_back_replay.py
@@ -168,5 +168,8 @@
     """
     late_before, worth_before = replay(hosts, asking=False)
     late, worth = replay(hosts, asking=True)
+    print(
+        f"late {late_before:.3f} to {late:.3f}, worth {worth_before:.0f} to {worth:.0f}"
+    )
     assert late <= late_before / 2
     assert worth > worth_before
