Count the test fleet's time in binary fractions

Cause: the test's clock moves by 0.05 s as often as a wait loops, which depends on the machine. Ruled out: a checkpoint of the holder in between (due after 60 s; the steps add up to 28 s).

Change: the step is 1/16 s, so that sums and differences are exact. The test runs from five start times in turn. Conclusion: a fault of the test's clock, not of the takeover.

--- a/src/primroseford/batch/tests/fleet.py
+++ b/src/primroseford/batch/tests/fleet.py
@@ -38,6 +38,10 @@
 
 WRITES = ("create", "update", "delete")
 WAIT_SECONDS = 20.0
+STEP_SECONDS = 0.0625
+"""How far the fleet's clock moves between two looks at a condition.
+
+A binary fraction, so that sums of steps and differences of times are exact."""
 
 
 class MemoryClient:
@@ -265,7 +269,7 @@
         """Wait for a condition while the clock moves on."""
         async with asyncio.timeout(WAIT_SECONDS):
             while not await condition():
-                self.clock.advance(0.05)
+                self.clock.advance(STEP_SECONDS)
                 await asyncio.sleep(0.002)
 
     async def until_state(self, name: str, state: str) -> None:
--- a/src/primroseford/batch/tests/test_claims.py
+++ b/src/primroseford/batch/tests/test_claims.py
@@ -6,6 +6,7 @@
 
 from primroseford.batch.feed import RunnerFeed
 from primroseford.batch.state import RESULT_PARTS
+from primroseford.batch.tests.fleet import STEP_SECONDS
 from primroseford.batch.tests.fleet import Fleet
 from primroseford.batch.tests.fleet import check_complete
 from primroseford.batch.tests.fleet import die
@@ -50,9 +51,15 @@
         assert max(fleet.runner.runs.values()) == 1
 
 
-async def test_holder_that_is_not_in_the_membership_yet_keeps_its_chunk():
-    """Guards against chunks taken back and forth while membership converges."""
+@pytest.mark.parametrize("steps", range(5))
+async def test_holder_that_is_not_in_the_membership_yet_keeps_its_chunk(steps):
+    """Guards against chunks taken back and forth while membership converges.
+
+    :param steps: further steps of the clock before; the times compared stay exact
+    """
     fleet = Fleet()
+    for _ in range(steps):
+        fleet.clock.advance(STEP_SECONDS)
     name = await fleet.accept(40)
     first = await held_by(fleet, "a", 20)
     second = fleet.host("b")
