--- a/src/primroseford/gateway/relay.py
+++ b/src/primroseford/gateway/relay.py
@@ -30,10 +30,10 @@
     from primroseford.ids import FailureDomainId
     from primroseford.ids import HostId
 
-RELAY_SECONDS = 0.12
+RELAY_SECONDS = 0.1
 """Time for which a relay collects heartbeats: about the age that one hop may add."""
 RELAY_SILENCE_SECONDS = 0.6
-"""Silence of a relay after which hosts do without it: five bundles."""
+"""Silence of a relay after which hosts do without it: six bundles."""
 ECHO_BEATS = 2
 """Own heartbeats that a relay may miss before its host does without it."""
 SENT_KEPT = 8
--- a/src/primroseford/jobs/results_watch.py
+++ b/src/primroseford/jobs/results_watch.py
@@ -50,8 +50,6 @@
 the pause between two reads of a caller."""
 RETRY_SECONDS = 0.2
 """Pause after a call that failed."""
-PAUSE_SECONDS = 0.1
-"""Pause between two looks whether somebody has asked."""
 MAX_JOBS = 10_000
 """Jobs of which segments are counted; beyond it the watch starts anew."""
 AFTER_ALL_NAMES = "~"
@@ -82,6 +80,7 @@
 
     :param client: client of the platform's service
     :param clock: local time
+    :ivar asked: set once somebody asks
     :ivar segments: number of segments of each job that got one since the beginning
     """
 
@@ -90,6 +89,7 @@
         self.client = client
         self.clock = clock
         self.asked_at = -math.inf
+        self.asked = asyncio.Event()
         self.began_at = math.inf
         self.confirmed_at = -math.inf
         self.version: Version | None = None
@@ -98,6 +98,7 @@
     def listed(self, job: JobId) -> Listed | None:
         """Return what is known of a job; nothing before the watch has begun."""
         self.asked_at = self.clock()
+        self.asked.set()
         if self.version is None:
             return None
         return Listed(self.began_at, self.confirmed_at, self.segments.get(job, 0))
@@ -113,8 +114,8 @@
         while not self.should_stop:
             if not self.wanted:
                 self.version = None
-                await self.sleep(PAUSE_SECONDS)
-                continue
+                self.asked.clear()
+                await self.asked.wait()
             try:
                 if self.version is None:
                     await self.begin()
--- a/src/primroseford/jobs/service.py
+++ b/src/primroseford/jobs/service.py
@@ -36,6 +36,8 @@
 TICK_SECONDS = 0.05
 """Time between two looks at the places: online requests of a wave wait for batch to
 step back at most this long and one heartbeat."""
+IDLE_TICK_SECONDS = 0.1
+"""The same while this host runs no job; a job's start looks at the places itself."""
 PEAK_TICK_SECONDS = 0.25
 """Time between two looks at the online requests in flight, which change in a second."""
 DIRECTORY_SECONDS = 0.25
@@ -83,7 +85,11 @@
     @Service.task
     async def schedule(self) -> None:
         """Start and pause items as the places allow."""
-        await repeat(self, lambda: TICK_SECONDS, self.scheduler.adjust)
+        await repeat(
+            self,
+            lambda: TICK_SECONDS if self.scheduler.runs else IDLE_TICK_SECONDS,
+            self.scheduler.adjust,
+        )
 
     @Service.task
     async def note_peaks(self) -> None:
