--- a/src/primroseford/gateway/loops.py
+++ b/src/primroseford/gateway/loops.py
@@ -22,8 +22,8 @@
 TICK_SECONDS = 0.05
 """Grid on which all steps of a host are made, so that one wake-up serves several: the
 pause of the most frequent step."""
-EARLY_TICKS = 0.01
-"""Part of a tick by which the event loop may wake early."""
+EARLY_TICKS = 0.1
+"""Part of a tick by which an event loop may wake early: some count whole ms."""
 
 LONGEST_PHASE_SECONDS = 60.0
 """Range of the grids' phases: longer than any pause, so that hosts which start together
--- a/src/primroseford/gateway/tests/test_loops.py
+++ b/src/primroseford/gateway/tests/test_loops.py
@@ -13,11 +13,12 @@
 
 LATE_SECONDS = 0.002
 EARLY_SECONDS = 1e-9
+MS = 1e-3
 
 
 @pytest.mark.parametrize("phase", [0.0, 0.013, 47.31])
 @pytest.mark.parametrize("seconds", [0.01, 0.05, 0.1, 0.12, 0.25, 0.62, 5.6])
-@pytest.mark.parametrize("off", [0.0, LATE_SECONDS, -EARLY_SECONDS])
+@pytest.mark.parametrize("off", [0.0, LATE_SECONDS, -EARLY_SECONDS, -MS])
 def test_steps_keep_their_pause_on_the_grid(phase, seconds, off):
     """Guards against steps that drift, are skipped, or are made twice at once.
 
