Serve callers who have just connected when a host stops

Cause: the host stopped at 29.510 s and closed its socket and all idle connections at 32.710 s, when the balancer has noticed. The caller had connected at 32.686 s. Its connection was accepted, or still waited to be, but its request was not read yet, so that it counted as idle and was closed at once. The host's log has no "request dropped": nothing had been read.

Change: the socket stays open 0.3 s longer, and a connection is closed only after it has been idle for 0.3 s. The time of the stop bounds both as before.

The test of requests that a close meets passes 0 s of idleness, as strict as before.

Ruled out: a request that was read and dropped (no log line), a kill by the platform (drained at 32.762 s, stopped at 32.766 s, both in the log).

--- a/src/primroseford/gateway/host.py
+++ b/src/primroseford/gateway/host.py
@@ -53,6 +53,8 @@
 from primroseford.platform.transport import PREFIX
 
 if TYPE_CHECKING:
+    from aiohttp.web_protocol import RequestHandler
+
     from primroseford.clock import Clock
     from primroseford.ids import HostId
     from primroseford.platform.client import PlatformClient
@@ -61,6 +63,9 @@
 BALANCER_SECONDS = 3.2
 """Time from the first failed readiness check until the balancer sends no new
 connections: two checks a second apart, and a margin for one in flight."""
+IDLE_CLOSE_SECONDS = 0.3
+"""Time for which a caller's connection must be idle to be closed at a stop: many times
+the round trip after which a caller that has connected sends its request."""
 STOP_MARGIN_SECONDS = 0.7
 """Time kept for the last heartbeat and the exit before the platform kills."""
 POLL_SECONDS = 0.05
@@ -84,6 +89,8 @@
     """One host in front of the runners.
 
     :param settings: settings from the platform
+    :ivar idle_since: callers' connections without a request since this host stops, and
+        when that was first seen
     """
 
     def __init__(self, settings: NodeSettings, clock: Clock) -> None:
@@ -93,6 +100,7 @@
         self.metrics = Metrics()
         self.servers: list[asyncio.Server] = []
         self.ingress: web.Server | None = None
+        self.idle_since: dict[RequestHandler, float] = {}
         self.duties: list[Service] = []
         self.sessions: list[aiohttp.ClientSession] = []
         self.gateway: Gateway | None = None
@@ -289,21 +297,40 @@
         end = started + self.settings.stop_seconds - STOP_MARGIN_SECONDS
         await asyncio.sleep(min(BALANCER_SECONDS, max(0.0, end - self.clock())))
         if self.ingress is not None:
-            self.servers[-1].close()
-            self._close_idle()
-            # aiohttp gives no event for the end of its last connection.
-            while self.ingress.connections and self.clock() < end:
-                await asyncio.sleep(POLL_SECONDS)
-                self._close_idle()
+            await self._close_ingress(end)
         log.info("host drained", open_requests=len(self.gateway.flows))
 
-    def _close_idle(self) -> None:
-        """Close the callers' connections on which no request is being served.
+    async def _close_ingress(self, end: float) -> None:
+        """Stop to listen, and wait for the requests that are being served.
+
+        A caller whose connection came last may send its request a round trip later, so
+        no connection is closed before it has been idle for a while.
+
+        :param end: local time in seconds after which nothing is waited for
+        """
+        accept_until = self.clock() + IDLE_CLOSE_SECONDS
+        while self.clock() < end:
+            if self.clock() >= accept_until:
+                self.servers[-1].close()
+                if not self.ingress.connections:
+                    return
+            self._close_idle(IDLE_CLOSE_SECONDS)
+            # aiohttp gives no event for the end of its last connection.
+            await asyncio.sleep(POLL_SECONDS)
+        self.servers[-1].close()
+
+    def _close_idle(self, seconds: float) -> None:
+        """Close the callers' connections that no request has used for a while.
 
         ``RequestHandler.close`` would leave an idle connection open and unread.
+
+        :param seconds: time since this was first seen, in seconds
         """
-        for connection in list(self.ingress.connections):
-            if connection not in self.gateway.busy:
+        now = self.clock()
+        idle = set(self.ingress.connections) - self.gateway.busy
+        self.idle_since = {c: self.idle_since.get(c, now) for c in idle}
+        for connection, since in self.idle_since.items():
+            if now - since >= seconds:
                 connection.force_close()
 
     async def on_stop(self) -> None:
--- a/src/primroseford/gateway/tests/test_forwarding.py
+++ b/src/primroseford/gateway/tests/test_forwarding.py
@@ -238,7 +238,7 @@
         # Lets the loop take the request one step further before the close.
         await asyncio.sleep(0)
     host.gateway.stopping = True
-    host._close_idle()
+    host._close_idle(0.0)
     answer = await reader.read()
     writer.close()
     await rig.until(lambda: not host.ingress.connections)
@@ -263,6 +263,33 @@
     assert "primroseford_platform_calls_total" in text
 
 
+@pytest.mark.parametrize("before_seconds", [0.2, 0.02, 0.0, -0.1])
+@pytest.mark.parametrize("pause_seconds", [0.0, 0.02, 0.1])
+async def test_drain_serves_who_has_just_connected(
+    rig, monkeypatch, before_seconds, pause_seconds
+):
+    """Guards against requests that are cut off without an answer by a planned stop.
+
+    :param before_seconds: from the connection to the end of new connections from the
+        balancer; negative if it comes later
+    :param pause_seconds: from the connection to the request on it
+    """
+    monkeypatch.setattr("primroseford.gateway.host.BALANCER_SECONDS", 0.3)
+    host = rig.hosts[0]
+    address, port = host.settings.ingress.rsplit(":", 1)
+    draining = asyncio.create_task(host.drain())
+    await asyncio.sleep(0.3 - before_seconds)
+    reader, writer = await asyncio.open_connection(address, int(port))
+    await asyncio.sleep(pause_seconds)
+    head = f"POST /once/whole HTTP/1.1\r\nHost: {HOST}\r\nApi-Key: {KEY}\r\n"
+    writer.write(f"{head}Content-Length: 1\r\n\r\nx".encode())
+    answer = await reader.read()
+    writer.close()
+    assert answer.startswith(b"HTTP/1.1 200")
+    await draining
+    assert not host.ingress.connections
+
+
 async def test_drain_closes_idle_connections_and_finishes_requests(rig):
     """Guards against requests that are read by nobody while a host stops."""
     host = rig.hosts[0]
