Show that the product's own hosts serve callers who have just connected at a stop

A longer wait before the socket closes was tried and dropped, since no test needed it. Conclusion: the test stays.

--- a/src/primroseford/proof/tests/test_whole_hosts.py
+++ b/src/primroseford/proof/tests/test_whole_hosts.py
@@ -62,6 +62,47 @@
     assert {n for e in fleet.engines for n in e.state.run_counts.values()} == {1}
 
 
+@pytest.mark.parametrize("pause_seconds", [0.0, 0.02, 0.1])
+async def test_planned_stop_serves_who_has_just_connected(
+    fleet, monkeypatch, pause_seconds
+):
+    """Guards against requests that are cut off without an answer by a planned stop.
+
+    :param pause_seconds: from the connection to the request on it
+    """
+    await fleet.start(2, a="d0", b="d1")
+    address, port = fleet.addresses["a"].rsplit(":", 1)
+    host = fleet.hosts.pop("a")
+    lag = 0.2
+    stop = host.settings.stop.model_copy(update={"balancer_lag": lag})
+    host.settings = host.settings.model_copy(update={"stop": stop})
+    left = asyncio.Event()
+    leave = host.parts.membership.leave
+
+    async def leave_and_tell() -> None:
+        await leave()
+        left.set()
+
+    monkeypatch.setattr(host.parts.membership, "leave", leave_and_tell)
+    stopping = asyncio.create_task(host.stop_gracefully())
+    await left.wait()
+    await asyncio.sleep(lag - 0.02)
+    reader, writer = await asyncio.open_connection(address, int(port))
+    await asyncio.sleep(pause_seconds)
+    lines = [
+        "POST /desk/x HTTP/1.1",
+        f"Host: {address}",
+        f"Authorization: {fleet.bearer()['Authorization']}",
+        "Content-Type: application/json",
+        "Content-Length: 2",
+    ]
+    writer.write("\r\n".join([*lines, "", "{}"]).encode())
+    answer = await reader.read()
+    writer.close()
+    assert answer.startswith(b"HTTP/1.1 200")
+    await stopping
+
+
 async def test_no_backend_server_sees_a_key(fleet):
     """Guards against a key that is passed on from anywhere in a request."""
     await fleet.start(a="d0")
