Check the layers of the code in make lint

Found with it: no circle of imports between modules at run time; five circles remain among imports for type checking only (configuration, batch, daemon, jobs twice), and gateway, jobs and platform import each other's types. Ruled out for now: a contract against those, since they need moves of types between slices.

--- a/Makefile
+++ b/Makefile
@@ -33,6 +33,7 @@
 lint: install
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
+	PYTHONPATH=src $(BIN)/lint-imports --no-cache
 
 format: install
 	$(BIN)/ruff format .
