Show what a fleet does a second: primroseford top

Change: a command that reads the metrics of entry hosts again and again and shows, by host and for all: requests a second, the part that ended well, p50 and p99, refusals, retries, batch items, calls to the store.

--- a/src/primroseford/cli/application.py
+++ b/src/primroseford/cli/application.py
@@ -23,6 +23,7 @@
 from primroseford.cli.commands.runner_drain import RunnerDrainCommand
 from primroseford.cli.commands.runner_order import RunnerOrderCommand
 from primroseford.cli.commands.status import StatusCommand
+from primroseford.cli.commands.top import TopCommand
 
 COMMANDS = (
     ApplyCommand,
@@ -40,6 +41,7 @@
     RunnerDrainCommand,
     RunnerOrderCommand,
     StatusCommand,
+    TopCommand,
 )
 
 
