--- a/src/primroseford/cli/tests/test_top.py
+++ b/src/primroseford/cli/tests/test_top.py
@@ -79,15 +79,15 @@
 
 async def test_top_without_an_answer_says_so():
     """Guards against zeros that look like an idle fleet."""
-    wrong, found = await _served(lambda _: _text("no metrics {"))
+    wrong, found = await _served(_no_metrics)
     code, output, _ = await run(f"top {wrong} --seconds {SECONDS} --count 1")
     assert code == Exit.UNAVAILABLE
     assert "does not answer" in output
     await found.stop()
 
 
-async def _text(text: str) -> web.Response:
-    return web.Response(text=text)
+async def _no_metrics(_: web.Request) -> web.Response:
+    return web.Response(text="no metrics {")
 
 
 @pytest.mark.parametrize(
