Split the ingress and the addresses of calls from the host

Change: the last two are gateway/ingress.py (Ingress: server, listener, connections) and gateway/calls.py. The listener of the callers is named instead of being the last one of a list. Nothing is decided differently; the tests of stops run on Ingress. Ruled out: to split the making of the duties as well, which is the host's one job.

--- a/src/primroseford/gateway/host.py
+++ b/src/primroseford/gateway/host.py
@@ -17,6 +17,10 @@
 from primroseford.clock import boottime
 from primroseford.gateway.application import create_ingress_handler
 from primroseford.gateway.application import create_readiness_handler
+from primroseford.gateway.calls import CALLS_PORT_OFFSET
+from primroseford.gateway.calls import follower_url
+from primroseford.gateway.calls import relay_urls
+from primroseford.gateway.calls import urls
 from primroseford.gateway.exchange import create_fleet_session
 from primroseford.gateway.follow import Followers
 from primroseford.gateway.follow import Registration
@@ -25,8 +29,8 @@
 from primroseford.gateway.hand_on import create_peer_reader
 from primroseford.gateway.hand_on import informed_peers
 from primroseford.gateway.heartbeat import HeartbeatService
+from primroseford.gateway.ingress import Ingress
 from primroseford.gateway.members import Members
-from primroseford.gateway.members import preferred_host
 from primroseford.gateway.places import Places
 from primroseford.gateway.retirement import Retirements
 from primroseford.gateway.state import Gateway
@@ -39,7 +43,6 @@
 from primroseford.jobs.peers import PATH as JOBS_PATH
 from primroseford.jobs.peers import JobPeers
 from primroseford.jobs.peers import create_jobs_handler
-from primroseford.jobs.results_watch import DUTY as RESULTS_DUTY
 from primroseford.jobs.results_watch import PATH as LISTED_PATH
 from primroseford.jobs.results_watch import ResultsWatch
 from primroseford.jobs.results_watch import create_listed_handler
@@ -53,30 +56,20 @@
 from primroseford.platform.transport import PREFIX
 
 if TYPE_CHECKING:
-    from aiohttp.web_protocol import RequestHandler
-
     from primroseford.clock import Clock
-    from primroseford.ids import HostId
     from primroseford.platform.client import PlatformClient
     from primroseford.platform.settings import NodeSettings
 
 BALANCER_SECONDS = 3.2
 """Time from the first failed readiness check until the balancer sends no new
 connections: two checks a second apart, and a margin for one in flight."""
-IDLE_CLOSE_SECONDS = 0.3
-"""Time for which a caller's connection must be idle to be closed at a stop: many times
-the round trip after which a caller that has connected sends its request."""
 STOP_MARGIN_SECONDS = 0.7
 """Time kept for the last heartbeat and the exit before the platform kills."""
-POLL_SECONDS = 0.05
 MAX_BODY_BYTES = 8 * 1024 * 1024
 """Bound on a body before the configuration with its own bound is known."""
 IDLE_SECONDS = 120.0
 """Time for which a caller's idle connection is kept: well above the 15 s for which the
 operator lets callers stay idle, so that no request crosses a close."""
-CALLS_PORT_OFFSET = 1
-"""Port of calls between hosts, counted from the first port of their range, which takes
-the heartbeats."""
 METRICS_PORT = 9464
 """Port of the metrics, as the deploy file names it; the usual one of exporters."""
 CALLS_A_SECOND = 40.0
@@ -89,8 +82,6 @@
     """One host in front of the runners.
 
     :param settings: settings from the platform
-    :ivar idle_since: callers' connections without a request since this host stops, and
-        when that was first seen
     """
 
     def __init__(self, settings: NodeSettings, clock: Clock) -> None:
@@ -99,8 +90,7 @@
         self.clock = clock
         self.metrics = Metrics()
         self.servers: list[asyncio.Server] = []
-        self.ingress: web.Server | None = None
-        self.idle_since: dict[RequestHandler, float] = {}
+        self.ingress: Ingress | None = None
         self.duties: list[Service] = []
         self.sessions: list[aiohttp.ClientSession] = []
         self.gateway: Gateway | None = None
@@ -127,7 +117,7 @@
         path = StorePath(
             settings.platform,
             store,
-            lambda: _relays(members, self.clock()),
+            lambda: relay_urls(members, self.clock()),
             self.clock,
             random,
         )
@@ -174,8 +164,8 @@
         settings = self.settings
         peers = JobPeers(
             session,
-            lambda job: _urls(members, members.running(job, self.clock())),
-            lambda job: _urls(members, members.leaving_with(job, self.clock())),
+            lambda job: urls(members, members.running(job, self.clock())),
+            lambda job: urls(members, members.leaving_with(job, self.clock())),
             self.clock,
         )
         return JobService(
@@ -185,7 +175,7 @@
             create_listed_reader(
                 session,
                 results,
-                lambda: _follower(members, path.reachable, self.clock()),
+                lambda: follower_url(members, path.reachable, self.clock()),
             ),
             settings.job_retention_seconds,
             settings.settle_seconds,
@@ -215,7 +205,7 @@
         members = gateway.members
         read_peers = create_peer_reader(
             self.sessions[1],
-            lambda: _urls(
+            lambda: urls(
                 members, [p.host for p in informed_peers(members, self.clock())]
             ),
         )
@@ -259,21 +249,23 @@
             handler = create_readiness_handler(gateway)
             await self._serve(settings.readiness, web.Server(handler))
         if settings.ingress is not None:
-            self.ingress = web.Server(
+            ingress = web.Server(
                 create_ingress_handler(gateway, jobs),
                 request_factory=_create_request,
                 handler_cancellation=True,
                 keepalive_timeout=IDLE_SECONDS,
                 access_log=None,
             )
-            await self._serve(settings.ingress, self.ingress)
+            listener = await self._serve(settings.ingress, ingress)
+            self.ingress = Ingress(ingress, listener, gateway.busy, self.clock)
 
-    async def _serve(self, address: str, server: web.Server) -> None:
+    async def _serve(self, address: str, server: web.Server) -> asyncio.Server:
+        """Listen on an address until this host stops, and return the listener."""
         host, port = address.rsplit(":", 1)
         loop = asyncio.get_running_loop()
-        self.servers.append(
-            await loop.create_server(server, host, int(port), backlog=512)
-        )
+        listener = await loop.create_server(server, host, int(port), backlog=512)
+        self.servers.append(listener)
+        return listener
 
     async def _serve_metrics(self) -> None:
         """Serve the metrics; a host serves callers without them if it must."""
@@ -297,42 +289,9 @@
         end = started + self.settings.stop_seconds - STOP_MARGIN_SECONDS
         await asyncio.sleep(min(BALANCER_SECONDS, max(0.0, end - self.clock())))
         if self.ingress is not None:
-            await self._close_ingress(end)
+            await self.ingress.close(end)
         log.info("host drained", open_requests=len(self.gateway.flows))
 
-    async def _close_ingress(self, end: float) -> None:
-        """Stop to listen, and wait for the requests that are being served.
-
-        A caller whose connection came last may send its request a round trip later, so
-        no connection is closed before it has been idle for a while.
-
-        :param end: local time in seconds after which nothing is waited for
-        """
-        accept_until = self.clock() + IDLE_CLOSE_SECONDS
-        while self.clock() < end:
-            if self.clock() >= accept_until:
-                self.servers[-1].close()
-                if not self.ingress.connections:
-                    return
-            self._close_idle(IDLE_CLOSE_SECONDS)
-            # aiohttp gives no event for the end of its last connection.
-            await asyncio.sleep(POLL_SECONDS)
-        self.servers[-1].close()
-
-    def _close_idle(self, seconds: float) -> None:
-        """Close the callers' connections that no request has used for a while.
-
-        ``RequestHandler.close`` would leave an idle connection open and unread.
-
-        :param seconds: time since this was first seen, in seconds
-        """
-        now = self.clock()
-        idle = set(self.ingress.connections) - self.gateway.busy
-        self.idle_since = {c: self.idle_since.get(c, now) for c in idle}
-        for connection, since in self.idle_since.items():
-            if now - since >= seconds:
-                connection.force_close()
-
     async def on_stop(self) -> None:
         """Stop the duties and close the sockets."""
         for duty in reversed(self.duties):
@@ -340,7 +299,7 @@
         for server in self.servers:
             server.close()
         if self.ingress is not None:
-            await self.ingress.shutdown(0.1)
+            await self.ingress.server.shutdown(0.1)
         for session in self.sessions:
             await session.close()
         log.info("host stopped", host=self.settings.host, **self._store_calls())
@@ -356,38 +315,6 @@
         }
 
 
-def _urls(members: Members, hosts: list[HostId]) -> list[str]:
-    """Return the base URLs for calls to hosts."""
-    return [_base_url(members.peers[host].address) for host in hosts]
-
-
-def _base_url(address: str) -> str:
-    """Return the base URL for calls to a host.
-
-    :param address: where it takes heartbeats
-    """
-    ip, port = address.rsplit(":", 1)
-    return f"http://{ip}:{int(port) + CALLS_PORT_OFFSET}"
-
-
-def _relays(members: Members, now: float) -> list[str]:
-    """Return the base URLs of the hosts that can call the store for this one."""
-    return _urls(members, members.reaching_store(now))
-
-
-def _follower(members: Members, reaches_store: bool, now: float) -> str | None:
-    """Return the base URL of the host that follows results; nothing if it is this one.
-
-    :param reaches_store: whether this host reaches the store itself
-    :param now: local time in seconds
-    """
-    hosts = members.reaching_store(now)
-    if reaches_store or not hosts:
-        hosts.append(members.own)
-    chosen = preferred_host(RESULTS_DUTY, hosts)
-    return None if chosen == members.own else _base_url(members.peers[chosen].address)
-
-
 def _create_request(message, payload, protocol, writer, task) -> BaseRequest:
     return BaseRequest(
         message,
--- a/src/primroseford/gateway/tests/test_forwarding.py
+++ b/src/primroseford/gateway/tests/test_forwarding.py
@@ -229,8 +229,8 @@
     host = rig.hosts[0]
     address, port = host.settings.ingress.rsplit(":", 1)
     reader, writer = await asyncio.open_connection(address, int(port))
-    await rig.until(lambda: len(host.ingress.connections) == 1)
-    (connection,) = host.ingress.connections
+    await rig.until(lambda: len(host.ingress.server.connections) == 1)
+    (connection,) = host.ingress.server.connections
     await asyncio.sleep(0)
     head = f"POST /once/whole HTTP/1.1\r\nHost: {HOST}\r\nApi-Key: {KEY}\r\n"
     connection.data_received(f"{head}Content-Length: 1\r\n\r\nx".encode())
@@ -238,10 +238,10 @@
         # Lets the loop take the request one step further before the close.
         await asyncio.sleep(0)
     host.gateway.stopping = True
-    host._close_idle(0.0)
+    host.ingress.close_idle(0.0)
     answer = await reader.read()
     writer.close()
-    await rig.until(lambda: not host.ingress.connections)
+    await rig.until(lambda: not host.ingress.server.connections)
     answered = answer.startswith(b"HTTP/1.1 200")
     ends = host.gateway.metrics.requests._metrics.keys()
     assert ends == ({("non_idempotent", "ok")} if answered else set())
@@ -287,7 +287,7 @@
     writer.close()
     assert answer.startswith(b"HTTP/1.1 200")
     await draining
-    assert not host.ingress.connections
+    assert not host.ingress.server.connections
 
 
 async def test_drain_closes_idle_connections_and_finishes_requests(rig):
@@ -305,4 +305,4 @@
     writer.close()
     assert (await running)[2] == WHOLE_STREAM
     await draining
-    assert not host.ingress.connections
+    assert not host.ingress.server.connections
--- a/src/primroseford/jobs/tests/test_jobs.py
+++ b/src/primroseford/jobs/tests/test_jobs.py
@@ -8,9 +8,9 @@
 
 import pytest
 
+from primroseford.gateway.calls import CALLS_PORT_OFFSET
 from primroseford.gateway.follow import Followers
 from primroseford.gateway.heartbeat import HeartbeatService
-from primroseford.gateway.host import CALLS_PORT_OFFSET
 from primroseford.ids import JobId
 from primroseford.jobs import recorder
 from primroseford.jobs import scheduler
