Write the stand-in of heartbeats and the fixture of a rig once

Change: proof/heartbeats.py (QuietJobs, create_heartbeats, Fleet), used by three tests and the benchmark; the fixture rig is in the conftest that all slices share. The tests of gateway, jobs, proofs and bench pass. Ruled out: one copy for the pairs of same shape, which share no logic. Conclusion: no code that is served has changed.

--- a/bench/bench_heartbeat.py
+++ b/bench/bench_heartbeat.py
@@ -13,26 +13,25 @@
 from bench.report import Report
 from primroseford.clock import ManualClock
 from primroseford.gateway.gen.messages.ttypes import Bundle
-from primroseford.gateway.heartbeat import HeartbeatService
-from primroseford.gateway.members import Members
 from primroseford.gateway.placement import tell_interval
-from primroseford.gateway.places import Places
 from primroseford.gateway.relay import RELAY_SECONDS
 from primroseford.gateway.runners import RunnerEntry
 from primroseford.gateway.runners import RunnerKey
 from primroseford.gateway.runners import RunnerStage
-from primroseford.gateway.state import Gateway
-from primroseford.gateway.state import GatewayMetrics
+from primroseford.ids import JobId
 from primroseford.jobs.state import ToldJob
-from primroseford.metrics import Metrics
 from primroseford.peer.codec import encode
 from primroseford.platform.configuration import decode_tables
+from primroseford.proof.heartbeats import QuietJobs
+from primroseford.proof.heartbeats import create_heartbeats
 from primroseford.standins.fleet_objects import KEY
 from primroseford.standins.fleet_objects import configuration
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
+    from primroseford.gateway.heartbeat import HeartbeatService
+
 COMMAND = 'make bench ARGS="heartbeat"'
 HOSTS, DOMAINS, RUNNERS, ORGANISATIONS = 165, 5, 45, 140
 """Sizes of the users' large site."""
@@ -40,6 +39,8 @@
 """Requests of all callers there."""
 BUSY_SLOTS = 320
 """Requests and items on all runners there."""
+LINK = 12.5e6
+"""Bytes a second of a host's link."""
 SECONDS = 20
 """Simulated time of a run."""
 QUIET = logging.WARNING
@@ -48,43 +49,20 @@
 """Runs; the shortest one counts, since other work only adds time."""
 
 
-class OneJob:
-    """A host that runs one job."""
-
-    def __init__(self, name: str) -> None:
-        self.told = {f"job-{name}": ToldJob(1, "o-1", "/notes/", 2000)}
-
-    def told_jobs(self) -> dict:
-        """Tell of the job."""
-        return self.told
-
-    def told_ends(self) -> list:
-        """Tell of no end."""
-        return []
-
-    def told_waiting(self) -> tuple[int, int]:
-        """Tell of no item."""
-        return 0, 0
-
-    def stop_ended(self, job) -> None:
-        """Take no end."""
-
-    def step_back(self, runner) -> None:
-        """Pause nothing."""
-
-
 def create_service(number: int, clock: ManualClock) -> HeartbeatService:
     """Return the heartbeats of one host."""
     name, domain = f"host-{number}", f"d{number % DOMAINS}"
-    random = Random(number)
-    gateway = Gateway(
-        Members(name),
-        Places(domain, clock, random),
-        None,
+    told = {JobId(f"job-{number}"): ToldJob(1, "o-1", "/notes/", 2000)}
+    service = create_heartbeats(
+        name,
+        domain,
+        (f"10.1.0.{number}", 7660),
         clock,
-        random,
-        GatewayMetrics(Metrics()),
+        Random(number),
+        LINK,
+        jobs=QuietJobs(told),
     )
+    gateway = service.gateway
     tenants = [
         {"name": f"o-{n}", "api_keys": [f"{KEY}{n}"], "rate_per_s": 20, "burst": 20}
         for n in range(ORGANISATIONS)
@@ -103,10 +81,7 @@
             for n in range(RUNNERS)
         }
     )
-    address = (f"10.1.0.{number}", 7660)
-    return HeartbeatService(
-        gateway, "1", domain, address, OneJob(name), lambda: True, 12.5e6
-    )
+    return service
 
 
 def bundles(
--- a/src/primroseford/conftest.py
+++ b/src/primroseford/conftest.py
@@ -13,6 +13,8 @@
 from primroseford.lease.keeper import create_lease_keeper
 from primroseford.metrics import Metrics
 from primroseford.platform.client import create_platform_client
+from primroseford.proof.site import Site
+from primroseford.standins.fleet_objects import configuration
 from primroseford.standins.platform import create_platform_application
 from primroseford.standins.platform import create_platform_stand_in
 from primroseford.standins.serving import serve
@@ -84,3 +86,15 @@
         raise AssertionError("the condition did not become true")
 
     return wait
+
+
+@pytest.fixture
+async def rig(platform, session):
+    """One host with two runners; more can be added."""
+    built = Site(platform, session)
+    built.put("config", "main", configuration())
+    for name in ("i-1", "i-2"):
+        await built.add_runner(name)
+    await built.add_host()
+    yield built
+    await built.stop()
--- a/src/primroseford/gateway/tests/test_fleet_cost.py
+++ b/src/primroseford/gateway/tests/test_fleet_cost.py
@@ -17,9 +17,9 @@
 from primroseford.gateway.runners import RunnerStage
 from primroseford.gateway.tables import Organisation
 from primroseford.gateway.tables import Tables
-from primroseford.gateway.tests.test_relay import Fleet
 from primroseford.peer.codec import decode
 from primroseford.peer.codec import encode
+from primroseford.proof.heartbeats import Fleet
 
 RUNNERS = 4
 HOSTS = 5
--- a/src/primroseford/gateway/tests/test_relay.py
+++ b/src/primroseford/gateway/tests/test_relay.py
@@ -1,187 +1,20 @@
-"""Heartbeats of a large fleet over a network that loses and cuts datagrams."""
+"""Relays of heartbeats in a large fleet."""
 
 from __future__ import annotations
 
-from random import Random
-
 import pytest
 
-from primroseford.clock import ManualClock
-from primroseford.gateway.heartbeat import BUNDLE_PORT_OFFSET
-from primroseford.gateway.heartbeat import HeartbeatService
-from primroseford.gateway.members import Members
 from primroseford.gateway.placement import tell_interval
-from primroseford.gateway.places import Places
 from primroseford.gateway.relay import BUNDLE_BYTES
 from primroseford.gateway.relay import RELAY_SECONDS
 from primroseford.gateway.relay import RELAY_SILENCE_SECONDS
 from primroseford.gateway.relay import bundle_bytes
 from primroseford.gateway.relay import split_bundle
-from primroseford.gateway.state import Gateway
-from primroseford.gateway.state import GatewayMetrics
-from primroseford.metrics import Metrics
-
-DOMAINS = ("a", "b", "c", "d", "e")
-PORT = 7660
-STEP_SECONDS = 0.02
-STRONG, WEAK = 25e6, 3.75e6
-"""Bytes a second of the two kinds of links on the large site."""
-STRONG_SHARE = 10
-"""One host in so many has a strong link."""
-
-
-class Idle:
-    """A host without jobs.
-
-    :ivar stepped_back: runners on which an item was to step back
-    """
-
-    def __init__(self) -> None:
-        self.stepped_back: list[str] = []
-
-    def told_jobs(self) -> dict:
-        """Tell of no job."""
-        return {}
-
-    def told_ends(self) -> list:
-        """Tell of no end."""
-        return []
-
-    def told_waiting(self) -> tuple[int, int]:
-        """Tell of no item."""
-        return 0, 0
-
-    def stop_ended(self, job) -> None:
-        """Take no end."""
-
-    def step_back(self, runner) -> None:
-        """Note that an item was to step back."""
-        self.stepped_back.append(runner)
-
-
-class Wire:
-    """The sending side of a socket."""
-
-    def __init__(self, fleet: Fleet, host: str) -> None:
-        self.fleet = fleet
-        self.host = host
-
-    def is_closing(self) -> bool:
-        """Whether it is closed."""
-        return False
-
-    def sendto(self, data: bytes, address: tuple[str, int]) -> None:
-        """Send a datagram, which arrives at the next step."""
-        self.fleet.sent[self.host] += 1
-        self.fleet.on_the_way.append((self.host, address, data))
-
-
-class Fleet:
-    """Hosts in failure domains, and the datagrams between them.
-
-    :ivar down: hosts that neither send nor receive
-    :ivar cuts: pairs of sender and receiver between which nothing arrives
-    :ivar sent: datagrams by sender
-    """
-
-    def __init__(self, hosts: int, loss: float = 0.0, strong: bool = True) -> None:
-        self.clock = ManualClock(100.0)
-        self.random = Random(11)
-        self.loss = loss
-        self.on_the_way: list[tuple[str, tuple[str, int], bytes]] = []
-        self.down: set[str] = set()
-        self.cuts: set[tuple[str, str]] = set()
-        self.names = [f"{DOMAINS[n % len(DOMAINS)]}-{n}" for n in range(hosts)]
-        self.sent = dict.fromkeys(self.names, 0)
-        self.services = {
-            name: self.create(name, STRONG if strong and n % STRONG_SHARE < 5 else WEAK)
-            for n, name in enumerate(self.names)
-        }
-        for service in self.services.values():
-            for name in self.names:
-                service.gateway.members.learn(name, f"{name}:{PORT}", self.clock())
-        self.beats = {name: self.random.random() * 0.6 for name in self.names}
-        self.ticks = {name: self.random.random() * 0.1 for name in self.names}
-
-    def create(self, name: str, link: float, incarnation: str = "1"):
-        """Return the heartbeats of one host."""
-        gateway = Gateway(
-            Members(name),
-            Places(name[0], self.clock, self.random),
-            None,
-            self.clock,
-            self.random,
-            GatewayMetrics(Metrics()),
-        )
-        service = HeartbeatService(
-            gateway, incarnation, name[0], (name, PORT), Idle(), lambda: True, link
-        )
-        service.transport = service.bundles = Wire(self, name)
-        return service
-
-    def run(self, seconds: float) -> None:
-        """Let time pass."""
-        until = self.clock() + seconds
-        while self.clock() < until:
-            self.clock.advance(STEP_SECONDS)
-            now = self.clock() - 100.0
-            arriving, self.on_the_way = self.on_the_way, []
-            for sender, (receiver, port), data in arriving:
-                lost = self.random.random() < self.loss
-                if lost or receiver in self.down or (sender, receiver) in self.cuts:
-                    continue
-                service = self.services[receiver]
-                if port == PORT + BUNDLE_PORT_OFFSET:
-                    service.receive_bundle(data)
-                else:
-                    service.receive_direct(data)
-            for name, service in self.services.items():
-                if name in self.down:
-                    continue
-                if now >= self.beats[name]:
-                    service.gateway.places.changed = True
-                    service._beat()
-                    self.beats[name] = now + service._pause()
-                if now >= self.ticks[name]:
-                    service.pass_on()
-                    self.ticks[name] = now + RELAY_SECONDS
-
-    def oldest(self, readers: list[str] | None = None) -> float:
-        """Return the age in seconds of the oldest heartbeat that a host relies on."""
-        now = self.clock()
-        up = [name for name in self.names if name not in self.down]
-        return max(
-            now - self.services[reader].gateway.members.peers[name].heard_at
-            for reader in readers or up
-            for name in up
-            if name != reader
-        )
-
-    def all_heard(self) -> bool:
-        """Whether every host counts every other one as live."""
-        up = [name for name in self.names if name not in self.down]
-        live = {
-            name: {
-                p.host for p in self.services[name].gateway.members.live(self.clock())
-            }
-            for name in up
-        }
-        return all(live[name] == set(up) - {name} for name in up)
-
-    def relays(self) -> set[str]:
-        """Return the hosts that relay."""
-        now = self.clock()
-        return {
-            name
-            for name, service in self.services.items()
-            if name not in self.down and service.relay.is_relay(now)
-        }
-
-    def datagrams_a_second(self, seconds: float) -> dict[str, float]:
-        """Return how many datagrams each host sends."""
-        before = dict(self.sent)
-        self.run(seconds)
-        return {n: (self.sent[n] - before[n]) / seconds for n in self.names}
+from primroseford.proof.heartbeats import DOMAINS
+from primroseford.proof.heartbeats import PORT
+from primroseford.proof.heartbeats import STRONG
+from primroseford.proof.heartbeats import WEAK
+from primroseford.proof.heartbeats import Fleet
 
 
 @pytest.mark.parametrize("loss", [0.0, 0.02])
--- a/src/primroseford/gateway/tests/test_step_back.py
+++ b/src/primroseford/gateway/tests/test_step_back.py
@@ -16,7 +16,7 @@
 from primroseford.gateway.step_back import waits_for_batch
 from primroseford.gateway.tables import Organisation
 from primroseford.gateway.tables import Tables
-from primroseford.gateway.tests.test_relay import Fleet
+from primroseford.proof.heartbeats import Fleet
 
 RUNNER = "i-1"
 HOSTS = 40
