--- /dev/null
+++ b/src/primroseford/proof/rates.py
@@ -0,0 +1,121 @@
+"""A rate over several hosts that tell each other what they admitted, simulated."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import field
+
+from primroseford.gateway.quota import Quotas
+from primroseford.gateway.tables import Organisation
+
+RATE, BURST = 22.0, 22.0
+WINDOW = 5.0
+STEP = 0.01
+"""Time between two decisions, in seconds."""
+BEGIN, STEPS = 5.0, 3000
+RETURN_SECONDS = 0.5
+"""Time in which callers come back who could not connect while all hosts were down."""
+
+
+@dataclass(frozen=True)
+class Restart:
+    """A loss of all hosts at once.
+
+    :param at: when, in seconds
+    :param down: seconds until they serve again
+    :param tokens: tokens with which each one begins
+    """
+
+    at: float
+    down: float
+    tokens: float = 0.0
+
+
+@dataclass
+class Outcome:
+    """What hosts together decided.
+
+    :param admitted: times of admissions
+    :param refused: times of refusals
+    """
+
+    admitted: list[float] = field(default_factory=list)
+    refused: list[float] = field(default_factory=list)
+
+
+def replay(
+    hosts: int,
+    asked: float,
+    lag: float,
+    cut: range = range(0),
+    restart: Restart | None = None,
+) -> Outcome:
+    """Return what hosts decided in 30 s.
+
+    :param asked: requests a second over all hosts
+    :param lag: age of what hosts know of each other, in seconds
+    :param cut: steps during which the first host hears nobody and nobody hears it
+    :param restart: when all hosts start anew
+    """
+    caroni = Organisation("caroni", RATE, BURST)
+    quotas, told = _fleet(hosts, 0.0)
+    found, due, missed = Outcome(), 0.0, 0.0
+    for step in range(STEPS):
+        now = BEGIN + step * STEP
+        since = now - restart.at if restart is not None else -1.0
+        if restart is not None and 0 <= since < restart.down:
+            missed += asked * STEP
+            quotas, told = _fleet(hosts, restart.at + restart.down)
+            for quota in quotas:
+                quota.refill(caroni, now).level = restart.tokens
+            continue
+        apart = step in cut
+        for quota in quotas:
+            quota.silent = int(apart)
+        quotas[0].silent = hosts - 1 if apart else 0
+        if step % round(lag / STEP) == 0:
+            _tell(quotas, told, caroni, now, apart)
+        due += asked * STEP
+        if missed and since < restart.down + RETURN_SECONDS:
+            due += missed * STEP / RETURN_SECONDS
+        while due >= 1:
+            due -= 1
+            host = (len(found.admitted) * 7 + step) % hosts
+            good = quotas[host].take(caroni, now) == 0
+            (found.admitted if good else found.refused).append(now)
+    return found
+
+
+def _fleet(hosts: int, started: float) -> tuple[list[Quotas], list[list[int]]]:
+    """Return the buckets of hosts that start, and what each has told each other."""
+    quotas = [Quotas(started) for _ in range(hosts)]
+    for quota in quotas:
+        quota.hosts = hosts
+    return quotas, [[0] * hosts for _ in range(hosts)]
+
+
+def _tell(
+    quotas: list[Quotas],
+    told: list[list[int]],
+    organisation: Organisation,
+    now: float,
+    apart: bool,
+) -> None:
+    for reader, quota in enumerate(quotas):
+        for writer, other in enumerate(quotas):
+            if reader == writer or (apart and 0 in (reader, writer)):
+                continue
+            count = other.admitted.get(organisation.name, 0)
+            news = count - told[reader][writer]
+            told[reader][writer] = count
+            quota.peer_admitted(organisation, f"h{writer}", news, now)
+
+
+def most_in_window(times: list[float]) -> int:
+    """Return the largest number of times in any window."""
+    best = first = 0
+    for last, time in enumerate(times):
+        while times[first] < time - WINDOW:
+            first += 1
+        best = max(best, last - first + 1)
+    return best
