--- a/bench/bench_quota_start.py
+++ b/bench/bench_quota_start.py
@@ -23,7 +23,7 @@
     report = Report("quota_start", COMMAND)
     for hosts, lag in FLEETS.items():
         for tokens in TOKENS:
-            found = replay(hosts, RATE, lag, restart=Restart(AT, DOWN, tokens))
+            found = replay(hosts, RATE, lag, restart=Restart(AT, DOWN, tokens=tokens))
             begin = AT + DOWN
             refused = sum(begin <= at < begin + COUNTED_SECONDS for at in found.refused)
             name = f"refused, {hosts} hosts that begin with {tokens} tokens"
--- a/src/primroseford/gateway/tests/test_quota.py
+++ b/src/primroseford/gateway/tests/test_quota.py
@@ -29,13 +29,21 @@
 
 @pytest.mark.parametrize("hosts", [1, 8, 54])
 @pytest.mark.parametrize("asked", [RATE, RATE * 5])
-@pytest.mark.parametrize("down", [0.1, 1.5])
-def test_start_of_all_hosts_stays_within_the_bound(hosts, asked, down):
+@pytest.mark.parametrize(
+    ("down", "gap"), [(0.1, 0.0), (1.5, 0.0), (0.0, 0.1), (0.0, 0.5)]
+)
+def test_start_of_all_hosts_stays_within_the_bound(hosts, asked, down, gap):
     """Guards against tokens that are given again to hosts that start anew."""
-    times = replay(hosts, asked, 0.2, restart=Restart(20.0, down)).admitted
+    times = replay(hosts, asked, 0.2, restart=Restart(20.0, down, gap)).admitted
     assert most_in_window(times) <= BOUND
 
 
+def test_burst_at_the_start_of_each_host_would_exceed_the_bound():
+    """Shows that the replay of hosts that start in turn finds what it looks for."""
+    restart = Restart(20.0, gap=0.5, tokens=BURST)
+    assert most_in_window(replay(8, RATE * 5, 0.2, restart=restart).admitted) > BOUND
+
+
 @pytest.mark.parametrize("hosts", [1, 7, 9])
 def test_nothing_is_refused_inside_the_rate(hosts):
     """Guards against refusals of what an organisation may send."""
--- a/src/primroseford/proof/rates.py
+++ b/src/primroseford/proof/rates.py
@@ -19,15 +19,17 @@
 
 @dataclass(frozen=True)
 class Restart:
-    """A loss of all hosts at once.
+    """A start anew of all hosts.
 
-    :param at: when, in seconds
-    :param down: seconds until they serve again
+    :param at: when the first one starts or all are lost, in seconds
+    :param down: seconds for which all are lost at once
+    :param gap: seconds from one host's start to the next one's, if they start in turn
     :param tokens: tokens with which each one begins
     """
 
     at: float
-    down: float
+    down: float = 0.0
+    gap: float = 0.0
     tokens: float = 0.0
 
 
@@ -69,6 +71,11 @@
             for quota in quotas:
                 quota.refill(caroni, now).level = restart.tokens
             continue
+        if restart is not None and restart.gap:
+            number = round(since / restart.gap)
+            if 0 <= number < hosts and abs(since - number * restart.gap) < STEP / 2:
+                _start_anew(quotas, told, number, now)
+                quotas[number].refill(caroni, now).level = restart.tokens
         apart = step in cut
         for quota in quotas:
             quota.silent = int(apart)
@@ -94,6 +101,17 @@
     return quotas, [[0] * hosts for _ in range(hosts)]
 
 
+def _start_anew(
+    quotas: list[Quotas], told: list[list[int]], number: int, now: float
+) -> None:
+    """Start one host; it owes nothing for what the others admitted before."""
+    quotas[number] = Quotas(now)
+    quotas[number].hosts = len(quotas)
+    for other, quota in enumerate(quotas):
+        told[other][number] = 0
+        told[number][other] = quota.admitted.get("caroni", 0)
+
+
 def _tell(
     quotas: list[Quotas],
     told: list[list[int]],
