Line up top's columns with long addresses

Change: the first column is as wide as the longest name. The test compares the lengths of the lines; it failed before for addresses of ports with five digits. Ruled out: shorter names, which a reader could not use.

--- a/src/primroseford/cli/commands/top.py
+++ b/src/primroseford/cli/commands/top.py
@@ -28,10 +28,7 @@
 READ_SECONDS = 2.0
 """Time for a host's metrics, which are ready at once."""
 MAX_PAUSE_SECONDS = 3600.0
-HEAD = (
-    "host                       req/s  good  p50 ms  p99 ms  "
-    "refused/s  retries/s  items/s  calls/s"
-)
+HEAD = "  req/s  good  p50 ms  p99 ms  refused/s  retries/s  items/s  calls/s"
 
 
 class TopCommand(BaseCommand):
@@ -100,24 +97,26 @@
     ]
     answered = [found for found in grown if found is not None]
     total = rates(answered, seconds)
-    lines, hosts = [HEAD], {}
+    summary = f"{len(answered)} of {len(urls)} hosts"
+    width = max(map(len, [summary, *urls]))
+    lines, hosts = [f"{'host':<{width}}{HEAD}"], {}
     for url, found in zip(urls, grown, strict=True):
         if found is None:
             hosts[url] = None
-            lines.append(f"{url:<25}  does not answer")
+            lines.append(f"{url:<{width}}  does not answer")
         else:
             figures = rates([found], seconds)
             hosts[url] = asdict(figures)
-            lines.append(_line(url, figures))
-    lines.append(_line(f"{len(answered)} of {len(urls)} hosts", total))
+            lines.append(f"{url:<{width}}{_line(figures)}")
+    lines.append(f"{summary:<{width}}{_line(total)}")
     body = {"hosts": hosts, "total": asdict(total)}
     return Answer(body, lines, Exit.OK if answered else Exit.UNAVAILABLE)
 
 
-def _line(name: str, found: Rates) -> str:
+def _line(found: Rates) -> str:
     good = "" if found.good is None else f"{found.good:.0%}"
     return (
-        f"{name:<25}{found.requests:>7.1f}{good:>6}"
+        f"{found.requests:>7.1f}{good:>6}"
         f"{_ms(found.median):>8}{_ms(found.p99):>8}{found.refused:>11.1f}"
         f"{found.retries:>11.1f}{found.items:>9.1f}{found.calls:>9.1f}"
     )
--- a/src/primroseford/cli/tests/test_top.py
+++ b/src/primroseford/cli/tests/test_top.py
@@ -71,7 +71,9 @@
     code, output, _ = await run(command)
     views = output.strip().split("\n\n")
     assert len(views) == 2
-    assert f"{dark:<25}  does not answer" in views[0].splitlines()
+    lines = views[0].splitlines()
+    assert f"{dark:<{len(urls[0])}}  does not answer" in lines
+    assert {len(line) for line in lines if "not answer" not in line} == {len(lines[0])}
     assert views[1].splitlines()[-1].startswith("2 of 3 hosts")
     for _, found in served:
         await found.stop()
