--- a/src/primroseford/proof/heartbeats.py
+++ b/src/primroseford/proof/heartbeats.py
@@ -143,28 +143,32 @@
         """Let time pass."""
         until = self.clock() + seconds
         while self.clock() < until:
-            self.clock.advance(STEP_SECONDS)
-            now = self.clock() - 100.0
-            arriving, self.on_the_way = self.on_the_way, []
-            for sender, (receiver, port), data in arriving:
-                lost = self.random.random() < self.loss
-                if lost or receiver in self.down or (sender, receiver) in self.cuts:
-                    continue
-                service = self.services[receiver]
-                if port == PORT + BUNDLE_PORT_OFFSET:
-                    service.receive_bundle(data)
-                else:
-                    service.receive_direct(data)
-            for name, service in self.services.items():
-                if name in self.down:
-                    continue
-                if now >= self.beats[name]:
-                    service.gateway.places.changed = True
-                    service._beat()
-                    self.beats[name] = now + service._pause()
-                if now >= self.ticks[name]:
-                    service.pass_on()
-                    self.ticks[name] = now + RELAY_SECONDS
+            self.step()
+
+    def step(self) -> None:
+        """Let a short time pass."""
+        self.clock.advance(STEP_SECONDS)
+        now = self.clock() - 100.0
+        arriving, self.on_the_way = self.on_the_way, []
+        for sender, (receiver, port), data in arriving:
+            lost = self.random.random() < self.loss
+            if lost or receiver in self.down or (sender, receiver) in self.cuts:
+                continue
+            service = self.services[receiver]
+            if port == PORT + BUNDLE_PORT_OFFSET:
+                service.receive_bundle(data)
+            else:
+                service.receive_direct(data)
+        for name, service in self.services.items():
+            if name in self.down:
+                continue
+            if now >= self.beats[name]:
+                service.gateway.places.changed = True
+                service._beat()
+                self.beats[name] = now + service._pause()
+            if now >= self.ticks[name]:
+                service.pass_on()
+                self.ticks[name] = now + RELAY_SECONDS
 
     def oldest(self, readers: list[str] | None = None) -> float:
         """Return the age in seconds of the oldest heartbeat that a host relies on."""
