Begin all watches again once one of them has no answer

Callers would see: requests sent to a runner that left, or held by an old list, for seconds after all open connections went silent. Class: a change that was confirmed and is not in force, since what would show it waits longer than the change may take.

Cause: only the watch of the configuration is short at the host that confirms. That of the runner list waits 5 s there and up to 29 s elsewhere, and its silence shows only after that time, though the other watch of the same host had no answer long before.

Change: a watch of the configuration that fails ends that of the runners, which lists at once. Ending a watch is one function with a reason in the log (it took two calls of list_again before), and its mark is set anew with each watch, so that an end that the call turns into a time-out is not kept.

Ruled out: short calls for the runner list, too; two short watches that end at once count as a store that does not answer.

The two cases of the runner fail without the change.

--- a/src/primroseford/gateway/follow.py
+++ b/src/primroseford/gateway/follow.py
@@ -133,10 +133,7 @@
             return
         self.confirming = True
         for reflector in (self.tables, self.runners):
-            # The first call notes the time since which the watch is taken to hide
-            # changes.
-            reflector.list_again(0.0)
-            reflector.list_again(0.0)
+            reflector.end_watch("this host confirms")
 
     def runner_pause(self) -> float:
         """Return the pause after changes of the runner list, in seconds."""
@@ -170,6 +167,9 @@
         """Note whether the configuration can be followed."""
         if good:
             self.gateway.confirmed_at = self.gateway.clock()
+        else:
+            # What harms one connection mostly harms all, and this watch waits longer.
+            self.runners.end_watch("no answer to another watch")
 
     def runners_contact(self, good: bool) -> None:
         """Note a loss or return of the platform."""
--- a/src/primroseford/gateway/tests/test_configuration_age.py
+++ b/src/primroseford/gateway/tests/test_configuration_age.py
@@ -6,10 +6,13 @@
 
 from primroseford.proof.following import FollowingFleet
 from primroseford.proof.virtual_time import run_in_virtual_time
+from primroseford.standins.fleet_objects import configuration
 
 APPLY_SECONDS = {8: 2.0, 40: 3.0}
 """Time in which a change must be in force, by the number of hosts: from the users'
 deployments of about that size."""
+CONTACT_SECONDS = {8: 3.0, 40: 4.0}
+"""Time after a reset of connections from which a host must be up to date again."""
 STRETCH_SECONDS = 5.0
 """What an unstable store may add."""
 LONGEST_SECONDS = 40.0
@@ -17,25 +20,48 @@
 NEWEST = 14
 
 
-async def age_in_force(hosts: int, fault: str) -> float:
-    """Return how long a change that no waiting watch hears takes to be in force."""
+async def settled_fleet(hosts: int) -> FollowingFleet:
+    """Return hosts whose watch calls have ended once, and began together again."""
     fleet = FollowingFleet(hosts)
     await fleet.start()
     await fleet.run(SETTLED_SECONDS)
-    fleet.store.put(2)
+    fleet.store.put("config", "main", configuration(2))
     fleet.store.drop_history()
-    # All watch calls have ended, and begin together again.
     await fleet.run(SETTLED_SECONDS)
+    return fleet
+
+
+async def age_of_muted_change(hosts: int, fault: str) -> float:
+    """Return how long a change that no waiting watch hears takes to be in force."""
+    fleet = await settled_fleet(hosts)
     confirming = fleet.confirming()
     fleet.store.muted = True
     for version in (7, 11, NEWEST):
         await fleet.run(0.2)
-        fleet.put(version)
+        fleet.put_configuration(version)
     if fault == "killed":
         await fleet.kill(confirming)
     elif fault == "not answered":
         fleet.store.away.add(confirming)
-    seconds = await fleet.seconds_until(NEWEST, LONGEST_SECONDS)
+    seconds = await fleet.seconds_until(
+        lambda: fleet.has_configuration(NEWEST), LONGEST_SECONDS
+    )
+    await fleet.stop()
+    return seconds
+
+
+async def age_after_silence(hosts: int, changed: str) -> float:
+    """Return how long a change takes once all open connections have gone silent."""
+    fleet = await settled_fleet(hosts)
+    fleet.store.silence()
+    if changed == "configuration":
+        fleet.put_configuration(NEWEST)
+        seconds = await fleet.seconds_until(
+            lambda: fleet.has_configuration(NEWEST), LONGEST_SECONDS
+        )
+    else:
+        fleet.drain_runner()
+        seconds = await fleet.seconds_until(fleet.knows_leaving_runner, LONGEST_SECONDS)
     await fleet.stop()
     return seconds
 
@@ -49,4 +75,12 @@
     together and waited on, so that none showed it.
     """
     bound = APPLY_SECONDS[hosts] + (0.0 if fault == "none" else STRETCH_SECONDS)
-    assert run_in_virtual_time(age_in_force(hosts, fault)) <= bound
+    assert run_in_virtual_time(age_of_muted_change(hosts, fault)) <= bound
+
+
+@pytest.mark.parametrize("hosts", [8, 40])
+@pytest.mark.parametrize("changed", ["configuration", "runner"])
+def test_change_after_all_open_connections_went_silent(hosts, changed):
+    """Guards against silent watches that hide what was withdrawn."""
+    bound = CONTACT_SECONDS[hosts]
+    assert run_in_virtual_time(age_after_silence(hosts, changed)) <= bound
--- a/src/primroseford/platform/reflector.py
+++ b/src/primroseford/platform/reflector.py
@@ -75,6 +75,7 @@
         self.watch_seconds = watch_seconds
         self.pause_seconds = pause_seconds
         self.watching: asyncio.Task | None = None
+        self.watch_ended = False
         self.behind_since: float | None = None
         self.client = client
         self.kind = kind
@@ -107,13 +108,13 @@
         """
         try:
             await self._list()
+            self.watch_ended = False
             self.watching = asyncio.create_task(self.watch_once())
             await self.watching
         except asyncio.CancelledError:
-            if self.behind_since is None or asyncio.current_task().cancelling():
+            if not self.watch_ended or asyncio.current_task().cancelling():
                 raise
             self.behind_since = None
-            log.info("watch hides changes", kind=self.kind)
             return 0.0
         except PrimrosefordError as error:
             log.warning("watch ended", kind=self.kind, code=error.code.name)
@@ -137,8 +138,19 @@
         now = self.clock()
         if self.behind_since is None:
             self.behind_since = now
-        elif now - self.behind_since >= seconds and self.watching is not None:
-            self.watching.cancel()
+        elif now - self.behind_since >= seconds:
+            self.end_watch("hides changes")
+
+    def end_watch(self, why: str) -> None:
+        """End the watch that waits, if one does, and list at once.
+
+        :param why: reason, for the log
+        """
+        if self.watching is None or self.watching.done() or self.watch_ended:
+            return
+        log.info("watch is begun again", kind=self.kind, why=why)
+        self.watch_ended = True
+        self.watching.cancel()
 
     async def _list(self) -> None:
         listed = await self.client.list(
--- a/src/primroseford/proof/following.py
+++ b/src/primroseford/proof/following.py
@@ -9,16 +9,22 @@
 from primroseford.errors import PrimrosefordError
 from primroseford.errors import ResultCode
 from primroseford.gateway.follow import Followers
+from primroseford.gateway.runners import RunnerStage
 from primroseford.platform.client import PlatformClient
 from primroseford.platform.transport import CALL_TIMEOUT_SECONDS
 from primroseford.proof.heartbeats import STEP_SECONDS
 from primroseford.proof.heartbeats import Fleet
 from primroseford.standins.fleet_objects import configuration
+from primroseford.standins.fleet_objects import runner_entry
 from primroseford.standins.platform_state import PlatformState
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from primroseford.platform.transport import Call
 
+RUNNER = "i-1"
+RUNNER_ADDRESS = "127.0.0.1:9"
 LOOK_SECONDS = 0.01
 """Time between two looks of a waiting watch for changes."""
 
@@ -30,6 +36,7 @@
         history
     :ivar floor: revision from which the history is kept
     :ivar away: hosts to which the store does not answer
+    :ivar silences: how often the open connections have gone silent for good
     """
 
     def __init__(self) -> None:
@@ -37,15 +44,19 @@
         self.muted = False
         self.floor = 0
         self.away: set[str] = set()
+        self.silences = 0
 
-    def put(self, version: int) -> None:
-        """Write a version of the configuration."""
-        state = self.state
-        item = {"metadata": {"name": "main"}, "spec": configuration(version)}
-        if "main" in state.objects.get("config", {}):
-            state.update("config", item)
+    def put(self, kind: str, name: str, spec: dict[str, Any]) -> None:
+        """Write an object as the operator or a runner does."""
+        item = {"metadata": {"name": name}, "spec": spec}
+        if name in self.state.objects.get(kind, {}):
+            self.state.update(kind, item)
         else:
-            state.create("config", item)
+            self.state.create(kind, item)
+
+    def silence(self) -> None:
+        """Let the calls that are in progress have no answer; new ones have one."""
+        self.silences += 1
 
     def drop_history(self) -> None:
         """Refuse the watches that wait, and let later ones hear again."""
@@ -60,9 +71,12 @@
         if call.verb == "LIST":
             return self._body("items", self.state.list(call.path)) | {"has_more": False}
         loop = asyncio.get_running_loop()
+        silences = self.silences
         since = int(call.params["watch"])
         until = loop.time() + int(call.params["wait_ms"]) / 1000
         while True:
+            if silences != self.silences:
+                await asyncio.Event().wait()
             if since < self.floor:
                 raise PrimrosefordError(ResultCode.WATCH_EXPIRED, "history dropped")
             changes = self.state.changes_since(call.path, since)
@@ -102,12 +116,13 @@
 class FollowingFleet:
     """Hosts that follow one store and hear each other's heartbeats.
 
-    :ivar since: time of the store's last change of the configuration, in seconds
+    :ivar since: time of the last change in the store, in seconds
     """
 
     def __init__(self, hosts: int) -> None:
         self.store = MemoryStore()
-        self.store.put(1)
+        self.store.put("config", "main", configuration(1))
+        self.store.put("servers", RUNNER, runner_entry(RUNNER_ADDRESS))
         self.heartbeats = Fleet(hosts)
         self.followers = {
             name: Followers(
@@ -138,9 +153,15 @@
             await asyncio.sleep(STEP_SECONDS)
             self.heartbeats.step()
 
-    def put(self, version: int) -> None:
+    def put_configuration(self, version: int) -> None:
         """Change the configuration."""
-        self.store.put(version)
+        self.store.put("config", "main", configuration(version))
+        self.since = self.heartbeats.clock()
+
+    def drain_runner(self) -> None:
+        """Let the runner tell that it leaves."""
+        entry = runner_entry(RUNNER_ADDRESS, state="draining")
+        self.store.put("servers", RUNNER, entry)
         self.since = self.heartbeats.clock()
 
     def confirming(self) -> str:
@@ -157,22 +178,34 @@
         self.heartbeats.down.add(host)
         await self.followers[host].stop()
 
-    async def seconds_until(self, version: int, longest: float) -> float:
-        """Return how long after its write a version is in force on all hosts.
+    def has_configuration(self, version: int) -> bool:
+        """Return whether all hosts in touch have at least this configuration."""
+        return all(
+            followers.gateway.tables.version >= version for followers in self.in_touch()
+        )
+
+    def knows_leaving_runner(self) -> bool:
+        """Return whether all hosts in touch know that the runner leaves."""
+        stages = {
+            followers.gateway.runner_list.entries[RUNNER].stage
+            for followers in self.in_touch()
+        }
+        return stages == {RunnerStage.DRAINING}
+
+    def in_touch(self) -> list[Followers]:
+        """Return the followers that are up and that the store answers."""
+        live = self.live().items()
+        return [found for name, found in live if name not in self.store.away]
 
-        Those that are down or that the store does not answer are left out.
+    async def seconds_until(
+        self, condition: Callable[[], bool], longest: float
+    ) -> float:
+        """Return how long after the last change a condition holds.
 
         :param longest: time in seconds after which to look no longer
         """
         clock = self.heartbeats.clock
-        while clock() - self.since < longest:
-            tables = [
-                followers.gateway.tables
-                for name, followers in self.live().items()
-                if name not in self.store.away
-            ]
-            if all(t is not None and t.version >= version for t in tables):
-                break
+        while clock() - self.since < longest and not condition():
             await self.run(STEP_SECONDS)
         return clock() - self.since
 
