Send no call into a connection that was idle for long

Callers would see: a host on an old configuration for 2 s and more after its open connections went silent.

Cause: idle connections to the store were used again for 10 s (15 s at primrosefordd), oldest first. After a silence each of them takes one call and its 2 s before the list that brings a change gets through.

Change: they are used again for 0.5 s, less than the 0.6 s after which a watch without an answer or a peer's newer version shows a silence. Both programs make their session by one function.

Ruled out: keep-alive probes, which the kernel counts in whole seconds and which would end sound connections on links that lose packets.

Test: with eight kept connections that go silent the list of the configuration went into them before; none does after.

--- a/src/primroseford/daemon/assembly.py
+++ b/src/primroseford/daemon/assembly.py
@@ -8,7 +8,6 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-import aiohttp
 import structlog
 
 from primroseford.batch.calls import BatchClient
@@ -45,6 +44,7 @@
 from primroseford.peer.handshake import read_secret
 from primroseford.peer.network import create_peer_network
 from primroseford.platform.client import create_platform_client
+from primroseford.platform.transport import create_session
 from primroseford.routing.poller import create_load_poller
 from primroseford.routing.tracker import create_runner_tracker
 
@@ -52,6 +52,7 @@
     from collections.abc import Callable
     from collections.abc import Sequence
 
+    import aiohttp
     from aiohttp import web
     from mode import Service
 
@@ -127,7 +128,7 @@
     :param clock: local time
     """
     secret = read_secret(settings.peer_secret_file)
-    session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
+    session = create_session()
     client = create_platform_client(settings.platform, session, clock, None, metrics)
     own = HostInfo(
         HostId(settings.host),
--- a/src/primroseford/gateway/host.py
+++ b/src/primroseford/gateway/host.py
@@ -54,6 +54,7 @@
 from primroseford.platform.limiter import CallLimiter
 from primroseford.platform.limiter import CallLimits
 from primroseford.platform.transport import PREFIX
+from primroseford.platform.transport import create_session
 
 if TYPE_CHECKING:
     from primroseford.clock import Clock
@@ -101,9 +102,7 @@
         settings = self.settings
         members = Members(settings.host)
         fleet = create_fleet_session()
-        store = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=10.0)
-        )
+        store = create_session()
         self.sessions = [fleet, store]
         random = Random()
         gateway = self.gateway = Gateway(
--- a/src/primroseford/gateway/tests/test_follow.py
+++ b/src/primroseford/gateway/tests/test_follow.py
@@ -1,9 +1,11 @@
 from __future__ import annotations
 
+import asyncio
 from itertools import pairwise
 from random import Random
 
 import pytest
+from yarl import URL
 
 from primroseford.clock import ManualClock
 from primroseford.gateway.follow import FLEET_WATCH_SECONDS
@@ -29,11 +31,13 @@
 from primroseford.platform.runner_list import RUNNER_KIND
 from primroseford.platform.view import Delta
 from primroseford.proof.addresses import own_address
+from primroseford.soak.proxy import Proxy
 from primroseford.standins.fleet_objects import configuration
 from primroseford.standins.fleet_objects import runner_entry
 
 ENTRY = RunnerEntry(RunnerKey("x", 1), "p", "127.0.0.1:9", "a", 8, RunnerStage.READY)
 VERSION = Version(9)
+KEPT_CONNECTIONS = 8
 
 
 class FakeTask:
@@ -45,6 +49,10 @@
         """End it."""
         self.cancelled = True
 
+    def done(self) -> bool:
+        """Return whether it has ended."""
+        return self.cancelled
+
 
 def fleet_followers(hosts: int) -> Followers:
     """Return the followers of one of many hosts, another of which has the duty."""
@@ -84,6 +92,25 @@
     assert reflector.failures <= 1
 
 
+async def test_list_that_follows_a_silence_uses_a_new_connection(rig):
+    """Guards against a host that stays behind for each of its silent connections.
+
+    A call that goes into one has no answer for seconds.
+    """
+    proxy = Proxy(("127.0.0.1", URL(rig.platform.url).port))
+    await proxy.start()
+    behind = await rig.add_host(platform=f"http://{proxy.address}")
+    await rig.until(lambda: len(behind.gateway.members.live(behind.clock())) == 1)
+    client = duty(behind, Followers).tables.client
+    # Leaves as many connections to be used again.
+    await asyncio.gather(*(client.list("jobs") for _ in range(KEPT_CONNECTIONS)))
+    proxy.silence_open()
+    rig.put("config", "main", configuration(7))
+    await rig.until(lambda: behind.gateway.tables.version == 7)
+    assert not [data for data in proxy.unheard if b"/objects/config" in data]
+    await proxy.stop()
+
+
 async def test_heartbeats_of_hosts_that_are_up_to_date_cause_no_lists(rig):
     """Guards against hosts that make each other list without end."""
     other = await rig.add_host()
--- a/src/primroseford/platform/transport.py
+++ b/src/primroseford/platform/transport.py
@@ -26,6 +26,10 @@
 CONNECT_TIMEOUT_SECONDS = 1.0
 WATCH_MARGIN_SECONDS = 0.6
 """Time beyond the wait of a watch after which its connection counts as dead."""
+KEPT_SECONDS = 0.5
+"""Time for which an idle connection is used again. Connections may go silent, all at
+once; what shows it, a watch without an answer or a peer's newer version, takes longer,
+so that the calls that follow use new ones."""
 RELAY_TIMEOUT_SECONDS = 31.0
 """Time for a call that is made for another host: longer than its watches wait, so that
 the other host's own time decides."""
@@ -165,6 +169,12 @@
         return error
 
 
+def create_session() -> aiohttp.ClientSession:
+    """Return an HTTP session for calls to the service, and to other hosts."""
+    connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=KEPT_SECONDS)
+    return aiohttp.ClientSession(connector=connector)
+
+
 async def probe_service(
     session: aiohttp.ClientSession, base_url: str, seconds: float
 ) -> bool:
--- a/src/primroseford/soak/proxy.py
+++ b/src/primroseford/soak/proxy.py
@@ -26,6 +26,9 @@
 
     :param target: IP number and port of the server
     :param fault: what happens to all connections at present
+    :ivar accepted: connections so far
+    :ivar silent: how many of the first of these are silent for good
+    :ivar unheard: what clients sent into silent connections
     """
 
     target: tuple[str, int]
@@ -34,6 +37,9 @@
     server: asyncio.Server | None = None
     writers: set[asyncio.StreamWriter] = field(default_factory=set)
     tasks: set[asyncio.Task] = field(default_factory=set)
+    accepted: int = 0
+    silent: int = 0
+    unheard: list[bytes] = field(default_factory=list)
 
     async def start(self) -> None:
         """Listen on a port that the kernel chooses."""
@@ -52,6 +58,10 @@
         for writer in list(self.writers):
             _reset(writer)
 
+    def silence_open(self) -> None:
+        """Let the open connections carry nothing more; new ones work."""
+        self.silent = self.accepted
+
     async def stop(self) -> None:
         """End all connections and stop listening."""
         if self.server is not None:
@@ -73,9 +83,15 @@
             # Looks to the client like the server's own refusal.
             _reset(writer)
             return
+        self.accepted += 1
+        number = self.accepted
         pumps = [
-            asyncio.create_task(self._pump(reader, server_writer, HELD_TO_SERVER)),
-            asyncio.create_task(self._pump(server_reader, writer, HELD_TO_CLIENT)),
+            asyncio.create_task(
+                self._pump(reader, server_writer, HELD_TO_SERVER, number)
+            ),
+            asyncio.create_task(
+                self._pump(server_reader, writer, HELD_TO_CLIENT, number)
+            ),
         ]
         self.tasks.update(pumps)
         pair = (writer, server_writer)
@@ -91,9 +107,14 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
         held: tuple[LinkFault, ...],
+        number: int,
     ) -> None:
         try:
             while data := await reader.read(CHUNK_BYTES):
+                if number <= self.silent:
+                    if held is HELD_TO_SERVER:
+                        self.unheard.append(data)
+                    continue
                 if self.fault is LinkFault.DELAY:
                     await asyncio.sleep(DELAY_SECONDS)
                 await self._wait_until_open(held)
