Log since when a peer knew a newer configuration

Test: in the replay with 8 hosts seven log the peer's version and an age of at least the time for which they wait, and the one that learnt by its own watch logs none.

--- a/src/primroseford/gateway/follow.py
+++ b/src/primroseford/gateway/follow.py
@@ -13,6 +13,7 @@
 from primroseford.gateway.members import preferred_host
 from primroseford.gateway.placement import FULL_VIEW_HOSTS
 from primroseford.ids import HostId
+from primroseford.ids import Version
 from primroseford.platform.configuration import CONFIGURATION_KIND
 from primroseford.platform.configuration import CONFIGURATION_NAME
 from primroseford.platform.configuration import decode_tables
@@ -112,6 +113,8 @@
 
         self.confirming = False
         self.silent = False
+        self.told = Version(0)
+        self.told_at: float | None = None
         gateway.on_heartbeat = self.compare_versions
 
     def watch_wait(self) -> float:
@@ -148,11 +151,34 @@
         """
         tables = self.gateway.tables
         if tables is not None and heartbeat.configuration > tables.version:
+            self.note_newer(heartbeat)
             self.tables.list_again(BEHIND_SECONDS)
         if heartbeat.runner_list > self.runners.view.version:
             # During a pause the own watch shows nothing.
             self.runners.list_again(self.runner_pause() + BEHIND_SECONDS)
 
+    def note_newer(self, heartbeat: Heartbeat) -> None:
+        """Note since when a peer knows a newer configuration than this host."""
+        if heartbeat.configuration <= self.told:
+            return
+        self.told = Version(heartbeat.configuration)
+        if self.told_at is None:
+            self.told_at = self.gateway.clock()
+        log.info(
+            "peer knows a newer configuration",
+            peer=heartbeat.host,
+            version=heartbeat.configuration,
+            own=self.gateway.tables.version,
+        )
+
+    def behind_ms(self) -> int | None:
+        """Return for how long a peer has known a newer configuration; ends the count.
+
+        :returns: nothing if no peer has told of one
+        """
+        since, self.told_at = self.told_at, None
+        return None if since is None else round((self.gateway.clock() - since) * 1000)
+
     async def on_start(self) -> None:
         """Start to follow."""
         await self.tables.start()
@@ -219,6 +245,7 @@
                 revision=item.version,
                 routes=len(tables.routes),
                 organisations=len(tables.organisations),
+                behind_ms=self.behind_ms(),
             )
 
     def take_runners(self, delta: Delta) -> None:
--- a/src/primroseford/gateway/tests/test_configuration_age.py
+++ b/src/primroseford/gateway/tests/test_configuration_age.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import pytest
+import structlog
 
+from primroseford.gateway.follow import BEHIND_SECONDS
 from primroseford.proof.following import FollowingFleet
 from primroseford.proof.virtual_time import run_in_virtual_time
 from primroseford.standins.fleet_objects import configuration
@@ -84,3 +86,27 @@
     """Guards against silent watches that hide what was withdrawn."""
     bound = CONTACT_SECONDS[hosts]
     assert run_in_virtual_time(age_after_silence(hosts, changed)) <= bound
+
+
+async def logged_ages(hosts: int) -> list[dict]:
+    """Return the log lines of a configuration that only one host's watch shows."""
+    fleet = await settled_fleet(hosts)
+    fleet.store.muted = True
+    with structlog.testing.capture_logs() as lines:
+        fleet.put_configuration(NEWEST)
+        await fleet.seconds_until(
+            lambda: fleet.has_configuration(NEWEST), LONGEST_SECONDS
+        )
+    await fleet.stop()
+    return lines
+
+
+def test_log_tells_how_long_a_host_was_behind_its_peers():
+    """Guards against a log that does not tell why a change came late."""
+    lines = run_in_virtual_time(logged_ages(8))
+    events = [line["event"] for line in lines]
+    assert events.count("peer knows a newer configuration") == 7
+    applied = [line for line in lines if line["event"] == "configuration in force"]
+    behind = [line["behind_ms"] for line in applied]
+    assert behind.count(None) == 1
+    assert min(ms for ms in behind if ms is not None) >= BEHIND_SECONDS * 1000
