Say what failed at a runner in words

Cause: the text of a 502 and the log named classes of the HTTP library, such as "no answer: ClientResponseError", which tells a caller nothing. Change: one table of what each kind of failure means; the errno's name stays where there is one. Test: test_errors_carry_nothing_of_a_runner looks for such names too; its four cases fail without the change.

--- a/src/primroseford/gateway/exchange.py
+++ b/src/primroseford/gateway/exchange.py
@@ -41,6 +41,18 @@
 EXCHANGE_ERRORS = (aiohttp.ClientError, OSError, ValueError)
 
 
+FAILURE_WORDS = (
+    (TimeoutError, "timed out"),
+    (aiohttp.ServerDisconnectedError, "the runner closed the connection"),
+    (aiohttp.ClientPayloadError, "the body broke off or is malformed"),
+    (aiohttp.ClientResponseError, "the head is malformed or too long"),
+    (aiohttp.ClientError, "the connection broke"),
+    (OSError, "the connection broke"),
+    (ValueError, "the answer is malformed"),
+)
+"""What errors of the HTTP library mean; the first that fits counts."""
+
+
 class RunnerMoved(PrimrosefordError):
     """Another runner has the address; the request did not run."""
 
@@ -175,10 +187,10 @@
 
 
 def describe(error: BaseException) -> str:
-    """Return the kind of an error, without anything that a runner has sent."""
+    """Return what an error means, without anything that a runner has sent."""
     if isinstance(error, OSError) and error.errno in errno.errorcode:
         return errno.errorcode[error.errno]
-    return type(error).__name__
+    return next(words for kind, words in FAILURE_WORDS if isinstance(error, kind))
 
 
 def ran(code: ResultCode, message: str) -> PrimrosefordError:
--- a/src/primroseford/gateway/tests/test_hostile_runners.py
+++ b/src/primroseford/gateway/tests/test_hostile_runners.py
@@ -224,6 +224,7 @@
         assert JUNK.decode("latin-1").strip() not in text
         assert "yyyyyyyy" not in text
     assert "127.0.0.1" not in body.decode()
+    assert "Error" not in body.decode(), "names a class of the HTTP library"
     assert len(body) < MESSAGE_BYTES
     failed = [
         line for line in (logged.out + logged.err).splitlines() if "attempt" in line
