End the watch calls that hold a change of configuration back

Cause: a change takes effect only up to the version that the feeds of all kinds have reached. With the published protocol a feed without changes reaches a version only with the end of its watch call, up to 2 s later, so each change waited for the slowest quiet kind.

Why tests missed it: the fake of the platform gave every watch a bookmark at each change, and the demo asks for 5 s.

Change: while a change waits for other feeds, their watch calls are ended and made once with no wait, at most every 0.2 s. The cut over all kinds stays as it was: nothing is in force before every feed has reached it.

Ruled out: putting changes of one kind in force at once, which shows a route before its pool; shorter waits, which cost calls when nothing changes; a second call beside the one that waits, whose events come twice.

--- a/src/primroseford/configuration/merge.py
+++ b/src/primroseford/configuration/merge.py
@@ -141,6 +141,13 @@
     return delta
 
 
+def behind(merge: WatchMerge) -> list[str]:
+    """Return the kinds whose feeds hold back a change of another kind."""
+    waiting = [c.version for feed in merge.feeds.values() for c in feed.pending]
+    newest = max(waiting, default=merge.published)
+    return [kind for kind, feed in merge.feeds.items() if feed.position < newest]
+
+
 def _record(feed: KindFeed, change: Change) -> None:
     if change.body is None:
         if feed.known.pop(change.name, None) is None:
--- a/src/primroseford/configuration/tests/fakes.py
+++ b/src/primroseford/configuration/tests/fakes.py
@@ -211,7 +211,7 @@
             self.platform.lose_answers -= 1
             raise UNAVAILABLE
 
-    async def watch(self, kind, since):
+    async def watch(self, kind, since, wait_seconds=None):
         self.check()
         if since < self.platform.log_start:
             raise PrimrosefordError(ResultCode.WATCH_EXPIRED, "too old")
--- a/src/primroseford/configuration/watcher.py
+++ b/src/primroseford/configuration/watcher.py
@@ -1,4 +1,9 @@
-"""Watching of the platform by the two highest-ranked hosts of a domain."""
+"""Watching of the platform by the two highest-ranked hosts of a domain.
+
+A change takes effect once the feeds of all kinds have reached its version. A kind
+without changes reaches it only with the end of its watch call, so that call is ended
+early.
+"""
 
 from __future__ import annotations
 
@@ -7,12 +12,14 @@
 
 import structlog
 
+from primroseford.configuration.merge import behind
 from primroseford.configuration.merge import create_merge
 from primroseford.configuration.merge import next_delta
 from primroseford.configuration.merge import take_event
 from primroseford.configuration.merge import take_list
 from primroseford.errors import PrimrosefordError
 from primroseford.errors import ResultCode
+from primroseford.platform.client import WATCH_WAIT_SECONDS
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
@@ -32,6 +39,10 @@
 KEYS_RELIST_SECONDS = 10.0
 """A withdrawn key must stop working within seconds, also when its event was lost."""
 
+CATCH_UP_SECONDS = 0.2
+"""Pause between two rounds of ending the watch calls that hold changes back: a fifth of
+the second that operators are promised for a change, and five rounds a second."""
+
 log = structlog.get_logger()
 
 
@@ -41,6 +52,9 @@
     :param on_delta: called with each delta; returns whether the copy has reached its
         end
     :param on_confirmed: called with the time at which all feeds were complete
+    :ivar watches: the watch of each kind
+    :ivar late: kinds whose next watch call is answered at once
+    :ivar held_back: set while a change waits for the feed of another kind
     """
 
     def __init__(
@@ -61,13 +75,29 @@
         self.merge = create_merge(kinds, objects)
         self.heard = dict.fromkeys(kinds, float("-inf"))
         self.listed = dict.fromkeys(kinds, clock())
+        self.watches: dict[str, asyncio.Task[None]] = {}
+        self.late: set[str] = set()
+        self.held_back = asyncio.Event()
 
     async def run(self) -> None:
         """Follow all kinds until cancelled."""
         async with asyncio.TaskGroup() as group:
+            group.create_task(self._catch_up())
             for feed in self.merge.feeds.values():
                 group.create_task(self._follow(feed))
 
+    async def _catch_up(self) -> None:
+        """End the watch calls of the kinds that hold a change back."""
+        while True:
+            await self.held_back.wait()
+            self.held_back.clear()
+            for kind in behind(self.merge):
+                watch = self.watches.get(kind)
+                if watch is not None and not watch.done():
+                    self.late.add(kind)
+                    watch.cancel()
+            await self.sleep(CATCH_UP_SECONDS)
+
     async def _follow(self, feed: KindFeed) -> None:
         relist = feed.position == 0
         while True:
@@ -98,7 +128,26 @@
         self._advance(feed, sent_at)
 
     async def _watch(self, feed: KindFeed) -> None:
-        async for event in self.client.watch(feed.kind, feed.position):
+        """Watch a kind until its watch fails, anew each time that it is ended."""
+        while True:
+            watch = asyncio.create_task(self._watch_once(feed))
+            self.watches[feed.kind] = watch
+            try:
+                await watch
+                return
+            except asyncio.CancelledError:
+                if feed.kind not in self.late or asyncio.current_task().cancelling():
+                    raise
+
+    async def _watch_once(self, feed: KindFeed) -> None:
+        def wait_seconds() -> float:
+            if feed.kind not in self.late:
+                return WATCH_WAIT_SECONDS
+            self.late.discard(feed.kind)
+            return 0.0
+
+        events = self.client.watch(feed.kind, feed.position, wait_seconds=wait_seconds)
+        async for event in events:
             take_event(feed, event)
             self._advance(feed, self.clock())
             if self._list_due(feed):
@@ -109,6 +158,8 @@
         delta = next_delta(self.merge)
         if delta is not None and not self.on_delta(delta):
             return
+        if behind(self.merge):
+            self.held_back.set()
         # Changes that wait for another feed are not in force yet.
         reached = min(f.position for f in self.merge.feeds.values())
         oldest = min(self.heard.values())
