Take only whole answers of peers at a start without the platform

Callers would see: 503 from a restarted host until the platform is back, while its peers serve.

Cause: the host read what a peer handed on by kind without looking whether the kind was there, so that one peer of another version, or one malformed answer, ended the task that asks peers; other shapes raised errors that were not taken as "peer not read".

Change: the two kinds that a start needs are decoded, others are left, and any answer that cannot be decoded counts as not read, with a log line.

--- a/src/primroseford/gateway/hand_on.py
+++ b/src/primroseford/gateway/hand_on.py
@@ -15,6 +15,8 @@
 from aiohttp import web
 
 from primroseford.platform.configuration import CONFIGURATION_KIND
+from primroseford.platform.objects import DECODING_ERRORS
+from primroseford.platform.runner_list import RUNNER_KIND
 from primroseford.platform.view import decode_list
 from primroseford.platform.view import encode_list
 
@@ -32,6 +34,8 @@
 PATH = "/followed"
 TIMEOUT_SECONDS = 1.0
 """Time for an answer, which takes some ms and is up to a megabyte."""
+HANDED_ON = (CONFIGURATION_KIND, RUNNER_KIND)
+"""Kinds without which a host cannot start."""
 ASKED_TOGETHER = 3
 """Peers that are asked at once: the newest configuration and the newest runner list may
 be at two hosts, and one host may not answer."""
@@ -75,18 +79,10 @@
                 if answer.status != 200:
                     return None
                 body = json.loads(await answer.read())
-                lists = {
-                    kind: decode_list(kind, content)
-                    for kind, content in body["lists"].items()
-                }
+                # A peer of another version may hand on other kinds, too.
+                lists = {k: decode_list(k, body["lists"][k]) for k in HANDED_ON}
                 return lists, float(body["confirmed_seconds_ago"])
-        except (
-            aiohttp.ClientError,
-            TimeoutError,
-            OSError,
-            ValueError,
-            KeyError,
-        ) as error:
+        except (aiohttp.ClientError, OSError, *DECODING_ERRORS) as error:
             log.info("peer not read", peer=base_url, reason=repr(error))
             return None
 
--- a/src/primroseford/gateway/tests/test_hand_on.py
+++ b/src/primroseford/gateway/tests/test_hand_on.py
@@ -20,14 +20,16 @@
     """Return a factory of peers that hand on lists of given versions."""
     servers = []
 
-    async def serve(config: int, servers_version: int, age: float) -> str:
+    async def serve(
+        config: int, servers_version: int, age: float, body: object = None
+    ) -> str:
         async def handle(request: web.BaseRequest) -> web.Response:
             if not config:
                 return web.Response(status=503)
             versions = zip(KINDS, (config, servers_version), strict=True)
             lists = {kind: {"version": n, "items": []} for kind, n in versions}
-            body = {"lists": lists, "confirmed_seconds_ago": age}
-            return web.json_response(body)
+            told = {"lists": lists, "confirmed_seconds_ago": age}
+            return web.json_response(told if body is None else body)
 
         application = web.Application()
         application.router.add_get(PATH, handle)
@@ -72,6 +74,34 @@
     assert (*(lists[kind].version for kind in KINDS), age) == expected
 
 
+EMPTY = {"version": 3, "items": []}
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        {"lists": {"config": EMPTY}, "confirmed_seconds_ago": 1.0},
+        {"lists": {"servers": EMPTY}, "confirmed_seconds_ago": 1.0},
+        {"lists": {}, "confirmed_seconds_ago": 1.0},
+        {"lists": [], "confirmed_seconds_ago": 1.0},
+        {"lists": {"config": EMPTY, "servers": EMPTY}, "confirmed_seconds_ago": None},
+        {"lists": {"config": EMPTY, "servers": []}, "confirmed_seconds_ago": 1.0},
+        [],
+    ],
+)
+@pytest.mark.parametrize("others", [0, 1])
+async def test_answer_of_a_peer_that_lacks_something(peers, body, others):
+    """Guards against a restart that ends since a peer of another version answers."""
+    urls = [await peers(5, 9, 1.0, body)] + [await peers(7, 9, 1.0)] * others
+    async with aiohttp.ClientSession() as session:
+        found = await create_peer_reader(session, lambda: urls)()
+    if not others:
+        assert found is None
+        return
+    lists, age = found
+    assert (*(lists[kind].version for kind in KINDS), age) == (7, 9, 1.0)
+
+
 def test_informed_peers_go_first():
     """Guards against a fleet in which only hosts that are behind are asked."""
     members = Members("own")
