Play random faults of the store against what hosts must know

Class of fault: a confirmed change that is not in force.

Watches that hear nothing, history that is dropped, open connections that go silent, hosts that the store does not answer and lost hosts overlap, drawn from a seed, while configuration and runner list change. Each host without a fault in the last 3 s must know what was written 2 s before; both are the bounds of the users' smaller sites.

Twelve seeds run in make test; PRIMROSEFORD_AGE_SEEDS plays more. Not played: hosts that restart, cuts between hosts, calls through a peer.

--- a/src/primroseford/gateway/tests/test_configuration_age.py
+++ b/src/primroseford/gateway/tests/test_configuration_age.py
@@ -62,7 +62,7 @@
             lambda: fleet.has_configuration(NEWEST), LONGEST_SECONDS
         )
     else:
-        fleet.drain_runner()
+        fleet.put_runner("draining")
         seconds = await fleet.seconds_until(fleet.knows_leaving_runner, LONGEST_SECONDS)
     await fleet.stop()
     return seconds
--- /dev/null
+++ b/src/primroseford/gateway/tests/test_configuration_faults.py
@@ -0,0 +1,150 @@
+"""Random faults of the store and of hosts, while configuration and runners change."""
+
+from __future__ import annotations
+
+import os
+from dataclasses import dataclass
+from dataclasses import field
+from random import Random
+
+import pytest
+
+from primroseford.proof.following import FollowingFleet
+from primroseford.proof.virtual_time import run_in_virtual_time
+
+HOSTS = 8
+APPLY_SECONDS = 2.0
+"""Time in which a change must be in force on the users' smaller deployments."""
+CONTACT_SECONDS = 3.0
+"""Time without a fault after which a host must be up to date there."""
+DAY_SECONDS = 30.0
+LOOK_SECONDS = 0.1
+MOST_LOST = 2
+"""Hosts that are killed in one day."""
+SEEDS = int(os.environ.get("PRIMROSEFORD_AGE_SEEDS", "12"))
+"""Days that are played; more by hand, by this variable."""
+
+
+@dataclass
+class Day:
+    """One day of faults, and what must be in force when.
+
+    :param troubled: time of the last moment of a fault, by host
+    :param due: time from which each version must be in force
+    :param listed: time from which each revision of the runner list must be known
+    """
+
+    fleet: FollowingFleet
+    random: Random
+    troubled: dict[str, float] = field(default_factory=dict)
+    due: list[tuple[int, float]] = field(default_factory=list)
+    listed: list[tuple[int, float]] = field(default_factory=list)
+    version: int = 2
+    draining: bool = False
+    muted_until: float = 0.0
+    back_at: dict[str, float] = field(default_factory=dict)
+
+    @property
+    def now(self) -> float:
+        """Local time in seconds."""
+        return self.fleet.heartbeats.clock()
+
+    async def play(self) -> None:
+        """Let faults and changes come until the day is over."""
+        steps = {
+            self.change: 8,
+            self.change_runner: 8,
+            self.mute: 2,
+            self.silence: 2,
+            self.turn_away: 3,
+            self.lose: 0.3,
+        }
+        end = self.now + DAY_SECONDS
+        while self.now < end:
+            if self.random.random() < LOOK_SECONDS:
+                await self.random.choices([*steps], [*steps.values()])[0]()
+            await self.fleet.run(LOOK_SECONDS)
+            self.end_faults()
+            self.check()
+
+    async def change(self) -> None:
+        """Change the configuration, once or a few times in a row."""
+        for _ in range(self.random.choice((1, 1, 3))):
+            self.version += self.random.randint(1, 4)
+            self.fleet.put_configuration(self.version)
+            self.due.append((self.version, self.now + APPLY_SECONDS))
+
+    async def change_runner(self) -> None:
+        """Let a runner tell that it leaves, or that it stays."""
+        self.draining = not self.draining
+        self.fleet.put_runner("draining" if self.draining else "ready")
+        revision = self.fleet.store.state.version
+        self.listed.append((revision, self.now + APPLY_SECONDS))
+
+    async def mute(self) -> None:
+        """Let waiting watches hear nothing, then drop the history."""
+        self.fleet.store.muted = True
+        self.muted_until = self.now + self.random.uniform(0.5, 5.0)
+
+    async def silence(self) -> None:
+        """Let all open connections go silent."""
+        self.fleet.store.silence()
+        self.trouble_all()
+
+    async def turn_away(self) -> None:
+        """Let the store answer some hosts no more, for a time."""
+        hosts = self.random.sample(sorted(self.fleet.live()), self.random.randint(1, 3))
+        for host in hosts:
+            self.fleet.store.away.add(host)
+            self.back_at[host] = self.now + self.random.uniform(0.5, 6.0)
+
+    async def lose(self) -> None:
+        """Kill a host."""
+        if len(self.fleet.heartbeats.down) < MOST_LOST:
+            await self.fleet.kill(self.random.choice(sorted(self.fleet.live())))
+
+    def end_faults(self) -> None:
+        """End the faults whose time is over, and note whom the others hold."""
+        for host, at in list(self.back_at.items()):
+            self.troubled[host] = self.now
+            if at <= self.now:
+                del self.back_at[host]
+                self.fleet.store.away.discard(host)
+        if self.fleet.store.muted:
+            self.trouble_all()
+            if self.muted_until <= self.now:
+                self.fleet.store.drop_history()
+
+    def trouble_all(self) -> None:
+        """Note a fault of all hosts."""
+        self.troubled |= dict.fromkeys(self.fleet.followers, self.now)
+
+    def check(self) -> None:
+        """Check that each host without a recent fault has what must be in force."""
+        version = max((v for v, due in self.due if due <= self.now), default=0)
+        revision = max((v for v, due in self.listed if due <= self.now), default=0)
+        late = {
+            name: (followers.gateway.tables.version, followers.runners.view.version)
+            for name, followers in self.fleet.live().items()
+            if self.now - self.troubled.get(name, 0.0) > CONTACT_SECONDS
+            and (
+                followers.gateway.tables.version < version
+                or followers.runners.view.version < revision
+            )
+        }
+        assert not late, f"{late} at {self.now:.2f} s, wanted {version, revision}"
+
+
+async def play(seed: int) -> None:
+    """Play one day."""
+    fleet = FollowingFleet(HOSTS)
+    await fleet.start()
+    await fleet.run(CONTACT_SECONDS)
+    await Day(fleet, Random(seed)).play()
+    await fleet.stop()
+
+
+@pytest.mark.parametrize("seed", range(SEEDS))
+def test_confirmed_changes_are_in_force_in_time(seed):
+    """Guards against a host on an old configuration after faults that overlap."""
+    run_in_virtual_time(play(seed))
--- a/src/primroseford/proof/following.py
+++ b/src/primroseford/proof/following.py
@@ -68,9 +68,9 @@
         self.store.put("config", "main", configuration(version))
         self.since = self.heartbeats.clock()
 
-    def drain_runner(self) -> None:
-        """Let the runner tell that it leaves."""
-        entry = runner_entry(RUNNER_ADDRESS, state="draining")
+    def put_runner(self, state: str) -> None:
+        """Let the runner tell whether it is ready or draining."""
+        entry = runner_entry(RUNNER_ADDRESS, state=state)
         self.store.put("servers", RUNNER, entry)
         self.since = self.heartbeats.clock()
 
