List what a lost peer had told of

Callers would see: an old configuration or a runner that left in use, if the only host that knew of the change is lost.

Cause: a host lists again when it hears a second heartbeat of a newer version, 0.6 s or more after the first. If the peer that told is gone by then, nothing ends the watch. Change: the look every 0.2 s for runners and duties looks for this, too. Test: test_peer_that_told_of_a_change_is_lost; its two cases in which the time is over fail without the change.

--- a/src/primroseford/gateway/follow.py
+++ b/src/primroseford/gateway/follow.py
@@ -165,6 +165,13 @@
             # During a pause the own watch shows nothing.
             self.runners.list_again(self.runner_pause() + BEHIND_SECONDS)
 
+    def catch_up(self) -> None:
+        """List what a peer told a newer version of, though the peer tells no more."""
+        if self.tables.behind_since is not None:
+            self.tables.list_again(BEHIND_SECONDS)
+        if self.runners.behind_since is not None:
+            self.runners.list_again(self.runner_pause() + BEHIND_SECONDS)
+
     def note_newer(self, heartbeat: Heartbeat) -> None:
         """Note since when a peer knows a newer configuration than this host."""
         if heartbeat.configuration <= self.told:
@@ -319,6 +326,7 @@
 
     def _expire(self) -> None:
         self.take_duty()
+        self.catch_up()
         self.note_silence()
         gone = self.gateway.runner_list.expire(self.gateway.clock())
         if gone:
--- a/src/primroseford/gateway/tests/test_follow.py
+++ b/src/primroseford/gateway/tests/test_follow.py
@@ -23,6 +23,7 @@
 from primroseford.gateway.tests.test_forwarding import duty
 from primroseford.ids import Version
 from primroseford.metrics import Metrics
+from primroseford.platform.configuration import decode_tables
 from primroseford.platform.objects import EventType
 from primroseford.platform.objects import ObjectList
 from primroseford.platform.objects import PlatformObject
@@ -204,6 +205,33 @@
     assert watching.cancelled is listed
 
 
+@pytest.mark.parametrize(
+    ("kind", "seconds", "listed"),
+    [
+        ("config", 0.5, False),
+        ("config", 0.7, True),
+        ("servers", 0.9, False),
+        ("servers", 1.1, True),
+    ],
+)
+def test_peer_that_told_of_a_change_is_lost(kind, seconds, listed):
+    """Guards against a change that is forgotten with the only host that knew it."""
+    followers = fleet_followers(8)
+    followers.gateway.tables = decode_tables(configuration(1))
+    for reflector in (followers.tables, followers.runners):
+        reflector.clock = clock = followers.gateway.clock
+        reflector.watching = FakeTask()
+    newer = {"config": {"configuration": 7}, "servers": {"runner_list": 7}}
+    told = {"configuration": 1, "runner_list": 0} | newer[kind]
+    followers.compare_versions(Heartbeat(host="host-1", **told))
+    clock.advance(seconds)
+    followers._expire()
+    ended = {
+        r.kind: r.watching.cancelled for r in (followers.tables, followers.runners)
+    }
+    assert ended == {"config": False, "servers": False} | {kind: listed}
+
+
 @pytest.mark.parametrize(
     ("away_seconds", "kept"),
     [(0.0, False), (1.0, False), (3.0, True), (20.0, True)],
