Let two hosts confirm configuration and runner list

Callers would see: requests on an old configuration or to a runner that left, if the host on whose short watch calls the others rely is killed while the other watches hear nothing.

Cause: its loss is noticed after a second of silence, and only then the next host begins short calls. Change: the first two hosts by rendezvous hashing do so.

Ruled out: two hosts with calls twice as long, for the same price; a muted call then shows after 1.8 s, too late for 2 s. A shorter silence before a host counts as lost, which would move jobs for a lost datagram.

--- a/src/primroseford/gateway/follow.py
+++ b/src/primroseford/gateway/follow.py
@@ -10,8 +10,8 @@
 from primroseford.errors import PrimrosefordError
 from primroseford.errors import ResultCode
 from primroseford.gateway.loops import repeat
-from primroseford.gateway.members import preferred_host
 from primroseford.gateway.placement import FULL_VIEW_HOSTS
+from primroseford.gateway.rendezvous import ranked
 from primroseford.ids import HostId
 from primroseford.ids import Version
 from primroseford.platform.configuration import CONFIGURATION_KIND
@@ -54,8 +54,11 @@
 """Time between two watch calls of the fleet for the runner list, whose changes need
 less haste: a runner that leaves serves on for seconds. Twice that of the configuration,
 so that calls on connections that went silent together do not end together."""
+CONFIRMING_HOSTS = 2
+"""Hosts with short watch calls: the loss of one is noticed after a second only, which
+is too long for a change that no other watch shows."""
 CONFIRMING_DUTY = "configuration"
-"""Name by which the hosts agree on the one whose watch calls are this short. The
+"""Name by which the hosts agree on those whose watch calls are this short. The
 others' calls cannot be relied on to be spread: an outage ends all of them at once."""
 RUNNER_PAUSE_SECONDS = 0.4
 """Pause after changes of the runner list. Runners start and leave in numbers, each with
@@ -74,7 +77,7 @@
 NO_ANSWER = "no answer to another watch"
 OUTAGE_SECONDS = 2.0
 """Age of the fleet's last word of the platform from which it counts as away: a few of
-the confirming host's watch calls, and the heartbeats that tell of them."""
+the confirming hosts' watch calls, and the heartbeats that tell of them."""
 
 log = structlog.get_logger()
 
@@ -133,10 +136,10 @@
         return RUNNERS_CHECK_SECONDS if self.confirming else wait
 
     def is_confirming(self) -> bool:
-        """Return whether this host is the one whose watch calls are short."""
+        """Return whether this host is one of those whose watch calls are short."""
         members = self.gateway.members
-        hosts = members.reaching_store(self.gateway.clock())
-        return preferred_host(CONFIRMING_DUTY, [members.own, *hosts]) == members.own
+        hosts = [members.own, *members.reaching_store(self.gateway.clock())]
+        return members.own in ranked(CONFIRMING_DUTY, hosts, str, CONFIRMING_HOSTS)
 
     def take_duty(self) -> None:
         """End a long watch call once this host has to make short ones."""
--- a/src/primroseford/gateway/tests/test_configuration_age.py
+++ b/src/primroseford/gateway/tests/test_configuration_age.py
@@ -6,6 +6,7 @@
 import structlog
 
 from primroseford.gateway.follow import BEHIND_SECONDS
+from primroseford.gateway.follow import CONFIRMING_HOSTS
 from primroseford.proof.following import FollowingFleet
 from primroseford.proof.virtual_time import run_in_virtual_time
 from primroseford.standins.fleet_objects import configuration
@@ -15,8 +16,6 @@
 deployments of about that size."""
 CONTACT_SECONDS = {8: 3.0, 40: 4.0}
 """Time after a reset of connections from which a host must be up to date again."""
-STRETCH_SECONDS = 5.0
-"""What an unstable store may add."""
 LONGEST_SECONDS = 40.0
 SETTLED_SECONDS = 3.0
 NEWEST = 14
@@ -76,8 +75,8 @@
     Seen by the users on creamline-rounds-grown: all hosts' watch calls had begun
     together and waited on, so that none showed it.
     """
-    bound = APPLY_SECONDS[hosts] + (0.0 if fault == "none" else STRETCH_SECONDS)
-    assert run_in_virtual_time(age_of_muted_change(hosts, fault)) <= bound
+    seconds = run_in_virtual_time(age_of_muted_change(hosts, fault))
+    assert seconds <= APPLY_SECONDS[hosts]
 
 
 @pytest.mark.parametrize("hosts", [8, 40])
@@ -105,8 +104,9 @@
     """Guards against a log that does not tell why a change came late."""
     lines = run_in_virtual_time(logged_ages(8))
     events = [line["event"] for line in lines]
-    assert events.count("peer knows a newer configuration") == 7
+    told = 8 - CONFIRMING_HOSTS
+    assert events.count("peer knows a newer configuration") >= told
     applied = [line for line in lines if line["event"] == "configuration in force"]
     behind = [line["behind_ms"] for line in applied]
-    assert behind.count(None) == 1
-    assert min(ms for ms in behind if ms is not None) >= BEHIND_SECONDS * 1000
+    assert behind.count(None) >= 1
+    assert sum((ms or 0) >= BEHIND_SECONDS * 1000 for ms in behind) == told
