Keep counting how long a host is behind until it has what peers told

Cause: read again, the age in "configuration in force" began anew with each version, so that the last of several versions in a row showed none. Change: it ends with the newest version that a peer has told of.

--- a/src/primroseford/gateway/follow.py
+++ b/src/primroseford/gateway/follow.py
@@ -189,12 +189,15 @@
             own=self.gateway.tables.version,
         )
 
-    def behind_ms(self) -> int | None:
-        """Return for how long a peer has known a newer configuration; ends the count.
+    def behind_ms(self, version: Version) -> int | None:
+        """Return for how long a peer has known a newer configuration than this host.
 
+        :param version: configuration that is in force now
         :returns: nothing if no peer has told of one
         """
-        since, self.told_at = self.told_at, None
+        since = self.told_at
+        if version >= self.told:
+            self.told_at = None
         return None if since is None else round((self.gateway.clock() - since) * 1000)
 
     async def on_start(self) -> None:
@@ -266,7 +269,7 @@
                 revision=item.version,
                 routes=len(tables.routes),
                 organisations=len(tables.organisations),
-                behind_ms=self.behind_ms(),
+                behind_ms=self.behind_ms(tables.version),
             )
 
     def take_runners(self, delta: Delta) -> None:
