--- a/src/primroseford/gateway/tests/test_configuration_faults.py
+++ b/src/primroseford/gateway/tests/test_configuration_faults.py
@@ -111,7 +111,7 @@
                 self.starts_at[host] = self.now + self.draw.uniform(0.5, 4.0)
 
     async def end_faults(self) -> None:
-        """End the faults whose time is over, and note whom the others hold."""
+        """End the faults whose time is over, and note the hosts in the others."""
         for host, at in list(self.back_at.items()):
             self.troubled[host] = self.now
             if at <= self.now:
