--- a/src/primroseford/gateway/follow.py
+++ b/src/primroseford/gateway/follow.py
@@ -1,4 +1,4 @@
-"""Follows the configuration, the runner list and the hosts in the platform's store."""
+"""Follows the configuration and the runner list in the platform's store."""
 
 from __future__ import annotations
 
@@ -8,11 +8,9 @@
 from mode import Service
 
 from primroseford.errors import PrimrosefordError
-from primroseford.errors import ResultCode
 from primroseford.gateway.loops import repeat
 from primroseford.gateway.placement import FULL_VIEW_HOSTS
 from primroseford.gateway.rendezvous import ranked
-from primroseford.ids import HostId
 from primroseford.ids import Version
 from primroseford.platform.configuration import CONFIGURATION_KIND
 from primroseford.platform.configuration import CONFIGURATION_NAME
@@ -28,16 +26,12 @@
 
     from primroseford.gateway.gen.messages.ttypes import Heartbeat
     from primroseford.gateway.state import Gateway
-    from primroseford.ids import Incarnation
     from primroseford.platform.client import PlatformClient
     from primroseford.platform.objects import ObjectList
     from primroseford.platform.view import Delta
 
     ReadPeers = Callable[[], Awaitable[tuple[dict[str, ObjectList], float] | None]]
 
-HOSTS = "entry-hosts"
-RETRY_SECONDS = 0.5
-"""Pause before a call to the platform is tried again at start."""
 BACKOFF_SECONDS = 0.8
 """Longest pause between two tries to follow: a configuration must be in force within
 seconds of the platform's return."""
@@ -351,55 +345,3 @@
         return FLEET_WATCH_SECONDS
     longest = min(LONGEST_WATCH_SECONDS, FLEET_WATCH_SECONDS * hosts)
     return max(WATCH_SECONDS, longest * (1 + fraction) / 2)
-
-
-class Registration(Service):
-    """Lets hosts find each other through the platform's store.
-
-    :param address: where this host takes heartbeats
-    """
-
-    def __init__(
-        self,
-        gateway: Gateway,
-        client: PlatformClient,
-        incarnation: Incarnation,
-        address: str,
-    ) -> None:
-        super().__init__()
-        self.gateway = gateway
-        self.client = client
-        self.incarnation = incarnation
-        self.address = address
-
-    @Service.task
-    async def register(self) -> None:
-        """Write this host's address, then read the others'."""
-        while not self.should_stop:
-            try:
-                await self._write()
-                listed = await self.client.list(HOSTS, purpose="hosts")
-                break
-            except PrimrosefordError as error:
-                log.warning("host not registered yet", code=error.code.name)
-                await self.sleep(RETRY_SECONDS)
-        else:
-            return
-        now = self.gateway.clock()
-        for item in listed.items:
-            self.gateway.members.learn(HostId(item.name), item.spec["address"], now)
-        log.info("hosts known", hosts=[item.name for item in listed.items])
-
-    async def _write(self) -> None:
-        own = self.gateway.members.own
-        spec = {"address": self.address, "incarnation": self.incarnation}
-        try:
-            await self.client.create(HOSTS, own, spec, purpose="hosts")
-        except PrimrosefordError as error:
-            if error.code is not ResultCode.ALREADY_EXISTS:
-                raise
-            found = await self.client.get(HOSTS, own, purpose="hosts")
-            if found.spec["address"] != self.address:
-                await self.client.update(
-                    HOSTS, own, spec, found.version, purpose="hosts"
-                )
--- a/src/primroseford/gateway/host.py
+++ b/src/primroseford/gateway/host.py
@@ -23,7 +23,6 @@
 from primroseford.gateway.calls import urls
 from primroseford.gateway.exchange import create_fleet_session
 from primroseford.gateway.follow import Followers
-from primroseford.gateway.follow import Registration
 from primroseford.gateway.hand_on import PATH as HAND_ON_PATH
 from primroseford.gateway.hand_on import create_hand_on_handler
 from primroseford.gateway.hand_on import create_peer_reader
@@ -32,6 +31,7 @@
 from primroseford.gateway.ingress import Ingress
 from primroseford.gateway.members import Members
 from primroseford.gateway.places import Places
+from primroseford.gateway.registration import Registration
 from primroseford.gateway.retirement import Retirements
 from primroseford.gateway.state import Gateway
 from primroseford.gateway.state import GatewayMetrics
