Owe no refusal in the demo's flood where the rate allows all of it

The check also asked for a refusal, which nothing owes then. Change: a refusal is asked for unless the bound allows every request. The bound itself is as it was, and a flood of which more than that is admitted fails as before.

--- a/src/primroseford/demo/session.py
+++ b/src/primroseford/demo/session.py
@@ -191,9 +191,11 @@
     seconds = time.monotonic() - started
     allowed = FLOOD_RATE * seconds + FLOOD_BURST
     admitted = caller.statuses[200]
+    # On a slow machine requests wait for tokens until the rate allows all of them.
+    refused = caller.statuses[429] > 0 or allowed >= len(tasks)
     checks.add(
         "an organisation at 5 times its rate stays within rate and burst",
-        0 < admitted <= allowed and caller.statuses[429] > 0,
+        0 < admitted <= allowed and refused,
         f"{admitted} of {len(tasks)} admitted, at most {allowed:.0f} allowed",
     )
 
