Log how far a failed attempt had got, and its prompt parts

The logs could not tell whether the requests on a crashed runner share a prompt part, nor which of them the runner had just begun to answer. Callers see no change.

--- a/src/primroseford/gateway/exchange.py
+++ b/src/primroseford/gateway/exchange.py
@@ -5,6 +5,7 @@
 import asyncio
 import errno
 from dataclasses import dataclass
+from enum import Enum
 from typing import TYPE_CHECKING
 
 import aiohttp
@@ -77,6 +78,37 @@
     request_id: str
 
 
+class AttemptStage(Enum):
+    """How far a runner had got with an attempt."""
+
+    UNSENT = "unsent"
+    SENT = "sent"
+    STARTED = "started"
+    STREAMING = "streaming"
+
+
+@dataclass
+class RunnerAttempt(Attempt):
+    """An attempt whose progress at the runner is tracked.
+
+    :ivar head_received: whether the runner accepted the request and sent the head of
+        its response
+    :ivar event_received: whether a complete event or a complete body was received
+    """
+
+    head_received: bool = False
+    event_received: bool = False
+
+    @property
+    def stage(self) -> AttemptStage:
+        """Stage that the attempt has reached."""
+        if self.event_received:
+            return AttemptStage.STREAMING
+        if self.head_received:
+            return AttemptStage.STARTED
+        return AttemptStage.SENT if self.sent else AttemptStage.UNSENT
+
+
 class InactivityTimeout:
     """Cancels an exchange when the runner is inactive for too long, or at the deadline.
 
@@ -133,11 +165,11 @@
     session: aiohttp.ClientSession,
     entry: RunnerEntry,
     call: RunnerRequest,
-    attempt: Attempt,
+    attempt: RunnerAttempt,
 ) -> aiohttp.ClientResponse:
     """Send a request and return the runner's response after checking its head.
 
-    :param attempt: records whether bytes were sent
+    :param attempt: records how far the attempt gets
     :raises PrimrosefordError: RUNNER_UNREACHABLE, RUNNER_FAILED, ANSWER_MISMATCHED,
         or POOL_UNAVAILABLE if the runner reports that it did not run the request
     """
@@ -172,6 +204,7 @@
             ResultCode.POOL_UNAVAILABLE,
             f"the runner refused the request with status {response.status}",
         )
+    attempt.head_received = True
     return response
 
 
--- a/src/primroseford/gateway/forward.py
+++ b/src/primroseford/gateway/forward.py
@@ -12,6 +12,7 @@
 from primroseford.errors import ResultCode
 from primroseford.gateway.affinity import prefix_cache_key
 from primroseford.gateway.exchange import InactivityTimeout
+from primroseford.gateway.exchange import RunnerAttempt
 from primroseford.gateway.exchange import RunnerRequest
 from primroseford.gateway.exchange import may_have_run_error
 from primroseford.gateway.exchange import send_to_runner
@@ -27,7 +28,6 @@
 from primroseford.gateway.runner_responses import relay_stream
 from primroseford.gateway.tables import RouteKind
 from primroseford.gateway.tables import choose_pool
-from primroseford.online.exchange import Attempt
 from primroseford.platform.runner_calls import is_signed
 from primroseford.platform.runner_calls import runner_headers
 
@@ -145,10 +145,11 @@
 ) -> web.StreamResponse:
     while True:
         runner = await _acquire_slot(gateway, context)
+        attempt = RunnerAttempt()
         try:
-            return await _attempt(gateway, context, runner)
+            return await _attempt(gateway, context, runner, attempt)
         except PrimrosefordError as error:
-            _handle_failure(gateway, context, runner, error)
+            _handle_failure(gateway, context, runner, attempt, error)
 
 
 async def _acquire_slot(gateway: Gateway, context: RequestContext) -> RunnerState:
@@ -178,6 +179,7 @@
     gateway: Gateway,
     context: RequestContext,
     runner: RunnerState,
+    attempt: RunnerAttempt,
     error: PrimrosefordError,
 ) -> None:
     """Return if the request may be retried; raise its final error otherwise."""
@@ -202,6 +204,8 @@
         code=error.code.name,
         reason=error.message,
         may_have_run=may_have_run,
+        stage=attempt.stage.value,
+        prompt=[part.id for part in context.incoming.prompt],
         next=step.value,
     )
     if step is RetryDecision.AGAIN:
@@ -223,10 +227,12 @@
 
 
 async def _attempt(
-    gateway: Gateway, context: RequestContext, runner: RunnerState
+    gateway: Gateway,
+    context: RequestContext,
+    runner: RunnerState,
+    attempt: RunnerAttempt,
 ) -> web.StreamResponse:
     started = gateway.clock()
-    attempt = Attempt()
     loop = asyncio.get_running_loop()
     inactivity = InactivityTimeout(
         loop.time() + context.deadline - started,
@@ -235,10 +241,15 @@
     duration: float | None = None
     token = gateway.track_exchange(runner)
     cancel_preemption = _request_preemption(gateway, context, runner)
+
+    def on_event() -> None:
+        attempt.event_received = True
+        cancel_preemption()
+
     try:
         async with inactivity.timeout:
             response = await _exchange(
-                gateway, context, runner, attempt, inactivity, cancel_preemption
+                gateway, context, runner, attempt, inactivity, on_event
             )
         duration = gateway.clock() - started
         gateway.allocator.clear_suspicion(runner)
@@ -284,7 +295,7 @@
 def _timeout_error(
     gateway: Gateway,
     runner: RunnerState,
-    attempt: Attempt,
+    attempt: RunnerAttempt,
     inactivity: InactivityTimeout,
 ) -> PrimrosefordError:
     if not attempt.sent:
@@ -303,7 +314,7 @@
     gateway: Gateway,
     context: RequestContext,
     runner: RunnerState,
-    attempt: Attempt,
+    attempt: RunnerAttempt,
     inactivity: InactivityTimeout,
     on_event: Callable[[], None],
 ) -> web.StreamResponse:
--- a/src/primroseford/jobs/run.py
+++ b/src/primroseford/jobs/run.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING
 
 import structlog
+from multidict import CIMultiDict
 
 from primroseford.errors import Outcome
 from primroseford.errors import PrimrosefordError
@@ -16,6 +17,7 @@
 from primroseford.gateway.exchange import EXCHANGE_ERRORS
 from primroseford.gateway.exchange import MAX_EVENT_BYTES
 from primroseford.gateway.exchange import InactivityTimeout
+from primroseford.gateway.exchange import RunnerAttempt
 from primroseford.gateway.exchange import RunnerRequest
 from primroseford.gateway.exchange import describe_error
 from primroseford.gateway.exchange import may_have_run_error
@@ -23,7 +25,7 @@
 from primroseford.gateway.exchange import send_to_runner
 from primroseford.jobs.state import Progress
 from primroseford.online.events import EventSplitter
-from primroseford.online.exchange import Attempt
+from primroseford.platform.prompts import decode_prompt
 from primroseford.platform.runner_calls import ITEM_INVALID_STATUS
 from primroseford.platform.runner_calls import is_signed
 from primroseford.platform.runner_calls import item_headers
@@ -32,6 +34,7 @@
 if TYPE_CHECKING:
     import aiohttp
 
+    from primroseford.gateway.affinity import PromptPart
     from primroseford.gateway.runner_state import RunnerState
     from primroseford.gateway.runners import RunnerKey
     from primroseford.gateway.state import Gateway
@@ -79,6 +82,7 @@
     :param started_at: local time of the start of that run in seconds
     :param events_at_start: number of events at that time
     :param result: final state
+    :ivar prompt: parts of the item's prompt
     """
 
     job: Job
@@ -95,6 +99,10 @@
     started_at: float = 0.0
     events_at_start: int = 0
     result: ItemState | None = None
+    prompt: tuple[PromptPart, ...] = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.prompt = decode_prompt(CIMultiDict(self.item.headers))
 
     def text(self) -> str:
         """Return the text of a complete item."""
@@ -193,7 +201,7 @@
     inactivity = InactivityTimeout(
         asyncio.get_running_loop().time() + until - started, ITEM_IDLE_TIMEOUT_SECONDS
     )
-    attempt = Attempt()
+    attempt = RunnerAttempt()
     token = gateway.track_exchange(runner)
     try:
         async with inactivity.timeout:
@@ -215,6 +223,8 @@
             code=error.code.name,
             reason=error.message,
             events=len(item.data),
+            stage=attempt.stage.value,
+            prompt=[part.id for part in item.prompt],
         )
         not_run = error.outcome is Outcome.NOT_RUN
         return RunOutcome.REFUSED if not_run else RunOutcome.BROKEN
@@ -228,7 +238,7 @@
     item: ItemRun,
     runner: RunnerState,
     inactivity: InactivityTimeout,
-    attempt: Attempt,
+    attempt: RunnerAttempt,
     until: float,
 ) -> RunOutcome:
     headers = runner_headers(
@@ -253,7 +263,7 @@
                 ResultCode.RUNNER_FAILED,
                 f"the runner returned status {response.status}",
             )
-        await _read_events(gateway, item, runner, response, inactivity)
+        await _read_events(gateway, item, runner, response, inactivity, attempt)
         return RunOutcome.COMPLETE
     finally:
         response.close()
@@ -265,12 +275,14 @@
     runner: RunnerState,
     response: aiohttp.ClientResponse,
     inactivity: InactivityTimeout,
+    attempt: RunnerAttempt,
 ) -> None:
     splitter = EventSplitter(MAX_EVENT_BYTES, item.last_event)
     try:
         async for chunk in read_bounded(response, MAX_ITEM_BYTES):
             block = splitter.feed(chunk)
             if block:
+                attempt.event_received = True
                 inactivity.reset()
                 runner.last_byte = gateway.clock()
                 item.append_events(block)
