--- a/src/primroseford/proof/site.py
+++ b/src/primroseford/proof/site.py
@@ -65,6 +65,7 @@
         runner = FleetRunner(name, **fields)
         loop = asyncio.get_running_loop()
         server = await loop.create_server(create_runner_server(runner), "127.0.0.1", 0)
+        runner.server = server
         self.servers.append(server)
         self.runners.append(runner)
         port = server.sockets[0].getsockname()[1]
--- a/src/primroseford/standins/fleet_runner.py
+++ b/src/primroseford/standins/fleet_runner.py
@@ -6,10 +6,14 @@
 import time
 from dataclasses import dataclass
 from dataclasses import field
+from typing import TYPE_CHECKING
 
 from aiohttp import web
 from multidict import CIMultiDict
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 EVENT_SECONDS = 0.002
 PARTIAL_EVENT = b"id: 9"
 """Bytes of an incomplete event that an interrupted stream sends at its end."""
@@ -29,6 +33,8 @@
     :param unsigned: omit the ``Server-Signature`` header
     :param plain: send events without ids
     :param other_runner: name of the runner that has this address now; requests get 421
+    :param deadly_part: id of a prompt part on which the runner crashes when it begins
+        to respond
     """
 
     refuse: bool = False
@@ -40,6 +46,7 @@
     unsigned: bool = False
     plain: bool = False
     other_runner: str = ""
+    deadly_part: str = ""
 
 
 @dataclass
@@ -64,7 +71,10 @@
     :param name: id of the runner on the platform
     :param events: number of events in a stream
     :param received: requests that the runner executed
+    :param on_crash: called when the runner has crashed
+    :ivar server: listening socket of the runner
     :ivar open: number of requests in progress
+    :ivar transports: connections of the requests in progress
     """
 
     name: str
@@ -72,7 +82,19 @@
     event_seconds: float = EVENT_SECONDS
     faults: RunnerFaults = field(default_factory=RunnerFaults)
     received: list[ReceivedRequest] = field(default_factory=list)
+    on_crash: Callable[[FleetRunner], None] | None = None
+    server: asyncio.Server | None = None
     open: int = 0
+    transports: set[asyncio.Transport] = field(default_factory=set)
+
+    def crash(self) -> None:
+        """Reset all connections and stop listening, as a killed process does."""
+        if self.server is not None:
+            self.server.close()
+        for transport in list(self.transports):
+            transport.abort()
+        if self.on_crash is not None:
+            self.on_crash(self)
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Handle one request."""
@@ -97,12 +119,15 @@
             )
         )
         self.open += 1
+        transport = request.transport
+        self.transports.add(transport)
         try:
             if faults.silent:
                 await asyncio.sleep(3600)
             return await self._respond(request, request_id)
         finally:
             self.open -= 1
+            self.transports.discard(transport)
 
     async def _respond(
         self, request: web.BaseRequest, request_id: str
@@ -118,6 +143,10 @@
         headers["Content-Type"] = "text/event-stream"
         response = web.StreamResponse(headers=headers)
         await response.prepare(request)
+        if faults.deadly_part and faults.deadly_part in _prompt_part_ids(request):
+            await asyncio.sleep(self.event_seconds)
+            self.crash()
+            return response
         first = int(request.headers.get("Last-Event-Id", "0")) + 1
         event_limit = faults.cut_after
         if event_limit is not None:
@@ -137,6 +166,11 @@
         return response
 
 
+def _prompt_part_ids(request: web.BaseRequest) -> list[str]:
+    parts = request.headers.get("Prompt-Prefix", "").split(",")
+    return [part.partition(":")[0] for part in parts]
+
+
 def event(number: int) -> bytes:
     """Encode an event of a stream."""
     return f"id: {number}\ndata: token {number}\n\n".encode()
