Quarantine prompt parts that crash runner after runner

Cause: a host judged runners and never requests, so each new request with the part, and each repeat of a batch item, was placed like any other. The class of fault is work that harms its executor and is placed again, since its failure is blamed on the executor.

An exchange that breaks off before its first event is followed by a connection attempt; if it fails, the runner counts as crashed, with the shared prompt parts of the requests that it was beginning to answer. Heartbeats merge this evidence. A part in crashes at three different moments since a request with it was last served is quarantined on all hosts: requests with it are refused with 503 and PROMPT_QUARANTINED before they are counted, sent or queued further, batch items are held. The store keeps quarantines for a restart of all hosts; removing the object there lifts one. One host tries one request after 30 s, then after twice the time. Items whose runs keep ending before their first event back off by a factor of 4.

A verdict per request or per organisation would not meet the next new request, or would block sound ones.

--- a/src/primroseford/gateway/affinity.py
+++ b/src/primroseford/gateway/affinity.py
@@ -18,6 +18,7 @@
     from collections.abc import Sequence
 
     from primroseford.gateway.placement import RunnerLoad
+    from primroseford.ids import PromptPartId
 
 MIN_SHARED_PREFIX_TOKENS = 1000
 """Smallest shared part of a prompt that is used for affinity. An engine processes about
@@ -35,10 +36,15 @@
     :param tokens: number of tokens
     """
 
-    id: str
+    id: PromptPartId
     tokens: int
 
 
+def shared_part_positions(parts: Sequence[PromptPart]) -> dict[PromptPartId, int]:
+    """Return the shared parts of a prompt, each with its position."""
+    return {part.id: position for position, part in enumerate(parts[:-1])}
+
+
 def prefix_cache_key(parts: Sequence[PromptPart]) -> str:
     """Return the key of the prefix up to the largest shared part; empty if small.
 
--- a/src/primroseford/gateway/forward.py
+++ b/src/primroseford/gateway/forward.py
@@ -68,6 +68,8 @@
     :raises PrimrosefordError: with the request's actual outcome, if the response has
         not been started
     """
+    # A request that will be refused does not count against its organisation's rate.
+    gateway.quarantine.check(incoming.shared_parts)
     await admit(gateway, organisation)
     timeout = min(route.timeout, incoming.timeout or route.timeout)
     pool = choose_pool(route, gateway.random)
@@ -161,7 +163,9 @@
             context.deadline,
             context.tried_runners,
             prefix_cache_key(context.incoming.prompt),
+            context.incoming.shared_parts,
         )
+        _check_quarantine(gateway, context, runner)
     except PrimrosefordError as error:
         if context.runs:
             error.outcome = Outcome.MAY_HAVE_RUN
@@ -175,6 +179,22 @@
     return runner
 
 
+def _check_quarantine(
+    gateway: Gateway, context: RequestContext, runner: RunnerState
+) -> None:
+    """Refuse a request whose prompt was quarantined while it waited for its slot.
+
+    :raises PrimrosefordError: PROMPT_QUARANTINED; the slot has been released then
+    """
+    parts = context.incoming.shared_parts
+    try:
+        gateway.quarantine.check(parts)
+    except PrimrosefordError:
+        gateway.allocator.release(runner)
+        raise
+    gateway.quarantine.begin_trial(parts)
+
+
 def _handle_failure(
     gateway: Gateway,
     context: RequestContext,
@@ -243,7 +263,9 @@
     cancel_preemption = _request_preemption(gateway, context, runner)
 
     def on_event() -> None:
-        attempt.event_received = True
+        if not attempt.event_received:
+            attempt.event_received = True
+            gateway.quarantine.record_served(context.incoming.shared_parts)
         cancel_preemption()
 
     try:
@@ -258,6 +280,9 @@
         raise _timeout_error(gateway, runner, attempt, inactivity) from error
     except PrimrosefordError as error:
         gateway.note_failure(runner, error)
+        gateway.crash_detector.note_interruption(
+            runner, attempt, context.incoming.prompt, error
+        )
         raise
     finally:
         cancel_preemption()
@@ -342,7 +367,7 @@
                 gateway, context, runner, runner_response, inactivity, on_event
             )
         return await relay_response(
-            gateway, context, runner, runner_response, inactivity
+            gateway, context, runner, runner_response, inactivity, on_event
         )
     finally:
         runner_response.close()
--- a/src/primroseford/gateway/gen/messages/ttypes.py
+++ b/src/primroseford/gateway/gen/messages/ttypes.py
@@ -328,6 +328,395 @@
         return not (self == other)
 
 
+class CrashPart(object):
+    """
+    Attributes:
+     - part
+     - position
+
+    """
+
+    __slots__ = (
+        'part',
+        'position',
+    )
+
+
+    def __init__(self, part=None, position=None,):
+        self.part = part
+        self.position = position
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.part = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.position = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('CrashPart')
+        if self.part is not None:
+            oprot.writeFieldBegin('part', TType.STRING, 1)
+            oprot.writeString(self.part.encode('utf-8') if sys.version_info[0] == 2 else self.part)
+            oprot.writeFieldEnd()
+        if self.position is not None:
+            oprot.writeFieldBegin('position', TType.I32, 2)
+            oprot.writeI32(self.position)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RunnerCrash(object):
+    """
+    Attributes:
+     - runner
+     - born
+     - age_ms
+     - parts
+
+    """
+
+    __slots__ = (
+        'runner',
+        'born',
+        'age_ms',
+        'parts',
+    )
+
+
+    def __init__(self, runner=None, born=None, age_ms=None, parts=None,):
+        self.runner = runner
+        self.born = born
+        self.age_ms = age_ms
+        self.parts = parts
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.runner = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.born = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.parts = []
+                    (_etype3, _size0) = iprot.readListBegin()
+                    for _i4 in range(_size0):
+                        _elem5 = CrashPart()
+                        _elem5.read(iprot)
+                        self.parts.append(_elem5)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RunnerCrash')
+        if self.runner is not None:
+            oprot.writeFieldBegin('runner', TType.STRING, 1)
+            oprot.writeString(self.runner.encode('utf-8') if sys.version_info[0] == 2 else self.runner)
+            oprot.writeFieldEnd()
+        if self.born is not None:
+            oprot.writeFieldBegin('born', TType.I64, 2)
+            oprot.writeI64(self.born)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 3)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        if self.parts is not None:
+            oprot.writeFieldBegin('parts', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRUCT, len(self.parts))
+            for iter6 in self.parts:
+                iter6.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ServedPart(object):
+    """
+    Attributes:
+     - part
+     - age_ms
+
+    """
+
+    __slots__ = (
+        'part',
+        'age_ms',
+    )
+
+
+    def __init__(self, part=None, age_ms=None,):
+        self.part = part
+        self.age_ms = age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.part = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ServedPart')
+        if self.part is not None:
+            oprot.writeFieldBegin('part', TType.STRING, 1)
+            oprot.writeString(self.part.encode('utf-8') if sys.version_info[0] == 2 else self.part)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 2)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class QuarantinedPart(object):
+    """
+    Attributes:
+     - part
+     - generation
+     - trial_in_ms
+     - trial_ms
+     - lifted
+
+    """
+
+    __slots__ = (
+        'part',
+        'generation',
+        'trial_in_ms',
+        'trial_ms',
+        'lifted',
+    )
+
+
+    def __init__(self, part=None, generation=None, trial_in_ms=None, trial_ms=None, lifted=None,):
+        self.part = part
+        self.generation = generation
+        self.trial_in_ms = trial_in_ms
+        self.trial_ms = trial_ms
+        self.lifted = lifted
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.part = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.generation = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.trial_in_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.trial_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.BOOL:
+                    self.lifted = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('QuarantinedPart')
+        if self.part is not None:
+            oprot.writeFieldBegin('part', TType.STRING, 1)
+            oprot.writeString(self.part.encode('utf-8') if sys.version_info[0] == 2 else self.part)
+            oprot.writeFieldEnd()
+        if self.generation is not None:
+            oprot.writeFieldBegin('generation', TType.I64, 2)
+            oprot.writeI64(self.generation)
+            oprot.writeFieldEnd()
+        if self.trial_in_ms is not None:
+            oprot.writeFieldBegin('trial_in_ms', TType.I32, 3)
+            oprot.writeI32(self.trial_in_ms)
+            oprot.writeFieldEnd()
+        if self.trial_ms is not None:
+            oprot.writeFieldBegin('trial_ms', TType.I32, 4)
+            oprot.writeI32(self.trial_ms)
+            oprot.writeFieldEnd()
+        if self.lifted is not None:
+            oprot.writeFieldBegin('lifted', TType.BOOL, 5)
+            oprot.writeBool(self.lifted)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Heartbeat(object):
     """
     Attributes:
@@ -350,6 +739,9 @@
      - late_items
      - link_bytes
      - direct
+     - crashes
+     - served
+     - quarantined
 
     """
 
@@ -373,10 +765,16 @@
         'late_items',
         'link_bytes',
         'direct',
+        'crashes',
+        'served',
+        'quarantined',
     )
 
 
-    def __init__(self, host=None, incarnation=None, address=None, failure_domain=None, sequence=None, leaving=None, configuration=None, waiting=None, loads=None, spending=None, jobs=None, reaches_store=None, runner_list=None, ended_jobs=None, confirmed_ms_ago=2147483647, ready_items=0, late_items=0, link_bytes=0, direct=False,):
+    def __init__(self, host=None, incarnation=None, address=None, failure_domain=None, sequence=None, leaving=None, configuration=None, waiting=None, loads=None, spending=None, jobs=None, reaches_store=None, runner_list=None, ended_jobs=None, confirmed_ms_ago=2147483647, ready_items=0, late_items=0, link_bytes=0, direct=False, crashes=[
+    ], served=[
+    ], quarantined=[
+    ],):
         self.host = host
         self.incarnation = incarnation
         self.address = address
@@ -396,6 +794,18 @@
         self.late_items = late_items
         self.link_bytes = link_bytes
         self.direct = direct
+        if crashes is self.thrift_spec[20][4]:
+            crashes = [
+            ]
+        self.crashes = crashes
+        if served is self.thrift_spec[21][4]:
+            served = [
+            ]
+        self.served = served
+        if quarantined is self.thrift_spec[22][4]:
+            quarantined = [
+            ]
+        self.quarantined = quarantined
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -449,33 +859,33 @@
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.loads = []
-                    (_etype3, _size0) = iprot.readListBegin()
-                    for _i4 in range(_size0):
-                        _elem5 = RunnerLoad()
-                        _elem5.read(iprot)
-                        self.loads.append(_elem5)
+                    (_etype10, _size7) = iprot.readListBegin()
+                    for _i11 in range(_size7):
+                        _elem12 = RunnerLoad()
+                        _elem12.read(iprot)
+                        self.loads.append(_elem12)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 10:
                 if ftype == TType.LIST:
                     self.spending = []
-                    (_etype9, _size6) = iprot.readListBegin()
-                    for _i10 in range(_size6):
-                        _elem11 = Spending()
-                        _elem11.read(iprot)
-                        self.spending.append(_elem11)
+                    (_etype16, _size13) = iprot.readListBegin()
+                    for _i17 in range(_size13):
+                        _elem18 = Spending()
+                        _elem18.read(iprot)
+                        self.spending.append(_elem18)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 11:
                 if ftype == TType.LIST:
                     self.jobs = []
-                    (_etype15, _size12) = iprot.readListBegin()
-                    for _i16 in range(_size12):
-                        _elem17 = JobProgress()
-                        _elem17.read(iprot)
-                        self.jobs.append(_elem17)
+                    (_etype22, _size19) = iprot.readListBegin()
+                    for _i23 in range(_size19):
+                        _elem24 = JobProgress()
+                        _elem24.read(iprot)
+                        self.jobs.append(_elem24)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -492,10 +902,10 @@
             elif fid == 14:
                 if ftype == TType.LIST:
                     self.ended_jobs = []
-                    (_etype21, _size18) = iprot.readListBegin()
-                    for _i22 in range(_size18):
-                        _elem23 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.ended_jobs.append(_elem23)
+                    (_etype28, _size25) = iprot.readListBegin()
+                    for _i29 in range(_size25):
+                        _elem30 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.ended_jobs.append(_elem30)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -524,6 +934,39 @@
                     self.direct = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 20:
+                if ftype == TType.LIST:
+                    self.crashes = []
+                    (_etype34, _size31) = iprot.readListBegin()
+                    for _i35 in range(_size31):
+                        _elem36 = RunnerCrash()
+                        _elem36.read(iprot)
+                        self.crashes.append(_elem36)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 21:
+                if ftype == TType.LIST:
+                    self.served = []
+                    (_etype40, _size37) = iprot.readListBegin()
+                    for _i41 in range(_size37):
+                        _elem42 = ServedPart()
+                        _elem42.read(iprot)
+                        self.served.append(_elem42)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 22:
+                if ftype == TType.LIST:
+                    self.quarantined = []
+                    (_etype46, _size43) = iprot.readListBegin()
+                    for _i47 in range(_size43):
+                        _elem48 = QuarantinedPart()
+                        _elem48.read(iprot)
+                        self.quarantined.append(_elem48)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -569,22 +1012,22 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter24 in self.loads:
-                iter24.write(oprot)
+            for iter49 in self.loads:
+                iter49.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.spending is not None:
             oprot.writeFieldBegin('spending', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.spending))
-            for iter25 in self.spending:
-                iter25.write(oprot)
+            for iter50 in self.spending:
+                iter50.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.jobs is not None:
             oprot.writeFieldBegin('jobs', TType.LIST, 11)
             oprot.writeListBegin(TType.STRUCT, len(self.jobs))
-            for iter26 in self.jobs:
-                iter26.write(oprot)
+            for iter51 in self.jobs:
+                iter51.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.reaches_store is not None:
@@ -598,8 +1041,8 @@
         if self.ended_jobs is not None:
             oprot.writeFieldBegin('ended_jobs', TType.LIST, 14)
             oprot.writeListBegin(TType.STRING, len(self.ended_jobs))
-            for iter27 in self.ended_jobs:
-                oprot.writeString(iter27.encode('utf-8') if sys.version_info[0] == 2 else iter27)
+            for iter52 in self.ended_jobs:
+                oprot.writeString(iter52.encode('utf-8') if sys.version_info[0] == 2 else iter52)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.confirmed_ms_ago is not None:
@@ -622,6 +1065,27 @@
             oprot.writeFieldBegin('direct', TType.BOOL, 19)
             oprot.writeBool(self.direct)
             oprot.writeFieldEnd()
+        if self.crashes is not None:
+            oprot.writeFieldBegin('crashes', TType.LIST, 20)
+            oprot.writeListBegin(TType.STRUCT, len(self.crashes))
+            for iter53 in self.crashes:
+                iter53.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.served is not None:
+            oprot.writeFieldBegin('served', TType.LIST, 21)
+            oprot.writeListBegin(TType.STRUCT, len(self.served))
+            for iter54 in self.served:
+                iter54.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.quarantined is not None:
+            oprot.writeFieldBegin('quarantined', TType.LIST, 22)
+            oprot.writeListBegin(TType.STRUCT, len(self.quarantined))
+            for iter55 in self.quarantined:
+                iter55.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -685,10 +1149,10 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.heartbeats = []
-                    (_etype31, _size28) = iprot.readListBegin()
-                    for _i32 in range(_size28):
-                        _elem33 = iprot.readBinary()
-                        self.heartbeats.append(_elem33)
+                    (_etype59, _size56) = iprot.readListBegin()
+                    for _i60 in range(_size56):
+                        _elem61 = iprot.readBinary()
+                        self.heartbeats.append(_elem61)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -714,8 +1178,8 @@
         if self.heartbeats is not None:
             oprot.writeFieldBegin('heartbeats', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.heartbeats))
-            for iter34 in self.heartbeats:
-                oprot.writeBinary(iter34)
+            for iter62 in self.heartbeats:
+                oprot.writeBinary(iter62)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.wanted is not None:
@@ -769,6 +1233,35 @@
     (4, TType.STRING, 'path_prefix', 'UTF8', None, ),  # 4
     (5, TType.I64, 'waiting_tokens', None, None, ),  # 5
 )
+all_structs.append(CrashPart)
+CrashPart.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'part', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'position', None, None, ),  # 2
+)
+all_structs.append(RunnerCrash)
+RunnerCrash.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'runner', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'born', None, None, ),  # 2
+    (3, TType.I32, 'age_ms', None, None, ),  # 3
+    (4, TType.LIST, 'parts', (TType.STRUCT, [CrashPart, None], False), None, ),  # 4
+)
+all_structs.append(ServedPart)
+ServedPart.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'part', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'age_ms', None, None, ),  # 2
+)
+all_structs.append(QuarantinedPart)
+QuarantinedPart.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'part', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'generation', None, None, ),  # 2
+    (3, TType.I32, 'trial_in_ms', None, None, ),  # 3
+    (4, TType.I32, 'trial_ms', None, None, ),  # 4
+    (5, TType.BOOL, 'lifted', None, None, ),  # 5
+)
 all_structs.append(Heartbeat)
 Heartbeat.thrift_spec = (
     None,  # 0
@@ -791,6 +1284,12 @@
     (17, TType.I32, 'late_items', None, 0, ),  # 17
     (18, TType.I64, 'link_bytes', None, 0, ),  # 18
     (19, TType.BOOL, 'direct', None, False, ),  # 19
+    (20, TType.LIST, 'crashes', (TType.STRUCT, [RunnerCrash, None], False), [
+    ], ),  # 20
+    (21, TType.LIST, 'served', (TType.STRUCT, [ServedPart, None], False), [
+    ], ),  # 21
+    (22, TType.LIST, 'quarantined', (TType.STRUCT, [QuarantinedPart, None], False), [
+    ], ),  # 22
 )
 all_structs.append(Bundle)
 Bundle.thrift_spec = (
--- a/src/primroseford/gateway/heartbeat.py
+++ b/src/primroseford/gateway/heartbeat.py
@@ -20,6 +20,8 @@
 from primroseford.gateway.gen.messages.ttypes import Spending
 from primroseford.gateway.periodic import run_periodically
 from primroseford.gateway.preemption import choose_preemption_host
+from primroseford.gateway.quarantine_reports import apply_heartbeat
+from primroseford.gateway.quarantine_reports import fill_heartbeat
 from primroseford.gateway.relay import RELAY_SECONDS
 from primroseford.gateway.relay import Relay
 from primroseford.gateway.relay import split_bundle
@@ -125,6 +127,7 @@
         self.lost_hosts: set[HostId] = set()
         self.sent_at = 0.0
         gateway.request_preemption = self.request_preemption
+        gateway.quarantine.announce = self.send
 
     async def on_start(self) -> None:
         """Open the sockets for heartbeats and bundles."""
@@ -229,7 +232,7 @@
         gateway = self.gateway
         self.sequence += 1
         tables = gateway.tables
-        return Heartbeat(
+        heartbeat = Heartbeat(
             gateway.members.own,
             self.incarnation,
             f"{self.address[0]}:{self.address[1]}",
@@ -258,6 +261,8 @@
             int(self.relay.link),
             self.relay.bypasses_relay(gateway.clock()),
         )
+        fill_heartbeat(gateway.quarantine, heartbeat)
+        return heartbeat
 
     def _loads(self) -> list[RunnerLoad]:
         now = self.gateway.clock()
@@ -322,6 +327,7 @@
         elif previous is None:
             log.info("host joined", peer=host, address=heartbeat.address)
         gateway.allocator.apply_heartbeat(heartbeat)
+        apply_heartbeat(gateway.quarantine, heartbeat)
         self._apply_spending(heartbeat, previous is None)
         for job in heartbeat.ended_jobs:
             self.jobs.apply_cancellation(JobId(job))
--- a/src/primroseford/gateway/host.py
+++ b/src/primroseford/gateway/host.py
@@ -30,6 +30,7 @@
 from primroseford.gateway.peer_urls import results_watcher_url
 from primroseford.gateway.peer_urls import urls
 from primroseford.gateway.platform_watcher import PlatformWatcher
+from primroseford.gateway.quarantine_store import QuarantineStore
 from primroseford.gateway.registration import Registration
 from primroseford.gateway.retirement import RetirementService
 from primroseford.gateway.slot_allocator import SlotAllocator
@@ -218,6 +219,7 @@
             self.watcher,
             Registration(gateway, client, incarnation, address),
             Watchdog(gateway),
+            QuarantineStore(gateway, client),
             RetirementService(gateway, client),
             results,
             jobs,
--- a/src/primroseford/gateway/messages.thrift
+++ b/src/primroseford/gateway/messages.thrift
@@ -21,6 +21,34 @@
   5: i64 waiting_tokens
 }
 
+// A shared part of a prompt that was on a runner when it crashed.
+struct CrashPart {
+  1: string part
+  2: i32 position
+}
+
+// A crash of a runner instance that the host saw.
+struct RunnerCrash {
+  1: string runner
+  2: i64 born
+  3: i32 age_ms
+  4: list<CrashPart> parts
+}
+
+// A prompt part in recent crashes, of which the host has served a request.
+struct ServedPart {
+  1: string part
+  2: i32 age_ms
+}
+
+struct QuarantinedPart {
+  1: string part
+  2: i64 generation
+  3: i32 trial_in_ms
+  4: i32 trial_ms
+  5: bool lifted
+}
+
 struct Heartbeat {
   1: string host
   2: string incarnation
@@ -46,6 +74,10 @@
   18: i64 link_bytes = 0
   // Whether the host uses no relay, so that the others send to it directly.
   19: bool direct = 0
+  // What the host knows of prompts that crash runners.
+  20: list<RunnerCrash> crashes = []
+  21: list<ServedPart> served = []
+  22: list<QuarantinedPart> quarantined = []
 }
 
 // Heartbeats that the relay of a failure domain forwards, encoded by their senders.
--- a/src/primroseford/gateway/requests.py
+++ b/src/primroseford/gateway/requests.py
@@ -9,6 +9,7 @@
     from multidict import CIMultiDict
 
     from primroseford.gateway.affinity import PromptPart
+    from primroseford.ids import PromptPartId
     from primroseford.ids import RequestId
 
 
@@ -37,6 +38,11 @@
     body: bytes = b""
     prompt: tuple[PromptPart, ...] = ()
 
+    @property
+    def shared_parts(self) -> list[PromptPartId]:
+        """Ids of the prompt parts that other requests may share."""
+        return [part.id for part in self.prompt[:-1]]
+
     @property
     def path(self) -> str:
         """Path without the query."""
--- a/src/primroseford/gateway/runner_responses.py
+++ b/src/primroseford/gateway/runner_responses.py
@@ -35,8 +35,12 @@
     runner: RunnerState,
     runner_response: aiohttp.ClientResponse,
     inactivity: InactivityTimeout,
+    on_data: Callable[[], None],
 ) -> web.StreamResponse:
-    """Relay a non-streaming response once it is complete or exceeds the buffer."""
+    """Relay a non-streaming response once it is complete or exceeds the buffer.
+
+    :param on_data: called when the response is complete or exceeds the buffer
+    """
     if context.response is not None:
         raise may_have_run_error(
             ResultCode.STREAM_TRUNCATED,
@@ -54,6 +58,7 @@
             buffered += chunk
             if len(buffered) > RESPONSE_BUFFER_BYTES:
                 inactivity.reset()
+                on_data()
                 await _write_chunk(gateway, context, runner_response, bytes(buffered))
                 buffered.clear()
     except EXCHANGE_ERRORS as error:
@@ -61,6 +66,7 @@
             ResultCode.RUNNER_FAILED,
             f"the response was interrupted: {describe_error(error)}",
         ) from error
+    on_data()
     seconds = gateway.clock() - context.started
     runner.latency += 0.1 * (seconds - runner.latency) if runner.latency else seconds
     if context.response is not None:
--- a/src/primroseford/gateway/slot_allocator.py
+++ b/src/primroseford/gateway/slot_allocator.py
@@ -18,6 +18,7 @@
 from primroseford.online.fair_queue import FairQueue
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Collection
     from random import Random
 
@@ -29,6 +30,7 @@
     from primroseford.ids import FailureDomainId
     from primroseford.ids import HostId
     from primroseford.ids import PoolName
+    from primroseford.ids import PromptPartId
     from primroseford.ids import RunnerName
 
 SUSPECT_SECONDS = 1.0
@@ -59,11 +61,13 @@
     :param future: resolves to the runner whose slot was reserved
     :param tried: runner instances that failed this request
     :param prefix_key: cache key of its shared prompt prefix; empty if there is none
+    :param prompt_parts: shared parts of its prompt
     """
 
     future: asyncio.Future[RunnerState]
     tried: Collection[RunnerKey]
     prefix_key: str
+    prompt_parts: Collection[PromptPartId]
 
 
 class SlotAllocator:
@@ -167,6 +171,7 @@
         deadline: float,
         tried: Collection[RunnerKey] = (),
         prefix_key: str = "",
+        prompt_parts: Collection[PromptPartId] = (),
     ) -> RunnerState:
         """Reserve a slot for an online request and return its runner.
 
@@ -174,7 +179,9 @@
         :param deadline: local time in seconds
         :param tried: runner instances that failed this request
         :param prefix_key: cache key of its shared prompt prefix; empty if there is none
-        :raises PrimrosefordError: POOL_UNAVAILABLE or DEADLINE_UNREACHABLE
+        :param prompt_parts: shared parts of its prompt
+        :raises PrimrosefordError: POOL_UNAVAILABLE, DEADLINE_UNREACHABLE, or an error
+            given to :meth:`refuse_waiting`
         """
         queue = self.queues.get(pool)
         if not queue:
@@ -185,7 +192,7 @@
         self._check_wait(pool, deadline, tried)
         queue = self.queues.setdefault(pool, FairQueue())
         future = asyncio.get_running_loop().create_future()
-        waiter = Waiter(future, tried, prefix_key)
+        waiter = Waiter(future, tried, prefix_key, prompt_parts)
         queue.push(organisation, waiter)
         self.changed = True
         try:
@@ -204,6 +211,18 @@
         finally:
             queue.remove(organisation, waiter)
 
+    def refuse_waiting(
+        self, part: PromptPartId, create_error: Callable[[], PrimrosefordError]
+    ) -> None:
+        """Refuse the waiting requests whose prompt has a part.
+
+        :param create_error: returns the error of one request
+        """
+        for queue in self.queues.values():
+            for waiter in list(queue):
+                if part in waiter.prompt_parts and not waiter.future.done():
+                    waiter.future.set_exception(create_error())
+
     def _release_unclaimed(self, waiter: Waiter) -> None:
         """Release a slot that was assigned just as its request stopped waiting."""
         future = waiter.future
--- a/src/primroseford/gateway/state.py
+++ b/src/primroseford/gateway/state.py
@@ -9,9 +9,12 @@
 
 from primroseford.errors import PrimrosefordError
 from primroseford.errors import ResultCode
+from primroseford.gateway.crash_detector import CrashDetector
 from primroseford.gateway.exchange import RunnerReplaced
+from primroseford.gateway.members import preferred_host
 from primroseford.gateway.quota import Quotas
 from primroseford.gateway.runners import RunnerList
+from primroseford.quarantine.state import Quarantine
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -27,6 +30,7 @@
     from primroseford.gateway.runner_state import RunnerState
     from primroseford.gateway.slot_allocator import SlotAllocator
     from primroseford.gateway.tables import Tables
+    from primroseford.ids import PromptPartId
     from primroseford.metrics import Metrics
 
 MAX_CONFIRMATION_AGE_SECONDS = 7.0
@@ -62,6 +66,13 @@
         self.refusals = metrics.counter(
             "gateway_refusals_total", "Requests refused before a runner", ("code",)
         )
+        self.crashes = metrics.counter(
+            "gateway_runner_crashes_total",
+            "Runners that crashed while they began to answer requests of this host",
+        )
+        self.quarantined = metrics.gauge(
+            "gateway_quarantined_parts", "Prompt parts that are quarantined"
+        )
         self.items = metrics.counter(
             "gateway_items_total", "Runs of batch items by end", ("end",)
         )
@@ -77,6 +88,8 @@
     :ivar on_heartbeat: called with each heartbeat of another host
     :ivar request_preemption: requests the preemption of a batch item on a runner
     :ivar tables: configuration in force; ``None`` until the first one is received
+    :ivar quarantine: prompt parts that crash runners
+    :ivar crash_detector: detects such crashes
     :ivar open_requests: online requests in progress
     :ivar busy_connections: callers' connections on which a request is being served
     :ivar confirmed_at: local time of the platform's last confirmation of the tables
@@ -107,11 +120,26 @@
             _ignore_preemption_request
         )
         self.quotas = Quotas(clock())
+        self.quarantine = Quarantine(clock)
+        self.quarantine.is_responsible = self._is_responsible
+        self.quarantine.heartbeat_interval = lambda: members.interval
+        self.quarantine.on_quarantine = self._refuse_waiting
+        self.crash_detector = CrashDetector(self)
         self.open_requests: set[RequestContext] = set()
         self.busy_connections: set[RequestHandler] = set()
         self.stopping = False
         self.tokens = itertools.count()
 
+    def _is_responsible(self, part: PromptPartId) -> bool:
+        """Return whether this host tries and stores a quarantined prompt part."""
+        hosts = self.members.hosts(self.clock())
+        return preferred_host(part, hosts) == self.members.own
+
+    def _refuse_waiting(self, part: PromptPartId) -> None:
+        """Refuse the requests with a prompt part that wait for a slot."""
+        record = self.quarantine.records[part]
+        self.allocator.refuse_waiting(part, lambda: self.quarantine.refusal(record))
+
     @property
     def ready(self) -> bool:
         """Whether the load balancer may send requests to this host."""
--- a/src/primroseford/jobs/deadlines.py
+++ b/src/primroseford/jobs/deadlines.py
@@ -54,7 +54,9 @@
         :returns: how many can meet their deadline, and how many cannot
         """
         now = self.gateway.clock()
-        waiting = [item for run in self.runs.values() for item in run.waiting]
+        waiting = [
+            item for run in self.runs.values() for item in run.waiting if not item.held
+        ]
         feasible = sum(self.slack(item, now) >= 0 for item in waiting)
         return feasible, len(waiting) - feasible
 
--- a/src/primroseford/jobs/run.py
+++ b/src/primroseford/jobs/run.py
@@ -39,6 +39,7 @@
     from primroseford.gateway.runners import RunnerKey
     from primroseford.gateway.state import Gateway
     from primroseford.gateway.tables import Route
+    from primroseford.ids import PromptPartId
     from primroseford.ids import RunnerName
     from primroseford.ids import Version
     from primroseford.jobs.state import Item
@@ -82,7 +83,10 @@
     :param started_at: local time of the start of that run in seconds
     :param events_at_start: number of events at that time
     :param result: final state
+    :param interruptions: consecutive runs that ended before their first event
+    :param held: whether it waits because a part of its prompt is quarantined
     :ivar prompt: parts of the item's prompt
+    :ivar shared_parts: ids of the prompt parts that other requests may share
     """
 
     job: Job
@@ -99,10 +103,14 @@
     started_at: float = 0.0
     events_at_start: int = 0
     result: ItemState | None = None
+    interruptions: int = 0
+    held: bool = False
     prompt: tuple[PromptPart, ...] = field(init=False)
+    shared_parts: list[PromptPartId] = field(init=False)
 
     def __post_init__(self) -> None:
         self.prompt = decode_prompt(CIMultiDict(self.item.headers))
+        self.shared_parts = [part.id for part in self.prompt[:-1]]
 
     def text(self) -> str:
         """Return the text of a complete item."""
@@ -215,6 +223,7 @@
         return RunOutcome.BROKEN
     except PrimrosefordError as error:
         gateway.note_failure(runner, error)
+        gateway.crash_detector.note_interruption(runner, attempt, item.prompt, error)
         log.info(
             "item run ended without a result",
             item=item.item.id,
@@ -282,7 +291,9 @@
         async for chunk in read_bounded(response, MAX_ITEM_BYTES):
             block = splitter.feed(chunk)
             if block:
-                attempt.event_received = True
+                if not attempt.event_received:
+                    attempt.event_received = True
+                    gateway.quarantine.record_served(item.shared_parts)
                 inactivity.reset()
                 runner.last_byte = gateway.clock()
                 item.append_events(block)
--- a/src/primroseford/jobs/scheduler.py
+++ b/src/primroseford/jobs/scheduler.py
@@ -47,6 +47,10 @@
 INTERRUPTED_RETRY_SECONDS = 0.05
 """Retry delay after an interrupted run, so that a failing pool is not retried at
 once."""
+INTERRUPTED_RETRY_FACTOR = 4
+"""Factor by which that delay grows with each further run that ends before its first
+event: the item itself may be what ends its runners."""
+MAX_INTERRUPTED_RETRY_SECONDS = 5.0
 FAILED_RETRY_SECONDS = 0.3
 """Retry delay after a failure reported by the runner, which may be transient."""
 STOPPED_REPORT_SECONDS = 3.0
@@ -191,7 +195,7 @@
             (estimator.rank(item, now), index, run, item)
             for run in self.runs.values()
             for index, item in enumerate(run.waiting)
-            if item.not_before <= now
+            if item.not_before <= now and not self._is_held(item)
         ]
         startable.sort(key=lambda entry: entry[:2])
         full_pools: set[PoolName] = set()
@@ -215,6 +219,10 @@
             if runner is None:
                 full_pools.add(pool)
                 continue
+            if self._is_held(item):
+                # An item that was started before it is the one that is tried.
+                continue
+            self.gateway.quarantine.begin_trial(item.shared_parts)
             self.gateway.allocator.reserve(runner, batch=True)
             capacity.budget.record_start(pool)
             run.waiting.remove(item)
@@ -233,6 +241,19 @@
             )
         self._log_waiting(full_pools, now)
 
+    def _is_held(self, item: ItemRun) -> bool:
+        """Return whether an item waits because its prompt is quarantined."""
+        record = self.gateway.quarantine.blocking_record(item.shared_parts)
+        if item.held != (record is not None):
+            item.held = record is not None
+            log.info(
+                "item held" if item.held else "item released",
+                item=item.item.id,
+                job=item.job.id,
+                part=record.part if record else None,
+            )
+        return item.held
+
     def _log_waiting(self, pools: set[PoolName], now: float) -> None:
         """Log at intervals the load of the pools in which items wait for slots."""
         if not pools or now - self.wait_logged_at < WAIT_LOG_INTERVAL_SECONDS:
@@ -307,10 +328,8 @@
             if item.failures >= route.max_attempts:
                 item.result = ItemState.DEAD_LETTER
         else:
-            refused = outcome is RunOutcome.REFUSED
             item.tried.add(key)
-            delay = REFUSED_RETRY_SECONDS if refused else INTERRUPTED_RETRY_SECONDS
-            item.not_before = now + delay
+            item.not_before = now + self._retry_delay(item, outcome)
         if run.stopped or item.item.id in run.view.committed:
             return
         if item.result is None:
@@ -329,6 +348,17 @@
         self.recorder.schedule_commit(run)
         self.start_items()
 
+    @staticmethod
+    def _retry_delay(item: ItemRun, outcome: RunOutcome) -> float:
+        """Return the seconds until an item runs again that was refused or broke off."""
+        if outcome is RunOutcome.REFUSED:
+            return REFUSED_RETRY_SECONDS
+        if len(item.data) > item.events_at_start:
+            item.interruptions = 0
+        delay = INTERRUPTED_RETRY_SECONDS * INTERRUPTED_RETRY_FACTOR**item.interruptions
+        item.interruptions += 1
+        return min(delay, MAX_INTERRUPTED_RETRY_SECONDS)
+
     def abandon_items(self) -> None:
         """Dead-letter waiting items past their time limit or with a removed route."""
         now = time.time()
--- a/src/primroseford/online/fair_queue.py
+++ b/src/primroseford/online/fair_queue.py
@@ -3,9 +3,13 @@
 from __future__ import annotations
 
 from collections import deque
+from typing import TYPE_CHECKING
 from typing import Generic
 from typing import TypeVar
 
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
 Item = TypeVar("Item")
 
 
@@ -48,6 +52,11 @@
             del self.by_organisation[organisation]
         return item
 
+    def __iter__(self) -> Iterator[Item]:
+        """Iterate over all items, in no particular order."""
+        for waiting in self.by_organisation.values():
+            yield from waiting
+
     def remove(self, organisation: str, item: Item) -> bool:
         """Remove an item wherever it is in the queue.
 
--- a/src/primroseford/platform/prompts.py
+++ b/src/primroseford/platform/prompts.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from primroseford.gateway.affinity import PromptPart
+from primroseford.ids import PromptPartId
 from primroseford.platform.headers import PROMPT_PARTS
 
 if TYPE_CHECKING:
@@ -27,5 +28,5 @@
         name, _, tokens = text.strip().rpartition(":")
         if not name or not TOKENS_PATTERN.fullmatch(tokens):
             return ()
-        parts.append(PromptPart(name, int(tokens)))
+        parts.append(PromptPart(PromptPartId(name), int(tokens)))
     return tuple(parts)
--- /dev/null
+++ b/src/primroseford/quarantine/__init__.py
@@ -0,0 +1,3 @@
+"""Quarantine of prompt parts that crash runners."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/primroseford/quarantine/tests/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the quarantine."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/primroseford/quarantine/verdict.py
@@ -0,0 +1,98 @@
+"""Decides which prompt part crashes runners, from crashes and served requests.
+
+The end of a runner shows only that one of the requests which it was beginning to answer
+may have caused it. A part that causes crashes is in several of them, and no request
+with it gets past the start of its answer. Requests beside it are bystanders; their
+parts are cleared by the next request that is served.
+"""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+    from collections.abc import Iterable
+    from collections.abc import Mapping
+
+    from primroseford.ids import PromptPartId
+
+CRASHES_TO_QUARANTINE = 3
+"""Crashes at different moments after which a part is quarantined. Fewer would blame the
+bystanders of unrelated crashes."""
+SAME_MOMENT_SECONDS = 0.2
+"""Crashes that follow each other within this time count as one: runners that fail
+together have a common cause, such as the loss of power of a failure domain."""
+
+
+@dataclass(frozen=True)
+class Crash:
+    """End of a runner instance while it was beginning to answer requests.
+
+    :param at: local time in seconds
+    :param parts: shared parts of these requests, each with its position in the prompt
+    """
+
+    at: float
+    parts: Mapping[PromptPartId, int]
+
+
+def find_deadly_parts(
+    crashes: Iterable[Crash],
+    served_at: Mapping[PromptPartId, float],
+    quarantined: Collection[PromptPartId] = (),
+) -> list[PromptPartId]:
+    """Return the parts that explain repeated crashes, most certain first.
+
+    If several parts are in the same crashes, the one that has not been served for the
+    longest time is chosen, then the one in most crashes, then the one that fewest
+    requests share, which is the last in the prompt. A crash that a chosen part explains
+    does not count against other parts.
+
+    :param crashes: crashes of different runner instances
+    :param served_at: local time at which a request with a part was last served
+    :param quarantined: parts that are quarantined already
+    """
+    unexplained = [c for c in crashes if not c.parts.keys() & set(quarantined)]
+    deadly: list[PromptPartId] = []
+    while True:
+        ranking = [
+            (served_at.get(part, -math.inf), -count, -position, part)
+            for part, (count, position) in _suspicions(unexplained, served_at).items()
+            if count >= CRASHES_TO_QUARANTINE
+        ]
+        if not ranking:
+            return deadly
+        part = min(ranking)[-1]
+        deadly.append(part)
+        unexplained = [c for c in unexplained if part not in c.parts]
+
+
+def _suspicions(
+    crashes: Iterable[Crash], served_at: Mapping[PromptPartId, float]
+) -> dict[PromptPartId, tuple[int, int]]:
+    """Return for each part its crashes since it was last served, and its position."""
+    times: dict[PromptPartId, list[float]] = {}
+    positions: dict[PromptPartId, int] = {}
+    for crash in crashes:
+        for part, position in crash.parts.items():
+            positions[part] = max(position, positions.get(part, 0))
+            if crash.at > served_at.get(part, -math.inf):
+                times.setdefault(part, []).append(crash.at)
+    return {part: (count_moments(at), positions[part]) for part, at in times.items()}
+
+
+def count_moments(times: Iterable[float]) -> int:
+    """Return how many different moments a list of times has.
+
+    :param times: local times in seconds, in any order
+    """
+    moments = 0
+    last = -math.inf
+    for at in sorted(times):
+        if at - last > SAME_MOMENT_SECONDS:
+            moments += 1
+            last = at
+    return moments
