--- a/src/primroseford/quarantine/tests/test_verdict.py
+++ b/src/primroseford/quarantine/tests/test_verdict.py
@@ -3,8 +3,8 @@
 import pytest
 
 from primroseford.quarantine.verdict import Crash
-from primroseford.quarantine.verdict import count_moments
 from primroseford.quarantine.verdict import find_deadly_parts
+from primroseford.quarantine.verdict import group_by_moment
 
 
 def crashes(*listed: tuple[float, str]) -> list[Crash]:
@@ -32,6 +32,9 @@
         # Runners that end together have one cause.
         ([(1, "a"), (1.05, "a"), (1.1, "a"), (1.15, "a")], {}, []),
         ([(1, "a"), (1.05, "a"), (2, "a")], {}, []),
+        ([(1, "a"), (1.1, "a"), (1.1, "b"), (1.1, "b c"), (2, "a")], {}, []),
+        # Unless most of them have the part in common.
+        ([(1, "a t"), (1.1, "t"), (1.2, "b t"), (1.2, "c"), (2, "t")], {}, ["t"]),
         # A bystander of two crashes is not blamed for a third one of its own.
         ([(1, "t"), (2, "t a"), (3, "t a"), (4, "a")], {"a": 0.5}, ["t"]),
         # Two deadly parts with a common first part.
@@ -58,9 +61,10 @@
 
 
 @pytest.mark.parametrize(
-    ("times", "moments"),
-    [([], 0), ([1, 1.1, 1.19], 1), ([3, 1, 2], 3), ([1, 1.15, 1.3], 2)],
+    ("times", "sizes"),
+    [([], []), ([1, 1.1, 1.19], [3]), ([3, 1, 2], [1] * 3), ([1, 1.15, 1.3], [2, 1])],
 )
-def test_crashes_at_one_moment_are_counted_twice(times, moments):
+def test_crashes_at_one_moment_are_counted_apart(times, sizes):
     """Guards against a power failure that counts as many crashes."""
-    assert count_moments(times) == moments
+    moments = group_by_moment(crashes(*((at, "a") for at in times)))
+    assert [len(moment) for moment in moments] == sizes
--- a/src/primroseford/quarantine/verdict.py
+++ b/src/primroseford/quarantine/verdict.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import math
+from collections import Counter
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -25,6 +26,8 @@
 SAME_MOMENT_SECONDS = 0.2
 """Crashes that follow each other within this time count as one: runners that fail
 together have a common cause, such as the loss of power of a failure domain."""
+COMMON_CRASHES = 3
+"""Crashes at one moment that must have a part in common to count twice."""
 
 
 @dataclass(frozen=True)
@@ -73,26 +76,31 @@
 def _suspicions(
     crashes: Iterable[Crash], served_at: Mapping[PromptPartId, float]
 ) -> dict[PromptPartId, tuple[int, int]]:
-    """Return for each part its crashes since it was last served, and its position."""
-    times: dict[PromptPartId, list[float]] = {}
-    positions: dict[PromptPartId, int] = {}
-    for crash in crashes:
-        for part, position in crash.parts.items():
-            positions[part] = max(position, positions.get(part, 0))
-            if crash.at > served_at.get(part, -math.inf):
-                times.setdefault(part, []).append(crash.at)
-    return {part: (count_moments(at), positions[part]) for part, at in times.items()}
-
+    """Return for each part its count of crashes since it was served, and its position.
 
-def count_moments(times: Iterable[float]) -> int:
-    """Return how many different moments a list of times has.
-
-    :param times: local times in seconds, in any order
+    Crashes at one moment count once, or twice if several of them and most of all have
+    the part: a common cause does not choose runners by their requests.
     """
-    moments = 0
-    last = -math.inf
-    for at in sorted(times):
-        if at - last > SAME_MOMENT_SECONDS:
-            moments += 1
-            last = at
+    counts: Counter[PromptPartId] = Counter()
+    positions: dict[PromptPartId, int] = {}
+    for moment in group_by_moment(crashes):
+        members: Counter[PromptPartId] = Counter()
+        for crash in moment:
+            for part, position in crash.parts.items():
+                positions[part] = max(position, positions.get(part, 0))
+                members[part] += crash.at > served_at.get(part, -math.inf)
+        for part, number in members.items():
+            is_common = number >= COMMON_CRASHES and 2 * number > len(moment)
+            counts[part] += 2 if is_common else min(number, 1)
+    return {part: (counts[part], positions[part]) for part in positions}
+
+
+def group_by_moment(crashes: Iterable[Crash]) -> list[list[Crash]]:
+    """Return the crashes in order of time, in groups of those at the same moment."""
+    moments: list[list[Crash]] = []
+    for crash in sorted(crashes, key=lambda crash: crash.at):
+        if moments and crash.at - moments[-1][0].at <= SAME_MOMENT_SECONDS:
+            moments[-1].append(crash)
+        else:
+            moments.append([crash])
     return moments
