Abort a response that has been started when an unexpected error ends its request

Callers of a resumable stream found 'HTTP/1.1 502' or 500 with its body after the first events, and a last chunk, when the runner broke off after an event whose id is not UTF-8: the id for Last-Event-Id could not be decoded, and the handler of unexpected errors answered on a connection on which a response had begun.

Both ends are fixed: any error after the start aborts the connection, and a stream whose last event id cannot be sent is not resumed, which both interfaces use. The bytes of a stream that nobody resumes pass unchanged.

test_error_is_written_into_a_stream_with_an_unreadable_event_id (both cases) and test_stream_is_resumed_without_its_last_event_id failed before.

--- a/src/primroseford/gateway/forward.py
+++ b/src/primroseford/gateway/forward.py
@@ -92,6 +92,14 @@
     except asyncio.CancelledError:
         end = CALLER_LEFT
         raise
+    except Exception:
+        end = ResultCode.INTERNAL.name
+        if context.response is None:
+            raise
+        # An error response would become part of the one that has been started.
+        log.exception("response aborted", request_id=incoming.request_id)
+        _abort_connection(request)
+        return context.response
     finally:
         gateway.open_requests.discard(context)
         _record_end(gateway, context, end)
--- a/src/primroseford/gateway/tests/test_hostile_runners.py
+++ b/src/primroseford/gateway/tests/test_hostile_runners.py
@@ -8,6 +8,7 @@
 import aiohttp
 import pytest
 
+from primroseford.online.events import EventSplitter
 from primroseford.standins.fleet_objects import HOST
 from primroseford.standins.fleet_objects import KEY
 from primroseford.standins.fleet_objects import runner_entry
@@ -99,6 +100,8 @@
         (ResponseFault.NOT_HTTP, "/nudge/x"),
         (ResponseFault.SWITCHING, "/once/x"),
         (ResponseFault.SWITCHING, "/nudge/x"),
+        (ResponseFault.EVENT_ENDS_WITH_CONNECTION, "/nudge/x"),
+        (ResponseFault.EVENT_ENDS_WITH_CONNECTION, "/pick/x"),
     ],
 )
 async def test_incomplete_responses_do_not_look_complete(
@@ -110,6 +113,93 @@
     assert status in (502, aiohttp.ClientPayloadError, aiohttp.ServerDisconnectedError)
 
 
+HEAD_FAULTS = [
+    ResponseFault.HEAD_ENDS_IN_STATUS_LINE,
+    ResponseFault.HEAD_ENDS_AFTER_STATUS_LINE,
+    ResponseFault.HEAD_ENDS_IN_HEADER,
+    ResponseFault.HEAD_ENDS_BEFORE_EMPTY_LINE,
+    ResponseFault.HEAD_ENDS_IN_EMPTY_LINE,
+]
+
+
+@pytest.mark.parametrize("path", ["/ping/x", "/once/x", "/nudge/x", "/pick/x"])
+@pytest.mark.parametrize("response_fault", HEAD_FAULTS)
+async def test_head_that_breaks_off_becomes_an_empty_success(
+    site, hostile, response_fault, path
+):
+    """Guards against a success for a response whose head is incomplete (MIXED)."""
+    await hostile(response_fault, count=2)
+    status, body = await call(site, path)
+    assert status == 502 and b"done" not in body
+
+
+@pytest.mark.parametrize("path", ["/ping/x", "/once/x", "/nudge/x", "/pick/x"])
+async def test_refusal_of_another_request_counts_as_not_run(site, hostile, path):
+    """Guards against a promise "not run" for a request that may have run (REFUSED)."""
+    await hostile(ResponseFault.REFUSES_ANOTHER, count=2)
+    status, _ = await call(site, path)
+    assert status == 502
+
+
+async def read_raw(site, path: str) -> bytes:
+    """Send a request on a new connection and return all bytes of the response."""
+    address, port = site.hosts[0].settings.ingress.rsplit(":", 1)
+    reader, writer = await asyncio.open_connection(address, int(port))
+    writer.write(
+        f"POST {path} HTTP/1.1\r\nHost: {HOST}\r\nApi-Key: {KEY}\r\n"
+        "Request-Id: id-1\r\nDeadline-Ms: 3000\r\nContent-Length: 1\r\n"
+        "Connection: close\r\n\r\nx".encode()
+    )
+    try:
+        return await asyncio.wait_for(reader.read(), 10.0)
+    except ConnectionResetError:
+        return b""
+    finally:
+        writer.close()
+
+
+@pytest.mark.parametrize("fails", [False, True], ids=["id", "unexpected-error"])
+async def test_error_is_written_into_a_stream_with_an_unreadable_event_id(
+    site, hostile, fails, monkeypatch
+):
+    """Guards against the head of an error in the middle of a stream (ORDER, MIXED).
+
+    The id of the last event cannot be sent to the runner that resumes the stream.
+    """
+    if fails:
+
+        def fail(_):
+            raise RuntimeError("a fault of the host")
+
+        monkeypatch.setattr(EventSplitter, "can_resume", fail)
+    await hostile(ResponseFault.UNREADABLE_EVENT_ID, count=2)
+    received = await read_raw(site, "/pick/x")
+    assert received.count(b"HTTP/1.1") == 1
+    assert not received.endswith(b"0\r\n\r\n"), "the stream looks complete"
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"status": 500},
+        {"status": 503},
+        {"status": 422},
+        {"unsigned": True},
+        {"refuse": True},
+    ],
+    ids=["500", "503", "422", "unsigned", "refused"],
+)
+async def test_error_of_the_next_runner_is_written_into_a_stream(site, fields):
+    """Guards against another response in the middle of a stream (ORDER, MIXED)."""
+    site.runners[0].faults = RunnerFaults(cut_after=2)
+    site.runners[1].faults = RunnerFaults(**fields)
+    site.hosts[0].gateway.allocator.runners["i-2"].online = 1
+    received = await read_raw(site, "/pick/x")
+    assert received.count(b"HTTP/1.1") == 1 and event(2) in received
+    assert b"failed" not in received and event(3) not in received
+    assert not received.endswith(b"0\r\n\r\n"), "the stream looks complete"
+
+
 @pytest.mark.parametrize(
     ("plain", "outcome"),
     [(False, 200), (True, aiohttp.ClientPayloadError)],
--- a/src/primroseford/online/events.py
+++ b/src/primroseford/online/events.py
@@ -84,7 +84,7 @@
         for event in EVENT_END.split(complete):
             found = EVENT_ID.search(event)
             if found is not None:
-                number, last = found[1].decode(), self.resumed_after
+                number, last = found[1].decode(errors="replace"), self.resumed_after
                 if number.isdecimal() and last.isdecimal():
                     repeats_events = int(number) <= int(last)
                 else:
@@ -100,18 +100,28 @@
             return
 
     def last_event_id(self) -> str | None:
-        """Return the id of the last complete event that has one."""
+        """Return the id of the last complete event that has one.
+
+        It is none, too, if the id is not UTF-8 and so cannot be sent in a header.
+        """
         found = EVENT_ID.findall(self.last_block_with_id)
-        return found[-1].decode() if found else None
+        if not found:
+            return None
+        try:
+            return found[-1].decode()
+        except UnicodeDecodeError:
+            return None
 
     def can_resume(self) -> bool:
         """Return whether a resumed stream would repeat no event.
 
         It would repeat events if data was received after the last event with an id, or
-        if data was received without any id.
+        if data was received without any id that can be sent to a runner.
         """
         if self.data_after_id:
             return False
+        if self.last_block_with_id and self.last_event_id() is None:
+            return False
         for event in reversed(EVENT_END.split(self.last_block_with_id)):
             if EVENT_ID.search(event):
                 return True
--- a/src/primroseford/online/tests/test_relay.py
+++ b/src/primroseford/online/tests/test_relay.py
@@ -8,6 +8,7 @@
 import aiohttp
 import pytest
 
+from primroseford.online.events import EventSplitter
 from primroseford.online.tests.conftest import until
 from primroseford.standins.serving import serve
 
@@ -222,3 +223,19 @@
     with pytest.raises(aiohttp.ClientPayloadError):
         async with rig.client.get("/desk/stream", headers=rig.bearer()) as answer:
             await answer.read()
+
+
+@pytest.mark.parametrize(
+    ("received", "resumable"),
+    [
+        (b"id: 1\ndata: a\n\n", True),
+        (b"id: \xff\ndata: a\n\n", False),
+        (b"id: 1\ndata: a\n\nid: \xff\ndata: b\n\n", False),
+    ],
+)
+def test_stream_is_resumed_without_its_last_event_id(received, resumable):
+    """Guards against a stream that is resumed at its start."""
+    splitter = EventSplitter()
+    splitter.feed(received)
+    assert splitter.can_resume() == resumable
+    assert (splitter.last_event_id() is not None) == resumable
--- a/src/primroseford/standins/fleet_runner.py
+++ b/src/primroseford/standins/fleet_runner.py
@@ -33,6 +33,7 @@
     :param unsigned: omit the ``Server-Signature`` header
     :param plain: send events without ids
     :param other_runner: name of the runner that has this address now; requests get 421
+    :param error_page: respond with status 200 and a page of text
     :param deadly_part: id of a prompt part on which the runner crashes when it begins
         to respond
     """
@@ -46,6 +47,7 @@
     unsigned: bool = False
     plain: bool = False
     other_runner: str = ""
+    error_page: bool = False
     deadly_part: str = ""
 
 
@@ -138,6 +140,9 @@
             headers["Server-Signature"] = f"sig-{self.name}"
         if faults.status != 200:
             return web.Response(status=faults.status, headers=headers, body=b"failed")
+        if faults.error_page:
+            headers["Content-Type"] = "text/html"
+            return web.Response(headers=headers, body=b"<p>failed</p>\n\n")
         if "whole" in request.raw_path:
             return web.Response(headers=headers, body=self.name.encode())
         headers["Content-Type"] = "text/event-stream"
--- a/src/primroseford/standins/hostile_runner.py
+++ b/src/primroseford/standins/hostile_runner.py
@@ -47,6 +47,14 @@
     SURPLUS = "surplus"
     SECOND_ANSWER = "second answer"
     SWITCHING = "switching"
+    HEAD_ENDS_IN_STATUS_LINE = "head ends in status line"
+    HEAD_ENDS_AFTER_STATUS_LINE = "head ends after status line"
+    HEAD_ENDS_IN_HEADER = "head ends in header"
+    HEAD_ENDS_BEFORE_EMPTY_LINE = "head ends before empty line"
+    HEAD_ENDS_IN_EMPTY_LINE = "head ends in empty line"
+    EVENT_ENDS_WITH_CONNECTION = "event ends with connection"
+    UNREADABLE_EVENT_ID = "unreadable event id"
+    REFUSES_ANOTHER = "refuses another request"
     SLOW = "slow"
     STALLED = "stalled"
 
@@ -145,6 +153,24 @@
         case ResponseFault.EVENT_ENDS_EARLY:
             yield valid_head + STREAM_HEAD + CHUNKED
             yield _chunk(EVENTS + b"id: 3\ndata: tok") + b"0\r\n\r\n"
+        case ResponseFault.HEAD_ENDS_IN_STATUS_LINE:
+            yield b"HTTP/1.1 200"
+        case ResponseFault.HEAD_ENDS_AFTER_STATUS_LINE:
+            yield b"HTTP/1.1 200 OK\r\n"
+        case ResponseFault.HEAD_ENDS_IN_HEADER:
+            yield valid_head + b"Content-Len"
+        case ResponseFault.HEAD_ENDS_BEFORE_EMPTY_LINE:
+            yield valid_head + STREAM_HEAD + b"Content-Length: 4\r\n"
+        case ResponseFault.HEAD_ENDS_IN_EMPTY_LINE:
+            yield valid_head + STREAM_HEAD + b"\r"
+        case ResponseFault.EVENT_ENDS_WITH_CONNECTION:
+            yield valid_head + STREAM_HEAD + b"\r\n" + EVENTS + b"id: 3\ndata: tok"
+        case ResponseFault.UNREADABLE_EVENT_ID:
+            yield valid_head + STREAM_HEAD + CHUNKED
+            yield _chunk(b"id: \xff\ndata: token\n\n")
+        case ResponseFault.REFUSES_ANOTHER:
+            yield b"HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nRequest-Id: another\r\n"
+            yield b"Content-Length: 0\r\n\r\n"
         case ResponseFault.ENDLESS_BODY:
             yield valid_head + b"\r\n"
             yield from _endless(b"x")
