Resume a stream only with a response of the same content type

A runner that resumed a stream and answered with status 200 and a page of text had the page written after the events of the first runner, and the stream ended as if complete. Such a response is now a failed attempt; the caller sees a stream that broke off. The product's own interface checks the same when it resumes.

test_error_of_the_next_runner_is_written_into_a_stream[error-page] failed before.

--- a/src/primroseford/gateway/runner_responses.py
+++ b/src/primroseford/gateway/runner_responses.py
@@ -97,6 +97,12 @@
 
     :param on_event: called when complete events have been received
     """
+    begun = context.response
+    if begun is not None and begun.content_type != runner_response.content_type:
+        raise may_have_run_error(
+            ResultCode.STREAM_TRUNCATED,
+            "resuming failed with a response that is not an event stream",
+        )
     splitter = context.splitter
     splitter.restart()
     sent_at = context.started + context.placement_seconds
--- a/src/primroseford/gateway/tests/test_hostile_runners.py
+++ b/src/primroseford/gateway/tests/test_hostile_runners.py
@@ -186,8 +186,9 @@
         {"status": 422},
         {"unsigned": True},
         {"refuse": True},
+        {"error_page": True},
     ],
-    ids=["500", "503", "422", "unsigned", "refused"],
+    ids=["500", "503", "422", "unsigned", "refused", "error-page"],
 )
 async def test_error_of_the_next_runner_is_written_into_a_stream(site, fields):
     """Guards against another response in the middle of a stream (ORDER, MIXED)."""
--- a/src/primroseford/online/relay.py
+++ b/src/primroseford/online/relay.py
@@ -242,7 +242,8 @@
         runner_response = await open_exchange(state.session, resume_request, Attempt())
     except PrimrosefordError as error:
         raise _create_truncated_error(attempt) from error
-    if runner_response.status != 200:
+    is_stream = runner_response.content_type == "text/event-stream"
+    if runner_response.status != 200 or not is_stream:
         runner_response.close()
         raise _create_truncated_error(attempt)
     return runner_response
