--- a/src/primroseford/gateway/state.py
+++ b/src/primroseford/gateway/state.py
@@ -11,8 +11,8 @@
 from primroseford.errors import ResultCode
 from primroseford.gateway.crash_detector import CrashDetector
 from primroseford.gateway.exchange import RunnerReplaced
-from primroseford.gateway.members import preferred_host
 from primroseford.gateway.quota import Quotas
+from primroseford.gateway.rendezvous import ranked
 from primroseford.gateway.runners import RunnerList
 from primroseford.quarantine.state import Quarantine
 
@@ -38,6 +38,10 @@
 is refused with a final error. After a longer partition the host may have missed a
 version of the configuration."""
 
+QUARANTINE_REPORTERS = 3
+"""Hosts that keep reporting a quarantined part to those that restart. One of them may
+have restarted itself, another may be cut off."""
+
 log = structlog.get_logger()
 
 
@@ -121,7 +125,10 @@
         )
         self.quotas = Quotas(clock())
         self.quarantine = Quarantine(clock)
-        self.quarantine.is_responsible = self._is_responsible
+        self.quarantine.is_responsible = lambda part: self._is_ranked(part, 1)
+        self.quarantine.is_reporter = lambda part: self._is_ranked(
+            part, QUARANTINE_REPORTERS
+        )
         self.quarantine.heartbeat_interval = lambda: members.interval
         self.quarantine.on_quarantine = self._refuse_waiting
         self.crash_detector = CrashDetector(self)
@@ -130,10 +137,13 @@
         self.stopping = False
         self.tokens = itertools.count()
 
-    def _is_responsible(self, part: PromptPartId) -> bool:
-        """Return whether this host tries and stores a quarantined prompt part."""
+    def _is_ranked(self, part: PromptPartId, count: int) -> bool:
+        """Return whether this host is among the first ones of a rendezvous hash.
+
+        :param count: number of hosts that are chosen
+        """
         hosts = self.members.hosts(self.clock())
-        return preferred_host(part, hosts) == self.members.own
+        return self.members.own in ranked(part, hosts, str, count)
 
     def _refuse_waiting(self, part: PromptPartId) -> None:
         """Refuse the requests with a prompt part that wait for a slot."""
--- a/src/primroseford/gateway/tests/test_prompt_crash_replay.py
+++ b/src/primroseford/gateway/tests/test_prompt_crash_replay.py
@@ -11,6 +11,7 @@
 
 from primroseford.gateway.runners import RunnerKey
 from primroseford.proof.heartbeats import HeartbeatFleet
+from primroseford.quarantine.state import RECORD_REPORT_SECONDS
 from primroseford.quarantine.state import TRIAL_SECONDS
 
 DEADLY = "deadly"
@@ -253,6 +254,21 @@
     )
 
 
+def test_responsible_host_forgets_a_quarantine_when_it_restarts():
+    """Guards against a host that is the only one to report a quarantine.
+
+    Seen in the replay with other faults, seed 103.
+    """
+    replay = CrashReplay(8, 5, 0.05, 40.0, seed=29)
+    replay.deadly = True
+    replay.run(DAY_SECONDS / 2)
+    for host in replay.fleet.names:
+        replay.fleet.restart(host)
+        replay.run(1.0)
+        assert replay.quarantine(host).active() == {DEADLY}
+        replay.run(RECORD_REPORT_SECONDS)
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 def test_sound_parts_are_refused_after_unrelated_crashes(seed):
     """Guards against a verdict on bystanders while runners crash by themselves."""
--- a/src/primroseford/quarantine/state.py
+++ b/src/primroseford/quarantine/state.py
@@ -32,8 +32,8 @@
 """The same as a multiple of the heartbeat interval: one for the reports of the crash,
 one for the reports of served parts."""
 RECORD_REPORT_SECONDS = 3.0
-"""Time for which every host reports a changed record. Afterwards only the host that is
-responsible for the part reports it."""
+"""Time for which every host reports a changed record. Afterwards only a few hosts
+report it."""
 MAX_RECORDS = 256
 
 log = structlog.get_logger()
@@ -70,8 +70,9 @@
     :param clock: local time
     :ivar records: quarantines by part, lifted ones included
     :ivar changed_at: local time of the last change of each record
-    :ivar is_responsible: whether this host is the one that tries a part, stores its
-        record and keeps reporting it
+    :ivar is_responsible: whether this host is the one that tries a part and stores its
+        record
+    :ivar is_reporter: whether this host is one of those that keep reporting a part
     :ivar heartbeat_interval: returns the interval of the hosts' heartbeats in seconds
     :ivar announce: called when the other hosts should learn of news at once
     :ivar on_quarantine: called with each part whose quarantine begins
@@ -83,6 +84,7 @@
         self.records: dict[PromptPartId, QuarantineRecord] = {}
         self.changed_at: dict[PromptPartId, float] = {}
         self.is_responsible: ResponsibilityCheck = lambda _: True
+        self.is_reporter: ResponsibilityCheck = lambda _: True
         self.heartbeat_interval: Callable[[], float] = lambda: 0.0
         self.announce: Callable[[], None] = lambda: None
         self.on_quarantine: Callable[[PromptPartId], None] = lambda _: None
@@ -238,5 +240,5 @@
             record
             for part, record in self.records.items()
             if now - self.changed_at[part] < RECORD_REPORT_SECONDS
-            or (not record.lifted and self.is_responsible(part))
+            or (not record.lifted and self.is_reporter(part))
         ]
