Close a connection to a runner after a refusal without a request id

Entry hosts open a connection for each exchange, so it cannot happen there. On the product's own interface it could: a refusal need not carry the request id, the connection was kept, and the repeated refusal counted as that of the next request, which the runner was running. Callers were told 'not run', and batch ran the item again.

A connection on which a runner refused without an id is closed; the HTTP library may have returned it to its pool by then, so a second such refusal on it does not count as 'not run'. Refusals with an id keep their connection, since a copy does not match.

test_repeated_refusal_counts_as_not_run[False] failed before: three requests that ran counted as not run.

--- a/src/primroseford/online/exchange.py
+++ b/src/primroseford/online/exchange.py
@@ -9,6 +9,7 @@
 from contextvars import ContextVar
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
+from weakref import WeakSet
 
 import aiohttp
 from yarl import URL
@@ -21,6 +22,7 @@
     from collections.abc import Collection
     from collections.abc import Mapping
 
+    from aiohttp.client_proto import ResponseHandler
     from aiohttp.connector import Connection
 
 REQUEST_ID_HEADER = "X-Request-Id"
@@ -38,9 +40,11 @@
     """Attempt to send a request to a runner.
 
     :ivar sent: whether bytes of the request may have been written to a connection
+    :ivar connection: connection on which the request was sent
     """
 
     sent: bool = False
+    connection: ResponseHandler | None = None
 
 
 @dataclass(frozen=True)
@@ -82,6 +86,10 @@
     retry_after: float | None
 
 
+REFUSING_CONNECTIONS: WeakSet[ResponseHandler] = WeakSet()
+"""Connections on which a runner sent a refusal without a request id. They are closed,
+but the next request may have been sent on one before that."""
+
 CURRENT_ATTEMPT: ContextVar[Attempt | None] = ContextVar("attempt", default=None)
 
 
@@ -95,6 +103,7 @@
         attempt = CURRENT_ATTEMPT.get()
         if attempt is not None:
             attempt.sent = True
+            attempt.connection = conn.protocol
         return await super().send(conn)
 
 
@@ -166,9 +175,47 @@
             "the runner's response has a missing or different request id",
             attempt,
         )
+    if _is_anonymous_refusal(response, request):
+        if attempt.connection in REFUSING_CONNECTIONS:
+            response.close()
+            raise create_exchange_error(
+                ResultCode.ANSWER_MISMATCHED,
+                "the refusal may be that of an earlier request",
+                attempt,
+            )
+        REFUSING_CONNECTIONS.add(attempt.connection)
     return response
 
 
+def _is_anonymous_refusal(
+    response: aiohttp.ClientResponse, request: RunnerRequest
+) -> bool:
+    """Return whether a refusal carries no id of the request that it refuses."""
+    return (
+        response.status in request.not_run_statuses
+        and REQUEST_ID_HEADER not in response.headers
+    )
+
+
+def end_exchange(
+    response: aiohttp.ClientResponse, request: RunnerRequest, attempt: Attempt
+) -> None:
+    """End an exchange, and keep its connection only if it is safe to use again.
+
+    A faulty runner may write a refusal once more. Without a request id it would count
+    as the refusal of the next request on the connection, which may have run.
+    """
+    if _is_anonymous_refusal(response, request):
+        response.close()
+        # The library may have returned the connection to its pool already.
+        if attempt.connection is not None:
+            attempt.connection.close()
+    elif response.content.at_eof():
+        response.release()
+    else:
+        response.close()
+
+
 def has_verifiable_length(response: aiohttp.ClientResponse) -> bool:
     """Return whether a truncated body can be detected by its length or chunks."""
     if response.status in BODILESS_STATUSES or response.method == "HEAD":
@@ -211,7 +258,7 @@
             except BaseException:
                 response.close()
                 raise
-            response.release()
+            end_exchange(response, request, attempt)
     except TimeoutError as error:
         raise create_exchange_error(
             ResultCode.RUNNER_TIMEOUT,
--- a/src/primroseford/online/forward.py
+++ b/src/primroseford/online/forward.py
@@ -19,6 +19,7 @@
 from primroseford.online.credentials import forwarded_path
 from primroseford.online.credentials import read_key
 from primroseford.online.exchange import Attempt
+from primroseford.online.exchange import end_exchange
 from primroseford.online.exchange import open_exchange
 from primroseford.online.exchange import retry_after_of
 from primroseford.online.hedging import send_hedged
@@ -328,10 +329,7 @@
         record.result = AttemptResult.FAILED if failed else AttemptResult.SUCCEEDED
         return response
     finally:
-        if runner_response.content.at_eof():
-            runner_response.release()
-        else:
-            runner_response.close()
+        end_exchange(runner_response, runner_request, record.attempt)
 
 
 def _host_name(request: web.Request) -> str:
