--- a/src/primroseford/gateway/explain.py
+++ b/src/primroseford/gateway/explain.py
@@ -14,6 +14,7 @@
 RUNNER_EVENTS = frozenset(
     {
         "runner counts as failed",
+        "runner crashed while it began to answer requests",
         "probe answered",
         "probe failed",
         "runner entry",
