Bound the evidence of crashes in heartbeats, and drop it when it is old

Part ids come from callers and had no bound: a host that saw eight crashes under prompts with long ids would have sent a heartbeat larger than a datagram, which is not sent, and would have counted as lost. Ids longer than 64 characters are replaced by their hash where they are decoded (the header itself is forwarded unchanged), and a heartbeat carries 24 parts a crash.

--- a/src/primroseford/gateway/tests/test_prompt_crash_replay.py
+++ b/src/primroseford/gateway/tests/test_prompt_crash_replay.py
@@ -9,7 +9,10 @@
 
 import pytest
 
+from primroseford.gateway.affinity import shared_part_positions
 from primroseford.gateway.runners import RunnerKey
+from primroseford.peer.codec import encode
+from primroseford.platform.prompts import decode_prompt
 from primroseford.proof.heartbeats import HeartbeatFleet
 from primroseford.quarantine.state import RECORD_REPORT_SECONDS
 from primroseford.quarantine.state import TRIAL_SECONDS
@@ -27,6 +30,7 @@
 """Deadly requests that may reach runners later than the contact time after the fifth
 crash: bound of the platform's rules."""
 DAY_SECONDS = 25.0
+MAX_DATAGRAM_BYTES = 65_507
 SEEDS = range(int(os.environ.get("PRIMROSEFORD_CRASH_SEEDS", "8")))
 
 
@@ -275,3 +279,18 @@
     replay = CrashReplay(8, 6, 0.0, 40.0, seed)
     replay.run(DAY_SECONDS, faults=True)
     assert not replay.refused
+
+
+def test_heartbeat_with_evidence_exceeds_a_datagram():
+    """Guards against evidence that keeps a host's heartbeats from being sent."""
+    replay = CrashReplay(2, 1, 0.0, 1.0, seed=1)
+    (host, _) = replay.fleet.names
+    service = replay.fleet.services[host]
+    names = (f"{number}-" + "x" * 1000 for number in range(10**6))
+    for number in range(100):
+        text = ",".join(f"{next(names)}:1" for _ in range(40))
+        prompt = decode_prompt({"Prompt-Prefix": text})
+        parts = shared_part_positions(prompt)
+        for _ in range(8):
+            replay.quarantine(host).record_crash(RunnerKey("r", number), 100.0, parts)
+    assert len(encode(service.heartbeat())) < MAX_DATAGRAM_BYTES / 2
--- a/src/primroseford/platform/prompts.py
+++ b/src/primroseford/platform/prompts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import hashlib
 import re
 from typing import TYPE_CHECKING
 
@@ -15,6 +16,8 @@
 TOKENS_PATTERN = re.compile(r"[0-9]{1,9}")
 MAX_PROMPT_PARTS = 64
 """Number of parts of a prompt that are decoded; further parts are ignored."""
+MAX_ID_LENGTH = 64
+"""Longest id of a part that is kept as it is, since hosts send ids to each other."""
 
 
 def decode_prompt(headers: Mapping[str, str]) -> tuple[PromptPart, ...]:
@@ -28,5 +31,12 @@
         name, _, tokens = text.strip().rpartition(":")
         if not name or not TOKENS_PATTERN.fullmatch(tokens):
             return ()
-        parts.append(PromptPart(PromptPartId(name), int(tokens)))
+        parts.append(PromptPart(_part_id(name), int(tokens)))
     return tuple(parts)
+
+
+def _part_id(name: str) -> PromptPartId:
+    """Return the id of a part: its name, or a hash if that is too long."""
+    if len(name) > MAX_ID_LENGTH:
+        name = hashlib.sha256(name.encode(errors="replace")).hexdigest()
+    return PromptPartId(name)
--- a/src/primroseford/quarantine/evidence.py
+++ b/src/primroseford/quarantine/evidence.py
@@ -26,6 +26,8 @@
 MAX_SERVED_PARTS = 8192
 """Parts whose last served request is remembered, about 1 MB."""
 MAX_REPORTED_CRASHES = 8
+MAX_REPORTED_CRASH_PARTS = 24
+"""Parts of one crash in a heartbeat: with the longest ids, eight crashes take 14 KB."""
 MAX_REPORTED_PARTS = 16
 CRASH_REPORT_SECONDS = 30.0
 """Time for which a host reports a crash that no quarantine explains, so that hosts
@@ -106,10 +108,11 @@
             served = self.own_served_at.get(part)
             if served is not None:
                 self._merge(self.served_at, part, served)
-        self._expire(now)
+        self.expire(now)
         return changed or is_new
 
-    def _expire(self, now: float) -> None:
+    def expire(self, now: float) -> None:
+        """Drop the crashes that no longer count, and what is known of their parts."""
         expired = [
             runner
             for runner, record in self.crashes.items()
@@ -158,7 +161,6 @@
             Crash(record.at, record.parts)
             for record in self.crashes.values()
             if now - record.known_at >= hearing
-            and now - record.at <= CRASH_RETENTION_SECONDS
         ]
 
     def reported_crashes(
@@ -169,7 +171,11 @@
         :returns: runner instance, local time and parts; newest first
         """
         recent = [
-            (runner, record.at, dict(list(record.own_parts.items())[:MAX_CRASH_PARTS]))
+            (
+                runner,
+                record.at,
+                dict(list(record.own_parts.items())[:MAX_REPORTED_CRASH_PARTS]),
+            )
             for runner, record in self.crashes.items()
             if record.own_parts
             and now - record.at <= CRASH_REPORT_SECONDS
--- a/src/primroseford/quarantine/state.py
+++ b/src/primroseford/quarantine/state.py
@@ -180,6 +180,7 @@
         if not self.evidence.crashes:
             return
         now = self.clock()
+        self.evidence.expire(now)
         hearing = max(
             MIN_HEARING_SECONDS, HEARING_INTERVALS * self.heartbeat_interval()
         )
--- a/src/primroseford/quarantine/tests/test_quarantine.py
+++ b/src/primroseford/quarantine/tests/test_quarantine.py
@@ -9,6 +9,8 @@
 from primroseford.gateway.runners import RunnerKey
 from primroseford.quarantine.evidence import CRASH_RETENTION_SECONDS
 from primroseford.quarantine.evidence import MAX_CRASHES
+from primroseford.quarantine.evidence import MAX_REPORTED_CRASH_PARTS
+from primroseford.quarantine.evidence import MAX_REPORTED_CRASHES
 from primroseford.quarantine.evidence import MAX_SERVED_PARTS
 from primroseford.quarantine.evidence import Evidence
 from primroseford.quarantine.state import MIN_HEARING_SECONDS
@@ -141,6 +143,9 @@
     evidence.add_served((f"s-{n}" for n in range(2 * MAX_SERVED_PARTS)), 100.0)
     assert len(evidence.crashes) == MAX_CRASHES
     assert len(evidence.own_served_at) == MAX_SERVED_PARTS
-    assert sum(len(p) for *_, p in evidence.reported_crashes((), 101.0)) <= 512
+    reported = evidence.reported_crashes((), 101.0)
+    assert sum(len(p) for *_, p in reported) <= (
+        MAX_REPORTED_CRASHES * MAX_REPORTED_CRASH_PARTS
+    )
     evidence.add_crash(runner(0), 200.0, {}, 101.0 + CRASH_RETENTION_SECONDS)
     assert len(evidence.crashes) == 1
