Keep the retry delay of an interrupted item within a float

The delay grows by a factor with each run that ends before its first event; after some 520 of them, which takes 45 minutes, the number no longer fitted and the item's callback would have failed, so that the item was never run again.

--- a/src/primroseford/jobs/scheduler.py
+++ b/src/primroseford/jobs/scheduler.py
@@ -356,8 +356,10 @@
         if len(item.data) > item.events_at_start:
             item.interruptions = 0
         delay = INTERRUPTED_RETRY_SECONDS * INTERRUPTED_RETRY_FACTOR**item.interruptions
+        if delay >= MAX_INTERRUPTED_RETRY_SECONDS:
+            return MAX_INTERRUPTED_RETRY_SECONDS
         item.interruptions += 1
-        return min(delay, MAX_INTERRUPTED_RETRY_SECONDS)
+        return delay
 
     def abandon_items(self) -> None:
         """Dead-letter waiting items past their time limit or with a removed route."""
