Ignore SIGHUP until a program has installed its handler

Callers lose a host for the time of another start when settings change just then.

The start script ignores the signal first; the program reads its settings later and then installs its handler, so that no change is missed.

--- a/deploy/run.py
+++ b/deploy/run.py
@@ -4,6 +4,7 @@
 
 import gc
 import os
+import signal
 import sys
 from pathlib import Path
 
@@ -12,6 +13,9 @@
 
 def main() -> int:
     """Run the program named by the command-line argument."""
+    # Until the program installs its handler, SIGHUP would end the process. The settings
+    # are read later than this, so a change is not missed.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     program = sys.argv[1] if len(sys.argv) == 2 else ""
     if program == "entry":
         # Imported objects live as long as the process, so collections during the
