Log the request limits that runners name, and each start of a batch item

The logs could not tell whether a host knew of a runner's limit nor how often an item had been sent, so that the hypotheses of the timeline could not be told apart. The adapter now decodes what a runner says about itself into one type (RunnerNotice); a host logs it when it changes. 'item started' names the runner and the number of the start.

A value that is no positive rate (text, zero, negative, infinite, several, over 9 digits) is kept for the log and is not a limit. No decision changes.

--- a/src/primroseford/gateway/exchange.py
+++ b/src/primroseford/gateway/exchange.py
@@ -18,15 +18,18 @@
 from primroseford.online.exchange import CURRENT_ATTEMPT
 from primroseford.online.exchange import Attempt
 from primroseford.online.exchange import SendTrackingRequest
+from primroseford.platform.runner_calls import decode_notice
 from primroseford.platform.runner_calls import did_not_run
 from primroseford.platform.runner_calls import matches_request_id
 from primroseford.platform.runner_calls import names_other_runner
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
+    from collections.abc import Callable
 
     from multidict import CIMultiDict
 
+    from primroseford.gateway.notices import RunnerNotice
     from primroseford.gateway.runners import RunnerEntry
 
 CONNECT_SECONDS = 0.15
@@ -166,10 +169,12 @@
     entry: RunnerEntry,
     call: RunnerRequest,
     attempt: RunnerAttempt,
+    on_notice: Callable[[RunnerNotice], None],
 ) -> aiohttp.ClientResponse:
     """Send a request and return the runner's response after checking its head.
 
     :param attempt: records how far the attempt gets
+    :param on_notice: called with what the runner says about itself in its response
     :raises PrimrosefordError: RUNNER_UNREACHABLE, RUNNER_FAILED, ANSWER_MISMATCHED,
         or POOL_UNAVAILABLE if the runner reports that it did not run the request
     """
@@ -200,11 +205,13 @@
         response.close()
         if names_other_runner(response, entry.key.name):
             raise RunnerReplaced()
+        on_notice(decode_notice(response))
         raise PrimrosefordError(
             ResultCode.POOL_UNAVAILABLE,
             f"the runner refused the request with status {response.status}",
         )
     attempt.head_received = True
+    on_notice(decode_notice(response))
     return response
 
 
--- a/src/primroseford/gateway/forward.py
+++ b/src/primroseford/gateway/forward.py
@@ -363,7 +363,13 @@
     call = RunnerRequest(
         incoming.method, incoming.target, headers, incoming.body, incoming.request_id
     )
-    runner_response = await send_to_runner(gateway.session, runner.entry, call, attempt)
+    runner_response = await send_to_runner(
+        gateway.session,
+        runner.entry,
+        call,
+        attempt,
+        lambda notice: gateway.note_notice(runner, notice),
+    )
     try:
         gateway.allocator.clear_suspicion(runner)
         if 200 <= runner_response.status < 300 and not is_signed(runner_response):
--- a/src/primroseford/gateway/runner_state.py
+++ b/src/primroseford/gateway/runner_state.py
@@ -7,6 +7,7 @@
 from dataclasses import field
 from typing import TYPE_CHECKING
 
+from primroseford.gateway.notices import RunnerNotice
 from primroseford.gateway.placement import RunnerLoad
 
 if TYPE_CHECKING:
@@ -29,6 +30,7 @@
     :param waiting: local time of the last data on each own exchange, by token
     :param last_byte: local time of the last data on any own exchange
     :param latency: EWMA of the response time in seconds; 0 is unknown
+    :param notice: what it said about itself in its last response
     """
 
     entry: RunnerEntry
@@ -43,6 +45,7 @@
     waiting: dict[int, float] = field(default_factory=dict)
     last_byte: float = -math.inf
     latency: float = 0.0
+    notice: RunnerNotice = RunnerNotice()
 
     def load(self) -> RunnerLoad:
         """Return the load on the runner from all hosts."""
--- a/src/primroseford/gateway/state.py
+++ b/src/primroseford/gateway/state.py
@@ -26,6 +26,7 @@
     from primroseford.clock import Clock
     from primroseford.gateway.gen.messages.ttypes import Heartbeat
     from primroseford.gateway.members import Members
+    from primroseford.gateway.notices import RunnerNotice
     from primroseford.gateway.request_context import RequestContext
     from primroseford.gateway.runner_state import RunnerState
     from primroseford.gateway.slot_allocator import SlotAllocator
@@ -195,6 +196,18 @@
                 "runner counts as failed", runner=runner.entry.key.name, why=why
             )
 
+    def note_notice(self, runner: RunnerState, notice: RunnerNotice) -> None:
+        """Record what a runner said about itself; log it if it has changed."""
+        if notice == runner.notice:
+            return
+        runner.notice = notice
+        log.info(
+            "runner notice changed",
+            runner=runner.entry.key.name,
+            request_limit=notice.request_limit,
+            invalid_limit=notice.invalid_limit or None,
+        )
+
     def note_failure(self, runner: RunnerState, error: PrimrosefordError) -> None:
         """Update the state of a runner after a failed attempt."""
         if error.code is ResultCode.RUNNER_UNREACHABLE:
--- a/src/primroseford/jobs/run.py
+++ b/src/primroseford/jobs/run.py
@@ -84,6 +84,7 @@
     :param events_at_start: number of events at that time
     :param result: final state
     :param interruptions: consecutive runs that ended before their first event
+    :param starts: runs that this host has started
     :param held: whether it waits because a part of its prompt is quarantined
     :ivar prompt: parts of the item's prompt
     :ivar shared_parts: ids of the prompt parts that other requests may share
@@ -104,6 +105,7 @@
     events_at_start: int = 0
     result: ItemState | None = None
     interruptions: int = 0
+    starts: int = 0
     held: bool = False
     prompt: tuple[PromptPart, ...] = field(init=False)
     shared_parts: list[PromptPartId] = field(init=False)
@@ -260,7 +262,13 @@
     call = RunnerRequest(
         "POST", item.item.path, headers, item.item.decoded_body(), item.item.id
     )
-    response = await send_to_runner(gateway.session, runner.entry, call, attempt)
+    response = await send_to_runner(
+        gateway.session,
+        runner.entry,
+        call,
+        attempt,
+        lambda notice: gateway.note_notice(runner, notice),
+    )
     try:
         inactivity.reset()
         if response.status == ITEM_INVALID_STATUS and is_signed(response):
--- a/src/primroseford/jobs/scheduler.py
+++ b/src/primroseford/jobs/scheduler.py
@@ -230,6 +230,14 @@
             item.discard_unresumable_events()
             item.started_at, item.events_at_start = now, len(item.data)
             item.runner = runner.entry.key.name
+            item.starts += 1
+            log.info(
+                "item started",
+                item=item.item.id,
+                job=item.job.id,
+                runner=item.runner,
+                start=item.starts,
+            )
             abandon_time = now + max(1.0, self.abandon_at(item, route) - time.time())
             item.task = asyncio.create_task(
                 run_item(self.gateway, route, item, runner, abandon_time)
--- a/src/primroseford/platform/runner_calls.py
+++ b/src/primroseford/platform/runner_calls.py
@@ -2,16 +2,19 @@
 
 from __future__ import annotations
 
+import re
 from typing import TYPE_CHECKING
 
 from multidict import CIMultiDict
 
+from primroseford.gateway.notices import RunnerNotice
 from primroseford.platform.headers import ANSWERING_RUNNER
 from primroseford.platform.headers import DEADLINE
 from primroseford.platform.headers import LAST_EVENT
 from primroseford.platform.headers import NOT_RUN
 from primroseford.platform.headers import ORGANISATION
 from primroseford.platform.headers import REQUEST_ID
+from primroseford.platform.headers import REQUEST_LIMIT
 from primroseford.platform.headers import RUNNER
 from primroseford.platform.headers import SIGNATURE
 from primroseford.platform.headers import end_to_end
@@ -23,6 +26,8 @@
 """Status of a runner that now has the target's address and did not run the request."""
 ITEM_INVALID_STATUS = 422
 """Status for a batch item that can never succeed."""
+RATE_PATTERN = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?|\.[0-9]{1,9}")
+MAX_LOGGED_VALUE_LENGTH = 40
 
 
 def runner_headers(
@@ -85,6 +90,17 @@
     return echoed == request_id
 
 
+def decode_notice(response: aiohttp.ClientResponse) -> RunnerNotice:
+    """Return what a runner says about itself in the head of a response."""
+    values = response.headers.getall(REQUEST_LIMIT, [])
+    if not values:
+        return RunnerNotice()
+    text = values[0].strip()
+    if len(values) == 1 and RATE_PATTERN.fullmatch(text) and float(text) > 0:
+        return RunnerNotice(request_limit=float(text))
+    return RunnerNotice(invalid_limit=", ".join(values)[:MAX_LOGGED_VALUE_LENGTH])
+
+
 def is_signed(response: aiohttp.ClientResponse) -> bool:
     """Return whether the response was created by a runner."""
     return SIGNATURE in response.headers
--- /dev/null
+++ b/src/primroseford/platform/tests/test_notices.py
@@ -0,0 +1,34 @@
+"""What runners say about themselves in the heads of their responses."""
+
+from __future__ import annotations
+
+from types import SimpleNamespace
+
+import pytest
+from multidict import CIMultiDict
+
+from primroseford.gateway.notices import RunnerNotice
+from primroseford.platform.runner_calls import decode_notice
+
+
+@pytest.mark.parametrize(
+    ("values", "notice"),
+    [
+        ([], RunnerNotice()),
+        (["2.5"], RunnerNotice(request_limit=2.5)),
+        ([" 12 "], RunnerNotice(request_limit=12.0)),
+        ([".5"], RunnerNotice(request_limit=0.5)),
+        (["0"], RunnerNotice(invalid_limit="0")),
+        (["-1"], RunnerNotice(invalid_limit="-1")),
+        (["inf"], RunnerNotice(invalid_limit="inf")),
+        (["nan"], RunnerNotice(invalid_limit="nan")),
+        (["1e400"], RunnerNotice(invalid_limit="1e400")),
+        (["2.5", "3"], RunnerNotice(invalid_limit="2.5, 3")),
+        (["2.5, 3"], RunnerNotice(invalid_limit="2.5, 3")),
+        (["9" * 5000], RunnerNotice(invalid_limit="9" * 40)),
+    ],
+)
+def test_request_limit_that_is_no_rate_is_obeyed(values, notice):
+    """Guards against limits that are no positive rate."""
+    headers = CIMultiDict(("Server-Limit", value) for value in values)
+    assert decode_notice(SimpleNamespace(headers=headers)) == notice
