--- a/src/primroseford/standins/fleet_runner.py
+++ b/src/primroseford/standins/fleet_runner.py
@@ -36,6 +36,8 @@
     :param error_page: respond with status 200 and a page of text
     :param deadly_part: id of a prompt part on which the runner crashes when it begins
         to respond
+    :param request_limit: value of the ``Server-Limit`` header in responses; empty for
+        none
     """
 
     refuse: bool = False
@@ -49,6 +51,7 @@
     other_runner: str = ""
     error_page: bool = False
     deadly_part: str = ""
+    request_limit: str = ""
 
 
 @dataclass
@@ -138,6 +141,8 @@
         headers = {"Request-Id": "another" if faults.wrong_id else request_id}
         if not faults.unsigned:
             headers["Server-Signature"] = f"sig-{self.name}"
+        if faults.request_limit:
+            headers["Server-Limit"] = faults.request_limit
         if faults.status != 200:
             return web.Response(status=faults.status, headers=headers, body=b"failed")
         if faults.error_page:
