--- a/src/primroseford/gateway/forward.py
+++ b/src/primroseford/gateway/forward.py
@@ -198,7 +198,7 @@
     try:
         gateway.quarantine.check(parts)
     except PrimrosefordError:
-        gateway.allocator.release(runner)
+        gateway.allocator.release(runner, unused=True)
         raise
     gateway.quarantine.begin_trial(parts)
 
--- a/src/primroseford/gateway/gen/messages/ttypes.py
+++ b/src/primroseford/gateway/gen/messages/ttypes.py
@@ -717,6 +717,318 @@
         return not (self == other)
 
 
+class RunnerLimit(object):
+    """
+    Attributes:
+     - runner
+     - born
+     - rate
+     - age_ms
+
+    """
+
+    __slots__ = (
+        'runner',
+        'born',
+        'rate',
+        'age_ms',
+    )
+
+
+    def __init__(self, runner=None, born=None, rate=None, age_ms=None,):
+        self.runner = runner
+        self.born = born
+        self.rate = rate
+        self.age_ms = age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.runner = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.born = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.DOUBLE:
+                    self.rate = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RunnerLimit')
+        if self.runner is not None:
+            oprot.writeFieldBegin('runner', TType.STRING, 1)
+            oprot.writeString(self.runner.encode('utf-8') if sys.version_info[0] == 2 else self.runner)
+            oprot.writeFieldEnd()
+        if self.born is not None:
+            oprot.writeFieldBegin('born', TType.I64, 2)
+            oprot.writeI64(self.born)
+            oprot.writeFieldEnd()
+        if self.rate is not None:
+            oprot.writeFieldBegin('rate', TType.DOUBLE, 3)
+            oprot.writeDouble(self.rate)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 4)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class TokenUse(object):
+    """
+    Attributes:
+     - runner
+     - born
+     - count
+
+    """
+
+    __slots__ = (
+        'runner',
+        'born',
+        'count',
+    )
+
+
+    def __init__(self, runner=None, born=None, count=None,):
+        self.runner = runner
+        self.born = born
+        self.count = count
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.runner = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.born = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.count = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('TokenUse')
+        if self.runner is not None:
+            oprot.writeFieldBegin('runner', TType.STRING, 1)
+            oprot.writeString(self.runner.encode('utf-8') if sys.version_info[0] == 2 else self.runner)
+            oprot.writeFieldEnd()
+        if self.born is not None:
+            oprot.writeFieldBegin('born', TType.I64, 2)
+            oprot.writeI64(self.born)
+            oprot.writeFieldEnd()
+        if self.count is not None:
+            oprot.writeFieldBegin('count', TType.I32, 3)
+            oprot.writeI32(self.count)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class TokenMessage(object):
+    """
+    Attributes:
+     - runner
+     - born
+     - count
+     - batch
+     - rate
+
+    """
+
+    __slots__ = (
+        'runner',
+        'born',
+        'count',
+        'batch',
+        'rate',
+    )
+
+
+    def __init__(self, runner=None, born=None, count=None, batch=None, rate=float(0),):
+        self.runner = runner
+        self.born = born
+        self.count = count
+        self.batch = batch
+        self.rate = rate
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.runner = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.born = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.count = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.batch = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.DOUBLE:
+                    self.rate = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('TokenMessage')
+        if self.runner is not None:
+            oprot.writeFieldBegin('runner', TType.STRING, 1)
+            oprot.writeString(self.runner.encode('utf-8') if sys.version_info[0] == 2 else self.runner)
+            oprot.writeFieldEnd()
+        if self.born is not None:
+            oprot.writeFieldBegin('born', TType.I64, 2)
+            oprot.writeI64(self.born)
+            oprot.writeFieldEnd()
+        if self.count is not None:
+            oprot.writeFieldBegin('count', TType.I32, 3)
+            oprot.writeI32(self.count)
+            oprot.writeFieldEnd()
+        if self.batch is not None:
+            oprot.writeFieldBegin('batch', TType.BOOL, 4)
+            oprot.writeBool(self.batch)
+            oprot.writeFieldEnd()
+        if self.rate is not None:
+            oprot.writeFieldBegin('rate', TType.DOUBLE, 5)
+            oprot.writeDouble(self.rate)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Heartbeat(object):
     """
     Attributes:
@@ -742,6 +1054,9 @@
      - crashes
      - served
      - quarantined
+     - limits
+     - owns_request_tokens
+     - token_uses
 
     """
 
@@ -768,12 +1083,17 @@
         'crashes',
         'served',
         'quarantined',
+        'limits',
+        'owns_request_tokens',
+        'token_uses',
     )
 
 
     def __init__(self, host=None, incarnation=None, address=None, failure_domain=None, sequence=None, leaving=None, configuration=None, waiting=None, loads=None, spending=None, jobs=None, reaches_store=None, runner_list=None, ended_jobs=None, confirmed_ms_ago=2147483647, ready_items=0, late_items=0, link_bytes=0, direct=False, crashes=[
     ], served=[
     ], quarantined=[
+    ], limits=[
+    ], owns_request_tokens=False, token_uses=[
     ],):
         self.host = host
         self.incarnation = incarnation
@@ -806,6 +1126,15 @@
             quarantined = [
             ]
         self.quarantined = quarantined
+        if limits is self.thrift_spec[23][4]:
+            limits = [
+            ]
+        self.limits = limits
+        self.owns_request_tokens = owns_request_tokens
+        if token_uses is self.thrift_spec[25][4]:
+            token_uses = [
+            ]
+        self.token_uses = token_uses
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -967,6 +1296,33 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 23:
+                if ftype == TType.LIST:
+                    self.limits = []
+                    (_etype52, _size49) = iprot.readListBegin()
+                    for _i53 in range(_size49):
+                        _elem54 = RunnerLimit()
+                        _elem54.read(iprot)
+                        self.limits.append(_elem54)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 24:
+                if ftype == TType.BOOL:
+                    self.owns_request_tokens = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 25:
+                if ftype == TType.LIST:
+                    self.token_uses = []
+                    (_etype58, _size55) = iprot.readListBegin()
+                    for _i59 in range(_size55):
+                        _elem60 = TokenUse()
+                        _elem60.read(iprot)
+                        self.token_uses.append(_elem60)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1012,22 +1368,22 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter49 in self.loads:
-                iter49.write(oprot)
+            for iter61 in self.loads:
+                iter61.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.spending is not None:
             oprot.writeFieldBegin('spending', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.spending))
-            for iter50 in self.spending:
-                iter50.write(oprot)
+            for iter62 in self.spending:
+                iter62.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.jobs is not None:
             oprot.writeFieldBegin('jobs', TType.LIST, 11)
             oprot.writeListBegin(TType.STRUCT, len(self.jobs))
-            for iter51 in self.jobs:
-                iter51.write(oprot)
+            for iter63 in self.jobs:
+                iter63.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.reaches_store is not None:
@@ -1041,8 +1397,8 @@
         if self.ended_jobs is not None:
             oprot.writeFieldBegin('ended_jobs', TType.LIST, 14)
             oprot.writeListBegin(TType.STRING, len(self.ended_jobs))
-            for iter52 in self.ended_jobs:
-                oprot.writeString(iter52.encode('utf-8') if sys.version_info[0] == 2 else iter52)
+            for iter64 in self.ended_jobs:
+                oprot.writeString(iter64.encode('utf-8') if sys.version_info[0] == 2 else iter64)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.confirmed_ms_ago is not None:
@@ -1068,22 +1424,40 @@
         if self.crashes is not None:
             oprot.writeFieldBegin('crashes', TType.LIST, 20)
             oprot.writeListBegin(TType.STRUCT, len(self.crashes))
-            for iter53 in self.crashes:
-                iter53.write(oprot)
+            for iter65 in self.crashes:
+                iter65.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.served is not None:
             oprot.writeFieldBegin('served', TType.LIST, 21)
             oprot.writeListBegin(TType.STRUCT, len(self.served))
-            for iter54 in self.served:
-                iter54.write(oprot)
+            for iter66 in self.served:
+                iter66.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.quarantined is not None:
             oprot.writeFieldBegin('quarantined', TType.LIST, 22)
             oprot.writeListBegin(TType.STRUCT, len(self.quarantined))
-            for iter55 in self.quarantined:
-                iter55.write(oprot)
+            for iter67 in self.quarantined:
+                iter67.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.limits is not None:
+            oprot.writeFieldBegin('limits', TType.LIST, 23)
+            oprot.writeListBegin(TType.STRUCT, len(self.limits))
+            for iter68 in self.limits:
+                iter68.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.owns_request_tokens is not None:
+            oprot.writeFieldBegin('owns_request_tokens', TType.BOOL, 24)
+            oprot.writeBool(self.owns_request_tokens)
+            oprot.writeFieldEnd()
+        if self.token_uses is not None:
+            oprot.writeFieldBegin('token_uses', TType.LIST, 25)
+            oprot.writeListBegin(TType.STRUCT, len(self.token_uses))
+            for iter69 in self.token_uses:
+                iter69.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1117,6 +1491,9 @@
      - relay
      - heartbeats
      - wanted
+     - token_asks
+     - token_grants
+     - token_returns
 
     """
 
@@ -1124,13 +1501,31 @@
         'relay',
         'heartbeats',
         'wanted',
+        'token_asks',
+        'token_grants',
+        'token_returns',
     )
 
 
-    def __init__(self, relay=None, heartbeats=None, wanted="",):
+    def __init__(self, relay=None, heartbeats=None, wanted="", token_asks=[
+    ], token_grants=[
+    ], token_returns=[
+    ],):
         self.relay = relay
         self.heartbeats = heartbeats
         self.wanted = wanted
+        if token_asks is self.thrift_spec[4][4]:
+            token_asks = [
+            ]
+        self.token_asks = token_asks
+        if token_grants is self.thrift_spec[5][4]:
+            token_grants = [
+            ]
+        self.token_grants = token_grants
+        if token_returns is self.thrift_spec[6][4]:
+            token_returns = [
+            ]
+        self.token_returns = token_returns
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1149,10 +1544,10 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.heartbeats = []
-                    (_etype59, _size56) = iprot.readListBegin()
-                    for _i60 in range(_size56):
-                        _elem61 = iprot.readBinary()
-                        self.heartbeats.append(_elem61)
+                    (_etype73, _size70) = iprot.readListBegin()
+                    for _i74 in range(_size70):
+                        _elem75 = iprot.readBinary()
+                        self.heartbeats.append(_elem75)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1161,6 +1556,39 @@
                     self.wanted = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.token_asks = []
+                    (_etype79, _size76) = iprot.readListBegin()
+                    for _i80 in range(_size76):
+                        _elem81 = TokenMessage()
+                        _elem81.read(iprot)
+                        self.token_asks.append(_elem81)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.token_grants = []
+                    (_etype85, _size82) = iprot.readListBegin()
+                    for _i86 in range(_size82):
+                        _elem87 = TokenMessage()
+                        _elem87.read(iprot)
+                        self.token_grants.append(_elem87)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.LIST:
+                    self.token_returns = []
+                    (_etype91, _size88) = iprot.readListBegin()
+                    for _i92 in range(_size88):
+                        _elem93 = TokenMessage()
+                        _elem93.read(iprot)
+                        self.token_returns.append(_elem93)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1178,14 +1606,35 @@
         if self.heartbeats is not None:
             oprot.writeFieldBegin('heartbeats', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.heartbeats))
-            for iter62 in self.heartbeats:
-                oprot.writeBinary(iter62)
+            for iter94 in self.heartbeats:
+                oprot.writeBinary(iter94)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.wanted is not None:
             oprot.writeFieldBegin('wanted', TType.STRING, 3)
             oprot.writeString(self.wanted.encode('utf-8') if sys.version_info[0] == 2 else self.wanted)
             oprot.writeFieldEnd()
+        if self.token_asks is not None:
+            oprot.writeFieldBegin('token_asks', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRUCT, len(self.token_asks))
+            for iter95 in self.token_asks:
+                iter95.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.token_grants is not None:
+            oprot.writeFieldBegin('token_grants', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRUCT, len(self.token_grants))
+            for iter96 in self.token_grants:
+                iter96.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.token_returns is not None:
+            oprot.writeFieldBegin('token_returns', TType.LIST, 6)
+            oprot.writeListBegin(TType.STRUCT, len(self.token_returns))
+            for iter97 in self.token_returns:
+                iter97.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1262,6 +1711,30 @@
     (4, TType.I32, 'trial_ms', None, None, ),  # 4
     (5, TType.BOOL, 'lifted', None, None, ),  # 5
 )
+all_structs.append(RunnerLimit)
+RunnerLimit.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'runner', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'born', None, None, ),  # 2
+    (3, TType.DOUBLE, 'rate', None, None, ),  # 3
+    (4, TType.I32, 'age_ms', None, None, ),  # 4
+)
+all_structs.append(TokenUse)
+TokenUse.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'runner', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'born', None, None, ),  # 2
+    (3, TType.I32, 'count', None, None, ),  # 3
+)
+all_structs.append(TokenMessage)
+TokenMessage.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'runner', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'born', None, None, ),  # 2
+    (3, TType.I32, 'count', None, None, ),  # 3
+    (4, TType.BOOL, 'batch', None, None, ),  # 4
+    (5, TType.DOUBLE, 'rate', None, float(0), ),  # 5
+)
 all_structs.append(Heartbeat)
 Heartbeat.thrift_spec = (
     None,  # 0
@@ -1290,6 +1763,11 @@
     ], ),  # 21
     (22, TType.LIST, 'quarantined', (TType.STRUCT, [QuarantinedPart, None], False), [
     ], ),  # 22
+    (23, TType.LIST, 'limits', (TType.STRUCT, [RunnerLimit, None], False), [
+    ], ),  # 23
+    (24, TType.BOOL, 'owns_request_tokens', None, False, ),  # 24
+    (25, TType.LIST, 'token_uses', (TType.STRUCT, [TokenUse, None], False), [
+    ], ),  # 25
 )
 all_structs.append(Bundle)
 Bundle.thrift_spec = (
@@ -1297,6 +1775,12 @@
     (1, TType.STRING, 'relay', 'UTF8', None, ),  # 1
     (2, TType.LIST, 'heartbeats', (TType.STRING, 'BINARY', False), None, ),  # 2
     (3, TType.STRING, 'wanted', 'UTF8', "", ),  # 3
+    (4, TType.LIST, 'token_asks', (TType.STRUCT, [TokenMessage, None], False), [
+    ], ),  # 4
+    (5, TType.LIST, 'token_grants', (TType.STRUCT, [TokenMessage, None], False), [
+    ], ),  # 5
+    (6, TType.LIST, 'token_returns', (TType.STRUCT, [TokenMessage, None], False), [
+    ], ),  # 6
 )
 fix_spec(all_structs)
 del all_structs
--- a/src/primroseford/gateway/heartbeat.py
+++ b/src/primroseford/gateway/heartbeat.py
@@ -128,6 +128,8 @@
         self.sent_at = 0.0
         gateway.request_preemption = self.request_preemption
         gateway.quarantine.announce = self.send
+        gateway.request_limiter.announce = self.send
+        gateway.request_limiter.send = self.send_bundle_to
 
     async def on_start(self) -> None:
         """Open the sockets for heartbeats and bundles."""
@@ -197,11 +199,15 @@
         if holder == own:
             self.jobs.preempt_item(name)
             return
-        peer = gateway.members.peers.get(holder)
+        log.info("preemption requested", runner=name, holder=holder)
+        self.send_bundle_to(holder, Bundle(own, [], name))
+
+    def send_bundle_to(self, host: HostId, bundle: Bundle) -> None:
+        """Send a bundle to one host, if its address is known."""
+        peer = self.gateway.members.peers.get(host)
         if peer is None or self.bundles is None or self.bundles.is_closing():
             return
-        log.info("preemption requested", runner=name, holder=holder)
-        self._send_bundle(peer, encode(Bundle(own, [], name)))
+        self._send_bundle(peer, encode(bundle))
 
     def forward_bundles(self) -> None:
         """Forward the heartbeats since the last flush, if this host is a relay."""
@@ -262,6 +268,7 @@
             self.relay.bypasses_relay(gateway.clock()),
         )
         fill_heartbeat(gateway.quarantine, heartbeat)
+        gateway.request_limiter.fill_heartbeat(heartbeat)
         return heartbeat
 
     def _loads(self) -> list[RunnerLoad]:
@@ -301,6 +308,9 @@
         if bundle.wanted:
             self.jobs.preempt_item(RunnerName(bundle.wanted))
             return
+        if bundle.token_asks or bundle.token_grants or bundle.token_returns:
+            self.gateway.request_limiter.receive(bundle)
+            return
         relay = HostId(bundle.relay or "")
         now = self.gateway.clock()
         accepted: dict[HostId, bytes] = {}
@@ -328,6 +338,7 @@
             log.info("host joined", peer=host, address=heartbeat.address)
         gateway.allocator.apply_heartbeat(heartbeat)
         apply_heartbeat(gateway.quarantine, heartbeat)
+        gateway.request_limiter.apply_heartbeat(heartbeat)
         self._apply_spending(heartbeat, previous is None)
         for job in heartbeat.ended_jobs:
             self.jobs.apply_cancellation(JobId(job))
--- a/src/primroseford/gateway/host.py
+++ b/src/primroseford/gateway/host.py
@@ -32,6 +32,7 @@
 from primroseford.gateway.platform_watcher import PlatformWatcher
 from primroseford.gateway.quarantine_store import QuarantineStore
 from primroseford.gateway.registration import Registration
+from primroseford.gateway.request_limiter import RequestLimiterService
 from primroseford.gateway.retirement import RetirementService
 from primroseford.gateway.slot_allocator import SlotAllocator
 from primroseford.gateway.state import Gateway
@@ -220,6 +221,7 @@
             Registration(gateway, client, incarnation, address),
             Watchdog(gateway),
             QuarantineStore(gateway, client),
+            RequestLimiterService(gateway.request_limiter),
             RetirementService(gateway, client),
             results,
             jobs,
--- a/src/primroseford/gateway/messages.thrift
+++ b/src/primroseford/gateway/messages.thrift
@@ -49,6 +49,32 @@
   5: bool lifted
 }
 
+// What the host's last response of a runner said of its request limit.
+struct RunnerLimit {
+  1: string runner
+  2: i64 born
+  // Requests per second from all hosts together; 0 if the limit has ended.
+  3: double rate
+  4: i32 age_ms
+}
+
+// Tokens of a runner that the host has used in the last window.
+struct TokenUse {
+  1: string runner
+  2: i64 born
+  3: i32 count
+}
+
+// Tokens for requests to a runner with a limit.
+struct TokenMessage {
+  1: string runner
+  2: i64 born
+  3: i32 count
+  4: bool batch
+  // The limit as the asking host knows it.
+  5: double rate = 0
+}
+
 struct Heartbeat {
   1: string host
   2: string incarnation
@@ -78,6 +104,11 @@
   20: list<RunnerCrash> crashes = []
   21: list<ServedPart> served = []
   22: list<QuarantinedPart> quarantined = []
+  23: list<RunnerLimit> limits = []
+  // Whether the host grants tokens; hosts of a software version without this field do
+  // not.
+  24: bool owns_request_tokens = 0
+  25: list<TokenUse> token_uses = []
 }
 
 // Heartbeats that the relay of a failure domain forwards, encoded by their senders.
@@ -87,4 +118,8 @@
   // Runner of which the receiver should preempt a batch item for an online request of
   // the sender. Such a message has no heartbeats.
   3: string wanted = ""
+  // Messages to and from the token owner of a runner, likewise without heartbeats.
+  4: list<TokenMessage> token_asks = []
+  5: list<TokenMessage> token_grants = []
+  6: list<TokenMessage> token_returns = []
 }
--- a/src/primroseford/gateway/placement.py
+++ b/src/primroseford/gateway/placement.py
@@ -47,6 +47,7 @@
     :param online: online requests in flight from all hosts
     :param batch: batch items in flight from all hosts
     :param own_batch: batch items in flight from this host
+    :param start_limit: requests in flight at the rate that the runner accepts
     """
 
     key: RunnerKey
@@ -55,12 +56,31 @@
     online: int
     batch: int
     own_batch: int = 0
+    start_limit: float = math.inf
 
     @property
     def free(self) -> int:
         """Number of free slots; negative if requests are queued at the runner."""
         return self.slots - self.online - self.batch
 
+    @property
+    def is_rate_limited(self) -> bool:
+        """Whether the runner accepts fewer requests than its slots can process."""
+        return self.start_limit < self.slots
+
+    @property
+    def usable_slots(self) -> float:
+        """Number of slots that online requests can use."""
+        return min(self.slots, self.start_limit)
+
+    @property
+    def available(self) -> int:
+        """Number of requests that can be sent without waiting.
+
+        The requests to a runner with a limit wait for tokens.
+        """
+        return 0 if self.is_rate_limited else max(0, self.free + MAX_RUNNER_QUEUE)
+
 
 def heartbeat_interval(hosts: int) -> float:
     """Return the heartbeat interval in seconds of a host whose loads change.
@@ -153,6 +173,9 @@
     :param loads: loads of all usable runners of the pool
     :param random: source of randomness
     """
+    # On a runner that limits its requests, a batch item takes no slot that an online
+    # request could use, unless the slots are full.
+    loads = [load for load in loads if not load.is_rate_limited or load.free <= 0]
     slots = sum(load.slots for load in loads)
     free = sum(load.free for load in loads)
     batch = sum(load.batch for load in loads)
@@ -176,8 +199,8 @@
     :param loads: loads of all usable runners of the pool
     :param seconds: mean time that a request occupies a slot
     """
-    slots = sum(load.slots for load in loads)
+    slots = sum(load.usable_slots for load in loads)
     if not slots:
         return float("inf")
-    needed = ahead + 1 - sum(max(0, load.free + MAX_RUNNER_QUEUE) for load in loads)
+    needed = ahead + 1 - sum(load.available for load in loads)
     return max(0.0, needed * seconds / slots)
--- /dev/null
+++ b/src/primroseford/gateway/request_limiter.py
@@ -0,0 +1,431 @@
+"""Keeps the requests of all hosts to a runner within the limit that the runner names.
+
+Each request to such a runner needs a token of the runner's token owner, a host that all
+hosts choose alike by rendezvous hashing. A host asks while requests or items wait for a
+slot, and returns tokens that it does not use.
+
+If an owner is lost, its runners get no requests until the others have noticed; the
+rest of the pool serves meanwhile. The next owner starts from the tokens that all hosts
+report to have used. A host that is cut off from the others becomes its own owner with
+its share of the limit, as for the rates of organisations.
+"""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import structlog
+from mode import Service
+
+from primroseford.gateway.gen.messages.ttypes import Bundle
+from primroseford.gateway.gen.messages.ttypes import RunnerLimit
+from primroseford.gateway.gen.messages.ttypes import TokenMessage
+from primroseford.gateway.gen.messages.ttypes import TokenUse
+from primroseford.gateway.periodic import TICK_SECONDS
+from primroseford.gateway.periodic import run_periodically
+from primroseford.gateway.placement import MAX_RUNNER_QUEUE
+from primroseford.gateway.rendezvous import ranked
+from primroseford.gateway.runners import RunnerKey
+from primroseford.ids import HostId
+from primroseford.ids import RunnerName
+from primroseford.request_limits.owner import Grant
+from primroseford.request_limits.owner import TokenOwner
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterable
+
+    from primroseford.gateway.gen.messages.ttypes import Heartbeat
+    from primroseford.gateway.notices import RunnerNotice
+    from primroseford.gateway.runner_state import RunnerState
+    from primroseford.gateway.state import Gateway
+    from primroseford.ids import PoolName
+
+MIN_ASK_INTERVAL_SECONDS = 0.1
+"""Shortest interval at which a waiting host repeats its message to an owner. In a large
+fleet it is the interval of the heartbeats, which bounds the messages to one owner."""
+WAIT_INTERVALS = 3
+"""Intervals after which a host without messages no longer waits for tokens."""
+MAX_ASKED_RUNNERS = 4
+"""Runners for whose tokens a host waits at the same time. More would only return more
+tokens unused."""
+MAX_BATCH_ASKED_RUNNERS = 2
+HOLD_SECONDS = 0.15
+"""Time after which an unused token is returned: three runs of the batch scheduler."""
+OWNER_CHECK_SECONDS = 0.25
+"""Interval at which the hosts that can be owners are listed again. The owners are
+chosen again only if the list has changed, since each choice iterates over all hosts."""
+START_SECONDS = 1.0
+START_INTERVALS = 3
+"""Time, also as a number of heartbeat intervals, for which a started host grants
+no tokens, since the others have not told it yet which ones they have used."""
+MAX_TOKENS = 1000
+"""Largest number of tokens in one message."""
+
+log = structlog.get_logger()
+
+
+@dataclass
+class Ask:
+    """An unanswered message to a token owner.
+
+    :param count: tokens that this host waits for
+    :param sent_at: local time of the last message in seconds
+    """
+
+    count: int
+    sent_at: float
+
+
+class RequestLimiter:
+    """Tokens of this host, and the windows of tokens that it owns for all hosts.
+
+    :ivar send: sends messages to another host; set by the heartbeat service
+    :ivar announce: sends a heartbeat at once
+    :ivar asks: unanswered messages to owners by runner
+    :ivar batch_asked_at: local time of the last messages for batch by pool
+    :ivar owners: chosen token owners
+    :ivar hosts: hosts among which they were chosen
+    """
+
+    def __init__(self, gateway: Gateway) -> None:
+        self.gateway = gateway
+        self.allocator = gateway.allocator
+        self.tokens = gateway.allocator.tokens
+        self.limits = gateway.allocator.tokens.limits
+        self.owner = TokenOwner(self._count_used)
+        self.started_at = gateway.clock()
+        self.send: Callable[[HostId, Bundle], None] = lambda host, bundle: None
+        self.announce: Callable[[], None] = lambda: None
+        self.asks: dict[RunnerKey, Ask] = {}
+        self.batch_asked_at: dict[PoolName, float] = {}
+        self.owners: dict[RunnerKey, HostId] = {}
+        self.hosts: frozenset[HostId] = frozenset()
+        self.hosts_listed_at = -math.inf
+        self.allocator.on_waiting = self.ask_for_pool
+
+    def note_notice(self, runner: RunnerState, notice: RunnerNotice) -> None:
+        """Apply the limit, or its absence, in a response of a runner."""
+        key, now = runner.entry.key, self.gateway.clock()
+        is_new = self.limits.rate(key) is None
+        if self.limits.observe(key, notice.request_limit, now):
+            self._log_change(key, self.gateway.members.own)
+            if is_new or notice.request_limit is None:
+                self.announce()
+            self._apply_change(runner)
+
+    def _log_change(self, key: RunnerKey, host: HostId) -> None:
+        rate = self.limits.rate(key)
+        log.info(
+            "runner limits its requests" if rate else "runner has ended its limit",
+            runner=key.name,
+            rate=rate,
+            seen_by=host,
+        )
+        self.gateway.metrics.limited_runners.set(
+            sum(known.rate is not None for known in self.limits.newest.values())
+        )
+
+    def _apply_change(self, runner: RunnerState) -> None:
+        """Let waiting requests use a runner that has ended its limit."""
+        key = runner.entry.key
+        if self.limits.rate(key) is None:
+            self.asks.pop(key, None)
+            self.tokens.take_all(key)
+            self.tokens.take_all(key, batch=True)
+            self.allocator.grant()
+
+    @property
+    def ask_interval(self) -> float:
+        """Interval in seconds at which messages to an owner are repeated."""
+        return max(MIN_ASK_INTERVAL_SECONDS, self.gateway.members.interval)
+
+    def owner_of(self, runner: RunnerKey) -> HostId:
+        """Return the token owner of a runner as this host sees it."""
+        self._list_hosts()
+        owner = self.owners.get(runner)
+        if owner is None:
+            owner = self.owners[runner] = ranked(runner.name, self.hosts, str)[0]
+        return owner
+
+    def is_owner(self, runner: RunnerKey) -> bool:
+        """Return whether this host grants the tokens of a runner."""
+        return self.owner_of(runner) == self.gateway.members.own
+
+    def _list_hosts(self) -> None:
+        """List the hosts that can be owners, if that is due."""
+        now = self.gateway.clock()
+        if now - self.hosts_listed_at < OWNER_CHECK_SECONDS:
+            return
+        self.hosts_listed_at = now
+        members = self.gateway.members
+        hosts = {
+            peer.host
+            for peer in members.live(now)
+            if peer.heartbeat.owns_request_tokens
+        }
+        if not self.gateway.stopping or not hosts:
+            hosts.add(members.own)
+        if hosts != self.hosts:
+            self.hosts = frozenset(hosts)
+            self.owners.clear()
+
+    def _count_used(self, runner: RunnerKey) -> int:
+        """Return how many tokens of a runner all hosts report to have used."""
+        return self.tokens.count_used(runner) + sum(
+            use.count
+            for peer in self.gateway.members.heard(self.gateway.clock())
+            for use in peer.heartbeat.token_uses or ()
+            if (use.runner, use.born) == runner and 0 < use.count <= MAX_TOKENS
+        )
+
+    def _owned_rate(self, rate: float) -> float:
+        """Return the part of a limit that this side of a network partition may use."""
+        quotas = self.gateway.quotas
+        return rate * (1 - quotas.silent / max(1, quotas.hosts))
+
+    def ask_for_pool(self, pool: PoolName) -> None:
+        """Ask for tokens for the online requests that wait for a slot of a pool."""
+        waiting = len(self.allocator.queues.get(pool, ()))
+        if not waiting:
+            return
+        now = self.gateway.clock()
+        candidates = {
+            runner.entry.key
+            for runner in self.allocator.usable(pool)
+            if self.tokens.is_limited(runner.entry.key)
+            and runner.full_until <= now
+            and runner.load().free > -MAX_RUNNER_QUEUE
+        }
+        if not candidates:
+            return
+        chosen = [key for key in self.asks if key in candidates]
+        others = sorted(candidates.difference(chosen))
+        missing = min(len(others), MAX_ASKED_RUNNERS - len(chosen))
+        chosen += self.gateway.random.sample(others, max(0, missing))
+        count = min(MAX_TOKENS, math.ceil(waiting / len(chosen)))
+        for key in chosen:
+            ask = self.asks.get(key)
+            if ask is not None and ask.count >= count:
+                if now - ask.sent_at < self.ask_interval:
+                    continue
+            self.asks[key] = Ask(count, now)
+            self._ask(key, count, batch=False)
+
+    def ask_for_batch(self, pool: PoolName) -> None:
+        """Ask for tokens for batch items that wait for a slot of a pool."""
+        now = self.gateway.clock()
+        asked_at = self.batch_asked_at.get(pool, -math.inf)
+        if self.allocator.queues.get(pool) or now - asked_at < self.ask_interval:
+            return
+        candidates = [
+            runner.entry.key
+            for runner in self.allocator.usable(pool)
+            if self.tokens.is_limited(runner.entry.key)
+            and not self.tokens.count(runner.entry.key, batch=True)
+            and runner.full_until <= now
+            and runner.load().free > 0
+        ]
+        if not candidates:
+            return
+        self.batch_asked_at[pool] = now
+        count = min(len(candidates), MAX_BATCH_ASKED_RUNNERS)
+        for key in self.gateway.random.sample(candidates, count):
+            self._ask(key, 1, batch=True)
+
+    def _ask(self, key: RunnerKey, count: int, batch: bool) -> None:
+        rate = self.limits.rate(key)
+        owner = self.owner_of(key)
+        if self.is_owner(key):
+            self._serve(key, owner, count, batch, rate)
+            return
+        message = TokenMessage(key.name, key.born, count, batch, rate)
+        self.send(owner, Bundle(self.gateway.members.own, [], token_asks=[message]))
+
+    def _serve(
+        self, key: RunnerKey, host: HostId, count: int, batch: bool, rate: float
+    ) -> None:
+        """Grant tokens as the owner of a runner."""
+        now = self.gateway.clock()
+        if not self._may_grant(now):
+            return
+        rate = self._owned_rate(rate)
+        if batch:
+            grants = self.owner.ask_for_batch(key, host, rate, now)
+        else:
+            until = now + WAIT_INTERVALS * self.ask_interval
+            grants = self.owner.ask(key, host, count, rate, now, until)
+        self._deliver(grants, batch)
+
+    def _may_grant(self, now: float) -> bool:
+        """Return whether this host has heard from the others since it started."""
+        interval = self.gateway.members.interval
+        return now - self.started_at >= max(START_SECONDS, START_INTERVALS * interval)
+
+    def _deliver(self, grants: Iterable[Grant], batch: bool = False) -> None:
+        for key, host, count in grants:
+            if host == self.gateway.members.own:
+                self._receive_grant(key, count, batch)
+                continue
+            message = TokenMessage(key.name, key.born, count, batch)
+            bundle = Bundle(self.gateway.members.own, [], token_grants=[message])
+            self.send(host, bundle)
+
+    def _receive_grant(self, key: RunnerKey, count: int, batch: bool) -> None:
+        self.gateway.metrics.tokens.labels("granted").inc(count)
+        self.tokens.add(key, count, batch)
+        if batch:
+            return
+        ask = self.asks.get(key)
+        if ask is not None:
+            ask.count -= count
+            if ask.count <= 0:
+                del self.asks[key]
+        self.allocator.grant()
+        runner = self._runner(key)
+        if runner is None or not self.allocator.queues.get(runner.entry.pool):
+            self._return_tokens(key, batch=False)
+
+    def _return_tokens(self, key: RunnerKey, batch: bool) -> None:
+        count = self.tokens.take_all(key, batch)
+        if not count:
+            return
+        self.gateway.metrics.tokens.labels("returned").inc(count)
+        if self.is_owner(key):
+            self._deliver(self.owner.put_back(key, count, self.gateway.clock()))
+            return
+        message = TokenMessage(key.name, key.born, count, batch)
+        bundle = Bundle(self.gateway.members.own, [], token_returns=[message])
+        self.send(self.owner_of(key), bundle)
+
+    def _runner(self, key: RunnerKey) -> RunnerState | None:
+        runner = self.allocator.runners.get(key.name)
+        return runner if runner is not None and runner.entry.key == key else None
+
+    def receive(self, bundle: Bundle) -> None:
+        """Apply the token messages of another host."""
+        host = HostId(bundle.relay or "")
+        for message in bundle.token_asks or ():
+            key = self._listed_key(message)
+            if key is None or not self.is_owner(key):
+                continue
+            rate = message.rate
+            if rate is not None and 0 < rate < math.inf:
+                self._serve(key, host, _bounded(message), bool(message.batch), rate)
+        for message in bundle.token_returns or ():
+            key = self._listed_key(message)
+            if key is not None:
+                now = self.gateway.clock()
+                self._deliver(self.owner.put_back(key, _bounded(message), now))
+        for message in bundle.token_grants or ():
+            key = self._listed_key(message)
+            if key is not None and self.tokens.is_limited(key):
+                self._receive_grant(key, _bounded(message), bool(message.batch))
+
+    def _listed_key(self, message: TokenMessage) -> RunnerKey | None:
+        """Return the runner of a message; ``None`` if this host does not list it."""
+        key = RunnerKey(RunnerName(message.runner), message.born)
+        if self._runner(key) is None:
+            log.debug("token message for an unknown runner", runner=message.runner)
+            return None
+        return key
+
+    def may_probe(self, runner: RunnerState) -> bool:
+        """Return whether this host may send a health check to a runner now.
+
+        Only the owner checks a runner with a limit, and counts the check.
+        """
+        key = runner.entry.key
+        rate = self.limits.rate(key)
+        if rate is None:
+            return True
+        if not self.is_owner(key) or not self._may_grant(self.gateway.clock()):
+            return False
+        own, now = self.gateway.members.own, self.gateway.clock()
+        return bool(self.owner.ask_for_batch(key, own, self._owned_rate(rate), now))
+
+    def step(self) -> None:
+        """Grant due tokens, repeat messages, and return unused tokens."""
+        if not self.limits.newest and not self.owner.windows:
+            return
+        now = self.gateway.clock()
+        listed = {runner.entry.key for runner in self.allocator.runners.values()}
+        self.limits.forget(listed, now)
+        self._open_windows(now)
+        self._deliver(self.owner.due_grants(now))
+        for key, batch in self.tokens.held_before(now - HOLD_SECONDS):
+            self._return_tokens(key, batch)
+        for key, ask in list(self.asks.items()):
+            if now - ask.sent_at > self.ask_interval and not self._is_waiting(key):
+                del self.asks[key]
+        for pool in list(self.allocator.queues):
+            self.ask_for_pool(pool)
+
+    def _open_windows(self, now: float) -> None:
+        """Keep a window for each runner with a limit that this host owns."""
+        for key in self.owners.keys() - self.limits.newest.keys():
+            del self.owners[key]
+        owned = {
+            key: known.rate
+            for key, known in self.limits.newest.items()
+            if known.rate is not None and self.is_owner(key)
+        }
+        for key in self.owner.windows.keys() - owned.keys():
+            del self.owner.windows[key]
+        for key, rate in owned.items() if self._may_grant(now) else ():
+            self.owner.open_window(key, self._owned_rate(rate), now)
+
+    def _is_waiting(self, key: RunnerKey) -> bool:
+        runner = self._runner(key)
+        return runner is not None and bool(self.allocator.queues.get(runner.entry.pool))
+
+    def fill_heartbeat(self, heartbeat: Heartbeat) -> None:
+        """Add what responses to this host said to its heartbeat."""
+        heartbeat.owns_request_tokens = True
+        heartbeat.limits = [
+            RunnerLimit(
+                report.runner.name,
+                report.runner.born,
+                report.rate or 0.0,
+                max(0, round(report.age * 1000)),
+            )
+            for report in self.limits.reports(self.gateway.clock())
+        ]
+
+        heartbeat.token_uses = [
+            TokenUse(key.name, key.born, count)
+            for key in list(self.tokens.used)
+            if (count := self.tokens.count_used(key))
+        ]
+
+    def apply_heartbeat(self, heartbeat: Heartbeat) -> None:
+        """Apply what responses to another host said."""
+        now = self.gateway.clock()
+        for limit in heartbeat.limits or ():
+            key = RunnerKey(RunnerName(limit.runner), limit.born)
+            runner = self._runner(key)
+            if runner is None or not 0 <= limit.rate < math.inf:
+                continue
+            age = max(0, limit.age_ms) / 1000
+            if self.limits.merge(key, limit.rate or None, now - age):
+                self._log_change(key, HostId(heartbeat.host))
+                self._apply_change(runner)
+
+
+class RequestLimiterService(Service):
+    """Runs the steps of a host's request limiter."""
+
+    def __init__(self, limiter: RequestLimiter) -> None:
+        super().__init__()
+        self.limiter = limiter
+
+    @Service.task
+    async def run_steps(self) -> None:
+        """Run the steps periodically."""
+        await run_periodically(self, lambda: TICK_SECONDS, self.limiter.step)
+
+
+def _bounded(message: TokenMessage) -> int:
+    return min(max(0, message.count or 0), MAX_TOKENS)
--- a/src/primroseford/gateway/slot_allocator.py
+++ b/src/primroseford/gateway/slot_allocator.py
@@ -5,6 +5,7 @@
 
 import asyncio
 from dataclasses import dataclass
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from primroseford.errors import PrimrosefordError
@@ -16,6 +17,8 @@
 from primroseford.gateway.runner_state import RunnerState
 from primroseford.gateway.runners import RunnerStage
 from primroseford.online.fair_queue import FairQueue
+from primroseford.request_limits.observations import LimitObservations
+from primroseford.request_limits.tokens import RequestTokens
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -81,6 +84,8 @@
     :ivar service_seconds: EWMA of the time that a request occupies a slot, by pool
     :ivar first_event_seconds: EWMA of the time to the first event, by pool
     :ivar changed: whether the load of this host changed since its last heartbeat
+    :ivar tokens: tokens on hand for runners that limit their requests
+    :ivar on_waiting: called with a pool when a request begins to wait for a slot
     """
 
     def __init__(self, domain: FailureDomainId, clock: Clock, random: Random) -> None:
@@ -95,6 +100,8 @@
         self.service_seconds: dict[PoolName, float] = {}
         self.first_event_seconds: dict[PoolName, float] = {}
         self.changed = False
+        self.tokens = RequestTokens(LimitObservations(), clock)
+        self.on_waiting: Callable[[PoolName], None] = lambda pool: None
 
     @property
     def hosts(self) -> int:
@@ -137,19 +144,31 @@
         return unsuspected or ready
 
     def open_loads(
-        self, pool: PoolName, tried: Collection[RunnerKey]
+        self, pool: PoolName, tried: Collection[RunnerKey], batch: bool = False
     ) -> list[RunnerLoad]:
         """Return the loads of the runners of a pool that may get new work.
 
         :param tried: runner instances that failed the request or item
+        :param batch: whether the work is a batch item
         """
         now = self.clock()
         return [
-            runner.load()
+            self.load(runner)
             for runner in self.usable(pool)
-            if runner.full_until <= now and runner.entry.key not in tried
+            if runner.full_until <= now
+            and runner.entry.key not in tried
+            and self.tokens.may_send(runner.entry.key, batch)
         ]
 
+    def load(self, runner: RunnerState) -> RunnerLoad:
+        """Return the load of a runner, with the effect of its request limit."""
+        load = runner.load()
+        rate = self.tokens.limits.rate(runner.entry.key)
+        if rate is None:
+            return load
+        seconds = self.service_seconds.get(runner.entry.pool, SERVICE_SECONDS)
+        return replace(load, start_limit=rate * seconds)
+
     def _choose(
         self, pool: PoolName, tried: Collection[RunnerKey], prefix_key: str = ""
     ) -> RunnerState | None:
@@ -195,6 +214,7 @@
         waiter = Waiter(future, tried, prefix_key, prompt_parts)
         queue.push(organisation, waiter)
         self.changed = True
+        self.on_waiting(pool)
         try:
             async with asyncio.timeout(deadline - self.clock()):
                 return await waiter.future
@@ -227,11 +247,11 @@
         """Release a slot that was assigned just as its request stopped waiting."""
         future = waiter.future
         if future.done() and not future.cancelled() and not future.exception():
-            self.release(future.result())
+            self.release(future.result(), unused=True)
 
     def expected_wait(self, pool: PoolName) -> float:
         """Return the expected seconds until a newly queued request gets a slot."""
-        loads = [runner.load() for runner in self.usable(pool)]
+        loads = [self.load(runner) for runner in self.usable(pool)]
         ahead = len(self.queues.get(pool, ())) + sum(self.peer_waiting.values())
         seconds = self.service_seconds.get(pool, SERVICE_SECONDS)
         return expected_wait(ahead, loads, seconds)
@@ -259,6 +279,7 @@
 
     def reserve(self, runner: RunnerState, batch: bool = False) -> None:
         """Reserve a slot on a runner."""
+        self.tokens.spend(runner.entry.key, batch)
         if batch:
             runner.batch += 1
         else:
@@ -270,11 +291,15 @@
         runner: RunnerState,
         batch: bool = False,
         seconds: float | None = None,
+        unused: bool = False,
     ) -> None:
         """Release a slot and assign it to a waiting request.
 
         :param seconds: time that a completed online request occupied the slot
+        :param unused: whether nothing was sent to the runner
         """
+        if unused:
+            self.tokens.restore(runner.entry.key, batch)
         if batch:
             runner.batch -= 1
         else:
--- a/src/primroseford/gateway/state.py
+++ b/src/primroseford/gateway/state.py
@@ -13,6 +13,7 @@
 from primroseford.gateway.exchange import RunnerReplaced
 from primroseford.gateway.quota import Quotas
 from primroseford.gateway.rendezvous import ranked
+from primroseford.gateway.request_limiter import RequestLimiter
 from primroseford.gateway.runners import RunnerList
 from primroseford.quarantine.state import Quarantine
 
@@ -78,6 +79,14 @@
         self.quarantined = metrics.gauge(
             "gateway_quarantined_parts", "Prompt parts that are quarantined"
         )
+        self.limited_runners = metrics.gauge(
+            "gateway_limited_runners", "Runners that limit the requests they accept"
+        )
+        self.tokens = metrics.counter(
+            "gateway_request_tokens_total",
+            "Tokens for requests to such runners, by what became of them",
+            ("end",),
+        )
         self.items = metrics.counter(
             "gateway_items_total", "Runs of batch items by end", ("end",)
         )
@@ -95,6 +104,7 @@
     :ivar tables: configuration in force; ``None`` until the first one is received
     :ivar quarantine: prompt parts that crash runners
     :ivar crash_detector: detects such crashes
+    :ivar request_limiter: keeps requests within the limits that runners name
     :ivar open_requests: online requests in progress
     :ivar busy_connections: callers' connections on which a request is being served
     :ivar confirmed_at: local time of the platform's last confirmation of the tables
@@ -133,6 +143,7 @@
         self.quarantine.heartbeat_interval = lambda: members.interval
         self.quarantine.on_quarantine = self._refuse_waiting
         self.crash_detector = CrashDetector(self)
+        self.request_limiter = RequestLimiter(self)
         self.open_requests: set[RequestContext] = set()
         self.busy_connections: set[RequestHandler] = set()
         self.stopping = False
@@ -197,7 +208,8 @@
             )
 
     def note_notice(self, runner: RunnerState, notice: RunnerNotice) -> None:
-        """Record what a runner said about itself; log it if it has changed."""
+        """Apply what a runner said about itself; log it if it has changed."""
+        self.request_limiter.note_notice(runner, notice)
         if notice == runner.notice:
             return
         runner.notice = notice
--- a/src/primroseford/gateway/watchdog.py
+++ b/src/primroseford/gateway/watchdog.py
@@ -88,6 +88,8 @@
             await asyncio.sleep(PROBE_SECONDS)
             if runner.suspect_until <= self.gateway.clock():
                 return
+            if not self.gateway.request_limiter.may_probe(runner):
+                continue
             try:
                 async with self.gateway.session.get(url, timeout=timeout) as answer:
                     status = answer.status
--- a/src/primroseford/jobs/batch_capacity.py
+++ b/src/primroseford/jobs/batch_capacity.py
@@ -18,6 +18,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Collection
+    from collections.abc import Sequence
 
     from primroseford.gateway.placement import RunnerLoad
     from primroseford.gateway.runner_state import RunnerState
@@ -81,7 +82,8 @@
             share = self.estimator.own_share()
             batch = self.pool_load(pool)["batch"]
             needed = self.estimator.needed_slots(item, batch, time_limit)
-            limit = max(self._off_peak_slots(pool), needed)
+            limit = max(self._off_peak_slots(pool), needed) - batch
+            limit += sum(load.batch for load in loads)
             budget.starts[pool] = batch_start_limit(loads, share, random, limit)
             budget.urgent_starts[pool] = batch_start_limit(
                 loads, share, random, math.inf
@@ -92,7 +94,19 @@
         self, pool: PoolName, tried: Collection[RunnerKey] = ()
     ) -> RunnerState | None:
         """Return a runner with a free slot for an item, or None."""
-        loads = self._eligible_loads(pool, tried)
+        return self._choose(self._eligible_loads(pool, tried))
+
+    def choose_limited_runner(
+        self, pool: PoolName, tried: Collection[RunnerKey] = ()
+    ) -> RunnerState | None:
+        """Return a runner with a limit for which a token is on hand, or None.
+
+        The token stands for a start, so that no budget applies. An item there leaves
+        the slots of the other runners to online requests.
+        """
+        return self._choose(self._eligible_loads(pool, tried, limited=True))
+
+    def _choose(self, loads: Sequence[RunnerLoad]) -> RunnerState | None:
         allocator = self.gateway.allocator
         if not loads:
             return None
@@ -101,22 +115,32 @@
 
     def items_to_preempt(self, pool: PoolName) -> int:
         """Return how many items of this host must be preempted for online requests."""
-        loads = [runner.load() for runner in self.gateway.allocator.usable(pool)]
+        allocator = self.gateway.allocator
+        loads = [allocator.load(runner) for runner in allocator.usable(pool)]
         return items_to_preempt(loads, self.gateway.random)
 
     def _off_peak_slots(self, pool: PoolName) -> float:
         """Return the slots outside the headroom and the recent peak of online load."""
         peaks = self.peaks.get(pool)
         peak = peaks.highest(self.gateway.clock()) if peaks is not None else 0
-        runners = self.gateway.allocator.usable(pool)
-        return (1 - HEADROOM) * sum(runner.entry.slots for runner in runners) - peak
+        allocator = self.gateway.allocator
+        loads = [allocator.load(runner) for runner in allocator.usable(pool)]
+        return (1 - HEADROOM) * sum(load.usable_slots for load in loads) - peak
 
     def _eligible_loads(
-        self, pool: PoolName, tried: Collection[RunnerKey] = ()
+        self, pool: PoolName, tried: Collection[RunnerKey] = (), limited: bool = False
     ) -> list[RunnerLoad]:
         """Return the loads of the runners that may receive items.
 
         There are none while online requests are queued for the pool.
+
+        :param limited: whether to return the runners with a limit, or the others
         """
         allocator = self.gateway.allocator
-        return [] if allocator.queues.get(pool) else allocator.open_loads(pool, tried)
+        if allocator.queues.get(pool):
+            return []
+        return [
+            load
+            for load in allocator.open_loads(pool, tried, batch=True)
+            if allocator.tokens.is_limited(load.key) == limited
+        ]
--- a/src/primroseford/jobs/scheduler.py
+++ b/src/primroseford/jobs/scheduler.py
@@ -206,13 +206,17 @@
             pool = choose_pool(route, self.gateway.random)
             if pool in full_pools:
                 continue
+            self.gateway.request_limiter.ask_for_batch(pool)
+            runner = capacity.choose_limited_runner(pool, item.tried)
+            is_limited = runner is not None
             urgent = 0 <= estimator.slack(item, now) < URGENT_SLACK_SECONDS
-            if not capacity.may_start(pool, item, route.due, urgent):
+            if not is_limited and not capacity.may_start(pool, item, route.due, urgent):
                 # Urgent items may still start in a pool that is full for other items.
                 if urgent:
                     full_pools.add(pool)
                 continue
-            runner = capacity.choose_runner(pool, item.tried)
+            if not is_limited:
+                runner = capacity.choose_runner(pool, item.tried)
             if runner is None and item.tried:
                 item.tried.clear()
                 runner = capacity.choose_runner(pool)
@@ -224,7 +228,8 @@
                 continue
             self.gateway.quarantine.begin_trial(item.shared_parts)
             self.gateway.allocator.reserve(runner, batch=True)
-            capacity.budget.record_start(pool)
+            if not is_limited:
+                capacity.budget.record_start(pool)
             run.waiting.remove(item)
             run.running.add(item)
             item.discard_unresumable_events()
--- /dev/null
+++ b/src/primroseford/request_limits/tests/test_owner.py
@@ -0,0 +1,79 @@
+"""Tokens that the owner of a runner grants."""
+
+from __future__ import annotations
+
+import pytest
+
+from primroseford.gateway.runners import RunnerKey
+from primroseford.request_limits.owner import BATCH_RESERVE
+from primroseford.request_limits.owner import WINDOW_RATE_SECONDS
+from primroseford.request_limits.owner import WINDOW_REQUESTS
+from primroseford.request_limits.owner import WINDOW_SECONDS
+from primroseford.request_limits.owner import TokenOwner
+
+RUNNER = RunnerKey("i-1", 1)
+RATE = 2.0
+SIZE = int(RATE * WINDOW_RATE_SECONDS + WINDOW_REQUESTS)
+
+
+def hosts(grants) -> list[str]:
+    """Return the host of each granted token."""
+    return [grant.host for grant in grants]
+
+
+@pytest.fixture
+def owner() -> TokenOwner:
+    """An owner of a runner whose tokens nobody has used."""
+    return TokenOwner(lambda runner: 0)
+
+
+def test_one_host_takes_the_tokens_that_others_wait_for(owner):
+    """Guards against a host that gets all tokens since it asked first."""
+    taken = owner.ask(RUNNER, "a", SIZE, RATE, 0.0, 60.0)
+    assert hosts(taken) == ["a"] * SIZE
+    assert not owner.ask(RUNNER, "a", 5, RATE, 1.0, 60.0)
+    assert not owner.ask(RUNNER, "b", 5, RATE, 1.0, 60.0)
+    granted = hosts(owner.due_grants(WINDOW_SECONDS))
+    assert granted[:4] == ["a", "b", "a", "b"]
+
+
+@pytest.mark.parametrize(
+    ("used", "granted"), [(0, SIZE), (SIZE - 1, 1), (SIZE, 0), (10 * SIZE, 0)]
+)
+def test_next_owner_grants_the_same_tokens_again(used, granted):
+    """Guards against an owner that does not know what the one before has granted."""
+    owner = TokenOwner(lambda runner: used)
+    assert len(owner.ask(RUNNER, "a", 100, RATE, 0.0, 60.0)) == granted
+
+
+def test_host_that_no_longer_waits_gets_tokens(owner):
+    """Guards against tokens for hosts that have left the queue."""
+    owner.ask(RUNNER, "a", SIZE, RATE, 0.0, 60.0)
+    owner.ask(RUNNER, "b", 3, RATE, 0.0, WINDOW_SECONDS - 1)
+    assert not owner.due_grants(WINDOW_SECONDS)
+
+
+def test_unused_token_is_lost(owner):
+    """Guards against returned tokens that no other host gets."""
+    owner.ask(RUNNER, "a", SIZE, RATE, 0.0, 60.0)
+    owner.ask(RUNNER, "b", 1, RATE, 0.0, 60.0)
+    assert hosts(owner.put_back(RUNNER, 1, 0.1)) == ["b"]
+
+
+def test_batch_takes_the_tokens_of_online_requests(owner):
+    """Guards against batch items that use up the window before a wave."""
+    granted = sum(
+        len(owner.ask_for_batch(RUNNER, "a", RATE, 0.0)) for _ in range(2 * SIZE)
+    )
+    assert granted == int(SIZE * (1 - BATCH_RESERVE))
+    assert len(owner.ask(RUNNER, "b", SIZE, RATE, 0.0, 60.0)) == SIZE - granted
+    assert not owner.ask_for_batch(RUNNER, "a", RATE, WINDOW_SECONDS - 0.1)
+
+
+@pytest.mark.parametrize("rate", [1e-9, 1e-3, 0.1])
+def test_limit_near_zero_is_never_seen_to_end(owner, rate):
+    """Guards against a runner that gets no request which could tell of the end."""
+    granted = sum(
+        len(owner.ask(RUNNER, "a", 1, rate, at, at + 1)) for at in range(0, 60, 5)
+    )
+    assert granted >= 12
