Log a digest of the request with each attempt that may have run

The logs name request ids and prompt parts, so that a request that comes again under another id cannot be recognised. 'attempt failed' now has a digest of path, organisation and body. No decision changes.

--- a/src/primroseford/gateway/forward.py
+++ b/src/primroseford/gateway/forward.py
@@ -234,6 +234,7 @@
         may_have_run=may_have_run,
         stage=attempt.stage.value,
         prompt=[part.id for part in context.incoming.prompt],
+        request=context.subjects.request if may_have_run else None,
         next=step.value,
     )
     if step is RetryDecision.AGAIN:
--- a/src/primroseford/gateway/request_context.py
+++ b/src/primroseford/gateway/request_context.py
@@ -6,6 +6,7 @@
 from dataclasses import field
 from typing import TYPE_CHECKING
 
+from primroseford.gateway.crash_subjects import CrashSubjects
 from primroseford.gateway.exchange import MAX_EVENT_BYTES
 from primroseford.online.events import EventSplitter
 
@@ -35,6 +36,7 @@
     :param first_byte_seconds: time from arrival until the response started
     :param response: response to the caller; ``None`` until its head has been sent
     :param splitter: splits a stream into events, for resuming it
+    :ivar subjects: what it has in common with other requests that crash runners
     """
 
     request: BaseRequest
@@ -54,6 +56,10 @@
     splitter: EventSplitter = field(
         default_factory=lambda: EventSplitter(MAX_EVENT_BYTES)
     )
+    subjects: CrashSubjects = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.subjects = CrashSubjects(self.incoming, self.organisation)
 
 
 class ResponseAborted(Exception):
