Add failing tests of a request that crashes runners again and again

The request comes again under other ids at other hosts, on an idempotent, a resumable, a streaming and a non-idempotent route.

--- a/src/primroseford/gateway/tests/test_prompt_crashes.py
+++ b/src/primroseford/gateway/tests/test_prompt_crashes.py
@@ -10,6 +10,7 @@
 import pytest
 
 DEADLY = "deadly"
+DEADLY_BODY = b"deadly body"
 HOSTS = 3
 RUNNERS = 4
 RESTART_SECONDS = 0.3
@@ -17,6 +18,7 @@
 CAUSE_SECONDS = 0.4
 """Time between two crashes that are not at the same moment."""
 CRASHES_TO_LEARN = 5
+REQUEST_CRASHES_TO_LEARN = 3
 CONTACT_SECONDS = 3.0
 ALLOWED_REQUESTS = 3
 """Requests that may reach a runner later than the contact time after the fifth crash:
@@ -39,6 +41,7 @@
     def arm(self, runner) -> None:
         """Let a runner crash on the deadly part."""
         runner.faults.deadly_part = DEADLY
+        runner.faults.deadly_body = DEADLY_BODY
         runner.on_crash = self.record_crash
 
     def record_crash(self, runner) -> None:
@@ -61,6 +64,24 @@
             for request in runner.received
         )
 
+    def deadly_bodies(self) -> int:
+        """Return how many requests with the deadly body have reached runners."""
+        return sum(
+            request.body == DEADLY_BODY
+            for runner in self.site.runners
+            for request in runner.received
+        )
+
+    async def repeat(self, path: str, number: int, **headers: str) -> int | type:
+        """Send the deadly request again, with another id and through another host."""
+        try:
+            status, _, _ = await self.site.call(
+                path, f"id-{number}", host=number % HOSTS, body=DEADLY_BODY, **headers
+            )
+        except (aiohttp.ClientPayloadError, aiohttp.ServerDisconnectedError) as error:
+            return type(error)
+        return status
+
     async def call(self, path: str, number: int, *parts: str) -> int | type:
         """Send a request of its own through one of the hosts in turn."""
         prompt = ",".join(f"{part}:100" for part in (*parts, f"own-{number}"))
@@ -152,3 +173,50 @@
     await crash_site.site.until(lambda: crash_site.crashes >= 1)
     await asyncio.sleep(2 * CONTACT_SECONDS)
     assert crash_site.deadly_requests() <= CRASHES_TO_LEARN + ALLOWED_REQUESTS
+
+
+@pytest.mark.parametrize(
+    ("path", "prompt"),
+    [
+        ("/ping/whole", {}),
+        ("/pick/x", {"Prompt_Prefix": "a:100,b:100,own:100"}),
+        ("/nudge/x", {"Prompt_Prefix": "a:100,b:100,own:100"}),
+        ("/once/whole", {}),
+    ],
+    ids=["idempotent", "resumable", "stream", "unsafe"],
+)
+async def test_repeated_request_crashes_runner_after_runner(crash_site, path, prompt):
+    """Guards against one request that comes again under other ids (BUDGET)."""
+    number = 0
+    while crash_site.crashes < REQUEST_CRASHES_TO_LEARN and number < 20:
+        await crash_site.repeat(path, number, **prompt)
+        number += 1
+        await asyncio.sleep(CAUSE_SECONDS)
+        await crash_site.call(path, 1000 + number, "a", "b")
+    await asyncio.sleep(CONTACT_SECONDS)
+    reached = crash_site.deadly_bodies()
+    for _ in range(4 * HOSTS):
+        await crash_site.repeat(path, number, **prompt)
+        number += 1
+        await asyncio.sleep(RESTART_SECONDS)
+    assert crash_site.deadly_bodies() - reached <= ALLOWED_REQUESTS
+    results = [
+        await crash_site.call(path, 2000 + more, "a", "b") for more in range(2 * HOSTS)
+    ]
+    assert results == [200] * len(results)
+
+
+async def test_sound_request_is_quarantined_after_unrelated_crashes(crash_site):
+    """Guards against a verdict on a request that is served between the crashes."""
+    path = "/ping/whole"
+    for number in range(6):
+        for runner in crash_site.site.runners:
+            runner.faults.deadly_body = b"prompt" if number % 2 else b""
+        await crash_site.call(path, number)
+        await asyncio.sleep(CAUSE_SECONDS)
+        for runner in crash_site.site.runners:
+            runner.faults.deadly_body = b""
+        assert await crash_site.call(path, 100 + number) == 200
+    assert crash_site.crashes >= REQUEST_CRASHES_TO_LEARN
+    for host in crash_site.site.hosts:
+        assert not host.gateway.quarantine.active()
--- a/src/primroseford/standins/fleet_runner.py
+++ b/src/primroseford/standins/fleet_runner.py
@@ -36,6 +36,7 @@
     :param error_page: respond with status 200 and a page of text
     :param deadly_part: id of a prompt part on which the runner crashes when it begins
         to respond
+    :param deadly_body: body of a request on which the runner crashes before it responds
     :param request_limit: value of the ``Server-Limit`` header in responses; empty for
         none
     """
@@ -51,6 +52,7 @@
     other_runner: str = ""
     error_page: bool = False
     deadly_part: str = ""
+    deadly_body: bytes = b""
     request_limit: str = ""
 
 
@@ -129,6 +131,10 @@
         try:
             if faults.silent:
                 await asyncio.sleep(3600)
+            if faults.deadly_body and body == faults.deadly_body:
+                await asyncio.sleep(self.event_seconds)
+                self.crash()
+                return web.Response()
             return await self._respond(request, request_id)
         finally:
             self.open -= 1
