Quarantine requests that come again and crash runner after runner

Cause: evidence of crashes knew prompt parts only. A request without parts was not even looked at by the crash detector, and one with parts that sound requests share could not be told from them. Class: the same as with prompt parts, work that harms its executor and is placed again; the subject was cut too narrow.

Now the quarantine has two kinds of subject, parts and requests, in one mechanism: evidence, merging, verdict, trials and the store are the same. A request is a digest of path, organisation and body. Three crashes at two moments since it was last served are enough, as its attempts follow each other; crashes under a quarantined request count once for the parts of its prompt. Ids of parts that begin like those of requests are hashed. Batch items are owed and have no such id.

Why it works: the first group of three crashes is a verdict at all hosts before the request comes again.

--- a/src/primroseford/gateway/crash_detector.py
+++ b/src/primroseford/gateway/crash_detector.py
@@ -14,14 +14,12 @@
 
 from primroseford.errors import Outcome
 from primroseford.errors import ResultCode
-from primroseford.gateway.affinity import shared_part_positions
 from primroseford.gateway.exchange import AttemptStage
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Callable
 
     from primroseford.errors import PrimrosefordError
-    from primroseford.gateway.affinity import PromptPart
     from primroseford.gateway.exchange import RunnerAttempt
     from primroseford.gateway.runner_state import RunnerState
     from primroseford.gateway.runners import RunnerKey
@@ -56,18 +54,23 @@
         self,
         runner: RunnerState,
         attempt: RunnerAttempt,
-        prompt: Sequence[PromptPart],
+        find_subjects: Callable[[], dict[PromptPartId, int]],
         error: PrimrosefordError,
     ) -> None:
-        """Check a runner if an exchange broke off before the first event."""
-        parts = shared_part_positions(prompt)
+        """Check a runner if an exchange broke off before the first event.
+
+        :param find_subjects: returns the subjects of the request under which the runner
+            may have crashed, each with its position
+        """
         if (
-            not parts
-            or error.code not in INTERRUPTED_CODES
+            error.code not in INTERRUPTED_CODES
             or error.outcome is not Outcome.MAY_HAVE_RUN
             or attempt.stage not in INCOMPLETE_STAGES
         ):
             return
+        parts = find_subjects()
+        if not parts:
+            return
         key = runner.entry.key
         if key in self.pending:
             self.pending[key].update(parts)
--- a/src/primroseford/gateway/crash_subjects.py
+++ b/src/primroseford/gateway/crash_subjects.py
@@ -9,14 +9,14 @@
 import hashlib
 from typing import TYPE_CHECKING
 
+from primroseford.gateway.affinity import shared_part_positions
 from primroseford.ids import PromptPartId
+from primroseford.quarantine.verdict import REQUEST_PREFIX
 
 if TYPE_CHECKING:
     from primroseford.gateway.requests import IncomingRequest
     from primroseford.gateway.tables import Organisation
 
-REQUEST_PREFIX = "request/"
-"""Beginning of the id of a whole request. Ids of prompt parts do not begin with it."""
 DIGEST_BYTES = 16
 
 
@@ -46,3 +46,23 @@
             digest.update(self.incoming.body)
             self.digest = PromptPartId(REQUEST_PREFIX + digest.hexdigest())
         return self.digest
+
+    def __contains__(self, subject: PromptPartId) -> bool:
+        """Return whether a quarantine of a subject concerns the request."""
+        if subject.startswith(REQUEST_PREFIX):
+            return subject == self.request
+        return subject in self.incoming.shared_parts
+
+    def positions(self) -> dict[PromptPartId, int]:
+        """Return the subjects, each with its position; the request comes last."""
+        prompt = self.incoming.prompt
+        return {**shared_part_positions(prompt), self.request: len(prompt)}
+
+    def known(self, has_evidence: bool) -> list[PromptPartId]:
+        """Return the subjects that evidence of crashes can concern.
+
+        :param has_evidence: whether crashes or quarantines are known; otherwise no
+            request can be concerned as a whole
+        """
+        parts = self.incoming.shared_parts
+        return [*parts, self.request] if has_evidence else parts
--- a/src/primroseford/gateway/forward.py
+++ b/src/primroseford/gateway/forward.py
@@ -11,6 +11,7 @@
 from primroseford.errors import PrimrosefordError
 from primroseford.errors import ResultCode
 from primroseford.gateway.affinity import prefix_cache_key
+from primroseford.gateway.crash_subjects import CrashSubjects
 from primroseford.gateway.exchange import InactivityTimeout
 from primroseford.gateway.exchange import RunnerAttempt
 from primroseford.gateway.exchange import RunnerRequest
@@ -69,12 +70,20 @@
         not been started
     """
     # A request that will be refused does not count against its organisation's rate.
-    gateway.quarantine.check(incoming.shared_parts)
+    subjects = CrashSubjects(incoming, organisation)
+    gateway.quarantine.check(subjects.known(gateway.quarantine.has_evidence))
     await admit(gateway, organisation)
     timeout = min(route.timeout, incoming.timeout or route.timeout)
     pool = choose_pool(route, gateway.random)
     context = RequestContext(
-        request, incoming, route, organisation, pool, started, started + timeout
+        request,
+        incoming,
+        subjects,
+        route,
+        organisation,
+        pool,
+        started,
+        started + timeout,
     )
     end = ResultCode.OK.name
     gateway.open_requests.add(context)
@@ -171,7 +180,7 @@
             context.deadline,
             context.tried_runners,
             prefix_cache_key(context.incoming.prompt),
-            context.incoming.shared_parts,
+            context.subjects,
         )
         _check_quarantine(gateway, context, runner)
     except PrimrosefordError as error:
@@ -194,7 +203,7 @@
 
     :raises PrimrosefordError: PROMPT_QUARANTINED; the slot has been released then
     """
-    parts = context.incoming.shared_parts
+    parts = context.subjects.known(gateway.quarantine.has_evidence)
     try:
         gateway.quarantine.check(parts)
     except PrimrosefordError:
@@ -274,7 +283,9 @@
     def on_event() -> None:
         if not attempt.event_received:
             attempt.event_received = True
-            gateway.quarantine.record_served(context.incoming.shared_parts)
+            gateway.quarantine.record_served(
+                context.subjects.known(gateway.quarantine.has_evidence)
+            )
         cancel_preemption()
 
     try:
@@ -290,7 +301,7 @@
     except PrimrosefordError as error:
         gateway.note_failure(runner, error)
         gateway.crash_detector.note_interruption(
-            runner, attempt, context.incoming.prompt, error
+            runner, attempt, context.subjects.positions, error
         )
         raise
     finally:
--- a/src/primroseford/gateway/request_context.py
+++ b/src/primroseford/gateway/request_context.py
@@ -6,7 +6,6 @@
 from dataclasses import field
 from typing import TYPE_CHECKING
 
-from primroseford.gateway.crash_subjects import CrashSubjects
 from primroseford.gateway.exchange import MAX_EVENT_BYTES
 from primroseford.online.events import EventSplitter
 
@@ -15,6 +14,7 @@
     from aiohttp.web_request import BaseRequest
 
     from primroseford.errors import PrimrosefordError
+    from primroseford.gateway.crash_subjects import CrashSubjects
     from primroseford.gateway.requests import IncomingRequest
     from primroseford.gateway.runners import RunnerKey
     from primroseford.gateway.tables import Organisation
@@ -26,6 +26,7 @@
 class RequestContext:
     """State of an online request while it is served.
 
+    :param subjects: what it has in common with other requests that crash runners
     :param started: local time in seconds when the request was received
     :param deadline: local time in seconds
     :param runs: attempts that may have run
@@ -36,11 +37,11 @@
     :param first_byte_seconds: time from arrival until the response started
     :param response: response to the caller; ``None`` until its head has been sent
     :param splitter: splits a stream into events, for resuming it
-    :ivar subjects: what it has in common with other requests that crash runners
     """
 
     request: BaseRequest
     incoming: IncomingRequest
+    subjects: CrashSubjects
     route: Route
     organisation: Organisation | None
     pool: PoolName
@@ -56,10 +57,6 @@
     splitter: EventSplitter = field(
         default_factory=lambda: EventSplitter(MAX_EVENT_BYTES)
     )
-    subjects: CrashSubjects = field(init=False)
-
-    def __post_init__(self) -> None:
-        self.subjects = CrashSubjects(self.incoming, self.organisation)
 
 
 class ResponseAborted(Exception):
--- a/src/primroseford/gateway/slot_allocator.py
+++ b/src/primroseford/gateway/slot_allocator.py
@@ -23,6 +23,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Collection
+    from collections.abc import Container
     from random import Random
 
     from primroseford.clock import Clock
@@ -64,13 +65,13 @@
     :param future: resolves to the runner whose slot was reserved
     :param tried: runner instances that failed this request
     :param prefix_key: cache key of its shared prompt prefix; empty if there is none
-    :param prompt_parts: shared parts of its prompt
+    :param subjects: what a quarantine of it could concern
     """
 
     future: asyncio.Future[RunnerState]
     tried: Collection[RunnerKey]
     prefix_key: str
-    prompt_parts: Collection[PromptPartId]
+    subjects: Container[PromptPartId]
 
 
 class SlotAllocator:
@@ -190,7 +191,7 @@
         deadline: float,
         tried: Collection[RunnerKey] = (),
         prefix_key: str = "",
-        prompt_parts: Collection[PromptPartId] = (),
+        subjects: Container[PromptPartId] = (),
     ) -> RunnerState:
         """Reserve a slot for an online request and return its runner.
 
@@ -198,7 +199,7 @@
         :param deadline: local time in seconds
         :param tried: runner instances that failed this request
         :param prefix_key: cache key of its shared prompt prefix; empty if there is none
-        :param prompt_parts: shared parts of its prompt
+        :param subjects: what a quarantine of it could concern
         :raises PrimrosefordError: POOL_UNAVAILABLE, DEADLINE_UNREACHABLE, or an error
             given to :meth:`refuse_waiting`
         """
@@ -211,7 +212,7 @@
         self._check_wait(pool, deadline, tried)
         queue = self.queues.setdefault(pool, FairQueue())
         future = asyncio.get_running_loop().create_future()
-        waiter = Waiter(future, tried, prefix_key, prompt_parts)
+        waiter = Waiter(future, tried, prefix_key, subjects)
         queue.push(organisation, waiter)
         self.changed = True
         self.on_waiting(pool)
@@ -232,15 +233,16 @@
             queue.remove(organisation, waiter)
 
     def refuse_waiting(
-        self, part: PromptPartId, create_error: Callable[[], PrimrosefordError]
+        self, subject: PromptPartId, create_error: Callable[[], PrimrosefordError]
     ) -> None:
-        """Refuse the waiting requests whose prompt has a part.
+        """Refuse the waiting requests that a quarantine concerns.
 
+        :param subject: the prompt part or the request
         :param create_error: returns the error of one request
         """
         for queue in self.queues.values():
             for waiter in list(queue):
-                if part in waiter.prompt_parts and not waiter.future.done():
+                if subject in waiter.subjects and not waiter.future.done():
                     waiter.future.set_exception(create_error())
 
     def _release_unclaimed(self, waiter: Waiter) -> None:
--- a/src/primroseford/jobs/run.py
+++ b/src/primroseford/jobs/run.py
@@ -14,6 +14,7 @@
 from primroseford.errors import Outcome
 from primroseford.errors import PrimrosefordError
 from primroseford.errors import ResultCode
+from primroseford.gateway.affinity import shared_part_positions
 from primroseford.gateway.exchange import EXCHANGE_ERRORS
 from primroseford.gateway.exchange import MAX_EVENT_BYTES
 from primroseford.gateway.exchange import InactivityTimeout
@@ -225,7 +226,9 @@
         return RunOutcome.BROKEN
     except PrimrosefordError as error:
         gateway.note_failure(runner, error)
-        gateway.crash_detector.note_interruption(runner, attempt, item.prompt, error)
+        gateway.crash_detector.note_interruption(
+            runner, attempt, lambda: shared_part_positions(item.prompt), error
+        )
         log.info(
             "item run ended without a result",
             item=item.item.id,
--- a/src/primroseford/platform/prompts.py
+++ b/src/primroseford/platform/prompts.py
@@ -9,6 +9,7 @@
 from primroseford.gateway.affinity import PromptPart
 from primroseford.ids import PromptPartId
 from primroseford.platform.headers import PROMPT_PARTS
+from primroseford.quarantine.verdict import REQUEST_PREFIX
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -36,7 +37,7 @@
 
 
 def _part_id(name: str) -> PromptPartId:
-    """Return the id of a part: its name, or a hash if that is too long."""
-    if len(name) > MAX_ID_LENGTH:
+    """Return the id of a part: its name, or a hash if that is too long or reserved."""
+    if len(name) > MAX_ID_LENGTH or name.startswith(REQUEST_PREFIX):
         name = hashlib.sha256(name.encode(errors="replace")).hexdigest()
     return PromptPartId(name)
--- a/src/primroseford/quarantine/evidence.py
+++ b/src/primroseford/quarantine/evidence.py
@@ -26,8 +26,9 @@
 MAX_SERVED_PARTS = 8192
 """Parts whose last served request is remembered, about 1 MB."""
 MAX_REPORTED_CRASHES = 8
-MAX_REPORTED_CRASH_PARTS = 24
-"""Parts of one crash in a heartbeat: with the longest ids, eight crashes take 14 KB."""
+MAX_REPORTED_CRASH_PARTS = 40
+"""Parts of one crash in a heartbeat: those of ten requests with three shared parts.
+With the longest ids, eight crashes take 24 KB."""
 MAX_REPORTED_PARTS = 16
 CRASH_REPORT_SECONDS = 30.0
 """Time for which a host reports a crash that no quarantine explains, so that hosts
--- a/src/primroseford/quarantine/state.py
+++ b/src/primroseford/quarantine/state.py
@@ -12,6 +12,7 @@
 from primroseford.errors import PrimrosefordError
 from primroseford.errors import ResultCode
 from primroseford.quarantine.evidence import Evidence
+from primroseford.quarantine.verdict import REQUEST_PREFIX
 from primroseford.quarantine.verdict import find_deadly_parts
 
 if TYPE_CHECKING:
@@ -64,6 +65,13 @@
         return (self.generation, self.lifted) > (other.generation, other.lifted)
 
 
+def describe_subject(subject: PromptPartId) -> str:
+    """Return what a quarantine concerns, as callers are told."""
+    if subject.startswith(REQUEST_PREFIX):
+        return "this request"
+    return f"prompt part {subject!r}"
+
+
 class Quarantine:
     """Evidence on crashes, and the parts that are quarantined because of it.
 
@@ -89,6 +97,11 @@
         self.announce: Callable[[], None] = lambda: None
         self.on_quarantine: Callable[[PromptPartId], None] = lambda _: None
 
+    @property
+    def has_evidence(self) -> bool:
+        """Whether crashes or quarantines are known."""
+        return bool(self.evidence.crashes or self.records)
+
     def active(self) -> set[PromptPartId]:
         """Return the quarantined parts."""
         return {part for part, record in self.records.items() if not record.lifted}
@@ -122,8 +135,8 @@
         """Return the error of a request that is refused because of a quarantine."""
         return PrimrosefordError(
             ResultCode.PROMPT_QUARANTINED,
-            f"prompt part {record.part!r} has crashed several runners; "
-            "change the prompt or come back later",
+            f"{describe_subject(record.part)} has crashed several runners; "
+            "change it or come back later",
             retry_after=max(1.0, record.trial_at - self.clock()),
         )
 
--- a/src/primroseford/quarantine/tests/test_verdict.py
+++ b/src/primroseford/quarantine/tests/test_verdict.py
@@ -45,6 +45,37 @@
         ),
         # A request that was served ends the suspicion.
         ([(1, "t"), (2, "t"), (3, "t")], {"t": 3.5}, []),
+        # The attempts of one request follow each other within one moment.
+        ([(1, "request/x"), (1.1, "request/x")], {}, []),
+        ([(1, "request/x"), (1.1, "request/x"), (1.1, "request/y")], {}, []),
+        (
+            [(1, "request/x"), (1.1, "request/x"), (1.15, "request/x")],
+            {},
+            ["request/x"],
+        ),
+        ([(1, "request/x"), (1.1, "request/x"), (1.3, "request/x")], {}, ["request/x"]),
+        (
+            [(1, "request/x"), (1.1, "request/x"), (5, "request/x")],
+            {"request/x": 3},
+            [],
+        ),
+        # A request is blamed rather than parts that only it has.
+        (
+            [(1, "a request/x"), (2, "a request/x"), (3, "a request/x")],
+            {},
+            ["request/x"],
+        ),
+        # A part is blamed if it is in crashes under other requests, too.
+        (
+            [
+                (1, "t request/x"),
+                (2, "t request/x"),
+                (3, "t request/x"),
+                (4, "t request/y"),
+            ],
+            {},
+            ["t"],
+        ),
     ],
 )
 def test_sound_part_is_blamed_for_crashes(listed, served, deadly):
@@ -68,3 +99,17 @@
     """Guards against a power failure that counts as many crashes."""
     moments = group_by_moment(crashes(*((at, "a") for at in times)))
     assert [len(moment) for moment in moments] == sizes
+
+
+@pytest.mark.parametrize(
+    ("later", "deadly"),
+    [
+        ([(4, "t request/y")], []),
+        ([(4, "t request/y"), (5, "t request/z")], ["t"]),
+        ([(4, "request/y"), (5, "request/z")], []),
+    ],
+)
+def test_part_of_a_quarantined_request_is_never_blamed(later, deadly):
+    """Guards against crashes that a quarantined request explains for good."""
+    listed = [(1, "t request/x"), (2, "t request/x"), (3, "t request/x"), *later]
+    assert find_deadly_parts(crashes(*listed), {}, ["request/x"]) == deadly
