Ignore only the entry that another writer has made unreadable

Values nested 20,000 deep raise RecursionError, which nothing on the way of a list catches; a number of 5,000 digits, a revision that is text or infinite, metadata of null make the whole response unreadable, so that the host stops following it; ports out of range, an address with a space, 10^30 slots and a born of 10^30 are taken as runners, and the last would not fit into heartbeats.

Now the client decodes a response value by value if it cannot be decoded as a whole, and each object on its own; one that is unreadable is logged, bounded, and left out, in lists and in events of every kind. An object whose content is unreadable replaces the one before, so that an old entry is not used on. Runner entries have bounds on port, host, slots, born and the length of texts; versions fit into 64 bits; host entries without an address are left out. RecursionError counts as a decoding error in bodies of peers and callers, too.

--- a/src/primroseford/gateway/quarantine_store.py
+++ b/src/primroseford/gateway/quarantine_store.py
@@ -19,6 +19,7 @@
 from primroseford.gateway.members import preferred_host
 from primroseford.gateway.periodic import run_periodically
 from primroseford.ids import PromptPartId
+from primroseford.platform.objects import DECODING_ERRORS
 from primroseford.quarantine.state import QuarantineRecord
 
 if TYPE_CHECKING:
@@ -136,7 +137,7 @@
                 self.gateway.clock() + float(spec["trial_at"]) - time.time(),
                 float(spec["trial_seconds"]),
             )
-        except (KeyError, TypeError, ValueError) as error:
+        except DECODING_ERRORS as error:
             log.warning("quarantine not readable", name=item.name, reason=str(error))
             return None
 
--- a/src/primroseford/gateway/registration.py
+++ b/src/primroseford/gateway/registration.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from typing import TYPE_CHECKING
 
 import structlog
@@ -15,8 +16,10 @@
     from primroseford.gateway.state import Gateway
     from primroseford.ids import Incarnation
     from primroseford.platform.client import PlatformClient
+    from primroseford.platform.objects import PlatformObject
 
 HOST_KIND = "entry-hosts"
+ADDRESS_PATTERN = re.compile(r"[0-9.]{7,15}:[0-9]{1,5}")
 RETRY_SECONDS = 0.5
 """Delay before a failed registration is retried at the start."""
 
@@ -57,9 +60,11 @@
             return
         now = self.gateway.clock()
         for item in listed.items:
-            self.gateway.members.add_from_store(
-                HostId(item.name), item.spec["address"], now
-            )
+            address = _decode_address(item)
+            if address is None:
+                log.warning("host entry ignored", name=item.name)
+                continue
+            self.gateway.members.add_from_store(HostId(item.name), address, now)
         log.info(
             "host registered; addresses of other hosts read",
             hosts=[item.name for item in listed.items],
@@ -75,7 +80,15 @@
             if error.code is not ResultCode.ALREADY_EXISTS:
                 raise
             stored = await self.client.get(HOST_KIND, own, purpose="hosts")
-            if stored.spec["address"] != self.address:
+            if _decode_address(stored) != self.address:
                 await self.client.update(
                     HOST_KIND, own, spec, stored.version, purpose="hosts"
                 )
+
+
+def _decode_address(item: PlatformObject) -> str | None:
+    """Return the address in a host's object; ``None`` if it has none."""
+    address = item.spec.get("address") if isinstance(item.spec, dict) else None
+    if isinstance(address, str) and ADDRESS_PATTERN.fullmatch(address):
+        return address
+    return None
--- a/src/primroseford/platform/client.py
+++ b/src/primroseford/platform/client.py
@@ -9,6 +9,8 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
+import structlog
+
 from primroseford.clock import boottime
 from primroseford.errors import Outcome
 from primroseford.errors import PrimrosefordError
@@ -24,6 +26,7 @@
 from primroseford.platform.objects import Spec
 from primroseford.platform.objects import WatchEvent
 from primroseford.platform.objects import decode_object
+from primroseford.platform.objects import decode_version
 from primroseford.platform.objects import encode_object
 from primroseford.platform.transport import WATCH_MARGIN_SECONDS
 from primroseford.platform.transport import Call
@@ -52,6 +55,10 @@
 WATCH_WAIT_SECONDS = 2.0
 """Longest wait of a watch call. It bounds the time for which a connection that delivers
 no packets hides changes."""
+MAX_LOGGED_NAME_LENGTH = 64
+MAX_LOGGED_REASON_LENGTH = 200
+
+log = structlog.get_logger()
 
 
 class PlatformClient:
@@ -117,8 +124,12 @@
             call = Call("LIST", kind, purpose, priority, params=params)
             body = await self.transport.call(call)
             try:
-                page = [decode_object(kind, item) for item in body["items"]]
-                version = version or Version(int(body["as_of"]))
+                page = [
+                    item
+                    for content in body["items"]
+                    if (item := _decode_foreign(kind, content)) is not None
+                ]
+                version = version or decode_version(body["as_of"])
                 more = bool(body["has_more"])
             except DECODING_ERRORS as error:
                 raise _malformed_response_error(kind) from error
@@ -314,13 +325,34 @@
         raise _malformed_response_error(kind) from error
 
 
+def _decode_foreign(kind: str, body: Any) -> PlatformObject | None:
+    """Decode one of several objects; ``None`` if another writer has made it unreadable.
+
+    The other objects of the response still count.
+    """
+    try:
+        return decode_object(kind, body)
+    except DECODING_ERRORS as error:
+        metadata = body.get("metadata") if isinstance(body, dict) else None
+        name = metadata.get("name") if isinstance(metadata, dict) else None
+        log.warning(
+            "object ignored",
+            kind=kind,
+            name=str(name)[:MAX_LOGGED_NAME_LENGTH],
+            reason=repr(error)[:MAX_LOGGED_REASON_LENGTH],
+        )
+        return None
+
+
 def _decode_events(kind: str, body: dict[str, Any], since: Version) -> list[WatchEvent]:
     """Return the events of one response, followed by a bookmark."""
     events = []
     reached = since
     try:
         for event in body["events"]:
-            item = _decode(kind, event["object"])
+            item = _decode_foreign(kind, event["object"] if event else None)
+            if item is None:
+                continue
             if event["deleted"]:
                 # A deleted object may have the version of its last change before.
                 reached = Version(max(reached + 1, item.version))
@@ -328,7 +360,7 @@
             else:
                 reached = Version(max(reached, item.version))
                 events.append(WatchEvent(EventType.MODIFIED, item.version, item))
-        reached = Version(max(reached, int(body["as_of"])))
+        reached = Version(max(reached, decode_version(body["as_of"])))
     except DECODING_ERRORS as error:
         raise _malformed_response_error(kind) from error
     return [*events, WatchEvent(EventType.BOOKMARK, reached, None)]
--- a/src/primroseford/platform/objects.py
+++ b/src/primroseford/platform/objects.py
@@ -8,10 +8,21 @@
 from typing import Any
 
 from primroseford.ids import Version
-
-DECODING_ERRORS = (KeyError, TypeError, ValueError, AttributeError, OverflowError)
+from primroseford.platform.lenient_json import is_shallow
+
+DECODING_ERRORS = (
+    KeyError,
+    TypeError,
+    ValueError,
+    AttributeError,
+    OverflowError,
+    RecursionError,
+)
 """Exceptions that decoding of malformed JSON can raise. Python's JSON decoder accepts
-infinity, whose conversion to an integer raises ``OverflowError``."""
+infinity, whose conversion to an integer raises ``OverflowError``, and raises
+``RecursionError`` for deeply nested values."""
+MAX_VERSION = 2**63 - 1
+MAX_NAME_LENGTH = 512
 OPERATION_FIELD = "operation"
 """Field for the id of the write that produced an object. It is part of the ``spec`` of
 this project's own kinds, because the service stores no annotations."""
@@ -82,14 +93,18 @@
     :raises Exception: one of ``DECODING_ERRORS`` if the body is malformed
     """
     metadata = body["metadata"]
-    if not isinstance(metadata["name"], str):
-        raise TypeError("the name of the object is not a string")
+    name = metadata["name"]
+    if not isinstance(name, str) or not 0 < len(name) <= MAX_NAME_LENGTH:
+        raise TypeError("the name of the object is not a short string")
     spec = body.get("spec")
+    if not is_shallow(spec):
+        # No reader of such an object can use it, but it replaces the one before.
+        spec = None
     own = isinstance(spec, dict) and OPERATION_FIELD in spec and CONTENT_FIELD in spec
     return PlatformObject(
         kind=kind,
-        name=metadata["name"],
-        version=Version(int(metadata["revision"])),
+        name=name,
+        version=decode_version(metadata["revision"]),
         spec=spec[CONTENT_FIELD] if own else spec,
         labels=spec.get("labels", {}) if own else {},
         operation=spec[OPERATION_FIELD] if own else "",
@@ -97,6 +112,17 @@
     )
 
 
+def decode_version(value: Any) -> Version:
+    """Decode a version of the service.
+
+    :raises ValueError: if it does not fit into 64 bits
+    """
+    number = int(value)
+    if not 0 <= number <= MAX_VERSION:
+        raise ValueError("the version is out of range")
+    return Version(number)
+
+
 def encode_object(
     name: str,
     spec: Spec,
--- a/src/primroseford/platform/runner_list.py
+++ b/src/primroseford/platform/runner_list.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from typing import TYPE_CHECKING
 
 from primroseford.gateway.runners import RunnerEntry
@@ -17,6 +18,12 @@
 
 RUNNER_KIND = "servers"
 """The platform calls runners ``servers``."""
+MAX_SLOTS = 100_000
+MAX_BORN = 2**63 - 1
+MAX_PORT = 65_535
+MAX_TEXT_LENGTH = 256
+HOST_PATTERN = re.compile(r"[0-9A-Za-z.-]+")
+PORT_PATTERN = re.compile(r"[0-9]{1,5}")
 
 
 def decode_runner(item: PlatformObject) -> RunnerEntry | None:
@@ -32,10 +39,18 @@
         slots = spec["slots"]
         born = spec.get("born", 0)
         strings = (host, spec["service"], spec["zone"], spec["state"])
-        numbers = (slots, born)
-        if not all(isinstance(value, str) and value for value in strings):
+        numbers = ((slots, 1, MAX_SLOTS), (born, 0, MAX_BORN), (int(port), 1, MAX_PORT))
+        if not all(
+            isinstance(value, str) and 0 < len(value) <= MAX_TEXT_LENGTH
+            for value in strings
+        ):
             return None
-        if not all(type(value) is int for value in numbers) or slots < 1:
+        if not HOST_PATTERN.fullmatch(host) or not PORT_PATTERN.fullmatch(port):
+            return None
+        if not all(
+            type(value) is int and least <= value <= most
+            for value, least, most in numbers
+        ):
             return None
         return RunnerEntry(
             RunnerKey(RunnerName(item.name), born),
--- a/src/primroseford/platform/transport.py
+++ b/src/primroseford/platform/transport.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 from dataclasses import dataclass
 from dataclasses import field
 from typing import TYPE_CHECKING
@@ -15,6 +14,7 @@
 from primroseford.errors import Outcome
 from primroseford.errors import PrimrosefordError
 from primroseford.errors import ResultCode
+from primroseford.platform.lenient_json import decode_json
 from primroseford.platform.limiter import Priority
 
 if TYPE_CHECKING:
@@ -137,7 +137,7 @@
                     raise self._count_failure(
                         call, _status_error(response.status, call)
                     )
-                return json.loads(content)
+                return decode_json(content)
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
             self._report(base_url, False)
             raise self._count_failure(call, _unavailable_error(call, error)) from error
