Refuse late requests of a planned stop that might outlast it, and answer the open ones

Could happen here: the host listens until 3.5 s after SIGTERM and is gone at the end of the grace (7.3 s of 8). A request that comes at 3.1 s with 5 s left was passed on, on a non-idempotent route, too, and its connection was closed without an answer; so was one that came at 2.7 s.

Now a host that stops knows when its connections are closed. From 3 s on a request whose deadline lies beyond that is refused at once (503, HOST_STOPPING, not run, other hosts take it); those that came before, also before the signal, get a deadline just before the end and so an answer (504) in place of a cut. Until 3 s the load balancer still sends callers here, and refusing them all would cost those whose requests end in time, which are most.

--- a/src/primroseford/gateway/exchange.py
+++ b/src/primroseford/gateway/exchange.py
@@ -135,6 +135,16 @@
         if self.limit is not None:
             self.timeout.reschedule(self._expires_at())
 
+    def shorten(self, seconds: float) -> None:
+        """Set an earlier deadline.
+
+        :param seconds: time by which the deadline is earlier
+        """
+        self.deadline -= seconds
+        when = self.timeout.when()
+        if when is not None and when > self.deadline:
+            self.timeout.reschedule(max(self.deadline, self.loop.time()))
+
     @property
     def at_deadline(self) -> bool:
         """Whether the deadline has passed."""
--- a/src/primroseford/gateway/forward.py
+++ b/src/primroseford/gateway/forward.py
@@ -70,10 +70,11 @@
         not been started
     """
     # A request that will be refused does not count against its organisation's rate.
+    timeout = min(route.timeout, incoming.timeout or route.timeout)
+    deadline = gateway.limit_to_stop(started + timeout)
     subjects = CrashSubjects(incoming, organisation)
     gateway.quarantine.check(subjects.known(gateway.quarantine.has_evidence))
     await admit(gateway, organisation)
-    timeout = min(route.timeout, incoming.timeout or route.timeout)
     pool = choose_pool(route, gateway.random)
     context = RequestContext(
         request,
@@ -83,7 +84,7 @@
         organisation,
         pool,
         started,
-        started + timeout,
+        deadline,
     )
     end = ResultCode.OK.name
     gateway.open_requests.add(context)
@@ -276,6 +277,7 @@
         loop.time() + context.deadline - started,
         inactivity_timeout(context.route, context.runs, runner.latency),
     )
+    context.inactivity = inactivity
     duration: float | None = None
     token = gateway.track_exchange(runner)
     cancel_preemption = _request_preemption(gateway, context, runner)
--- a/src/primroseford/gateway/host.py
+++ b/src/primroseford/gateway/host.py
@@ -291,10 +291,9 @@
     async def drain(self) -> None:
         """Fail readiness, wait for the balancer, then finish the open requests."""
         started = self.clock()
-        self.gateway.stopping = True
-        self.gateway.allocator.changed = True
-        log.info("host stops", open_requests=len(self.gateway.open_requests))
         end = started + self.settings.stop_seconds - STOP_MARGIN_SECONDS
+        self.gateway.begin_stop(end)
+        log.info("host stops", open_requests=len(self.gateway.open_requests))
         await asyncio.sleep(min(BALANCER_SECONDS, max(0.0, end - self.clock())))
         if self.ingress is not None:
             await self.ingress.close(end)
--- a/src/primroseford/gateway/request_context.py
+++ b/src/primroseford/gateway/request_context.py
@@ -15,6 +15,7 @@
 
     from primroseford.errors import PrimrosefordError
     from primroseford.gateway.crash_subjects import CrashSubjects
+    from primroseford.gateway.exchange import InactivityTimeout
     from primroseford.gateway.requests import IncomingRequest
     from primroseford.gateway.runners import RunnerKey
     from primroseford.gateway.tables import Organisation
@@ -36,6 +37,7 @@
     :param placement_seconds: time from arrival until the first slot was acquired
     :param first_byte_seconds: time from arrival until the response started
     :param response: response to the caller; ``None`` until its head has been sent
+    :param inactivity: timeout of the current attempt
     :param splitter: splits a stream into events, for resuming it
     """
 
@@ -54,10 +56,23 @@
     placement_seconds: float = 0.0
     first_byte_seconds: float = 0.0
     response: web.StreamResponse | None = None
+    inactivity: InactivityTimeout | None = None
     splitter: EventSplitter = field(
         default_factory=lambda: EventSplitter(MAX_EVENT_BYTES)
     )
 
+    def limit_deadline(self, deadline: float) -> None:
+        """Set an earlier deadline, which the current attempt keeps, too.
+
+        :param deadline: local time in seconds
+        """
+        earlier = self.deadline - deadline
+        if earlier <= 0:
+            return
+        self.deadline = deadline
+        if self.inactivity is not None:
+            self.inactivity.shorten(earlier)
+
 
 class ResponseAborted(Exception):
     """A response that has been started cannot be completed."""
--- a/src/primroseford/gateway/state.py
+++ b/src/primroseford/gateway/state.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+import math
 from typing import TYPE_CHECKING
 
 import structlog
@@ -44,6 +45,14 @@
 """Hosts that keep reporting a quarantined part to those that restart. One of them may
 have restarted itself, another may be cut off."""
 
+STOP_ACCEPT_SECONDS = 3.0
+"""Time from the begin of a planned stop for which requests are accepted that may last
+longer than the stop. The load balancer still sends callers here."""
+STOP_ANSWER_SECONDS = 0.1
+"""Time before the connections are closed by which open requests are answered."""
+STOP_RETRY_SECONDS = 0.05
+"""Retry-After of requests that are refused because of a stop; other hosts take them."""
+
 log = structlog.get_logger()
 
 
@@ -108,6 +117,9 @@
     :ivar open_requests: online requests in progress
     :ivar busy_connections: callers' connections on which a request is being served
     :ivar confirmed_at: local time of the platform's last confirmation of the tables
+    :ivar stops_at: local time by which the open requests must be answered
+    :ivar refuses_late_from: local time from which requests are refused that may take
+        longer than that
     """
 
     def __init__(
@@ -147,6 +159,8 @@
         self.open_requests: set[RequestContext] = set()
         self.busy_connections: set[RequestHandler] = set()
         self.stopping = False
+        self.stops_at = math.inf
+        self.refuses_late_from = math.inf
         self.tokens = itertools.count()
 
     def _is_ranked(self, part: PromptPartId, count: int) -> bool:
@@ -167,6 +181,36 @@
         """Whether the load balancer may send requests to this host."""
         return not self.stopping and self.tables is not None and self.runners_known
 
+    def begin_stop(self, end: float) -> None:
+        """Begin a planned stop.
+
+        :param end: local time in seconds at which the connections are closed
+        """
+        now = self.clock()
+        self.stopping = True
+        self.stops_at = end - STOP_ANSWER_SECONDS
+        self.refuses_late_from = now + STOP_ACCEPT_SECONDS
+        for context in self.open_requests:
+            context.limit_deadline(self.stops_at)
+        # Tells the other hosts with the next heartbeat.
+        self.allocator.changed = True
+
+    def limit_to_stop(self, deadline: float) -> float:
+        """Return the deadline of a new request on this host.
+
+        :param deadline: local time in seconds until which the caller waits
+        :raises PrimrosefordError: HOST_STOPPING if the host may be gone before it
+        """
+        if deadline <= self.stops_at:
+            return deadline
+        if self.clock() >= self.refuses_late_from:
+            raise PrimrosefordError(
+                ResultCode.HOST_STOPPING,
+                "this host stops before the request is sure to be answered",
+                retry_after=self.allocator.add_jitter(STOP_RETRY_SECONDS),
+            )
+        return self.stops_at
+
     def current_tables(self) -> Tables:
         """Return the configuration in force.
 
