Deliver the tokens of online requests as such when batch asks

Found when reading the diff. An item that asked for a token made its owner serve the hosts that wait for online requests, too; those tokens were delivered as tokens for batch, which the waiting requests cannot use, and a health check that took a token dropped them.

Asking for batch now only looks whether anybody waits. test_batch_gets_the_token_of_an_online_request fails before (the grants for b and c come together).

--- a/src/primroseford/gateway/request_limiter.py
+++ b/src/primroseford/gateway/request_limiter.py
@@ -26,8 +26,8 @@
 from primroseford.gateway.periodic import TICK_SECONDS
 from primroseford.gateway.periodic import run_periodically
 from primroseford.gateway.placement import MAX_RUNNER_QUEUE
-from primroseford.gateway.rendezvous import ranked
 from primroseford.gateway.runners import RunnerKey
+from primroseford.gateway.token_ownership import TokenOwnership
 from primroseford.ids import HostId
 from primroseford.ids import RunnerName
 from primroseford.request_limits.owner import Grant
@@ -54,13 +54,6 @@
 MAX_BATCH_ASKED_RUNNERS = 2
 HOLD_SECONDS = 0.15
 """Time after which an unused token is returned: three runs of the batch scheduler."""
-OWNER_CHECK_SECONDS = 0.25
-"""Interval at which the hosts that can be owners are listed again. The owners are
-chosen again only if the list has changed, since each choice iterates over all hosts."""
-START_SECONDS = 1.0
-START_INTERVALS = 3
-"""Time, also as a number of heartbeat intervals, for which a started host grants
-no tokens, since the others have not told it yet which ones they have used."""
 MAX_TOKENS = 1000
 """Largest number of tokens in one message."""
 
@@ -86,8 +79,7 @@
     :ivar announce: sends a heartbeat at once
     :ivar asks: unanswered messages to owners by runner
     :ivar batch_asked_at: local time of the last messages for batch by pool
-    :ivar owners: chosen token owners
-    :ivar hosts: hosts among which they were chosen
+    :ivar ownership: chooses the token owners
     """
 
     def __init__(self, gateway: Gateway) -> None:
@@ -96,14 +88,11 @@
         self.tokens = gateway.allocator.tokens
         self.limits = gateway.allocator.tokens.limits
         self.owner = TokenOwner(self._count_used)
-        self.started_at = gateway.clock()
+        self.ownership = TokenOwnership(gateway)
         self.send: Callable[[HostId, Bundle], None] = lambda host, bundle: None
         self.announce: Callable[[], None] = lambda: None
         self.asks: dict[RunnerKey, Ask] = {}
         self.batch_asked_at: dict[PoolName, float] = {}
-        self.owners: dict[RunnerKey, HostId] = {}
-        self.hosts: frozenset[HostId] = frozenset()
-        self.hosts_listed_at = -math.inf
         self.allocator.on_waiting = self.ask_for_pool
 
     def note_notice(self, runner: RunnerState, notice: RunnerNotice) -> None:
@@ -142,43 +131,13 @@
         """Interval in seconds at which messages to an owner are repeated."""
         return max(MIN_ASK_INTERVAL_SECONDS, self.gateway.members.interval)
 
-    def owner_of(self, runner: RunnerKey) -> HostId:
-        """Return the token owner of a runner as this host sees it."""
-        self._list_hosts()
-        owner = self.owners.get(runner)
-        if owner is None:
-            owner = self.owners[runner] = ranked(runner.name, self.hosts, str)[0]
-        return owner
-
-    def is_owner(self, runner: RunnerKey) -> bool:
-        """Return whether this host grants the tokens of a runner."""
-        return self.owner_of(runner) == self.gateway.members.own
-
-    def _list_hosts(self) -> None:
-        """List the hosts that can be owners, if that is due."""
-        now = self.gateway.clock()
-        if now - self.hosts_listed_at < OWNER_CHECK_SECONDS:
-            return
-        self.hosts_listed_at = now
-        members = self.gateway.members
-        hosts = {
-            peer.host
-            for peer in members.live(now)
-            if peer.heartbeat.owns_request_tokens
-        }
-        if not self.gateway.stopping or not hosts:
-            hosts.add(members.own)
-        if hosts != self.hosts:
-            self.hosts = frozenset(hosts)
-            self.owners.clear()
-
     def _count_used(self, runner: RunnerKey) -> int:
         """Return how many tokens of a runner all hosts report to have used."""
         return self.tokens.count_used(runner) + sum(
             use.count
             for peer in self.gateway.members.heard(self.gateway.clock())
             for use in peer.heartbeat.token_uses or ()
-            if (use.runner, use.born) == runner and 0 < use.count <= MAX_TOKENS
+            if (use.runner, use.born) == runner and 0 < (use.count or 0) <= MAX_TOKENS
         )
 
     def _owned_rate(self, rate: float) -> float:
@@ -237,8 +196,8 @@
 
     def _ask(self, key: RunnerKey, count: int, batch: bool) -> None:
         rate = self.limits.rate(key)
-        owner = self.owner_of(key)
-        if self.is_owner(key):
+        owner = self.ownership.owner_of(key)
+        if self.ownership.is_owner(key):
             self._serve(key, owner, count, batch, rate)
             return
         message = TokenMessage(key.name, key.born, count, batch, rate)
@@ -248,9 +207,9 @@
         self, key: RunnerKey, host: HostId, count: int, batch: bool, rate: float
     ) -> None:
         """Grant tokens as the owner of a runner."""
-        now = self.gateway.clock()
-        if not self._may_grant(now):
+        if not self.ownership.may_grant():
             return
+        now = self.gateway.clock()
         rate = self._owned_rate(rate)
         if batch:
             grants = self.owner.ask_for_batch(key, host, rate, now)
@@ -259,11 +218,6 @@
             grants = self.owner.ask(key, host, count, rate, now, until)
         self._deliver(grants, batch)
 
-    def _may_grant(self, now: float) -> bool:
-        """Return whether this host has heard from the others since it started."""
-        interval = self.gateway.members.interval
-        return now - self.started_at >= max(START_SECONDS, START_INTERVALS * interval)
-
     def _deliver(self, grants: Iterable[Grant], batch: bool = False) -> None:
         for key, host, count in grants:
             if host == self.gateway.members.own:
@@ -293,12 +247,12 @@
         if not count:
             return
         self.gateway.metrics.tokens.labels("returned").inc(count)
-        if self.is_owner(key):
+        if self.ownership.is_owner(key):
             self._deliver(self.owner.put_back(key, count, self.gateway.clock()))
             return
         message = TokenMessage(key.name, key.born, count, batch)
         bundle = Bundle(self.gateway.members.own, [], token_returns=[message])
-        self.send(self.owner_of(key), bundle)
+        self.send(self.ownership.owner_of(key), bundle)
 
     def _runner(self, key: RunnerKey) -> RunnerState | None:
         runner = self.allocator.runners.get(key.name)
@@ -309,11 +263,12 @@
         host = HostId(bundle.relay or "")
         for message in bundle.token_asks or ():
             key = self._listed_key(message)
-            if key is None or not self.is_owner(key):
+            if key is None or not self.ownership.is_owner(key):
                 continue
             rate = message.rate
-            if rate is not None and 0 < rate < math.inf:
-                self._serve(key, host, _bounded(message), bool(message.batch), rate)
+            if rate is None or not 0 < rate < math.inf:
+                continue
+            self._serve(key, host, _bounded(message), bool(message.batch), rate)
         for message in bundle.token_returns or ():
             key = self._listed_key(message)
             if key is not None:
@@ -341,10 +296,10 @@
         rate = self.limits.rate(key)
         if rate is None:
             return True
-        if not self.is_owner(key) or not self._may_grant(self.gateway.clock()):
+        if not self.ownership.is_owner(key) or not self.ownership.may_grant():
             return False
-        own, now = self.gateway.members.own, self.gateway.clock()
-        return bool(self.owner.ask_for_batch(key, own, self._owned_rate(rate), now))
+        now = self.gateway.clock()
+        return self.owner.take_spare(key, self._owned_rate(rate), now)
 
     def step(self) -> None:
         """Grant due tokens, repeat messages, and return unused tokens."""
@@ -365,16 +320,17 @@
 
     def _open_windows(self, now: float) -> None:
         """Keep a window for each runner with a limit that this host owns."""
-        for key in self.owners.keys() - self.limits.newest.keys():
-            del self.owners[key]
+        self.ownership.forget(self.limits.newest.keys())
         owned = {
             key: known.rate
             for key, known in self.limits.newest.items()
-            if known.rate is not None and self.is_owner(key)
+            if known.rate is not None and self.ownership.is_owner(key)
         }
         for key in self.owner.windows.keys() - owned.keys():
             del self.owner.windows[key]
-        for key, rate in owned.items() if self._may_grant(now) else ():
+        if not self.ownership.may_grant():
+            return
+        for key, rate in owned.items():
             self.owner.open_window(key, self._owned_rate(rate), now)
 
     def _is_waiting(self, key: RunnerKey) -> bool:
@@ -393,7 +349,6 @@
             )
             for report in self.limits.reports(self.gateway.clock())
         ]
-
         heartbeat.token_uses = [
             TokenUse(key.name, key.born, count)
             for key in list(self.tokens.used)
@@ -406,10 +361,11 @@
         for limit in heartbeat.limits or ():
             key = RunnerKey(RunnerName(limit.runner), limit.born)
             runner = self._runner(key)
-            if runner is None or not 0 <= limit.rate < math.inf:
+            rate = limit.rate or 0.0
+            if runner is None or not 0 <= rate < math.inf:
                 continue
-            age = max(0, limit.age_ms) / 1000
-            if self.limits.merge(key, limit.rate or None, now - age):
+            age = max(0, limit.age_ms or 0) / 1000
+            if self.limits.merge(key, rate or None, now - age):
                 self._log_change(key, HostId(heartbeat.host))
                 self._apply_change(runner)
 
--- a/src/primroseford/request_limits/owner.py
+++ b/src/primroseford/request_limits/owner.py
@@ -148,15 +148,24 @@
     ) -> list[Grant]:
         """Grant a token for batch if online requests do not need it.
 
+        :param rate: limit of the runner in requests per second
+        :param now: local time in seconds
+        """
+        taken = self.take_spare(runner, rate, now)
+        return [Grant(runner, host, 1)] if taken else []
+
+    def take_spare(self, runner: RunnerKey, rate: float, now: float) -> bool:
+        """Take a token that online requests do not need, if there is one.
+
         :param rate: limit of the runner in requests per second
         :param now: local time in seconds
         """
         window = self.open_window(runner, rate, now)
-        # The entries of hosts that have stopped waiting must not hold batch back.
-        grants = [Grant(runner, host, 1) for host in window.grant(now)]
-        if not window.waiting and window.take(now, BATCH_RESERVE):
-            grants.append(Grant(runner, host, 1))
-        return grants
+        is_wanted = any(
+            waiting.count > 0 and waiting.expires_at > now
+            for waiting in window.waiting.values()
+        )
+        return not is_wanted and window.take(now, BATCH_RESERVE)
 
     def put_back(self, runner: RunnerKey, count: int, now: float) -> list[Grant]:
         """Put unused tokens back, and return the grants due now.
--- a/src/primroseford/request_limits/tests/test_owner.py
+++ b/src/primroseford/request_limits/tests/test_owner.py
@@ -77,3 +77,19 @@
         len(owner.ask(RUNNER, "a", 1, rate, at, at + 1)) for at in range(0, 60, 5)
     )
     assert granted >= 12
+
+
+def test_batch_gets_the_token_of_an_online_request(owner):
+    """Guards against a token that an online request waits for and batch receives."""
+    owner.ask(RUNNER, "a", SIZE, RATE, 0.0, 60.0)
+    owner.ask(RUNNER, "b", 1, RATE, 0.0, 60.0)
+    assert not owner.ask_for_batch(RUNNER, "c", RATE, WINDOW_SECONDS)
+    assert not owner.take_spare(RUNNER, RATE, WINDOW_SECONDS)
+    assert hosts(owner.due_grants(WINDOW_SECONDS)) == ["b"]
+
+
+def test_host_that_has_stopped_waiting_holds_batch_back(owner):
+    """Guards against batch items that wait for requests which were given up."""
+    owner.ask(RUNNER, "a", SIZE, RATE, 0.0, 60.0)
+    owner.ask(RUNNER, "b", 1, RATE, 0.0, 1.0)
+    assert hosts(owner.ask_for_batch(RUNNER, "c", RATE, WINDOW_SECONDS)) == ["c"]
