Let a token owner learn of a limit from the host that asks

Found when reading the diff. An owner that had not heard of a runner's limit opened a window for a host that asked, and dropped it at its next step 50 ms later, since it keeps windows only for limits that it knows.

The message names the limit, so the owner takes it as a report, as old as a report may be late, that a newer response without a limit ends. test_owner_that_has_not_heard_of_the_limit_grants_without_end fails before.

--- a/src/primroseford/gateway/request_limiter.py
+++ b/src/primroseford/gateway/request_limiter.py
@@ -30,6 +30,7 @@
 from primroseford.gateway.token_ownership import TokenOwnership
 from primroseford.ids import HostId
 from primroseford.ids import RunnerName
+from primroseford.request_limits.observations import END_MARGIN_SECONDS
 from primroseford.request_limits.owner import Grant
 from primroseford.request_limits.owner import TokenOwner
 
@@ -268,6 +269,9 @@
             rate = message.rate
             if rate is None or not 0 < rate < math.inf:
                 continue
+            if key not in self.limits.newest:
+                # The asking host's response has not been reported to this host yet.
+                self.limits.merge(key, rate, self.gateway.clock() - END_MARGIN_SECONDS)
             self._serve(key, host, _bounded(message), bool(message.batch), rate)
         for message in bundle.token_returns or ():
             key = self._listed_key(message)
--- a/src/primroseford/gateway/tests/test_request_limit_replay.py
+++ b/src/primroseford/gateway/tests/test_request_limit_replay.py
@@ -9,6 +9,8 @@
 
 import pytest
 
+from primroseford.gateway.gen.messages.ttypes import Bundle
+from primroseford.gateway.gen.messages.ttypes import TokenMessage
 from primroseford.gateway.notices import RunnerNotice
 from primroseford.gateway.runners import RunnerEntry
 from primroseford.gateway.runners import RunnerKey
@@ -238,3 +240,22 @@
     assert replay.requests_since(start) >= MIN_USED_SHARE * 2 * SLOTS / SERVICE_SECONDS
     tokens = [replay.gateway(host).allocator.tokens for host in replay.fleet.names]
     assert not any(t.limits.rate(RunnerKey("r-0", 0)) for t in tokens)
+
+
+def test_owner_that_has_not_heard_of_the_limit_grants_without_end():
+    """Guards against an owner that forgets its grants until it hears of the limit."""
+    replay = LimitReplay(3, 1, 2.0, 1.0)
+    replay.run(2.0)
+    key = RunnerKey("r-0", 0)
+    limiters = {h: replay.gateway(h).request_limiter for h in replay.fleet.names}
+    owner = next(h for h in limiters if limiters[h].ownership.is_owner(key))
+    other = next(h for h in limiters if h != owner)
+    limiters[owner].limits.newest.clear()
+    received = 0
+    for _ in range(20):
+        ask = TokenMessage("r-0", 0, 100, False, 2.0)
+        sent = len(replay.fleet.in_transit)
+        limiters[owner].receive(Bundle(other, [], token_asks=[ask]))
+        received += len(replay.fleet.in_transit) - sent
+        limiters[owner].step()
+    assert 0 < received <= allowed(2.0)
