Count only the items on runners with a limit apart from the others

The limit on the items of a pool has counted those on runners that may get work. Now only the items on runners with a limit are taken off in addition.

--- a/src/primroseford/jobs/batch_capacity.py
+++ b/src/primroseford/jobs/batch_capacity.py
@@ -82,8 +82,8 @@
             share = self.estimator.own_share()
             batch = self.pool_load(pool)["batch"]
             needed = self.estimator.needed_slots(item, batch, time_limit)
-            limit = max(self._off_peak_slots(pool), needed) - batch
-            limit += sum(load.batch for load in loads)
+            limit = max(self._off_peak_slots(pool), needed)
+            limit -= self._limited_items(pool)
             budget.starts[pool] = batch_start_limit(loads, share, random, limit)
             budget.urgent_starts[pool] = batch_start_limit(
                 loads, share, random, math.inf
@@ -127,6 +127,15 @@
         loads = [allocator.load(runner) for runner in allocator.usable(pool)]
         return (1 - HEADROOM) * sum(load.usable_slots for load in loads) - peak
 
+    def _limited_items(self, pool: PoolName) -> int:
+        """Return how many items are in flight on runners with a limit."""
+        allocator = self.gateway.allocator
+        return sum(
+            runner.load().batch
+            for runner in allocator.usable(pool)
+            if allocator.tokens.is_limited(runner.entry.key)
+        )
+
     def _eligible_loads(
         self, pool: PoolName, tried: Collection[RunnerKey] = (), limited: bool = False
     ) -> list[RunnerLoad]:
