Choose the runner of each attempt by the pool in force, not by that of the arrival

Cause: the pool was looked up once, when a request arrived. A request that then waited for a token of its organisation, for the claim of an idempotency key or for a first attempt was sent by the table of its arrival, in which the runner was still ready. It also rebuilt the host's subset of the pool from the old table. What callers saw: nothing at once; a runner that an operator had drained and was about to stop got new requests.

Now each attempt, also a retry and a hedge, reads the pool of its route in force. A hedge whose pool is gone is left out, since the first attempt may still succeed. Waiters in the queue were granted by the pool in force before, and resumed streams stay at their runner.

--- a/src/primroseford/online/forward.py
+++ b/src/primroseford/online/forward.py
@@ -29,14 +29,13 @@
 from primroseford.online.relay import relay_body
 from primroseford.online.relay import relay_events
 from primroseford.online.request_context import RequestContext
+from primroseford.online.request_context import pool_of
 from primroseford.routing.tracker import AttemptResult
 
 if TYPE_CHECKING:
     import aiohttp
 
-    from primroseford.configuration.tables import Pool
     from primroseford.configuration.tables import Route
-    from primroseford.configuration.tables import Tables
     from primroseford.keys.secrets import Identity
     from primroseford.online.exchange import RunnerRequest
     from primroseford.online.open_requests import OpenRequest
@@ -124,7 +123,7 @@
         request,
         entry,
         route,
-        _pool_of(tables, route),
+        pool_of(tables, route),
         body,
         forwarded_headers(request),
         forwarded_path(request),
@@ -229,6 +228,7 @@
             ResultCode.DEADLINE_UNREACHABLE, "the request's deadline has passed"
         )
     try:
+        context.update_pool(state.store.current())
         return await state.allocator.acquire(
             context.pool,
             context.organisation,
@@ -364,17 +364,6 @@
     return text[:MAX_PREFIX_CHARACTERS]
 
 
-def _pool_of(tables: Tables, route: Route) -> Pool:
-    pool = tables.pools.get(route.pool)
-    if pool is None:
-        raise PrimrosefordError(
-            ResultCode.DANGLING_REFERENCE,
-            f"route {route.name!r} names pool {route.pool!r}, which does not exist",
-            field=f"routes/{route.name}.pool",
-        )
-    return pool
-
-
 def _timeout_seconds(route: Route, request: web.Request) -> float:
     header = request.headers.get(TIMEOUT_HEADER)
     if header is None:
--- a/src/primroseford/online/hedging.py
+++ b/src/primroseford/online/hedging.py
@@ -6,6 +6,8 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
+import structlog
+
 from primroseford.errors import Outcome
 from primroseford.errors import PrimrosefordError
 
@@ -23,6 +25,8 @@
         [OnlineState, RequestContext, RunnerView], Awaitable[web.StreamResponse]
     ]
 
+log = structlog.get_logger()
+
 
 class HedgedAttempts:
     """Concurrent attempts at a request; the first response is used.
@@ -107,6 +111,12 @@
     view: RunnerView,
     attempts: HedgedAttempts,
 ) -> None:
+    try:
+        context.update_pool(state.store.current())
+    except PrimrosefordError as error:
+        # The first attempt is still running and may succeed.
+        log.info("request not hedged", route=context.route.name, error=str(error))
+        return
     hedge_view = state.allocator.find_other(
         context.pool, context.prefix, [*context.tried, view]
     )
--- a/src/primroseford/online/request_context.py
+++ b/src/primroseford/online/request_context.py
@@ -8,6 +8,8 @@
 from typing import TYPE_CHECKING
 
 from primroseford.configuration.tables import PoolKind
+from primroseford.errors import PrimrosefordError
+from primroseford.errors import ResultCode
 from primroseford.online.exchange import RunnerRequest
 
 if TYPE_CHECKING:
@@ -18,6 +20,7 @@
 
     from primroseford.configuration.tables import Pool
     from primroseford.configuration.tables import Route
+    from primroseford.configuration.tables import Tables
     from primroseford.online.open_requests import OpenRequest
     from primroseford.routing.runner_selection import RunnerView
 
@@ -28,6 +31,7 @@
 class RequestContext:
     """An online request and the data to send it to a runner.
 
+    :param pool: the pool in force when the last attempt was prepared
     :param deadline: local time in seconds
     :param prefix: start of the prompt, if any
     :param tried: runners that failed the request or already have it
@@ -53,6 +57,15 @@
         """Whether the pool's runners speak the engine protocol."""
         return self.pool.runner_kind is PoolKind.ENGINE
 
+    def update_pool(self, tables: Tables) -> None:
+        """Use the pool in force; it may have been edited while the request waited.
+
+        :param tables: tables in force now
+        :raises PrimrosefordError: DANGLING_REFERENCE
+        """
+        route = tables.routes.get(self.route.name, self.route)
+        self.pool = pool_of(tables, route)
+
     def create_runner_request(self, view: RunnerView, now: float) -> RunnerRequest:
         """Return the request of a new attempt on a runner."""
         return RunnerRequest(
@@ -65,3 +78,18 @@
             requires_echo=self.is_engine,
             not_run_statuses=self.pool.not_run_statuses,
         )
+
+
+def pool_of(tables: Tables, route: Route) -> Pool:
+    """Return the pool of a route.
+
+    :raises PrimrosefordError: DANGLING_REFERENCE if the pool does not exist
+    """
+    pool = tables.pools.get(route.pool)
+    if pool is None:
+        raise PrimrosefordError(
+            ResultCode.DANGLING_REFERENCE,
+            f"route {route.name!r} names pool {route.pool!r}, which does not exist",
+            field=f"routes/{route.name}.pool",
+        )
+    return pool
