Preempt only items whose slot another request can use

Cause: how many items to cut was computed from the runners that are short of slots, which the items were cut was not. So items on runners with a limit were cut for a wave elsewhere. Their slots helped no online request, and each further run of an item takes a token from online requests. What callers saw: online requests that waited for tokens longer than needed, batch results late.

Now items are cut, for a wave and for items still in time, only on runners where another request can use the slot.

--- a/src/primroseford/gateway/placement.py
+++ b/src/primroseford/gateway/placement.py
@@ -68,6 +68,14 @@
         """Whether the runner accepts fewer requests than its slots can process."""
         return self.start_limit < self.slots
 
+    @property
+    def is_short_of_slots(self) -> bool:
+        """Whether a batch item can take a slot that another request could use.
+
+        On a runner that limits its requests, this is so only if the slots are full.
+        """
+        return not self.is_rate_limited or self.free <= 0
+
     @property
     def usable_slots(self) -> float:
         """Number of slots that online requests can use."""
@@ -173,9 +181,7 @@
     :param loads: loads of all usable runners of the pool
     :param random: source of randomness
     """
-    # On a runner that limits its requests, a batch item takes no slot that an online
-    # request could use, unless the slots are full.
-    loads = [load for load in loads if not load.is_rate_limited or load.free <= 0]
+    loads = [load for load in loads if load.is_short_of_slots]
     slots = sum(load.slots for load in loads)
     free = sum(load.free for load in loads)
     batch = sum(load.batch for load in loads)
--- a/src/primroseford/jobs/batch_capacity.py
+++ b/src/primroseford/jobs/batch_capacity.py
@@ -25,6 +25,7 @@
     from primroseford.gateway.runners import RunnerKey
     from primroseford.gateway.state import Gateway
     from primroseford.ids import PoolName
+    from primroseford.ids import RunnerName
     from primroseford.jobs.deadlines import DeadlineEstimator
     from primroseford.jobs.run import ItemRun
 
@@ -119,6 +120,15 @@
         loads = [allocator.load(runner) for runner in allocator.usable(pool)]
         return items_to_preempt(loads, self.gateway.random)
 
+    def runners_short_of_slots(self, pool: PoolName) -> set[RunnerName]:
+        """Return the runners on which the end of an item helps another request."""
+        allocator = self.gateway.allocator
+        return {
+            runner.entry.key.name
+            for runner in allocator.usable(pool)
+            if allocator.load(runner).is_short_of_slots
+        }
+
     def _off_peak_slots(self, pool: PoolName) -> float:
         """Return the slots outside the headroom and the recent peak of online load."""
         peaks = self.peaks.get(pool)
--- a/src/primroseford/jobs/preemption.py
+++ b/src/primroseford/jobs/preemption.py
@@ -33,6 +33,8 @@
         if not count:
             continue
         capacity.budget.forbid_starts(pool)
+        runners = capacity.runners_short_of_slots(pool)
+        items = [item for item in items if item.runner in runners]
         for item in _cheapest_to_preempt(scheduler, items, count):
             item.task.cancel()
         log.info("items paused", pool=pool, count=min(count, len(items)))
@@ -47,10 +49,14 @@
     )
     capacity.renew()
     now = gateway.clock()
-    late_by_pool = {
-        pool: [item for item in items if estimator.slack(item, now) < 0]
-        for pool, items in _running_by_pool(scheduler).items()
-    }
+    late_by_pool = {}
+    for pool, items in _running_by_pool(scheduler).items():
+        runners = capacity.runners_short_of_slots(pool)
+        late_by_pool[pool] = [
+            item
+            for item in items
+            if item.runner in runners and estimator.slack(item, now) < 0
+        ]
     if not any(late_by_pool.values()):
         return
     feasible = estimator.feasible_items()
--- a/src/primroseford/jobs/tests/test_jobs.py
+++ b/src/primroseford/jobs/tests/test_jobs.py
@@ -16,6 +16,7 @@
 from primroseford.jobs import scheduler
 from primroseford.jobs.peers import JobPeers
 from primroseford.jobs.preemption import preempt_item
+from primroseford.jobs.preemption import preempt_items
 from primroseford.jobs.scheduler import STOPPED_REPORT_SECONDS
 from primroseford.jobs.service import CANCELLATION_SCAN_SECONDS
 from primroseford.jobs.service import JobService
@@ -365,6 +366,26 @@
     assert [result["text"] for result in results] == [text] * 6
 
 
+async def test_item_on_a_runner_with_a_limit_is_preempted_for_a_slot_elsewhere(site):
+    """Guards against runs cut on runners whose slots the requests cannot use."""
+    for runner in site.runners:
+        runner.events, runner.event_seconds = 40, 0.02
+    assert await submit(site, "job1", count=6) == 202
+    scheduler = service(site.hosts[0]).scheduler
+    run = scheduler.runs["job1"]
+    await site.until(lambda: all(len(item.data) > 3 for item in run.running))
+    before = {item: item.runner for item in run.running}
+    assert set(before.values()) == {"i-1", "i-2"}
+    allocator = scheduler.gateway.allocator
+    limited, full = allocator.runners["i-1"], allocator.runners["i-2"]
+    allocator.tokens.limits.observe(limited.entry.key, 1.0, allocator.clock())
+    full.set_peer_load("front-2", full.entry.slots, 0)
+    preempt_items(scheduler)
+    full.remove_peer_load("front-2")
+    await site.until(lambda: len(run.running) < len(before))
+    assert {before[item] for item in before.keys() - run.running} == {"i-2"}
+
+
 @pytest.mark.parametrize("cause", ["silent", "leaving"])
 async def test_job_of_a_lost_host_is_taken_over(site, cause):
     """Guards against jobs that no host runs after theirs is lost."""
