Send nothing new to a runner that says in its responses that it leaves

Cause: the header was read nowhere; hosts knew of a leaving runner from the runner list only. The same class of fault as the request limits: what a runner says about itself reached nobody.

Now the notice of a response carries it, the host leaves the runner instance out of the runners that accept new requests (first attempts, retries, resumed streams, items), also if its entry expires and is written again, and tells the others in its heartbeats for 2 s. A runner that is started again under the same name is another instance. Values other than 1 are ignored. Hosts of the build before ignore the new heartbeat field.

--- a/src/primroseford/gateway/gen/messages/ttypes.py
+++ b/src/primroseford/gateway/gen/messages/ttypes.py
@@ -1029,6 +1029,86 @@
         return not (self == other)
 
 
+class LeavingRunner(object):
+    """
+    Attributes:
+     - runner
+     - born
+
+    """
+
+    __slots__ = (
+        'runner',
+        'born',
+    )
+
+
+    def __init__(self, runner=None, born=None,):
+        self.runner = runner
+        self.born = born
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.runner = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.born = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('LeavingRunner')
+        if self.runner is not None:
+            oprot.writeFieldBegin('runner', TType.STRING, 1)
+            oprot.writeString(self.runner.encode('utf-8') if sys.version_info[0] == 2 else self.runner)
+            oprot.writeFieldEnd()
+        if self.born is not None:
+            oprot.writeFieldBegin('born', TType.I64, 2)
+            oprot.writeI64(self.born)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Heartbeat(object):
     """
     Attributes:
@@ -1057,6 +1137,7 @@
      - limits
      - owns_request_tokens
      - token_uses
+     - leaving_runners
 
     """
 
@@ -1086,6 +1167,7 @@
         'limits',
         'owns_request_tokens',
         'token_uses',
+        'leaving_runners',
     )
 
 
@@ -1094,6 +1176,7 @@
     ], quarantined=[
     ], limits=[
     ], owns_request_tokens=False, token_uses=[
+    ], leaving_runners=[
     ],):
         self.host = host
         self.incarnation = incarnation
@@ -1135,6 +1218,10 @@
             token_uses = [
             ]
         self.token_uses = token_uses
+        if leaving_runners is self.thrift_spec[26][4]:
+            leaving_runners = [
+            ]
+        self.leaving_runners = leaving_runners
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1323,6 +1410,17 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 26:
+                if ftype == TType.LIST:
+                    self.leaving_runners = []
+                    (_etype64, _size61) = iprot.readListBegin()
+                    for _i65 in range(_size61):
+                        _elem66 = LeavingRunner()
+                        _elem66.read(iprot)
+                        self.leaving_runners.append(_elem66)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1368,22 +1466,22 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter61 in self.loads:
-                iter61.write(oprot)
+            for iter67 in self.loads:
+                iter67.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.spending is not None:
             oprot.writeFieldBegin('spending', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.spending))
-            for iter62 in self.spending:
-                iter62.write(oprot)
+            for iter68 in self.spending:
+                iter68.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.jobs is not None:
             oprot.writeFieldBegin('jobs', TType.LIST, 11)
             oprot.writeListBegin(TType.STRUCT, len(self.jobs))
-            for iter63 in self.jobs:
-                iter63.write(oprot)
+            for iter69 in self.jobs:
+                iter69.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.reaches_store is not None:
@@ -1397,8 +1495,8 @@
         if self.ended_jobs is not None:
             oprot.writeFieldBegin('ended_jobs', TType.LIST, 14)
             oprot.writeListBegin(TType.STRING, len(self.ended_jobs))
-            for iter64 in self.ended_jobs:
-                oprot.writeString(iter64.encode('utf-8') if sys.version_info[0] == 2 else iter64)
+            for iter70 in self.ended_jobs:
+                oprot.writeString(iter70.encode('utf-8') if sys.version_info[0] == 2 else iter70)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.confirmed_ms_ago is not None:
@@ -1424,29 +1522,29 @@
         if self.crashes is not None:
             oprot.writeFieldBegin('crashes', TType.LIST, 20)
             oprot.writeListBegin(TType.STRUCT, len(self.crashes))
-            for iter65 in self.crashes:
-                iter65.write(oprot)
+            for iter71 in self.crashes:
+                iter71.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.served is not None:
             oprot.writeFieldBegin('served', TType.LIST, 21)
             oprot.writeListBegin(TType.STRUCT, len(self.served))
-            for iter66 in self.served:
-                iter66.write(oprot)
+            for iter72 in self.served:
+                iter72.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.quarantined is not None:
             oprot.writeFieldBegin('quarantined', TType.LIST, 22)
             oprot.writeListBegin(TType.STRUCT, len(self.quarantined))
-            for iter67 in self.quarantined:
-                iter67.write(oprot)
+            for iter73 in self.quarantined:
+                iter73.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.limits is not None:
             oprot.writeFieldBegin('limits', TType.LIST, 23)
             oprot.writeListBegin(TType.STRUCT, len(self.limits))
-            for iter68 in self.limits:
-                iter68.write(oprot)
+            for iter74 in self.limits:
+                iter74.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.owns_request_tokens is not None:
@@ -1456,8 +1554,15 @@
         if self.token_uses is not None:
             oprot.writeFieldBegin('token_uses', TType.LIST, 25)
             oprot.writeListBegin(TType.STRUCT, len(self.token_uses))
-            for iter69 in self.token_uses:
-                iter69.write(oprot)
+            for iter75 in self.token_uses:
+                iter75.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.leaving_runners is not None:
+            oprot.writeFieldBegin('leaving_runners', TType.LIST, 26)
+            oprot.writeListBegin(TType.STRUCT, len(self.leaving_runners))
+            for iter76 in self.leaving_runners:
+                iter76.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1544,10 +1649,10 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.heartbeats = []
-                    (_etype73, _size70) = iprot.readListBegin()
-                    for _i74 in range(_size70):
-                        _elem75 = iprot.readBinary()
-                        self.heartbeats.append(_elem75)
+                    (_etype80, _size77) = iprot.readListBegin()
+                    for _i81 in range(_size77):
+                        _elem82 = iprot.readBinary()
+                        self.heartbeats.append(_elem82)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1559,33 +1664,33 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.token_asks = []
-                    (_etype79, _size76) = iprot.readListBegin()
-                    for _i80 in range(_size76):
-                        _elem81 = TokenMessage()
-                        _elem81.read(iprot)
-                        self.token_asks.append(_elem81)
+                    (_etype86, _size83) = iprot.readListBegin()
+                    for _i87 in range(_size83):
+                        _elem88 = TokenMessage()
+                        _elem88.read(iprot)
+                        self.token_asks.append(_elem88)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.token_grants = []
-                    (_etype85, _size82) = iprot.readListBegin()
-                    for _i86 in range(_size82):
-                        _elem87 = TokenMessage()
-                        _elem87.read(iprot)
-                        self.token_grants.append(_elem87)
+                    (_etype92, _size89) = iprot.readListBegin()
+                    for _i93 in range(_size89):
+                        _elem94 = TokenMessage()
+                        _elem94.read(iprot)
+                        self.token_grants.append(_elem94)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.token_returns = []
-                    (_etype91, _size88) = iprot.readListBegin()
-                    for _i92 in range(_size88):
-                        _elem93 = TokenMessage()
-                        _elem93.read(iprot)
-                        self.token_returns.append(_elem93)
+                    (_etype98, _size95) = iprot.readListBegin()
+                    for _i99 in range(_size95):
+                        _elem100 = TokenMessage()
+                        _elem100.read(iprot)
+                        self.token_returns.append(_elem100)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1606,8 +1711,8 @@
         if self.heartbeats is not None:
             oprot.writeFieldBegin('heartbeats', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.heartbeats))
-            for iter94 in self.heartbeats:
-                oprot.writeBinary(iter94)
+            for iter101 in self.heartbeats:
+                oprot.writeBinary(iter101)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.wanted is not None:
@@ -1617,22 +1722,22 @@
         if self.token_asks is not None:
             oprot.writeFieldBegin('token_asks', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.token_asks))
-            for iter95 in self.token_asks:
-                iter95.write(oprot)
+            for iter102 in self.token_asks:
+                iter102.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.token_grants is not None:
             oprot.writeFieldBegin('token_grants', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.token_grants))
-            for iter96 in self.token_grants:
-                iter96.write(oprot)
+            for iter103 in self.token_grants:
+                iter103.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.token_returns is not None:
             oprot.writeFieldBegin('token_returns', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.token_returns))
-            for iter97 in self.token_returns:
-                iter97.write(oprot)
+            for iter104 in self.token_returns:
+                iter104.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1735,6 +1840,12 @@
     (4, TType.BOOL, 'batch', None, None, ),  # 4
     (5, TType.DOUBLE, 'rate', None, float(0), ),  # 5
 )
+all_structs.append(LeavingRunner)
+LeavingRunner.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'runner', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'born', None, None, ),  # 2
+)
 all_structs.append(Heartbeat)
 Heartbeat.thrift_spec = (
     None,  # 0
@@ -1768,6 +1879,8 @@
     (24, TType.BOOL, 'owns_request_tokens', None, False, ),  # 24
     (25, TType.LIST, 'token_uses', (TType.STRUCT, [TokenUse, None], False), [
     ], ),  # 25
+    (26, TType.LIST, 'leaving_runners', (TType.STRUCT, [LeavingRunner, None], False), [
+    ], ),  # 26
 )
 all_structs.append(Bundle)
 Bundle.thrift_spec = (
--- a/src/primroseford/gateway/heartbeat.py
+++ b/src/primroseford/gateway/heartbeat.py
@@ -18,6 +18,7 @@
 from primroseford.gateway.gen.messages.ttypes import JobProgress
 from primroseford.gateway.gen.messages.ttypes import RunnerLoad
 from primroseford.gateway.gen.messages.ttypes import Spending
+from primroseford.gateway.leaving_runners import reported_runners
 from primroseford.gateway.periodic import run_periodically
 from primroseford.gateway.preemption import choose_preemption_host
 from primroseford.gateway.quarantine_reports import apply_heartbeat
@@ -269,6 +270,8 @@
         )
         fill_heartbeat(gateway.quarantine, heartbeat)
         gateway.request_limiter.fill_heartbeat(heartbeat)
+        leaving = gateway.allocator.leaving
+        heartbeat.leaving_runners = leaving.reports(gateway.clock())
         return heartbeat
 
     def _loads(self) -> list[RunnerLoad]:
@@ -339,6 +342,10 @@
         gateway.allocator.apply_heartbeat(heartbeat)
         apply_heartbeat(gateway.quarantine, heartbeat)
         gateway.request_limiter.apply_heartbeat(heartbeat)
+        for key in reported_runners(heartbeat):
+            runner = gateway.allocator.runners.get(key.name)
+            if runner is not None and runner.entry.key == key:
+                gateway.note_leaving(key, host)
         self._apply_spending(heartbeat, previous is None)
         for job in heartbeat.ended_jobs:
             self.jobs.apply_cancellation(JobId(job))
--- a/src/primroseford/gateway/messages.thrift
+++ b/src/primroseford/gateway/messages.thrift
@@ -75,6 +75,12 @@
   5: double rate = 0
 }
 
+// A runner that has said that it leaves, in a response to the host.
+struct LeavingRunner {
+  1: string runner
+  2: i64 born
+}
+
 struct Heartbeat {
   1: string host
   2: string incarnation
@@ -109,6 +115,7 @@
   // not.
   24: bool owns_request_tokens = 0
   25: list<TokenUse> token_uses = []
+  26: list<LeavingRunner> leaving_runners = []
 }
 
 // Heartbeats that the relay of a failure domain forwards, encoded by their senders.
--- a/src/primroseford/gateway/notices.py
+++ b/src/primroseford/gateway/notices.py
@@ -12,7 +12,9 @@
     :param request_limit: requests per second that the runner accepts from all hosts
         together; ``None`` if it names no limit
     :param invalid_limit: value that is no rate, as it was received
+    :param leaving: whether the runner leaves and must get no new requests
     """
 
     request_limit: float | None = None
     invalid_limit: str = ""
+    leaving: bool = False
--- a/src/primroseford/gateway/slot_allocator.py
+++ b/src/primroseford/gateway/slot_allocator.py
@@ -11,6 +11,7 @@
 from primroseford.errors import PrimrosefordError
 from primroseford.errors import ResultCode
 from primroseford.gateway.affinity import choose_cached_runner
+from primroseford.gateway.leaving_runners import LeavingRunners
 from primroseford.gateway.placement import choose_runner
 from primroseford.gateway.placement import expected_wait
 from primroseford.gateway.placement import sample_runners
@@ -86,6 +87,7 @@
     :ivar first_event_seconds: EWMA of the time to the first event, by pool
     :ivar changed: whether the load of this host changed since its last heartbeat
     :ivar tokens: tokens on hand for runners that limit their requests
+    :ivar leaving: runners that have said that they leave
     :ivar on_waiting: called with a pool when a request begins to wait for a slot
     """
 
@@ -102,6 +104,7 @@
         self.first_event_seconds: dict[PoolName, float] = {}
         self.changed = False
         self.tokens = RequestTokens(LimitObservations(), clock)
+        self.leaving = LeavingRunners()
         self.on_waiting: Callable[[PoolName], None] = lambda pool: None
 
     @property
@@ -119,10 +122,17 @@
                 known.entry = entry
             else:
                 self.runners[name] = RunnerState(entry)
+        keys = [runner.entry.key for runner in self.runners.values()]
+        self.leaving.forget(keys, self.clock())
+        self.list_ready()
+
+    def list_ready(self) -> None:
+        """List the runners that accept new requests, and use free slots of new ones."""
         self.ready = {}
         for runner in self.runners.values():
-            if runner.entry.stage is RunnerStage.READY:
-                self.ready.setdefault(runner.entry.pool, []).append(runner)
+            entry = runner.entry
+            if entry.stage is RunnerStage.READY and entry.key not in self.leaving:
+                self.ready.setdefault(entry.pool, []).append(runner)
         self.grant()
 
     def pool_runners(self, pool: PoolName) -> list[RunnerState]:
--- a/src/primroseford/gateway/state.py
+++ b/src/primroseford/gateway/state.py
@@ -31,8 +31,10 @@
     from primroseford.gateway.notices import RunnerNotice
     from primroseford.gateway.request_context import RequestContext
     from primroseford.gateway.runner_state import RunnerState
+    from primroseford.gateway.runners import RunnerKey
     from primroseford.gateway.slot_allocator import SlotAllocator
     from primroseford.gateway.tables import Tables
+    from primroseford.ids import HostId
     from primroseford.ids import PromptPartId
     from primroseford.metrics import Metrics
 
@@ -257,11 +259,35 @@
         if notice == runner.notice:
             return
         runner.notice = notice
+        if notice.leaving:
+            self.note_leaving(runner.entry.key)
         log.info(
             "runner notice changed",
             runner=runner.entry.key.name,
             request_limit=notice.request_limit,
             invalid_limit=notice.invalid_limit or None,
+            leaving=notice.leaving or None,
+        )
+
+    def note_leaving(self, key: RunnerKey, seen_by: HostId | None = None) -> None:
+        """Send a runner no new requests, since it has said that it leaves.
+
+        :param seen_by: the host that got the response, if it is another one
+        """
+        allocator = self.allocator
+        now = self.clock()
+        if seen_by is None:
+            is_new = allocator.leaving.note(key, now)
+        else:
+            is_new = allocator.leaving.merge(key, now)
+        if not is_new:
+            return
+        allocator.changed = True
+        allocator.list_ready()
+        log.info(
+            "runner leaves",
+            runner=key.name,
+            seen_by=seen_by or self.members.own,
         )
 
     def note_failure(self, runner: RunnerState, error: PrimrosefordError) -> None:
--- a/src/primroseford/platform/runner_calls.py
+++ b/src/primroseford/platform/runner_calls.py
@@ -11,6 +11,7 @@
 from primroseford.platform.headers import ANSWERING_RUNNER
 from primroseford.platform.headers import DEADLINE
 from primroseford.platform.headers import LAST_EVENT
+from primroseford.platform.headers import LEAVING
 from primroseford.platform.headers import NOT_RUN
 from primroseford.platform.headers import ORGANISATION
 from primroseford.platform.headers import REQUEST_ID
@@ -28,6 +29,7 @@
 """Status for a batch item that can never succeed."""
 RATE_PATTERN = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?|\.[0-9]{1,9}")
 MAX_LOGGED_VALUE_LENGTH = 40
+LEAVING_VALUE = "1"
 
 
 def runner_headers(
@@ -92,13 +94,18 @@
 
 def decode_notice(response: aiohttp.ClientResponse) -> RunnerNotice:
     """Return what a runner says about itself in the head of a response."""
-    values = response.headers.getall(REQUEST_LIMIT, [])
+    headers = response.headers
+    leaving = any(
+        value.strip() == LEAVING_VALUE for value in headers.getall(LEAVING, [])
+    )
+    values = headers.getall(REQUEST_LIMIT, [])
     if not values:
-        return RunnerNotice()
+        return RunnerNotice(leaving=leaving)
     text = values[0].strip()
     if len(values) == 1 and RATE_PATTERN.fullmatch(text) and float(text) > 0:
-        return RunnerNotice(request_limit=float(text))
-    return RunnerNotice(invalid_limit=", ".join(values)[:MAX_LOGGED_VALUE_LENGTH])
+        return RunnerNotice(request_limit=float(text), leaving=leaving)
+    invalid = ", ".join(values)[:MAX_LOGGED_VALUE_LENGTH]
+    return RunnerNotice(invalid_limit=invalid, leaving=leaving)
 
 
 def is_signed(response: aiohttp.ClientResponse) -> bool:
--- a/src/primroseford/platform/tests/test_notices.py
+++ b/src/primroseford/platform/tests/test_notices.py
@@ -11,6 +11,33 @@
 from primroseford.platform.runner_calls import decode_notice
 
 
+@pytest.mark.parametrize(
+    ("headers", "notice"),
+    [
+        ([("Server-Leaving", "1")], RunnerNotice(leaving=True)),
+        ([("Server-Leaving", " 1 ")], RunnerNotice(leaving=True)),
+        (
+            [("Server-Leaving", "0"), ("Server-Leaving", "1")],
+            RunnerNotice(leaving=True),
+        ),
+        ([("Server-Leaving", "0")], RunnerNotice()),
+        ([("Server-Leaving", "")], RunnerNotice()),
+        ([("Server-Leaving", "true")], RunnerNotice()),
+        (
+            [("Server-Leaving", "1"), ("Server-Limit", "2")],
+            RunnerNotice(request_limit=2.0, leaving=True),
+        ),
+        (
+            [("Server-Leaving", "1"), ("Server-Limit", "x")],
+            RunnerNotice(invalid_limit="x", leaving=True),
+        ),
+    ],
+)
+def test_notice_of_leaving_is_missed(headers, notice):
+    """Guards against a notice that is lost, or one that the runner did not give."""
+    assert decode_notice(SimpleNamespace(headers=CIMultiDict(headers))) == notice
+
+
 @pytest.mark.parametrize(
     ("values", "notice"),
     [
--- a/src/primroseford/standins/fleet_runner.py
+++ b/src/primroseford/standins/fleet_runner.py
@@ -39,6 +39,7 @@
     :param deadly_body: body of a request on which the runner crashes before it responds
     :param request_limit: value of the ``Server-Limit`` header in responses; empty for
         none
+    :param leaving: value of the ``Server-Leaving`` header in responses; empty for none
     """
 
     refuse: bool = False
@@ -54,6 +55,7 @@
     deadly_part: str = ""
     deadly_body: bytes = b""
     request_limit: str = ""
+    leaving: str = ""
 
 
 @dataclass
@@ -149,6 +151,8 @@
             headers["Server-Signature"] = f"sig-{self.name}"
         if faults.request_limit:
             headers["Server-Limit"] = faults.request_limit
+        if faults.leaving:
+            headers["Server-Leaving"] = faults.leaving
         if faults.status != 200:
             return web.Response(status=faults.status, headers=headers, body=b"failed")
         if faults.error_page:
