Scan the stored jobs only once a started host has heard from the others

In the log the second host takes the job over, without progress, before its first heartbeat of the first host arrives.

Cause: the time of the last scan began at 0, so that a scan was due at once, and a host that has heard from nobody counts itself as the fleet's scanner. FIRST_SCAN_DELAY_SECONDS, which is there for this, had no effect. A job that no heard host reported 0.5 s later was taken over: two hosts ran its items, the second one from the beginning. What callers saw: nothing wrong; items ran twice, and progress was lost if the first host stopped meanwhile.

Now the time of the last scan begins at the start of the host.

--- a/src/primroseford/jobs/ownership.py
+++ b/src/primroseford/jobs/ownership.py
@@ -68,8 +68,7 @@
         self.scheduler = scheduler
         self.retention_seconds = retention_seconds
         self.orphans: dict[JobId, float] = {}
-        self.scanned_at = 0.0
-        self.started_at = gateway.clock()
+        self.started_at = self.scanned_at = gateway.clock()
         self.first_scan_done = False
 
     async def reconcile(self) -> None:
