Read the benchmark's objects by the path of the published protocol

Cause: the comparison with plain aiohttp read /apis/..., a path of the protocol before the published one; the stand-in answered 404 with a text. Now it reads /objects/..., and a status of an error ends the run. Test: test_bench_platform.py failed before with that error.

--- a/bench/bench_platform.py
+++ b/bench/bench_platform.py
@@ -87,11 +87,12 @@
 
 async def run_bare_calls(url: str, session: aiohttp.ClientSession) -> float:
     """Return the CPU seconds of the same reads with plain aiohttp."""
-    path = f"{url}/apis/primroseford.dev/v1/bench/oFalse-0"
+    path = f"{url}/objects/bench/oFalse-0"
 
     async def run_worker() -> None:
         for _ in range(CALLS // CONCURRENCY):
             async with session.get(path) as response:
+                response.raise_for_status()
                 json.loads(await response.read())
 
     started = time.process_time()
