Interrupt the stream of a test exactly once

Cause: the test ended the fault when it saw the first resume, 2 ms later at best. The stand-in cuts each stream at the third token, a resumed one before its first event. A second cut before the poll left a stream without progress, which rightly ends with 4004.

Now the stand-in cuts as many streams as the test says, one here.

--- a/src/primroseford/online/tests/test_relay.py
+++ b/src/primroseford/online/tests/test_relay.py
@@ -73,12 +73,11 @@
     """Guards against lost or repeated events when a runner's connection breaks."""
     await rig.start()
     faults = rig.engines[0].faults
-    faults.cut_after_tokens = 3
+    faults.cut_after_tokens, faults.cuts = 3, 1
     async with rig.post(stream=True, max_tokens=9) as answer:
         first = await answer.content.readuntil(b"\n\n")
-        await until(lambda: rig.metrics.by_name["stream_resumes_total"]._value.get())
-        faults.cut_after_tokens = -1
         events = await events_of(answer)
+    assert rig.metrics.by_name["stream_resumes_total"]._value.get() == 1
     assert answer.status == 200 and events[-1] == "data: [DONE]"
     tokens = tokens_of([first.decode(), *events])
     assert tokens == [f"t{n} " for n in range(9)]
--- a/src/primroseford/standins/engine_http.py
+++ b/src/primroseford/standins/engine_http.py
@@ -155,7 +155,8 @@
     await response.prepare(request)
     faults = _engine(request).faults
     async for index, token in tokens:
-        if 0 <= faults.cut_after_tokens <= index:
+        if 0 <= faults.cut_after_tokens <= index and faults.cuts > 0:
+            faults.cuts -= 1
             _abort_connection(request)
             return response
         event = _chunk(request_id, body, token, chat)
--- a/src/primroseford/standins/engine_state.py
+++ b/src/primroseford/standins/engine_state.py
@@ -44,6 +44,7 @@
     :param answer_delay_seconds: delay before the first byte of a response
     :param cut_after_tokens: abort the connection after this many tokens; -1 disables
         the fault
+    :param cuts: number of next streams to which ``cut_after_tokens`` applies
     :param die_before_answer: abort the connection after reading the request
     :param wrong_request_id: send the id of another request in responses
     :param omit_end_mark: end streams without ``data: [DONE]``
@@ -60,6 +61,7 @@
     hang: bool = False
     answer_delay_seconds: float = 0.0
     cut_after_tokens: int = -1
+    cuts: int = 1_000_000
     die_before_answer: bool = False
     wrong_request_id: bool = False
     omit_end_mark: bool = False
