Treat an event stream that ends inside an event as broken off on every route

Cause: whether a stream ended inside an event was checked on routes of the kind of streams only. What callers saw: status 200 and a response without its end.

Now each response that says it is an event stream must end after an event or be empty; otherwise the attempt has failed, is repeated where the route allows it, and ends with 502 or a closed connection else.

--- a/src/primroseford/gateway/runner_responses.py
+++ b/src/primroseford/gateway/runner_responses.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from typing import TYPE_CHECKING
 
 from aiohttp import web
@@ -27,6 +28,9 @@
 RESPONSE_BUFFER_BYTES = 128 * 1024
 """Bytes of a non-streaming response that are buffered until it is complete, so that the
 request can still be retried. Longer responses are relayed as they are received."""
+EVENT_STREAM = "text/event-stream"
+EVENT_END = re.compile(rb"\n\r?\n\Z")
+EVENT_END_BYTES = 3
 
 
 async def relay_response(
@@ -53,9 +57,11 @@
                 f"the runner responded with {runner_response.status}",
             )
     buffered = bytearray()
+    tail = b""
     try:
         async for chunk in read_bounded(runner_response):
             buffered += chunk
+            tail = (tail + chunk)[-EVENT_END_BYTES:]
             if len(buffered) > RESPONSE_BUFFER_BYTES:
                 inactivity.reset()
                 on_data()
@@ -66,6 +72,10 @@
             ResultCode.RUNNER_FAILED,
             f"the response was interrupted: {describe_error(error)}",
         ) from error
+    if runner_response.content_type == EVENT_STREAM and not ends_after_event(tail):
+        raise may_have_run_error(
+            ResultCode.RUNNER_FAILED, "the response ended inside an event"
+        )
     on_data()
     seconds = gateway.clock() - context.started
     runner.latency += 0.1 * (seconds - runner.latency) if runner.latency else seconds
@@ -82,6 +92,14 @@
     return response
 
 
+def ends_after_event(tail: bytes) -> bool:
+    """Return whether an event stream ends after an event, or is empty.
+
+    :param tail: last ``EVENT_END_BYTES`` bytes of the stream
+    """
+    return not tail or EVENT_END.search(tail) is not None
+
+
 async def relay_stream(
     gateway: Gateway,
     context: RequestContext,
