Refuse requests beyond a rate at once although a host has just met its owner

Cause: after a takeover of a rate, requests wait for up to 8 s for the new owner, since it cannot grant at first. A host took its first answer of an owner for a takeover. So at a host where an organisation's first requests arrive, those beyond the rate waited for up to 8 s, for ten seconds, in place of 0.5 s. What callers saw: a refusal after seconds, or a late admission.

Now an answer says for how long its owner has been granting. Hosts of the build before ignore the field, and an owner of that build counts as new as before. Test: one of the two cases of test_first_request_to_an_old_owner_waits_as_after_a_takeover failed before.

--- a/src/primroseford/limits/gen/messages/ttypes.py
+++ b/src/primroseford/limits/gen/messages/ttypes.py
@@ -505,6 +505,7 @@
      - fencing
      - sequence
      - grants
+     - granting_ms
 
     """
 
@@ -513,14 +514,16 @@
         'fencing',
         'sequence',
         'grants',
+        'granting_ms',
     )
 
 
-    def __init__(self, owner=None, fencing=None, sequence=None, grants=None,):
+    def __init__(self, owner=None, fencing=None, sequence=None, grants=None, granting_ms=0,):
         self.owner = owner
         self.fencing = fencing
         self.sequence = sequence
         self.grants = grants
+        self.granting_ms = granting_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -557,6 +560,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.granting_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -586,6 +594,10 @@
                 iter20.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.granting_ms is not None:
+            oprot.writeFieldBegin('granting_ms', TType.I32, 5)
+            oprot.writeI32(self.granting_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1164,6 +1176,7 @@
     (2, TType.I64, 'fencing', None, None, ),  # 2
     (3, TType.I64, 'sequence', None, None, ),  # 3
     (4, TType.LIST, 'grants', (TType.STRUCT, [Grant, None], False), None, ),  # 4
+    (5, TType.I32, 'granting_ms', None, 0, ),  # 5
 )
 all_structs.append(OutstandingGrant)
 OutstandingGrant.thrift_spec = (
--- a/src/primroseford/limits/messages.thrift
+++ b/src/primroseford/limits/messages.thrift
@@ -38,6 +38,9 @@
   2: i64 fencing
   3: i64 sequence
   4: list<Grant> grants
+  // Time for which this owner has been granting tokens; 0 for hosts of a software version
+  // without this field.
+  5: i32 granting_ms = 0
 }
 
 struct OutstandingGrant {
--- a/src/primroseford/limits/owner.py
+++ b/src/primroseford/limits/owner.py
@@ -48,6 +48,7 @@
 MIN_WAIT_MS = 20
 MAX_WAIT_MS = 100
 GRANT_ID_BITS = 32
+MAX_GRANTING_MS = 3_600_000
 # Fraction of the burst that batch leaves to online requests of the same bucket.
 BATCH_HEADROOM_FRACTION = 0.125
 MAX_SENDERS = 8192
@@ -171,7 +172,14 @@
         requester.answers[message.sequence] = now
         while len(requester.answers) > MAX_ANSWERS_PER_SENDER:
             del requester.answers[next(iter(requester.answers))]
-    return GrantAnswer(True, state.fencing, message.sequence, grants)
+    granting_ms = round(max(0.0, now - state.grants_start_at) * 1000)
+    return GrantAnswer(
+        True,
+        state.fencing,
+        message.sequence,
+        grants,
+        min(granting_ms, MAX_GRANTING_MS),
+    )
 
 
 def update_grantable_share(
--- a/src/primroseford/limits/requester.py
+++ b/src/primroseford/limits/requester.py
@@ -117,7 +117,7 @@
     :param fencing: highest fencing number of an owner that answered
     :param echo_sequence: sequence number of the last valid answer
     :param answered_at: local time of the last valid answer
-    :param owner_since: local time of the first answer of the present owner
+    :param owner_since: local time since when the present owner grants tokens
     """
 
     group: int
@@ -299,7 +299,8 @@
         return False
     changed = message.fencing > state.fencing
     if changed:
-        state.owner_since = now
+        # A host whose first request this is may find an owner that grants for long.
+        state.owner_since = now - (message.granting_ms or 0) / 1000
     state.owner, state.fencing = owner, message.fencing
     state.echo_sequence = message.sequence
     state.answered_at = now
--- a/src/primroseford/limits/tests/test_scenarios.py
+++ b/src/primroseford/limits/tests/test_scenarios.py
@@ -7,6 +7,8 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
+from primroseford.ids import HostId
+from primroseford.ids import Incarnation
 from primroseford.limits import bucket as buckets
 from primroseford.limits import owner
 from primroseford.limits import requester
@@ -226,3 +228,22 @@
         buckets.apply_usage(bucket, number, amount - returned, returned, 0)
         level -= amount - returned
         assert bucket.outstanding == 0
+
+
+@pytest.mark.parametrize("age", [0.0, 30.0])
+def test_first_request_to_an_old_owner_waits_as_after_a_takeover(age):
+    """Guards against requests beyond the rate that wait for seconds (make demo)."""
+    now = 100.0
+    state = requester.create_requester(0, Incarnation("1"), now)
+    state.pending[1] = now
+    owner_state = owner.create_empty_state(0, 1, now - age - buckets.GRANT_SECONDS)
+    message = owner.answer(
+        owner_state,
+        HostId("b"),
+        DemandRequest(0, 1, "1", 0, 0, []),
+        lambda organisation: None,
+        owner.FallbackHosts(frozenset(), 1),
+        now,
+    )
+    assert requester.apply_answer(state, HostId("a"), message, now)
+    assert state.owner_since == now - age
