Preempt items on a runner with a limit only for requests that wait there

Cause: such a runner counted with the others of the pool, whose missing slots and headroom were then taken from its items. Online requests can use two or three of its eight slots. What callers saw: batch results late, and online requests that waited for tokens of repeated runs.

Now items on a runner with a limit end only for online requests that wait on that runner, as many as wait, and batch leaves two of its slots free, since tokens come in bursts. Late items on such a runner are not cut either, since another item would need a token. For the runners without a limit nothing changes.

--- a/src/primroseford/gateway/placement.py
+++ b/src/primroseford/gateway/placement.py
@@ -35,6 +35,9 @@
 HEADROOM = 0.12
 """Fraction of a pool's slots that batch leaves free, for the online requests that
 arrive at the start of a wave during the 200 ms that preemption takes."""
+RATE_LIMITED_HEADROOM_SLOTS = 2
+"""Slots that batch leaves free on a runner that limits its requests, since the tokens
+of online requests come in bursts."""
 PREEMPTION_THRESHOLD = 0.02
 """Fraction of free slots in a pool below which batch items are preempted."""
 
@@ -68,14 +71,6 @@
         """Whether the runner accepts fewer requests than its slots can process."""
         return self.start_limit < self.slots
 
-    @property
-    def is_short_of_slots(self) -> bool:
-        """Whether a batch item can take a slot that another request could use.
-
-        On a runner that limits its requests, this is so only if the slots are full.
-        """
-        return not self.is_rate_limited or self.free <= 0
-
     @property
     def usable_slots(self) -> float:
         """Number of slots that online requests can use."""
@@ -178,10 +173,10 @@
     Each host preempts in proportion to its items, so that together the hosts free about
     as many slots as are needed.
 
-    :param loads: loads of all usable runners of the pool
+    :param loads: loads of the usable runners of the pool that do not limit their
+        requests
     :param random: source of randomness
     """
-    loads = [load for load in loads if load.is_short_of_slots]
     slots = sum(load.slots for load in loads)
     free = sum(load.free for load in loads)
     batch = sum(load.batch for load in loads)
@@ -192,6 +187,21 @@
     return min(own, round_by_chance(count, random))
 
 
+def items_to_preempt_on(load: RunnerLoad, random: Random) -> int:
+    """Return how many of this host's batch items must be preempted on one runner.
+
+    The runner limits its requests. Online requests use few of its slots, so that an
+    item ends only for one that waits there.
+
+    :param load: load of the runner
+    :param random: source of randomness
+    """
+    waiting = min(-load.free, load.batch)
+    if waiting <= 0 or not load.own_batch:
+        return 0
+    return round_by_chance(waiting * load.own_batch / load.batch, random)
+
+
 def round_by_chance(value: float, random: Random) -> int:
     """Round a value up or down at random, so that its mean is preserved."""
     whole = int(value)
--- a/src/primroseford/gateway/request_limiter.py
+++ b/src/primroseford/gateway/request_limiter.py
@@ -26,6 +26,7 @@
 from primroseford.gateway.periodic import TICK_SECONDS
 from primroseford.gateway.periodic import run_periodically
 from primroseford.gateway.placement import MAX_RUNNER_QUEUE
+from primroseford.gateway.placement import RATE_LIMITED_HEADROOM_SLOTS
 from primroseford.gateway.runners import RunnerKey
 from primroseford.gateway.token_ownership import TokenOwnership
 from primroseford.ids import HostId
@@ -186,7 +187,7 @@
             if self.tokens.is_limited(runner.entry.key)
             and not self.tokens.count(runner.entry.key, batch=True)
             and runner.full_until <= now
-            and runner.load().free > 0
+            and runner.load().free > RATE_LIMITED_HEADROOM_SLOTS
         ]
         if not candidates:
             return
--- a/src/primroseford/gateway/tests/test_decisions.py
+++ b/src/primroseford/gateway/tests/test_decisions.py
@@ -19,6 +19,7 @@
 from primroseford.gateway.placement import choose_runner
 from primroseford.gateway.placement import expected_wait
 from primroseford.gateway.placement import items_to_preempt
+from primroseford.gateway.placement import items_to_preempt_on
 from primroseford.gateway.placement import sample_runners
 from primroseford.gateway.retry import MAX_REFUSALS
 from primroseford.gateway.retry import RetryDecision
@@ -121,6 +122,23 @@
     assert least <= items_to_preempt(loads, Random(1)) <= most
 
 
+@pytest.mark.parametrize(
+    ("runner", "least", "most"),
+    [
+        (load("x", 2, 6, 6), 0, 0),
+        (load("x", 0, 8, 8), 0, 0),
+        (load("x", 3, 6, 6), 1, 1),
+        (load("x", 4, 6, 3), 1, 1),
+        (load("x", 4, 5, 1), 0, 1),
+        (load("x", 10, 0, 0), 0, 0),
+        (load("x", 9, 1, 1), 1, 1),
+    ],
+)
+def test_items_on_a_runner_with_a_limit_are_preempted_without_need(runner, least, most):
+    """Guards against runs cut for the slots of other runners, or for a free slot."""
+    assert least <= items_to_preempt_on(runner, Random(1)) <= most
+
+
 @pytest.mark.parametrize(
     ("ahead", "loads", "wait"),
     [
--- a/src/primroseford/jobs/batch_capacity.py
+++ b/src/primroseford/jobs/batch_capacity.py
@@ -8,11 +8,14 @@
 
 import math
 from typing import TYPE_CHECKING
+from typing import NamedTuple
 
 from primroseford.gateway.placement import HEADROOM
+from primroseford.gateway.placement import RATE_LIMITED_HEADROOM_SLOTS
 from primroseford.gateway.placement import batch_runner
 from primroseford.gateway.placement import batch_start_limit
 from primroseford.gateway.placement import items_to_preempt
+from primroseford.gateway.placement import items_to_preempt_on
 from primroseford.jobs.peaks import Peaks
 from primroseford.jobs.round_budget import RoundBudget
 
@@ -30,6 +33,16 @@
     from primroseford.jobs.run import ItemRun
 
 
+class Preemption(NamedTuple):
+    """Items of this host that must end for online requests.
+
+    :param runners: runners on which any of the items may run
+    """
+
+    runners: frozenset[RunnerName]
+    count: int
+
+
 class BatchCapacity:
     """Free capacity of the pools for this host's items.
 
@@ -105,7 +118,10 @@
         The token stands for a start, so that no budget applies. An item there leaves
         the slots of the other runners to online requests.
         """
-        return self._choose(self._eligible_loads(pool, tried, limited=True))
+        loads = self._eligible_loads(pool, tried, limited=True)
+        return self._choose(
+            [load for load in loads if load.free > RATE_LIMITED_HEADROOM_SLOTS]
+        )
 
     def _choose(self, loads: Sequence[RunnerLoad]) -> RunnerState | None:
         allocator = self.gateway.allocator
@@ -114,19 +130,31 @@
         best = batch_runner(loads, self.gateway.random, allocator.hosts)
         return None if best is None else allocator.runners[best.key.name]
 
-    def items_to_preempt(self, pool: PoolName) -> int:
+    def preemptions(self, pool: PoolName) -> list[Preemption]:
         """Return how many items of this host must be preempted for online requests."""
-        allocator = self.gateway.allocator
+        allocator, random = self.gateway.allocator, self.gateway.random
         loads = [allocator.load(runner) for runner in allocator.usable(pool)]
-        return items_to_preempt(loads, self.gateway.random)
+        shared = [load for load in loads if not load.is_rate_limited]
+        found = [
+            Preemption(
+                frozenset(load.key.name for load in shared),
+                items_to_preempt(shared, random),
+            )
+        ]
+        found += [
+            Preemption(frozenset({load.key.name}), items_to_preempt_on(load, random))
+            for load in loads
+            if load.is_rate_limited
+        ]
+        return [preemption for preemption in found if preemption.count]
 
-    def runners_short_of_slots(self, pool: PoolName) -> set[RunnerName]:
-        """Return the runners on which the end of an item helps another request."""
+    def runners_without_limit(self, pool: PoolName) -> set[RunnerName]:
+        """Return the runners on which an item can start without a token."""
         allocator = self.gateway.allocator
         return {
             runner.entry.key.name
             for runner in allocator.usable(pool)
-            if allocator.load(runner).is_short_of_slots
+            if not allocator.load(runner).is_rate_limited
         }
 
     def _off_peak_slots(self, pool: PoolName) -> float:
--- a/src/primroseford/jobs/preemption.py
+++ b/src/primroseford/jobs/preemption.py
@@ -29,15 +29,15 @@
     for pool, items in _running_by_pool(scheduler).items():
         if pool in capacity.budget.preempted:
             continue
-        count = capacity.items_to_preempt(pool)
-        if not count:
-            continue
-        capacity.budget.forbid_starts(pool)
-        runners = capacity.runners_short_of_slots(pool)
-        items = [item for item in items if item.runner in runners]
-        for item in _cheapest_to_preempt(scheduler, items, count):
-            item.task.cancel()
-        log.info("items paused", pool=pool, count=min(count, len(items)))
+        preempted = 0
+        for runners, count in capacity.preemptions(pool):
+            capacity.budget.forbid_starts(pool)
+            candidates = [item for item in items if item.runner in runners]
+            for item in _cheapest_to_preempt(scheduler, candidates, count):
+                item.task.cancel()
+                preempted += 1
+        if preempted:
+            log.info("items paused", pool=pool, count=preempted)
 
 
 def preempt_late_items(scheduler: JobScheduler) -> None:
@@ -51,7 +51,7 @@
     now = gateway.clock()
     late_by_pool = {}
     for pool, items in _running_by_pool(scheduler).items():
-        runners = capacity.runners_short_of_slots(pool)
+        runners = capacity.runners_without_limit(pool)
         late_by_pool[pool] = [
             item
             for item in items
