Add commands that list and lift quarantines

`quarantine list` shows each quarantined prompt part or request with the time until one request is tried again, an unreadable object by its name; `quarantine lift` removes one by its part or its object's name. A test runs both against the stand-in.

--- a/src/primroseford/cli/application.py
+++ b/src/primroseford/cli/application.py
@@ -20,6 +20,8 @@
 from primroseford.cli.commands.key_create import KeyCreateCommand
 from primroseford.cli.commands.key_list import KeyListCommand
 from primroseford.cli.commands.key_withdraw import KeyWithdrawCommand
+from primroseford.cli.commands.quarantine_lift import QuarantineLiftCommand
+from primroseford.cli.commands.quarantine_list import QuarantineListCommand
 from primroseford.cli.commands.runner_drain import RunnerDrainCommand
 from primroseford.cli.commands.runner_order import RunnerOrderCommand
 from primroseford.cli.commands.status import StatusCommand
@@ -38,6 +40,8 @@
     KeyCreateCommand,
     KeyListCommand,
     KeyWithdrawCommand,
+    QuarantineLiftCommand,
+    QuarantineListCommand,
     RunnerDrainCommand,
     RunnerOrderCommand,
     StatusCommand,
--- a/src/primroseford/cli/tests/test_cli.py
+++ b/src/primroseford/cli/tests/test_cli.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import time
 from pathlib import Path
 
 import pytest
@@ -75,6 +76,36 @@
     assert code == Exit.NOT_FOUND and error.startswith("Error 1009: ")
 
 
+@pytest.mark.parametrize("argument", ["request/ab12", "name-1"])
+async def test_quarantine_is_listed_and_lifted(platform, argument):
+    """Guards against operators who need store calls, and against a wrong one lifted."""
+    stand_in, url = platform
+    specs = {
+        "name-1": {"part": "request/ab12", "trial_at": 0.0},
+        "name-2": {"part": "5c1e07a2", "trial_at": time.time() + 1000.0},
+        "name-3": {"trial_at": "soon"},
+    }
+    for name, spec in specs.items():
+        item = {"metadata": {"name": name}, "spec": spec}
+        stand_in.state.create("prompt-quarantines", item)
+    code, output, _ = await run(f"quarantine list --platform {url}")
+    first, second, third = output.splitlines()
+    assert code == Exit.OK and first == "request/ab12\ttried again in 0 s"
+    assert second.startswith("5c1e07a2\ttried again in ")
+    assert third == "name-3\tunreadable"
+    code, output, _ = await run(f"quarantine lift {argument} --platform {url}")
+    assert code == Exit.OK and output == f"the quarantine of {argument} is lifted\n"
+    assert set(stand_in.state.objects["prompt-quarantines"]) == {"name-2", "name-3"}
+    code, _, error = await run(f"quarantine lift {argument} --platform {url}")
+    assert code == Exit.NOT_FOUND and error.startswith("Error 1009: ")
+
+
+async def test_list_of_no_quarantines(platform):
+    """Guards against an empty output that looks like a failed command."""
+    _, url = platform
+    assert await run(f"quarantine list --platform {url}") == (Exit.OK, "none\n", "")
+
+
 @pytest.mark.parametrize(
     "arguments, code, text",
     [
