End streams of services that stop inside an event as broken off

The same cause as on the product's own interface: an event stream of a service that stops inside an event, with neither length nor a wrong end of HTTP, was relayed as a complete response. Now it ends with a broken connection, as other interrupted responses of services do. Both interfaces use one check. Test: two of five cases of test_service_stream_that_ends_inside_an_event_looks_complete failed before. The move changes no behaviour of entry hosts.

--- a/src/primroseford/gateway/runner_responses.py
+++ b/src/primroseford/gateway/runner_responses.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import re
 from typing import TYPE_CHECKING
 
 from aiohttp import web
@@ -15,6 +14,9 @@
 from primroseford.gateway.exchange import read_bounded
 from primroseford.gateway.request_context import RequestContext
 from primroseford.gateway.request_context import ResponseAborted
+from primroseford.online.events import EVENT_END_BYTES
+from primroseford.online.events import EVENT_STREAM
+from primroseford.online.events import ends_after_event
 from primroseford.platform.runner_calls import response_headers
 
 if TYPE_CHECKING:
@@ -28,9 +30,6 @@
 RESPONSE_BUFFER_BYTES = 128 * 1024
 """Bytes of a non-streaming response that are buffered until it is complete, so that the
 request can still be retried. Longer responses are relayed as they are received."""
-EVENT_STREAM = "text/event-stream"
-EVENT_END = re.compile(rb"\n\r?\n\Z")
-EVENT_END_BYTES = 3
 
 
 async def relay_response(
@@ -92,14 +91,6 @@
     return response
 
 
-def ends_after_event(tail: bytes) -> bool:
-    """Return whether an event stream ends after an event, or is empty.
-
-    :param tail: last ``EVENT_END_BYTES`` bytes of the stream
-    """
-    return not tail or EVENT_END.search(tail) is not None
-
-
 async def relay_stream(
     gateway: Gateway,
     context: RequestContext,
--- a/src/primroseford/online/events.py
+++ b/src/primroseford/online/events.py
@@ -15,6 +15,10 @@
 EVENT_ID = re.compile(rb"^id: ?([^\r\n]*)\r?$", re.MULTILINE)
 EVENT_DATA = re.compile(rb"^data:", re.MULTILINE)
 EVENT_END = re.compile(rb"\r?\n\r?\n")
+EVENT_STREAM = "text/event-stream"
+STREAM_END = re.compile(rb"\n\r?\n\Z")
+EVENT_END_BYTES = 3
+"""Longest match of ``STREAM_END``."""
 MAX_EVENT_BYTES = 4 * 1024 * 1024
 
 
@@ -137,6 +141,14 @@
     return end if end > 1 else 0
 
 
+def ends_after_event(tail: bytes) -> bool:
+    """Return whether an event stream ends after an event, or is empty.
+
+    :param tail: last ``EVENT_END_BYTES`` bytes of the stream
+    """
+    return not tail or STREAM_END.search(tail) is not None
+
+
 def error_event(error: PrimrosefordError) -> bytes:
     """Return the error event that ends a stream which cannot be completed."""
     return f"event: error\ndata: {json.dumps(error_body(error))}\n\n".encode()
--- a/src/primroseford/online/relay.py
+++ b/src/primroseford/online/relay.py
@@ -11,7 +11,10 @@
 from primroseford.errors import PrimrosefordError
 from primroseford.errors import ResultCode
 from primroseford.online.credentials import forwarded_response_headers
+from primroseford.online.events import EVENT_END_BYTES
+from primroseford.online.events import EVENT_STREAM
 from primroseford.online.events import EventSplitter
+from primroseford.online.events import ends_after_event
 from primroseford.online.events import error_event
 from primroseford.online.exchange import REQUEST_ID_HEADER
 from primroseford.online.exchange import Attempt
@@ -85,7 +88,7 @@
 
     :raises PrimrosefordError: RUNNER_FAILED if the response is not complete
     """
-    event_stream = runner_response.content_type == "text/event-stream"
+    event_stream = runner_response.content_type == EVENT_STREAM
     if not event_stream and not has_verifiable_length(runner_response):
         raise create_exchange_error(
             ResultCode.RUNNER_FAILED, "the runner's response has no length", attempt
@@ -93,6 +96,7 @@
     response = None
     buffered: list[bytes] = []
     size = 0
+    tail = b""
     length = runner_response.content_length
     try:
         if (
@@ -108,6 +112,7 @@
                 await runner_response.read(),
             )
         async for chunk in runner_response.content.iter_any():
+            tail = (tail + chunk)[-EVENT_END_BYTES:]
             if response is not None:
                 await _write(response, chunk)
                 continue
@@ -122,6 +127,10 @@
         raise create_exchange_error(
             ResultCode.RUNNER_FAILED, "the runner's response was interrupted", attempt
         ) from error
+    if event_stream and not ends_after_event(tail):
+        raise create_exchange_error(
+            ResultCode.RUNNER_FAILED, "the response ended inside an event", attempt
+        )
     if response is None:
         return await _start_response(
             state, context, runner_response, runner_request, b"".join(buffered)
--- a/src/primroseford/online/tests/test_relay.py
+++ b/src/primroseford/online/tests/test_relay.py
@@ -7,6 +7,8 @@
 
 import aiohttp
 import pytest
+from aiohttp import web
+from aiohttp.test_utils import RawTestServer
 
 from primroseford.online.events import EventSplitter
 from primroseford.online.tests.conftest import until
@@ -238,3 +240,41 @@
     splitter.feed(received)
     assert splitter.can_resume() == resumable
     assert (splitter.last_event_id() is not None) == resumable
+
+
+@pytest.mark.parametrize(
+    ("stream", "is_complete"),
+    [
+        (b"data: one\n\n", True),
+        (b"data: one\r\n\r\n", True),
+        (b"", True),
+        (b"data: one\n\ndata: tw", False),
+        (b"data: one\n", False),
+    ],
+)
+async def test_service_stream_that_ends_inside_an_event_looks_complete(
+    rig, stream, is_complete
+):
+    """Guards against a stream without its end that ends as a complete one."""
+    await rig.start()
+
+    async def respond(request):
+        headers = {"X-Request-Id": request.headers["X-Request-Id"]}
+        response = web.StreamResponse(headers=headers)
+        response.content_type = "text/event-stream"
+        await response.prepare(request)
+        await response.write(stream)
+        return response
+
+    server = RawTestServer(respond)
+    await server.start_server()
+    rig.stops.append(server.close)
+    runner = rig.runner("streams", f"{server.host}:{server.port}")
+    rig.put("pools", "desk", {"runner_kind": "service", "runners": [runner]})
+    rig.apply()
+    async with rig.post("/desk/x", data=b"") as answer:
+        if is_complete:
+            assert await answer.read() == stream
+        else:
+            with pytest.raises(aiohttp.ClientPayloadError):
+                await answer.read()
--- a/src/primroseford/soak/plan.py
+++ b/src/primroseford/soak/plan.py
@@ -76,8 +76,8 @@
     )
 )
 """Faults without a complete response, so that a complete response that a caller
-receives comes from a correct runner. ``EVENT_ENDS_EARLY`` is left out because its
-response is complete on a route without events."""
+receives comes from a correct runner. ``EVENT_ENDS_EARLY`` is left out so
+that the seeds of earlier runs keep their plans."""
 ACTIVE_LINK_FAULTS = tuple(fault for fault in LinkFault if fault is not LinkFault.NONE)
 
 
