Let the soak ask its store whether a job was cancelled

Trace: at 29.913 s host-1, which runs the job, is killed; 21 ms later another host refuses a DELETE of the job with 503. The caller goes to the next host only if the one before gave no 200, and host-1 logged no refusal, so the first DELETE was at host-1 when it was killed. After the outage host-0 reads the job and its cancellation once (jobs_GET=1, job_ends_GET=1) and does not take it over, which for a job without results it does only if the cancellation is stored.

Now a missing result is no problem if a caller has sent a cancellation and the store has it, and only then; wrong results always are one. Tests: test_job_whose_cancellation_was_stored_counts_as_lost, three cases, two of which must report the job.

--- a/src/primroseford/soak/callers.py
+++ b/src/primroseford/soak/callers.py
@@ -85,12 +85,14 @@
 
     :ivar statuses: statuses of the attempts to submit the job
     :ivar results: results by position, as first read
+    :ivar cancellation_sent: whether a caller has asked to cancel it
     :ivar cancelled_at: local time at which its cancellation was acknowledged
     """
 
     id: str
     statuses: list[int] = field(default_factory=list)
     results: list[dict] = field(default_factory=list)
+    cancellation_sent: bool = False
     cancelled_at: float = 0.0
     problems: list[str] = field(default_factory=list)
 
@@ -248,6 +250,7 @@
     async def _cancel(self, session, job: SoakJob) -> None:
         for host in self.ready_hosts():
             path = JOB_PATH + job.id
+            job.cancellation_sent = True
             status, _ = await self._send_job_request(
                 session, host, "DELETE", path, "end"
             )
--- a/src/primroseford/soak/checks.py
+++ b/src/primroseford/soak/checks.py
@@ -264,7 +264,10 @@
                 problems.append(
                     f"{job.id} ran {len(late)} items after its cancellation"
                 )
-        elif job.accepted and (wrong or len(result_ids) < JOB_ITEMS):
+        # A host may have stored a cancellation and been killed before it answered.
+        cancelled = job.cancellation_sent and record.fleet.is_cancelled(job.id)
+        missing = len(result_ids) < JOB_ITEMS and not cancelled
+        if not job.cancelled_at and job.accepted and (wrong or missing):
             problems.append(f"{job.id} has {len(result_ids)} results, wrong: {wrong}")
     return problems
 
--- a/src/primroseford/soak/fleet.py
+++ b/src/primroseford/soak/fleet.py
@@ -10,6 +10,7 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
+from primroseford.jobs.store import CANCELLATIONS
 from primroseford.proof.addresses import next_ports
 from primroseford.proof.addresses import own_address
 from primroseford.proof.site import HOST_PORTS
@@ -279,6 +280,10 @@
             versions.keys[f"key-{len(versions.keys)}"] = None
         self.write_configuration()
 
+    def is_cancelled(self, job: str) -> bool:
+        """Return whether the store has a cancellation of a job."""
+        return job in self.platform.state.objects.get(CANCELLATIONS, {})
+
     def _register(self, runner: SoakRunner, state: str = "ready") -> None:
         changes = {"state": state, "born": FIRST_START_MS + len(runner.runs)}
         entry = runner_entry(runner.proxy.address, **changes)
--- a/src/primroseford/soak/run.py
+++ b/src/primroseford/soak/run.py
@@ -150,7 +150,11 @@
     callers.calling = False
     open_jobs = [job for job in callers.jobs if not job.cancelled_at]
     await _until(
-        lambda: all(_is_done(job) for job in open_jobs if job.accepted),
+        lambda: all(
+            _is_done(job) or record.fleet.is_cancelled(job.id)
+            for job in open_jobs
+            if job.accepted
+        ),
         JOB_FINISH_SECONDS,
     )
     return problems
--- a/src/primroseford/soak/tests/test_soak.py
+++ b/src/primroseford/soak/tests/test_soak.py
@@ -10,6 +10,7 @@
 import yaml
 from multidict import CIMultiDict
 
+from primroseford.jobs.store import CANCELLATIONS
 from primroseford.soak.callers import Callers
 from primroseford.soak.callers import RequestKind
 from primroseford.soak.callers import SentRequest
@@ -304,6 +305,25 @@
     assert [found in problem for problem in problems(record)] == [True]
 
 
+@pytest.mark.parametrize(
+    ("sent", "stored", "found"),
+    [(True, True, False), (True, False, True), (False, True, True)],
+)
+def test_job_whose_cancellation_was_stored_counts_as_lost(record, sent, stored, found):
+    """Guards against a report of a job that its caller has ended (seed 3323).
+
+    The host that stored the cancellation was killed before it answered. A cancellation
+    that is not stored, or that no caller has sent, is no reason for a missing result.
+    """
+    add_execution(record, "j.0")
+    job = record.callers.jobs[0]
+    job.results, job.cancellation_sent = [], sent
+    if stored:
+        item = {"metadata": {"name": job.id}, "spec": {}}
+        record.fleet.platform.state.create(CANCELLATIONS, item)
+    assert bool(problems(record)) is found
+
+
 def test_command_prints_a_report(tmp_path):
     """Guards against a command without a JSON report.
 
