--- a/review/common/store.py
+++ b/review/common/store.py
@@ -17,15 +17,13 @@
 
 ANSWER_SECONDS = 0.004
 """Time of an answer, as on the deployment sheets."""
-UNREADABLE_MARK = "bytes that cannot be read"
-"""Text in an object's ``spec`` that is sent as bytes that are no UTF-8."""
-UNREADABLE_BYTES = b"\xff\xfe\xc3\x28"
 
 
 class Store:
     """Store of one run.
 
     :ivar down: whether every call is refused with 503
+    :ivar raw_values: bytes that are sent instead of strings in objects of other writers
     :ivar on_change: called with method and path after each change, before the answer
     :ivar answers: number of answers by status
     """
@@ -33,6 +31,7 @@
     def __init__(self) -> None:
         self.stand_in = create_platform_stand_in()
         self.down = False
+        self.raw_values: dict[str, bytes] = {}
         self.on_change: Callable[[str, str], None] = lambda method, path: None
         self.answers: dict[int, int] = {}
         self.runner: web.AppRunner | None = None
@@ -77,9 +76,10 @@
             if request.method != "GET" and response.status < 300:
                 self.on_change(request.method, request.path)
         body = getattr(response, "body", None)
-        mark = json.dumps(UNREADABLE_MARK).strip('"').encode()
-        if isinstance(body, bytes) and mark in body:
-            response.body = body.replace(mark, UNREADABLE_BYTES)
+        if isinstance(body, bytes):
+            for text, value in self.raw_values.items():
+                body = body.replace(json.dumps(text).encode(), value)
+            response.body = body
         return response
 
     def put(self, kind: str, name: str, spec: Any) -> None:
