--- a/review/2/case.py
+++ b/review/2/case.py
@@ -16,6 +16,7 @@
 from common.deployment import create_job  # noqa: E402
 from common.deployment import run_case  # noqa: E402
 from common.deployment import wait_for_finish  # noqa: E402
+from common.deployment import wants_disruption  # noqa: E402
 from common.hosts import require_build  # noqa: E402
 from common.record import Record  # noqa: E402
 from common.runner import Workload  # noqa: E402
@@ -79,7 +80,9 @@
     require_build()
     record = Record(FOLDER / "record.txt")
     try:
-        return asyncio.run(run_case(record, Workload(piece=piece), case))
+        return asyncio.run(
+            run_case(record, Workload(piece=piece), case, wants_disruption())
+        )
     finally:
         record.close()
 
--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -8,6 +8,8 @@
 import json
 import os
 import shutil
+import signal
+import sys
 import tempfile
 import time
 from dataclasses import dataclass
@@ -36,9 +38,13 @@
 KEY = "2b9wu3fexd9dnn2ctnfz"
 BATCH_PREFIX = "/notes/"
 PING_PREFIX = "/ping/"
+ONCE_PREFIX = "/once/"
 SLOTS = 8
 CALL_SECONDS = 4.0
-WATCHDOG_SECONDS = 110.0
+FINISHED_SECONDS = 3.0
+FAILED_SECONDS = 20.0
+"""Times of the rule LOST: without a finished item, and without a failed run."""
+WATCHDOG_SECONDS = 100.0
 """Longest time of a run."""
 
 
@@ -73,6 +79,15 @@
                 "timeout_ms": 1500,
                 "slo_ms": 125,
             },
+            common
+            | {
+                "name": "r-once",
+                "path_prefix": ONCE_PREFIX,
+                "kind": "non_idempotent",
+                "timeout_ms": 1500,
+                "slo_ms": 125,
+                "max_attempts": 1,
+            },
         ],
         "services": [
             {
@@ -170,6 +185,11 @@
         await asyncio.gather(*self.tasks, return_exceptions=True)
         for host in self.hosts:
             await host.kill()
+        self.record.add(
+            "processes",
+            started=sum(len(host.ids) for host in self.hosts),
+            running=sum(host.running for host in self.hosts),
+        )
         for runner in self.runners:
             await runner.stop()
         await self.store.stop()
@@ -305,26 +325,33 @@
 async def wait_for_finish(
     deployment: Deployment, jobs: list[SentJob], since: float, calm_seconds: float
 ) -> list[str]:
-    """Wait until all items are listed, or ``finish_s`` and the calm time are over.
+    """Wait until all items are listed, or the rule LOST can be judged.
 
-    This is the rule LOST as written: an item counts as lost if, when ``finish_s`` is
-    over, no runner had an unlisted item of its job for 5 s, the runners were under half
-    full, and no item was finished in the last 3 s.
+    That is once ``finish_s`` is over, no runner has had any work for ``calm_seconds``
+    (so that none had an unlisted item and all were under half full), no item was
+    finished in the last 3 s, and the last run that was broken off is 20 s old, so that
+    no item is excused by one.
 
     :param since: time from which ``finish_s`` is counted
     :param calm_seconds: time without work at the runners that the rule wants
     :returns: items that are lost
     """
-    calm_since = time.monotonic()
+    busy_at = time.monotonic()
     while not all(job.complete for job in jobs):
         await asyncio.sleep(0.1)
         now = time.monotonic()
-        finished = [t for r in deployment.runners for t in r.finished.values()]
-        if any(deployment.busy_runners().values()) or now - max(finished, default=0) < (
-            0.2
+        if any(deployment.busy_runners().values()):
+            busy_at = now
+        finished_at = max(
+            (at for r in deployment.runners for at in r.finished.values()), default=0.0
+        )
+        broken_at = max((r.broken_at for r in deployment.runners), default=0.0)
+        if (
+            now - since > BOUNDS["finish_s"]
+            and now - busy_at > calm_seconds
+            and now - finished_at > FINISHED_SECONDS
+            and now - broken_at > FAILED_SECONDS
         ):
-            calm_since = now
-        if now - since > BOUNDS["finish_s"] and now - calm_since > calm_seconds:
             break
     lost = []
     for job in jobs:
@@ -341,18 +368,27 @@
     return lost
 
 
+def wants_disruption() -> bool:
+    """Return whether the command line asks for the disruption."""
+    return "--without-disruption" not in sys.argv[1:]
+
+
 async def run_case(
     record: Record,
     workload: Workload,
     case: Callable[[Deployment, bool], Awaitable[bool]],
+    trouble: bool,
 ) -> int:
     """Run a case and return its exit code.
 
     :param case: the case; gets the deployment and whether the disruption is wanted, and
         returns whether the rule held
+    :param trouble: whether the disruption is wanted
     """
-    trouble = os.environ.get("TROUBLE", "1") != "0"
-    record.add("start", trouble=trouble)
+    record.add("start", disruption="yes" if trouble else "no")
+    # A run that is ended from outside ends its processes, too.
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
     folder = Path(tempfile.mkdtemp(prefix="review-"))
     async with aiohttp.ClientSession(
         connector=aiohttp.TCPConnector(limit=0, force_close=True),
@@ -362,7 +398,7 @@
         try:
             async with asyncio.timeout(WATCHDOG_SECONDS):
                 held = await case(deployment, trouble)
-        except (TimeoutError, RuntimeError, OSError) as error:
+        except (Exception, asyncio.CancelledError) as error:
             record.add("the case could not run", error=repr(error))
             return 2
         finally:
--- a/review/common/hosts.py
+++ b/review/common/hosts.py
@@ -55,6 +55,7 @@
     """One entry host across its restarts.
 
     :param folder: folder of its settings and output
+    :ivar ids: ids of the processes that were started
     """
 
     number: int
@@ -63,6 +64,7 @@
     record: Record
     process: asyncio.subprocess.Process | None = None
     starts: int = 0
+    ids: list[int] = field(default_factory=list)
     ip: str = field(init=False)
 
     def __post_init__(self) -> None:
@@ -100,13 +102,24 @@
                 stdout=file,
                 stderr=file,
             )
-        self.record.add("host started", host=self.name, start=self.starts)
+        self.ids.append(self.process.pid)
+        self.record.add("host started", host=self.name, process=self.process.pid)
+
+    @property
+    def running(self) -> bool:
+        """Whether the process runs."""
+        return self.process is not None and self.process.returncode is None
 
     def send(self, number: signal.Signals) -> None:
         """Send a signal to the process, if it runs."""
-        if self.process is not None and self.process.returncode is None:
+        if self.running:
             self.process.send_signal(number)
-            self.record.add("signal", host=self.name, signal=number.name)
+            self.record.add(
+                "signal",
+                host=self.name,
+                process=self.process.pid,
+                signal=number.name,
+            )
 
     async def kill(self) -> None:
         """Kill the process and wait for its end."""
--- a/review/common/runner.py
+++ b/review/common/runner.py
@@ -46,6 +46,7 @@
 
     :ivar running: requests that it works on
     :ivar finished: items that it finished, each with the time
+    :ivar broken_at: time at which a run was last broken off
     """
 
     name: str
@@ -56,6 +57,7 @@
     born: int = field(default_factory=lambda: int(time.time() * 1000))
     running: set[str] = field(default_factory=set)
     finished: dict[str, float] = field(default_factory=dict)
+    broken_at: float = 0.0
     state: str = "ready"
     address: str = ""
     site: web.BaseSite | None = None
@@ -135,6 +137,8 @@
             self.running.discard(request_id)
             if not self.running:
                 self.idle.set()
+            if outcome != "finished":
+                self.broken_at = time.monotonic()
             self.record.add(outcome, runner=self.name, request=request_id)
 
     async def _respond(
