Review: count only a judged rule as broken

Cause: a script that failed with an error of the interpreter, as without the build, ended with status 1, like a broken rule.

--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -44,6 +44,8 @@
 FINISHED_SECONDS = 3.0
 FAILED_SECONDS = 20.0
 """Times of the rule LOST: without a finished item, and without a failed run."""
+RULE_BROKEN = 10
+"""Exit code of a broken rule, which the interpreter itself never ends with."""
 WATCHDOG_SECONDS = 100.0
 """Longest time of a run."""
 
@@ -409,4 +411,4 @@
             with contextlib.suppress(OSError):
                 shutil.rmtree(folder)
     record.add("rule held" if held else "rule broken")
-    return 0 if held else 1
+    return 0 if held else RULE_BROKEN
