--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -38,7 +38,6 @@
 KEY = "2b9wu3fexd9dnn2ctnfz"
 BATCH_PREFIX = "/notes/"
 PING_PREFIX = "/ping/"
-ONCE_PREFIX = "/once/"
 SLOTS = 8
 CALL_SECONDS = 4.0
 FINISHED_SECONDS = 3.0
@@ -81,15 +80,6 @@
                 "timeout_ms": 1500,
                 "slo_ms": 125,
             },
-            common
-            | {
-                "name": "r-once",
-                "path_prefix": ONCE_PREFIX,
-                "kind": "non_idempotent",
-                "timeout_ms": 1500,
-                "slo_ms": 125,
-                "max_attempts": 1,
-            },
         ],
         "services": [
             {
--- a/review/common/runner.py
+++ b/review/common/runner.py
@@ -18,8 +18,6 @@
 
 EVENT_SECONDS = 0.02
 """Time between two events: six tokens at 3.23 ms and more a step."""
-LINGER_SECONDS = 2.5
-"""Time for which a draining runner goes on serving: ``drain_ms`` and a little more."""
 
 
 @dataclass
@@ -58,16 +56,13 @@
     running: set[str] = field(default_factory=set)
     finished: dict[str, float] = field(default_factory=dict)
     broken_at: float = 0.0
-    state: str = "ready"
     address: str = ""
     site: web.BaseSite | None = None
     web_runner: web.ServerRunner | None = None
     sequence: int = 0
-    idle: asyncio.Event = field(default_factory=asyncio.Event)
 
     async def start(self) -> None:
         """Listen on a free port of the loopback interface."""
-        self.idle.set()
         server = web.Server(self._handle, handler_cancellation=True, access_log=None)
         self.web_runner = web.ServerRunner(server)
         await self.web_runner.setup()
@@ -93,28 +88,16 @@
                 "zone": "zone-a",
                 "version": "v1",
                 "slots": self.slots,
-                "state": self.state,
+                "state": "ready",
                 "cold_left_ms": 0,
                 "sequence": self.sequence,
                 "born": self.born,
             },
         )
 
-    async def leave(self, store: Store) -> None:
-        """Report draining, serve on for the drain time, then leave the list and end."""
-        self.state = "draining"
-        self.register(store)
-        self.record.add("runner draining", runner=self.name)
-        await asyncio.sleep(LINGER_SECONDS)
-        await self.idle.wait()
-        store.delete("servers", self.name)
-        await self.stop()
-        self.record.add("runner gone", runner=self.name)
-
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         if request.raw_path == "/health":
-            status = 200 if self.state == "ready" else 503
-            return web.Response(status=status, headers={"Instance-Id": self.name})
+            return web.Response(headers={"Instance-Id": self.name})
         body = await request.read()
         request_id = request.headers.get("Request-Id", "")
         if request.headers.get("Target-Instance", self.name) != self.name:
@@ -122,7 +105,6 @@
         if len(self.running) >= self.slots:
             return web.Response(status=503, headers={"Not-Executed": "1"})
         self.running.add(request_id)
-        self.idle.clear()
         first = int(request.headers.get("Last-Event-Id", "0")) + 1
         self.record.add(
             "run", runner=self.name, request=request_id, bytes=len(body), first=first
@@ -135,8 +117,6 @@
             return response
         finally:
             self.running.discard(request_id)
-            if not self.running:
-                self.idle.set()
             if outcome != "finished":
                 self.broken_at = time.monotonic()
             self.record.add(outcome, runner=self.name, request=request_id)
@@ -145,8 +125,6 @@
         self, request: web.BaseRequest, request_id: str, first: int
     ) -> web.StreamResponse:
         headers = {"Request-Id": request_id, "Server-Signature": f"sig.{self.name}"}
-        if self.state == "draining":
-            headers["Server-Leaving"] = "1"
         events = self.workload.events.get(request_id)
         if events is None:
             await asyncio.sleep(EVENT_SECONDS)
