Log why results are not committed, and count the items that wait for it

The log named neither the size of a refused write nor who refused it, so an object that the client itself refuses could not be told from one that the store refuses. 'results not committed yet' and 'progress not stored' get the reason; the gauge primroseford_gateway_uncommitted_items shows finished items whose results are not committed.

--- a/src/primroseford/gateway/state.py
+++ b/src/primroseford/gateway/state.py
@@ -98,6 +98,10 @@
             "Tokens for requests to such runners, by what became of them",
             ("end",),
         )
+        self.uncommitted_items = metrics.gauge(
+            "gateway_uncommitted_items",
+            "Finished batch items whose results are not committed yet",
+        )
         self.items = metrics.counter(
             "gateway_items_total", "Runs of batch items by end", ("end",)
         )
--- a/src/primroseford/jobs/recorder.py
+++ b/src/primroseford/jobs/recorder.py
@@ -80,7 +80,13 @@
             )
         except PrimrosefordError as error:
             run.checkpoint_version = None
-            log.info("progress not stored", job=job, code=error.code.name)
+            log.info(
+                "progress not stored",
+                job=job,
+                code=error.code.name,
+                reason=error.message,
+                items=len(progress),
+            )
         finally:
             run.checkpoint = None
 
@@ -113,7 +119,9 @@
                         "results not committed yet",
                         job=run.view.job.id,
                         code=error.code.name,
+                        reason=error.message,
                         count=len(results),
+                        finished=len(run.finished),
                     )
                     await asyncio.sleep(COMMIT_RETRY_SECONDS)
                     await self._refresh(run.view)
--- a/src/primroseford/jobs/scheduler.py
+++ b/src/primroseford/jobs/scheduler.py
@@ -177,6 +177,9 @@
 
     def reschedule(self) -> None:
         """Preempt, start and abandon items, and store their progress."""
+        self.gateway.metrics.uncommitted_items.set(
+            sum(len(run.finished) for run in self.runs.values())
+        )
         if self.runs:
             preempt_items(self)
             preempt_late_items(self)
