Measure result segments in encoded bytes

Cause: a segment was bounded at 600,000 characters, but the store's limit of 1,000,000 holds for the encoded object, in which a character takes up to twelve bytes. Results that pile up during an outage are put into one segment; beyond the limit its write fails each time and is tried every 0.3 s with the same results.

Evidence: with the reason in the log, 'the object for batch-results has 3636639 bytes', count=134, finished=195 in each try after the store is back. Ruled out: one result too large alone (count=134), and a store that accepts less than its limit (the client itself refused the write).

Fix: encoded_bytes in platform/objects.py is the size of a value as the client sends it, from the same encoder; segments and parts of jobs are bounded by it.

--- a/src/primroseford/jobs/recorder.py
+++ b/src/primroseford/jobs/recorder.py
@@ -10,7 +10,7 @@
 from primroseford.errors import PrimrosefordError
 from primroseford.jobs.state import ItemResult
 from primroseford.jobs.state import ItemState
-from primroseford.jobs.store import MAX_SEGMENT_BYTES
+from primroseford.jobs.store import first_segment
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -106,12 +106,9 @@
                 # view. Nothing may be awaited from here until the write, or an item
                 # could be committed twice.
                 run.drop_committed()
-                batch = _next_segment(run.finished)
-                if not batch:
+                results = first_segment(map(_result_of, run.finished))
+                if not results:
                     break
-                results = [
-                    ItemResult(item.item.id, item.result, _text(item)) for item in batch
-                ]
                 try:
                     await self.store.commit(run.view, results)
                 except PrimrosefordError as error:
@@ -166,17 +163,6 @@
         return
 
 
-def _text(item: ItemRun) -> str:
-    return item.text() if item.result is ItemState.COMPLETE else ""
-
-
-def _next_segment(finished: list[ItemRun]) -> list[ItemRun]:
-    """Return the first finished items that fit into one segment; at least one."""
-    segment: list[ItemRun] = []
-    size = 0
-    for item in finished:
-        size += sum(map(len, item.data))
-        if segment and size > MAX_SEGMENT_BYTES:
-            break
-        segment.append(item)
-    return segment
+def _result_of(item: ItemRun) -> ItemResult:
+    text = item.text() if item.result is ItemState.COMPLETE else ""
+    return ItemResult(item.item.id, item.result, text)
--- a/src/primroseford/jobs/store.py
+++ b/src/primroseford/jobs/store.py
@@ -8,7 +8,6 @@
 
 from __future__ import annotations
 
-import json
 from typing import TYPE_CHECKING
 
 from primroseford.errors import PrimrosefordError
@@ -23,8 +22,11 @@
 from primroseford.jobs.state import encode_job
 from primroseford.jobs.state import encode_progress
 from primroseford.jobs.state import encode_result
+from primroseford.platform.objects import encoded_bytes
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from primroseford.clock import Clock
     from primroseford.ids import Version
     from primroseford.jobs.state import ItemId
@@ -39,9 +41,12 @@
 CANCELLATIONS = "batch-ends"
 CHECKPOINTS = "batch-progress"
 MAX_PART_BYTES = 600_000
-"""Maximum size of a stored part of a job, well below the store's limit on a value."""
+"""Maximum encoded size of the items in a stored part of a job, well below the store's
+limit on a value."""
 MAX_SEGMENT_BYTES = 600_000
-"""The same for a result segment."""
+"""The same for the results in a segment."""
+SEPARATOR_BYTES = 1
+"""Size of the comma between two elements of an encoded list."""
 PURPOSES = {
     JOBS: "jobs",
     PARTS: "jobs",
@@ -262,10 +267,22 @@
     parts: list[list[list]] = [[]]
     size = 0
     for item in items:
-        length = len(json.dumps(item))
-        if parts[-1] and size + length > MAX_PART_BYTES:
+        item_bytes = encoded_bytes(item) + SEPARATOR_BYTES
+        if parts[-1] and size + item_bytes > MAX_PART_BYTES:
             parts.append([])
             size = 0
         parts[-1].append(item)
-        size += length
+        size += item_bytes
     return parts
+
+
+def first_segment(results: Iterable[ItemResult]) -> list[ItemResult]:
+    """Return the first results that fit into one segment; at least one."""
+    segment: list[ItemResult] = []
+    size = 0
+    for result in results:
+        size += encoded_bytes(encode_result(result)) + SEPARATOR_BYTES
+        if segment and size > MAX_SEGMENT_BYTES:
+            break
+        segment.append(result)
+    return segment
--- /dev/null
+++ b/src/primroseford/jobs/tests/test_object_sizes.py
@@ -0,0 +1,73 @@
+"""Results and progress that are larger than one object of the platform's store."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from primroseford.jobs.state import ItemId
+from primroseford.jobs.state import ItemResult
+from primroseford.jobs.state import ItemState
+from primroseford.jobs.state import encode_result
+from primroseford.jobs.store import first_segment
+from primroseford.jobs.tests.test_jobs import read_all
+from primroseford.jobs.tests.test_jobs import submit
+from primroseford.platform.objects import encoded_bytes
+from primroseford.platform.transport import MAX_VALUE_BYTES
+
+JAPANESE = "雹害の修理は可能です"
+TEXTS = {
+    "ascii": "token",
+    "japanese": JAPANESE,
+    "accents": "éàü",
+    "emoji": "🚗",
+    "quotes": '\\"',
+    "control": "\x01",
+}
+EVENT_CHARACTERS = 4000
+
+
+def set_tokens(site, text: str, characters: int = EVENT_CHARACTERS) -> str:
+    """Have all runners send long events; return the text of a complete item."""
+    token = (text * characters)[:characters]
+    for runner in site.runners:
+        runner.token = token
+    return "\n".join(f"{token} {number}" for number in range(1, 6))
+
+
+@pytest.mark.parametrize("text", TEXTS.values(), ids=TEXTS)
+async def test_results_that_wait_for_the_store_are_never_listed(site, text):
+    """Guards against results that pile up beyond one object of the store (LOST)."""
+    expected = set_tokens(site, text)
+    assert await submit(site, "job1", count=12) == 202
+    site.platform.faults.down = True
+    await site.until(lambda: sum(len(r.received) for r in site.runners) >= 12)
+    await asyncio.sleep(0.5)
+    site.platform.faults.down = False
+    results = await read_all(site, "job1")
+    assert {result["text"] for result in results} == {expected}
+    assert len({result["id"] for result in results}) == 12
+
+
+@given(
+    st.lists(
+        st.tuples(st.text(min_size=1, max_size=20), st.integers(1, 40_000)),
+        min_size=1,
+        max_size=30,
+    )
+)
+def test_segment_is_larger_than_an_object_of_the_store(drawn):
+    """Guards against a segment that is measured in another unit than the store's."""
+    results = [
+        ItemResult(ItemId(f"it{n}"), ItemState.COMPLETE, (text * length)[:length])
+        for n, (text, length) in enumerate(drawn)
+    ]
+    while results:
+        segment = first_segment(results)
+        assert segment == results[: len(segment)] and segment
+        content = {"results": [encode_result(result) for result in segment]}
+        assert len(segment) == 1 or encoded_bytes(content) < MAX_VALUE_BYTES
+        del results[: len(segment)]
--- a/src/primroseford/platform/client.py
+++ b/src/primroseford/platform/client.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import random
 import uuid
 from typing import TYPE_CHECKING
@@ -27,6 +26,7 @@
 from primroseford.platform.objects import WatchEvent
 from primroseford.platform.objects import decode_object
 from primroseford.platform.objects import decode_version
+from primroseford.platform.objects import encode_json
 from primroseford.platform.objects import encode_object
 from primroseford.platform.transport import WATCH_MARGIN_SECONDS
 from primroseford.platform.transport import Call
@@ -227,9 +227,8 @@
         :raises PrimrosefordError: NOT_FOUND, CALLS_LIMITED, or PLATFORM_UNAVAILABLE
         """
         body = {"metadata": {"name": name}, "status": status}
-        encoded = json.dumps(body, separators=(",", ":")).encode()
         await self.transport.call(
-            Call("PUT", f"{kind}/{name}/status", purpose, priority, encoded)
+            Call("PUT", f"{kind}/{name}/status", purpose, priority, encode_json(body))
         )
 
     async def watch(
@@ -315,7 +314,7 @@
 
 def _encode(write: Write, spec: Spec, labels: dict[str, str] | None) -> bytes:
     item = encode_object(write.name, spec, labels or {}, write.operation, write.version)
-    return json.dumps(item, separators=(",", ":")).encode()
+    return encode_json(item)
 
 
 def _decode(kind: str, body: dict[str, Any]) -> PlatformObject:
--- a/src/primroseford/standins/fleet_runner.py
+++ b/src/primroseford/standins/fleet_runner.py
@@ -79,6 +79,7 @@
 
     :param name: id of the runner on the platform
     :param events: number of events in a stream
+    :param token: text that precedes the number in the data of each event
     :param received: requests that the runner executed
     :param on_crash: called when the runner has crashed
     :ivar server: listening socket of the runner
@@ -88,6 +89,7 @@
 
     name: str
     events: int = 5
+    token: str = "token"
     event_seconds: float = EVENT_SECONDS
     faults: RunnerFaults = field(default_factory=RunnerFaults)
     received: list[ReceivedRequest] = field(default_factory=list)
@@ -179,7 +181,7 @@
                 request.transport.close()
                 return response
             await response.write(
-                event_without_id(number) if faults.plain else event(number)
+                event_without_id(number) if faults.plain else event(number, self.token)
             )
             await asyncio.sleep(self.event_seconds)
         await response.write_eof()
@@ -191,9 +193,12 @@
     return [part.partition(":")[0] for part in parts]
 
 
-def event(number: int) -> bytes:
-    """Encode an event of a stream."""
-    return f"id: {number}\ndata: token {number}\n\n".encode()
+def event(number: int, token: str = "token") -> bytes:
+    """Encode an event of a stream.
+
+    :param token: text that precedes the number in the event's data
+    """
+    return f"id: {number}\ndata: {token} {number}\n\n".encode()
 
 
 def event_without_id(number: int) -> bytes:
