Store large texts in a form whose size their characters do not decide

Cause: a run may deliver 512 KiB, which is up to 3 MB when escaped. Splitting results over segments does not help a result that alone exceeds an object of the store.

Evidence: test_large_result_is_never_listed, before: 'the object for batch-results has 3000183 bytes', count=1, every 0.3 s. Ruled out: text over several objects (no reader needs more than 512 KiB, and a reference could point to parts of a commit that lost against another host).

Fix: a text of over 600,000 encoded bytes is stored in base64, 699,052 bytes at most, under a state of its own, so that older software fails to read such a result instead of returning a wrong text. The property test draws texts up to the limit and compares what is read. The encoding moved to platform/encoding.py, as decisions may not import the decoder with its log.

--- a/src/primroseford/jobs/state.py
+++ b/src/primroseford/jobs/state.py
@@ -12,9 +12,16 @@
 
 from primroseford.ids import JobId
 from primroseford.ids import OrganisationId
+from primroseford.platform.encoding import encoded_bytes
 
 ItemId = NewType("ItemId", str)
 
+MAX_ESCAPED_TEXT_BYTES = 600_000
+"""Size of an encoded text above which it is stored in base64."""
+BASE64_COMPLETE = "complete:base64"
+"""Stored state of a complete item whose text is in base64. Software that does not know
+it fails to read the result instead of returning a wrong text."""
+
 
 class ItemState(Enum):
     """Final state of an item."""
@@ -183,13 +190,27 @@
 
 
 def encode_result(result: ItemResult) -> list:
-    """Encode a result for the store."""
+    """Encode a result for the store.
+
+    Escaping can make a text six times as long. Above ``MAX_ESCAPED_TEXT_BYTES`` the
+    text is stored in base64, which adds a third whatever its characters are.
+    """
+    if (
+        result.state is ItemState.COMPLETE
+        and encoded_bytes(result.text) > MAX_ESCAPED_TEXT_BYTES
+    ):
+        content = base64.b64encode(result.text.encode()).decode()
+        return [result.id, BASE64_COMPLETE, content]
     return [result.id, result.state.value, result.text]
 
 
 def decode_result(stored: list) -> ItemResult:
     """Decode a stored result."""
-    return ItemResult(ItemId(stored[0]), ItemState(stored[1]), stored[2])
+    item, state, text = stored
+    if state == BASE64_COMPLETE:
+        content = base64.b64decode(text).decode()
+        return ItemResult(ItemId(item), ItemState.COMPLETE, content)
+    return ItemResult(ItemId(item), ItemState(state), text)
 
 
 def encode_progress(progress: dict[ItemId, Progress]) -> list[list]:
--- a/src/primroseford/jobs/store.py
+++ b/src/primroseford/jobs/store.py
@@ -22,7 +22,7 @@
 from primroseford.jobs.state import encode_job
 from primroseford.jobs.state import encode_progress
 from primroseford.jobs.state import encode_result
-from primroseford.platform.objects import encoded_bytes
+from primroseford.platform.encoding import encoded_bytes
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
--- a/src/primroseford/jobs/tests/test_object_sizes.py
+++ b/src/primroseford/jobs/tests/test_object_sizes.py
@@ -8,14 +8,16 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from primroseford.jobs.run import MAX_ITEM_BYTES
 from primroseford.jobs.state import ItemId
 from primroseford.jobs.state import ItemResult
 from primroseford.jobs.state import ItemState
+from primroseford.jobs.state import decode_result
 from primroseford.jobs.state import encode_result
 from primroseford.jobs.store import first_segment
 from primroseford.jobs.tests.test_jobs import read_all
 from primroseford.jobs.tests.test_jobs import submit
-from primroseford.platform.objects import encoded_bytes
+from primroseford.platform.encoding import encoded_bytes
 from primroseford.platform.transport import MAX_VALUE_BYTES
 
 JAPANESE = "雹害の修理は可能です"
@@ -69,5 +71,23 @@
         segment = first_segment(results)
         assert segment == results[: len(segment)] and segment
         content = {"results": [encode_result(result) for result in segment]}
-        assert len(segment) == 1 or encoded_bytes(content) < MAX_VALUE_BYTES
+        assert encoded_bytes(content) < MAX_VALUE_BYTES
         del results[: len(segment)]
+
+
+async def test_large_result_is_never_listed(site):
+    """Guards against a result that alone exceeds an object of the store (LOST)."""
+    expected = set_tokens(site, TEXTS["control"], 100_000)
+    assert await submit(site, "job1", count=2) == 202
+    results = await read_all(site, "job1")
+    assert [result["text"] for result in results] == [expected] * 2
+
+
+@given(st.text(max_size=20), st.integers(1, MAX_ITEM_BYTES))
+def test_stored_result_is_larger_than_an_object_of_the_store(text, length):
+    """Guards against a result whose stored form depends on the characters in it."""
+    whole = (text * length).encode()[:MAX_ITEM_BYTES].decode(errors="ignore")
+    result = ItemResult(ItemId("it0"), ItemState.COMPLETE, whole)
+    stored = encode_result(result)
+    assert encoded_bytes({"results": [stored]}) < MAX_VALUE_BYTES
+    assert decode_result(stored) == result
--- a/src/primroseford/platform/client.py
+++ b/src/primroseford/platform/client.py
@@ -16,6 +16,7 @@
 from primroseford.errors import ResultCode
 from primroseford.ids import Version
 from primroseford.metrics import Metrics
+from primroseford.platform.encoding import encode_json
 from primroseford.platform.limiter import CallLimiter
 from primroseford.platform.limiter import Priority
 from primroseford.platform.objects import DECODING_ERRORS
@@ -26,7 +27,6 @@
 from primroseford.platform.objects import WatchEvent
 from primroseford.platform.objects import decode_object
 from primroseford.platform.objects import decode_version
-from primroseford.platform.objects import encode_json
 from primroseford.platform.objects import encode_object
 from primroseford.platform.transport import WATCH_MARGIN_SECONDS
 from primroseford.platform.transport import Call
--- a/src/primroseford/platform/objects.py
+++ b/src/primroseford/platform/objects.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 from dataclasses import dataclass
 from dataclasses import field
 from enum import Enum
@@ -32,19 +31,6 @@
 Spec = dict[str, Any]
 
 
-def encode_json(value: Any) -> bytes:
-    """Encode a value as it is sent to the service, which limits an object's size."""
-    return json.dumps(value, separators=(",", ":")).encode()
-
-
-def encoded_bytes(value: Any) -> int:
-    """Return the size of a value within an encoded object, in bytes.
-
-    A character can take up to twelve bytes, so the length of a text does not bound it.
-    """
-    return len(encode_json(value))
-
-
 class EventType(Enum):
     """Type of a watch event."""
 
