Bound the text of an item over all of its runs

What callers saw: nothing yet; the host's memory grows until the item is given up (max_wait_s).

Cause: the limit of 512 KiB held for one run. A run that exceeds it counts as broken off and is resumed after its last event, so a runner whose stream never ends adds 512 KiB a run.

Fix: an item counts the bytes of its text. Beyond 512 KiB its events are dropped and it starts from the beginning, at another runner first, with the growing delay of runs that end without an event. A result of at most 512 KiB fits into one object.

--- a/src/primroseford/jobs/run.py
+++ b/src/primroseford/jobs/run.py
@@ -53,8 +53,10 @@
 """Time without data after which an item moves to another runner: longer than a fully
 loaded engine takes to admit it, since a batch item can wait longer than a caller."""
 MAX_ITEM_BYTES = 512 * 1024
-"""Maximum length of the stream of one run, since an item's result must fit into one
-object of the platform's store."""
+"""Maximum length of the text of an item, and of the stream of one run. A result of this
+length in base64 fits into one object of the platform's store."""
+LINE_FEED_BYTES = 1
+"""Length of the separator between the data of two events."""
 
 log = structlog.get_logger()
 
@@ -76,6 +78,7 @@
     :param deadline: local time of its deadline in seconds
     :param failures: runs that ended with a failure reported by the runner itself
     :param data: data of the events received so far
+    :param text_bytes: length of the data as a text
     :param last_event: id of the last complete event that has an id
     :param resumable_events: number of events up to that one; the next run resumes there
     :param not_before: local time before which it is not retried, in seconds
@@ -96,6 +99,7 @@
     deadline: float
     failures: int = 0
     data: list[str] = field(default_factory=list)
+    text_bytes: int = 0
     last_event: str | None = None
     resumable_events: int = 0
     not_before: float = float("-inf")
@@ -129,13 +133,27 @@
             if lines is None:
                 continue
             self.data.append(lines)
+            self.text_bytes += len(lines.encode()) + LINE_FEED_BYTES
             if number is not None:
                 self.last_event, self.resumable_events = number, len(self.data)
 
+    def restore(self, progress: Progress) -> None:
+        """Continue from the progress of an earlier run."""
+        self.data, self.last_event = list(progress.data), progress.last_event
+        self.text_bytes = _text_bytes(self.data)
+        self.resumable_events = len(self.data)
+        self.failures = progress.failures
+
     def discard_unresumable_events(self) -> None:
         """Drop the events that the next run will send again."""
+        self.text_bytes -= _text_bytes(self.data[self.resumable_events :])
         del self.data[self.resumable_events :]
 
+    def discard_events(self) -> None:
+        """Drop all events, so that the next run starts from the beginning."""
+        self.data, self.text_bytes = [], 0
+        self.last_event, self.resumable_events = None, 0
+
 
 @dataclass(eq=False)
 class JobRun:
@@ -184,6 +202,11 @@
                 run.task.cancel()
 
 
+def _text_bytes(data: list[str]) -> int:
+    """Return the length of a text made of the data of these events."""
+    return sum(len(lines.encode()) + LINE_FEED_BYTES for lines in data)
+
+
 def parse_event(event: str) -> tuple[str | None, str | None]:
     """Return the id and the data of one server-sent event, None for what it lacks.
 
@@ -308,6 +331,12 @@
                 inactivity.reset()
                 runner.last_byte = gateway.clock()
                 item.append_events(block)
+                if item.text_bytes > MAX_ITEM_BYTES:
+                    item.discard_events()
+                    raise may_have_run_error(
+                        ResultCode.RESULT_TOO_LARGE,
+                        f"the item's text is longer than {MAX_ITEM_BYTES} bytes",
+                    )
     except EXCHANGE_ERRORS as error:
         raise may_have_run_error(
             ResultCode.STREAM_TRUNCATED,
--- a/src/primroseford/jobs/scheduler.py
+++ b/src/primroseford/jobs/scheduler.py
@@ -119,12 +119,7 @@
         for item in waiting:
             item_progress = (progress or {}).get(item.item.id)
             if item_progress is not None:
-                item.data, item.last_event = (
-                    list(item_progress.data),
-                    item_progress.last_event,
-                )
-                item.resumable_events = len(item.data)
-                item.failures = item_progress.failures
+                item.restore(item_progress)
         run = self.runs[job.id] = JobRun(view, waiting)
         run.checkpoint_at = self.gateway.clock()
         run.checkpoint_events = sum(len(item.data) for item in waiting)
--- a/src/primroseford/jobs/tests/test_object_sizes.py
+++ b/src/primroseford/jobs/tests/test_object_sizes.py
@@ -16,6 +16,7 @@
 from primroseford.jobs.state import encode_result
 from primroseford.jobs.store import first_segment
 from primroseford.jobs.tests.test_jobs import read_all
+from primroseford.jobs.tests.test_jobs import service
 from primroseford.jobs.tests.test_jobs import submit
 from primroseford.platform.encoding import encoded_bytes
 from primroseford.platform.transport import MAX_VALUE_BYTES
@@ -91,3 +92,20 @@
     stored = encode_result(result)
     assert encoded_bytes({"results": [stored]}) < MAX_VALUE_BYTES
     assert decode_result(stored) == result
+
+
+async def test_text_of_an_item_grows_without_end(site):
+    """Guards against an item whose runs add up to more than a result can have."""
+    set_tokens(site, TEXTS["ascii"], 20_000)
+    for runner in site.runners:
+        runner.events = 1_000_000
+    assert await submit(site, "job1", count=1) == 202
+
+    def runs_from_the_start() -> int:
+        received = [run for runner in site.runners for run in runner.received]
+        return sum("Last-Event-Id" not in run.headers for run in received)
+
+    await site.until(lambda: runs_from_the_start() == 3)
+    (run,) = service(site.hosts[0]).scheduler.runs.values()
+    (item,) = [*run.waiting, *run.running]
+    assert len(item.text()) <= MAX_ITEM_BYTES
