Set a result aside that the store refuses, and write the others

Cause: a write that is too large or malformed was repeated like one that met an outage, with the same first results, so that all later ones waited behind it; the task went on even after the job had left the host.

Evidence: test_refused_result_holds_back_all_others (413 and 400) and test_refused_result_is_never_given_up failed before.

Fix: after a refusal that is final the next write has half of the results, until one result alone is refused.

--- a/src/primroseford/gateway/state.py
+++ b/src/primroseford/gateway/state.py
@@ -102,6 +102,10 @@
             "gateway_uncommitted_items",
             "Finished batch items whose results are not committed yet",
         )
+        self.refused_results = metrics.counter(
+            "gateway_refused_results",
+            "Writes of a single batch result that the store refused for its content",
+        )
         self.items = metrics.counter(
             "gateway_items_total", "Runs of batch items by end", ("end",)
         )
--- a/src/primroseford/jobs/recorder.py
+++ b/src/primroseford/jobs/recorder.py
@@ -8,6 +8,7 @@
 import structlog
 
 from primroseford.errors import PrimrosefordError
+from primroseford.errors import ResultCode
 from primroseford.jobs.state import ItemResult
 from primroseford.jobs.state import ItemState
 from primroseford.jobs.store import first_segment
@@ -35,6 +36,11 @@
 COMMIT_BATCH_DELAY_SECONDS = 0.4
 """Time for which finished items wait for others of their job, so that one write commits
 them all: a fiftieth of the time limit of an item."""
+FINAL_REFUSALS = frozenset({ResultCode.BODY_TOO_LARGE, ResultCode.MALFORMED})
+"""Codes of writes that the store refuses because of their content."""
+REFUSED_RETRY_SECONDS = 5.0
+"""Delay before a result that the store refused because of its content is written again:
+another version of the store may accept it."""
 
 log = structlog.get_logger()
 
@@ -106,9 +112,12 @@
                 # view. Nothing may be awaited from here until the write, or an item
                 # could be committed twice.
                 run.drop_committed()
-                results = first_segment(map(_result_of, run.finished))
+                results = next_results(run, self.gateway.clock())
                 if not results:
-                    break
+                    if run.stopped:
+                        break
+                    await asyncio.sleep(COMMIT_RETRY_SECONDS)
+                    continue
                 try:
                     await self.store.commit(run.view, results)
                 except PrimrosefordError as error:
@@ -120,6 +129,8 @@
                         count=len(results),
                         finished=len(run.finished),
                     )
+                    if error.code in FINAL_REFUSALS:
+                        self._isolate_refused(run, results, error)
                     await asyncio.sleep(COMMIT_RETRY_SECONDS)
                     await self._refresh(run.view)
                 run.drop_committed()
@@ -136,6 +147,28 @@
         finally:
             run.committer = None
 
+    def _isolate_refused(
+        self, run: JobRun, results: list[ItemResult], error: PrimrosefordError
+    ) -> None:
+        """Halve the next write, until one result alone is refused and set aside."""
+        if len(results) > 1:
+            run.max_results = len(results) // 2
+            return
+        run.max_results = None
+        (result,) = results
+        for item in run.finished:
+            if item.item.id == result.id:
+                item.commit_after = self.gateway.clock() + REFUSED_RETRY_SECONDS
+        self.gateway.metrics.refused_results.inc()
+        log.error(
+            "result refused by the store",
+            item=result.id,
+            job=run.view.job.id,
+            code=error.code.name,
+            reason=error.message,
+            characters=len(result.text),
+        )
+
     async def _refresh(self, view: JobView) -> None:
         try:
             await self.store.refresh(view)
@@ -163,6 +196,20 @@
         return
 
 
+def next_results(run: JobRun, now: float) -> list[ItemResult]:
+    """Return the results of the next write: of one segment at most.
+
+    Results that the store has refused are written alone, after all others.
+
+    :param now: local time in seconds
+    """
+    others = [item for item in run.finished if item.commit_after is None]
+    if others:
+        return first_segment(map(_result_of, others))[: run.max_results]
+    due = [item for item in run.finished if item.commit_after <= now]
+    return [_result_of(item) for item in due[:1]]
+
+
 def _result_of(item: ItemRun) -> ItemResult:
     text = item.text() if item.result is ItemState.COMPLETE else ""
     return ItemResult(item.item.id, item.result, text)
--- a/src/primroseford/jobs/run.py
+++ b/src/primroseford/jobs/run.py
@@ -90,6 +90,8 @@
     :param interruptions: consecutive runs that ended before their first event
     :param starts: runs that this host has started
     :param held: whether it waits because a part of its prompt is quarantined
+    :param commit_after: local time before which its result is not written again, after
+        the store refused it, in seconds; None if it was not refused
     :ivar prompt: parts of the item's prompt
     :ivar shared_parts: ids of the prompt parts that other requests may share
     """
@@ -112,6 +114,7 @@
     interruptions: int = 0
     starts: int = 0
     held: bool = False
+    commit_after: float | None = None
     prompt: tuple[PromptPart, ...] = field(init=False)
     shared_parts: list[PromptPartId] = field(init=False)
 
@@ -163,6 +166,8 @@
     :param running: items with a current run
     :param finished: items with a result that is not committed yet
     :param committer: task that commits the finished items
+    :param max_results: maximum number of results in the next write, while the results
+        that the store refuses are separated from the others; None for no limit
     :param urgent: set to commit the finished items without delay
     :param checkpoint: task that stores the progress
     :param checkpoint_version: version of the stored progress, if this host stored it
@@ -175,6 +180,7 @@
     running: set[ItemRun] = field(default_factory=set)
     finished: list[ItemRun] = field(default_factory=list)
     committer: asyncio.Task | None = None
+    max_results: int | None = None
     urgent: asyncio.Event = field(default_factory=asyncio.Event)
     checkpoint: asyncio.Task | None = None
     checkpoint_version: Version | None = None
--- a/src/primroseford/jobs/scheduler.py
+++ b/src/primroseford/jobs/scheduler.py
@@ -373,7 +373,10 @@
         return delay
 
     def abandon_items(self) -> None:
-        """Dead-letter waiting items past their time limit or with a removed route."""
+        """Dead-letter items past their time limit or with a removed route.
+
+        These are the waiting ones and those whose result the store refuses.
+        """
         now = time.time()
         for run in list(self.runs.values()):
             job = run.view.job
@@ -384,14 +387,16 @@
                 should_abandon = (
                     now >= job.submitted + route.abandon_after + CLOCK_SKEW_SECONDS
                 )
-            if not should_abandon or not run.waiting:
+            refused = [item for item in run.finished if item.commit_after is not None]
+            if not should_abandon or not (run.waiting or refused):
                 continue
-            for item in run.waiting:
-                item.result = ItemState.DEAD_LETTER
+            for item in [*run.waiting, *refused]:
+                item.result, item.commit_after = ItemState.DEAD_LETTER, None
             log.warning(
                 "items abandoned",
                 job=run.view.job.id,
-                count=len(run.waiting),
+                count=len(run.waiting) + len(refused),
+                refused=len(refused),
                 reason="time" if route else "route",
             )
             run.finished += run.waiting
--- a/src/primroseford/jobs/tests/test_object_sizes.py
+++ b/src/primroseford/jobs/tests/test_object_sizes.py
@@ -3,23 +3,29 @@
 from __future__ import annotations
 
 import asyncio
+import json
 
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
+from primroseford.errors import PrimrosefordError
+from primroseford.errors import ResultCode
 from primroseford.jobs.run import MAX_ITEM_BYTES
 from primroseford.jobs.state import ItemId
 from primroseford.jobs.state import ItemResult
 from primroseford.jobs.state import ItemState
 from primroseford.jobs.state import decode_result
 from primroseford.jobs.state import encode_result
+from primroseford.jobs.store import SEGMENTS
 from primroseford.jobs.store import first_segment
+from primroseford.jobs.tests.test_jobs import read
 from primroseford.jobs.tests.test_jobs import read_all
 from primroseford.jobs.tests.test_jobs import service
 from primroseford.jobs.tests.test_jobs import submit
 from primroseford.platform.encoding import encoded_bytes
 from primroseford.platform.transport import MAX_VALUE_BYTES
+from primroseford.standins.fleet_objects import configuration
 
 JAPANESE = "雹害の修理は可能です"
 TEXTS = {
@@ -109,3 +115,47 @@
     (run,) = service(site.hosts[0]).scheduler.runs.values()
     (item,) = [*run.waiting, *run.running]
     assert len(item.text()) <= MAX_ITEM_BYTES
+
+
+REFUSALS = [ResultCode.BODY_TOO_LARGE, ResultCode.MALFORMED]
+
+
+def refuse_result(site, item: str, code: ResultCode) -> None:
+    """Have the store refuse for good every segment that has a complete item."""
+    transport = service(site.hosts[0]).store.client.transport
+    call = transport.call
+
+    async def refuse(sent):
+        if sent.path == SEGMENTS and sent.body:
+            results = json.loads(sent.body)["spec"]["content"]["results"]
+            if [item, "complete"] in [result[:2] for result in results]:
+                raise PrimrosefordError(code, "refused by the test")
+        return await call(sent)
+
+    transport.call = refuse
+
+
+@pytest.mark.parametrize("code", REFUSALS, ids=lambda code: code.name)
+async def test_refused_result_holds_back_all_others(site, code):
+    """Guards against a write that cannot succeed and that others wait behind (LOST)."""
+    refuse_result(site, "it2", code)
+    assert await submit(site, "job1", count=8) == 202
+    listed: list[dict] = []
+    async with asyncio.timeout(10):
+        while len(listed) < 7:
+            listed += (await read(site, "job1", len(listed)))["results"]
+    assert {result["id"] for result in listed} == {f"it{n}" for n in range(8)} - {"it2"}
+
+
+async def test_refused_result_is_never_given_up(site):
+    """Guards against an item without a final state after the time for its job."""
+    refuse_result(site, "it1", ResultCode.BODY_TOO_LARGE)
+    assert await submit(site, "job1", count=3) == 202
+    (run,) = service(site.hosts[0]).scheduler.runs.values()
+    await site.until(lambda: len(run.view.committed) == 2)
+    changed = configuration(version=2)
+    for route in changed["routes"]:
+        route["max_wait_s"] = 1
+    site.put("config", "main", changed)
+    results = await read_all(site, "job1")
+    assert [r["id"] for r in results if r["state"] == "dead_letter"] == ["it1"]
