Store as much progress of a job as fits into one object

What callers saw: after the loss of all hosts the items of a job whose progress exceeds 1,000,000 encoded bytes start anew, so that they finish later.

Cause: the progress of all running items was one object without a bound.

Evidence: test_large_progress_is_never_stored failed before, 'the object for batch-progress has bytes' for 14 items, and at each further try.

Fix: the items with most events are stored first, up to 600,000 encoded bytes; 'progress stored in part' names how many are omitted. The property test draws progress of any characters.

--- a/src/primroseford/jobs/recorder.py
+++ b/src/primroseford/jobs/recorder.py
@@ -12,6 +12,7 @@
 from primroseford.jobs.state import ItemResult
 from primroseford.jobs.state import ItemState
 from primroseford.jobs.store import first_segment
+from primroseford.jobs.store import fitting_progress
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -75,7 +76,15 @@
             if events - run.checkpoint_events < CHECKPOINT_EVENTS:
                 continue
             run.checkpoint_at, run.checkpoint_events = now, events
-            run.checkpoint = asyncio.create_task(self._save(run, progress))
+            selected = fitting_progress(progress)
+            if len(selected) < len(progress):
+                log.info(
+                    "progress stored in part",
+                    job=run.view.job.id,
+                    items=len(selected),
+                    omitted=len(progress) - len(selected),
+                )
+            run.checkpoint = asyncio.create_task(self._save(run, selected))
             self.track(run.checkpoint)
 
     async def _save(self, run: JobRun, progress: dict[ItemId, Progress]) -> None:
--- a/src/primroseford/jobs/store.py
+++ b/src/primroseford/jobs/store.py
@@ -45,6 +45,8 @@
 limit on a value."""
 MAX_SEGMENT_BYTES = 600_000
 """The same for the results in a segment."""
+MAX_PROGRESS_BYTES = 600_000
+"""The same for the progress of a job's items."""
 SEPARATOR_BYTES = 1
 """Size of the comma between two elements of an encoded list."""
 PURPOSES = {
@@ -286,3 +288,22 @@
             break
         segment.append(result)
     return segment
+
+
+def fitting_progress(progress: dict[ItemId, Progress]) -> dict[ItemId, Progress]:
+    """Return the progress that fits into one object, of items with most events first.
+
+    The other items start from the beginning at a host that takes the job over.
+    """
+    selected: dict[ItemId, Progress] = {}
+    size = 0
+    by_events = sorted(progress.items(), key=lambda entry: -len(entry[1].data))
+    for item, done in by_events:
+        # Avoids encoding texts that cannot fit.
+        if size + sum(map(len, done.data)) > MAX_PROGRESS_BYTES:
+            continue
+        item_bytes = encoded_bytes(encode_progress({item: done})) + SEPARATOR_BYTES
+        if size + item_bytes <= MAX_PROGRESS_BYTES:
+            selected[item] = done
+            size += item_bytes
+    return selected
--- a/src/primroseford/jobs/tests/test_object_sizes.py
+++ b/src/primroseford/jobs/tests/test_object_sizes.py
@@ -11,17 +11,26 @@
 
 from primroseford.errors import PrimrosefordError
 from primroseford.errors import ResultCode
+from primroseford.jobs import recorder
 from primroseford.jobs.run import MAX_ITEM_BYTES
 from primroseford.jobs.state import ItemId
 from primroseford.jobs.state import ItemResult
 from primroseford.jobs.state import ItemState
+from primroseford.jobs.state import Progress
+from primroseford.jobs.state import decode_progress
 from primroseford.jobs.state import decode_result
+from primroseford.jobs.state import encode_progress
 from primroseford.jobs.state import encode_result
+from primroseford.jobs.store import CHECKPOINTS
+from primroseford.jobs.store import MAX_PROGRESS_BYTES
 from primroseford.jobs.store import SEGMENTS
+from primroseford.jobs.store import JobStore
 from primroseford.jobs.store import first_segment
+from primroseford.jobs.store import fitting_progress
 from primroseford.jobs.tests.test_jobs import read
 from primroseford.jobs.tests.test_jobs import read_all
 from primroseford.jobs.tests.test_jobs import service
+from primroseford.jobs.tests.test_jobs import stored
 from primroseford.jobs.tests.test_jobs import submit
 from primroseford.platform.encoding import encoded_bytes
 from primroseford.platform.transport import MAX_VALUE_BYTES
@@ -95,9 +104,9 @@
     """Guards against a result whose stored form depends on the characters in it."""
     whole = (text * length).encode()[:MAX_ITEM_BYTES].decode(errors="ignore")
     result = ItemResult(ItemId("it0"), ItemState.COMPLETE, whole)
-    stored = encode_result(result)
-    assert encoded_bytes({"results": [stored]}) < MAX_VALUE_BYTES
-    assert decode_result(stored) == result
+    encoded = encode_result(result)
+    assert encoded_bytes({"results": [encoded]}) < MAX_VALUE_BYTES
+    assert decode_result(encoded) == result
 
 
 async def test_text_of_an_item_grows_without_end(site):
@@ -159,3 +168,53 @@
     site.put("config", "main", changed)
     results = await read_all(site, "job1")
     assert [r["id"] for r in results if r["state"] == "dead_letter"] == ["it1"]
+
+
+async def test_large_progress_is_never_stored(site, monkeypatch):
+    """Guards against items that start anew since the progress of all is too large."""
+    monkeypatch.setattr(recorder, "CHECKPOINT_INTERVAL_SECONDS", 0.1)
+    monkeypatch.setattr(recorder, "CHECKPOINT_EVENTS", 10)
+    saves: list[str] = []
+    save = JobStore.save_progress
+
+    async def count_saves(store, job, *arguments):
+        version = await save(store, job, *arguments)
+        saves.append(job)
+        return version
+
+    monkeypatch.setattr(JobStore, "save_progress", count_saves)
+    set_tokens(site, JAPANESE, 8000)
+    for runner in site.runners:
+        runner.events, runner.event_seconds = 1000, 0.2
+    assert await submit(site, "job1", count=16) == 202
+    (run,) = service(site.hosts[0]).scheduler.runs.values()
+    await site.until(lambda: encoded_bytes(encode_progress(run.progress())) > 2_000_000)
+    written = len(saves)
+    await site.until(lambda: len(saves) > written)
+    saved = decode_progress(
+        stored(site, CHECKPOINTS)["job1"]["spec"]["content"]["progress"]
+    )
+    assert 3 <= len(saved) < 16
+    assert encoded_bytes(encode_progress(saved)) > MAX_PROGRESS_BYTES / 2
+
+
+@given(
+    st.lists(
+        st.lists(
+            st.tuples(st.text(min_size=1, max_size=5), st.integers(1, 20_000)),
+            max_size=10,
+        ),
+        max_size=20,
+    )
+)
+def test_progress_is_larger_than_an_object_of_the_store(drawn):
+    """Guards against progress that is measured in another unit than the store's."""
+    progress = {
+        ItemId(f"it{n}"): Progress([text * length for text, length in data], "1", 0)
+        for n, data in enumerate(drawn)
+    }
+    selected = fitting_progress(progress)
+    assert encoded_bytes(encode_progress(selected)) < MAX_VALUE_BYTES
+    assert all(progress[item] == done for item, done in selected.items())
+    if encoded_bytes(encode_progress(progress)) < MAX_PROGRESS_BYTES:
+        assert selected == progress
