Keep responses to reads of results within the limit of the call

What callers saw: a response of over 1 MB, the limit of the read call, for results beyond ASCII, up to six times as long; clients that hold to the limit can't read the job.

Cause: results were counted in characters, and the response escaped each character beyond ASCII.

Evidence: test_response_to_a_read_is_too_long failed before for five of six kinds of texts.

Fix: the size of a result is that of its encoding, and responses are written in UTF-8 without escapes, which halves Japanese texts. One result alone can still pass 1 MB if it has about 500 KB of quotes or control characters: the call owes at least one result.

--- a/src/primroseford/jobs/api.py
+++ b/src/primroseford/jobs/api.py
@@ -15,6 +15,7 @@
 from primroseford.platform.job_calls import JobVerb
 from primroseford.platform.job_calls import decode_submission
 from primroseford.platform.job_calls import encode_results
+from primroseford.platform.job_calls import result_bytes
 
 if TYPE_CHECKING:
     from primroseford.gateway.requests import IncomingRequest
@@ -154,9 +155,10 @@
 
 
 def _limit_size(results: list[ItemResult]) -> list[ItemResult]:
+    """Return the first results that fit into one response; at least one."""
     size = 0
     for number, result in enumerate(results):
-        size += len(result.text) + 100
+        size += result_bytes(result)
         if number and size > MAX_RESPONSE_BYTES:
             return results[:number]
     return results
--- a/src/primroseford/jobs/tests/test_object_sizes.py
+++ b/src/primroseford/jobs/tests/test_object_sizes.py
@@ -218,3 +218,18 @@
     assert all(progress[item] == done for item, done in selected.items())
     if encoded_bytes(encode_progress(progress)) < MAX_PROGRESS_BYTES:
         assert selected == progress
+
+
+@pytest.mark.parametrize("text", TEXTS.values(), ids=TEXTS)
+async def test_response_to_a_read_is_too_long(site, text):
+    """Guards against a response of over 1 MB, the limit of the read call."""
+    set_tokens(site, text, 25_000)
+    assert await submit(site, "job1", count=10) == 202
+    await site.until(lambda: not service(site.hosts[0]).scheduler.runs)
+    position = 0
+    while position < 10:
+        path = f"/lots/job1?after={position}"
+        status, _, body = await site.call(path, method="GET", body=b"")
+        assert status == 200 and len(body) <= 1_000_000
+        assert json.loads(body)["next"] > position
+        position = json.loads(body)["next"]
--- a/src/primroseford/platform/job_calls.py
+++ b/src/primroseford/platform/job_calls.py
@@ -32,6 +32,8 @@
 ITEM_PATH = "/items/"
 MAX_ITEMS = 200
 MAX_WAIT_SECONDS = 1.0
+SEPARATOR_BYTES = 2
+"""Size of the separator between two results of a response."""
 ID_PATTERN = re.compile(r"[A-Za-z0-9._-]{1,80}")
 
 
@@ -129,9 +131,23 @@
     :param after: position of the first result
     :param results: results from this position on
     """
-    listed = [{"id": r.id, "state": r.state.value, "text": r.text} for r in results]
+    listed = [_result_fields(result) for result in results]
     body = {"total": total, "next": after + len(listed), "results": listed}
-    return web.Response(body=json.dumps(body).encode(), content_type="application/json")
+    return web.Response(body=_encode(body), content_type="application/json")
+
+
+def result_bytes(result: ItemResult) -> int:
+    """Return the size of one result in the response to a read."""
+    return len(_encode(_result_fields(result))) + SEPARATOR_BYTES
+
+
+def _result_fields(result: ItemResult) -> dict[str, str]:
+    return {"id": result.id, "state": result.state.value, "text": result.text}
+
+
+def _encode(value: Any) -> bytes:
+    """Encode JSON in UTF-8; only lone surrogates, which UTF-8 lacks, are escaped."""
+    return json.dumps(value, ensure_ascii=False).encode(errors="backslashreplace")
 
 
 def _validate_id(value: str, field: str) -> JobId:
