Write outcomes of idempotency keys in pieces that fit into one object

What callers saw (product's own interface): after an outage of the store in which the outcomes of some 4,300 keyed requests of a group pile up, every later claim of the group is refused with PLATFORM_UNAVAILABLE, also when the store is back; 6,000 claims that arrive together are all refused.

Cause: all pending changes of a group went into one write without a bound; one over 1,000,000 bytes fails, and its changes stay for the next.

Evidence: test_outcomes_of_an_outage_stop_all_later_claims and test_claims_that_arrive_together_are_all_refused failed before.

Changes that come meanwhile wait for the next write, so callers wait for their own only. Other writes of the own interface were read: chunks of files, parts of results (bounded by their encoding, with a margin for escapes) and chunk states hold the limit.

--- a/src/primroseford/online/idempotency.py
+++ b/src/primroseford/online/idempotency.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import hashlib
-import json
 import time
 from dataclasses import asdict
 from dataclasses import dataclass
@@ -16,6 +15,7 @@
 from primroseford.errors import Outcome
 from primroseford.errors import PrimrosefordError
 from primroseford.errors import ResultCode
+from primroseford.platform.encoding import encoded_bytes
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -108,6 +108,18 @@
     )
 
 
+def fitting_changes(changes: dict[str, Claim]) -> dict[str, Claim]:
+    """Return the first changes that fit into one object; at least one."""
+    fitting: dict[str, Claim] = {}
+    size = 0
+    for name, entry in changes.items():
+        size += encoded_bytes({name: asdict(entry)})
+        if fitting and size > MAX_OBJECT_BYTES:
+            break
+        fitting[name] = entry
+    return fitting
+
+
 def create_unavailable_error() -> PrimrosefordError:
     """Return the error for a claim that cannot be stored at present."""
     return PrimrosefordError(
@@ -235,21 +247,23 @@
     async def _write_once(self) -> None:
         if self.current is None:
             await self._fence_and_load()
-        changes, self.pending = self.pending, {}
-        if not changes:
-            return
-        try:
-            await self._store(changes)
-        except PrimrosefordError:
-            # The outcome of the write is unknown until the log is reloaded.
-            self.pending = changes | self.pending
-            raise
+        unwritten, self.pending = self.pending, {}
+        while unwritten:
+            changes = fitting_changes(unwritten)
+            try:
+                await self._store(changes)
+            except PrimrosefordError:
+                # The outcome of the write is unknown until the log is reloaded.
+                self.pending = unwritten | self.pending
+                raise
+            for name in changes:
+                del unwritten[name]
 
     async def _store(self, changes: dict[str, Claim]) -> None:
         current = self.current
         assert current is not None
         encoded = {name: asdict(entry) for name, entry in changes.items()}
-        size = self.size + len(json.dumps(encoded))
+        size = self.size + encoded_bytes(encoded)
         age = self.now() - self.log_objects[-1].created
         if size > MAX_OBJECT_BYTES or (
             age > MAX_OBJECT_AGE_SECONDS and current.spec["entries"]
@@ -290,7 +304,7 @@
                     fenced = await self._update(
                         last, last.spec | {"takeovers": takeovers}
                     )
-                    self.size = len(json.dumps(last.spec["entries"]))
+                    self.size = encoded_bytes(last.spec["entries"])
                     # Set after the await: a claim made before the load must find no
                     # current object, so that it waits.
                     self.current = fenced
@@ -372,7 +386,7 @@
         self.current = await self.client.create(
             KIND, name, spec, self._labels(), purpose=PURPOSE
         )
-        self.size = len(json.dumps(entries))
+        self.size = encoded_bytes(entries)
         self.log_objects.append(self._to_log_object(self.current))
 
     def _to_log_object(self, item: PlatformObject) -> LogObject:
--- a/src/primroseford/online/tests/test_idempotency.py
+++ b/src/primroseford/online/tests/test_idempotency.py
@@ -98,6 +98,35 @@
     assert platform.state.calls["PUT", "claims"] - before <= 3
 
 
+async def test_claims_that_arrive_together_are_all_refused(platform):
+    """Guards against a first write of claims that exceeds an object."""
+    log = ClaimLog(platform.client, 0, lambda: True)
+    await log.claim("o", "first", "f", "0")
+    claims = (log.claim("o", f"k{n}", "f" * 64, "e" * 32) for n in range(6000))
+    codes = await asyncio.gather(*map(code_of, claims))
+    assert set(codes) == {ResultCode.OK}
+
+
+async def test_outcomes_of_an_outage_stop_all_later_claims(platform):
+    """Guards against a write that exceeds an object and is repeated unchanged."""
+    log = ClaimLog(platform.client, 0, lambda: True)
+    count, fingerprint, operation = 6000, "f" * 64, "e" * 32
+
+    def claim(key: int):
+        return code_of(log.claim("o", f"k{key}", fingerprint, operation))
+
+    for start in range(0, count, 1000):
+        group = (claim(key) for key in range(start, start + 1000))
+        assert set(await asyncio.gather(*group)) == {ResultCode.OK}
+    platform.faults.down = True
+    for key in range(count):
+        log.settle("o", f"k{key}", operation, ran=True)
+    assert await claim(count) == ResultCode.PLATFORM_UNAVAILABLE
+    platform.faults.down = False
+    assert await claim(count) == ResultCode.OK
+    assert await claim(0) == ResultCode.DUPLICATE_REQUEST
+
+
 async def test_previous_owner_cannot_claim(platform):
     """Guards against two owners that both accept a claim of the same key."""
     old = ClaimLog(platform.client, 0, lambda: True)
