Resume the parser of a runner's connection after a pause in reading

What callers saw: a sound response of over 128 KB that arrives faster than it is read is cut, or stalls until the deadline (a 502 or a broken connection; for an item, another run).

Cause: aiohttp pauses its parser while the response's buffer is full and keeps the bytes that it has been given. It resumes the parser with an empty block of data, which RunnerConnection ignored, so that the kept bytes were never parsed.

Evidence: test_large_response_stalls_before_its_end, before: a megabyte in chunks, sent at once, is cut or times out on plain routes of both kinds. With a length it passed: the parser does not pause within one piece of a body.

Fix: an empty block is passed on. It is not counted, as its bytes were when they arrived.

--- a/src/primroseford/gateway/runner_connection.py
+++ b/src/primroseford/gateway/runner_connection.py
@@ -65,7 +65,13 @@
 
         The parser discards all data of a call in which it finds an error, so a head is
         parsed separately from the bytes that follow it.
+
+        :param data: empty to resume the parser after a pause in reading; it continues
+            with bytes that it has kept
         """
+        if not data:
+            super().data_received(data)
+            return
         while not self.head_received and self.transport is not None:
             found = (self.tail + data).find(HEAD_END)
             if found < 0:
--- a/src/primroseford/gateway/tests/test_hostile_runners.py
+++ b/src/primroseford/gateway/tests/test_hostile_runners.py
@@ -16,6 +16,7 @@
 from primroseford.standins.fleet_runner import event
 from primroseford.standins.hostile_runner import EVENTS
 from primroseford.standins.hostile_runner import GARBAGE_BYTES
+from primroseford.standins.hostile_runner import LARGE_BODY
 from primroseford.standins.hostile_runner import HostileRunner
 from primroseford.standins.hostile_runner import ResponseFault
 
@@ -87,6 +88,22 @@
     assert runner.received == ["id-1"]
 
 
+@pytest.mark.parametrize("path", ["/ping/x", "/once/x"])
+@pytest.mark.parametrize(
+    "response_fault",
+    [ResponseFault.LARGE_AT_ONCE, ResponseFault.LARGE_CHUNKS_AT_ONCE],
+)
+async def test_large_response_stalls_before_its_end(
+    site, hostile, response_fault, path
+):
+    """Guards against bytes that are left in the parser after a pause in reading."""
+    await hostile(response_fault)
+    async with asyncio.timeout(2.0):
+        status, body = await call(site, path)
+    assert (status, len(body)) == (200, len(LARGE_BODY))
+    assert body == LARGE_BODY
+
+
 @pytest.mark.parametrize(
     ("response_fault", "path"),
     [
--- a/src/primroseford/standins/hostile_runner.py
+++ b/src/primroseford/standins/hostile_runner.py
@@ -17,6 +17,8 @@
 
 BLOCK_BYTES = 16 * 1024
 """Size of each write of an endless response."""
+LARGE_BODY = bytes(range(256)) * 4096
+"""A megabyte, more than a client reads at a time."""
 GARBAGE_BYTES = b"\x00\xffno answer "
 STREAM_HEAD = b"Content-Type: text/event-stream\r\n"
 CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
@@ -35,6 +37,7 @@
     EVENT_ENDS_EARLY = "event ends early"
     ENDLESS_BODY = "endless body"
     ENDLESS_LENGTH = "endless length"
+    ENDLESS_SMALL_CHUNKS = "endless small chunks"
     ENDLESS_EVENT = "endless event"
     ENDLESS_EVENTS = "endless events"
     NOT_HTTP = "not http"
@@ -55,10 +58,20 @@
     EVENT_ENDS_WITH_CONNECTION = "event ends with connection"
     UNREADABLE_EVENT_ID = "unreadable event id"
     REFUSES_ANOTHER = "refuses another request"
+    LARGE_AT_ONCE = "large at once"
+    LARGE_CHUNKS_AT_ONCE = "large chunks at once"
     SLOW = "slow"
     STALLED = "stalled"
 
 
+KEEPS_OPEN = frozenset(
+    {
+        ResponseFault.SWITCHING,
+        ResponseFault.LARGE_AT_ONCE,
+        ResponseFault.LARGE_CHUNKS_AT_ONCE,
+    }
+)
+"""Responses after which the connection stays open until the client closes it."""
 PAUSES = {ResponseFault.SLOW: SLOW_SECONDS, ResponseFault.STALLED: STALLED_SECONDS}
 
 
@@ -105,7 +118,7 @@
             if self.response_fault is ResponseFault.RESET_WITHOUT_LENGTH:
                 await asyncio.sleep(0.05)
                 reset_on_close(writer)
-            elif self.response_fault is ResponseFault.SWITCHING:
+            elif self.response_fault in KEEPS_OPEN:
                 await reader.read()
         except (OSError, asyncio.IncompleteReadError):
             # The client closed the connection, which is how endless responses end.
@@ -177,6 +190,9 @@
         case ResponseFault.ENDLESS_LENGTH:
             yield valid_head + b"Content-Length: 1000000000000\r\n\r\n"
             yield from _endless(b"x")
+        case ResponseFault.ENDLESS_SMALL_CHUNKS:
+            yield valid_head + STREAM_HEAD + CHUNKED
+            yield from _endless(_chunk(b"x"))
         case ResponseFault.ENDLESS_EVENT:
             yield valid_head + STREAM_HEAD + CHUNKED
             yield from _endless(_chunk(b"data: " + b"x" * 1000))
@@ -205,6 +221,15 @@
             yield valid_response + GARBAGE_BYTES * 20
         case ResponseFault.SECOND_ANSWER:
             yield valid_response + valid_response.replace(b"done", b"more")
+        case ResponseFault.LARGE_AT_ONCE:
+            head = f"Content-Length: {len(LARGE_BODY)}\r\n\r\n".encode()
+            yield valid_head + head + LARGE_BODY
+        case ResponseFault.LARGE_CHUNKS_AT_ONCE:
+            pieces = (
+                _chunk(LARGE_BODY[start : start + BLOCK_BYTES])
+                for start in range(0, len(LARGE_BODY), BLOCK_BYTES)
+            )
+            yield valid_head + CHUNKED + b"".join(pieces) + b"0\r\n\r\n"
         case ResponseFault.SLOW:
             yield valid_head + STREAM_HEAD + CHUNKED
             for number in range(1, 4):
