Bound the framing of a whole response, not only what comes in a row

What callers saw: a runner that sends chunks of one byte without end keeps a request, and a core of the host, busy until 8 MB of body have come, 50 MB on the wire.

Cause: bytes of framing were bounded only as long as no body byte came among them.

Fix: the framing may exceed the body by 256 KiB: some 65,000 chunks of one byte, or any number of chunks whose framing is no longer than their data.

--- a/src/primroseford/gateway/runner_connection.py
+++ b/src/primroseford/gateway/runner_connection.py
@@ -28,6 +28,9 @@
 MAX_FRAMING_BYTES = 64 * 1024
 """Bytes that a runner may send in a row without any body bytes among them: chunk sizes,
 chunk extensions and trailers."""
+MAX_FRAMING_SURPLUS_BYTES = 256 * 1024
+"""Bytes by which the framing of a whole response may exceed its body. Tiny chunks cost
+several times the memory and time of their bytes."""
 
 HEAD_END = b"\r\n\r\n"
 
@@ -37,6 +40,7 @@
 
     :ivar head_received: whether the head of the final response has been received
     :ivar tail: last bytes received, which may be the start of the end of a head
+    :ivar received_bytes: bytes received since the end of the head
     :ivar framing_bytes: bytes received since the last body bytes
     :ivar body_bytes: bytes of the body received so far
     """
@@ -46,6 +50,7 @@
         self.head_received = False
         self.informational = 0
         self.tail = b""
+        self.received_bytes = 0
         self.framing_bytes = 0
         self.body_bytes = 0
 
@@ -84,6 +89,8 @@
 
     def _parse(self, data: bytes) -> None:
         self.tail = (self.tail + data)[-len(HEAD_END) + 1 :]
+        if self.head_received:
+            self.received_bytes += len(data)
         super().data_received(data)
         payload = self._payload
         body_bytes = (
@@ -93,13 +100,18 @@
             0 if body_bytes > self.body_bytes else self.framing_bytes + len(data)
         )
         self.body_bytes = body_bytes
+        if self._exceeds_limits():
+            self.abort_exchange("the runner sent bytes that are not an HTTP response")
+
+    def _exceeds_limits(self) -> bool:
         limit = MAX_FRAMING_BYTES if self.head_received else MAX_HEAD_BYTES
-        if (
+        framing_surplus = self.received_bytes - 2 * self.body_bytes
+        return (
             self.framing_bytes > limit
+            or framing_surplus > MAX_FRAMING_SURPLUS_BYTES
             or self.informational > MAX_INFORMATIONAL_RESPONSES
             or self._upgraded
-        ):
-            self.abort_exchange("the runner sent bytes that are not an HTTP response")
+        )
 
     def abort_exchange(self, reason: str) -> None:
         """Abort the exchange because of invalid data from the runner."""
