--- a/src/primroseford/gateway/runner_connection.py
+++ b/src/primroseford/bounded_http.py
@@ -1,9 +1,9 @@
-"""Connections to runners, with limits on what a runner may send.
+"""HTTP connections with limits on what the other side may send in a response.
 
 aiohttp limits the lines and headers of one response head. It does not limit the number
-of informational responses before the head, treats a response without a length as
-complete after a connection reset, and discards a complete response if further bytes
-follow in the same read.
+of informational responses before the head, nor the framing of a chunked body, treats a
+response without a length as complete after a connection reset, and discards a complete
+response if further bytes follow in the same read.
 """
 
 from __future__ import annotations
@@ -11,22 +11,25 @@
 import asyncio
 from functools import partial
 from typing import TYPE_CHECKING
+from typing import Any
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.http_exceptions import BadHttpMessage
 
 if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
     from aiohttp.http import RawResponseMessage
     from aiohttp.streams import StreamReader
 
 MAX_HEAD_BYTES = 64 * 1024
-"""Bytes that a runner may send before its response head is complete, informational
+"""Bytes that may be received before a response head is complete, informational
 responses included: several times the 8 KB that HTTP servers usually allow a head."""
 MAX_INFORMATIONAL_RESPONSES = 8
-"""Informational responses (1xx) before the final one; runners need not send any."""
+"""Informational responses (1xx) before the final one; servers need not send any."""
 MAX_FRAMING_BYTES = 64 * 1024
-"""Bytes that a runner may send in a row without any body bytes among them: chunk sizes,
+"""Bytes that may be received in a row without any body bytes among them: chunk sizes,
 chunk extensions and trailers."""
 MAX_FRAMING_SURPLUS_BYTES = 256 * 1024
 """Bytes by which the framing of a whole response may exceed its body. Tiny chunks cost
@@ -35,8 +38,14 @@
 HEAD_END = b"\r\n\r\n"
 
 
-class RunnerConnection(ResponseHandler):
-    """One connection to a runner, used for one exchange.
+class ResponseTooLong(aiohttp.ClientPayloadError):
+    """The body of a response exceeds the limit of its reader."""
+
+
+class BoundedConnection(ResponseHandler):
+    """One connection, used for one exchange or for several in succession.
+
+    The following describe the exchange in progress.
 
     :ivar head_received: whether the head of the final response has been received
     :ivar tail: last bytes received, which may be the start of the end of a head
@@ -47,6 +56,9 @@
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         super().__init__(loop)
+        self._begin_exchange()
+
+    def _begin_exchange(self) -> None:
         self.head_received = False
         self.informational = 0
         self.tail = b""
@@ -54,6 +66,11 @@
         self.framing_bytes = 0
         self.body_bytes = 0
 
+    def set_response_params(self, **params: Any) -> None:
+        """Prepare for the response to the next request."""
+        self._begin_exchange()
+        super().set_response_params(**params)
+
     def feed_data(
         self, data: tuple[RawResponseMessage, StreamReader], size: int = 0
     ) -> None:
@@ -61,9 +78,11 @@
         if 100 <= data[0].code < 200:
             self.informational += 1
             return
-        if not self.head_received:
-            self.head_received = True
-            super().feed_data(data, size)
+        if self.head_received:
+            self.force_close()
+            return
+        self.head_received = True
+        super().feed_data(data, size)
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes, and abort the connection if they exceed the limits.
@@ -77,6 +96,12 @@
         if not data:
             super().data_received(data)
             return
+        if self._is_response_complete():
+            # The bytes belong to no request, so no request may use the connection.
+            self.force_close()
+            if self.transport is not None:
+                self.transport.abort()
+            return
         while not self.head_received and self.transport is not None:
             found = (self.tail + data).find(HEAD_END)
             if found < 0:
@@ -87,6 +112,10 @@
         if data and self.transport is not None:
             self._parse(data)
 
+    def _is_response_complete(self) -> bool:
+        payload = self._payload
+        return self.head_received and payload is not None and payload.is_eof()
+
     def _parse(self, data: bytes) -> None:
         self.tail = (self.tail + data)[-len(HEAD_END) + 1 :]
         if self.head_received:
@@ -101,7 +130,7 @@
         )
         self.body_bytes = body_bytes
         if self._exceeds_limits():
-            self.abort_exchange("the runner sent bytes that are not an HTTP response")
+            self.abort_exchange("the bytes received are not an HTTP response")
 
     def _exceeds_limits(self) -> bool:
         limit = MAX_FRAMING_BYTES if self.head_received else MAX_HEAD_BYTES
@@ -114,7 +143,7 @@
         )
 
     def abort_exchange(self, reason: str) -> None:
-        """Abort the exchange because of invalid data from the runner."""
+        """Abort the exchange because of invalid data from the other side."""
         error = BadHttpMessage(reason)
         payload = self._payload
         if payload is not None and not payload.is_eof():
@@ -132,9 +161,41 @@
         super().connection_lost(exc)
 
 
-class RunnerConnector(aiohttp.TCPConnector):
-    """Opens a new connection for each exchange with a runner."""
+class BoundedConnector(aiohttp.TCPConnector):
+    """Opens connections with limits on responses.
+
+    :param keepalive_seconds: time for which an idle connection may be used again; none
+        for a new connection for each exchange
+    """
+
+    def __init__(self, keepalive_seconds: float | None = None) -> None:
+        if keepalive_seconds is None:
+            super().__init__(limit=0, force_close=True)
+        else:
+            super().__init__(limit=0, keepalive_timeout=keepalive_seconds)
+        self._factory = partial(BoundedConnection, loop=asyncio.get_running_loop())
+
+
+async def iterate_limited(
+    response: aiohttp.ClientResponse, limit: int
+) -> AsyncIterator[bytes]:
+    """Yield the blocks of a response body as they are received.
 
-    def __init__(self) -> None:
-        super().__init__(limit=0, force_close=True)
-        self._factory = partial(RunnerConnection, loop=asyncio.get_running_loop())
+    :param limit: maximum length of the body in bytes
+    :raises ResponseTooLong: if the body is longer
+    """
+    size = 0
+    async for block in response.content.iter_any():
+        size += len(block)
+        if size > limit:
+            raise ResponseTooLong(f"the response is longer than {limit} bytes")
+        yield block
+
+
+async def read_limited(response: aiohttp.ClientResponse, limit: int) -> bytes:
+    """Return the body of a response.
+
+    :param limit: maximum length of the body in bytes
+    :raises ResponseTooLong: if the body is longer
+    """
+    return b"".join([block async for block in iterate_limited(response, limit)])
--- a/src/primroseford/gateway/exchange.py
+++ b/src/primroseford/gateway/exchange.py
@@ -11,10 +11,12 @@
 import aiohttp
 from yarl import URL
 
+from primroseford.bounded_http import BoundedConnector
+from primroseford.bounded_http import ResponseTooLong
+from primroseford.bounded_http import iterate_limited
 from primroseford.errors import Outcome
 from primroseford.errors import PrimrosefordError
 from primroseford.errors import ResultCode
-from primroseford.gateway.runner_connection import RunnerConnector
 from primroseford.online.exchange import CURRENT_ATTEMPT
 from primroseford.online.exchange import Attempt
 from primroseford.online.exchange import SendTrackingRequest
@@ -159,7 +161,7 @@
     packets, or on which the response to another request is still outstanding.
     """
     session = aiohttp.ClientSession(
-        connector=RunnerConnector(),
+        connector=BoundedConnector(),
         cookie_jar=aiohttp.DummyCookieJar(),
         auto_decompress=False,
         skip_auto_headers=("User-Agent", "Content-Type", "Accept", "Accept-Encoding"),
@@ -233,14 +235,11 @@
     :param limit: maximum length of the body in bytes
     :raises PrimrosefordError: RUNNER_FAILED if the body is longer
     """
-    size = 0
-    async for chunk in response.content.iter_any():
-        size += len(chunk)
-        if size > limit:
-            raise may_have_run_error(
-                ResultCode.RUNNER_FAILED, f"the response is longer than {limit} bytes"
-            )
-        yield chunk
+    try:
+        async for chunk in iterate_limited(response, limit):
+            yield chunk
+    except ResponseTooLong as error:
+        raise may_have_run_error(ResultCode.RUNNER_FAILED, str(error)) from error
 
 
 def describe_error(error: BaseException) -> str:
