Use the bounded connection for runners of the product's own interface

What callers saw: a runner that sends informational responses, a chunk extension or tiny chunks without end keeps a core of the host busy until the request's timeout, for every caller of the host.

Cause: the own interface used aiohttp's connection, which bounds lines and headers only.

Endless junk, heads, lines and trailers were ended already and stay as guards.

Fix: create_runner_session, which online requests, batch items, polls and orders share, opens bounded connections.

--- a/src/primroseford/bounded_http.py
+++ b/src/primroseford/bounded_http.py
@@ -31,7 +31,7 @@
 MAX_FRAMING_BYTES = 64 * 1024
 """Bytes that may be received in a row without any body bytes among them: chunk sizes,
 chunk extensions and trailers."""
-MAX_FRAMING_SURPLUS_BYTES = 256 * 1024
+MAX_FRAMING_SURPLUS_BYTES = 64 * 1024
 """Bytes by which the framing of a whole response may exceed its body. Tiny chunks cost
 several times the memory and time of their bytes."""
 
--- a/src/primroseford/online/exchange.py
+++ b/src/primroseford/online/exchange.py
@@ -14,6 +14,7 @@
 import aiohttp
 from yarl import URL
 
+from primroseford.bounded_http import BoundedConnector
 from primroseford.errors import Outcome
 from primroseford.errors import PrimrosefordError
 from primroseford.errors import ResultCode
@@ -114,7 +115,7 @@
     itself.
     """
     session = aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=KEEPALIVE_SECONDS),
+        connector=BoundedConnector(KEEPALIVE_SECONDS),
         cookie_jar=aiohttp.DummyCookieJar(),
         auto_decompress=False,
         skip_auto_headers=("User-Agent", "Content-Type", "Accept", "Accept-Encoding"),
--- a/src/primroseford/standins/hostile_runner.py
+++ b/src/primroseford/standins/hostile_runner.py
@@ -38,6 +38,8 @@
     ENDLESS_BODY = "endless body"
     ENDLESS_LENGTH = "endless length"
     ENDLESS_SMALL_CHUNKS = "endless small chunks"
+    ENDLESS_AFTER_END_MARK = "endless after end mark"
+    ENDLESS_ERROR = "endless error"
     ENDLESS_EVENT = "endless event"
     ENDLESS_EVENTS = "endless events"
     NOT_HTTP = "not http"
@@ -108,7 +110,7 @@
                 writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
                 await writer.drain()
                 return
-            request_id = _header(head, "request-id")
+            request_id = _header(head, "request-id") or _header(head, "x-request-id")
             self.arrivals.append((request_id, time.monotonic()))
             for piece in _response_pieces(self.response_fault, self.name, request_id):
                 writer.write(piece)
@@ -156,8 +158,9 @@
 ) -> Iterator[bytes]:
     """Yield the bytes of a response; the iterator may be infinite."""
     signed_headers = (
-        f"Request-Id: {request_id}\r\nServer-Signature: sig-{name}\r\n".encode()
-    )
+        f"Request-Id: {request_id}\r\nX-Request-Id: {request_id}\r\n"
+        f"Server-Signature: sig-{name}\r\n"
+    ).encode()
     valid_head = b"HTTP/1.1 200 OK\r\n" + signed_headers
     valid_response = valid_head + b"Content-Length: 4\r\n\r\ndone"
     match response_fault:
@@ -190,6 +193,14 @@
         case ResponseFault.ENDLESS_LENGTH:
             yield valid_head + b"Content-Length: 1000000000000\r\n\r\n"
             yield from _endless(b"x")
+        case ResponseFault.ENDLESS_AFTER_END_MARK:
+            yield valid_head + STREAM_HEAD + CHUNKED
+            yield _chunk(b"data: {}\n\n" + b"data: [DONE]\n\n")
+            yield from _endless(_chunk(b"x" * 1000))
+        case ResponseFault.ENDLESS_ERROR:
+            yield b"HTTP/1.1 500 Failed\r\n" + signed_headers
+            yield b"Content-Length: 1000000000000\r\n\r\n"
+            yield from _endless(b"x")
         case ResponseFault.ENDLESS_SMALL_CHUNKS:
             yield valid_head + STREAM_HEAD + CHUNKED
             yield from _endless(_chunk(b"x"))
