Read from runners in smaller blocks, and resume only after a pause

Reads are now 64 KiB at most, so that the limits are checked four times as often, and resume_reading does nothing without a pause.

--- a/src/primroseford/bounded_http.py
+++ b/src/primroseford/bounded_http.py
@@ -34,6 +34,9 @@
 MAX_FRAMING_SURPLUS_BYTES = 64 * 1024
 """Bytes by which the framing of a whole response may exceed its body. Tiny chunks cost
 several times the memory and time of their bytes."""
+MAX_READ_BYTES = 64 * 1024
+"""Bytes that are read from a connection, and parsed, between two checks of the limits;
+asyncio reads up to four times as many."""
 
 HEAD_END = b"\r\n\r\n"
 
@@ -66,11 +69,21 @@
         self.framing_bytes = 0
         self.body_bytes = 0
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Limit the size of each read from the new connection."""
+        transport.max_size = MAX_READ_BYTES
+        super().connection_made(transport)
+
     def set_response_params(self, **params: Any) -> None:
         """Prepare for the response to the next request."""
         self._begin_exchange()
         super().set_response_params(**params)
 
+    def resume_reading(self, resume_parser: bool = True) -> None:
+        """Resume reading after a pause; aiohttp also calls this without one."""
+        if self._reading_paused:
+            super().resume_reading(resume_parser)
+
     def feed_data(
         self, data: tuple[RawResponseMessage, StreamReader], size: int = 0
     ) -> None:
