Limit the length of responses on the product's own interface

What callers saw: a body, an error or a stream without end is passed on without a bound, and keeps a core of the host busy until the request's timeout; batch items had a limit of 8 MiB already.

Cause: online requests and calls without an explicit limit read as long as bytes came.

Fix: responses have 64 MiB at most, what follows is cut like any response that breaks off.

--- a/src/primroseford/online/exchange.py
+++ b/src/primroseford/online/exchange.py
@@ -15,6 +15,8 @@
 from yarl import URL
 
 from primroseford.bounded_http import BoundedConnector
+from primroseford.bounded_http import ResponseTooLong
+from primroseford.bounded_http import read_limited
 from primroseford.errors import Outcome
 from primroseford.errors import PrimrosefordError
 from primroseford.errors import ResultCode
@@ -33,6 +35,9 @@
 """Shorter than the 5 s after which common Python servers close an idle connection, so
 that requests are seldom sent on a connection that the server is closing."""
 READ_BUFFER_BYTES = 256 * 1024
+MAX_RESPONSE_BYTES = 64 * 1024 * 1024
+"""Longest response body of a runner: about the embeddings of the largest usual
+request."""
 BODILESS_STATUSES = frozenset({204, 304})
 
 
@@ -58,7 +63,7 @@
     :param timeout: seconds left for the whole exchange
     :param requires_echo: whether a response with status 200 must return the request id
     :param not_run_statuses: statuses that mean that the request did not run
-    :param max_response_bytes: size limit of the response body; none for no limit
+    :param max_response_bytes: size limit of the response body
     """
 
     method: str
@@ -69,7 +74,7 @@
     timeout: float
     requires_echo: bool = False
     not_run_statuses: Collection[int] = ()
-    max_response_bytes: int | None = None
+    max_response_bytes: int = MAX_RESPONSE_BYTES
 
 
 @dataclass(frozen=True)
@@ -273,30 +278,19 @@
 
 
 async def _read_body(
-    response: aiohttp.ClientResponse, attempt: Attempt, limit: int | None
+    response: aiohttp.ClientResponse, attempt: Attempt, limit: int
 ) -> bytes:
     if not has_verifiable_length(response):
         raise create_exchange_error(
             ResultCode.RUNNER_FAILED, "the runner's response has no length", attempt
         )
     try:
-        if limit is None:
-            return await response.read()
-        return await _read_bounded(response, limit)
+        return await read_limited(response, limit)
+    except ResponseTooLong as error:
+        raise PrimrosefordError(
+            ResultCode.RESULT_TOO_LARGE, str(error), outcome=Outcome.RAN
+        ) from error
     except (aiohttp.ClientError, OSError) as error:
         raise create_exchange_error(
             ResultCode.RUNNER_FAILED, "the runner's response was interrupted", attempt
         ) from error
-
-
-async def _read_bounded(response: aiohttp.ClientResponse, limit: int) -> bytes:
-    body = bytearray()
-    async for block in response.content.iter_any():
-        body += block
-        if len(body) > limit:
-            raise PrimrosefordError(
-                ResultCode.RESULT_TOO_LARGE,
-                f"the runner's response is larger than {limit} bytes",
-                outcome=Outcome.RAN,
-            )
-    return bytes(body)
--- a/src/primroseford/online/relay.py
+++ b/src/primroseford/online/relay.py
@@ -9,6 +9,7 @@
 from aiohttp import web
 
 from primroseford.bounded_http import iterate_limited
+from primroseford.bounded_http import read_limited
 from primroseford.errors import PrimrosefordError
 from primroseford.errors import ResultCode
 from primroseford.online.credentials import forwarded_response_headers
@@ -17,6 +18,7 @@
 from primroseford.online.events import EventSplitter
 from primroseford.online.events import ends_after_event
 from primroseford.online.events import error_event
+from primroseford.online.exchange import MAX_RESPONSE_BYTES
 from primroseford.online.exchange import REQUEST_ID_HEADER
 from primroseford.online.exchange import Attempt
 from primroseford.online.exchange import RunnerRequest
@@ -112,9 +114,9 @@
                 context,
                 runner_response,
                 runner_request,
-                await runner_response.read(),
+                await read_limited(runner_response, MAX_BUFFERED_RESPONSE_BYTES),
             )
-        async for chunk in runner_response.content.iter_any():
+        async for chunk in iterate_limited(runner_response, MAX_RESPONSE_BYTES):
             tail = (tail + chunk)[-EVENT_END_BYTES:]
             if response is not None:
                 await _write(response, chunk)
@@ -211,7 +213,7 @@
     response = context.entry.response
     feed = splitter.feed
     try:
-        async for chunk in runner_response.content.iter_any():
+        async for chunk in iterate_limited(runner_response, MAX_RESPONSE_BYTES):
             complete = feed(chunk)
             if not complete:
                 continue
