Limit responses of peers, of the store's probe and of reports of runners

What callers saw: nothing yet.

Cause: these calls read whole responses without a limit, on connections without the limits of runners' connections.

Fix: sessions for the store and peers open bounded connections; each call names the longest response that it accepts. Health checks of entry hosts read no body, and stay as they are.

--- a/src/primroseford/gateway/peer_bootstrap.py
+++ b/src/primroseford/gateway/peer_bootstrap.py
@@ -14,6 +14,7 @@
 import structlog
 from aiohttp import web
 
+from primroseford.bounded_http import read_limited
 from primroseford.platform.configuration import CONFIGURATION_KIND
 from primroseford.platform.objects import DECODING_ERRORS
 from primroseford.platform.runner_list import RUNNER_KIND
@@ -34,6 +35,7 @@
 PATH = "/followed"
 TIMEOUT_SECONDS = 1.0
 """Timeout of a response, which takes some ms and has up to a megabyte."""
+MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 BOOTSTRAP_KINDS = (CONFIGURATION_KIND, RUNNER_KIND)
 """Kinds of objects that a host needs to start."""
 PARALLEL_REQUESTS = 3
@@ -79,7 +81,7 @@
             async with session.get(base_url + PATH, timeout=timeout) as response:
                 if response.status != 200:
                     return None
-                body = json.loads(await response.read())
+                body = json.loads(await read_limited(response, MAX_RESPONSE_BYTES))
                 # A peer of another software version may send further kinds.
                 lists = {k: decode_list(k, body["lists"][k]) for k in BOOTSTRAP_KINDS}
                 return lists, float(body["confirmed_seconds_ago"])
--- a/src/primroseford/jobs/peers.py
+++ b/src/primroseford/jobs/peers.py
@@ -17,6 +17,7 @@
 from aiohttp import web
 from yarl import URL
 
+from primroseford.bounded_http import read_limited
 from primroseford.ids import JobId
 from primroseford.jobs.state import ItemId
 from primroseford.jobs.state import JobView
@@ -40,6 +41,9 @@
 
 PATH = "/jobs/"
 SEGMENT_NUMBER = re.compile(r"[0-9]{1,9}")
+MAX_RESPONSE_BYTES = 32 * 1024 * 1024
+"""Longest response of a host: a job of the largest body that hosts accept, and the
+texts of its items."""
 TIMEOUT_SECONDS = 0.5
 """Timeout for a response, which takes a few ms; then the store is read instead."""
 
@@ -121,7 +125,9 @@
                     method, url, timeout=timeout
                 ) as response:
                     if response.status == 200:
-                        return json.loads(await response.read())
+                        return json.loads(
+                            await read_limited(response, MAX_RESPONSE_BYTES)
+                        )
             except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
                 log.info("job not read from peer", job=job, reason=repr(error))
         return None
--- a/src/primroseford/jobs/results_watch.py
+++ b/src/primroseford/jobs/results_watch.py
@@ -21,6 +21,7 @@
 from mode import Service
 from yarl import URL
 
+from primroseford.bounded_http import read_limited
 from primroseford.errors import PrimrosefordError
 from primroseford.errors import ResultCode
 from primroseford.ids import JobId
@@ -55,6 +56,8 @@
 AFTER_ALL_NAMES = "~"
 """Sorts after the names of all segments, so that a list call after it returns an empty
 page with the store's version."""
+MAX_RESPONSE_BYTES = 4096
+"""Longest status of a job's segments: three numbers."""
 REQUEST_TIMEOUT_SECONDS = 0.3
 """Timeout for a response of the host that runs the watch, which takes a few ms."""
 
@@ -225,7 +228,7 @@
             async with session.get(url, timeout=timeout) as response:
                 if response.status != 200:
                     return None
-                reported = json.loads(await response.read())
+                reported = json.loads(await read_limited(response, MAX_RESPONSE_BYTES))
                 # The ages were computed between request and response: each time is
                 # converted with the clock reading that gives the weaker claim.
                 return SegmentStatus(
--- a/src/primroseford/orders/service.py
+++ b/src/primroseford/orders/service.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import random
 from collections import deque
 from dataclasses import dataclass
@@ -12,6 +13,7 @@
 import structlog
 from mode import Service
 
+from primroseford.bounded_http import read_limited
 from primroseford.clock import boottime
 from primroseford.errors import PrimrosefordError
 from primroseford.errors import ResultCode
@@ -44,6 +46,8 @@
 """Concurrent loads of model weights in the fleet; the weight store limits the rate."""
 MAX_QUEUED_ORDERS = 100
 """Longest queue of orders for one runner; further orders are refused."""
+MAX_MODELS_BYTES = 1024 * 1024
+"""Longest list of the models of an engine."""
 
 INTERRUPTED = OrderResult(
     OrderStatus.UNKNOWN,
@@ -252,7 +256,8 @@
             async with self.session.get(url, timeout=timeout) as response:
                 if response.status != 200:
                     return None
-                return {model["id"] for model in (await response.json())["data"]}
+                content = await read_limited(response, MAX_MODELS_BYTES)
+                return {model["id"] for model in json.loads(content)["data"]}
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError, KeyError):
             return None
 
--- a/src/primroseford/platform/transport.py
+++ b/src/primroseford/platform/transport.py
@@ -11,6 +11,8 @@
 import aiohttp
 from yarl import URL
 
+from primroseford.bounded_http import BoundedConnector
+from primroseford.bounded_http import read_limited
 from primroseford.errors import Outcome
 from primroseford.errors import PrimrosefordError
 from primroseford.errors import ResultCode
@@ -131,7 +133,7 @@
         )
         try:
             async with self._request(base_url, call, timeout) as response:
-                content = await _read_bounded(response)
+                content = await read_limited(response, MAX_RESPONSE_BYTES)
                 self._report(base_url, response.status not in UNAVAILABLE_STATUSES)
                 if response.status >= 400:
                     raise self._count_failure(
@@ -173,8 +175,7 @@
 
 def create_session() -> aiohttp.ClientSession:
     """Return an HTTP session for calls to the service, and to other hosts."""
-    connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=KEEPALIVE_SECONDS)
-    return aiohttp.ClientSession(connector=connector)
+    return aiohttp.ClientSession(connector=BoundedConnector(KEEPALIVE_SECONDS))
 
 
 async def probe_service(
@@ -189,7 +190,7 @@
     timeout = aiohttp.ClientTimeout(total=seconds)
     try:
         async with session.get(url, timeout=timeout) as response:
-            await response.read()
+            await read_limited(response, MAX_RESPONSE_BYTES)
             return response.status in (200, 404)
     except (aiohttp.ClientError, TimeoutError, OSError):
         return False
@@ -214,7 +215,7 @@
             headers={"Content-Type": "application/json"} if body else {},
             middlewares=() if method == "GET" else (_send_once,),
         ) as response:
-            return response.status, await _read_bounded(response)
+            return response.status, await read_limited(response, MAX_RESPONSE_BYTES)
     except aiohttp.ClientConnectorError:
         return 503, b""
     except (aiohttp.ClientError, TimeoutError, OSError, ValueError):
@@ -237,17 +238,6 @@
         raise aiohttp.ClientPayloadError("the connection was closed") from error
 
 
-async def _read_bounded(response: aiohttp.ClientResponse) -> bytes:
-    parts: list[bytes] = []
-    size = 0
-    async for part in response.content.iter_any():
-        size += len(part)
-        if size > MAX_RESPONSE_BYTES:
-            raise ValueError("the response is too large")
-        parts.append(part)
-    return b"".join(parts)
-
-
 def _too_large_error(call: Call, size: int) -> PrimrosefordError:
     return PrimrosefordError(
         ResultCode.BODY_TOO_LARGE,
--- a/src/primroseford/routing/poller.py
+++ b/src/primroseford/routing/poller.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import json
 from typing import TYPE_CHECKING
 
 import aiohttp
 from mode import Service
 
+from primroseford.bounded_http import read_limited
 from primroseford.configuration.tables import PoolKind
 from primroseford.routing.runner_selection import LoadReport
 from primroseford.routing.tracker import apply_cache_event
@@ -25,6 +27,8 @@
 MAX_POLLS_PER_SECOND = 100
 """Bounds the cost of polling: 10 pools with 16 runners each are polled every 1.6 s."""
 POLL_TIMEOUT_SECONDS = 1.0
+MAX_RESPONSE_BYTES = 1024 * 1024
+"""Longest report of an engine: its load, or the cache events since the last poll."""
 IDLE_POLL_ROUNDS = 4
 """Rounds between polls of a runner to which this host sends nothing. Polling was the
 largest part of an idle host's processor time. With reports that are 0.5 s old, a
@@ -143,7 +147,7 @@
         async with self.session.get(url, timeout=timeout) as response:
             if response.status != 200:
                 raise ValueError(f"status {response.status}")
-            return await response.json()
+            return json.loads(await read_limited(response, MAX_RESPONSE_BYTES))
 
 
 def create_load_poller(
