Make the removal of a job repeatable

Cause: the removal first read the job's items, which needs all parts, so that it failed with 404 once one was gone. Segments were removed from the first on, so that the others could not be found again after an interruption and stayed for ever.

Evidence: test_interrupted_removal_is_never_completed failed before for interruptions after 4, 5 and 6 writes; test_interrupted_removal_stops_all_takeovers, too ('step failed' with 404 for batch-parts/old.1 each quarter of a second).

--- a/src/primroseford/jobs/store.py
+++ b/src/primroseford/jobs/store.py
@@ -226,16 +226,31 @@
         return list(page.items)
 
     async def remove(self, stored: PlatformObject) -> None:
-        """Remove a job, its object last, so that a failed removal can be retried."""
-        view = await self.load_items(stored)
-        await self.refresh(view)
-        for number in range(view.segments):
-            await self._delete(SEGMENTS, segment_name(view.job.id, number))
-        await self._delete(CHECKPOINTS, stored.name)
-        await self._delete(CANCELLATIONS, stored.name)
+        """Remove a job; an interrupted removal can be repeated.
+
+        The job's object, which names the parts, is removed last. Segments have no list
+        and are found by their numbers, so the last one is removed first.
+        """
+        job = JobId(stored.name)
+        for number in reversed(range(await self._count_segments(job))):
+            await self._delete(SEGMENTS, segment_name(job, number))
+        await self._delete(CHECKPOINTS, job)
+        await self._delete(CANCELLATIONS, job)
         for number in range(1, stored.spec["parts"]):
-            await self._delete(PARTS, f"{stored.name}.{number}")
-        await self._delete(JOBS, stored.name)
+            await self._delete(PARTS, f"{job}.{number}")
+        await self._delete(JOBS, job)
+
+    async def _count_segments(self, job: JobId) -> int:
+        number = 0
+        while True:
+            name = segment_name(job, number)
+            try:
+                await self.client.get(SEGMENTS, name, purpose=PURPOSES[SEGMENTS])
+            except PrimrosefordError as error:
+                if error.code is not ResultCode.NOT_FOUND:
+                    raise
+                return number
+            number += 1
 
     async def _delete(self, kind: str, name: str) -> None:
         try:
--- /dev/null
+++ b/src/primroseford/jobs/tests/test_removal.py
@@ -0,0 +1,78 @@
+"""Removal of old jobs, and what else a host does beside it."""
+
+from __future__ import annotations
+
+import base64
+import json
+
+import pytest
+
+from primroseford.errors import PrimrosefordError
+from primroseford.jobs.store import JOBS
+from primroseford.jobs.store import PARTS
+from primroseford.jobs.store import SEGMENTS
+from primroseford.jobs.tests.test_jobs import read_all
+from primroseford.jobs.tests.test_jobs import service
+from primroseford.jobs.tests.test_jobs import stored
+from primroseford.jobs.tests.test_jobs import submission
+from primroseford.jobs.tests.test_jobs import submit
+
+PART_BYTES = 400_000
+"""Length of a body of which each makes a part of a job."""
+
+
+async def until_finished(site, job: str) -> None:
+    """Wait for the end of a job; no caller's read makes a host look for it."""
+    await site.until(lambda: stored(site, JOBS)[job]["status"] == {"finished": True})
+
+
+async def submit_with_parts(site, job: str) -> None:
+    """Submit a job of four parts and read its results."""
+    body = json.loads(submission(4, prefix=job))
+    for item in body["items"]:
+        item["body"] = base64.b64encode(b"x" * PART_BYTES).decode()
+    content = json.dumps(body).encode()
+    assert (await site.call("/notes/x", job, body=content))[0] == 202
+    await read_all(site, job)
+    jobs = service(site.hosts[0])
+    await site.until(lambda: job not in jobs.scheduler.runs)
+    await until_finished(site, job)
+
+
+async def interrupt_removal(site, writes: int) -> None:
+    """Scan with all jobs past their retention; the store fails after some writes."""
+    ownership = service(site.hosts[0]).ownership
+    ownership.retention_seconds = -1000.0
+    site.platform.faults.down_after_writes = writes
+    try:
+        await ownership.scan(site.hosts[0].clock())
+    except PrimrosefordError:
+        pass
+    site.platform.faults.down = False
+    site.platform.faults.down_after_writes = 0
+
+
+@pytest.mark.parametrize("writes", range(1, 8))
+async def test_interrupted_removal_is_never_completed(site, writes):
+    """Guards against a removal that fails for ever after an interruption (LOST)."""
+    await submit_with_parts(site, "old")
+    await interrupt_removal(site, writes)
+    await service(site.hosts[0]).ownership.scan(site.hosts[0].clock())
+    for kind in (JOBS, PARTS, SEGMENTS):
+        assert not stored(site, kind)
+
+
+async def test_interrupted_removal_stops_all_takeovers(site):
+    """Guards against accepted jobs that no host takes over after a restart (LOST)."""
+    await submit_with_parts(site, "old")
+    await interrupt_removal(site, 4)
+    service(site.hosts[0]).ownership.retention_seconds = 1000.0
+    stored(site, JOBS)["old"]["spec"]["content"]["submitted"] -= 200.0
+    site.runners[0].faults.silent = site.runners[1].faults.silent = True
+    assert await submit(site, "job1") == 202
+    for host_service in site.hosts[0].services:
+        await host_service.stop()
+    site.runners[0].faults.silent = site.runners[1].faults.silent = False
+    await site.add_host()
+    service(site.hosts[1]).ownership.retention_seconds = 100.0
+    await until_finished(site, "job1")
