Handle the jobs of a scan one by one, so that one that fails costs no other

What callers saw: with one stored job that cannot be read, a started host takes over no job at all; accepted jobs are never finished (LOST).

Cause: the loops over stored jobs, orphans and jobs of two hosts ended at the first error, also at one that concerns a single job, and began anew with the same job.

Fix: an error of one job is logged ('job skipped') and the next job follows; a store that does not answer still ends the round.

--- a/src/primroseford/jobs/ownership.py
+++ b/src/primroseford/jobs/ownership.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import time
+from contextlib import contextmanager
 from typing import TYPE_CHECKING
 
 import structlog
@@ -16,13 +17,17 @@
 from primroseford.gateway.members import preferred_host
 from primroseford.ids import JobId
 from primroseford.jobs.store import is_finished
+from primroseford.platform.objects import DECODING_ERRORS
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
+
     from primroseford.gateway.state import Gateway
     from primroseford.jobs.peers import JobPeers
     from primroseford.jobs.scheduler import JobScheduler
     from primroseford.jobs.store import JobStore
     from primroseford.jobs.views import JobViews
+    from primroseford.platform.objects import PlatformObject
 
 SCAN_INTERVAL_SECONDS = 4.0
 """Interval at which one host of the fleet scans all stored jobs."""
@@ -40,6 +45,11 @@
 SCANNER_ROLE = "scan"
 """Rendezvous hashing key that selects the scanner: the host that scans all stored
 jobs."""
+UNAVAILABLE_CODES = frozenset(
+    {ResultCode.PLATFORM_UNAVAILABLE, ResultCode.CALLS_LIMITED}
+)
+"""Codes of calls to a store that does not answer or refuses this host's calls."""
+MAX_REASON_LENGTH = 200
 
 log = structlog.get_logger()
 
@@ -111,7 +121,8 @@
         """
         for job, run in list(self.scheduler.runs.items()):
             if self.gateway.members.segments(job) > run.view.segments:
-                await self.store.refresh(run.view)
+                with self._isolate_errors(job):
+                    await self.store.refresh(run.view)
             # Reads of callers also add committed results to the view.
             if run.committer is None:
                 run.drop_committed()
@@ -126,13 +137,32 @@
     async def scan(self, now: float) -> None:
         """Scan all stored jobs for orphans and for jobs past their retention."""
         for stored in await self.store.list_jobs():
-            age = time.time() - float(stored.spec["submitted"])
-            if age > self.retention_seconds + RETENTION_MARGIN_SECONDS and (
-                is_finished(stored) or age > 2 * self.retention_seconds
-            ):
-                await self.store.remove(stored)
-            elif not is_finished(stored) and not self._is_done(JobId(stored.name)):
-                self.update_orphan(stored.name, now)
+            with self._isolate_errors(JobId(stored.name)):
+                await self._scan_job(stored, now)
+
+    async def _scan_job(self, stored: PlatformObject, now: float) -> None:
+        age = time.time() - float(stored.spec["submitted"])
+        if age > self.retention_seconds + RETENTION_MARGIN_SECONDS and (
+            is_finished(stored) or age > 2 * self.retention_seconds
+        ):
+            await self.store.remove(stored)
+        elif not is_finished(stored) and not self._is_done(JobId(stored.name)):
+            self.update_orphan(stored.name, now)
+
+    @contextmanager
+    def _isolate_errors(self, job: JobId) -> Iterator[None]:
+        """Log an error that concerns one job, so that the others are still handled.
+
+        :raises PrimrosefordError: if the store does not answer, which concerns all
+        """
+        try:
+            yield
+        except PrimrosefordError as error:
+            if error.code in UNAVAILABLE_CODES:
+                raise
+            log.error("job skipped", job=job, code=error.code.name, reason=str(error))
+        except DECODING_ERRORS as error:
+            log.error("job skipped", job=job, reason=repr(error)[:MAX_REASON_LENGTH])
 
     def _is_done(self, job: JobId) -> bool:
         """Return whether a job is known here to be finished or cancelled."""
@@ -153,15 +183,16 @@
             if job not in self.orphans or not self._should_take_over(job, since, now):
                 continue
             del self.orphans[job]
-            try:
-                await self._take_over(job, now)
-            except PrimrosefordError as error:
-                if error.code is ResultCode.NOT_FOUND:
-                    # The job was removed, or never accepted.
-                    self.gateway.members.orphaned.discard(job)
-                    continue
-                self.orphans[job] = since
-                raise
+            with self._isolate_errors(job):
+                try:
+                    await self._take_over(job, now)
+                except PrimrosefordError as error:
+                    if error.code is ResultCode.NOT_FOUND:
+                        # The job was removed, or never accepted.
+                        self.gateway.members.orphaned.discard(job)
+                        continue
+                    self.orphans[job] = since
+                    raise
 
     def _should_take_over(self, job: JobId, since: float, now: float) -> bool:
         members = self.gateway.members
--- a/src/primroseford/jobs/tests/test_removal.py
+++ b/src/primroseford/jobs/tests/test_removal.py
@@ -76,3 +76,39 @@
     await site.add_host()
     service(site.hosts[1]).ownership.retention_seconds = 100.0
     await until_finished(site, "job1")
+
+
+BAD_JOBS = {
+    "no fields": {},
+    "no submission time": {"submitted": "yesterday", "items": [], "parts": 1},
+    "missing part": {
+        "submitted": 0.0,
+        "items": [],
+        "parts": 2,
+        "organisation": None,
+        "host": "h",
+        "prefix": "/x/",
+    },
+    "unreadable items": {
+        "submitted": 4e9,
+        "items": [["it0"], 3],
+        "parts": 1,
+        "organisation": None,
+        "host": "h",
+        "prefix": "/x/",
+    },
+}
+
+
+@pytest.mark.parametrize("content", BAD_JOBS.values(), ids=BAD_JOBS)
+async def test_one_unreadable_job_stops_all_takeovers(site, content):
+    """Guards against a loop over all jobs that ends at the first that fails (LOST)."""
+    spec = {"operation": "", "labels": {}, "content": content}
+    site.platform.state.create(JOBS, {"metadata": {"name": "a-bad"}, "spec": spec})
+    site.runners[0].faults.silent = site.runners[1].faults.silent = True
+    assert await submit(site, "job1") == 202
+    for host_service in site.hosts[0].services:
+        await host_service.stop()
+    site.runners[0].faults.silent = site.runners[1].faults.silent = False
+    await site.add_host()
+    await until_finished(site, "job1")
