Read responses in which another writer's text is not UTF-8

Cause: the bytes of the whole response were decoded before single values were taken apart, so that one text made each list and each watch unreadable.

Evidence: eight entries with such bytes in different places, in a list and in a watch: 16 tests failed before and pass now.

Fix: a text with such bytes becomes null, a member's name a replacement character; the rest is decoded as before.

--- a/src/primroseford/platform/lenient_json.py
+++ b/src/primroseford/platform/lenient_json.py
@@ -1,8 +1,9 @@
 """Decoding of JSON of which single values cannot be decoded.
 
 Another writer can put a value into an object of the store that is valid JSON but
-exceeds what a decoder accepts: nested too deeply, or a number with too many digits.
-Such a value must not make the whole response unreadable.
+exceeds what a decoder accepts: nested too deeply, or a number with too many digits. It
+can also put bytes into a text that are not UTF-8. Such a value must not make the whole
+response unreadable.
 """
 
 from __future__ import annotations
@@ -15,11 +16,17 @@
 
 TOKEN = re.compile(r'"(?:[^"\\]|\\.)*"|[\[\]{},]', re.DOTALL)
 MEMBER = re.compile(r'\s*("(?:[^"\\]|\\.)*")\s*:', re.DOTALL)
+STRING = re.compile(r'"(?:[^"\\]|\\.)*"(\s*:)?', re.DOTALL)
+"""A text, with the colon if it is the name of a member."""
+NOT_UTF_8 = re.compile(r"[\udc80-\udcff]")
+"""Bytes that are not UTF-8, as the ``surrogateescape`` handler decodes them."""
 MAX_SPLIT_DEPTH = 5
 """Levels of a response that are decoded value by value: the response, a list, an event,
 an object, its fields."""
 MAX_DEPTH = 32
 """Deepest nesting of a value that is kept, since values are encoded again for peers."""
+UNREADABLE_NAME = "\ufffd"
+"""Name of members whose name has bytes that are not UTF-8."""
 UNDECODABLE = (ValueError, RecursionError)
 
 log = structlog.get_logger()
@@ -34,7 +41,7 @@
         return json.loads(content)
     except UNDECODABLE as error:
         reason = type(error).__name__
-    text = content.decode()
+    text = STRING.sub(_replace_unreadable, content.decode(errors="surrogateescape"))
     decoded = _decode_parts(text, MAX_SPLIT_DEPTH)
     if decoded is None:
         raise ValueError("the content is not JSON")
@@ -42,6 +49,13 @@
     return decoded
 
 
+def _replace_unreadable(found: re.Match[str]) -> str:
+    """Return a text as it is, or null for one with bytes that are not UTF-8."""
+    if not NOT_UTF_8.search(found[0]):
+        return found[0]
+    return "null" if found[1] is None else f'"{UNREADABLE_NAME}":'
+
+
 def _decode_parts(text: str, depth: int) -> Any:
     """Decode a value, and its members one by one if that fails."""
     try:
--- a/src/primroseford/platform/tests/test_odd_entries.py
+++ b/src/primroseford/platform/tests/test_odd_entries.py
@@ -17,6 +17,8 @@
     '{"service": "models", "address": %s, "zone": "a", "version": "v1", "slots": %s,'
     ' "state": "ready", "cold_left_ms": 0, "sequence": 1, "born": %s}'
 )
+NOT_UTF_8 = b"\xff\xfe\xc3\x28".decode(errors="surrogateescape")
+"""Bytes that are sent as they are, and which are no UTF-8."""
 ADDRESS = '"127.0.0.1:8000"'
 
 
@@ -55,6 +57,14 @@
     "name-number": entry(name="5", spec=spec()),
     "name-long": entry(name='"' + "n" * 5_000 + '"', spec=spec()),
     "spec-null": entry(spec="null"),
+    "bytes-service": entry(spec=spec().replace("models", f"mod{NOT_UTF_8}")),
+    "bytes-zone": entry(spec=spec().replace('"a"', f'"{NOT_UTF_8}"')),
+    "bytes-address": entry(spec=spec(f'"{NOT_UTF_8}"')),
+    "bytes-key": entry(spec=spec().replace("zone", f"zone{NOT_UTF_8}")),
+    "bytes-slots": entry(spec=spec(slots=NOT_UTF_8)),
+    "bytes-name": entry(f'"{NOT_UTF_8}"', spec=spec()),
+    "bytes-spec": entry(spec=NOT_UTF_8),
+    "bytes-escaped": entry(spec=spec().replace("models", f'\\"{NOT_UTF_8}\\"')),
 }
 
 
@@ -73,12 +83,16 @@
         """Answer a list or a watch call."""
         if "watch" not in request.query:
             body = f'{{"items": [{", ".join(self.items)}], "has_more": false'
-            return web.Response(text=body + ', "as_of": 5}')
+            return _response(body + ', "as_of": 5}')
         self.watches += 1
         if self.watches > 1:
             await asyncio.sleep(3600)
         events = [f'{{"object": {text}, "deleted": false}}' for text in self.events]
-        return web.Response(text=f'{{"events": [{", ".join(events)}], "as_of": 9}}')
+        return _response(f'{{"events": [{", ".join(events)}], "as_of": 9}}')
+
+
+def _response(text: str) -> web.Response:
+    return web.Response(body=text.encode(errors="surrogateescape"))
 
 
 @pytest.fixture
