Wait for a hand-over in progress when a host hands over all groups of limits

Cause: the stop goes through a list of groups made before, and a pass that was waiting for the next owner releases one of them meanwhile.

Evidence: test_stop_ends_at_a_group_that_a_pass_hands_over failed before with 'KeyError: 2'.

Fix: a lock for each group; the second hand-over waits for the first and does nothing if the group is gone.

--- a/src/primroseford/limits/ownership.py
+++ b/src/primroseford/limits/ownership.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import defaultdict
 from typing import TYPE_CHECKING
 from typing import Protocol
 
@@ -73,6 +74,7 @@
     :ivar received_handovers: handed-over state, local time of the request for it and
         of its receipt, by group
     :ivar offered_groups: groups that another host may fetch now
+    :ivar handover_locks: held while a group is handed over, by group
     :ivar next_offer_at: local time before which a group is not offered again
     :ivar last_reconciled: highest group number of the last pass
     """
@@ -100,6 +102,7 @@
         self.last_demand_at: dict[int, float] = {}
         self.received_handovers: dict[int, tuple[Handover, float, float]] = {}
         self.offered_groups: set[int] = set()
+        self.handover_locks: defaultdict[int, asyncio.Lock] = defaultdict(asyncio.Lock)
         self.next_offer_at: dict[int, float] = {}
         self.stopping = False
         self.last_reconciled = -1
@@ -241,8 +244,14 @@
 
         If the next owner does not fetch the state, this host keeps the group unless
         it is stopping. Otherwise the group would be acquired without state and would
-        grant nothing at first.
+        grant nothing at first. A pass and the stop of this host may hand over the same
+        group; the second one waits for the first.
         """
+        async with self.handover_locks[group]:
+            if group in self.owned:
+                await self._offer_and_release(group, ranked)
+
+    async def _offer_and_release(self, group: int, ranked: list[HostId]) -> None:
         lease, _ = self.owned[group]
         others = [name for name in ranked if name != self.own.host_id]
         self.offered_groups.add(group)
--- a/src/primroseford/limits/tests/test_reconcile.py
+++ b/src/primroseford/limits/tests/test_reconcile.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+
 from primroseford.ids import FailureDomainId
 from primroseford.ids import HostId
 from primroseford.ids import Incarnation
@@ -19,11 +21,20 @@
         """Handle no messages."""
 
 
+class SlowNetwork(NoNetwork):
+    """A peer network on which every call takes a while; the peer fetches nothing."""
+
+    async def call(self, *_):
+        """Return after a while."""
+        await asyncio.sleep(0.01)
+
+
 class CountingKeeper:
     """Records the attempts to acquire leases; refuses them while ``free`` is off."""
 
     def __init__(self):
         self.attempted_names = []
+        self.released_names = []
         self.free = True
 
     async def acquire(self, name):
@@ -31,6 +42,10 @@
         self.attempted_names.append(name)
         return FakeLease(name, 1, 100.0) if self.free else None
 
+    async def release(self, lease):
+        """Record a released lease."""
+        self.released_names.append(lease.name)
+
 
 async def test_lease_attempts_are_bounded_and_reach_every_group():
     """Guards against a new host that spends its limit of platform calls on leases."""
@@ -49,3 +64,24 @@
     for _ in range(8):
         await ownership.reconcile()
     assert len(ownership.owned) == 64
+
+
+async def test_stop_ends_at_a_group_that_a_pass_hands_over():
+    """Guards against a stop that leaves services and sockets open (KeyError)."""
+    own, other = (
+        HostInfo(HostId(name), Incarnation("1"), "", FailureDomainId("d"))
+        for name in ("h", "other")
+    )
+    membership, keeper = FakeMembership((own,)), CountingKeeper()
+    ownership = Ownership(
+        own, membership, SlowNetwork(), keeper, None, lambda: 1.0, 8, 9
+    )
+    await ownership.reconcile()
+    assert len(ownership.owned) == 8
+    membership.current = (own, other)
+    offering = asyncio.create_task(ownership.reconcile())
+    await asyncio.sleep(0)
+    await ownership.hand_over_all()
+    await offering
+    assert not ownership.owned
+    assert sorted(keeper.released_names) == [f"limits-{n}" for n in range(8)]
