--- a/src/primroseford/jobs/tests/test_object_sizes.py
+++ b/src/primroseford/jobs/tests/test_object_sizes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import base64
 import json
 
 import pytest
@@ -31,6 +32,7 @@
 from primroseford.jobs.tests.test_jobs import read_all
 from primroseford.jobs.tests.test_jobs import service
 from primroseford.jobs.tests.test_jobs import stored
+from primroseford.jobs.tests.test_jobs import submission
 from primroseford.jobs.tests.test_jobs import submit
 from primroseford.platform.encoding import encoded_bytes
 from primroseford.platform.transport import MAX_VALUE_BYTES
@@ -233,3 +235,11 @@
         assert status == 200 and len(body) <= 1_000_000
         assert json.loads(body)["next"] > position
         position = json.loads(body)["next"]
+
+
+async def test_item_with_a_large_body_is_refused(site):
+    """Guards against a job within the limits of callers that the store cannot take."""
+    body = json.loads(submission(2))
+    body["items"][1]["body"] = base64.b64encode(b"x" * 800_000).decode()
+    content = json.dumps(body).encode()
+    assert (await site.call("/notes/x", "job1", body=content))[0] == 202
