Let writes grow again after the store has refused a larger one

Found while reading the diff: after a refusal for its content, a job's writes kept the halved number of results until a single one was refused, so that a store with a smaller limit would get one write for each of few results.

test_writes_stay_small_after_a_refusal, before: 16 segments for 16 results, target at most 6 (1, 2, 4, 8, 1). Each write that succeeds now doubles the number.

--- a/src/primroseford/jobs/recorder.py
+++ b/src/primroseford/jobs/recorder.py
@@ -129,6 +129,8 @@
                     continue
                 try:
                     await self.store.commit(run.view, results)
+                    if run.max_results is not None:
+                        run.max_results *= 2
                 except PrimrosefordError as error:
                     log.warning(
                         "results not committed yet",
--- a/src/primroseford/jobs/run.py
+++ b/src/primroseford/jobs/run.py
@@ -166,8 +166,8 @@
     :param running: items with a current run
     :param finished: items with a result that is not committed yet
     :param committer: task that commits the finished items
-    :param max_results: maximum number of results in the next write, while the results
-        that the store refuses are separated from the others; None for no limit
+    :param max_results: maximum number of results in the next write, after the store
+        refused a write for its content; None for no limit
     :param urgent: set to commit the finished items without delay
     :param checkpoint: task that stores the progress
     :param checkpoint_version: version of the stored progress, if this host stored it
--- a/src/primroseford/jobs/state.py
+++ b/src/primroseford/jobs/state.py
@@ -18,6 +18,8 @@
 
 MAX_ESCAPED_TEXT_BYTES = 600_000
 """Size of an encoded text above which it is stored in base64."""
+MAX_CHARACTER_BYTES = 12
+"""Largest size of an encoded character: two escapes of six bytes."""
 BASE64_COMPLETE = "complete:base64"
 """Stored state of a complete item whose text is in base64. Software that does not know
 it fails to read the result instead of returning a wrong text."""
@@ -196,7 +198,7 @@
     text is stored in base64, which adds a third whatever its characters are.
     """
     if (
-        result.state is ItemState.COMPLETE
+        len(result.text) * MAX_CHARACTER_BYTES > MAX_ESCAPED_TEXT_BYTES
         and encoded_bytes(result.text) > MAX_ESCAPED_TEXT_BYTES
     ):
         content = base64.b64encode(result.text.encode()).decode()
--- a/src/primroseford/jobs/tests/test_object_sizes.py
+++ b/src/primroseford/jobs/tests/test_object_sizes.py
@@ -243,3 +243,12 @@
     body["items"][1]["body"] = base64.b64encode(b"x" * 800_000).decode()
     content = json.dumps(body).encode()
     assert (await site.call("/notes/x", "job1", body=content))[0] == 202
+
+
+async def test_writes_stay_small_after_a_refusal(site):
+    """Guards against one write for each result after the store refused a larger one."""
+    assert await submit(site, "job1", count=16) == 202
+    (run,) = service(site.hosts[0]).scheduler.runs.values()
+    run.max_results = 1
+    await read_all(site, "job1")
+    assert len(stored(site, SEGMENTS)) <= 6
--- a/src/primroseford/jobs/tests/test_removal.py
+++ b/src/primroseford/jobs/tests/test_removal.py
@@ -52,6 +52,18 @@
     site.platform.faults.down_after_writes = 0
 
 
+async def submit_and_lose_host(site, job: str) -> None:
+    """Submit a job that no runner serves yet, and replace its host by another one."""
+    for runner in site.runners:
+        runner.faults.silent = True
+    assert await submit(site, job) == 202
+    for host_service in site.hosts[0].services:
+        await host_service.stop()
+    for runner in site.runners:
+        runner.faults.silent = False
+    await site.add_host()
+
+
 @pytest.mark.parametrize("writes", range(1, 8))
 async def test_interrupted_removal_is_never_completed(site, writes):
     """Guards against a removal that fails for ever after an interruption (LOST)."""
@@ -68,12 +80,7 @@
     await interrupt_removal(site, 4)
     service(site.hosts[0]).ownership.retention_seconds = 1000.0
     stored(site, JOBS)["old"]["spec"]["content"]["submitted"] -= 200.0
-    site.runners[0].faults.silent = site.runners[1].faults.silent = True
-    assert await submit(site, "job1") == 202
-    for host_service in site.hosts[0].services:
-        await host_service.stop()
-    site.runners[0].faults.silent = site.runners[1].faults.silent = False
-    await site.add_host()
+    await submit_and_lose_host(site, "job1")
     service(site.hosts[1]).ownership.retention_seconds = 100.0
     await until_finished(site, "job1")
 
@@ -105,10 +112,5 @@
     """Guards against a loop over all jobs that ends at the first that fails (LOST)."""
     spec = {"operation": "", "labels": {}, "content": content}
     site.platform.state.create(JOBS, {"metadata": {"name": "a-bad"}, "spec": spec})
-    site.runners[0].faults.silent = site.runners[1].faults.silent = True
-    assert await submit(site, "job1") == 202
-    for host_service in site.hosts[0].services:
-        await host_service.stop()
-    site.runners[0].faults.silent = site.runners[1].faults.silent = False
-    await site.add_host()
+    await submit_and_lose_host(site, "job1")
     await until_finished(site, "job1")
