Store an item that exceeds an object in pieces

What callers saw: a job with an item whose body has more than some 740 KB, within max_body_bytes, is refused with 413; clients do not repeat that.

Cause: an item was stored whole, in base64, in one object.

Fix: an item of over 600,000 encoded bytes is stored as pieces of its JSON text, which are split over parts like items and joined when the job is loaded. The property test draws items of any characters. Hosts of an older build cannot load such a job; they refused it.

--- a/src/primroseford/jobs/store.py
+++ b/src/primroseford/jobs/store.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import json
 from typing import TYPE_CHECKING
 
 from primroseford.errors import PrimrosefordError
@@ -22,6 +23,7 @@
 from primroseford.jobs.state import encode_job
 from primroseford.jobs.state import encode_progress
 from primroseford.jobs.state import encode_result
+from primroseford.platform.encoding import encode_json
 from primroseford.platform.encoding import encoded_bytes
 
 if TYPE_CHECKING:
@@ -43,6 +45,8 @@
 MAX_PART_BYTES = 600_000
 """Maximum encoded size of the items in a stored part of a job, well below the store's
 limit on a value."""
+PIECE_CHARACTERS = 300_000
+"""ASCII characters in a piece of an item; escaping can double them."""
 MAX_SEGMENT_BYTES = 600_000
 """The same for the results in a segment."""
 MAX_PROGRESS_BYTES = 600_000
@@ -58,6 +62,10 @@
 }
 """Purpose under which the calls about each kind are counted."""
 FINISHED = "finished"
+PIECE = "piece"
+"""Field for a piece of the JSON text of an item."""
+LAST = "last"
+"""Field that tells whether a piece is the last one of its item."""
 
 
 class JobStore:
@@ -77,7 +85,8 @@
         :returns: whether the job is new
         :raises PrimrosefordError: its outcome tells whether the job may be accepted
         """
-        parts = split_items([encode_item(item) for item in job.items])
+        items = [part for item in job.items for part in split_item(encode_item(item))]
+        parts = split_items(items)
         for number, part in enumerate(parts[1:], 1):
             await self._create(PARTS, f"{job.id}.{number}", {"items": part})
         content = encode_job(job) | {"items": parts[0], "parts": len(parts)}
@@ -111,7 +120,7 @@
             name = f"{stored.name}.{number}"
             part = await self.client.get(PARTS, name, purpose=PURPOSES[PARTS])
             items += part.spec["items"]
-        return JobView(decode_job(JobId(stored.name), stored.spec, items))
+        return JobView(decode_job(JobId(stored.name), stored.spec, join_items(items)))
 
     async def refresh(self, view: JobView) -> bool:
         """Read the segments that a view lacks.
@@ -279,9 +288,36 @@
     return isinstance(stored.status, dict) and bool(stored.status.get(FINISHED))
 
 
-def split_items(items: list[list]) -> list[list[list]]:
+def split_item(item: list) -> list[list | dict]:
+    """Split an encoded item that exceeds a part into pieces of its JSON text."""
+    if encoded_bytes(item) <= MAX_PART_BYTES:
+        return [item]
+    text = encode_json(item).decode()
+    starts = range(0, len(text), PIECE_CHARACTERS)
+    return [
+        {PIECE: text[start : start + PIECE_CHARACTERS], LAST: start == starts[-1]}
+        for start in starts
+    ]
+
+
+def join_items(items: list[list | dict]) -> list[list]:
+    """Return the encoded items of a list in which some are split into pieces."""
+    joined: list[list] = []
+    text = ""
+    for item in items:
+        if isinstance(item, list):
+            joined.append(item)
+            continue
+        text += item[PIECE]
+        if item[LAST]:
+            joined.append(json.loads(text))
+            text = ""
+    return joined
+
+
+def split_items(items: list[list | dict]) -> list[list[list | dict]]:
     """Split encoded items into parts of bounded size; returns at least one part."""
-    parts: list[list[list]] = [[]]
+    parts: list[list[list | dict]] = [[]]
     size = 0
     for item in items:
         item_bytes = encoded_bytes(item) + SEPARATOR_BYTES
--- a/src/primroseford/jobs/tests/test_object_sizes.py
+++ b/src/primroseford/jobs/tests/test_object_sizes.py
@@ -28,6 +28,9 @@
 from primroseford.jobs.store import JobStore
 from primroseford.jobs.store import first_segment
 from primroseford.jobs.store import fitting_progress
+from primroseford.jobs.store import join_items
+from primroseford.jobs.store import split_item
+from primroseford.jobs.store import split_items
 from primroseford.jobs.tests.test_jobs import read
 from primroseford.jobs.tests.test_jobs import read_all
 from primroseford.jobs.tests.test_jobs import service
@@ -243,6 +246,27 @@
     body["items"][1]["body"] = base64.b64encode(b"x" * 800_000).decode()
     content = json.dumps(body).encode()
     assert (await site.call("/notes/x", "job1", body=content))[0] == 202
+    service(site.hosts[0]).views.views.clear()
+    path = "/items/job1?id=it1"
+    status, _, stored_body = await site.call(path, method="GET", body=b"")
+    assert (status, stored_body) == (200, b"x" * 800_000)
+    assert len(await read_all(site, "job1")) == 2
+
+
+@given(
+    st.lists(
+        st.tuples(st.text(max_size=10), st.integers(1, 200_000)),
+        min_size=1,
+        max_size=5,
+    )
+)
+def test_item_is_larger_than_an_object_of_the_store(drawn):
+    """Guards against items whose stored form depends on the characters in them."""
+    items = [["it0", "/x", {"Name": text * size}, "", 1] for text, size in drawn]
+    pieces = [piece for item in items for piece in split_item(item)]
+    parts = split_items(pieces)
+    assert all(encoded_bytes({"items": part}) < MAX_VALUE_BYTES for part in parts)
+    assert join_items([piece for part in parts for piece in part]) == items
 
 
 async def test_writes_stay_small_after_a_refusal(site):
