--- a/src/primroseford/standins/fleet_runner.py
+++ b/src/primroseford/standins/fleet_runner.py
@@ -79,17 +79,16 @@
 
     :param name: id of the runner on the platform
     :param events: number of events in a stream
-    :param token: text that precedes the number in the data of each event
     :param received: requests that the runner executed
     :param on_crash: called when the runner has crashed
     :ivar server: listening socket of the runner
     :ivar open: number of requests in progress
     :ivar transports: connections of the requests in progress
+    :param token: text that precedes the number in the data of each event
     """
 
     name: str
     events: int = 5
-    token: str = "token"
     event_seconds: float = EVENT_SECONDS
     faults: RunnerFaults = field(default_factory=RunnerFaults)
     received: list[ReceivedRequest] = field(default_factory=list)
@@ -97,6 +96,7 @@
     server: asyncio.Server | None = None
     open: int = 0
     transports: set[asyncio.Transport] = field(default_factory=set)
+    token: str = "token"
 
     def crash(self) -> None:
         """Reset all connections and stop listening, as a killed process does."""
