Log why an item waits, and jobs that no host runs

The record of the users cannot tell three hypotheses apart: no host is bound to start the item, a host runs its job and never starts it, or its owner has lost it. A host said nothing about an item that waits unless its pool was full or its prompt quarantined, and then once; nothing about a job that it sees without a live host.

What is started does not change.

--- a/src/primroseford/gateway/state.py
+++ b/src/primroseford/gateway/state.py
@@ -102,6 +102,11 @@
             "gateway_uncommitted_items",
             "Finished batch items whose results are not committed yet",
         )
+        self.waiting_items = metrics.gauge(
+            "gateway_waiting_items",
+            "Batch items of this host that have not been started, by reason",
+            ("reason",),
+        )
         self.refused_results = metrics.counter(
             "gateway_refused_results",
             "Writes of a single batch result that the store refused for its content",
--- a/src/primroseford/jobs/ownership.py
+++ b/src/primroseford/jobs/ownership.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 import time
 from contextlib import contextmanager
 from typing import TYPE_CHECKING
@@ -50,6 +51,8 @@
 )
 """Codes of calls to a store that does not answer or refuses this host's calls."""
 MAX_REASON_LENGTH = 200
+ORPHAN_LOG_INTERVAL_SECONDS = 2.0
+"""Minimum time between two log lines about jobs that no host runs."""
 
 log = structlog.get_logger()
 
@@ -79,6 +82,7 @@
         self.retention_seconds = retention_seconds
         self.orphans: dict[JobId, float] = {}
         self.started_at = self.scanned_at = gateway.clock()
+        self.orphans_logged_at = -math.inf
         self.first_scan_done = False
 
     async def reconcile(self) -> None:
@@ -104,8 +108,32 @@
                 self.gateway.members.orphaned.discard(job)
                 continue
             self.update_orphan(job, now)
+        self._log_orphans(now)
         await self.take_over_orphans(now)
 
+    def _log_orphans(self, now: float) -> None:
+        """Log at intervals the job that no host has run for the longest time."""
+        if now - self.orphans_logged_at < ORPHAN_LOG_INTERVAL_SECONDS:
+            return
+        grace_ended = [
+            (since, job)
+            for job, since in self.orphans.items()
+            if now - since >= ORPHAN_GRACE_SECONDS
+        ]
+        if not grace_ended:
+            return
+        self.orphans_logged_at = now
+        since, job = min(grace_ended)
+        hosts = self.gateway.members.hosts(now)
+        log.warning(
+            "jobs without a host",
+            count=len(grace_ended),
+            job=job,
+            seconds=round(now - since, 1),
+            preferred=preferred_host(job, hosts),
+            scanner=preferred_host(SCANNER_ROLE, hosts),
+        )
+
     def _stop_duplicates(self, now: float) -> None:
         for job, run in list(self.scheduler.runs.items()):
             others = self.gateway.members.running(job, now)
--- a/src/primroseford/jobs/run.py
+++ b/src/primroseford/jobs/run.py
@@ -25,6 +25,7 @@
 from primroseford.gateway.exchange import read_bounded
 from primroseford.gateway.exchange import send_to_runner
 from primroseford.jobs.state import Progress
+from primroseford.jobs.waiting import WaitReason
 from primroseford.online.events import EventSplitter
 from primroseford.platform.prompts import decode_prompt
 from primroseford.platform.runner_calls import ITEM_INVALID_STATUS
@@ -92,6 +93,9 @@
     :param held: whether it waits because a part of its prompt is quarantined
     :param commit_after: local time before which its result is not written again, after
         the store refused it, in seconds; None if it was not refused
+    :param wait_reason: why it has not been started, if it waits
+    :param waiting_since: local time since which it waits in seconds; None if it runs
+    :param wait_logged_at: local time of the last log line about its wait in seconds
     :ivar prompt: parts of the item's prompt
     :ivar shared_parts: ids of the prompt parts that other requests may share
     """
@@ -115,6 +119,9 @@
     starts: int = 0
     held: bool = False
     commit_after: float | None = None
+    wait_reason: WaitReason = WaitReason.NOT_SCHEDULED
+    waiting_since: float | None = None
+    wait_logged_at: float = float("-inf")
     prompt: tuple[PromptPart, ...] = field(init=False)
     shared_parts: list[PromptPartId] = field(init=False)
 
--- a/src/primroseford/jobs/scheduler.py
+++ b/src/primroseford/jobs/scheduler.py
@@ -24,6 +24,9 @@
 from primroseford.jobs.run import run_item
 from primroseford.jobs.state import ItemState
 from primroseford.jobs.state import Progress
+from primroseford.jobs.waiting import WAIT_LOG_INTERVAL_SECONDS
+from primroseford.jobs.waiting import WaitLog
+from primroseford.jobs.waiting import WaitReason
 
 if TYPE_CHECKING:
     from primroseford.gateway.runner_state import RunnerState
@@ -62,8 +65,6 @@
 HANDOVER_TIMEOUT_SECONDS = 0.3
 """Timeout for the last commit of a job that is handed over: the other host waits for
 the response, and a write takes a few ms."""
-WAIT_LOG_INTERVAL_SECONDS = 2.0
-"""Minimum time between two log lines about items that wait for a slot."""
 
 log = structlog.get_logger()
 
@@ -85,6 +86,7 @@
         self.recorder = JobRecorder(gateway, store, self._finish)
         self.estimator = DeadlineEstimator(gateway, self.runs)
         self.capacity = BatchCapacity(gateway, self.estimator)
+        self.wait_log = WaitLog(gateway)
         self.wait_logged_at = -math.inf
 
     def reported_jobs(self) -> dict[JobId, JobReport]:
@@ -181,34 +183,43 @@
             self.start_items()
             self.abandon_items()
             self.recorder.save_progress(self.runs.values())
+        self.wait_log.write(self.runs.values())
 
     def start_items(self) -> None:
-        """Start waiting items in order of rank while slots are free."""
-        if self.gateway.stopping or self.gateway.tables is None:
-            return
+        """Start waiting items in order of rank while slots are free.
+
+        Each item that is not started gets the reason for its wait.
+        """
         capacity, estimator = self.capacity, self.estimator
-        capacity.renew()
         now = self.gateway.clock()
-        startable = [
-            (estimator.rank(item, now), index, run, item)
-            for run in self.runs.values()
-            for index, item in enumerate(run.waiting)
-            if item.not_before <= now and not self._is_held(item)
-        ]
+        startable = []
+        for run in self.runs.values():
+            for index, item in enumerate(run.waiting):
+                if item.waiting_since is None:
+                    item.waiting_since = now
+                reason = self._find_obstacle(item, now)
+                if reason is None:
+                    startable.append((estimator.rank(item, now), index, run, item))
+                else:
+                    item.wait_reason = reason
+        capacity.renew()
         startable.sort(key=lambda entry: entry[:2])
         full_pools: set[PoolName] = set()
         for *_, run, item in startable:
             route = self.route_of(item.job)
             if route is None:
+                item.wait_reason = WaitReason.ROUTE_MISSING
                 continue
             pool = choose_pool(route, self.gateway.random)
             if pool in full_pools:
+                item.wait_reason = WaitReason.POOL_FULL
                 continue
             self.gateway.request_limiter.ask_for_batch(pool)
             runner = capacity.choose_limited_runner(pool, item.tried)
             is_limited = runner is not None
             urgent = 0 <= estimator.slack(item, now) < URGENT_SLACK_SECONDS
             if not is_limited and not capacity.may_start(pool, item, route.due, urgent):
+                item.wait_reason = WaitReason.NO_START_LEFT
                 # Urgent items may still start in a pool that is full for other items.
                 if urgent:
                     full_pools.add(pool)
@@ -219,10 +230,12 @@
                 item.tried.clear()
                 runner = capacity.choose_runner(pool)
             if runner is None:
+                item.wait_reason = WaitReason.POOL_FULL
                 full_pools.add(pool)
                 continue
             if self._is_held(item):
                 # An item that was started before it is the one that is tried.
+                item.wait_reason = WaitReason.QUARANTINED
                 continue
             self.gateway.quarantine.begin_trial(item.shared_parts)
             self.gateway.allocator.reserve(runner, batch=True)
@@ -233,6 +246,7 @@
             item.discard_unresumable_events()
             item.started_at, item.events_at_start = now, len(item.data)
             item.runner = runner.entry.key.name
+            item.waiting_since = None
             item.starts += 1
             log.info(
                 "item started",
@@ -252,6 +266,19 @@
             )
         self._log_waiting(full_pools, now)
 
+    def _find_obstacle(self, item: ItemRun, now: float) -> WaitReason | None:
+        """Return why an item may not start, whatever capacity is free; None if it may.
+
+        :param now: local time in seconds
+        """
+        if self.gateway.stopping:
+            return WaitReason.HOST_STOPPING
+        if self.gateway.tables is None:
+            return WaitReason.NO_CONFIGURATION
+        if item.not_before > now:
+            return WaitReason.RETRY_DELAY
+        return WaitReason.QUARANTINED if self._is_held(item) else None
+
     def _is_held(self, item: ItemRun) -> bool:
         """Return whether an item waits because its prompt is quarantined."""
         record = self.gateway.quarantine.blocking_record(item.shared_parts)
