--- a/src/primroseford/jobs/scheduler.py
+++ b/src/primroseford/jobs/scheduler.py
@@ -12,6 +12,8 @@
 import structlog
 
 from primroseford.gateway.tables import choose_pool
+from primroseford.jobs.abandonment import abandon_at
+from primroseford.jobs.abandonment import abandon_items
 from primroseford.jobs.batch_capacity import BatchCapacity
 from primroseford.jobs.deadlines import DeadlineEstimator
 from primroseford.jobs.forecast import URGENT_SLACK_SECONDS
@@ -41,9 +43,6 @@
     from primroseford.jobs.state import JobView
     from primroseford.jobs.store import JobStore
 
-CLOCK_SKEW_SECONDS = 3.0
-"""Allowance for the difference between the hosts' wall clocks before an item is
-abandoned."""
 REFUSED_RETRY_SECONDS = 0.1
 """Retry delay after a runner refused an item: about one interval of the heartbeats that
 report the runner's load."""
@@ -181,7 +180,7 @@
             preempt_items(self)
             preempt_late_items(self)
             self.start_items()
-            self.abandon_items()
+            abandon_items(self)
             self.recorder.save_progress(self.runs.values())
         self.wait_log.write(self.runs.values())
 
@@ -255,7 +254,7 @@
                 runner=item.runner,
                 start=item.starts,
             )
-            abandon_time = now + max(1.0, self.abandon_at(item, route) - time.time())
+            abandon_time = now + max(1.0, abandon_at(item.job, route) - time.time())
             item.task = asyncio.create_task(
                 run_item(self.gateway, route, item, runner, abandon_time)
             )
@@ -307,10 +306,6 @@
                 **self.capacity.pool_load(pool),
             )
 
-    def abandon_at(self, item: ItemRun, route: Route) -> float:
-        """Return the Unix time at which an item is abandoned."""
-        return item.job.submitted + route.abandon_after + CLOCK_SKEW_SECONDS
-
     def _handle_run_end(
         self,
         run: JobRun,
@@ -398,47 +393,3 @@
             return MAX_INTERRUPTED_RETRY_SECONDS
         item.interruptions += 1
         return delay
-
-    def abandon_items(self) -> None:
-        """Dead-letter items past their time limit or with a removed route.
-
-        These are the waiting ones and those whose result the store refuses.
-        """
-        now = time.time()
-        for run in list(self.runs.values()):
-            job = run.view.job
-            route = self.route_of(job)
-            if route is None:
-                should_abandon = self._is_route_removed(job)
-            else:
-                should_abandon = (
-                    now >= job.submitted + route.abandon_after + CLOCK_SKEW_SECONDS
-                )
-            refused = [item for item in run.finished if item.commit_after is not None]
-            if not should_abandon or not (run.waiting or refused):
-                continue
-            for item in [*run.waiting, *refused]:
-                item.result, item.commit_after = ItemState.DEAD_LETTER, None
-            log.warning(
-                "items abandoned",
-                job=run.view.job.id,
-                count=len(run.waiting) + len(refused),
-                refused=len(refused),
-                reason="time" if route else "route",
-            )
-            run.finished += run.waiting
-            run.waiting = []
-            self.recorder.schedule_commit(run)
-
-    def _is_route_removed(self, job: Job) -> bool:
-        """Return whether a job's route is known to be removed.
-
-        A host that has just started has no configuration yet, and after a network
-        partition its configuration may be older than the job. So the platform must have
-        confirmed the configuration after the job was submitted.
-        """
-        gateway = self.gateway
-        if gateway.tables is None:
-            return False
-        confirmed_ago = gateway.clock() - gateway.confirmed_at
-        return confirmed_ago + CLOCK_SKEW_SECONDS < time.time() - job.submitted
