Write the results of a job again after an unexpected error

What callers would see: the last items of a job that have run to their end are open for ever (LOST). Their host goes on to report the job in its heartbeats, so that no other host takes it over.

Cause: JobRecorder._commit ends at any error that is no PrimrosefordError, e.g. a segment of another host that cannot be decoded. The task is only started again when a further item of the job finishes; after the last item there is none.

Fix: the error is logged as "results not committed", and the scheduler's periodic step starts a task for each job that has had finished items, or a complete view, and no task for 1 s. Nothing depends on one event any more. No retry is written into the task itself: there is one way to begin it again, whatever ended it.

Ruled out: checkpoints. JobRecorder._save resets its task in every case, and the next one is due after 2 s and 100 events; what an error costs is progress and no item. A job that is complete but could not be marked as finished stays unmarked until its host restarts or the job is removed after twice the retention; none of its items is open then, so this is left as it is. A segment that can never be decoded still keeps its job open, now with a line a second that says so.

--- a/src/primroseford/jobs/recorder.py
+++ b/src/primroseford/jobs/recorder.py
@@ -39,6 +39,10 @@
 them all: a fiftieth of the time limit of an item."""
 FINAL_REFUSALS = frozenset({ResultCode.BODY_TOO_LARGE, ResultCode.MALFORMED})
 """Codes of writes that the store refuses because of their content."""
+RESUME_DELAY_SECONDS = 1.0
+"""Time for which a job has results and no task that commits them before one is started:
+also the delay of a retry after an unexpected error."""
+MAX_REASON_LENGTH = 200
 REFUSED_RETRY_SECONDS = 5.0
 """Delay before a result that the store refused because of its content is written again:
 another version of the store may accept it."""
@@ -107,10 +111,28 @@
 
     def schedule_commit(self, run: JobRun) -> None:
         """Start committing the finished items of a job, unless that is in progress."""
+        run.resume_at = None
         if run.committer is None:
             run.committer = asyncio.create_task(self._commit(run))
             self.track(run.committer)
 
+    def resume_commits(self, runs: Iterable[JobRun]) -> None:
+        """Start the tasks that commit results and end jobs where there is none.
+
+        A task ends at an unexpected error, and no further item may be left whose end
+        would start the next one.
+
+        :param runs: the jobs that this host runs
+        """
+        now = self.gateway.clock()
+        for run in runs:
+            if run.committer is not None or not (run.finished or run.view.finished):
+                continue
+            if run.resume_at is None:
+                run.resume_at = now + RESUME_DELAY_SECONDS
+            elif now >= run.resume_at:
+                self.schedule_commit(run)
+
     async def _commit(self, run: JobRun) -> None:
         """Commit finished items until none remain."""
         try:
@@ -155,6 +177,13 @@
                 job=run.view.job.id,
                 code=error.code.name,
             )
+        except Exception as error:
+            log.exception(
+                "results not committed",
+                job=run.view.job.id,
+                reason=repr(error)[:MAX_REASON_LENGTH],
+                count=len(run.finished),
+            )
         finally:
             run.committer = None
 
--- a/src/primroseford/jobs/run.py
+++ b/src/primroseford/jobs/run.py
@@ -173,6 +173,8 @@
     :param running: items with a current run
     :param finished: items with a result that is not committed yet
     :param committer: task that commits the finished items
+    :param resume_at: local time in seconds at which one is started if there is none;
+        None if there is nothing to commit or a task commits it
     :param max_results: maximum number of results in the next write, after the store
         refused a write for its content; None for no limit
     :param urgent: set to commit the finished items without delay
@@ -187,6 +189,7 @@
     running: set[ItemRun] = field(default_factory=set)
     finished: list[ItemRun] = field(default_factory=list)
     committer: asyncio.Task | None = None
+    resume_at: float | None = None
     max_results: int | None = None
     urgent: asyncio.Event = field(default_factory=asyncio.Event)
     checkpoint: asyncio.Task | None = None
--- a/src/primroseford/jobs/scheduler.py
+++ b/src/primroseford/jobs/scheduler.py
@@ -182,6 +182,7 @@
             self.start_items()
             abandon_items(self)
             self.recorder.save_progress(self.runs.values())
+            self.recorder.resume_commits(self.runs.values())
         self.wait_log.write(self.runs.values())
 
     def start_items(self) -> None:
