Keep an item in its job's lists after an error at the end of its run

What callers would see: an item that is open for ever (LOST), in a job that its host goes on to report.

Cause: JobScheduler._handle_run_end is the done-callback of the item's task. An error in it (the release of the slot, the assignment of that slot to a request, the estimate of run times) ends it between the removal of the item from 'running' and its entry into 'waiting' or 'finished'. With an error of the release the item even stays in 'running', without a task, which missing_items does not find.

Fix: the handling of the outcome and the release run in a block whose errors are logged as "end of an item's run not handled"; the item is put into 'waiting' or 'finished' after it in every case. A result that was known before the error is committed; otherwise the item runs again after the delay of an interrupted run, which grows. The slot is released whatever the outcome's handling does.

What may stay behind is the slot itself, if the release fails before it counts the slot as free.

'pytest -n 2 src/primroseford/jobs' passes.

--- a/src/primroseford/jobs/scheduler.py
+++ b/src/primroseford/jobs/scheduler.py
@@ -19,6 +19,7 @@
 from primroseford.jobs.forecast import URGENT_SLACK_SECONDS
 from primroseford.jobs.preemption import preempt_items
 from primroseford.jobs.preemption import preempt_late_items
+from primroseford.jobs.recorder import MAX_REASON_LENGTH
 from primroseford.jobs.recorder import JobRecorder
 from primroseford.jobs.run import ItemRun
 from primroseford.jobs.run import JobRun
@@ -32,7 +33,6 @@
 
 if TYPE_CHECKING:
     from primroseford.gateway.runner_state import RunnerState
-    from primroseford.gateway.runners import RunnerKey
     from primroseford.gateway.state import Gateway
     from primroseford.gateway.tables import Route
     from primroseford.ids import JobId
@@ -315,40 +315,70 @@
         runner: RunnerState,
         task: asyncio.Task[RunOutcome],
     ) -> None:
-        self.gateway.allocator.release(runner, batch=True)
         item.task = None
         run.running.discard(item)
-        if task.cancelled():
-            if not run.stopped and item.item.id not in run.view.committed:
-                run.waiting.append(item)
-            return
-        if task.exception() is None:
-            outcome = task.result()
-        else:
-            log.error(
-                "item run failed unexpectedly",
+        try:
+            try:
+                if not task.cancelled():
+                    outcome = self._outcome_of(item, task)
+                    self._handle_outcome(item, route, outcome, runner)
+            finally:
+                self.gateway.allocator.release(runner, batch=True)
+        except Exception as error:
+            log.exception(
+                "end of an item's run not handled",
                 item=item.item.id,
                 job=item.job.id,
-                exc_info=task.exception(),
+                reason=repr(error)[:MAX_REASON_LENGTH],
             )
-            outcome = RunOutcome.BROKEN
-        self.gateway.metrics.items.labels(outcome.value).inc()
-        pool = runner.entry.pool
-        if outcome is RunOutcome.COMPLETE:
-            self.capacity.budget.record_end(pool)
-        self._handle_outcome(run, item, route, outcome, runner.entry.key)
+            delay = self._retry_delay(item, RunOutcome.BROKEN)
+            item.not_before = self.gateway.clock() + delay
+        self._return_item(run, item)
+
+    @staticmethod
+    def _outcome_of(item: ItemRun, task: asyncio.Task[RunOutcome]) -> RunOutcome:
+        if task.exception() is None:
+            return task.result()
+        log.error(
+            "item run failed unexpectedly",
+            item=item.item.id,
+            job=item.job.id,
+            exc_info=task.exception(),
+        )
+        return RunOutcome.BROKEN
+
+    def _return_item(self, run: JobRun, item: ItemRun) -> None:
+        """Put an item whose run has ended into the list of its job where it belongs."""
+        if run.stopped or item.item.id in run.view.committed:
+            return
+        if item.result is None:
+            run.waiting.append(item)
+            return
+        run.finished.append(item)
+        log.info(
+            "item finished",
+            item=item.item.id,
+            job=item.job.id,
+            runner=item.runner,
+            state=item.result.value,
+            events=len(item.data),
+            failures=item.failures,
+        )
+        self.recorder.schedule_commit(run)
+        self.start_items()
 
     def _handle_outcome(
         self,
-        run: JobRun,
         item: ItemRun,
         route: Route,
         outcome: RunOutcome,
-        key: RunnerKey,
+        runner: RunnerState,
     ) -> None:
-        now = self.gateway.clock()
+        now, key = self.gateway.clock(), runner.entry.key
+        self.gateway.metrics.items.labels(outcome.value).inc()
         if outcome is RunOutcome.COMPLETE:
             item.result = ItemState.COMPLETE
+            self.capacity.budget.record_end(runner.entry.pool)
             events = len(item.data)
             self.estimator.forecast(item).observe(
                 events, events - item.events_at_start, now - item.started_at
@@ -364,23 +394,6 @@
         else:
             item.tried.add(key)
             item.not_before = now + self._retry_delay(item, outcome)
-        if run.stopped or item.item.id in run.view.committed:
-            return
-        if item.result is None:
-            run.waiting.append(item)
-            return
-        log.info(
-            "item finished",
-            item=item.item.id,
-            job=item.job.id,
-            runner=key.name,
-            state=item.result.value,
-            events=len(item.data),
-            failures=item.failures,
-        )
-        run.finished.append(item)
-        self.recorder.schedule_commit(run)
-        self.start_items()
 
     @staticmethod
     def _retry_delay(item: ItemRun, outcome: RunOutcome) -> float:
--- a/src/primroseford/jobs/tests/test_lost_items.py
+++ b/src/primroseford/jobs/tests/test_lost_items.py
@@ -8,6 +8,7 @@
 from primroseford.jobs.tests.test_jobs import read_all
 from primroseford.jobs.tests.test_jobs import service
 from primroseford.jobs.tests.test_jobs import submit
+from primroseford.jobs.waiting import missing_items
 
 
 def fail_first(monkeypatch, owner, name: str, error: Exception, count: int = 1) -> list:
@@ -56,5 +57,45 @@
     assert len(await read_all(site, "job1")) == 1
 
 
+@pytest.mark.parametrize(
+    ("step", "end"),
+    [
+        ("release", "complete"),
+        ("release", "failed"),
+        ("release", "cancelled"),
+        ("observe", "complete"),
+    ],
+)
+async def test_error_at_the_end_of_a_run_loses_the_item(site, step, end, monkeypatch):
+    """Guards against an item in no list of its job after an error in a callback."""
+    scheduler = service(site.hosts[0]).scheduler
+    for runner in site.runners:
+        runner.event_seconds = 0.1
+        runner.faults.status = 500 if end == "failed" else 200
+    run, item = await start_run(site)
+    owner = {
+        "release": scheduler.gateway.allocator,
+        "observe": scheduler.estimator.forecast(item),
+    }[step]
+    calls = fail_first(monkeypatch, owner, step, RuntimeError("a fault"))
+    if end == "cancelled":
+        item.task.cancel()
+    await site.until(lambda: calls)
+    assert not missing_items(run)
+    for runner in site.runners:
+        runner.faults.status = 200
+    assert [r["id"] for r in await read_all(site, "job1")] == ["it0"]
+    await site.until(lambda: not scheduler.runs)
+
+
+async def start_run(site):
+    """Submit a job of one item; return the job and the item once it runs."""
+    run = service(site.hosts[0]).scheduler.runs
+    assert await submit(site, "job1", count=1) == 202
+    await site.until(lambda: run["job1"].running)
+    (item,) = run["job1"].running
+    return run["job1"], item
+
+
 async def _do_nothing() -> None:
     """Replace a step."""
