Run an item again that is in no list of its job

What callers would see: an item that is open for ever (LOST) after any fault that loses it between the lists of its job. The host names it as missing every 2 s and does nothing.

Fix: JobRun.restore_missing puts such an item back into 'waiting', as a new ItemRun with the deadline of its job, and the line is logged as before. Its progress and its count of failures are gone with the old state, so it starts from the beginning and may be tried max_attempts times again. An item is never in no list by design: it leaves 'running' and enters the next list in one callback, so the check finds none of which a run goes on.

'pytest -n 2 src/primroseford/jobs' passes.

--- a/src/primroseford/jobs/run.py
+++ b/src/primroseford/jobs/run.py
@@ -26,6 +26,7 @@
 from primroseford.gateway.exchange import send_to_runner
 from primroseford.jobs.state import Progress
 from primroseford.jobs.waiting import WaitReason
+from primroseford.jobs.waiting import missing_items
 from primroseford.online.events import EventSplitter
 from primroseford.platform.prompts import decode_prompt
 from primroseford.platform.runner_calls import ITEM_INVALID_STATUS
@@ -172,6 +173,7 @@
     :param waiting: items without a current run
     :param running: items with a current run
     :param finished: items with a result that is not committed yet
+    :param deadline: local time of the deadline of its items in seconds
     :param committer: task that commits the finished items
     :param resume_at: local time in seconds at which one is started if there is none;
         None if there is nothing to commit or a task commits it
@@ -188,6 +190,7 @@
     waiting: list[ItemRun] = field(default_factory=list)
     running: set[ItemRun] = field(default_factory=set)
     finished: list[ItemRun] = field(default_factory=list)
+    deadline: float = 0.0
     committer: asyncio.Task | None = None
     resume_at: float | None = None
     max_results: int | None = None
@@ -208,6 +211,21 @@
             if item.data or item.failures
         }
 
+    def restore_missing(self) -> list[ItemId]:
+        """Put the items that are in no list of the job back among the waiting ones.
+
+        They start from the beginning.
+
+        :returns: their ids
+        """
+        missing = missing_items(self)
+        if missing:
+            listed = {item.id: item for item in self.view.job.items}
+            self.waiting += [
+                ItemRun(self.view.job, listed[item], self.deadline) for item in missing
+            ]
+        return missing
+
     def drop_committed(self) -> None:
         """Drop the items with a committed result, whichever host committed it."""
         committed = self.view.committed
--- a/src/primroseford/jobs/tests/test_lost_items.py
+++ b/src/primroseford/jobs/tests/test_lost_items.py
@@ -5,6 +5,7 @@
 import pytest
 from structlog.testing import capture_logs
 
+from primroseford.jobs.tests.test_jobs import TEXT
 from primroseford.jobs.tests.test_jobs import read_all
 from primroseford.jobs.tests.test_jobs import service
 from primroseford.jobs.tests.test_jobs import submit
@@ -97,5 +98,21 @@
     return run["job1"], item
 
 
+async def test_item_that_is_in_no_list_is_never_run(site):
+    """Guards against an item that its host has lost and that only a line names."""
+    for runner in site.runners:
+        runner.faults.silent = True
+    assert await submit(site, "job1", count=3) == 202
+    run = service(site.hosts[0]).scheduler.runs["job1"]
+    await site.until(lambda: len(run.running) == 3)
+    await site.until(lambda: run.waiting)
+    lost = run.waiting.pop()
+    for runner in site.runners:
+        runner.faults.silent = False
+    results = await read_all(site, "job1")
+    assert sorted(r["id"] for r in results) == ["it0", "it1", "it2"]
+    assert {r["id"]: r["text"] for r in results}[lost.item.id] == TEXT
+
+
 async def _do_nothing() -> None:
     """Replace a step."""
--- a/src/primroseford/jobs/waiting.py
+++ b/src/primroseford/jobs/waiting.py
@@ -43,7 +43,7 @@
 
 
 class WaitLog:
-    """Logs items that wait long, and items that a host has lost track of.
+    """Logs items that wait long, and restores items that a host has lost track of.
 
     :ivar logged_at: local time of the last round in seconds
     """
@@ -81,7 +81,7 @@
                 others=len(long) - 1,
             )
         for run in runs:
-            _log_missing(run)
+            _restore_missing(run)
 
 
 def _is_due(item: ItemRun, now: float) -> bool:
@@ -92,8 +92,8 @@
     return now - since >= LONG_WAIT_SECONDS
 
 
-def _log_missing(run: JobRun) -> None:
-    missing = missing_items(run)
+def _restore_missing(run: JobRun) -> None:
+    missing = run.restore_missing()
     if missing:
         log.error(
             "items missing from their job's lists",
