--- a/src/primroseford/jobs/scheduler.py
+++ b/src/primroseford/jobs/scheduler.py
@@ -12,11 +12,14 @@
 import structlog
 
 from primroseford.gateway.tables import choose_pool
+from primroseford.jobs.abandonment import abandon_at
+from primroseford.jobs.abandonment import abandon_items
 from primroseford.jobs.batch_capacity import BatchCapacity
 from primroseford.jobs.deadlines import DeadlineEstimator
 from primroseford.jobs.forecast import URGENT_SLACK_SECONDS
 from primroseford.jobs.preemption import preempt_items
 from primroseford.jobs.preemption import preempt_late_items
+from primroseford.jobs.recorder import MAX_REASON_LENGTH
 from primroseford.jobs.recorder import JobRecorder
 from primroseford.jobs.run import ItemRun
 from primroseford.jobs.run import JobRun
@@ -30,7 +33,6 @@
 
 if TYPE_CHECKING:
     from primroseford.gateway.runner_state import RunnerState
-    from primroseford.gateway.runners import RunnerKey
     from primroseford.gateway.state import Gateway
     from primroseford.gateway.tables import Route
     from primroseford.ids import JobId
@@ -41,9 +43,6 @@
     from primroseford.jobs.state import JobView
     from primroseford.jobs.store import JobStore
 
-CLOCK_SKEW_SECONDS = 3.0
-"""Allowance for the difference between the hosts' wall clocks before an item is
-abandoned."""
 REFUSED_RETRY_SECONDS = 0.1
 """Retry delay after a runner refused an item: about one interval of the heartbeats that
 report the runner's load."""
@@ -122,7 +121,7 @@
             item_progress = (progress or {}).get(item.item.id)
             if item_progress is not None:
                 item.restore(item_progress)
-        run = self.runs[job.id] = JobRun(view, waiting)
+        run = self.runs[job.id] = JobRun(view, waiting, deadline=deadline)
         run.checkpoint_at = self.gateway.clock()
         run.checkpoint_events = sum(len(item.data) for item in waiting)
         self.gateway.allocator.changed = True
@@ -181,8 +180,9 @@
             preempt_items(self)
             preempt_late_items(self)
             self.start_items()
-            self.abandon_items()
+            abandon_items(self)
             self.recorder.save_progress(self.runs.values())
+            self.recorder.resume_commits(self.runs.values())
         self.wait_log.write(self.runs.values())
 
     def start_items(self) -> None:
@@ -255,7 +255,7 @@
                 runner=item.runner,
                 start=item.starts,
             )
-            abandon_time = now + max(1.0, self.abandon_at(item, route) - time.time())
+            abandon_time = now + max(1.0, abandon_at(item.job, route) - time.time())
             item.task = asyncio.create_task(
                 run_item(self.gateway, route, item, runner, abandon_time)
             )
@@ -307,10 +307,6 @@
                 **self.capacity.pool_load(pool),
             )
 
-    def abandon_at(self, item: ItemRun, route: Route) -> float:
-        """Return the Unix time at which an item is abandoned."""
-        return item.job.submitted + route.abandon_after + CLOCK_SKEW_SECONDS
-
     def _handle_run_end(
         self,
         run: JobRun,
@@ -319,40 +315,70 @@
         runner: RunnerState,
         task: asyncio.Task[RunOutcome],
     ) -> None:
-        self.gateway.allocator.release(runner, batch=True)
         item.task = None
         run.running.discard(item)
-        if task.cancelled():
-            if not run.stopped and item.item.id not in run.view.committed:
-                run.waiting.append(item)
-            return
-        if task.exception() is None:
-            outcome = task.result()
-        else:
-            log.error(
-                "item run failed unexpectedly",
+        try:
+            try:
+                if not task.cancelled():
+                    outcome = self._outcome_of(item, task)
+                    self._handle_outcome(item, route, outcome, runner)
+            finally:
+                self.gateway.allocator.release(runner, batch=True)
+        except Exception as error:
+            log.exception(
+                "end of an item's run not handled",
                 item=item.item.id,
                 job=item.job.id,
-                exc_info=task.exception(),
+                reason=repr(error)[:MAX_REASON_LENGTH],
             )
-            outcome = RunOutcome.BROKEN
-        self.gateway.metrics.items.labels(outcome.value).inc()
-        pool = runner.entry.pool
-        if outcome is RunOutcome.COMPLETE:
-            self.capacity.budget.record_end(pool)
-        self._handle_outcome(run, item, route, outcome, runner.entry.key)
+            delay = self._retry_delay(item, RunOutcome.BROKEN)
+            item.not_before = self.gateway.clock() + delay
+        self._return_item(run, item)
+
+    @staticmethod
+    def _outcome_of(item: ItemRun, task: asyncio.Task[RunOutcome]) -> RunOutcome:
+        if task.exception() is None:
+            return task.result()
+        log.error(
+            "item run failed unexpectedly",
+            item=item.item.id,
+            job=item.job.id,
+            exc_info=task.exception(),
+        )
+        return RunOutcome.BROKEN
+
+    def _return_item(self, run: JobRun, item: ItemRun) -> None:
+        """Put an item whose run has ended into the list of its job where it belongs."""
+        if run.stopped or item.item.id in run.view.committed:
+            return
+        if item.result is None:
+            run.waiting.append(item)
+            return
+        run.finished.append(item)
+        log.info(
+            "item finished",
+            item=item.item.id,
+            job=item.job.id,
+            runner=item.runner,
+            state=item.result.value,
+            events=len(item.data),
+            failures=item.failures,
+        )
+        self.recorder.schedule_commit(run)
+        self.start_items()
 
     def _handle_outcome(
         self,
-        run: JobRun,
         item: ItemRun,
         route: Route,
         outcome: RunOutcome,
-        key: RunnerKey,
+        runner: RunnerState,
     ) -> None:
-        now = self.gateway.clock()
+        now, key = self.gateway.clock(), runner.entry.key
+        self.gateway.metrics.items.labels(outcome.value).inc()
         if outcome is RunOutcome.COMPLETE:
             item.result = ItemState.COMPLETE
+            self.capacity.budget.record_end(runner.entry.pool)
             events = len(item.data)
             self.estimator.forecast(item).observe(
                 events, events - item.events_at_start, now - item.started_at
@@ -368,23 +394,6 @@
         else:
             item.tried.add(key)
             item.not_before = now + self._retry_delay(item, outcome)
-        if run.stopped or item.item.id in run.view.committed:
-            return
-        if item.result is None:
-            run.waiting.append(item)
-            return
-        log.info(
-            "item finished",
-            item=item.item.id,
-            job=item.job.id,
-            runner=key.name,
-            state=item.result.value,
-            events=len(item.data),
-            failures=item.failures,
-        )
-        run.finished.append(item)
-        self.recorder.schedule_commit(run)
-        self.start_items()
 
     @staticmethod
     def _retry_delay(item: ItemRun, outcome: RunOutcome) -> float:
@@ -398,47 +407,3 @@
             return MAX_INTERRUPTED_RETRY_SECONDS
         item.interruptions += 1
         return delay
-
-    def abandon_items(self) -> None:
-        """Dead-letter items past their time limit or with a removed route.
-
-        These are the waiting ones and those whose result the store refuses.
-        """
-        now = time.time()
-        for run in list(self.runs.values()):
-            job = run.view.job
-            route = self.route_of(job)
-            if route is None:
-                should_abandon = self._is_route_removed(job)
-            else:
-                should_abandon = (
-                    now >= job.submitted + route.abandon_after + CLOCK_SKEW_SECONDS
-                )
-            refused = [item for item in run.finished if item.commit_after is not None]
-            if not should_abandon or not (run.waiting or refused):
-                continue
-            for item in [*run.waiting, *refused]:
-                item.result, item.commit_after = ItemState.DEAD_LETTER, None
-            log.warning(
-                "items abandoned",
-                job=run.view.job.id,
-                count=len(run.waiting) + len(refused),
-                refused=len(refused),
-                reason="time" if route else "route",
-            )
-            run.finished += run.waiting
-            run.waiting = []
-            self.recorder.schedule_commit(run)
-
-    def _is_route_removed(self, job: Job) -> bool:
-        """Return whether a job's route is known to be removed.
-
-        A host that has just started has no configuration yet, and after a network
-        partition its configuration may be older than the job. So the platform must have
-        confirmed the configuration after the job was submitted.
-        """
-        gateway = self.gateway
-        if gateway.tables is None:
-            return False
-        confirmed_ago = gateway.clock() - gateway.confirmed_at
-        return confirmed_ago + CLOCK_SKEW_SECONDS < time.time() - job.submitted
