Report a job as running only while the scheduler runs

Heartbeats reported every job in `scheduler.runs` for as long as the host sent heartbeats, whatever its scheduler did: a step that hangs, or a task that has ended, kept the job from every other host for ever. Its waiting items also lowered the share of slots that other hosts take.

Cause: heartbeats and scheduler are separate tasks, and nothing connected the report with the step.

Now the scheduler notes the time of each periodic step. After 2 s without one (`STALL_SECONDS`, 40 steps) heartbeats report neither its running jobs nor its waiting items; peers see jobs without a host and take them over. If the step comes back, the jobs are reported again, and the host that is preferred keeps each. Two hosts that run a job for a moment only waste work, since a segment can be created once. `scheduler stands still` and `scheduler runs again` are logged at the change.

A step that fails counts as a step: it is logged every time (`step failed`). If it did not count, a job that makes every step fail would be passed from host to host and stop each of them.

Ruled out: a pause of the whole process. Its first heartbeat afterwards may come before the first step and lack the jobs, but peers wait 0.5 s for the next one, and after 1 s of silence they have counted the host as lost anyway.

--- a/src/primroseford/jobs/scheduler.py
+++ b/src/primroseford/jobs/scheduler.py
@@ -62,6 +62,9 @@
 FINISHED_REPORT_SECONDS = 15.0
 """How long heartbeats report a finished job, so that other hosts read its results from
 this host instead of the store: a few times the interval between a caller's reads."""
+STALL_SECONDS = 2.0
+"""Time without a step after which the scheduler stands still. Heartbeats do not report
+its jobs then, so that other hosts take them over."""
 HANDOVER_TIMEOUT_SECONDS = 0.3
 """Timeout for the last commit of a job that is handed over: the other host waits for
 the response, and a write takes a few ms."""
@@ -76,6 +79,8 @@
     :ivar runs: jobs by id
     :ivar recently_stopped: stopped jobs that heartbeats still report, each with the
         local time at which reporting ends
+    :ivar stepped_at: local time of the last periodic step in seconds
+    :ivar was_stalled: whether the last report found the scheduler standing still
     """
 
     def __init__(self, gateway: Gateway, store: JobStore) -> None:
@@ -88,16 +93,38 @@
         self.capacity = BatchCapacity(gateway, self.estimator)
         self.wait_log = WaitLog(gateway)
         self.wait_logged_at = -math.inf
+        self.stepped_at = gateway.clock()
+        self.was_stalled = False
+
+    def is_stalled(self, now: float) -> bool:
+        """Return whether the scheduler stands still.
+
+        :param now: local time in seconds
+        """
+        return now - self.stepped_at > STALL_SECONDS
 
     def reported_jobs(self) -> dict[JobId, JobReport]:
-        """Return the reports of the jobs that this host runs or stopped recently."""
+        """Return the reports of the jobs that this host runs or stopped recently.
+
+        A scheduler that stands still runs no jobs.
+        """
         now = self.gateway.clock()
+        stalled = bool(self.runs) and self.is_stalled(now)
+        if stalled != self.was_stalled:
+            self.was_stalled = stalled
+            log.warning(
+                "scheduler stands still" if stalled else "scheduler runs again",
+                jobs=len(self.runs),
+                seconds=round(now - self.stepped_at, 1),
+            )
         self.recently_stopped = {
             job: entry for job, entry in self.recently_stopped.items() if entry[1] > now
         }
         reports = {
             job: view.report() for job, (view, _) in self.recently_stopped.items()
         }
+        if stalled:
+            return reports
         return reports | {job: run.view.report() for job, run in self.runs.items()}
 
     def start_job(
@@ -174,6 +201,7 @@
 
     def reschedule(self) -> None:
         """Preempt, start and abandon items, and store their progress."""
+        self.stepped_at = self.gateway.clock()
         self.gateway.metrics.uncommitted_items.set(
             sum(len(run.finished) for run in self.runs.values())
         )
--- a/src/primroseford/jobs/service.py
+++ b/src/primroseford/jobs/service.py
@@ -141,7 +141,13 @@
         return await self.scheduler.hand_over(job)
 
     def waiting_items(self) -> tuple[int, int]:
-        """Count waiting items: those that can meet their deadline, and late ones."""
+        """Count waiting items: those that can meet their deadline, and late ones.
+
+        Other hosts leave slots to them, so those of a scheduler that stands still do
+        not count.
+        """
+        if self.scheduler.is_stalled(self.gateway.clock()):
+            return 0, 0
         return self.scheduler.estimator.waiting_items()
 
     def reported_cancellations(self) -> list[JobId]:
