Bound each part of the step that takes jobs over

The reconcile step ran its parts one after the other without a limit: cancellations, results of duplicate runs, the scan, the takeovers. One part that took long or failed kept all others from running.

Which awaits can last: no single call of the store's client lasts for ever (2 s for a call, a bounded wait for the call limit, three attempts), nor one to another host (0.5 s). But a step makes them in a row: for each duplicate job, each page of the scan, each segment, part and removed object, each takeover. 100 orphans at a store that does not answer are minutes. Two cases were not even slow: a first scan that fails was repeated in every step, ahead of the takeovers, so that such a host never took any job over; and the first orphan whose load failed ended the step for those behind it.

Now each part has a timeout (4 s, 10 s for the scan) and logs `step timed out` or `step failed`; the parts after it run. A takeover that is cut or fails puts its job behind the others. The scan notes all orphans before it removes expired jobs, and a failed first scan is repeated after 0.8 s instead of in each step (0.25 s), which saves calls. `take_over_orphans` and `scan` read the clock themselves, since their parameter was old after a slow part; the tests that passed it follow, their checks are as before.

Ruled out: a timeout around the whole step only; a part that hangs each time would then always use it up.

--- a/src/primroseford/gateway/periodic.py
+++ b/src/primroseford/gateway/periodic.py
@@ -15,6 +15,7 @@
 from primroseford.errors import PrimrosefordError
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable
     from collections.abc import Callable
 
     from mode import Service
@@ -78,3 +79,20 @@
             log.warning("step failed", step=step.__name__, reason=str(error))
         except Exception:
             log.exception("step failed", step=step.__name__)
+
+
+async def run_part(step: Callable[[], Awaitable[Any]], seconds: float) -> None:
+    """Run one part of a periodic step, so that the parts after it run in any case.
+
+    :param step: the part; an error is logged
+    :param seconds: timeout after which the part is cancelled
+    """
+    try:
+        async with asyncio.timeout(seconds):
+            await step()
+    except TimeoutError:
+        log.warning("step timed out", step=step.__name__, seconds=seconds)
+    except PrimrosefordError as error:
+        log.warning("step failed", step=step.__name__, reason=str(error))
+    except Exception:
+        log.exception("step failed", step=step.__name__)
--- a/src/primroseford/jobs/ownership.py
+++ b/src/primroseford/jobs/ownership.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import math
 import time
 from contextlib import contextmanager
@@ -16,6 +17,7 @@
 from primroseford.errors import PrimrosefordError
 from primroseford.errors import ResultCode
 from primroseford.gateway.members import preferred_host
+from primroseford.gateway.periodic import run_part
 from primroseford.ids import JobId
 from primroseford.jobs.store import is_finished
 from primroseford.platform.objects import DECODING_ERRORS
@@ -51,6 +53,11 @@
 )
 """Codes of calls to a store that does not answer or refuses this host's calls."""
 MAX_REASON_LENGTH = 200
+RECONCILE_TIMEOUT_SECONDS = 4.0
+"""Timeout of one part of a step: two calls without a response. What a part has not
+reached follows in the next step."""
+SCAN_TIMEOUT_SECONDS = 10.0
+"""The same for the scan of all jobs, whose objects include their items."""
 ORPHAN_LOG_INTERVAL_SECONDS = 2.0
 """Minimum time between two log lines about jobs that no host runs."""
 
@@ -88,28 +95,29 @@
     async def reconcile(self) -> None:
         """Take over orphaned jobs and stop duplicate runs.
 
-        :raises PrimrosefordError: as the store's calls do
+        Each part has a timeout, and no failure of one keeps the others from running.
         """
         if self.gateway.stopping:
             return
+        self._stop_duplicates(self.gateway.clock())
+        await run_part(self._read_duplicates, RECONCILE_TIMEOUT_SECONDS)
+        if self._is_scan_due(self.gateway.clock()):
+            await run_part(self.scan, SCAN_TIMEOUT_SECONDS)
         now = self.gateway.clock()
-        self._stop_duplicates(now)
-        await self._read_duplicates()
-        first = not self.first_scan_done and (
-            now - self.started_at >= FIRST_SCAN_DELAY_SECONDS
-        )
-        due = now - self.scanned_at >= SCAN_INTERVAL_SECONDS
-        if first or (due and self.is_scanner(now)):
-            self.scanned_at = now
-            await self.scan(now)
-            self.first_scan_done = True
         for job in self.gateway.members.known_jobs() | set(self.views.views):
             if self._is_done(job):
                 self.gateway.members.orphaned.discard(job)
                 continue
             self.update_orphan(job, now)
         self._log_orphans(now)
-        await self.take_over_orphans(now)
+        await run_part(self.take_over_orphans, RECONCILE_TIMEOUT_SECONDS)
+
+    def _is_scan_due(self, now: float) -> bool:
+        """Return whether this host must scan all stored jobs now."""
+        age = now - self.scanned_at
+        if not self.first_scan_done and age >= FIRST_SCAN_DELAY_SECONDS:
+            return True
+        return age >= SCAN_INTERVAL_SECONDS and self.is_scanner(now)
 
     def _log_orphans(self, now: float) -> None:
         """Log at intervals the job that no host has run for the longest time."""
@@ -162,20 +170,30 @@
         hosts = self.gateway.members.hosts(now)
         return preferred_host(SCANNER_ROLE, hosts) == self.gateway.members.own
 
-    async def scan(self, now: float) -> None:
-        """Scan all stored jobs for orphans and for jobs past their retention."""
+    async def scan(self) -> None:
+        """Scan all stored jobs for orphans and for jobs past their retention.
+
+        :raises PrimrosefordError: as the store's calls do
+        """
+        now = self.scanned_at = self.gateway.clock()
+        expired = []
         for stored in await self.store.list_jobs():
             with self._isolate_errors(JobId(stored.name)):
-                await self._scan_job(stored, now)
+                if self._is_expired(stored):
+                    expired.append(stored)
+                elif not is_finished(stored) and not self._is_done(JobId(stored.name)):
+                    self.update_orphan(JobId(stored.name), now)
+        self.first_scan_done = True
+        for stored in expired:
+            with self._isolate_errors(JobId(stored.name)):
+                await self.store.remove(stored)
 
-    async def _scan_job(self, stored: PlatformObject, now: float) -> None:
+    def _is_expired(self, stored: PlatformObject) -> bool:
+        """Return whether a stored job is past its retention."""
         age = time.time() - float(stored.spec["submitted"])
-        if age > self.retention_seconds + RETENTION_MARGIN_SECONDS and (
+        return age > self.retention_seconds + RETENTION_MARGIN_SECONDS and (
             is_finished(stored) or age > 2 * self.retention_seconds
-        ):
-            await self.store.remove(stored)
-        elif not is_finished(stored) and not self._is_done(JobId(stored.name)):
-            self.update_orphan(stored.name, now)
+        )
 
     @contextmanager
     def _isolate_errors(self, job: JobId) -> Iterator[None]:
@@ -204,9 +222,15 @@
         else:
             self.orphans.setdefault(job, now)
 
-    async def take_over_orphans(self, now: float) -> None:
-        """Take over the orphans that this host is responsible for."""
+    async def take_over_orphans(self) -> None:
+        """Take over the orphans that this host is responsible for.
+
+        A job that fails is tried again after the others.
+
+        :raises PrimrosefordError: as the store's calls do
+        """
         for job, since in list(self.orphans.items()):
+            now = self.gateway.clock()
             self.update_orphan(job, now)
             if job not in self.orphans or not self._should_take_over(job, since, now):
                 continue
@@ -221,6 +245,9 @@
                         continue
                     self.orphans[job] = since
                     raise
+                except asyncio.CancelledError:
+                    self.orphans[job] = since
+                    raise
 
     def _should_take_over(self, job: JobId, since: float, now: float) -> bool:
         members = self.gateway.members
--- a/src/primroseford/jobs/service.py
+++ b/src/primroseford/jobs/service.py
@@ -10,7 +10,9 @@
 from primroseford.errors import Outcome
 from primroseford.errors import PrimrosefordError
 from primroseford.errors import ResultCode
+from primroseford.gateway.periodic import run_part
 from primroseford.gateway.periodic import run_periodically
+from primroseford.jobs.ownership import RECONCILE_TIMEOUT_SECONDS
 from primroseford.jobs.ownership import JobOwnership
 from primroseford.jobs.preemption import preempt_item
 from primroseford.jobs.scheduler import STOPPED_REPORT_SECONDS
@@ -113,7 +115,7 @@
         await run_periodically(self, lambda: RECONCILE_SECONDS, self._reconcile)
 
     async def _reconcile(self) -> None:
-        await self._scan_cancellations()
+        await run_part(self._scan_cancellations, RECONCILE_TIMEOUT_SECONDS)
         await self.ownership.reconcile()
 
     async def _scan_cancellations(self) -> None:
--- a/src/primroseford/jobs/tests/test_jobs.py
+++ b/src/primroseford/jobs/tests/test_jobs.py
@@ -492,7 +492,7 @@
     runs = sum(len(runner.received) for runner in site.runners)
     for host in site.hosts:
         service(host).ownership.orphans["job1"] = host.clock() - 100
-        await service(host).ownership.take_over_orphans(host.clock())
+        await service(host).ownership.take_over_orphans()
     assert all(not service(host).scheduler.runs for host in site.hosts)
     assert sum(len(runner.received) for runner in site.runners) == runs
 
@@ -503,7 +503,7 @@
     members.orphaned.add("gone")
     await site.until(lambda: not members.orphaned)
     ownership = service(site.hosts[0]).ownership
-    await ownership.take_over_orphans(site.hosts[0].clock() + 100)
+    await ownership.take_over_orphans()
     assert not ownership.orphans
 
 
@@ -644,10 +644,10 @@
     await submit(site, "job1")
     await read_all(site, "job1")
     await site.until(lambda: "job1" not in jobs.scheduler.runs)
-    await jobs.ownership.scan(site.hosts[0].clock())
+    await jobs.ownership.scan()
     assert stored(site, JOBS)
     jobs.ownership.retention_seconds = -1000.0
-    await jobs.ownership.scan(site.hosts[0].clock())
+    await jobs.ownership.scan()
     assert not stored(site, JOBS) and not stored(site, SEGMENTS)
 
 
--- a/src/primroseford/jobs/tests/test_removal.py
+++ b/src/primroseford/jobs/tests/test_removal.py
@@ -45,7 +45,7 @@
     ownership.retention_seconds = -1000.0
     site.platform.faults.down_after_writes = writes
     try:
-        await ownership.scan(site.hosts[0].clock())
+        await ownership.scan()
     except PrimrosefordError:
         pass
     site.platform.faults.down = False
@@ -69,7 +69,7 @@
     """Guards against a removal that fails for ever after an interruption (LOST)."""
     await submit_with_parts(site, "old")
     await interrupt_removal(site, writes)
-    await service(site.hosts[0]).ownership.scan(site.hosts[0].clock())
+    await service(site.hosts[0]).ownership.scan()
     for kind in (JOBS, PARTS, SEGMENTS):
         assert not stored(site, kind)
 
