Tell stopped jobs from running ones, and keep open ones known

Cause: heartbeats report a stopped job for 3 s in the same form as a running one. Two hosts could each stop for the lingering report of the other, a takeover waited for the end of the reports, and in the moment in which the last report ended the job left `known_jobs` on every host, without having been an orphan anywhere. The same happened when `remove_lost` removed a silent peer after 60 s, with all jobs of its last heartbeat: apart from the scan, only a host with the job in its views still knew it then.

Now JobProgress has `6: bool stopped = 0` and `7: bool ended = 0` (all items have results, or cancelled). Default values are not sent, so the report of a running job has the same bytes as before. `Members.running` counts only running reports, so a stopped one never stops another host's run and the grace time begins at once. Reads still go to hosts that have stopped a job, after those that run it (`Members.reporting`). An open job whose last report ends in any way (dropped, restart, removed peer), or that this host itself stops, stays known until it is reported or seen as ended. `ended` is a field of its own since neither `stopped` nor a count of 0 tokens tells it (a submission may name 0 tokens), and without it every host would look up every finished job. A host that finds an orphan ended reports that, so that the others need not look it up.

Older hosts send neither field: a finished job that they no longer report is looked up once by the preferred host during an update.

Evidence, before the change: `pytest -n 2 src/primroseford/jobs/tests/test_ownership.py`, 4 failed: a host stops all its jobs for stopped reports, the job of a last report is not taken over (`[] == ['0']`), a stopped job is unknown to its last host (`set() == {'open'}`), an ended job is not reported. After it: the tests of jobs and gateway and test_job_pairs.py pass (832).

Ruled out: forgetting on the restart of a peer (it was kept in `orphaned` already).

--- a/src/primroseford/gateway/gen/messages/ttypes.py
+++ b/src/primroseford/gateway/gen/messages/ttypes.py
@@ -220,6 +220,8 @@
      - organisation
      - path_prefix
      - waiting_tokens
+     - stopped
+     - ended
 
     """
 
@@ -229,15 +231,19 @@
         'organisation',
         'path_prefix',
         'waiting_tokens',
+        'stopped',
+        'ended',
     )
 
 
-    def __init__(self, job=None, segments=None, organisation=None, path_prefix=None, waiting_tokens=None,):
+    def __init__(self, job=None, segments=None, organisation=None, path_prefix=None, waiting_tokens=None, stopped=False, ended=False,):
         self.job = job
         self.segments = segments
         self.organisation = organisation
         self.path_prefix = path_prefix
         self.waiting_tokens = waiting_tokens
+        self.stopped = stopped
+        self.ended = ended
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -273,6 +279,16 @@
                     self.waiting_tokens = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.BOOL:
+                    self.stopped = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.BOOL:
+                    self.ended = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -303,6 +319,14 @@
             oprot.writeFieldBegin('waiting_tokens', TType.I64, 5)
             oprot.writeI64(self.waiting_tokens)
             oprot.writeFieldEnd()
+        if self.stopped is not None:
+            oprot.writeFieldBegin('stopped', TType.BOOL, 6)
+            oprot.writeBool(self.stopped)
+            oprot.writeFieldEnd()
+        if self.ended is not None:
+            oprot.writeFieldBegin('ended', TType.BOOL, 7)
+            oprot.writeBool(self.ended)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1822,6 +1846,8 @@
     (3, TType.STRING, 'organisation', 'UTF8', None, ),  # 3
     (4, TType.STRING, 'path_prefix', 'UTF8', None, ),  # 4
     (5, TType.I64, 'waiting_tokens', None, None, ),  # 5
+    (6, TType.BOOL, 'stopped', None, False, ),  # 6
+    (7, TType.BOOL, 'ended', None, False, ),  # 7
 )
 all_structs.append(CrashPart)
 CrashPart.thrift_spec = (
--- a/src/primroseford/gateway/heartbeat.py
+++ b/src/primroseford/gateway/heartbeat.py
@@ -257,6 +257,9 @@
                     report.organisation,
                     report.prefix,
                     report.waiting_tokens,
+                    # Default values are not sent.
+                    report.stopped or None,
+                    report.ended or None,
                 )
                 for job, report in self.last_jobs.items()
             ],
--- a/src/primroseford/gateway/host.py
+++ b/src/primroseford/gateway/host.py
@@ -166,7 +166,7 @@
         settings = self.settings
         peers = JobPeers(
             session,
-            lambda job: urls(members, members.running(job, self.clock())),
+            lambda job: urls(members, members.reporting(job, self.clock())),
             lambda job: urls(members, members.leaving_with(job, self.clock())),
             self.clock,
         )
--- a/src/primroseford/gateway/members.py
+++ b/src/primroseford/gateway/members.py
@@ -49,14 +49,16 @@
     """The known other hosts of the fleet.
 
     :param own: name of this host
-    :param orphaned: jobs that peers ran before they restarted
+    :param orphaned: open jobs that no peer reports any more
     :ivar job_reports: last progress report of each job, by host
+    :ivar ended: reported jobs that are finished or cancelled
     """
 
     own: HostId
     orphaned: set[JobId] = field(default_factory=set)
     peers: dict[HostId, Peer] = field(default_factory=dict)
     job_reports: dict[JobId, dict[HostId, JobProgress]] = field(default_factory=dict)
+    ended: set[JobId] = field(default_factory=set)
 
     @property
     def silence(self) -> float:
@@ -90,7 +92,6 @@
             peer = self.peers[host] = Peer(host, heartbeat.address, now)
         previous = peer.heartbeat
         if previous is not None and previous.incarnation != heartbeat.incarnation:
-            self.orphaned.update(JobId(progress.job) for progress in previous.jobs)
             previous = None
         if previous is not None and previous.sequence >= heartbeat.sequence:
             raise ValueError("heartbeat out of order")
@@ -103,14 +104,38 @@
     def _index_jobs(
         self, host: HostId, previous: Heartbeat | None, heartbeat: Heartbeat | None
     ) -> None:
-        """Replace the progress reports of a peer in the index of jobs."""
+        """Replace the progress reports of a peer in the index of jobs.
+
+        An open job stays known after its last report, since a host may run it no more.
+        """
+        reports = heartbeat.jobs if heartbeat is not None else ()
+        for progress in reports:
+            job = JobId(progress.job)
+            self.job_reports.setdefault(job, {})[host] = progress
+            if progress.ended:
+                self.note_ended(job)
+        reported = {progress.job for progress in reports}
         for progress in previous.jobs if previous is not None else ():
-            hosts = self.job_reports.get(JobId(progress.job), {})
-            hosts.pop(host, None)
-            if not hosts:
-                self.job_reports.pop(JobId(progress.job), None)
-        for progress in heartbeat.jobs if heartbeat is not None else ():
-            self.job_reports.setdefault(JobId(progress.job), {})[host] = progress
+            job = JobId(progress.job)
+            if job not in reported:
+                self._remove_report(job, host)
+
+    def _remove_report(self, job: JobId, host: HostId) -> None:
+        hosts = self.job_reports.get(job, {})
+        hosts.pop(host, None)
+        if hosts:
+            return
+        self.job_reports.pop(job, None)
+        if job in self.ended:
+            self.ended.discard(job)
+        else:
+            self.orphaned.add(job)
+
+    def note_ended(self, job: JobId) -> None:
+        """Note that a job is finished or cancelled."""
+        self.orphaned.discard(job)
+        if job in self.job_reports:
+            self.ended.add(job)
 
     def heard(self, now: float) -> list[Peer]:
         """Return the peers with a recent heartbeat, including leaving ones."""
@@ -157,7 +182,18 @@
 
     def running(self, job: JobId, now: float) -> list[HostId]:
         """Return the live peers that run a job."""
-        return [p.host for p in self._reporting(job, now) if not p.heartbeat.leaving]
+        reports = self.job_reports.get(job, {})
+        return [
+            peer.host
+            for peer in self._reporting(job, now)
+            if not peer.heartbeat.leaving and not reports[peer.host].stopped
+        ]
+
+    def reporting(self, job: JobId, now: float) -> list[HostId]:
+        """Return the live peers that run a job or stopped it lately, these last."""
+        reports = self.job_reports.get(job, {})
+        live = [p.host for p in self._reporting(job, now) if not p.heartbeat.leaving]
+        return sorted(live, key=lambda host: bool(reports[host].stopped))
 
     def leaving_with(self, job: JobId, now: float) -> list[HostId]:
         """Return the leaving peers that still run a job."""
--- a/src/primroseford/gateway/messages.thrift
+++ b/src/primroseford/gateway/messages.thrift
@@ -19,6 +19,11 @@
   3: string organisation
   4: string path_prefix
   5: i64 waiting_tokens
+  // Whether the host has stopped the job; hosts of a software version without this field
+  // report it like a running one.
+  6: bool stopped = 0
+  // Whether every item has a result, or the job is cancelled.
+  7: bool ended = 0
 }
 
 // A shared part of a prompt that was on a runner when it crashed.
--- a/src/primroseford/jobs/ownership.py
+++ b/src/primroseford/jobs/ownership.py
@@ -107,7 +107,6 @@
         for job in self.gateway.members.known_jobs() | set(self.views.views):
             if self._is_done(job):
                 self.gateway.members.orphaned.discard(job)
-                continue
             self.update_orphan(job, now)
         self._log_orphans(now)
         await run_part(self.take_over_orphans, RECONCILE_TIMEOUT_SECONDS)
@@ -181,7 +180,7 @@
             with self._isolate_errors(JobId(stored.name)):
                 if self._is_expired(stored):
                     expired.append(stored)
-                elif not is_finished(stored) and not self._is_done(JobId(stored.name)):
+                elif not is_finished(stored):
                     self.update_orphan(JobId(stored.name), now)
         self.first_scan_done = True
         for stored in expired:
@@ -213,11 +212,15 @@
     def _is_done(self, job: JobId) -> bool:
         """Return whether a job is known here to be finished or cancelled."""
         view = self.views.get(job)
-        return view is not None and (view.finished or view.cancelled)
+        return job in self.gateway.members.ended or (view is not None and view.ended)
 
     def update_orphan(self, job: JobId, now: float) -> None:
-        """Add a job to the orphans, or remove it if some host runs it."""
-        if job in self.scheduler.runs or self.gateway.members.running(job, now):
+        """Add a job to the orphans, or remove it if some host runs it or it is done."""
+        if (
+            job in self.scheduler.runs
+            or self._is_done(job)
+            or self.gateway.members.running(job, now)
+        ):
             self.orphans.pop(job, None)
         else:
             self.orphans.setdefault(job, now)
@@ -259,6 +262,9 @@
 
     async def _take_over(self, job: JobId, now: float) -> None:
         view = await self.views.load_latest(job)
+        if view.ended:
+            # The other hosts that know the job need not look it up.
+            self.scheduler.report_stopped(view)
         if view.cancelled or self.gateway.members.running(job, now):
             return
         if view.finished:
--- a/src/primroseford/jobs/scheduler.py
+++ b/src/primroseford/jobs/scheduler.py
@@ -121,7 +121,8 @@
             job: entry for job, entry in self.recently_stopped.items() if entry[1] > now
         }
         reports = {
-            job: view.report() for job, (view, _) in self.recently_stopped.items()
+            job: view.report(stopped=True)
+            for job, (view, _) in self.recently_stopped.items()
         }
         if stalled:
             return reports
@@ -182,15 +183,20 @@
         job = run.view.job.id
         run.stopped = True
         self.runs.pop(job, None)
-        seconds = (
-            FINISHED_REPORT_SECONDS if run.view.finished else STOPPED_REPORT_SECONDS
-        )
-        self.recently_stopped[job] = (run.view, self.gateway.clock() + seconds)
+        self.report_stopped(run.view)
+        if not run.view.ended:
+            # It stays known here until it is reported or seen as ended.
+            self.gateway.members.orphaned.add(job)
         for item in run.running:
             if item.task is not None:
                 item.task.cancel()
         log.info("job stopped", job=job, why=reason, listed=len(run.view.committed))
 
+    def report_stopped(self, view: JobView) -> None:
+        """Report for some time a job that this host does not run, with its results."""
+        seconds = FINISHED_REPORT_SECONDS if view.finished else STOPPED_REPORT_SECONDS
+        self.recently_stopped[view.job.id] = (view, self.gateway.clock() + seconds)
+
     def _finish(self, run: JobRun) -> None:
         self.stop_job(run, "finished")
 
--- a/src/primroseford/jobs/service.py
+++ b/src/primroseford/jobs/service.py
@@ -169,6 +169,7 @@
 
     def apply_cancellation(self, job: JobId) -> None:
         """Mark a job as cancelled, and stop it if this host runs it."""
+        self.gateway.members.note_ended(job)
         view = self.views.get(job)
         if view is not None:
             view.cancelled = True
--- a/src/primroseford/jobs/state.py
+++ b/src/primroseford/jobs/state.py
@@ -103,12 +103,16 @@
     :param organisation: organisation that owns it; empty if requests need no keys
     :param prefix: path prefix of its route
     :param waiting_tokens: tokens of its items without a committed result
+    :param stopped: whether the reporting host no longer runs it
+    :param ended: whether every item has a committed result, or it is cancelled
     """
 
     segments: int
     organisation: str
     prefix: str
     waiting_tokens: int
+    stopped: bool = False
+    ended: bool = False
 
 
 @dataclass
@@ -153,11 +157,24 @@
             return 0
         return sum(i.tokens for i in self.job.items if i.id not in self.committed)
 
-    def report(self) -> JobReport:
-        """Return what heartbeats report of the job."""
-        organisation = self.job.organisation or ""
-        waiting = self.waiting_tokens()
-        return JobReport(self.segments, organisation, self.job.prefix, waiting)
+    @property
+    def ended(self) -> bool:
+        """Whether no item is to run any more."""
+        return self.finished or self.cancelled
+
+    def report(self, stopped: bool = False) -> JobReport:
+        """Return what heartbeats report of the job.
+
+        :param stopped: whether this host no longer runs it
+        """
+        return JobReport(
+            self.segments,
+            self.job.organisation or "",
+            self.job.prefix,
+            self.waiting_tokens(),
+            stopped,
+            self.ended,
+        )
 
 
 def encode_job(job: Job) -> dict[str, Any]:
--- a/src/primroseford/jobs/tests/test_ownership.py
+++ b/src/primroseford/jobs/tests/test_ownership.py
@@ -12,6 +12,7 @@
 from primroseford.gateway.gen.messages.ttypes import Heartbeat
 from primroseford.gateway.gen.messages.ttypes import JobProgress
 from primroseford.gateway.members import Members
+from primroseford.gateway.members import preferred_host
 from primroseford.ids import HostId
 from primroseford.ids import JobId
 from primroseford.jobs import ownership as ownership_module
@@ -19,6 +20,8 @@
 from primroseford.jobs.ownership import FIRST_SCAN_DELAY_SECONDS
 from primroseford.jobs.ownership import ORPHAN_GRACE_SECONDS
 from primroseford.jobs.ownership import JobOwnership
+from primroseford.jobs.run import JobRun
+from primroseford.jobs.scheduler import JobScheduler
 from primroseford.jobs.service import CANCELLATION_SCAN_SECONDS
 from primroseford.jobs.service import JobService
 from primroseford.jobs.state import Item
@@ -83,13 +86,17 @@
     """A host's ownership whose calls can hang or fail, by job.
 
     :ivar started: jobs that it has taken over
+    :ivar reported: jobs that it reports to be ended
     :ivar hanging: jobs of which reads hang
+    :ivar cancelled: jobs that the store names as cancelled
     """
 
     def __init__(self, clock):
         self.clock = clock
+        self.sequence = 0
         self.started: list[str] = []
         self.hanging: set[str] = set()
+        self.cancelled: set[str] = set()
         self.gateway = SimpleNamespace(
             clock=clock, stopping=False, members=Members(HostId("host-1")), tables=None
         )
@@ -101,7 +108,13 @@
         self.views = SimpleNamespace(
             views={}, get=lambda job: None, load_latest=self.read
         )
-        self.scheduler = SimpleNamespace(runs={}, start_job=self.start_job)
+        self.reported: list[str] = []
+        self.scheduler = SimpleNamespace(
+            runs={},
+            start_job=self.start_job,
+            stop_job=self.stop_job,
+            report_stopped=lambda view: self.reported.append(view.job.id),
+        )
         peers = SimpleNamespace(take_over=self.load_progress)
         self.ownership = JobOwnership(
             self.gateway, self.store, peers, self.views, self.scheduler, 120.0
@@ -116,7 +129,9 @@
     async def read(self, job: str) -> JobView:
         if job in self.hanging:
             await hang()
-        return create_view(job)
+        view = create_view(job)
+        view.cancelled = job in self.cancelled
+        return view
 
     def start_job(self, view: JobView, _) -> None:
         self.started.append(view.job.id)
@@ -124,10 +139,14 @@
             view=view, committer=object(), stopped=False
         )
 
-    def report(self, *jobs: str) -> None:
-        """Receive the only heartbeat of another host, which reports jobs."""
-        reports = [JobProgress(job, 3, "", "/notes/", 1) for job in jobs]
-        heartbeat = Heartbeat("host-2", "i", "h:1", "a", 1, False, jobs=reports)
+    def stop_job(self, run, _) -> None:
+        del self.scheduler.runs[run.view.job.id]
+
+    def report(self, *jobs: str, host: str = "host-2", **fields) -> None:
+        """Receive the next heartbeat of another host, which reports jobs."""
+        self.sequence += 1
+        reports = [JobProgress(job, 3, "", "/notes/", 1, **fields) for job in jobs]
+        heartbeat = Heartbeat(host, "i", "h:1", "a", self.sequence, False, jobs=reports)
         self.gateway.members.receive(heartbeat, self.clock())
 
     async def reconcile(self) -> None:
@@ -152,7 +171,6 @@
     """Guards against a step that never ends, after which no job is taken over."""
     host.start_job(create_view("mine"), {})
     host.report("mine", "theirs")
-    host.scheduler.stop_job = lambda run, reason: None
     host.hanging.add("mine")
     clock.advance(10.0)
     await host.reconcile()
@@ -203,3 +221,62 @@
             await service._reconcile()
         clock.advance(CANCELLATION_SCAN_SECONDS)
     assert host.started == ["job1"]
+
+
+@pytest.mark.parametrize("stopped", [False, True])
+async def test_host_stops_for_a_host_that_has_stopped(clock, host, stopped):
+    """Guards against a job that no host runs, since each has stopped for the other."""
+    names = [job for job in map(str, range(20)) if not is_preferred(host, job)]
+    for job in names:
+        host.start_job(create_view(job), {})
+    host.report(*names, stopped=stopped)
+    await host.reconcile()
+    assert host.scheduler.runs.keys() == (set(names) if stopped else set())
+
+
+def is_preferred(host: FakeHost, job: str) -> bool:
+    """Return whether this host is preferred for a job over the other one."""
+    own = host.gateway.members.own
+    return preferred_host(job, [own, HostId("host-2")]) == own
+
+
+async def test_stopped_job_is_taken_over_after_its_last_report(clock, host):
+    """Guards against a wait for the end of the reports, and a job dropped with them."""
+    job = next(job for job in map(str, range(20)) if is_preferred(host, job))
+    host.report(job, stopped=True)
+    await host.reconcile()
+    host.report()
+    clock.advance(ORPHAN_GRACE_SECONDS)
+    await host.reconcile()
+    assert host.started == [job]
+
+
+async def test_ended_job_is_looked_up_by_each_host(clock, host):
+    """Guards against store calls of every host for a job that has ended meanwhile."""
+    host.cancelled.add("job1")
+    host.gateway.members.orphaned.add("job1")
+    await host.reconcile()
+    clock.advance(ORPHAN_GRACE_SECONDS)
+    await host.reconcile()
+    assert host.reported == ["job1"] and not host.started
+    host.gateway.members.orphaned.add("job2")
+    await host.reconcile()
+    host.report("job2", stopped=True, ended=True)
+    clock.advance(ORPHAN_GRACE_SECONDS)
+    await host.reconcile()
+    assert not host.started and "job2" not in host.ownership.orphans
+
+
+def test_stopped_job_is_unknown_to_its_last_host(clock):
+    """Guards against the same, if no other host has heard of the job."""
+    members = Members(HostId("host-1"))
+    scheduler = JobScheduler(SimpleNamespace(clock=clock, members=members), None)
+    for job, cancelled in (("open", False), ("cancelled", True)):
+        view = create_view(job)
+        view.cancelled = cancelled
+        scheduler.runs[JobId(job)] = run = JobRun(view)
+        scheduler.stop_job(run, "another host runs it")
+    assert members.known_jobs() == {"open"}
+    reports = scheduler.reported_jobs()
+    assert all(report.stopped for report in reports.values())
+    assert [job for job, report in reports.items() if report.ended] == ["cancelled"]
