--- a/src/primroseford/jobs/scheduler.py
+++ b/src/primroseford/jobs/scheduler.py
@@ -61,6 +61,9 @@
 FINISHED_REPORT_SECONDS = 15.0
 """How long heartbeats report a finished job, so that other hosts read its results from
 this host instead of the store: a few times the interval between a caller's reads."""
+STALL_SECONDS = 2.0
+"""Time without a step after which the scheduler stands still. Heartbeats do not report
+its jobs then, so that other hosts take them over."""
 HANDOVER_TIMEOUT_SECONDS = 0.3
 """Timeout for the last commit of a job that is handed over: the other host waits for
 the response, and a write takes a few ms."""
@@ -75,6 +78,8 @@
     :ivar runs: jobs by id
     :ivar recently_stopped: stopped jobs that heartbeats still report, each with the
         local time at which reporting ends
+    :ivar stepped_at: local time of the last periodic step in seconds
+    :ivar was_stalled: whether the last report found the scheduler standing still
     """
 
     def __init__(self, gateway: Gateway, store: JobStore) -> None:
@@ -87,16 +92,39 @@
         self.capacity = BatchCapacity(gateway, self.estimator)
         self.wait_log = WaitLog(gateway)
         self.wait_logged_at = -math.inf
+        self.stepped_at = gateway.clock()
+        self.was_stalled = False
+
+    def is_stalled(self, now: float) -> bool:
+        """Return whether the scheduler stands still.
+
+        :param now: local time in seconds
+        """
+        return now - self.stepped_at > STALL_SECONDS
 
     def reported_jobs(self) -> dict[JobId, JobReport]:
-        """Return the reports of the jobs that this host runs or stopped recently."""
+        """Return the reports of the jobs that this host runs or stopped recently.
+
+        A scheduler that stands still runs no jobs.
+        """
         now = self.gateway.clock()
+        stalled = bool(self.runs) and self.is_stalled(now)
+        if stalled != self.was_stalled:
+            self.was_stalled = stalled
+            log.warning(
+                "scheduler stands still" if stalled else "scheduler runs again",
+                jobs=len(self.runs),
+                seconds=round(now - self.stepped_at, 1),
+            )
         self.recently_stopped = {
             job: entry for job, entry in self.recently_stopped.items() if entry[1] > now
         }
         reports = {
-            job: view.report() for job, (view, _) in self.recently_stopped.items()
+            job: view.report(stopped=True)
+            for job, (view, _) in self.recently_stopped.items()
         }
+        if stalled:
+            return reports
         return reports | {job: run.view.report() for job, run in self.runs.items()}
 
     def start_job(
@@ -154,15 +182,20 @@
         job = run.view.job.id
         run.stopped = True
         self.runs.pop(job, None)
-        seconds = (
-            FINISHED_REPORT_SECONDS if run.view.finished else STOPPED_REPORT_SECONDS
-        )
-        self.recently_stopped[job] = (run.view, self.gateway.clock() + seconds)
+        self.report_stopped(run.view)
+        if not run.view.ended:
+            # It stays known here until it is reported or seen as ended.
+            self.gateway.members.orphaned.add(job)
         for item in run.running:
             if item.task is not None:
                 item.task.cancel()
         log.info("job stopped", job=job, why=reason, listed=len(run.view.committed))
 
+    def report_stopped(self, view: JobView) -> None:
+        """Report for some time a job that this host does not run, with its results."""
+        seconds = FINISHED_REPORT_SECONDS if view.finished else STOPPED_REPORT_SECONDS
+        self.recently_stopped[view.job.id] = (view, self.gateway.clock() + seconds)
+
     def _finish(self, run: JobRun) -> None:
         self.stop_job(run, "finished")
 
@@ -173,6 +206,7 @@
 
     def reschedule(self) -> None:
         """Preempt, start and abandon items, and store their progress."""
+        self.stepped_at = self.gateway.clock()
         self.gateway.metrics.uncommitted_items.set(
             sum(len(run.finished) for run in self.runs.values())
         )
--- a/src/primroseford/jobs/service.py
+++ b/src/primroseford/jobs/service.py
@@ -10,7 +10,9 @@
 from primroseford.errors import Outcome
 from primroseford.errors import PrimrosefordError
 from primroseford.errors import ResultCode
+from primroseford.gateway.periodic import run_part
 from primroseford.gateway.periodic import run_periodically
+from primroseford.jobs.ownership import RECONCILE_TIMEOUT_SECONDS
 from primroseford.jobs.ownership import JobOwnership
 from primroseford.jobs.preemption import preempt_item
 from primroseford.jobs.scheduler import STOPPED_REPORT_SECONDS
@@ -113,7 +115,7 @@
         await run_periodically(self, lambda: RECONCILE_SECONDS, self._reconcile)
 
     async def _reconcile(self) -> None:
-        await self._scan_cancellations()
+        await run_part(self._scan_cancellations, RECONCILE_TIMEOUT_SECONDS)
         await self.ownership.reconcile()
 
     async def _scan_cancellations(self) -> None:
@@ -141,7 +143,13 @@
         return await self.scheduler.hand_over(job)
 
     def waiting_items(self) -> tuple[int, int]:
-        """Count waiting items: those that can meet their deadline, and late ones."""
+        """Count waiting items: those that can meet their deadline, and late ones.
+
+        Other hosts leave slots to them, so those of a scheduler that stands still do
+        not count.
+        """
+        if self.scheduler.is_stalled(self.gateway.clock()):
+            return 0, 0
         return self.scheduler.estimator.waiting_items()
 
     def reported_cancellations(self) -> list[JobId]:
@@ -161,6 +169,7 @@
 
     def apply_cancellation(self, job: JobId) -> None:
         """Mark a job as cancelled, and stop it if this host runs it."""
+        self.gateway.members.note_ended(job)
         view = self.views.get(job)
         if view is not None:
             view.cancelled = True
--- a/src/primroseford/jobs/tests/test_ownership.py
+++ b/src/primroseford/jobs/tests/test_ownership.py
@@ -1,15 +1,36 @@
-"""Decides which host runs a job, right after the start of a host."""
+"""Decides which host runs a job: after the start of a host, and while calls hang."""
 
 from __future__ import annotations
 
+import asyncio
 from types import SimpleNamespace
 
 import pytest
 
+from primroseford.errors import PrimrosefordError
+from primroseford.errors import ResultCode
+from primroseford.gateway.gen.messages.ttypes import Heartbeat
+from primroseford.gateway.gen.messages.ttypes import JobProgress
 from primroseford.gateway.members import Members
+from primroseford.gateway.members import preferred_host
 from primroseford.ids import HostId
+from primroseford.ids import JobId
+from primroseford.jobs import ownership as ownership_module
+from primroseford.jobs import service as service_module
 from primroseford.jobs.ownership import FIRST_SCAN_DELAY_SECONDS
+from primroseford.jobs.ownership import ORPHAN_GRACE_SECONDS
 from primroseford.jobs.ownership import JobOwnership
+from primroseford.jobs.run import JobRun
+from primroseford.jobs.scheduler import JobScheduler
+from primroseford.jobs.service import CANCELLATION_SCAN_SECONDS
+from primroseford.jobs.service import JobService
+from primroseford.jobs.state import Item
+from primroseford.jobs.state import Job
+from primroseford.jobs.state import JobView
+
+SHORT_TIMEOUT_SECONDS = 0.02
+MAX_RECONCILE_SECONDS = 5.0
+"""Generous bound on a step whose calls hang, with the short timeout of these tests."""
 
 
 class CountingStore:
@@ -48,3 +69,214 @@
     clock.advance(age)
     await ownership.reconcile()
     assert store.scans == scans
+
+
+def create_view(job: str) -> JobView:
+    """Return the view of a job of one item."""
+    items = (Item("it0", "/notes/it0", {}, "", 1),)
+    return JobView(Job(JobId(job), None, "vans.example", "/notes/", 0.0, items))
+
+
+async def hang(*_) -> None:
+    """Wait for ever, as a call without a response."""
+    await asyncio.Event().wait()
+
+
+class FakeHost:
+    """A host's ownership whose calls can hang or fail, by job.
+
+    :ivar started: jobs that it has taken over
+    :ivar reported: jobs that it reports to be ended
+    :ivar hanging: jobs of which reads hang
+    :ivar cancelled: jobs that the store names as cancelled
+    """
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.sequence = 0
+        self.started: list[str] = []
+        self.hanging: set[str] = set()
+        self.cancelled: set[str] = set()
+        self.gateway = SimpleNamespace(
+            clock=clock, stopping=False, members=Members(HostId("host-1")), tables=None
+        )
+        self.store = SimpleNamespace(
+            list_jobs=self.list_jobs,
+            refresh=lambda view: self.read(view.job.id),
+            load_progress=self.load_progress,
+        )
+        self.views = SimpleNamespace(
+            views={}, get=lambda job: None, load_latest=self.read
+        )
+        self.reported: list[str] = []
+        self.scheduler = SimpleNamespace(
+            runs={},
+            start_job=self.start_job,
+            stop_job=self.stop_job,
+            report_stopped=lambda view: self.reported.append(view.job.id),
+        )
+        peers = SimpleNamespace(take_over=self.load_progress)
+        self.ownership = JobOwnership(
+            self.gateway, self.store, peers, self.views, self.scheduler, 120.0
+        )
+
+    async def list_jobs(self) -> list:
+        return []
+
+    async def load_progress(self, _) -> dict:
+        return {}
+
+    async def read(self, job: str) -> JobView:
+        if job in self.hanging:
+            await hang()
+        view = create_view(job)
+        view.cancelled = job in self.cancelled
+        return view
+
+    def start_job(self, view: JobView, _) -> None:
+        self.started.append(view.job.id)
+        self.scheduler.runs[view.job.id] = SimpleNamespace(
+            view=view, committer=object(), stopped=False
+        )
+
+    def stop_job(self, run, _) -> None:
+        del self.scheduler.runs[run.view.job.id]
+
+    def report(self, *jobs: str, host: str = "host-2", **fields) -> None:
+        """Receive the next heartbeat of another host, which reports jobs."""
+        self.sequence += 1
+        reports = [JobProgress(job, 3, "", "/notes/", 1, **fields) for job in jobs]
+        heartbeat = Heartbeat(host, "i", "h:1", "a", self.sequence, False, jobs=reports)
+        self.gateway.members.receive(heartbeat, self.clock())
+
+    async def reconcile(self) -> None:
+        """Run one step, which must end."""
+        async with asyncio.timeout(MAX_RECONCILE_SECONDS):
+            await self.ownership.reconcile()
+
+
+@pytest.fixture
+def host(clock, monkeypatch):
+    """A host whose calls time out soon."""
+    for module, name in (
+        (ownership_module, "RECONCILE_TIMEOUT_SECONDS"),
+        (ownership_module, "SCAN_TIMEOUT_SECONDS"),
+        (service_module, "RECONCILE_TIMEOUT_SECONDS"),
+    ):
+        monkeypatch.setattr(module, name, SHORT_TIMEOUT_SECONDS)
+    return FakeHost(clock)
+
+
+async def test_orphan_waits_for_a_read_that_hangs(clock, host):
+    """Guards against a step that never ends, after which no job is taken over."""
+    host.start_job(create_view("mine"), {})
+    host.report("mine", "theirs")
+    host.hanging.add("mine")
+    clock.advance(10.0)
+    await host.reconcile()
+    clock.advance(ORPHAN_GRACE_SECONDS)
+    await host.reconcile()
+    assert host.started == ["mine", "theirs"]
+
+
+async def test_orphan_waits_for_the_takeover_of_another_that_hangs(clock, host):
+    """Guards against one job that cannot be loaded and keeps all others waiting."""
+    host.report("job1", "job2", "job3")
+    clock.advance(10.0)
+    await host.reconcile()
+    host.hanging.add(next(iter(host.ownership.orphans)))
+    (hanging,) = host.hanging
+    clock.advance(ORPHAN_GRACE_SECONDS)
+    for _ in range(2):
+        await host.reconcile()
+    assert {*host.started} == {"job1", "job2", "job3"} - {hanging}
+    assert hanging in host.ownership.orphans
+
+
+@pytest.mark.parametrize("hangs", [False, True])
+async def test_orphan_waits_for_a_scan_that_never_succeeds(clock, host, hangs):
+    """Guards against a host that takes nothing over, since its first scan fails."""
+
+    async def fail() -> list:
+        raise PrimrosefordError(ResultCode.PLATFORM_UNAVAILABLE, "no response")
+
+    host.store.list_jobs = hang if hangs else fail
+    host.report("job1")
+    clock.advance(10.0)
+    for _ in range(4):
+        await host.reconcile()
+        clock.advance(ORPHAN_GRACE_SECONDS)
+    assert host.started == ["job1"]
+
+
+async def test_orphan_waits_for_a_scan_of_cancellations_that_hangs(clock, host):
+    """Guards against the same, since the cancellations are read before each step."""
+    service = JobService(host.gateway, host.store, None, None, 120.0, 1.0)
+    service.ownership = host.ownership
+    host.store.cancelled_jobs = hang
+    host.report("job1")
+    clock.advance(CANCELLATION_SCAN_SECONDS + 10.0)
+    for _ in range(4):
+        async with asyncio.timeout(MAX_RECONCILE_SECONDS):
+            await service._reconcile()
+        clock.advance(CANCELLATION_SCAN_SECONDS)
+    assert host.started == ["job1"]
+
+
+@pytest.mark.parametrize("stopped", [False, True])
+async def test_host_stops_for_a_host_that_has_stopped(clock, host, stopped):
+    """Guards against a job that no host runs, since each has stopped for the other."""
+    names = [job for job in map(str, range(20)) if not is_preferred(host, job)]
+    for job in names:
+        host.start_job(create_view(job), {})
+    host.report(*names, stopped=stopped)
+    await host.reconcile()
+    assert host.scheduler.runs.keys() == (set(names) if stopped else set())
+
+
+def is_preferred(host: FakeHost, job: str) -> bool:
+    """Return whether this host is preferred for a job over the other one."""
+    own = host.gateway.members.own
+    return preferred_host(job, [own, HostId("host-2")]) == own
+
+
+async def test_stopped_job_is_taken_over_after_its_last_report(clock, host):
+    """Guards against a wait for the end of the reports, and a job dropped with them."""
+    job = next(job for job in map(str, range(20)) if is_preferred(host, job))
+    host.report(job, stopped=True)
+    await host.reconcile()
+    host.report()
+    clock.advance(ORPHAN_GRACE_SECONDS)
+    await host.reconcile()
+    assert host.started == [job]
+
+
+async def test_ended_job_is_looked_up_by_each_host(clock, host):
+    """Guards against store calls of every host for a job that has ended meanwhile."""
+    host.cancelled.add("job1")
+    host.gateway.members.orphaned.add("job1")
+    await host.reconcile()
+    clock.advance(ORPHAN_GRACE_SECONDS)
+    await host.reconcile()
+    assert host.reported == ["job1"] and not host.started
+    host.gateway.members.orphaned.add("job2")
+    await host.reconcile()
+    host.report("job2", stopped=True, ended=True)
+    clock.advance(ORPHAN_GRACE_SECONDS)
+    await host.reconcile()
+    assert not host.started and "job2" not in host.ownership.orphans
+
+
+def test_stopped_job_is_unknown_to_its_last_host(clock):
+    """Guards against the same, if no other host has heard of the job."""
+    members = Members(HostId("host-1"))
+    scheduler = JobScheduler(SimpleNamespace(clock=clock, members=members), None)
+    for job, cancelled in (("open", False), ("cancelled", True)):
+        view = create_view(job)
+        view.cancelled = cancelled
+        scheduler.runs[JobId(job)] = run = JobRun(view)
+        scheduler.stop_job(run, "another host runs it")
+    assert members.known_jobs() == {"open"}
+    reports = scheduler.reported_jobs()
+    assert all(report.stopped for report in reports.values())
+    assert [job for job, report in reports.items() if report.ended] == ["cancelled"]
