Finish a job only when each of its items has a result

What callers would see: a job whose reads list one item twice and another one never (LOST), once a stored segment repeats an item or names one that the job does not have. The job is marked as finished, so that no host runs its last item any more.

Cause: JobView.finished compares the count of results with the count of items, and append lists whatever a segment holds. Both rest on writers that never repeat an item; nothing checks it.

Fix: append skips a result of an item that has one and of an unknown item, and a job is finished when the items with a result are all of its items. The first result of an item keeps its position and content; as all hosts read the same segments in the same order, they skip the same ones, and a segment counts as read with whatever it adds. waiting_tokens was right already.

Left as it is: a submission that names an id twice is refused by the decoder of submissions.

'pytest -n 2 src/primroseford/jobs' passes.

--- a/src/primroseford/jobs/state.py
+++ b/src/primroseford/jobs/state.py
@@ -115,10 +115,12 @@
 class JobView:
     """A host's local copy of a job; its results are append-only.
 
+    :param results: first committed result of each item, in the order of the segments
     :param committed: items with a committed result
     :param segment_ends: number of results up to the end of each segment read so far
     :param complete_as_of: local time up to which the view holds all committed results
     :param cancelled: whether the caller cancelled the job
+    :ivar items: ids of the job's items
     """
 
     job: Job
@@ -127,14 +129,22 @@
     segment_ends: list[int] = field(default_factory=list)
     complete_as_of: float = float("-inf")
     cancelled: bool = False
+    items: frozenset[ItemId] = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.items = frozenset(item.id for item in self.job.items)
 
     def append(self, results: list[ItemResult]) -> None:
         """Append the results of the next segment.
 
-        A segment never repeats an item: its writer has read all earlier segments.
+        Its writer has read all earlier segments, so it should repeat no item. A repeat
+        is skipped, as is a result of an unknown item: all hosts read the segments in
+        the same order, so positions are the same on each.
         """
-        self.results.extend(results)
-        self.committed.update(result.id for result in results)
+        for result in results:
+            if result.id in self.items and result.id not in self.committed:
+                self.results.append(result)
+                self.committed.add(result.id)
         self.segment_ends.append(len(self.results))
 
     @property
@@ -145,7 +155,7 @@
     @property
     def finished(self) -> bool:
         """Whether every item has a committed result."""
-        return len(self.results) >= len(self.job.items)
+        return len(self.committed) == len(self.items)
 
     def waiting_tokens(self) -> int:
         """Return the tokens of the items without a committed result."""
