Go on with the other items after an error of one item or step

What callers would see: all items of a host wait for ever (LOST) because one item or job raises an unexpected error at every tick; a job that is accepted meanwhile gets 500 although it is stored.

Cause: reschedule runs preemption, starts, abandonment and checkpoints one after another, and start_items ranks and starts items in one loop. An error in any of them ends the tick; run_periodically logs it and does the same again 50 ms later.

Fix: an error of one item delays this item by 1 s, an error of one job in abandon_items and save_progress skips this job, and an error of a step leaves the others to run. The loops over items use plain try blocks, which cost nothing while there is no error.

Not covered: errors of what all items of the host share, such as the share of starts or the load of a pool. They end only the step.

--- a/src/primroseford/jobs/abandonment.py
+++ b/src/primroseford/jobs/abandonment.py
@@ -12,6 +12,7 @@
 if TYPE_CHECKING:
     from primroseford.gateway.state import Gateway
     from primroseford.gateway.tables import Route
+    from primroseford.jobs.run import JobRun
     from primroseford.jobs.scheduler import JobScheduler
     from primroseford.jobs.state import Job
 
@@ -32,29 +33,33 @@
 
     These are the waiting ones and those whose result the store refuses.
     """
-    now = time.time()
     for run in list(scheduler.runs.values()):
-        job = run.view.job
-        route = scheduler.route_of(job)
-        if route is None:
-            should_abandon = _is_route_removed(scheduler.gateway, job)
-        else:
-            should_abandon = now >= abandon_at(job, route)
-        refused = [item for item in run.finished if item.commit_after is not None]
-        if not should_abandon or not (run.waiting or refused):
-            continue
-        for item in [*run.waiting, *refused]:
-            item.result, item.commit_after = ItemState.DEAD_LETTER, None
-        log.warning(
-            "items abandoned",
-            job=run.view.job.id,
-            count=len(run.waiting) + len(refused),
-            refused=len(refused),
-            reason="time" if route else "route",
-        )
-        run.finished += run.waiting
-        run.waiting = []
-        scheduler.recorder.schedule_commit(run)
+        with scheduler.isolation.step("abandon_items", run.view.job.id):
+            _abandon_items_of(scheduler, run)
+
+
+def _abandon_items_of(scheduler: JobScheduler, run: JobRun) -> None:
+    job = run.view.job
+    route = scheduler.route_of(job)
+    if route is None:
+        should_abandon = _is_route_removed(scheduler.gateway, job)
+    else:
+        should_abandon = time.time() >= abandon_at(job, route)
+    refused = [item for item in run.finished if item.commit_after is not None]
+    if not should_abandon or not (run.waiting or refused):
+        return
+    for item in [*run.waiting, *refused]:
+        item.result, item.commit_after = ItemState.DEAD_LETTER, None
+    log.warning(
+        "items abandoned",
+        job=job.id,
+        count=len(run.waiting) + len(refused),
+        refused=len(refused),
+        reason="time" if route else "route",
+    )
+    run.finished += run.waiting
+    run.waiting = []
+    scheduler.recorder.schedule_commit(run)
 
 
 def _is_route_removed(gateway: Gateway, job: Job) -> bool:
--- a/src/primroseford/jobs/recorder.py
+++ b/src/primroseford/jobs/recorder.py
@@ -9,6 +9,8 @@
 
 from primroseford.errors import PrimrosefordError
 from primroseford.errors import ResultCode
+from primroseford.jobs.isolation import MAX_REASON_LENGTH
+from primroseford.jobs.isolation import Isolation
 from primroseford.jobs.state import ItemResult
 from primroseford.jobs.state import ItemState
 from primroseford.jobs.store import first_segment
@@ -42,7 +44,6 @@
 RESUME_DELAY_SECONDS = 1.0
 """Time for which a job has results and no task that commits them before one is started:
 also the delay of a retry after an unexpected error."""
-MAX_REASON_LENGTH = 200
 REFUSED_RETRY_SECONDS = 5.0
 """Delay before a result that the store refused because of its content is written again:
 another version of the store may accept it."""
@@ -65,6 +66,7 @@
         self.store = store
         self.finish = finish
         self.background: set[asyncio.Task] = set()
+        self.isolation = Isolation(gateway.clock)
 
     def save_progress(self, runs: Iterable[JobRun]) -> None:
         """Checkpoint the progress of items periodically, for a host that takes over.
@@ -75,21 +77,25 @@
         for run in runs:
             if run.checkpoint or now - run.checkpoint_at < CHECKPOINT_INTERVAL_SECONDS:
                 continue
-            progress = run.progress()
-            events = sum(len(done.data) for done in progress.values())
-            if events - run.checkpoint_events < CHECKPOINT_EVENTS:
-                continue
-            run.checkpoint_at, run.checkpoint_events = now, events
-            selected = fitting_progress(progress)
-            if len(selected) < len(progress):
-                log.info(
-                    "progress stored in part",
-                    job=run.view.job.id,
-                    items=len(selected),
-                    omitted=len(progress) - len(selected),
-                )
-            run.checkpoint = asyncio.create_task(self._save(run, selected))
-            self.track(run.checkpoint)
+            with self.isolation.step("save_progress", run.view.job.id):
+                self._save_progress_of(run, now)
+
+    def _save_progress_of(self, run: JobRun, now: float) -> None:
+        progress = run.progress()
+        events = sum(len(done.data) for done in progress.values())
+        if events - run.checkpoint_events < CHECKPOINT_EVENTS:
+            return
+        run.checkpoint_at, run.checkpoint_events = now, events
+        selected = fitting_progress(progress)
+        if len(selected) < len(progress):
+            log.info(
+                "progress stored in part",
+                job=run.view.job.id,
+                items=len(selected),
+                omitted=len(progress) - len(selected),
+            )
+        run.checkpoint = asyncio.create_task(self._save(run, selected))
+        self.track(run.checkpoint)
 
     async def _save(self, run: JobRun, progress: dict[ItemId, Progress]) -> None:
         job = run.view.job.id
--- a/src/primroseford/jobs/scheduler.py
+++ b/src/primroseford/jobs/scheduler.py
@@ -17,9 +17,10 @@
 from primroseford.jobs.batch_capacity import BatchCapacity
 from primroseford.jobs.deadlines import DeadlineEstimator
 from primroseford.jobs.forecast import URGENT_SLACK_SECONDS
+from primroseford.jobs.isolation import MAX_REASON_LENGTH
+from primroseford.jobs.isolation import Isolation
 from primroseford.jobs.preemption import preempt_items
 from primroseford.jobs.preemption import preempt_late_items
-from primroseford.jobs.recorder import MAX_REASON_LENGTH
 from primroseford.jobs.recorder import JobRecorder
 from primroseford.jobs.run import ItemRun
 from primroseford.jobs.run import JobRun
@@ -84,6 +85,7 @@
         self.recently_stopped: dict[JobId, tuple[JobView, float]] = {}
         self.recorder = JobRecorder(gateway, store, self._finish)
         self.estimator = DeadlineEstimator(gateway, self.runs)
+        self.isolation = Isolation(gateway.clock)
         self.capacity = BatchCapacity(gateway, self.estimator)
         self.wait_log = WaitLog(gateway)
         self.wait_logged_at = -math.inf
@@ -177,9 +179,12 @@
             sum(len(run.finished) for run in self.runs.values())
         )
         if self.runs:
-            preempt_items(self)
-            preempt_late_items(self)
-            self.start_items()
+            with self.isolation.step("preempt_items"):
+                preempt_items(self)
+            with self.isolation.step("preempt_late_items"):
+                preempt_late_items(self)
+            with self.isolation.step("start_items"):
+                self.start_items()
             abandon_items(self)
             self.recorder.save_progress(self.runs.values())
             self.recorder.resume_commits(self.runs.values())
@@ -190,82 +195,99 @@
 
         Each item that is not started gets the reason for its wait.
         """
-        capacity, estimator = self.capacity, self.estimator
         now = self.gateway.clock()
         startable = []
         for run in self.runs.values():
             for index, item in enumerate(run.waiting):
                 if item.waiting_since is None:
                     item.waiting_since = now
-                reason = self._find_obstacle(item, now)
-                if reason is None:
-                    startable.append((estimator.rank(item, now), index, run, item))
-                else:
-                    item.wait_reason = reason
-        capacity.renew()
+                try:
+                    reason = self._find_obstacle(item, now)
+                    if reason is None:
+                        rank = self.estimator.rank(item, now)
+                        startable.append((rank, index, run, item))
+                    else:
+                        item.wait_reason = reason
+                except Exception as error:
+                    self.isolation.delay_item("rank", item, error)
+        self.capacity.renew()
         startable.sort(key=lambda entry: entry[:2])
         full_pools: set[PoolName] = set()
         for *_, run, item in startable:
-            route = self.route_of(item.job)
-            if route is None:
-                item.wait_reason = WaitReason.ROUTE_MISSING
-                continue
-            pool = choose_pool(route, self.gateway.random)
-            if pool in full_pools:
-                item.wait_reason = WaitReason.POOL_FULL
-                continue
-            self.gateway.request_limiter.ask_for_batch(pool)
-            runner = capacity.choose_limited_runner(pool, item.tried)
-            is_limited = runner is not None
-            urgent = 0 <= estimator.slack(item, now) < URGENT_SLACK_SECONDS
-            if not is_limited and not capacity.may_start(pool, item, route.due, urgent):
-                item.wait_reason = WaitReason.NO_START_LEFT
-                # Urgent items may still start in a pool that is full for other items.
-                if urgent:
-                    full_pools.add(pool)
-                continue
-            if not is_limited:
-                runner = capacity.choose_runner(pool, item.tried)
-            if runner is None and item.tried:
-                item.tried.clear()
-                runner = capacity.choose_runner(pool)
-            if runner is None:
-                item.wait_reason = WaitReason.POOL_FULL
-                full_pools.add(pool)
-                continue
-            if self._is_held(item):
-                # An item that was started before it is the one that is tried.
-                item.wait_reason = WaitReason.QUARANTINED
-                continue
-            self.gateway.quarantine.begin_trial(item.shared_parts)
-            self.gateway.allocator.reserve(runner, batch=True)
-            if not is_limited:
-                capacity.budget.record_start(pool)
-            run.waiting.remove(item)
-            run.running.add(item)
-            item.discard_unresumable_events()
-            item.started_at, item.events_at_start = now, len(item.data)
-            item.runner = runner.entry.key.name
-            item.waiting_since = None
-            item.starts += 1
-            log.info(
-                "item started",
-                item=item.item.id,
-                job=item.job.id,
-                runner=item.runner,
-                start=item.starts,
-            )
-            abandon_time = now + max(1.0, abandon_at(item.job, route) - time.time())
-            item.task = asyncio.create_task(
-                run_item(self.gateway, route, item, runner, abandon_time)
-            )
-            # The callback releases the slot, since a task that is cancelled before its
-            # first step runs none of its code.
-            item.task.add_done_callback(
-                partial(self._handle_run_end, run, item, route, runner)
-            )
+            try:
+                self._start_item(run, item, now, full_pools)
+            except Exception as error:
+                self.isolation.delay_item("start_items", item, error)
         self._log_waiting(full_pools, now)
 
+    def _start_item(
+        self, run: JobRun, item: ItemRun, now: float, full_pools: set[PoolName]
+    ) -> None:
+        """Start an item on a runner with a free slot, or set the reason for its wait.
+
+        :param now: local time in seconds
+        :param full_pools: pools in which items wait for slots
+        """
+        capacity, estimator = self.capacity, self.estimator
+        route = self.route_of(item.job)
+        if route is None:
+            item.wait_reason = WaitReason.ROUTE_MISSING
+            return
+        pool = choose_pool(route, self.gateway.random)
+        if pool in full_pools:
+            item.wait_reason = WaitReason.POOL_FULL
+            return
+        self.gateway.request_limiter.ask_for_batch(pool)
+        runner = capacity.choose_limited_runner(pool, item.tried)
+        is_limited = runner is not None
+        urgent = 0 <= estimator.slack(item, now) < URGENT_SLACK_SECONDS
+        if not is_limited and not capacity.may_start(pool, item, route.due, urgent):
+            item.wait_reason = WaitReason.NO_START_LEFT
+            # Urgent items may still start in a pool that is full for other items.
+            if urgent:
+                full_pools.add(pool)
+            return
+        if not is_limited:
+            runner = capacity.choose_runner(pool, item.tried)
+        if runner is None and item.tried:
+            item.tried.clear()
+            runner = capacity.choose_runner(pool)
+        if runner is None:
+            item.wait_reason = WaitReason.POOL_FULL
+            full_pools.add(pool)
+            return
+        if self._is_held(item):
+            # An item that was started before it is the one that is tried.
+            item.wait_reason = WaitReason.QUARANTINED
+            return
+        self.gateway.quarantine.begin_trial(item.shared_parts)
+        self.gateway.allocator.reserve(runner, batch=True)
+        if not is_limited:
+            capacity.budget.record_start(pool)
+        run.waiting.remove(item)
+        run.running.add(item)
+        item.discard_unresumable_events()
+        item.started_at, item.events_at_start = now, len(item.data)
+        item.runner = runner.entry.key.name
+        item.waiting_since = None
+        item.starts += 1
+        log.info(
+            "item started",
+            item=item.item.id,
+            job=item.job.id,
+            runner=item.runner,
+            start=item.starts,
+        )
+        abandon_time = now + max(1.0, abandon_at(item.job, route) - time.time())
+        item.task = asyncio.create_task(
+            run_item(self.gateway, route, item, runner, abandon_time)
+        )
+        # The callback releases the slot, since a task that is cancelled before its
+        # first step runs none of its code.
+        item.task.add_done_callback(
+            partial(self._handle_run_end, run, item, route, runner)
+        )
+
     def _find_obstacle(self, item: ItemRun, now: float) -> WaitReason | None:
         """Return why an item may not start, whatever capacity is free; None if it may.
 
--- a/src/primroseford/jobs/tests/test_lost_items.py
+++ b/src/primroseford/jobs/tests/test_lost_items.py
@@ -5,10 +5,16 @@
 import pytest
 from structlog.testing import capture_logs
 
+from primroseford.jobs import scheduler as scheduler_module
+from primroseford.jobs.recorder import JobRecorder
+from primroseford.jobs.store import SEGMENTS
 from primroseford.jobs.tests.test_jobs import TEXT
 from primroseford.jobs.tests.test_jobs import read_all
 from primroseford.jobs.tests.test_jobs import service
+from primroseford.jobs.tests.test_jobs import stored
 from primroseford.jobs.tests.test_jobs import submit
+from primroseford.jobs.tests.test_waiting import create_gateway
+from primroseford.jobs.tests.test_waiting import create_run
 from primroseford.jobs.waiting import missing_items
 
 
@@ -114,5 +120,47 @@
     assert {r["id"]: r["text"] for r in results}[lost.item.id] == TEXT
 
 
+async def test_error_of_one_item_keeps_all_others_waiting(site, monkeypatch):
+    """Guards against a host that starts no item because one cannot be ranked."""
+    scheduler = service(site.hosts[0]).scheduler
+    rank, failing = scheduler.estimator.rank, True
+
+    def rank_others(item, now):
+        if failing and item.item.id == "it0":
+            raise RuntimeError("a fault")
+        return rank(item, now)
+
+    monkeypatch.setattr(scheduler.estimator, "rank", rank_others)
+    assert await submit(site, "job1", count=3) == 202
+    await site.until(lambda: len(scheduler.runs["job1"].view.committed) == 2)
+    failing = False
+    assert len(await read_all(site, "job1")) == 3
+
+
+@pytest.mark.parametrize(
+    "step", ["preempt_items", "preempt_late_items", "abandon_items"]
+)
+async def test_error_of_a_step_ends_the_other_steps(site, step, monkeypatch):
+    """Guards against items that are never started while another step fails."""
+    for runner in site.runners:
+        runner.faults.status = 500
+    fail_first(monkeypatch, scheduler_module, step, RuntimeError("a fault"), 10_000)
+    assert await submit(site, "job1", count=1) == 202
+    jobs = service(site.hosts[0])
+    await site.until(lambda: stored(site, SEGMENTS))
+    assert [r["state"] for r in await read_all(site, "job1")] == ["dead_letter"]
+    await site.until(lambda: not jobs.scheduler.runs)
+
+
+async def test_progress_of_one_job_keeps_that_of_others(clock, monkeypatch):
+    """Guards against one job whose progress cannot be encoded."""
+    recorder = JobRecorder(create_gateway(clock), None, None)
+    runs = [create_run(clock), create_run(clock)]
+    clock.advance(10.0)
+    calls = [fail_first(monkeypatch, r, "progress", RuntimeError("a")) for r in runs]
+    recorder.save_progress(runs)
+    assert [len(call) for call in calls] == [1, 1]
+
+
 async def _do_nothing() -> None:
     """Replace a step."""
