Start an item so that no error leaks its slot

What callers would see: after an error between the reservation of a slot and the start of the run, the slot is taken for good, and the item stays in 'running' without a task (LOST): missing_items counts it as running.

Fix: what can fail comes before the reservation, and the task and its callback follow the reservation at once. The item's fields and lists are set before the task's first step, which needs another turn of the event loop. The round's count of starts is kept after that; if this fails the item runs all the same.

--- a/src/primroseford/jobs/scheduler.py
+++ b/src/primroseford/jobs/scheduler.py
@@ -260,13 +260,37 @@
             # An item that was started before it is the one that is tried.
             item.wait_reason = WaitReason.QUARANTINED
             return
-        self.gateway.quarantine.begin_trial(item.shared_parts)
-        self.gateway.allocator.reserve(runner, batch=True)
+        self._run_on(run, item, route, runner, now)
         if not is_limited:
             capacity.budget.record_start(pool)
+
+    def _run_on(
+        self,
+        run: JobRun,
+        item: ItemRun,
+        route: Route,
+        runner: RunnerState,
+        now: float,
+    ) -> None:
+        """Start a run of an item on a runner.
+
+        :param now: local time in seconds
+        """
+        abandon_time = now + max(1.0, abandon_at(item.job, route) - time.time())
+        item.discard_unresumable_events()
+        self.gateway.quarantine.begin_trial(item.shared_parts)
+        self.gateway.allocator.reserve(runner, batch=True)
+        # Nothing that can fail may stand between the reservation and the callback. The
+        # callback releases the slot, since a task that is cancelled before its first
+        # step runs none of its code.
+        item.task = asyncio.create_task(
+            run_item(self.gateway, route, item, runner, abandon_time)
+        )
+        item.task.add_done_callback(
+            partial(self._handle_run_end, run, item, route, runner)
+        )
         run.waiting.remove(item)
         run.running.add(item)
-        item.discard_unresumable_events()
         item.started_at, item.events_at_start = now, len(item.data)
         item.runner = runner.entry.key.name
         item.waiting_since = None
@@ -278,15 +302,6 @@
             runner=item.runner,
             start=item.starts,
         )
-        abandon_time = now + max(1.0, abandon_at(item.job, route) - time.time())
-        item.task = asyncio.create_task(
-            run_item(self.gateway, route, item, runner, abandon_time)
-        )
-        # The callback releases the slot, since a task that is cancelled before its
-        # first step runs none of its code.
-        item.task.add_done_callback(
-            partial(self._handle_run_end, run, item, route, runner)
-        )
 
     def _find_obstacle(self, item: ItemRun, now: float) -> WaitReason | None:
         """Return why an item may not start, whatever capacity is free; None if it may.
--- a/src/primroseford/jobs/tests/test_lost_items.py
+++ b/src/primroseford/jobs/tests/test_lost_items.py
@@ -7,6 +7,7 @@
 
 from primroseford.jobs import scheduler as scheduler_module
 from primroseford.jobs.recorder import JobRecorder
+from primroseford.jobs.run import ItemRun
 from primroseford.jobs.store import SEGMENTS
 from primroseford.jobs.tests.test_jobs import TEXT
 from primroseford.jobs.tests.test_jobs import read_all
@@ -162,5 +163,19 @@
     assert [len(call) for call in calls] == [1, 1]
 
 
+@pytest.mark.parametrize("step", ["record_start", "discard_unresumable_events"])
+async def test_error_after_the_reservation_leaks_the_slot(site, step, monkeypatch):
+    """Guards against a slot that stays reserved for an item that does not run."""
+    scheduler = service(site.hosts[0]).scheduler
+    error = RuntimeError("a fault")
+    owner = scheduler.capacity.budget if step == "record_start" else ItemRun
+    calls = fail_first(monkeypatch, owner, step, error)
+    assert await submit(site, "job1", count=1) == 202
+    assert len(await read_all(site, "job1")) == 1
+    assert calls
+    runners = scheduler.gateway.allocator.runners.values()
+    assert [runner.batch for runner in runners] == [0, 0]
+
+
 async def _do_nothing() -> None:
     """Replace a step."""
