Let each host take over a job in its turn

Exactly two hosts could take an orphan over: the preferred host of the job, and after 4 s the scanner. If both are silent in their job service, which may be one and the same host, no other host ever does, though each of them knows the job and logs `jobs without a host`.

Now the k-th host in the rendezvous order of the job takes it over after the grace time plus k times 4 s (`FALLBACK_TAKEOVER_SECONDS`), whoever scans. Heartbeat field `28: bool jobs_stalled = 0` tells that the scheduler has made no step for 2 s or the reconcile step no progress for 3 s; such a host is left out of the order, so that the next one need not wait for it. It is not sent while it is false. A job that this host has found in its own scan may be known to no other host, so it takes it over after 4 s at the latest, as the scanner did before.

Cost: nothing while there are no orphans; a weight for each live host, orphan and step while there are. Calls to the store: a job that several hosts look up in turn is looked up once, since the first one runs it or reports its end.

Ruled out: leaving out hosts that do not reach the store directly; they take jobs over through a relay.

--- a/src/primroseford/gateway/gen/messages/ttypes.py
+++ b/src/primroseford/gateway/gen/messages/ttypes.py
@@ -1187,6 +1187,7 @@
      - token_uses
      - leaving_runners
      - has_just_started
+     - jobs_stalled
 
     """
 
@@ -1218,6 +1219,7 @@
         'token_uses',
         'leaving_runners',
         'has_just_started',
+        'jobs_stalled',
     )
 
 
@@ -1227,7 +1229,7 @@
     ], limits=[
     ], owns_request_tokens=False, token_uses=[
     ], leaving_runners=[
-    ], has_just_started=False,):
+    ], has_just_started=False, jobs_stalled=False,):
         self.host = host
         self.incarnation = incarnation
         self.address = address
@@ -1273,6 +1275,7 @@
             ]
         self.leaving_runners = leaving_runners
         self.has_just_started = has_just_started
+        self.jobs_stalled = jobs_stalled
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1477,6 +1480,11 @@
                     self.has_just_started = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 28:
+                if ftype == TType.BOOL:
+                    self.jobs_stalled = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1625,6 +1633,10 @@
             oprot.writeFieldBegin('has_just_started', TType.BOOL, 27)
             oprot.writeBool(self.has_just_started)
             oprot.writeFieldEnd()
+        if self.jobs_stalled is not None:
+            oprot.writeFieldBegin('jobs_stalled', TType.BOOL, 28)
+            oprot.writeBool(self.jobs_stalled)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1946,6 +1958,7 @@
     (26, TType.LIST, 'leaving_runners', (TType.STRUCT, [LeavingRunner, None], False), [
     ], ),  # 26
     (27, TType.BOOL, 'has_just_started', None, False, ),  # 27
+    (28, TType.BOOL, 'jobs_stalled', None, False, ),  # 28
 )
 all_structs.append(Bundle)
 Bundle.thrift_spec = (
--- a/src/primroseford/gateway/heartbeat.py
+++ b/src/primroseford/gateway/heartbeat.py
@@ -71,6 +71,9 @@
     def waiting_items(self) -> tuple[int, int]:
         """Return the numbers of waiting items that can be in time, and of late ones."""
 
+    def is_stalled(self) -> bool:
+        """Return whether this host can neither run jobs nor take them over."""
+
     def apply_cancellation(self, job: JobId) -> None:
         """Stop a job that its caller cancelled at another host."""
 
@@ -271,6 +274,7 @@
             int(self.relay.link),
             self.relay.bypasses_relay(gateway.clock()),
         )
+        heartbeat.jobs_stalled = self.jobs.is_stalled() or None
         fill_heartbeat(gateway.quarantine, heartbeat)
         gateway.request_limiter.fill_heartbeat(heartbeat)
         leaving = gateway.allocator.leaving
--- a/src/primroseford/gateway/members.py
+++ b/src/primroseford/gateway/members.py
@@ -8,6 +8,7 @@
 
 from primroseford.gateway.placement import heartbeat_interval
 from primroseford.gateway.rendezvous import ranked
+from primroseford.gateway.rendezvous import weight
 from primroseford.ids import HostId
 from primroseford.ids import JobId
 
@@ -170,6 +171,11 @@
         """Return the live hosts, this one included."""
         return [self.own, *(peer.host for peer in self.live(now))]
 
+    def working(self, now: float) -> list[HostId]:
+        """Return the live hosts that can take jobs over, this one included."""
+        working = [p.host for p in self.live(now) if not p.heartbeat.jobs_stalled]
+        return [self.own, *working]
+
     def reaching_store(self, now: float) -> list[HostId]:
         """Return the live peers that can reach the platform's store directly."""
         return [peer.host for peer in self.live(now) if peer.heartbeat.reaches_store]
@@ -222,3 +228,13 @@
     :param hosts: at least one host
     """
     return ranked(job, hosts, str)[0]
+
+
+def host_rank(job: str, own: HostId, hosts: Iterable[HostId]) -> int:
+    """Return how many hosts are preferred to this one for a job.
+
+    :param job: id of the job, or another key
+    :param own: name of this host
+    """
+    own_weight = weight(job, own)
+    return sum(weight(job, host) > own_weight for host in hosts)
--- a/src/primroseford/gateway/messages.thrift
+++ b/src/primroseford/gateway/messages.thrift
@@ -127,6 +127,9 @@
   26: list<LeavingRunner> leaving_runners = []
   // Whether the host has started so lately that it does not know which tokens it has used.
   27: bool has_just_started = 0
+  // Whether the host's job service stands still, so that it takes no jobs over; hosts of a
+  // software version without this field do not tell.
+  28: bool jobs_stalled = 0
 }
 
 // Heartbeats that the relay of a failure domain forwards, encoded by their senders.
--- a/src/primroseford/jobs/ownership.py
+++ b/src/primroseford/jobs/ownership.py
@@ -16,6 +16,7 @@
 
 from primroseford.errors import PrimrosefordError
 from primroseford.errors import ResultCode
+from primroseford.gateway.members import host_rank
 from primroseford.gateway.members import preferred_host
 from primroseford.gateway.periodic import run_part
 from primroseford.ids import JobId
@@ -41,7 +42,11 @@
 """Time for which no host must report a job before it is taken over, so that a lost
 heartbeat does not start the job twice."""
 FALLBACK_TAKEOVER_SECONDS = 4.0
-"""Time after which the scanner takes over an orphan if its preferred host has not."""
+"""Time for which each host that is preferred for an orphan may take it over, before the
+next host in the order of the job does."""
+RECONCILE_STALL_SECONDS = 3.0
+"""Time without progress of the steps after which this host takes no jobs over. The
+other hosts leave it out of the order."""
 RETENTION_MARGIN_SECONDS = 30.0
 """Extra time for which a finished job is retained, since the hosts' wall clocks
 differ."""
@@ -70,6 +75,8 @@
     :param peers: reads jobs from the hosts that run them
     :param retention_seconds: time for which a job stays readable
     :ivar orphans: jobs that no live host reports, each with the local time since when
+    :ivar scanned: the open jobs of the last scan, of which only this host may know
+    :ivar advanced_at: local time of the last progress of the steps in seconds
     """
 
     def __init__(
@@ -88,7 +95,8 @@
         self.scheduler = scheduler
         self.retention_seconds = retention_seconds
         self.orphans: dict[JobId, float] = {}
-        self.started_at = self.scanned_at = gateway.clock()
+        self.scanned: set[JobId] = set()
+        self.scanned_at = self.advanced_at = gateway.clock()
         self.orphans_logged_at = -math.inf
         self.first_scan_done = False
 
@@ -99,11 +107,11 @@
         """
         if self.gateway.stopping:
             return
-        self._stop_duplicates(self.gateway.clock())
+        self._stop_duplicates(self._advance())
         await run_part(self._read_duplicates, RECONCILE_TIMEOUT_SECONDS)
-        if self._is_scan_due(self.gateway.clock()):
+        if self._is_scan_due(self._advance()):
             await run_part(self.scan, SCAN_TIMEOUT_SECONDS)
-        now = self.gateway.clock()
+        now = self._advance()
         for job in self.gateway.members.known_jobs() | set(self.views.views):
             if self._is_done(job):
                 self.gateway.members.orphaned.discard(job)
@@ -111,6 +119,18 @@
         self._log_orphans(now)
         await run_part(self.take_over_orphans, RECONCILE_TIMEOUT_SECONDS)
 
+    def _advance(self) -> float:
+        """Note the progress of a step, and return the local time in seconds."""
+        self.advanced_at = self.gateway.clock()
+        return self.advanced_at
+
+    def is_stalled(self, now: float) -> bool:
+        """Return whether the steps stand still.
+
+        :param now: local time in seconds
+        """
+        return now - self.advanced_at > RECONCILE_STALL_SECONDS
+
     def _is_scan_due(self, now: float) -> bool:
         """Return whether this host must scan all stored jobs now."""
         age = now - self.scanned_at
@@ -131,7 +151,7 @@
             return
         self.orphans_logged_at = now
         since, job = min(grace_ended)
-        hosts = self.gateway.members.hosts(now)
+        hosts = self.gateway.members.working(now)
         log.warning(
             "jobs without a host",
             count=len(grace_ended),
@@ -165,8 +185,8 @@
                     self.scheduler.stop_job(run, "another host finished it")
 
     def is_scanner(self, now: float) -> bool:
-        """Return whether this host is the scanner."""
-        hosts = self.gateway.members.hosts(now)
+        """Return whether this host is the first one to scan."""
+        hosts = self.gateway.members.working(now)
         return preferred_host(SCANNER_ROLE, hosts) == self.gateway.members.own
 
     async def scan(self) -> None:
@@ -176,13 +196,16 @@
         """
         now = self.scanned_at = self.gateway.clock()
         expired = []
+        opened = set()
         for stored in await self.store.list_jobs():
             with self._isolate_errors(JobId(stored.name)):
                 if self._is_expired(stored):
                     expired.append(stored)
                 elif not is_finished(stored):
+                    opened.add(JobId(stored.name))
                     self.update_orphan(JobId(stored.name), now)
         self.first_scan_done = True
+        self.scanned = opened
         for stored in expired:
             with self._isolate_errors(JobId(stored.name)):
                 await self.store.remove(stored)
@@ -233,7 +256,7 @@
         :raises PrimrosefordError: as the store's calls do
         """
         for job, since in list(self.orphans.items()):
-            now = self.gateway.clock()
+            now = self._advance()
             self.update_orphan(job, now)
             if job not in self.orphans or not self._should_take_over(job, since, now):
                 continue
@@ -254,11 +277,13 @@
 
     def _should_take_over(self, job: JobId, since: float, now: float) -> bool:
         members = self.gateway.members
-        if now - since < ORPHAN_GRACE_SECONDS and not members.leaving_with(job, now):
+        grace = 0.0 if members.leaving_with(job, now) else ORPHAN_GRACE_SECONDS
+        if now - since < grace:
             return False
-        if preferred_host(job, members.hosts(now)) == members.own:
-            return True
-        return now - since > FALLBACK_TAKEOVER_SECONDS and self.is_scanner(now)
+        rank = host_rank(job, members.own, members.working(now))
+        if job in self.scanned:
+            rank = min(rank, 1)
+        return now - since >= grace + rank * FALLBACK_TAKEOVER_SECONDS
 
     async def _take_over(self, job: JobId, now: float) -> None:
         view = await self.views.load_latest(job)
--- a/src/primroseford/jobs/service.py
+++ b/src/primroseford/jobs/service.py
@@ -152,6 +152,11 @@
             return 0, 0
         return self.scheduler.estimator.waiting_items()
 
+    def is_stalled(self) -> bool:
+        """Return whether this host can neither run jobs nor take them over."""
+        now = self.gateway.clock()
+        return self.scheduler.is_stalled(now) or self.ownership.is_stalled(now)
+
     def reported_cancellations(self) -> list[JobId]:
         """Return the jobs that were recently cancelled at this host."""
         now = self.gateway.clock()
--- a/src/primroseford/jobs/tests/test_ownership.py
+++ b/src/primroseford/jobs/tests/test_ownership.py
@@ -13,14 +13,19 @@
 from primroseford.gateway.gen.messages.ttypes import JobProgress
 from primroseford.gateway.members import Members
 from primroseford.gateway.members import preferred_host
+from primroseford.gateway.rendezvous import ranked
 from primroseford.ids import HostId
 from primroseford.ids import JobId
 from primroseford.jobs import ownership as ownership_module
 from primroseford.jobs import service as service_module
+from primroseford.jobs.ownership import FALLBACK_TAKEOVER_SECONDS
 from primroseford.jobs.ownership import FIRST_SCAN_DELAY_SECONDS
 from primroseford.jobs.ownership import ORPHAN_GRACE_SECONDS
+from primroseford.jobs.ownership import RECONCILE_STALL_SECONDS
+from primroseford.jobs.ownership import SCANNER_ROLE
 from primroseford.jobs.ownership import JobOwnership
 from primroseford.jobs.run import JobRun
+from primroseford.jobs.scheduler import STALL_SECONDS
 from primroseford.jobs.scheduler import JobScheduler
 from primroseford.jobs.service import CANCELLATION_SCAN_SECONDS
 from primroseford.jobs.service import JobService
@@ -142,11 +147,18 @@
     def stop_job(self, run, _) -> None:
         del self.scheduler.runs[run.view.job.id]
 
-    def report(self, *jobs: str, host: str = "host-2", **fields) -> None:
-        """Receive the next heartbeat of another host, which reports jobs."""
+    def report(self, *jobs: str, host: str = "host-2", beat=(), **fields) -> None:
+        """Receive the next heartbeat of another host, which reports jobs.
+
+        :param beat: other fields of the heartbeat
+        :param fields: other fields of the reports
+        """
+        beat = dict(beat)
         self.sequence += 1
         reports = [JobProgress(job, 3, "", "/notes/", 1, **fields) for job in jobs]
-        heartbeat = Heartbeat(host, "i", "h:1", "a", self.sequence, False, jobs=reports)
+        heartbeat = Heartbeat(
+            host, "i", "h:1", "a", self.sequence, False, jobs=reports, **beat
+        )
         self.gateway.members.receive(heartbeat, self.clock())
 
     async def reconcile(self) -> None:
@@ -280,3 +292,62 @@
     reports = scheduler.reported_jobs()
     assert all(report.stopped for report in reports.values())
     assert [job for job, report in reports.items() if report.ended] == ["cancelled"]
+
+
+def job_with_order(*hosts: str) -> str:
+    """Return a job for which the hosts are preferred in this order."""
+    names = [HostId(host) for host in hosts]
+    return next(
+        job for job in map(str, range(1000)) if ranked(job, names, str, 3) == names
+    )
+
+
+@pytest.mark.parametrize(
+    ("order", "stalled", "turns"),
+    [
+        (("host-1", "host-4", "host-5"), (), 0),
+        (("host-4", "host-1", "host-5"), (), 1),
+        (("host-4", "host-5", "host-1"), (), 2),
+        (("host-4", "host-5", "host-1"), ("host-4",), 1),
+        (("host-4", "host-5", "host-1"), ("host-4", "host-5"), 0),
+    ],
+)
+async def test_orphan_waits_for_hosts_that_do_nothing(
+    clock, host, order, stalled, turns
+):
+    """Guards against a job that only silent hosts are to take over.
+
+    The heartbeats of the others go on, whatever their job services do. One of them is
+    the scanner.
+    """
+    job = job_with_order(*order)
+    assert preferred_host(SCANNER_ROLE, map(HostId, order)) != "host-1"
+    host.gateway.members.orphaned.add(JobId(job))
+    started_at = clock()
+    while not host.started and clock() - started_at < 60.0:
+        for name in ("host-4", "host-5"):
+            host.report(host=name, beat={"jobs_stalled": name in stalled})
+        await host.reconcile()
+        clock.advance(0.25)
+    waited = clock() - started_at
+    due = ORPHAN_GRACE_SECONDS + turns * FALLBACK_TAKEOVER_SECONDS
+    assert host.started == [job]
+    assert due <= waited <= due + 0.5
+
+
+async def test_host_whose_steps_hang_counts_as_working(clock, host):
+    """Guards against a host that is waited for, though its steps do not end."""
+    service = JobService(host.gateway, host.store, None, None, 120.0, 1.0)
+    service.ownership = host.ownership
+    host.report("job1")
+    clock.advance(10.0)
+    await host.reconcile()
+    assert service.ownership.is_stalled(clock()) is False
+    clock.advance(RECONCILE_STALL_SECONDS + 0.1)
+    service.scheduler.stepped_at = clock()
+    assert service.is_stalled()
+    await host.reconcile()
+    assert not service.is_stalled()
+    clock.advance(STALL_SECONDS + 0.1)
+    await host.reconcile()
+    assert service.is_stalled()
--- a/src/primroseford/proof/heartbeats.py
+++ b/src/primroseford/proof/heartbeats.py
@@ -53,6 +53,10 @@
         """Return that no items wait."""
         return 0, 0
 
+    def is_stalled(self) -> bool:
+        """Return that jobs could be run."""
+        return False
+
     def apply_cancellation(self, job) -> None:
         """Ignore the cancellation of a job."""
 
