Scan the stored jobs when no other host has done so

Now Heartbeat field `29: i32 job_scan_age_ms =` tells the age of the newest complete scan. The k-th host of the scan's rendezvous order scans when the newest scan that it knows of is older than 4 s plus k times 4 s (`FALLBACK_SCAN_SECONDS`). A scan that fails is no scan; a complete one counts from its begin, before expired jobs are removed. A host whose job service stands still is left out, and one that does not reach the store directly is, while others do.

A host sends only the age of its own scan, and nothing while it knows of a newer one, so that in most heartbeats there is no such field. Ages of others are not passed on, unlike first wanted: without synchronised clocks every hop makes an age younger by its transit time, and two hosts that pass it to each other would keep a scan young for ever. A host out of touch with the scanner makes a scan of its own instead.

Not changed: scans accept a list that is seconds old, at a tenth of the cost, and count as complete; what one misses the next one finds.

Cost: one scan each 4 s in a fleet that works, as before. While no scan succeeds one more host tries each 4 s; a failed first scan is tried again after 0.8 s.

--- a/src/primroseford/gateway/gen/messages/ttypes.py
+++ b/src/primroseford/gateway/gen/messages/ttypes.py
@@ -1188,6 +1188,7 @@
      - leaving_runners
      - has_just_started
      - jobs_stalled
+     - job_scan_age_ms
 
     """
 
@@ -1220,6 +1221,7 @@
         'leaving_runners',
         'has_just_started',
         'jobs_stalled',
+        'job_scan_age_ms',
     )
 
 
@@ -1229,7 +1231,7 @@
     ], limits=[
     ], owns_request_tokens=False, token_uses=[
     ], leaving_runners=[
-    ], has_just_started=False, jobs_stalled=False,):
+    ], has_just_started=False, jobs_stalled=False, job_scan_age_ms=2147483647,):
         self.host = host
         self.incarnation = incarnation
         self.address = address
@@ -1276,6 +1278,7 @@
         self.leaving_runners = leaving_runners
         self.has_just_started = has_just_started
         self.jobs_stalled = jobs_stalled
+        self.job_scan_age_ms = job_scan_age_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1485,6 +1488,11 @@
                     self.jobs_stalled = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 29:
+                if ftype == TType.I32:
+                    self.job_scan_age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1637,6 +1645,10 @@
             oprot.writeFieldBegin('jobs_stalled', TType.BOOL, 28)
             oprot.writeBool(self.jobs_stalled)
             oprot.writeFieldEnd()
+        if self.job_scan_age_ms is not None:
+            oprot.writeFieldBegin('job_scan_age_ms', TType.I32, 29)
+            oprot.writeI32(self.job_scan_age_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1959,6 +1971,7 @@
     ], ),  # 26
     (27, TType.BOOL, 'has_just_started', None, False, ),  # 27
     (28, TType.BOOL, 'jobs_stalled', None, False, ),  # 28
+    (29, TType.I32, 'job_scan_age_ms', None, 2147483647, ),  # 29
 )
 all_structs.append(Bundle)
 Bundle.thrift_spec = (
--- a/src/primroseford/gateway/heartbeat.py
+++ b/src/primroseford/gateway/heartbeat.py
@@ -19,6 +19,7 @@
 from primroseford.gateway.gen.messages.ttypes import RunnerLoad
 from primroseford.gateway.gen.messages.ttypes import Spending
 from primroseford.gateway.leaving_runners import reported_runners
+from primroseford.gateway.members import MAX_AGE_MS
 from primroseford.gateway.periodic import run_periodically
 from primroseford.gateway.preemption import choose_preemption_host
 from primroseford.gateway.quarantine_reports import apply_heartbeat
@@ -54,8 +55,6 @@
 BUNDLE_PORT_OFFSET = 1
 """Offset of the port for bundles from the port for heartbeats."""
 
-MAX_AGE_MS = 2**31 - 1
-
 log = structlog.get_logger()
 
 
@@ -74,6 +73,9 @@
     def is_stalled(self) -> bool:
         """Return whether this host can neither run jobs nor take them over."""
 
+    def scan_age(self) -> float | None:
+        """Return the age in seconds of the newest scan of all jobs, if made here."""
+
     def apply_cancellation(self, job: JobId) -> None:
         """Stop a job that its caller cancelled at another host."""
 
@@ -275,6 +277,8 @@
             self.relay.bypasses_relay(gateway.clock()),
         )
         heartbeat.jobs_stalled = self.jobs.is_stalled() or None
+        scan_age = self.jobs.scan_age()
+        heartbeat.job_scan_age_ms = None if scan_age is None else _age_ms(scan_age)
         fill_heartbeat(gateway.quarantine, heartbeat)
         gateway.request_limiter.fill_heartbeat(heartbeat)
         leaving = gateway.allocator.leaving
--- a/src/primroseford/gateway/host.py
+++ b/src/primroseford/gateway/host.py
@@ -183,6 +183,7 @@
             ),
             settings.job_retention_seconds,
             settings.settle_seconds,
+            lambda: store_path.reachable,
         )
 
     def _create_services(
--- a/src/primroseford/gateway/members.py
+++ b/src/primroseford/gateway/members.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from dataclasses import field
 from typing import TYPE_CHECKING
@@ -18,6 +19,8 @@
     from primroseford.gateway.gen.messages.ttypes import Heartbeat
     from primroseford.gateway.gen.messages.ttypes import JobProgress
 
+MAX_AGE_MS = 2**31 - 1
+"""Age in heartbeats that stands for an unknown one."""
 SILENCE_SECONDS = 1.0
 """Time without heartbeats after which a host counts as lost: three idle heartbeats."""
 MAX_MISSED_HEARTBEATS = 3
@@ -180,6 +183,29 @@
         """Return the live peers that can reach the platform's store directly."""
         return [peer.host for peer in self.live(now) if peer.heartbeat.reaches_store]
 
+    def newest_scan(self) -> float:
+        """Return the local time of the newest scan of all jobs that peers report."""
+        return max(
+            (
+                peer.heard_at - peer.heartbeat.job_scan_age_ms / 1000
+                for peer in self.peers.values()
+                if peer.heartbeat is not None
+                and peer.heartbeat.job_scan_age_ms != MAX_AGE_MS
+            ),
+            default=-math.inf,
+        )
+
+    def scanners(self, reaches_store: bool, now: float) -> list[HostId]:
+        """Return the hosts that can scan all jobs: those that reach the store, if any.
+
+        :param reaches_store: whether this host reaches the store itself
+        """
+        hosts = self.working(now)
+        reaching = {*self.reaching_store(now)}
+        if reaches_store:
+            reaching.add(self.own)
+        return [host for host in hosts if host in reaching] or hosts
+
     def waiting_items(self, now: float) -> tuple[int, int]:
         """Return the numbers of waiting items of the live peers: in time, and late."""
         live = self.live(now)
--- a/src/primroseford/gateway/messages.thrift
+++ b/src/primroseford/gateway/messages.thrift
@@ -130,6 +130,9 @@
   // Whether the host's job service stands still, so that it takes no jobs over; hosts of a
   // software version without this field do not tell.
   28: bool jobs_stalled = 0
+  // Age of the newest complete scan of all stored jobs by this host, unless it knows of a
+  // newer one by another host.
+  29: i32 job_scan_age_ms = 2147483647
 }
 
 // Heartbeats that the relay of a failure domain forwards, encoded by their senders.
--- a/src/primroseford/jobs/ownership.py
+++ b/src/primroseford/jobs/ownership.py
@@ -24,6 +24,7 @@
 from primroseford.platform.objects import DECODING_ERRORS
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Iterator
 
     from primroseford.gateway.state import Gateway
@@ -35,6 +36,9 @@
 
 SCAN_INTERVAL_SECONDS = 4.0
 """Interval at which one host of the fleet scans all stored jobs."""
+FALLBACK_SCAN_SECONDS = 4.0
+"""Time for which each preferred scanner may complete a scan that is due, before the
+next host in the order scans."""
 FIRST_SCAN_DELAY_SECONDS = 0.8
 """Age of this process at its first scan: by then the peers' heartbeats have reported
 which jobs they run."""
@@ -74,8 +78,11 @@
 
     :param peers: reads jobs from the hosts that run them
     :param retention_seconds: time for which a job stays readable
+    :param reaches_store: whether this host can reach the platform's store directly
     :ivar orphans: jobs that no live host reports, each with the local time since when
     :ivar scanned: the open jobs of the last scan, of which only this host may know
+    :ivar scanned_at: local time of the last scan in seconds, complete or not
+    :ivar complete_scan_at: local time at which the last complete scan began
     :ivar advanced_at: local time of the last progress of the steps in seconds
     """
 
@@ -87,6 +94,7 @@
         views: JobViews,
         scheduler: JobScheduler,
         retention_seconds: float,
+        reaches_store: Callable[[], bool] = lambda: True,
     ) -> None:
         self.gateway = gateway
         self.store = store
@@ -94,9 +102,11 @@
         self.views = views
         self.scheduler = scheduler
         self.retention_seconds = retention_seconds
+        self.reaches_store = reaches_store
         self.orphans: dict[JobId, float] = {}
         self.scanned: set[JobId] = set()
         self.scanned_at = self.advanced_at = gateway.clock()
+        self.complete_scan_at = -math.inf
         self.orphans_logged_at = -math.inf
         self.first_scan_done = False
 
@@ -133,10 +143,29 @@
 
     def _is_scan_due(self, now: float) -> bool:
         """Return whether this host must scan all stored jobs now."""
-        age = now - self.scanned_at
-        if not self.first_scan_done and age >= FIRST_SCAN_DELAY_SECONDS:
-            return True
-        return age >= SCAN_INTERVAL_SECONDS and self.is_scanner(now)
+        since_scan = now - self.scanned_at
+        if not self.first_scan_done:
+            return since_scan >= FIRST_SCAN_DELAY_SECONDS
+        if since_scan < SCAN_INTERVAL_SECONDS:
+            return False
+        members = self.gateway.members
+        scanners = members.scanners(self.reaches_store(), now)
+        if members.own not in scanners:
+            return False
+        newest = max(self.complete_scan_at, members.newest_scan())
+        rank = host_rank(SCANNER_ROLE, members.own, scanners)
+        return now - newest >= SCAN_INTERVAL_SECONDS + rank * FALLBACK_SCAN_SECONDS
+
+    def scan_age(self, now: float) -> float | None:
+        """Return the age in seconds of the newest known scan, if this host made it.
+
+        Ages of other hosts are not passed on: each hop would make them look younger.
+
+        :param now: local time in seconds
+        """
+        if self.complete_scan_at <= self.gateway.members.newest_scan():
+            return None
+        return now - self.complete_scan_at
 
     def _log_orphans(self, now: float) -> None:
         """Log at intervals the job that no host has run for the longest time."""
@@ -186,7 +215,7 @@
 
     def is_scanner(self, now: float) -> bool:
         """Return whether this host is the first one to scan."""
-        hosts = self.gateway.members.working(now)
+        hosts = self.gateway.members.scanners(self.reaches_store(), now)
         return preferred_host(SCANNER_ROLE, hosts) == self.gateway.members.own
 
     async def scan(self) -> None:
@@ -205,6 +234,7 @@
                     opened.add(JobId(stored.name))
                     self.update_orphan(JobId(stored.name), now)
         self.first_scan_done = True
+        self.complete_scan_at = now
         self.scanned = opened
         for stored in expired:
             with self._isolate_errors(JobId(stored.name)):
--- a/src/primroseford/jobs/service.py
+++ b/src/primroseford/jobs/service.py
@@ -62,6 +62,7 @@
     :param retention_seconds: time for which a job stays readable
     :param settle_seconds: time after which a result that any host has returned must be
         returned by all
+    :param reaches_store: whether this host can reach the platform's store directly
     :ivar cancellations: jobs cancelled at this host, each with the local time until
         which heartbeats report it
     """
@@ -74,6 +75,7 @@
         read_segment_status: Callable[[JobId], Awaitable[SegmentStatus | None]],
         retention_seconds: float,
         settle_seconds: float,
+        reaches_store: Callable[[], bool] = lambda: True,
     ) -> None:
         super().__init__()
         self.gateway = gateway
@@ -88,7 +90,13 @@
             settle_seconds,
         )
         self.ownership = JobOwnership(
-            gateway, store, peers, self.views, self.scheduler, retention_seconds
+            gateway,
+            store,
+            peers,
+            self.views,
+            self.scheduler,
+            retention_seconds,
+            reaches_store,
         )
         self.cancellations: dict[JobId, float] = {}
         self.cancellations_scanned_at = 0.0
@@ -157,6 +165,10 @@
         now = self.gateway.clock()
         return self.scheduler.is_stalled(now) or self.ownership.is_stalled(now)
 
+    def scan_age(self) -> float | None:
+        """Return the age in seconds of the newest scan of all jobs, if made here."""
+        return self.ownership.scan_age(self.gateway.clock())
+
     def reported_cancellations(self) -> list[JobId]:
         """Return the jobs that were recently cancelled at this host."""
         now = self.gateway.clock()
--- a/src/primroseford/jobs/tests/test_ownership.py
+++ b/src/primroseford/jobs/tests/test_ownership.py
@@ -153,12 +153,10 @@
         :param beat: other fields of the heartbeat
         :param fields: other fields of the reports
         """
-        beat = dict(beat)
         self.sequence += 1
         reports = [JobProgress(job, 3, "", "/notes/", 1, **fields) for job in jobs]
-        heartbeat = Heartbeat(
-            host, "i", "h:1", "a", self.sequence, False, jobs=reports, **beat
-        )
+        beat = {"leaving": False, "jobs": reports} | dict(beat)
+        heartbeat = Heartbeat(host, "i", "h:1", "a", self.sequence, **beat)
         self.gateway.members.receive(heartbeat, self.clock())
 
     async def reconcile(self) -> None:
--- a/src/primroseford/proof/heartbeats.py
+++ b/src/primroseford/proof/heartbeats.py
@@ -57,6 +57,9 @@
         """Return that jobs could be run."""
         return False
 
+    def scan_age(self) -> float | None:
+        """Return that this host has made no scan."""
+
     def apply_cancellation(self, job) -> None:
         """Ignore the cancellation of a job."""
 
