Let hosts that hold items of a quarantined part try it in turns

An accepted item whose prompt part is quarantined stays open for ever (LOST): its state is neither complete nor a dead letter until max_wait_s, and no runner has it.

Cause: a trial was bound to one host, the first of a rendezvous hash over all hosts, and only when that host happened to have a request or an item with the part. Nobody tried a part that only items of other hosts have, or any part once traffic had ended. The same host was bound to store the record, which any host can do.

Fix: heartbeats name the quarantined parts of the host's waiting items (field 30, at most 16). When a trial is due, the hosts take turns of 2 s: those that hold the part first, then one of all hosts, round and round, in an order that is drawn by part and generation. A trial still changes the generation, which is announced at once, and no trial begins in the last 0.5 s of a turn, so that hosts hear of it before the next turn. The time since which a trial is due is reported as a negative number too, so that a host that learns of it late counts the same turns. The trial intervals are unchanged. An item that is tried needs no share of the starts (held items count for none, so that beside other items the share was 0) and goes to the runner with the fewest online requests.

Ruled out: a turn that begins after trial_at plus the rank and never ends. If no host can start the item at first, as in a full pool, all of them may try as soon as a slot is free, before they hear of each other.

gateway/tests/test_trial_turns.py replays 1 to 60 hosts with lost heartbeats, idle hosts, and hosts that restart after the trial was due: one trial at a time, at the latest one turn for each idle host later.

Not covered: two hosts that are cut from each other may each try. If all hosts restart, the times come from the store and differ as the wall clocks do.

--- a/src/primroseford/gateway/gen/messages/ttypes.py
+++ b/src/primroseford/gateway/gen/messages/ttypes.py
@@ -1163,6 +1163,7 @@
      - token_uses
      - leaving_runners
      - has_just_started
+     - held_parts
 
     """
 
@@ -1194,6 +1195,7 @@
         'token_uses',
         'leaving_runners',
         'has_just_started',
+        'held_parts',
     )
 
 
@@ -1203,7 +1205,8 @@
     ], limits=[
     ], owns_request_tokens=False, token_uses=[
     ], leaving_runners=[
-    ], has_just_started=False,):
+    ], has_just_started=False, held_parts=[
+    ],):
         self.host = host
         self.incarnation = incarnation
         self.address = address
@@ -1249,6 +1252,10 @@
             ]
         self.leaving_runners = leaving_runners
         self.has_just_started = has_just_started
+        if held_parts is self.thrift_spec[30][4]:
+            held_parts = [
+            ]
+        self.held_parts = held_parts
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1453,6 +1460,16 @@
                     self.has_just_started = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 30:
+                if ftype == TType.LIST:
+                    self.held_parts = []
+                    (_etype70, _size67) = iprot.readListBegin()
+                    for _i71 in range(_size67):
+                        _elem72 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.held_parts.append(_elem72)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1498,22 +1515,22 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter67 in self.loads:
-                iter67.write(oprot)
+            for iter73 in self.loads:
+                iter73.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.spending is not None:
             oprot.writeFieldBegin('spending', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.spending))
-            for iter68 in self.spending:
-                iter68.write(oprot)
+            for iter74 in self.spending:
+                iter74.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.jobs is not None:
             oprot.writeFieldBegin('jobs', TType.LIST, 11)
             oprot.writeListBegin(TType.STRUCT, len(self.jobs))
-            for iter69 in self.jobs:
-                iter69.write(oprot)
+            for iter75 in self.jobs:
+                iter75.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.reaches_store is not None:
@@ -1527,8 +1544,8 @@
         if self.ended_jobs is not None:
             oprot.writeFieldBegin('ended_jobs', TType.LIST, 14)
             oprot.writeListBegin(TType.STRING, len(self.ended_jobs))
-            for iter70 in self.ended_jobs:
-                oprot.writeString(iter70.encode('utf-8') if sys.version_info[0] == 2 else iter70)
+            for iter76 in self.ended_jobs:
+                oprot.writeString(iter76.encode('utf-8') if sys.version_info[0] == 2 else iter76)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.confirmed_ms_ago is not None:
@@ -1554,29 +1571,29 @@
         if self.crashes is not None:
             oprot.writeFieldBegin('crashes', TType.LIST, 20)
             oprot.writeListBegin(TType.STRUCT, len(self.crashes))
-            for iter71 in self.crashes:
-                iter71.write(oprot)
+            for iter77 in self.crashes:
+                iter77.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.served is not None:
             oprot.writeFieldBegin('served', TType.LIST, 21)
             oprot.writeListBegin(TType.STRUCT, len(self.served))
-            for iter72 in self.served:
-                iter72.write(oprot)
+            for iter78 in self.served:
+                iter78.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.quarantined is not None:
             oprot.writeFieldBegin('quarantined', TType.LIST, 22)
             oprot.writeListBegin(TType.STRUCT, len(self.quarantined))
-            for iter73 in self.quarantined:
-                iter73.write(oprot)
+            for iter79 in self.quarantined:
+                iter79.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.limits is not None:
             oprot.writeFieldBegin('limits', TType.LIST, 23)
             oprot.writeListBegin(TType.STRUCT, len(self.limits))
-            for iter74 in self.limits:
-                iter74.write(oprot)
+            for iter80 in self.limits:
+                iter80.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.owns_request_tokens is not None:
@@ -1586,21 +1603,28 @@
         if self.token_uses is not None:
             oprot.writeFieldBegin('token_uses', TType.LIST, 25)
             oprot.writeListBegin(TType.STRUCT, len(self.token_uses))
-            for iter75 in self.token_uses:
-                iter75.write(oprot)
+            for iter81 in self.token_uses:
+                iter81.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.leaving_runners is not None:
             oprot.writeFieldBegin('leaving_runners', TType.LIST, 26)
             oprot.writeListBegin(TType.STRUCT, len(self.leaving_runners))
-            for iter76 in self.leaving_runners:
-                iter76.write(oprot)
+            for iter82 in self.leaving_runners:
+                iter82.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.has_just_started is not None:
             oprot.writeFieldBegin('has_just_started', TType.BOOL, 27)
             oprot.writeBool(self.has_just_started)
             oprot.writeFieldEnd()
+        if self.held_parts is not None:
+            oprot.writeFieldBegin('held_parts', TType.LIST, 30)
+            oprot.writeListBegin(TType.STRING, len(self.held_parts))
+            for iter83 in self.held_parts:
+                oprot.writeString(iter83.encode('utf-8') if sys.version_info[0] == 2 else iter83)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1685,10 +1709,10 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.heartbeats = []
-                    (_etype80, _size77) = iprot.readListBegin()
-                    for _i81 in range(_size77):
-                        _elem82 = iprot.readBinary()
-                        self.heartbeats.append(_elem82)
+                    (_etype87, _size84) = iprot.readListBegin()
+                    for _i88 in range(_size84):
+                        _elem89 = iprot.readBinary()
+                        self.heartbeats.append(_elem89)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1700,33 +1724,33 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.token_asks = []
-                    (_etype86, _size83) = iprot.readListBegin()
-                    for _i87 in range(_size83):
-                        _elem88 = TokenMessage()
-                        _elem88.read(iprot)
-                        self.token_asks.append(_elem88)
+                    (_etype93, _size90) = iprot.readListBegin()
+                    for _i94 in range(_size90):
+                        _elem95 = TokenMessage()
+                        _elem95.read(iprot)
+                        self.token_asks.append(_elem95)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.token_grants = []
-                    (_etype92, _size89) = iprot.readListBegin()
-                    for _i93 in range(_size89):
-                        _elem94 = TokenMessage()
-                        _elem94.read(iprot)
-                        self.token_grants.append(_elem94)
+                    (_etype99, _size96) = iprot.readListBegin()
+                    for _i100 in range(_size96):
+                        _elem101 = TokenMessage()
+                        _elem101.read(iprot)
+                        self.token_grants.append(_elem101)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.token_returns = []
-                    (_etype98, _size95) = iprot.readListBegin()
-                    for _i99 in range(_size95):
-                        _elem100 = TokenMessage()
-                        _elem100.read(iprot)
-                        self.token_returns.append(_elem100)
+                    (_etype105, _size102) = iprot.readListBegin()
+                    for _i106 in range(_size102):
+                        _elem107 = TokenMessage()
+                        _elem107.read(iprot)
+                        self.token_returns.append(_elem107)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1747,8 +1771,8 @@
         if self.heartbeats is not None:
             oprot.writeFieldBegin('heartbeats', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.heartbeats))
-            for iter101 in self.heartbeats:
-                oprot.writeBinary(iter101)
+            for iter108 in self.heartbeats:
+                oprot.writeBinary(iter108)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.wanted is not None:
@@ -1758,22 +1782,22 @@
         if self.token_asks is not None:
             oprot.writeFieldBegin('token_asks', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.token_asks))
-            for iter102 in self.token_asks:
-                iter102.write(oprot)
+            for iter109 in self.token_asks:
+                iter109.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.token_grants is not None:
             oprot.writeFieldBegin('token_grants', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.token_grants))
-            for iter103 in self.token_grants:
-                iter103.write(oprot)
+            for iter110 in self.token_grants:
+                iter110.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.token_returns is not None:
             oprot.writeFieldBegin('token_returns', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.token_returns))
-            for iter104 in self.token_returns:
-                iter104.write(oprot)
+            for iter111 in self.token_returns:
+                iter111.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1920,6 +1944,10 @@
     (26, TType.LIST, 'leaving_runners', (TType.STRUCT, [LeavingRunner, None], False), [
     ], ),  # 26
     (27, TType.BOOL, 'has_just_started', None, False, ),  # 27
+    None,  # 28
+    None,  # 29
+    (30, TType.LIST, 'held_parts', (TType.STRING, 'UTF8', False), [
+    ], ),  # 30
 )
 all_structs.append(Bundle)
 Bundle.thrift_spec = (
--- a/src/primroseford/gateway/heartbeat.py
+++ b/src/primroseford/gateway/heartbeat.py
@@ -269,6 +269,7 @@
             self.relay.bypasses_relay(gateway.clock()),
         )
         fill_heartbeat(gateway.quarantine, heartbeat)
+        heartbeat.held_parts = gateway.trial_turns.reported()
         gateway.request_limiter.fill_heartbeat(heartbeat)
         leaving = gateway.allocator.leaving
         heartbeat.leaving_runners = leaving.reports(gateway.clock())
--- a/src/primroseford/gateway/messages.thrift
+++ b/src/primroseford/gateway/messages.thrift
@@ -122,6 +122,8 @@
   26: list<LeavingRunner> leaving_runners = []
   // Whether the host has started so lately that it does not know which tokens it has used.
   27: bool has_just_started = 0
+  // Quarantined prompt parts of the host's waiting batch items.
+  30: list<string> held_parts = []
 }
 
 // Heartbeats that the relay of a failure domain forwards, encoded by their senders.
--- a/src/primroseford/gateway/placement.py
+++ b/src/primroseford/gateway/placement.py
@@ -145,6 +145,16 @@
     return best if best.free > 0 else None
 
 
+def trial_runner(loads: Sequence[RunnerLoad]) -> RunnerLoad | None:
+    """Return the runner on which a crash interrupts the fewest requests.
+
+    :param loads: loads of the candidate runners
+    :returns: a runner with a free slot; ``None`` if there is none
+    """
+    free = [load for load in loads if load.free > 0]
+    return min(free, key=lambda load: (load.online, load.batch), default=None)
+
+
 def batch_start_limit(
     loads: Sequence[RunnerLoad],
     own_share: float,
--- a/src/primroseford/gateway/quarantine_reports.py
+++ b/src/primroseford/gateway/quarantine_reports.py
@@ -21,6 +21,10 @@
     from primroseford.gateway.gen.messages.ttypes import Heartbeat
     from primroseford.quarantine.state import Quarantine
 
+MAX_OVERDUE_MS = 24 * 60 * 60 * 1000
+"""Longest reported time since a trial is due. All hosts count their turns to try a part
+from the same moment, also those that learn of it late."""
+
 
 def fill_heartbeat(quarantine: Quarantine, heartbeat: Heartbeat) -> None:
     """Add this host's knowledge to its heartbeat."""
@@ -44,7 +48,7 @@
         QuarantinedPart(
             record.part,
             record.generation,
-            _milliseconds(record.trial_at - now),
+            _milliseconds(record.trial_at - now, -MAX_OVERDUE_MS),
             _milliseconds(record.trial_seconds),
             record.lifted,
         )
@@ -77,5 +81,5 @@
         )
 
 
-def _milliseconds(seconds: float) -> int:
-    return max(0, round(seconds * 1000))
+def _milliseconds(seconds: float, least: int = 0) -> int:
+    return max(least, round(seconds * 1000))
--- a/src/primroseford/gateway/quarantine_store.py
+++ b/src/primroseford/gateway/quarantine_store.py
@@ -77,7 +77,7 @@
         await run_periodically(self, lambda: POLL_SECONDS, self.find_removed)
 
     async def step(self) -> None:
-        """Decide on the evidence, and store the records this host is responsible for.
+        """Decide on the evidence, and store the records that this host keeps.
 
         :raises PrimrosefordError: if a call to the platform fails
         """
@@ -91,7 +91,7 @@
             return
         for part, record in list(quarantine.records.items()):
             wanted = None if record.lifted else record.generation
-            if self.stored.get(part) == wanted or not quarantine.is_responsible(part):
+            if self.stored.get(part) == wanted or not quarantine.is_keeper(part):
                 continue
             self.retry_at = gateway.clock() + RETRY_SECONDS
             await self._write(record)
--- a/src/primroseford/gateway/state.py
+++ b/src/primroseford/gateway/state.py
@@ -16,6 +16,7 @@
 from primroseford.gateway.rendezvous import ranked
 from primroseford.gateway.request_limiter import RequestLimiter
 from primroseford.gateway.runners import RunnerList
+from primroseford.gateway.trial_turns import TrialTurns
 from primroseford.quarantine.state import Quarantine
 
 if TYPE_CHECKING:
@@ -127,6 +128,7 @@
     :ivar request_preemption: requests the preemption of a batch item on a runner
     :ivar tables: configuration in force; ``None`` until the first one is received
     :ivar quarantine: prompt parts that crash runners
+    :ivar trial_turns: turns of this host to try them
     :ivar crash_detector: detects such crashes
     :ivar request_limiter: keeps requests within the limits that runners name
     :ivar open_requests: online requests in progress
@@ -163,7 +165,9 @@
         )
         self.quotas = Quotas(clock())
         self.quarantine = Quarantine(clock)
-        self.quarantine.is_responsible = lambda part: self._is_ranked(part, 1)
+        self.trial_turns = TrialTurns(members, self.quarantine, clock)
+        self.quarantine.is_responsible = self.trial_turns.is_own
+        self.quarantine.is_keeper = lambda part: self._is_ranked(part, 1)
         self.quarantine.is_reporter = lambda part: self._is_ranked(
             part, QUARANTINE_REPORTERS
         )
--- a/src/primroseford/jobs/batch_capacity.py
+++ b/src/primroseford/jobs/batch_capacity.py
@@ -16,6 +16,7 @@
 from primroseford.gateway.placement import batch_start_limit
 from primroseford.gateway.placement import items_to_preempt
 from primroseford.gateway.placement import items_to_preempt_on
+from primroseford.gateway.placement import trial_runner
 from primroseford.jobs.peaks import Peaks
 from primroseford.jobs.round_budget import RoundBudget
 
@@ -105,13 +106,22 @@
         return (budget.urgent_starts if urgent else budget.starts)[pool] > 0
 
     def choose_runner(
-        self, pool: PoolName, tried: Collection[RunnerKey] = ()
+        self,
+        pool: PoolName,
+        tried: Collection[RunnerKey] = (),
+        trial: bool = False,
     ) -> RunnerState | None:
-        """Return a runner with a free slot for an item, or None."""
-        return self._choose(self._eligible_loads(pool, tried))
+        """Return a runner with a free slot for an item, or None.
+
+        :param trial: whether the item is tried despite a quarantine
+        """
+        return self._choose(self._eligible_loads(pool, tried), trial)
 
     def choose_limited_runner(
-        self, pool: PoolName, tried: Collection[RunnerKey] = ()
+        self,
+        pool: PoolName,
+        tried: Collection[RunnerKey] = (),
+        trial: bool = False,
     ) -> RunnerState | None:
         """Return a runner with a limit for which a token is on hand, or None.
 
@@ -120,14 +130,17 @@
         """
         loads = self._eligible_loads(pool, tried, limited=True)
         return self._choose(
-            [load for load in loads if load.free > RATE_LIMITED_HEADROOM_SLOTS]
+            [load for load in loads if load.free > RATE_LIMITED_HEADROOM_SLOTS], trial
         )
 
-    def _choose(self, loads: Sequence[RunnerLoad]) -> RunnerState | None:
+    def _choose(self, loads: Sequence[RunnerLoad], trial: bool) -> RunnerState | None:
         allocator = self.gateway.allocator
         if not loads:
             return None
-        best = batch_runner(loads, self.gateway.random, allocator.hosts)
+        if trial:
+            best = trial_runner(loads)
+        else:
+            best = batch_runner(loads, self.gateway.random, allocator.hosts)
         return None if best is None else allocator.runners[best.key.name]
 
     def preemptions(self, pool: PoolName) -> list[Preemption]:
--- a/src/primroseford/jobs/scheduler.py
+++ b/src/primroseford/jobs/scheduler.py
@@ -15,6 +15,8 @@
 from primroseford.jobs.batch_capacity import BatchCapacity
 from primroseford.jobs.deadlines import DeadlineEstimator
 from primroseford.jobs.forecast import URGENT_SLACK_SECONDS
+from primroseford.jobs.holding import held_parts
+from primroseford.jobs.holding import is_held
 from primroseford.jobs.preemption import preempt_items
 from primroseford.jobs.preemption import preempt_late_items
 from primroseford.jobs.recorder import JobRecorder
@@ -183,6 +185,8 @@
             self.start_items()
             self.abandon_items()
             self.recorder.save_progress(self.runs.values())
+        quarantine = self.gateway.quarantine
+        self.gateway.trial_turns.hold(held_parts(quarantine, self.runs.values()))
         self.wait_log.write(self.runs.values())
 
     def start_items(self) -> None:
@@ -211,35 +215,38 @@
                 item.wait_reason = WaitReason.ROUTE_MISSING
                 continue
             pool = choose_pool(route, self.gateway.random)
-            if pool in full_pools:
+            if pool in full_pools and not item.held:
                 item.wait_reason = WaitReason.POOL_FULL
                 continue
             self.gateway.request_limiter.ask_for_batch(pool)
-            runner = capacity.choose_limited_runner(pool, item.tried)
-            is_limited = runner is not None
+            # A trial may crash its runner, which should have little else to do then.
+            # Only one host has its turn, so that a trial needs no share of the starts.
+            is_trial = item.held
+            runner = capacity.choose_limited_runner(pool, item.tried, is_trial)
+            is_budgeted = runner is None and not is_trial
             urgent = 0 <= estimator.slack(item, now) < URGENT_SLACK_SECONDS
-            if not is_limited and not capacity.may_start(pool, item, route.due, urgent):
+            if is_budgeted and not capacity.may_start(pool, item, route.due, urgent):
                 item.wait_reason = WaitReason.NO_START_LEFT
                 # Urgent items may still start in a pool that is full for other items.
                 if urgent:
                     full_pools.add(pool)
                 continue
-            if not is_limited:
-                runner = capacity.choose_runner(pool, item.tried)
+            if runner is None:
+                runner = capacity.choose_runner(pool, item.tried, is_trial)
             if runner is None and item.tried:
                 item.tried.clear()
-                runner = capacity.choose_runner(pool)
+                runner = capacity.choose_runner(pool, (), is_trial)
             if runner is None:
                 item.wait_reason = WaitReason.POOL_FULL
                 full_pools.add(pool)
                 continue
-            if self._is_held(item):
+            if is_held(self.gateway.quarantine, item):
                 # An item that was started before it is the one that is tried.
                 item.wait_reason = WaitReason.QUARANTINED
                 continue
             self.gateway.quarantine.begin_trial(item.shared_parts)
             self.gateway.allocator.reserve(runner, batch=True)
-            if not is_limited:
+            if is_budgeted:
                 capacity.budget.record_start(pool)
             run.waiting.remove(item)
             run.running.add(item)
@@ -277,20 +284,8 @@
             return WaitReason.NO_CONFIGURATION
         if item.not_before > now:
             return WaitReason.RETRY_DELAY
-        return WaitReason.QUARANTINED if self._is_held(item) else None
-
-    def _is_held(self, item: ItemRun) -> bool:
-        """Return whether an item waits because its prompt is quarantined."""
-        record = self.gateway.quarantine.blocking_record(item.shared_parts)
-        if item.held != (record is not None):
-            item.held = record is not None
-            log.info(
-                "item held" if item.held else "item released",
-                item=item.item.id,
-                job=item.job.id,
-                part=record.part if record else None,
-            )
-        return item.held
+        held = is_held(self.gateway.quarantine, item)
+        return WaitReason.QUARANTINED if held else None
 
     def _log_waiting(self, pools: set[PoolName], now: float) -> None:
         """Log at intervals the load of the pools in which items wait for slots."""
--- a/src/primroseford/quarantine/state.py
+++ b/src/primroseford/quarantine/state.py
@@ -78,8 +78,8 @@
     :param clock: local time
     :ivar records: quarantines by part, lifted ones included
     :ivar changed_at: local time of the last change of each record
-    :ivar is_responsible: whether this host is the one that tries a part and stores its
-        record
+    :ivar is_responsible: whether this host is the one that may try a part now
+    :ivar is_keeper: whether this host is the one that stores the record of a part
     :ivar is_reporter: whether this host is one of those that keep reporting a part
     :ivar heartbeat_interval: returns the interval of the hosts' heartbeats in seconds
     :ivar announce: called when the other hosts should learn of news at once
@@ -92,6 +92,7 @@
         self.records: dict[PromptPartId, QuarantineRecord] = {}
         self.changed_at: dict[PromptPartId, float] = {}
         self.is_responsible: ResponsibilityCheck = lambda _: True
+        self.is_keeper: ResponsibilityCheck = lambda _: True
         self.is_reporter: ResponsibilityCheck = lambda _: True
         self.heartbeat_interval: Callable[[], float] = lambda: 0.0
         self.announce: Callable[[], None] = lambda: None
@@ -106,6 +107,14 @@
         """Return the quarantined parts."""
         return {part for part, record in self.records.items() if not record.lifted}
 
+    def active_record(self, parts: Sequence[PromptPartId]) -> QuarantineRecord | None:
+        """Return the first quarantine that concerns a request, if there is one."""
+        for part in parts if self.records else ():
+            record = self.records.get(part)
+            if record is not None and not record.lifted:
+                return record
+        return None
+
     def blocking_record(self, parts: Sequence[PromptPartId]) -> QuarantineRecord | None:
         """Return the quarantine that a request must be refused for, if there is one.
 
