Start held items at once when their quarantine ends

Items under which runners had crashed kept their retry delay, up to 5 s, and the factor by which it grows, when the quarantine of their part had ended, for example because an online request with it was served or an operator lifted it.

Cause: the delay guards against an item that ends its runners. The quarantine had found the cause; nothing reset the delay then. An item was not even looked at for its release before the delay had passed.

Evidence: jobs/tests/test_held_items.py, test_held_items_wait_after_the_end_of_a_quarantine, on the commit before: the items had not started when the test's bound passed.

Fix: a held item is checked for its release before its delay, and then forgets its interruptions and the delay.

--- a/src/primroseford/jobs/holding.py
+++ b/src/primroseford/jobs/holding.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 import structlog
@@ -25,6 +26,9 @@
     record = quarantine.active_record(item.shared_parts)
     if item.held != (record is not None):
         item.held = record is not None
+        if not item.held and item.interruptions:
+            # What ended its runs was the quarantined part.
+            item.interruptions, item.not_before = 0, -math.inf
         log.info(
             "item held" if item.held else "item released",
             item=item.item.id,
--- a/src/primroseford/jobs/scheduler.py
+++ b/src/primroseford/jobs/scheduler.py
@@ -282,6 +282,9 @@
             return WaitReason.HOST_STOPPING
         if self.gateway.tables is None:
             return WaitReason.NO_CONFIGURATION
+        # An item that is released has no retry delay any more.
+        if item.held and is_held(self.gateway.quarantine, item):
+            return WaitReason.QUARANTINED
         if item.not_before > now:
             return WaitReason.RETRY_DELAY
         held = is_held(self.gateway.quarantine, item)
--- a/src/primroseford/jobs/tests/test_held_items.py
+++ b/src/primroseford/jobs/tests/test_held_items.py
@@ -110,3 +110,21 @@
                     host.clock() - peer.heard_at < IDLE_HEARTBEAT_SECONDS
                 )
             )
+
+
+async def test_held_items_wait_after_the_end_of_a_quarantine(site):
+    """Guards against items that keep the retry delay of their crashes (LOST)."""
+    await quarantine_part(site)
+    scheduler = service(site.hosts[0]).scheduler
+    for number in range(4):
+        await submit_item(site, f"job{number}", 0)
+    await site.until(
+        lambda: all(i.held for run in scheduler.runs.values() for i in run.waiting)
+    )
+    for run in scheduler.runs.values():
+        for item in run.waiting:
+            item.interruptions = 4
+            item.not_before = site.hosts[0].clock() + 3600.0
+    site.hosts[0].gateway.quarantine.lift(PART, "a test")
+    await site.until(lambda: not scheduler.runs)
+    assert len(trials(site)) == 4
