--- a/src/primroseford/gateway/heartbeat.py
+++ b/src/primroseford/gateway/heartbeat.py
@@ -280,6 +280,7 @@
         scan_age = self.jobs.scan_age()
         heartbeat.job_scan_age_ms = None if scan_age is None else _age_ms(scan_age)
         fill_heartbeat(gateway.quarantine, heartbeat)
+        heartbeat.held_parts = gateway.trial_turns.reported()
         gateway.request_limiter.fill_heartbeat(heartbeat)
         leaving = gateway.allocator.leaving
         heartbeat.leaving_runners = leaving.reports(gateway.clock())
--- a/src/primroseford/gateway/messages.thrift
+++ b/src/primroseford/gateway/messages.thrift
@@ -133,6 +133,8 @@
   // Age of the newest complete scan of all stored jobs by this host, unless it knows of a
   // newer one by another host.
   29: i32 job_scan_age_ms = 2147483647
+  // Quarantined prompt parts of the host's waiting batch items.
+  30: list<string> held_parts = []
 }
 
 // Heartbeats that the relay of a failure domain forwards, encoded by their senders.
--- a/src/primroseford/jobs/tests/test_stalled_service.py
+++ b/src/primroseford/jobs/tests/test_stalled_service.py
@@ -8,6 +8,7 @@
 
 from primroseford.gateway.members import Members
 from primroseford.gateway.state import GatewayMetrics
+from primroseford.gateway.trial_turns import TrialTurns
 from primroseford.ids import HostId
 from primroseford.ids import JobId
 from primroseford.jobs.run import JobRun
@@ -18,18 +19,22 @@
 from primroseford.jobs.state import Job
 from primroseford.jobs.state import JobView
 from primroseford.metrics import Metrics
+from primroseford.quarantine.state import Quarantine
 
 JOB = JobId("job1")
 
 
 def create_service(clock) -> JobService:
     """Return a job service that runs one job, of which no task has been started."""
+    members, quarantine = Members(HostId("host-1")), Quarantine(clock)
     gateway = SimpleNamespace(
         clock=clock,
         stopping=False,
-        members=Members(HostId("host-1")),
+        members=members,
         metrics=GatewayMetrics(Metrics()),
         tables=None,
+        quarantine=quarantine,
+        trial_turns=TrialTurns(members, quarantine, clock),
     )
     service = JobService(gateway, None, None, None, 120.0, 1.0)
     service.scheduler = create_scheduler(gateway)
