Do not blame runners for an item whose path cannot be sent

What callers would see: one item with a path that does not begin with a slash makes runner after runner count as unreachable, for online requests and other items too.

Cause: the submission takes any text as a path. The address and the path are joined to a URL, which is malformed then. The ValueError is handled like a failed connection (RUNNER_UNREACHABLE), so that the runner counts as failed, and the item is repeated after 0.1 s.

Evidence: 'pytest -n 2 src/primroseford/jobs/tests/test_unsendable_items.py -k path' on the parent commit: 2 of 4 cases fail (paths "notes" and a lone surrogate), both runners have "runner counts as failed" with "unreachable".

Fix: the path is checked before the exchange. A path that cannot be sent ends the run as an unexpected failure, which is repeated after the growing delay of interrupted runs and blames no runner; the item becomes a dead letter at the time limit of its job, which a test shows. Submissions are accepted as before.

Ruled out by the other cases, which pass on the parent commit too: headers with line breaks, with a malformed name or a lone surrogate, a malformed list of prompt parts, a long body, a lone surrogate in an id or after the slash of a path. The good job of each case is complete. Which of them end in an HTTP error and which in a dead letter was not recorded.

'pytest -n 2 src/primroseford/jobs' passes.

--- a/src/primroseford/jobs/run.py
+++ b/src/primroseford/jobs/run.py
@@ -319,6 +319,7 @@
         until - gateway.clock(),
         item.last_event,
     )
+    _check_path(item.item.path)
     call = RunnerRequest(
         "POST", item.item.path, headers, item.item.decoded_body(), item.item.id
     )
@@ -346,6 +347,16 @@
         response.close()
 
 
+def _check_path(path: str) -> None:
+    """Check that a path can be sent, so that no runner is blamed for one that cannot.
+
+    :raises ValueError: if it cannot be sent
+    """
+    if not path.startswith("/"):
+        raise ValueError("the path of the item does not begin with a slash")
+    path.encode()
+
+
 async def _read_events(
     gateway: Gateway,
     item: ItemRun,
