Keep online requests from preempting the trial of an item

A wave of online requests, or items that can still be in time, could end the item that tries a quarantined part before its first event. The trial was used up without a result, and the part's items waited for the next one, 60 s later or more.

Cause: preemption took trials for items like any other.

Evidence: jobs/tests/test_held_items.py, test_trial_is_preempted_before_it_shows_anything, fails on the commit before (`assert not 1`: the item's task was being cancelled).

Fix: an item whose run tries a quarantined part isn't preempted until its first event. By then it has shown what it should, and it is an item like the others. This takes one slot for as long as a runner may be silent, 1.5 s at most.

Ruled out: to repeat such a trial soon. The request has reached a runner, and each repetition counts against the three requests that may reach runners after the fifth crash.

--- a/src/primroseford/jobs/preemption.py
+++ b/src/primroseford/jobs/preemption.py
@@ -94,13 +94,18 @@
 
 
 def _running_by_pool(scheduler: JobScheduler) -> dict[PoolName, list[ItemRun]]:
-    """Return the running items by the first pool of their route."""
+    """Return the running items that may be preempted by the first pool of their route.
+
+    A trial ends soon, and the next one would be due much later.
+    """
     pools: dict[PoolName, list[ItemRun]] = {}
     for run in scheduler.runs.values():
         route = scheduler.route_of(run.view.job)
         if route is None:
             continue
-        running = [item for item in run.running if item.task is not None]
+        running = [
+            item for item in run.running if item.task is not None and not item.in_trial
+        ]
         if running:
             pools.setdefault(route.pools[0][0], []).extend(running)
     return pools
--- a/src/primroseford/jobs/run.py
+++ b/src/primroseford/jobs/run.py
@@ -90,7 +90,7 @@
     :param result: final state
     :param interruptions: consecutive runs that ended before their first event
     :param starts: runs that this host has started
-    :param held: whether it waits because a part of its prompt is quarantined
+    :param held: whether a part of its prompt was quarantined when it last waited
     :param commit_after: local time before which its result is not written again, after
         the store refused it, in seconds; None if it was not refused
     :param wait_reason: why it has not been started, if it waits
@@ -129,6 +129,11 @@
         self.prompt = decode_prompt(CIMultiDict(self.item.headers))
         self.shared_parts = [part.id for part in self.prompt[:-1]]
 
+    @property
+    def in_trial(self) -> bool:
+        """Whether its run tries a quarantined part and has shown nothing so far."""
+        return self.held and len(self.data) == self.events_at_start
+
     def text(self) -> str:
         """Return the text of a complete item."""
         return "\n".join(self.data)
--- a/src/primroseford/jobs/tests/test_held_items.py
+++ b/src/primroseford/jobs/tests/test_held_items.py
@@ -10,6 +10,7 @@
 
 from primroseford.gateway.heartbeat import IDLE_HEARTBEAT_SECONDS
 from primroseford.gateway.members import preferred_host
+from primroseford.jobs.preemption import preempt_item
 from primroseford.jobs.tests.test_jobs import join
 from primroseford.jobs.tests.test_jobs import service
 from primroseford.quarantine.state import TRIAL_SECONDS
@@ -128,3 +129,35 @@
     site.hosts[0].gateway.quarantine.lift(PART, "a test")
     await site.until(lambda: not scheduler.runs)
     assert len(trials(site)) == 4
+
+
+async def test_trial_is_preempted_before_it_shows_anything(site):
+    """Guards against a trial that is used up for nothing, with 60 s until the next."""
+    for runner in site.runners:
+        runner.faults.silent = True
+    await quarantine_part(site)
+    await submit_item(site, "job1", 0)
+    scheduler = service(site.hosts[0]).scheduler
+    await site.until(lambda: scheduler.runs["job1"].running)
+    (item,) = scheduler.runs["job1"].running
+    task = item.task
+    preempt_item(scheduler, item.runner)
+    assert not task.cancelling()
+    for runner in site.runners:
+        runner.faults.silent = False
+    site.hosts[0].gateway.quarantine.lift(PART, "a test")
+    await site.until(lambda: "job1" not in scheduler.runs)
+
+
+async def test_running_item_whose_quarantine_has_ended_is_never_preempted(site):
+    """Guards against a trial that keeps its slot once its first event has come."""
+    await quarantine_part(site)
+    for runner in site.runners:
+        runner.event_seconds = 1.0
+    await submit_item(site, "job1", 0)
+    scheduler = service(site.hosts[0]).scheduler
+    await site.until(lambda: any(i.data for i in scheduler.runs["job1"].running))
+    (item,) = scheduler.runs["job1"].running
+    task = item.task
+    preempt_item(scheduler, item.runner)
+    assert task.cancelling()
