Repeat a trial soon that has reached no runner

A held item that was tried on a runner that had just gone waited 60 s or more for the next trial, though nothing had been tried.

Cause: a trial counts when it is started. Whether the runner got anything was known after it, and wasn't asked.

Fix: an item's run that ends before anything was written to its runner gives the trial back. The next one is due 1 s later, with the interval of before. It is given back only by the host that began it, and only if nothing has changed since.

Ruled out: the same for a runner's refusal or a run that broke off. The runner got the request, and at most three may reach runners. Online requests aren't covered: they are sent to another runner at once.

--- a/src/primroseford/jobs/run.py
+++ b/src/primroseford/jobs/run.py
@@ -17,6 +17,7 @@
 from primroseford.gateway.affinity import shared_part_positions
 from primroseford.gateway.exchange import EXCHANGE_ERRORS
 from primroseford.gateway.exchange import MAX_EVENT_BYTES
+from primroseford.gateway.exchange import AttemptStage
 from primroseford.gateway.exchange import InactivityTimeout
 from primroseford.gateway.exchange import RunnerAttempt
 from primroseford.gateway.exchange import RunnerRequest
@@ -281,6 +282,8 @@
             stage=attempt.stage.value,
             prompt=[part.id for part in item.prompt],
         )
+        if item.in_trial and attempt.stage is AttemptStage.UNSENT:
+            gateway.quarantine.repeat_trial(item.shared_parts)
         not_run = error.outcome is Outcome.NOT_RUN
         return RunOutcome.REFUSED if not_run else RunOutcome.BROKEN
     finally:
--- a/src/primroseford/jobs/tests/test_held_items.py
+++ b/src/primroseford/jobs/tests/test_held_items.py
@@ -161,3 +161,18 @@
     task = item.task
     preempt_item(scheduler, item.runner)
     assert task.cancelling()
+
+
+async def test_trial_that_reaches_no_runner_is_used_up(site):
+    """Guards against a wait of 60 s after a trial that met a runner that was gone."""
+    for runner in site.runners:
+        runner.crash()
+    await quarantine_part(site)
+    await submit_item(site, "job1", 0)
+    quarantine = site.hosts[0].gateway.quarantine
+    await site.until(lambda: quarantine.records[PART].generation > 2)
+    record = quarantine.records[PART]
+    assert record.trial_seconds == TRIAL_SECONDS
+    await site.add_runner("i-3")
+    await site.until(lambda: trials(site))
+    await site.until(lambda: not quarantine.active())
--- a/src/primroseford/quarantine/state.py
+++ b/src/primroseford/quarantine/state.py
@@ -27,6 +27,8 @@
 """Time after which one request with a quarantined part is tried again."""
 MAX_TRIAL_SECONDS = 600.0
 """Longest time between two trials; it doubles after each."""
+TRIAL_REPEAT_SECONDS = 1.0
+"""Time after which a trial that has reached no runner is repeated."""
 MIN_HEARING_SECONDS = 0.3
 """Shortest time without news of a crash before it is judged."""
 HEARING_INTERVALS = 2.0
@@ -78,6 +80,7 @@
     :param clock: local time
     :ivar records: quarantines by part, lifted ones included
     :ivar changed_at: local time of the last change of each record
+    :ivar replaced: records that this host's last trials replaced
     :ivar is_responsible: whether this host is the one that may try a part now
     :ivar is_keeper: whether this host is the one that stores the record of a part
     :ivar is_reporter: whether this host is one of those that keep reporting a part
@@ -91,6 +94,7 @@
         self.evidence = Evidence()
         self.records: dict[PromptPartId, QuarantineRecord] = {}
         self.changed_at: dict[PromptPartId, float] = {}
+        self.replaced: dict[PromptPartId, QuarantineRecord] = {}
         self.is_responsible: ResponsibilityCheck = lambda _: True
         self.is_keeper: ResponsibilityCheck = lambda _: True
         self.is_reporter: ResponsibilityCheck = lambda _: True
@@ -158,6 +162,7 @@
                 continue
             seconds = min(2 * record.trial_seconds, MAX_TRIAL_SECONDS)
             log.warning("quarantined prompt part is tried again", part=part)
+            self.replaced[part] = record
             self._change(
                 replace(
                     record,
@@ -167,6 +172,26 @@
                 )
             )
 
+    def repeat_trial(self, parts: Sequence[PromptPartId]) -> None:
+        """Let a trial that has reached no runner be repeated soon."""
+        now = self.clock()
+        for part in parts:
+            before = self.replaced.pop(part, None)
+            record = self.records.get(part)
+            if before is None or record is None or record.lifted:
+                continue
+            if record.generation != before.generation + 1:
+                continue
+            log.info("trial of quarantined prompt part reached no runner", part=part)
+            self._change(
+                replace(
+                    record,
+                    generation=record.generation + 1,
+                    trial_at=now + TRIAL_REPEAT_SECONDS,
+                    trial_seconds=before.trial_seconds,
+                )
+            )
+
     def record_served(self, parts: Sequence[PromptPartId]) -> None:
         """Record that a runner got past the start of its answer to a request."""
         self.evidence.add_served(parts, self.clock())
@@ -253,6 +278,7 @@
         while len(self.records) > MAX_RECORDS:
             oldest = min(self.records, key=self.changed_at.__getitem__)
             del self.records[oldest], self.changed_at[oldest]
+            self.replaced.pop(oldest, None)
         if announce:
             self.announce()
 
--- a/src/primroseford/quarantine/tests/test_quarantine.py
+++ b/src/primroseford/quarantine/tests/test_quarantine.py
@@ -14,6 +14,7 @@
 from primroseford.quarantine.evidence import MAX_SERVED_PARTS
 from primroseford.quarantine.evidence import Evidence
 from primroseford.quarantine.state import MIN_HEARING_SECONDS
+from primroseford.quarantine.state import TRIAL_REPEAT_SECONDS
 from primroseford.quarantine.state import TRIAL_SECONDS
 from primroseford.quarantine.state import Quarantine
 from primroseford.quarantine.state import QuarantineRecord
@@ -91,6 +92,38 @@
     assert not quarantine.active()
 
 
+@pytest.mark.parametrize("answer", ["crashed", "learnt", "lifted"])
+def test_trial_that_reached_a_runner_is_repeated_soon(quarantine, clock, answer):
+    """Guards against trials beyond those that their intervals allow (BUDGET)."""
+    crash_three_runners(quarantine, clock)
+    clock.advance(TRIAL_SECONDS)
+    quarantine.begin_trial(["t"])
+    if answer == "learnt":
+        newer = quarantine.records["t"].generation + 1
+        quarantine.apply(QuarantineRecord("t", newer, clock() + 60.0, 60.0))
+    if answer == "lifted":
+        quarantine.record_served(["t"])
+    if answer != "crashed":
+        quarantine.repeat_trial(["t"])
+    clock.advance(TRIAL_SECONDS)
+    assert is_refused(quarantine, "t") == (answer != "lifted")
+
+
+def test_trial_that_reached_no_runner_is_used_up(quarantine, clock):
+    """Guards against a wait for the next interval after a trial of nothing."""
+    crash_three_runners(quarantine, clock)
+    clock.advance(TRIAL_SECONDS)
+    quarantine.begin_trial(["t"])
+    quarantine.repeat_trial(["t"])
+    quarantine.repeat_trial(["t"])
+    assert is_refused(quarantine, "t")
+    clock.advance(TRIAL_REPEAT_SECONDS)
+    assert not is_refused(quarantine, "t")
+    quarantine.begin_trial(["t"])
+    clock.advance(2 * TRIAL_SECONDS - 0.1)
+    assert is_refused(quarantine, "t")
+
+
 def test_every_host_tries_a_quarantined_part(quarantine, clock):
     """Guards against a trial by each host."""
     crash_three_runners(quarantine, clock)
