--- a/src/primroseford/jobs/run.py
+++ b/src/primroseford/jobs/run.py
@@ -17,6 +17,7 @@
 from primroseford.gateway.affinity import shared_part_positions
 from primroseford.gateway.exchange import EXCHANGE_ERRORS
 from primroseford.gateway.exchange import MAX_EVENT_BYTES
+from primroseford.gateway.exchange import AttemptStage
 from primroseford.gateway.exchange import InactivityTimeout
 from primroseford.gateway.exchange import RunnerAttempt
 from primroseford.gateway.exchange import RunnerRequest
@@ -91,7 +92,7 @@
     :param result: final state
     :param interruptions: consecutive runs that ended before their first event
     :param starts: runs that this host has started
-    :param held: whether it waits because a part of its prompt is quarantined
+    :param held: whether a part of its prompt was quarantined when it last waited
     :param commit_after: local time before which its result is not written again, after
         the store refused it, in seconds; None if it was not refused
     :param wait_reason: why it has not been started, if it waits
@@ -130,6 +131,11 @@
         self.prompt = decode_prompt(CIMultiDict(self.item.headers))
         self.shared_parts = [part.id for part in self.prompt[:-1]]
 
+    @property
+    def in_trial(self) -> bool:
+        """Whether its run tries a quarantined part and has shown nothing so far."""
+        return self.held and len(self.data) == self.events_at_start
+
     def text(self) -> str:
         """Return the text of a complete item."""
         return "\n".join(self.data)
@@ -297,6 +303,8 @@
             stage=attempt.stage.value,
             prompt=[part.id for part in item.prompt],
         )
+        if item.in_trial and attempt.stage is AttemptStage.UNSENT:
+            gateway.quarantine.repeat_trial(item.shared_parts)
         not_run = error.outcome is Outcome.NOT_RUN
         return RunOutcome.REFUSED if not_run else RunOutcome.BROKEN
     finally:
