Let stand-in runners have a software version

Preparation of the rule ORDER for runners of several software versions; no product code changes.

FleetRunner has a version, 'v1' by default. Runners of another version name it in the data of each event ('token@v1.1 3'), which is also the line of a batch item's text, so that a test sees from the bytes which versions a stream or a text holds. The bytes of the default version are as before, and so are all golden files. Site registers the version in the runner's entry, replaces a runner by one of another version under the same name with a new 'born', removes a runner, and kills a host: its sockets are closed first, so that nothing of its cleanup goes out.

--- a/src/primroseford/proof/site.py
+++ b/src/primroseford/proof/site.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
+from primroseford.gateway.heartbeat import HeartbeatService
 from primroseford.gateway.host import Host
 from primroseford.gateway.host import create_fleet_host
 from primroseford.ids import FailureDomainId
@@ -16,6 +17,8 @@
 from primroseford.platform.settings import NodeSettings
 from primroseford.proof.addresses import next_ports
 from primroseford.proof.addresses import own_address
+from primroseford.proof.hosts import abort_connections
+from primroseford.standins.fleet_objects import FIRST_START_MS
 from primroseford.standins.fleet_objects import HOST
 from primroseford.standins.fleet_objects import KEY
 from primroseford.standins.fleet_objects import runner_entry
@@ -63,14 +66,36 @@
     async def add_runner(self, name: str, **fields: Any) -> FleetRunner:
         """Start a runner and register it."""
         runner = FleetRunner(name, **fields)
+        self.runners.append(runner)
+        await self._serve_runner(runner, FIRST_START_MS)
+        return runner
+
+    async def restart_runner(self, name: str, **fields: Any) -> FleetRunner:
+        """Crash a runner and start another under its name, at another address.
+
+        :returns: the new runner, which replaces the old one in ``runners``
+        """
+        number = [runner.name for runner in self.runners].index(name)
+        self.runners[number].crash()
+        runner = self.runners[number] = FleetRunner(name, **fields)
+        stored = self.platform.state.objects["servers"][name]
+        await self._serve_runner(runner, stored["spec"]["born"] + 1)
+        return runner
+
+    async def _serve_runner(self, runner: FleetRunner, born: int) -> None:
         loop = asyncio.get_running_loop()
         server = await loop.create_server(create_runner_server(runner), "127.0.0.1", 0)
         runner.server = server
         self.servers.append(server)
-        self.runners.append(runner)
         port = server.sockets[0].getsockname()[1]
-        self.put("servers", name, runner_entry(f"127.0.0.1:{port}"))
-        return runner
+        entry = runner_entry(f"127.0.0.1:{port}", version=runner.version, born=born)
+        self.put("servers", runner.name, entry)
+
+    def remove_runner(self, runner: FleetRunner) -> None:
+        """Crash a runner and remove its entry from the runner list."""
+        runner.crash()
+        self.platform.state.delete("servers", runner.name, None)
+        self.platform.announce()
 
     async def add_view(self) -> Any:
         """Serve the platform's store at another URL, with separate faults."""
@@ -138,6 +163,30 @@
         ) as response:
             return response.status, dict(response.headers), await response.read()
 
+    def create_kill(self, number: int) -> asyncio.Task[None]:
+        """Return a task that kills a host, for callers that cannot wait for it."""
+        return asyncio.create_task(self.kill_host(number))
+
+    async def kill_host(self, number: int) -> None:
+        """Terminate a host as a crash does: without handover, release or response.
+
+        The sockets are closed first, so that cleanup code has no effect outside the
+        host.
+        """
+        host = self.hosts[number]
+        for server in host.servers:
+            server.close()
+        for connection in list(host.ingress.server.connections):
+            connection.transport.abort()
+        for session in host.sessions:
+            await abort_connections(session)
+        for service in host.services:
+            if isinstance(service, HeartbeatService):
+                for transport in (service.transport, service.bundles):
+                    transport.abort()
+        for service in reversed(host.services):
+            await service.stop()
+
     async def stop(self) -> None:
         """Stop all hosts and runners."""
         for host in self.hosts:
--- a/src/primroseford/standins/fleet_objects.py
+++ b/src/primroseford/standins/fleet_objects.py
@@ -6,6 +6,10 @@
 
 HOST = "vans.example"
 KEY = "key-of-caroni"
+FIRST_START_MS = 1_700_000_000_000
+"""Unix time of a runner's first start in milliseconds."""
+RESUMES = "Resumes"
+"""Header in which a client that resumes a stream names the request that began it."""
 
 
 def configuration(
@@ -79,5 +83,5 @@
         "state": "ready",
         "cold_left_ms": 0,
         "sequence": 1,
-        "born": 1_700_000_000_000,
+        "born": FIRST_START_MS,
     } | changes
--- a/src/primroseford/standins/fleet_runner.py
+++ b/src/primroseford/standins/fleet_runner.py
@@ -17,6 +17,10 @@
 EVENT_SECONDS = 0.002
 PARTIAL_EVENT = b"id: 9"
 """Bytes of an incomplete event that an interrupted stream sends at its end."""
+DEFAULT_VERSION = "v1"
+"""Software version whose events do not name it."""
+VERSION_MARK = "@"
+"""Character between the text of an event and the version that wrote it."""
 
 
 @dataclass
@@ -85,6 +89,8 @@
     :ivar open: number of requests in progress
     :ivar transports: connections of the requests in progress
     :param token: text that precedes the number in the data of each event
+    :param version: version of the runner's software, which the data of each event names
+        unless it is the default one
     """
 
     name: str
@@ -97,6 +103,7 @@
     open: int = 0
     transports: set[asyncio.Transport] = field(default_factory=set)
     token: str = "token"
+    version: str = DEFAULT_VERSION
 
     def crash(self) -> None:
         """Reset all connections and stop listening, as a killed process does."""
@@ -180,8 +187,9 @@
                 await response.write(PARTIAL_EVENT)
                 request.transport.close()
                 return response
+            token = versioned_token(self.token, self.version)
             await response.write(
-                event_without_id(number) if faults.plain else event(number, self.token)
+                event_without_id(number) if faults.plain else event(number, token)
             )
             await asyncio.sleep(self.event_seconds)
         await response.write_eof()
@@ -206,6 +214,19 @@
     return f"data: token {number}\n\n".encode()
 
 
+def versioned_token(token: str, version: str) -> str:
+    """Return the text of an event's data as a runner of this version writes it."""
+    return token if version == DEFAULT_VERSION else f"{token}{VERSION_MARK}{version}"
+
+
+def event_version(line: str) -> str:
+    """Return the version of the runner that wrote the data of an event.
+
+    :param line: data of the event, which is also its line in the text of a batch item
+    """
+    return line.partition(VERSION_MARK)[2].partition(" ")[0] or DEFAULT_VERSION
+
+
 def create_runner_server(runner: FleetRunner) -> web.Server:
     """Return the HTTP server of a runner."""
     return web.Server(runner.handle, handler_cancellation=True)
