Test that streams and texts keep the version that began them

What callers would see: a stream, or the text of a batch item, whose events come from runners of two software versions, which don't fit together. Cause: the version in a runner's entry is not read, and nothing that resumes a stream or an item looks at it. The header Resumes is not read either.

The tests fail until that is fixed; nothing is marked or skipped. A stream goes on with events of the other version after a crash, without a runner of its version, after a restart of its runner as another version, and after one or two killed hosts (8 tests); a resumed stream gets 200 instead of 503 (7) or goes on at the other version while its own is full (1); entries without a valid version name a usable runner (7); texts hold events of both versions (10). The five that pass guard against too strict a fix: any version before the first event, resuming where only one version has served, and valid entries.

--- a/src/primroseford/conftest.py
+++ b/src/primroseford/conftest.py
@@ -98,3 +98,28 @@
     await new_site.add_host()
     yield new_site
     await new_site.stop()
+
+
+@pytest.fixture
+async def create_versions_site(platform, session):
+    """A function that starts hosts and runners of the given software versions."""
+    sites = []
+
+    async def create(versions, hosts: int = 1, **fields) -> Site:
+        new_site = Site(platform, session)
+        sites.append(new_site)
+        new_site.put("config", "main", configuration())
+        for number, version in enumerate(versions, 1):
+            await new_site.add_runner(f"i-{number}", version=version, **fields)
+        for _ in range(hosts):
+            await new_site.add_host()
+        for host in new_site.hosts:
+            members = host.gateway.members
+            await new_site.until(
+                lambda m=members, h=host: len(m.live(h.clock())) == hosts - 1
+            )
+        return new_site
+
+    yield create
+    for new_site in sites:
+        await new_site.stop()
--- a/src/primroseford/proof/resuming_caller.py
+++ b/src/primroseford/proof/resuming_caller.py
@@ -16,7 +16,9 @@
 from primroseford.standins.fleet_objects import HOST
 from primroseford.standins.fleet_objects import KEY
 from primroseford.standins.fleet_objects import RESUMES
+from primroseford.standins.fleet_runner import event
 from primroseford.standins.fleet_runner import event_version
+from primroseford.standins.fleet_runner import versioned_token
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -68,7 +70,7 @@
     @property
     def versions(self) -> list[str]:
         """The versions in the stream, in the order of their first events."""
-        return list(dict.fromkeys(event.version for event in self.events))
+        return list(dict.fromkeys(received.version for received in self.events))
 
 
 async def read_stream(
@@ -127,7 +129,19 @@
     """Return the headers that resume a stream; none before its first event."""
     if not stream.events:
         return {}
-    return {LAST_EVENT: stream.events[-1].id, RESUMES: stream.began}
+    began = {RESUMES: stream.began} if stream.began else {}
+    return {LAST_EVENT: stream.events[-1].id} | began
+
+
+def broken_stream(count: int, began: str, version: str = "v1") -> CallerStream:
+    """Return a stream that broke after some events.
+
+    :param began: value of ``Resumes`` when it is resumed; empty to omit the header
+    """
+    token = versioned_token("token", version)
+    blocks = [event(number, token) for number in range(1, count + 1)]
+    events = [parse_stream_event(block.removesuffix(EVENT_END)) for block in blocks]
+    return CallerStream(events, began=began)
 
 
 def parse_stream_event(block: bytes) -> StreamEvent:
--- a/src/primroseford/proof/site.py
+++ b/src/primroseford/proof/site.py
@@ -70,13 +70,18 @@
         await self._serve_runner(runner, FIRST_START_MS)
         return runner
 
-    async def restart_runner(self, name: str, **fields: Any) -> FleetRunner:
+    async def restart_runner(
+        self, name: str, crash: bool = True, **fields: Any
+    ) -> FleetRunner:
         """Crash a runner and start another under its name, at another address.
 
+        :param crash: whether to crash the old one; without it, the entry of the new one
+            is seen before the connections break, as on a link that loses packets
         :returns: the new runner, which replaces the old one in ``runners``
         """
         number = [runner.name for runner in self.runners].index(name)
-        self.runners[number].crash()
+        if crash:
+            self.runners[number].crash()
         runner = self.runners[number] = FleetRunner(name, **fields)
         stored = self.platform.state.objects["servers"][name]
         await self._serve_runner(runner, stored["spec"]["born"] + 1)
