Run the soak with two software versions and callers that resume

Each start of a runner has one of two versions, drawn from the seed, the runner and the number of the start, so that restarts after crashes change some of them and the fault plans of earlier seeds stay as they are. Callers resume a broken stream at another ready host with Last-Event-Id and Resumes, up to three times, after the Retry-After of a 503.

The checks compare the events without their version, and a stream over all its tries: a missing or repeated event between two tries is found. After a try at a hostile runner, which decides where the caller resumes, a resumed stream is checked by itself.

--- a/src/primroseford/soak/callers.py
+++ b/src/primroseford/soak/callers.py
@@ -5,6 +5,7 @@
 import asyncio
 import base64
 import json
+import re
 import time
 from dataclasses import dataclass
 from dataclasses import field
@@ -15,14 +16,17 @@
 
 from primroseford.platform.headers import API_KEY
 from primroseford.platform.headers import DEADLINE
+from primroseford.platform.headers import LAST_EVENT
 from primroseford.platform.headers import REQUEST_ID
 from primroseford.platform.headers import SIGNATURE
 from primroseford.platform.headers import WAIT
 from primroseford.platform.job_calls import JOB_PATH
 from primroseford.standins.fleet_objects import HOST
 from primroseford.standins.fleet_objects import KEY
+from primroseford.standins.fleet_objects import RESUMES
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
     from random import Random
 
     from primroseford.soak.fleet import SoakFleet
@@ -39,6 +43,12 @@
 """Consecutive failed checks after which a host gets no new connections."""
 MEAN_JOB_GAP_SECONDS = 2.5
 JOB_ITEMS = 6
+MAX_RESUMES = 3
+"""Requests that a caller sends to resume one stream."""
+MAX_RETRY_AFTER_SECONDS = 2.0
+"""Longest wait of a caller before it repeats a refused request."""
+EVENT_END = b"\n\n"
+EVENT_ID = re.compile(rb"^id: (\d+)$", re.MULTILINE)
 JOB_READ_SECONDS = 0.3
 """Interval between two reads of the jobs."""
 
@@ -61,6 +71,8 @@
     :param start: how often the host had been started when the request was sent
     :param status: status of the response; 0 if there was none
     :param complete: whether the whole response was received
+    :param retry_after: value of ``Retry-After``; empty for none
+    :param resumed: earlier tries of the stream that this request resumes
     """
 
     id: str
@@ -77,6 +89,17 @@
     response_id: str = ""
     signature: str = ""
     reason: str = ""
+    retry_after: str = ""
+    resumed: tuple[SentRequest, ...] = ()
+
+    def events(self) -> bytes:
+        """Return the complete events of this try."""
+        events, end, _ = self.body.rpartition(EVENT_END)
+        return events + end if self.status == 200 else b""
+
+    def stream(self) -> bytes:
+        """Return the body with the events of the earlier tries before it."""
+        return b"".join(sent.events() for sent in self.resumed) + self.body
 
 
 @dataclass(eq=False)
@@ -155,15 +178,17 @@
             host,
             host.starts,
             time.monotonic(),
+            resumed=options.get("resumed", ()),
         )
         self.sent.append(sent)
-        headers = self._headers(sent.id, sent.key)
+        headers = self._headers(sent.id, sent.key) | resume_headers(sent.resumed)
         url = host.ingress + path
         try:
             async with session.post(url, data=b"prompt", headers=headers) as response:
                 sent.status = response.status
                 sent.response_id = response.headers.get(REQUEST_ID, "")
                 sent.signature = response.headers.get(SIGNATURE, "")
+                sent.retry_after = response.headers.get("Retry-After", "")
                 async for chunk in response.content.iter_any():
                     sent.body += chunk
                 sent.complete = True
@@ -181,6 +206,7 @@
                 host = host or (self.random.choice(ready) if ready else None)
                 if host is not None:
                     sent = await self._call_once(session, host)
+                    await self._resume(session, sent)
                     if not sent.status:
                         host = None
                 await asyncio.sleep(REQUEST_PAUSE_SECONDS)
@@ -198,6 +224,23 @@
             kind = RequestKind.IDEMPOTENT
         return await self.request(session, host, kind)
 
+    async def _resume(self, session, sent: SentRequest) -> None:
+        """Resume a broken stream at other hosts, if it has an event."""
+        tries = [sent]
+        while (
+            sent.kind is RequestKind.STREAM_RESUMABLE
+            and not self.stopping
+            and len(tries) <= MAX_RESUMES
+            and resume_headers(tries)
+            and (not tries[-1].complete or tries[-1].status == 503)
+        ):
+            others = [h for h in self.ready_hosts() if h is not tries[-1].host]
+            host = self.random.choice(others or [tries[-1].host])
+            wait = float(tries[-1].retry_after or 0)
+            await asyncio.sleep(min(wait, MAX_RETRY_AFTER_SECONDS))
+            options = {"path": sent.path, "resumed": tuple(tries)}
+            tries.append(await self.request(session, host, sent.kind, **options))
+
     async def _balance(self) -> None:
         async with _session(READINESS_CHECK_SECONDS) as session:
             while not self.stopping:
@@ -317,6 +360,16 @@
         }
 
 
+def resume_headers(tries: Sequence[SentRequest]) -> dict[str, str]:
+    """Return the headers that resume a stream; none if it has no event with an id."""
+    for sent in reversed(tries):
+        ids = EVENT_ID.findall(sent.events())
+        if ids:
+            began = next(tried for tried in tries if tried.events())
+            return {LAST_EVENT: ids[-1].decode(), RESUMES: began.id}
+    return {}
+
+
 def _session(seconds: float = CALLER_TIMEOUT_SECONDS) -> aiohttp.ClientSession:
     return aiohttp.ClientSession(
         connector=aiohttp.TCPConnector(limit=0),
--- a/src/primroseford/soak/checks.py
+++ b/src/primroseford/soak/checks.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from collections import defaultdict
 from dataclasses import dataclass
 from dataclasses import field
@@ -44,6 +45,8 @@
     FaultKind.CONFIGURATION,
     FaultKind.KEY_WITHDRAWN,
 )
+VERSION = re.compile(rb"@(v2|v?$)")
+"""Version in an event, which a broken stream can cut off."""
 WHOLE_STREAM = b"".join(event(number) for number in range(1, EVENTS + 1))
 WHOLE_TEXT = "\n".join(f"token {number}" for number in range(1, EVENTS + 1))
 
@@ -115,6 +118,14 @@
         )
 
 
+def without_versions(events: bytes) -> bytes:
+    """Return events as runners of the default version write them.
+
+    The last event can be incomplete.
+    """
+    return VERSION.sub(b"", events)
+
+
 def check_runs(record: RunRecord) -> list[str]:
     """Return requests that were executed too often or in spite of a rejection."""
     problems = []
@@ -141,13 +152,7 @@
         if sent.signature.removeprefix("sig-") not in names:
             problems.append(f"{_name(sent)} is signed {sent.signature!r}")
         if sent.kind in STREAM_KINDS:
-            # A runner that interrupts a stream has sent part of the next event.
-            events = sent.body.removesuffix(PARTIAL_EVENT)
-            is_whole = sent.body == WHOLE_STREAM
-            is_prefix = (
-                WHOLE_STREAM.startswith(events) or sent.id in sent_to_hostile_runner
-            )
-            valid = is_whole if sent.complete else is_prefix
+            valid = _is_valid_stream(sent, sent_to_hostile_runner)
         else:
             valid = not sent.complete or sent.body.decode() in names
         if not valid:
@@ -155,6 +160,21 @@
     return problems
 
 
+def _is_valid_stream(sent: SentRequest, sent_to_hostile_runner: set[str]) -> bool:
+    """Return whether a stream has the right events, and all if it looks complete."""
+    stream, own = without_versions(sent.stream()), without_versions(sent.body)
+    if any(tried.id in sent_to_hostile_runner for tried in sent.resumed):
+        # A hostile runner decided where the stream is resumed.
+        own = own.removesuffix(PARTIAL_EVENT)
+        valid = WHOLE_STREAM.endswith(own) if sent.complete else own in WHOLE_STREAM
+        return valid or (not sent.complete and sent.id in sent_to_hostile_runner)
+    if sent.complete:
+        return stream == WHOLE_STREAM
+    # A runner that interrupts a stream has sent part of the next event.
+    events = stream.removesuffix(PARTIAL_EVENT)
+    return WHOLE_STREAM.startswith(events) or sent.id in sent_to_hostile_runner
+
+
 def check_deadlines(record: RunRecord) -> list[str]:
     """Return requests whose response ended after the deadline and its tolerance."""
     problems = []
@@ -252,7 +272,11 @@
             item_ids
         ):
             problems.append(f"{job.id} has duplicate or unknown results: {result_ids}")
-        wrong = [r for r in job.results if r["text"] != WHOLE_TEXT]
+        wrong = [
+            result
+            for result in job.results
+            if without_versions(result["text"].encode()) != WHOLE_TEXT.encode()
+        ]
         if job.cancelled_at:
             late = [
                 at for at in execution_times if at > job.cancelled_at + CANCEL_SECONDS
--- a/src/primroseford/soak/fleet.py
+++ b/src/primroseford/soak/fleet.py
@@ -16,8 +16,10 @@
 from primroseford.proof.site import HOST_PORTS
 from primroseford.soak.plan import FaultKind
 from primroseford.soak.plan import LinkFault
+from primroseford.soak.plan import software_version
 from primroseford.soak.processes import HostProcess
 from primroseford.soak.proxy import Proxy
+from primroseford.standins.fleet_objects import FIRST_START_MS
 from primroseford.standins.fleet_objects import KEY
 from primroseford.standins.fleet_objects import configuration
 from primroseford.standins.fleet_objects import runner_entry
@@ -41,7 +43,6 @@
 """Time between a runner's events. A run lasts about as long as the time without
 heartbeats after which a host counts as lost, so that takeovers of jobs happen while
 their items are in flight."""
-FIRST_START_MS = 1_700_000_000_000
 STORE_FAULTS: dict[FaultKind, tuple[str, Any, Any]] = {
     FaultKind.STORE_DOWN: ("down", True, False),
     FaultKind.STORE_SLOW: ("delay_seconds", 0.4, 0.0),
@@ -70,6 +71,7 @@
     :ivar runs: all instances of the runner; a new one is added after each crash
     :ivar hostile: hostile runners that temporarily replaced this one
     :ivar address: listening address of the current instance
+    :ivar seed: seed of the run, which decides the versions of the instances
     """
 
     name: str
@@ -79,10 +81,12 @@
     hostile: list[HostileRunner] = field(default_factory=list)
     hostile_server: asyncio.Server | None = None
     address: tuple[str, int] = ("", 0)
+    seed: int = 0
 
     async def start(self) -> None:
         """Start a new instance of the runner."""
-        runner = FleetRunner(self.name, EVENTS, EVENT_SECONDS)
+        version = software_version(self.seed, self.name, len(self.runs))
+        runner = FleetRunner(self.name, EVENTS, EVENT_SECONDS, version=version)
         self.runs.append(runner)
         loop = asyncio.get_running_loop()
         self.server = await loop.create_server(
@@ -121,7 +125,10 @@
 
 @dataclass(eq=False)
 class SoakFleet:
-    """The hosts, runners, proxies and stand-ins of a run."""
+    """The hosts, runners, proxies and stand-ins of a run.
+
+    :param seed: seed of the run
+    """
 
     folder: Path
     platform: PlatformStandIn = field(default_factory=create_platform_stand_in)
@@ -131,6 +138,7 @@
     runners: list[SoakRunner] = field(default_factory=list)
     served: Served | None = None
     stops: set[asyncio.Task] = field(default_factory=set)
+    seed: int = 0
 
     async def start(self, hosts: int, runners: int) -> None:
         """Start the stand-ins, the proxies and the hosts."""
@@ -141,7 +149,7 @@
         self.write_configuration()
         for number in range(runners):
             proxy = Proxy(("", 0))
-            runner = SoakRunner(f"runner-{number}", proxy)
+            runner = SoakRunner(f"runner-{number}", proxy, seed=self.seed)
             await runner.start()
             await proxy.start()
             self.runners.append(runner)
@@ -285,7 +293,11 @@
         return job in self.platform.state.objects.get(CANCELLATIONS, {})
 
     def _register(self, runner: SoakRunner, state: str = "ready") -> None:
-        changes = {"state": state, "born": FIRST_START_MS + len(runner.runs)}
+        changes = {
+            "state": state,
+            "born": FIRST_START_MS + len(runner.runs),
+            "version": runner.runs[-1].version,
+        }
         entry = runner_entry(runner.proxy.address, **changes)
         self._put("servers", runner.name, entry)
 
--- a/src/primroseford/soak/plan.py
+++ b/src/primroseford/soak/plan.py
@@ -61,6 +61,8 @@
     CUT_TO_CLIENT = "cut_to_client"
 
 
+SOFTWARE_VERSIONS = ("v1", "v2")
+"""Versions of the runners' software."""
 LINK_KINDS = (FaultKind.STORE_LINK, FaultKind.RUNNER_LINK)
 RUNNER_KINDS = tuple(kind for kind in FaultKind if kind.name.startswith("RUNNER_"))
 HOSTILE_RESPONSE_FAULTS = tuple(
@@ -132,6 +134,15 @@
     return sorted(plan, key=lambda fault: fault.at)
 
 
+def software_version(seed: int, runner: str, start: int) -> str:
+    """Return the version of a runner's software after a number of starts.
+
+    A restart can change it. It depends neither on the other runners nor on the faults,
+    which keep the plan of their seed.
+    """
+    return Random(f"version {seed} {runner} {start}").choice(SOFTWARE_VERSIONS)
+
+
 def _plan_hostile(seed: int, seconds: float, runners: int) -> list[PlannedFault]:
     """Return the faults with hostile runners.
 
--- a/src/primroseford/soak/run.py
+++ b/src/primroseford/soak/run.py
@@ -78,7 +78,7 @@
 
     :param folder: empty folder for settings and logs
     """
-    fleet = SoakFleet(folder)
+    fleet = SoakFleet(folder, seed=seed)
     callers = Callers(fleet, Random(seed))
     record = RunRecord(fleet, callers)
     plan = create_plan(seed, size.seconds, size.hosts, size.runners)
--- a/src/primroseford/soak/tests/test_soak.py
+++ b/src/primroseford/soak/tests/test_soak.py
@@ -16,6 +16,7 @@
 from primroseford.soak.callers import RequestKind
 from primroseford.soak.callers import SentRequest
 from primroseford.soak.callers import SoakJob
+from primroseford.soak.callers import resume_headers
 from primroseford.soak.checks import CHECKS
 from primroseford.soak.checks import WHOLE_STREAM
 from primroseford.soak.checks import WHOLE_TEXT
@@ -28,6 +29,7 @@
 from primroseford.soak.plan import LinkFault
 from primroseford.soak.plan import PlannedFault
 from primroseford.soak.plan import create_plan
+from primroseford.soak.plan import software_version
 from primroseford.soak.processes import HostProcess
 from primroseford.soak.proxy import Proxy
 from primroseford.soak.run import REGRESSIONS
@@ -244,6 +246,91 @@
     assert "has the body" in problems(record)[0]
 
 
+def resume(record: RunRecord, events: int, skipped: int = 0) -> SentRequest:
+    """Break the request's stream after some events and resume it; return the resume.
+
+    :param skipped: events that the resumed stream lacks at its start
+    """
+    blocks = WHOLE_STREAM.split(b"\n\n")[:-1]
+    encoded = [block + b"\n\n" for block in blocks]
+    kind, begun = RequestKind.STREAM_RESUMABLE, record.callers.sent[0]
+    set_outcome(record, kind=kind, complete=False, body=b"".join(encoded[:events]))
+    resumed = SentRequest("b", kind, "/pick/1", "key", begun.host, 1, 100.0, 100.1)
+    resumed.status, resumed.complete, resumed.resumed = 200, True, (begun,)
+    resumed.response_id, resumed.signature = "b", "sig-r"
+    resumed.body = b"".join(encoded[events + skipped :])
+    record.callers.sent.append(resumed)
+    add_execution(record, "b")
+    return resumed
+
+
+@pytest.mark.parametrize(("skipped", "found"), [(0, 0), (1, 1)])
+def test_stream_over_several_tries_is_checked_as_one(record, skipped, found):
+    """Guards against a check that misses events lost between two tries."""
+    resume(record, 3, skipped)
+    assert len(problems(record)) == found
+
+
+def test_resumed_stream_after_a_hostile_runner_is_checked_by_itself(record):
+    """Guards against events of a hostile runner that are attributed to a host."""
+    resumed = resume(record, 3, 1)
+    hostile = HostileRunner("r", ResponseFault.ENDLESS_EVENTS, [("a", 100.0)])
+    record.fleet.runners[0].hostile.append(hostile)
+    assert problems(record) == []
+    resumed.body = resumed.body[:-9]
+    assert "has the body" in problems(record)[0]
+
+
+@pytest.mark.parametrize(
+    ("bodies", "headers"),
+    [
+        ([b""], {}),
+        ([b"data: x\n\n"], {}),
+        ([b"id: 1\ndata: x\n\nid: 2\nda"], {"Last-Event-Id": "1", "Resumes": "0"}),
+        (
+            [b"", b"id: 1\ndata: x\n\n", b"id: 2\ndata: x\n\n", b"id: 3"],
+            {"Last-Event-Id": "2", "Resumes": "1"},
+        ),
+    ],
+    ids=["no event", "no id", "partial event", "several tries"],
+)
+def test_caller_resumes_after_the_last_complete_event(record, bodies, headers):
+    """Guards against a caller that resumes at an event that it has not received."""
+    host = record.callers.sent[0].host
+    kind = RequestKind.STREAM_RESUMABLE
+    tries = [
+        SentRequest(str(n), kind, "/pick/1", "key", host, 1, 0.0, 0.0, 200, False, body)
+        for n, body in enumerate(bodies)
+    ]
+    assert resume_headers(tries) == headers
+
+
+def test_restarts_change_the_versions_of_some_runners():
+    """Guards against a soak in which all runners have the same version."""
+    versions = [
+        [software_version(seed, f"runner-{number}", start) for start in range(4)]
+        for seed in range(20)
+        for number in range(4)
+    ]
+    assert {version for starts in versions for version in starts} == {"v1", "v2"}
+    changed = sum(starts[0] != starts[1] for starts in versions)
+    assert 0 < changed < len(versions)
+
+
+@pytest.mark.parametrize("version", ["v1", "v2"])
+def test_checks_accept_streams_and_texts_of_any_version(record, version):
+    """Guards against checks that report the events of a later version."""
+    mark = b"" if version == "v1" else b"@" + version.encode()
+    body = WHOLE_STREAM.replace(b"token", b"token" + mark)
+    set_outcome(record, kind=RequestKind.STREAM_ONCE, body=body)
+    job = record.callers.jobs[0]
+    job.results[0]["text"] = WHOLE_TEXT.replace("token", "token" + mark.decode())
+    assert problems(record) == []
+    for cut in range(1, 20):
+        set_outcome(record, body=body[:-cut], complete=False)
+        assert problems(record) == []
+
+
 @pytest.mark.parametrize(("complete", "found"), [(False, 0), (True, 1)])
 def test_invalid_events_of_a_hostile_runner_are_accepted_if_incomplete(
     record, complete, found
