Check in the soak that streams and texts are of one version

What callers would see: a stream, over all its tries, or the text of an item with events of two software versions (rule ORDER). The check skips what a hostile runner received, since its bytes tell nothing about the version.

--- a/src/primroseford/soak/checks.py
+++ b/src/primroseford/soak/checks.py
@@ -17,6 +17,7 @@
 from primroseford.soak.plan import FaultKind
 from primroseford.standins.fleet_runner import PARTIAL_EVENT
 from primroseford.standins.fleet_runner import event
+from primroseford.standins.fleet_runner import event_version
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -45,6 +46,8 @@
     FaultKind.CONFIGURATION,
     FaultKind.KEY_WITHDRAWN,
 )
+TOKEN = "token"
+"""Text of the data of each event."""
 VERSION = re.compile(rb"@(v2|v?$)")
 """Version in an event, which a broken stream can cut off."""
 WHOLE_STREAM = b"".join(event(number) for number in range(1, EVENTS + 1))
@@ -296,6 +299,27 @@
     return problems
 
 
+def check_versions(record: RunRecord) -> list[str]:
+    """Return streams and texts with events of runners of several software versions."""
+    problems = []
+    sent_to_hostile_runner = record.sent_to_hostile_runner()
+    for sent in record.callers.sent:
+        ids = {sent.id, *(tried.id for tried in sent.resumed)}
+        if sent.kind not in STREAM_KINDS or ids & sent_to_hostile_runner:
+            continue
+        events = (tried.events() for tried in (*sent.resumed, sent))
+        versions = _versions(b"".join(events).decode())
+        if sent.events() and len(versions) > 1:
+            tries = len(sent.resumed) + 1
+            problems.append(f"{_name(sent)}, try {tries}, has events of {versions}")
+    for job in record.callers.jobs:
+        for result in job.results:
+            versions = _versions(result["text"])
+            if result["id"] not in sent_to_hostile_runner and len(versions) > 1:
+                problems.append(f"item {result['id']} has events of {versions}")
+    return problems
+
+
 def check_processes(record: RunRecord) -> list[str]:
     """Return unexpected exits of hosts and tracebacks in their logs."""
     problems = []
@@ -314,10 +338,17 @@
     check_planned_stops,
     check_configuration,
     check_jobs,
+    check_versions,
     check_processes,
 )
 
 
+def _versions(text: str) -> list[str]:
+    """Return the versions of the lines with the data of events."""
+    lines = [line for line in text.split("\n") if TOKEN in line]
+    return sorted({event_version(line) for line in lines})
+
+
 def _is_connect_error(sent: SentRequest) -> bool:
     """Return whether connecting failed, so that the host has not read the request."""
     return aiohttp.ClientConnectorError.__name__ in sent.reason
--- a/src/primroseford/soak/tests/test_soak.py
+++ b/src/primroseford/soak/tests/test_soak.py
@@ -317,6 +317,26 @@
     assert 0 < changed < len(versions)
 
 
+@pytest.mark.parametrize("tries", [1, 2])
+def test_checks_find_a_stream_of_two_versions(record, tries):
+    """Guards against a check that misses a stream that goes on at another version."""
+    if tries == 1:
+        body = WHOLE_STREAM.replace(b"token 9", b"token@v2 9")
+        set_outcome(record, kind=RequestKind.STREAM_ONCE, body=body)
+    else:
+        resumed = resume(record, 3)
+        resumed.body = resumed.body.replace(b"token", b"token@v2")
+    (problem,) = problems(record)
+    assert f"try {tries}, has events of ['v1', 'v2']" in problem
+
+
+def test_checks_find_a_text_of_two_versions(record):
+    """Guards against a check that misses an item that goes on at another version."""
+    text = WHOLE_TEXT.replace("token 9", "token@v2 9")
+    record.callers.jobs[0].results[2]["text"] = text
+    assert problems(record) == ["item j.2 has events of ['v1', 'v2']"]
+
+
 @pytest.mark.parametrize("version", ["v1", "v2"])
 def test_checks_accept_streams_and_texts_of_any_version(record, version):
     """Guards against checks that report the events of a later version."""
