Read the software version of a runner from its entry

What callers saw: streams whose events come from runners of two software versions, which don't fit together (7 in play, during a release). The cause begins here: the field `version` of an entry is read nowhere, so that nothing can choose a runner by it, and no log line names it.

RunnerEntry has the version now, without a default. The same name and `born` with another version count as another runner instance: the state of an instance never changes its version, so that what a request has learnt of its runner stays true. `runner entry` logs the version.

Tests: platform and the tests of decisions, fleet costs, preemption, the watcher and the request limits: 378 passed.

--- a/bench/bench_entry.py
+++ b/bench/bench_entry.py
@@ -72,7 +72,7 @@
         key = RunnerKey(f"i-{number:010x}", 1)
         address = f"10.1.1.{number % 250}:80"
         entries[key.name] = RunnerEntry(
-            key, "pool", address, "domain-a", 8, RunnerStage.READY
+            key, "pool", address, "domain-a", 8, RunnerStage.READY, "v1"
         )
     allocator.set_runners(entries)
     return allocator
--- a/bench/bench_heartbeat.py
+++ b/bench/bench_heartbeat.py
@@ -77,6 +77,7 @@
                 f"d{n % DOMAINS}",
                 8,
                 RunnerStage.READY,
+                "v1",
             )
             for n in range(RUNNERS)
         }
--- a/src/primroseford/gateway/platform_watcher.py
+++ b/src/primroseford/gateway/platform_watcher.py
@@ -300,6 +300,7 @@
                 change=event.type.value,
                 stage=entry.stage.value if entry else None,
                 pool=entry.pool if entry else None,
+                version=entry.version if entry else None,
                 revision=delta.version,
             )
         gateway = self.gateway
--- a/src/primroseford/gateway/runner_state.py
+++ b/src/primroseford/gateway/runner_state.py
@@ -47,6 +47,10 @@
     latency: float = 0.0
     notice: RunnerNotice = RunnerNotice()
 
+    def is_instance_of(self, entry: RunnerEntry) -> bool:
+        """Return whether an entry is of this instance, which has one version only."""
+        return self.entry.key == entry.key and self.entry.version == entry.version
+
     def load(self) -> RunnerLoad:
         """Return the load on the runner from all hosts."""
         entry = self.entry
--- a/src/primroseford/gateway/runners.py
+++ b/src/primroseford/gateway/runners.py
@@ -15,6 +15,7 @@
     from primroseford.ids import FailureDomainId
     from primroseford.ids import PoolName
     from primroseford.ids import RunnerName
+    from primroseford.ids import SoftwareVersion
 
 REREGISTRATION_SECONDS = 2.0
 """Time after a platform outage within which live runners register again, as the
@@ -52,6 +53,7 @@
     failure_domain: FailureDomainId
     slots: int
     stage: RunnerStage
+    version: SoftwareVersion
 
 
 @dataclass
--- a/src/primroseford/gateway/slot_allocator.py
+++ b/src/primroseford/gateway/slot_allocator.py
@@ -118,7 +118,7 @@
             del self.runners[name]
         for name, entry in entries.items():
             known = self.runners.get(name)
-            if known is not None and known.entry.key == entry.key:
+            if known is not None and known.is_instance_of(entry):
                 known.entry = entry
             else:
                 self.runners[name] = RunnerState(entry)
--- a/src/primroseford/gateway/tests/test_decisions.py
+++ b/src/primroseford/gateway/tests/test_decisions.py
@@ -208,7 +208,7 @@
 
 def entry(name: str, stage: RunnerStage = RunnerStage.READY, born: int = 1):
     """Return an entry of the runner list."""
-    return RunnerEntry(RunnerKey(name, born), "p", "1.2.3.4:5", "a", 8, stage)
+    return RunnerEntry(RunnerKey(name, born), "p", "1.2.3.4:5", "a", 8, stage, "v1")
 
 
 @pytest.mark.parametrize(
@@ -306,7 +306,7 @@
     allocator.set_runners(
         {
             name: RunnerEntry(
-                RunnerKey(name, 1), "models", "x:1", "a", 8, RunnerStage.READY
+                RunnerKey(name, 1), "models", "x:1", "a", 8, RunnerStage.READY, "v1"
             )
             for name in names
         }
@@ -316,3 +316,20 @@
     for name in names[:own]:
         allocator.suspect(allocator.runners[name])
     assert len(allocator.usable("models")) == usable
+
+
+@pytest.mark.parametrize(
+    ("born", "version", "same"),
+    [(1, "v1", True), (2, "v1", False), (1, "v2", False)],
+)
+def test_runner_that_is_listed_again(clock, born, version, same):
+    """Guards against a runner whose version changes under its streams."""
+    allocator = SlotAllocator("a", clock, Random(1))
+    stage = RunnerStage.READY
+    for key, software in ((RunnerKey("x", 1), "v1"), (RunnerKey("x", born), version)):
+        listed = RunnerEntry(key, "models", "x:1", "a", 8, stage, software)
+        allocator.set_runners({"x": listed})
+        state = allocator.runners["x"]
+        if software == "v1" and key.born == 1:
+            state.online += 1
+    assert (state.online > 0) is same and state.entry.version == version
--- a/src/primroseford/gateway/tests/test_fleet_cost.py
+++ b/src/primroseford/gateway/tests/test_fleet_cost.py
@@ -28,7 +28,7 @@
 def entry(number: int, stage: RunnerStage = RunnerStage.READY) -> RunnerEntry:
     """Return the entry of a runner."""
     key = RunnerKey(f"i-{number}", 1)
-    return RunnerEntry(key, "models", "127.0.0.1:1", "a", 8, stage)
+    return RunnerEntry(key, "models", "127.0.0.1:1", "a", 8, stage, "v1")
 
 
 def heartbeat(host: int, sequence: int, loads: dict[int, tuple[int, int]]) -> Heartbeat:
--- a/src/primroseford/gateway/tests/test_platform_watcher.py
+++ b/src/primroseford/gateway/tests/test_platform_watcher.py
@@ -35,7 +35,9 @@
 from primroseford.standins.fleet_objects import configuration
 from primroseford.standins.fleet_objects import runner_entry
 
-ENTRY = RunnerEntry(RunnerKey("x", 1), "p", "127.0.0.1:9", "a", 8, RunnerStage.READY)
+ENTRY = RunnerEntry(
+    RunnerKey("x", 1), "p", "127.0.0.1:9", "a", 8, RunnerStage.READY, "v1"
+)
 VERSION = Version(9)
 KEPT_CONNECTIONS = 8
 
--- a/src/primroseford/gateway/tests/test_preemption.py
+++ b/src/primroseford/gateway/tests/test_preemption.py
@@ -20,7 +20,9 @@
 
 RUNNER = "i-1"
 HOSTS = 40
-ENTRY = RunnerEntry(RunnerKey(RUNNER, 1), "p", "10.0.0.1:80", "a", 8, RunnerStage.READY)
+ENTRY = RunnerEntry(
+    RunnerKey(RUNNER, 1), "p", "10.0.0.1:80", "a", 8, RunnerStage.READY, "v1"
+)
 
 
 @pytest.mark.parametrize(
--- a/src/primroseford/gateway/tests/test_request_limit_replay.py
+++ b/src/primroseford/gateway/tests/test_request_limit_replay.py
@@ -100,7 +100,9 @@
         keys = [RunnerKey(f"r-{n}", n) for n in range(self.runners)]
         self.gateway(host).allocator.set_runners(
             {
-                key.name: RunnerEntry(key, POOL, "", "a", SLOTS, RunnerStage.READY)
+                key.name: RunnerEntry(
+                    key, POOL, "", "a", SLOTS, RunnerStage.READY, "v1"
+                )
                 for key in keys
             }
         )
--- a/src/primroseford/ids.py
+++ b/src/primroseford/ids.py
@@ -12,6 +12,8 @@
 RouteName = NewType("RouteName", str)
 PoolName = NewType("PoolName", str)
 RunnerName = NewType("RunnerName", str)
+SoftwareVersion = NewType("SoftwareVersion", str)
+"""Version of a runner's software, as its entry names it; not that of the weights."""
 RequestId = NewType("RequestId", str)
 FileId = NewType("FileId", str)
 JobId = NewType("JobId", str)
--- a/src/primroseford/platform/runner_list.py
+++ b/src/primroseford/platform/runner_list.py
@@ -11,6 +11,7 @@
 from primroseford.ids import FailureDomainId
 from primroseford.ids import PoolName
 from primroseford.ids import RunnerName
+from primroseford.ids import SoftwareVersion
 from primroseford.platform.objects import DECODING_ERRORS
 
 if TYPE_CHECKING:
@@ -38,7 +39,8 @@
         host, port = spec["address"].rsplit(":", 1)
         slots = spec["slots"]
         born = spec.get("born", 0)
-        strings = (host, spec["service"], spec["zone"], spec["state"])
+        version = spec["version"]
+        strings = (host, spec["service"], spec["zone"], spec["state"], version)
         numbers = ((slots, 1, MAX_SLOTS), (born, 0, MAX_BORN), (int(port), 1, MAX_PORT))
         if not all(
             isinstance(value, str) and 0 < len(value) <= MAX_TEXT_LENGTH
@@ -59,6 +61,7 @@
             FailureDomainId(spec["zone"]),
             slots,
             RunnerStage(spec["state"]),
+            SoftwareVersion(version),
         )
     except DECODING_ERRORS:
         return None
--- a/src/primroseford/platform/tests/test_decoding.py
+++ b/src/primroseford/platform/tests/test_decoding.py
@@ -125,6 +125,11 @@
         {"state": "resting"},
         {"born": 1.5},
         {"zone": []},
+        {"version": None},
+        {"version": ""},
+        {"version": 1},
+        {"version": ["v1"]},
+        {"version": "x" * 257},
     ],
 )
 def test_invalid_runner_entries_are_ignored(changes):
