Stop using a runner at once when its entry names none

What callers would see: for up to two seconds after the platform was out of reach, or after a start of their host, requests at a runner whose entry another writer has made unusable, for instance one that no longer names a version. Cause: the watcher treats such an entry like one that is gone, and an entry that goes in that time is kept, since the runner may be alive and unable to renew it.

Evidence: 'python -m pytest -q src/primroseford/gateway/tests/test_platform_watcher.py -k names_no_runner': the two cases of an unusable entry failed, the valid one passed. The watcher now removes the runner at once; entries that are deleted are kept as before.

Tests: the watcher, odd entries, and the cases of entries in gateway/tests/test_software_versions.py: 115 passed.

--- a/src/primroseford/gateway/platform_watcher.py
+++ b/src/primroseford/gateway/platform_watcher.py
@@ -285,13 +285,15 @@
 
     def apply_runners(self, delta: Delta) -> None:
         """Apply changes of the runner list."""
-        present, removed = [], []
+        present, removed, unusable = [], [], []
         for event in delta.events:
             if event.object is None:
                 continue
             entry = decode_runner(event.object)
-            if event.type is EventType.DELETED or entry is None:
+            if event.type is EventType.DELETED:
                 removed.append(event.object.name)
+            elif entry is None:
+                unusable.append(event.object.name)
             else:
                 present.append(entry)
             log.info(
@@ -311,6 +313,9 @@
         versions = [event.object.version for event in delta.events if event.object]
         gateway.runner_list_version = max(versions + [gateway.runner_list_version])
         gateway.runner_list.update(present, removed, gateway.clock())
+        for name in unusable:
+            # Such an entry has not expired, so it is not kept after an outage.
+            gateway.runner_list.remove(name)
         gateway.runners_known = True
         gateway.allocator.set_runners(gateway.runner_list.entries)
 
--- a/src/primroseford/gateway/tests/test_platform_watcher.py
+++ b/src/primroseford/gateway/tests/test_platform_watcher.py
@@ -266,6 +266,27 @@
     assert ("x" in gateway.runner_list.entries) is kept
 
 
+@pytest.mark.parametrize(
+    ("changes", "kept"),
+    [({}, True), ({"version": ""}, False), ({"slots": 0}, False)],
+    ids=["valid", "no version", "no slots"],
+)
+def test_entry_that_names_no_runner_after_an_outage(changes, kept):
+    """Guards against an old entry that stays in use in place of an odd one.
+
+    The entry has not expired, so that nothing will bring the runner back.
+    """
+    watcher = fleet_watcher(165)
+    gateway = watcher.gateway
+    gateway.runner_list.update([ENTRY], (), gateway.clock())
+    gateway.clock.advance(20.0)
+    spec = runner_entry("127.0.0.1:9", **changes)
+    odd = PlatformObject(RUNNER_KIND, "x", VERSION, spec)
+    event = WatchEvent(EventType.MODIFIED, VERSION, odd)
+    watcher.apply_runners(Delta(VERSION, (event,)))
+    assert ("x" in gateway.runner_list.entries) is kept
+
+
 async def test_host_that_starts_in_an_outage_serves(site):
     """Guards against a host that restarts in an outage and cannot serve requests.
 
