Let a request ask for a runner of one software version

Cause: a slot could be had only from a pool as a whole, so a request that goes on with a stream couldn't ask for the version that began it.

SlotAllocator takes the version as a hard constraint, like the runners that failed the request: open loads, affinity, samples, suspicions and the expected wait see only the runners of that version. The queue of a pool stays fair between organisations, but passes over the requests whose version has no room (FairQueue.pop_first), so that a stream of an old version holds up nobody; those keep their places. A new request is queued while others with a version wait and served in the fair order at once, so it takes no slot that one of them waits for. A request with a version never falls back on a runner that failed it.

Without versions the order is what it was, and the path of a request that finds a slot at once has one more argument. Ruled out: a queue for each version. Requests for any version compete for the slots of all of them, so the fair order would have to be kept across the queues.

--- a/src/primroseford/gateway/slot_allocator.py
+++ b/src/primroseford/gateway/slot_allocator.py
@@ -4,7 +4,6 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
@@ -17,7 +16,8 @@
 from primroseford.gateway.placement import sample_runners
 from primroseford.gateway.runner_state import RunnerState
 from primroseford.gateway.runners import RunnerStage
-from primroseford.online.fair_queue import FairQueue
+from primroseford.gateway.slot_queue import SlotQueue
+from primroseford.gateway.slot_queue import Waiter
 from primroseford.request_limits.observations import LimitObservations
 from primroseford.request_limits.tokens import RequestTokens
 
@@ -37,6 +37,7 @@
     from primroseford.ids import PoolName
     from primroseford.ids import PromptPartId
     from primroseford.ids import RunnerName
+    from primroseford.ids import SoftwareVersion
 
 SUSPECT_SECONDS = 1.0
 """Time for which a failed runner gets no online requests. A successful probe or an
@@ -59,22 +60,6 @@
 runner gets no requests."""
 
 
-@dataclass(eq=False)
-class Waiter:
-    """A request in the queue of a pool.
-
-    :param future: resolves to the runner whose slot was reserved
-    :param tried: runner instances that failed this request
-    :param prefix_key: cache key of its shared prompt prefix; empty if there is none
-    :param subjects: what a quarantine of it could concern
-    """
-
-    future: asyncio.Future[RunnerState]
-    tried: Collection[RunnerKey]
-    prefix_key: str
-    subjects: Container[PromptPartId]
-
-
 class SlotAllocator:
     """Runner slots of all pools as one host sees them.
 
@@ -97,7 +82,7 @@
         self.random = random
         self.runners: dict[RunnerName, RunnerState] = {}
         self.ready: dict[PoolName, list[RunnerState]] = {}
-        self.queues: dict[PoolName, FairQueue[Waiter]] = {}
+        self.queues: dict[PoolName, SlotQueue] = {}
         self.peer_waiting: dict[HostId, int] = {}
         self.reported_runners: dict[HostId, set[RunnerName]] = {}
         self.service_seconds: dict[PoolName, float] = {}
@@ -133,20 +118,33 @@
             entry = runner.entry
             if entry.stage is RunnerStage.READY and entry.key not in self.leaving:
                 self.ready.setdefault(entry.pool, []).append(runner)
+        self._refuse_without_runner()
         self.grant()
 
-    def pool_runners(self, pool: PoolName) -> list[RunnerState]:
-        """Return the runners of a pool that accept new requests."""
-        return self.ready.get(pool, [])
+    def pool_runners(
+        self, pool: PoolName, version: SoftwareVersion | None = None
+    ) -> list[RunnerState]:
+        """Return the runners of a pool that accept new requests.
 
-    def usable(self, pool: PoolName) -> list[RunnerState]:
+        :param version: only those of this software version; ``None`` for any
+        """
+        ready = self.ready.get(pool, [])
+        if version is None:
+            return ready
+        return [runner for runner in ready if runner.entry.version == version]
+
+    def usable(
+        self, pool: PoolName, version: SoftwareVersion | None = None
+    ) -> list[RunnerState]:
         """Return the runners of a pool that are not suspected to have failed.
 
-        If other hosts suspect a large part of the pool, only this host's suspicions
-        count. If all runners are suspected, all are returned: false suspicions must not
-        make the pool unavailable.
+        If other hosts suspect a large part of them, only this host's suspicions count.
+        If all are suspected, all are returned: false suspicions must not make the pool,
+        or the version, unavailable.
+
+        :param version: only those of this software version; ``None`` for any
         """
-        ready = self.pool_runners(pool)
+        ready = self.pool_runners(pool, version)
         now = self.clock()
         trusted = [r for r in ready if r.suspect_until <= now]
         unsuspected = [r for r in trusted if not r.suspected_by]
@@ -155,17 +153,22 @@
         return unsuspected or ready
 
     def open_loads(
-        self, pool: PoolName, tried: Collection[RunnerKey], batch: bool = False
+        self,
+        pool: PoolName,
+        tried: Collection[RunnerKey],
+        batch: bool = False,
+        version: SoftwareVersion | None = None,
     ) -> list[RunnerLoad]:
         """Return the loads of the runners of a pool that may get new work.
 
         :param tried: runner instances that failed the request or item
         :param batch: whether the work is a batch item
+        :param version: only those of this software version; ``None`` for any
         """
         now = self.clock()
         return [
             self.load(runner)
-            for runner in self.usable(pool)
+            for runner in self.usable(pool, version)
             if runner.full_until <= now
             and runner.entry.key not in tried
             and self.tokens.may_send(runner.entry.key, batch)
@@ -181,9 +184,13 @@
         return replace(load, start_limit=rate * seconds)
 
     def _choose(
-        self, pool: PoolName, tried: Collection[RunnerKey], prefix_key: str = ""
+        self,
+        pool: PoolName,
+        tried: Collection[RunnerKey],
+        prefix_key: str = "",
+        version: SoftwareVersion | None = None,
     ) -> RunnerState | None:
-        loads = self.open_loads(pool, tried)
+        loads = self.open_loads(pool, tried, version=version)
         sampled = sample_runners(loads, self.hosts, self.random)
         best = choose_runner(sampled, self.domain, self.random)
         if best is None and len(sampled) < len(loads):
@@ -202,6 +209,7 @@
         tried: Collection[RunnerKey] = (),
         prefix_key: str = "",
         subjects: Container[PromptPartId] = (),
+        version: SoftwareVersion | None = None,
     ) -> RunnerState:
         """Reserve a slot for an online request and return its runner.
 
@@ -210,22 +218,27 @@
         :param tried: runner instances that failed this request
         :param prefix_key: cache key of its shared prompt prefix; empty if there is none
         :param subjects: what a quarantine of it could concern
-        :raises PrimrosefordError: POOL_UNAVAILABLE, DEADLINE_UNREACHABLE, or an error
-            given to :meth:`refuse_waiting`
+        :param version: the only software version that may serve it; ``None`` for any
+        :raises PrimrosefordError: POOL_UNAVAILABLE, STREAM_VERSION_GONE,
+            DEADLINE_UNREACHABLE, or an error given to :meth:`refuse_waiting`
         """
         queue = self.queues.get(pool)
         if not queue:
-            runner = self._choose(pool, tried, prefix_key)
+            runner = self._choose(pool, tried, prefix_key, version)
             if runner is not None:
                 self.reserve(runner)
                 return runner
-        self._check_wait(pool, deadline, tried)
-        queue = self.queues.setdefault(pool, FairQueue())
+        self._check_wait(pool, deadline, tried, version)
+        queue = self.queues.setdefault(pool, SlotQueue())
         future = asyncio.get_running_loop().create_future()
-        waiter = Waiter(future, tried, prefix_key, subjects)
+        waiter = Waiter(future, tried, prefix_key, subjects, version)
         queue.push(organisation, waiter)
         self.changed = True
-        self.on_waiting(pool)
+        if queue.versions:
+            # The requests ahead may all wait for runners that this one does not need.
+            self.grant()
+        if not future.done():
+            self.on_waiting(pool)
         try:
             async with asyncio.timeout(deadline - self.clock()):
                 return await waiter.future
@@ -234,7 +247,7 @@
             raise PrimrosefordError(
                 ResultCode.DEADLINE_UNREACHABLE,
                 "no runner slot became free before the deadline",
-                retry_after=self.expected_wait(pool),
+                retry_after=self.expected_wait(pool, version),
             ) from None
         except asyncio.CancelledError:
             self._release_unclaimed(waiter)
@@ -261,23 +274,37 @@
         if future.done() and not future.cancelled() and not future.exception():
             self.release(future.result(), unused=True)
 
-    def expected_wait(self, pool: PoolName) -> float:
-        """Return the expected seconds until a newly queued request gets a slot."""
-        loads = [self.load(runner) for runner in self.usable(pool)]
-        ahead = len(self.queues.get(pool, ())) + sum(self.peer_waiting.values())
+    def expected_wait(
+        self, pool: PoolName, version: SoftwareVersion | None = None
+    ) -> float:
+        """Return the expected seconds until a newly queued request gets a slot.
+
+        :param version: the only software version that may serve it; ``None`` for any
+        """
+        loads = [self.load(runner) for runner in self.usable(pool, version)]
+        queue = self.queues.get(pool)
+        ahead = sum(self.peer_waiting.values())
+        if version is None:
+            ahead += len(queue) if queue else 0
+        else:
+            # Requests for any version take the slots of this one only in part.
+            slots = sum(runner.entry.slots for runner in self.usable(pool))
+            ahead += queue.unversioned if queue else 0
+            ahead *= sum(load.slots for load in loads) / max(1, slots)
+            ahead += queue.versions[version] if queue else 0
         seconds = self.service_seconds.get(pool, SERVICE_SECONDS)
         return expected_wait(ahead, loads, seconds)
 
     def _check_wait(
-        self, pool: PoolName, deadline: float, tried: Collection[RunnerKey]
+        self,
+        pool: PoolName,
+        deadline: float,
+        tried: Collection[RunnerKey],
+        version: SoftwareVersion | None,
     ) -> None:
-        if not any(r.entry.key not in tried for r in self.pool_runners(pool)):
-            raise PrimrosefordError(
-                ResultCode.POOL_UNAVAILABLE,
-                "no runner is left to try for this request",
-                retry_after=self.add_jitter(NO_RUNNER_RETRY_SECONDS),
-            )
-        wait = self.expected_wait(pool)
+        if not self._has_untried(pool, tried, version):
+            raise self._no_runner_error(version)
+        wait = self.expected_wait(pool, version)
         if self.clock() + wait >= deadline:
             raise PrimrosefordError(
                 ResultCode.DEADLINE_UNREACHABLE,
@@ -285,6 +312,38 @@
                 retry_after=self.add_jitter(wait),
             )
 
+    def _has_untried(
+        self,
+        pool: PoolName,
+        tried: Collection[RunnerKey],
+        version: SoftwareVersion | None,
+    ) -> bool:
+        runners = self.pool_runners(pool, version)
+        return any(runner.entry.key not in tried for runner in runners)
+
+    def _no_runner_error(self, version: SoftwareVersion | None) -> PrimrosefordError:
+        if version is None:
+            code, kind = ResultCode.POOL_UNAVAILABLE, "runner"
+        else:
+            code, kind = ResultCode.STREAM_VERSION_GONE, f"runner of version {version}"
+        return PrimrosefordError(
+            code,
+            f"no {kind} is left to try for this request",
+            retry_after=self.add_jitter(NO_RUNNER_RETRY_SECONDS),
+        )
+
+    def _refuse_without_runner(self) -> None:
+        """Refuse the waiting requests whose software version has no runner left."""
+        for pool, queue in self.queues.items():
+            if not queue.versions:
+                continue
+            for waiter in queue:
+                version = waiter.version
+                if version is None or waiter.future.done():
+                    continue
+                if not self._has_untried(pool, waiter.tried, version):
+                    waiter.future.set_exception(self._no_runner_error(version))
+
     def add_jitter(self, seconds: float) -> float:
         """Add jitter of up to 25 %, so that callers do not retry together."""
         return seconds * (0.75 + self.random.random() / 2)
@@ -393,13 +452,49 @@
     def grant(self) -> None:
         """Assign free slots to waiting requests."""
         for pool, queue in self.queues.items():
-            while queue:
-                runner = self._choose(pool, ())
-                if runner is None:
-                    break
-                waiter = queue.pop()
-                if waiter.future.done():
-                    continue
-                runner = self._choose(pool, waiter.tried, waiter.prefix_key) or runner
-                self.reserve(runner)
-                waiter.future.set_result(runner)
+            while queue and self._grant_next(pool, queue):
+                pass
+
+    def _grant_next(self, pool: PoolName, queue: SlotQueue) -> bool:
+        """Serve the first request in fair order whose software version has room.
+
+        :returns: whether there was one
+        """
+        any_runner = self._choose(pool, ()) if queue.unversioned else None
+        if any_runner is None and not queue.versions:
+            return False
+        runner: RunnerState | None = None
+        full: set[SoftwareVersion | None] = set()
+
+        def accepts(waiter: Waiter) -> bool:
+            nonlocal runner
+            if waiter.future.done():
+                return True
+            if waiter.version in full:
+                return False
+            runner = self._choose_for(pool, waiter, any_runner)
+            if runner is None and not waiter.tried:
+                full.add(waiter.version)
+            return runner is not None
+
+        waiter = queue.pop_first(accepts)
+        if waiter is None:
+            return False
+        if not waiter.future.done():
+            self.reserve(runner)
+            waiter.future.set_result(runner)
+        return True
+
+    def _choose_for(
+        self, pool: PoolName, waiter: Waiter, any_runner: RunnerState | None
+    ) -> RunnerState | None:
+        """Return the runner for a waiting request; ``None`` if it must wait.
+
+        :param any_runner: a runner with room for requests that need no version
+        """
+        if waiter.version is None and any_runner is None:
+            return None
+        runner = self._choose(pool, waiter.tried, waiter.prefix_key, waiter.version)
+        if runner is None and waiter.version is None:
+            return any_runner
+        return runner
--- a/src/primroseford/gateway/tests/test_request_limit_replay.py
+++ b/src/primroseford/gateway/tests/test_request_limit_replay.py
@@ -15,8 +15,8 @@
 from primroseford.gateway.runners import RunnerEntry
 from primroseford.gateway.runners import RunnerKey
 from primroseford.gateway.runners import RunnerStage
-from primroseford.gateway.slot_allocator import Waiter
-from primroseford.online.fair_queue import FairQueue
+from primroseford.gateway.slot_queue import SlotQueue
+from primroseford.gateway.slot_queue import Waiter
 from primroseford.proof.heartbeats import HeartbeatFleet
 
 POOL = "models"
@@ -127,7 +127,7 @@
     def _arrive(self) -> None:
         host = self.random.choice(self._up())
         allocator = self.gateway(host).allocator
-        queue = allocator.queues.setdefault(POOL, FairQueue())
+        queue = allocator.queues.setdefault(POOL, SlotQueue())
         ticket = Ticket(self, host, self.now + PATIENCE_SECONDS)
         queue.push("", Waiter(ticket, (), "", ()))
         allocator.grant()
--- a/src/primroseford/online/fair_queue.py
+++ b/src/primroseford/online/fair_queue.py
@@ -8,6 +8,7 @@
 from typing import TypeVar
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Iterator
 
 Item = TypeVar("Item")
@@ -52,6 +53,30 @@
             del self.by_organisation[organisation]
         return item
 
+    def pop_first(self, accepts: Callable[[Item], bool]) -> Item | None:
+        """Remove and return the first item in fair order that is accepted, if any.
+
+        The items that are passed over, and their organisations, keep their places.
+
+        :param accepts: whether an item may be removed now
+        """
+        for place, organisation in enumerate(self.rotation):
+            waiting = self.by_organisation[organisation]
+            numbered = enumerate(waiting)
+            index = next((n for n, item in numbered if accepts(item)), None)
+            if index is None:
+                continue
+            item = waiting[index]
+            del waiting[index]
+            del self.rotation[place]
+            self.size -= 1
+            if waiting:
+                self.rotation.append(organisation)
+            else:
+                del self.by_organisation[organisation]
+            return item
+        return None
+
     def __iter__(self) -> Iterator[Item]:
         """Iterate over all items, in no particular order."""
         for waiting in self.by_organisation.values():
--- a/src/primroseford/online/tests/test_queueing.py
+++ b/src/primroseford/online/tests/test_queueing.py
@@ -35,6 +35,21 @@
             self.order.append(organisation)
         return found[1]
 
+    def pop_first(self, accepted):
+        """Pop from a queue of the accepted items only."""
+        rest = NaiveQueue()
+        rest.items = [pair for pair in self.items if pair[1] in accepted]
+        owners = {organisation for organisation, _ in rest.items}
+        rest.order = [name for name in self.order if name in owners]
+        if not rest.items:
+            return None
+        organisation, found = rest.order[0], rest.pop()
+        self.order.remove(organisation)
+        self.items.remove((organisation, found))
+        if any(pair[0] == organisation for pair in self.items):
+            self.order.append(organisation)
+        return found
+
     def remove(self, organisation, item):
         if (organisation, item) not in self.items:
             return False
@@ -75,6 +90,36 @@
         assert ahead == next(n for n in range(999) if copy.pop() == "new")
 
 
+PASSING_STEPS = st.lists(
+    st.tuples(st.sampled_from(["push", "pop", "pass"]), st.integers(0, 4)),
+    max_size=60,
+)
+
+
+@given(PASSING_STEPS, st.integers(0, 3))
+def test_items_are_passed_over_as_by_a_naive_version(steps, blocked):
+    """Guards against an item that blocks others, or that loses its place to them.
+
+    :param blocked: remainder by 4 of the items that may not be removed
+    """
+    queue, naive = FairQueue(), NaiveQueue()
+    for number, (step, organisation) in enumerate(steps):
+        accepted = {item for _, item in naive.items if item % 4 != blocked}
+        if step == "push":
+            queue.push(f"o{organisation}", number)
+            naive.push(f"o{organisation}", number)
+        elif step == "pass":
+            found = queue.pop_first(lambda item: item % 4 != blocked)
+            assert found == naive.pop_first(accepted)
+            assert (found is None) == (not accepted)
+        elif len(queue):
+            assert queue.pop_first(lambda item: True) == naive.pop()
+        assert len(queue) == len(naive.items)
+        assert set(queue) == {item for _, item in naive.items}
+    while len(queue):
+        assert queue.pop() == naive.pop()
+
+
 @pytest.mark.parametrize(
     ("blocks", "expected"),
     [
