Let batch items ask for a version, and hold back only where requests wait

What users would see: the text of an item with events of two software versions, since an item couldn't ask for a runner of one; and with requests that wait for one version only, no item started in the whole pool, though nobody waits for the runners of the other versions.

choose_runner and choose_limited_runner take the version as the allocator does. Items are held back from the runners that a waiting request could use: from all while a request for any version waits, as before, otherwise from those of the versions that are waited for.

The callers of the two functions pass no version yet, so the texts of jobs/tests/test_software_versions.py still mix.

--- a/src/primroseford/jobs/batch_capacity.py
+++ b/src/primroseford/jobs/batch_capacity.py
@@ -29,6 +29,7 @@
     from primroseford.gateway.state import Gateway
     from primroseford.ids import PoolName
     from primroseford.ids import RunnerName
+    from primroseford.ids import SoftwareVersion
     from primroseford.jobs.deadlines import DeadlineEstimator
     from primroseford.jobs.run import ItemRun
 
@@ -105,20 +106,33 @@
         return (budget.urgent_starts if urgent else budget.starts)[pool] > 0
 
     def choose_runner(
-        self, pool: PoolName, tried: Collection[RunnerKey] = ()
+        self,
+        pool: PoolName,
+        tried: Collection[RunnerKey] = (),
+        version: SoftwareVersion | None = None,
     ) -> RunnerState | None:
-        """Return a runner with a free slot for an item, or None."""
-        return self._choose(self._eligible_loads(pool, tried))
+        """Return a runner with a free slot for an item, or None.
+
+        :param tried: runner instances that failed the item
+        :param version: the only software version that may run it; ``None`` for any
+        """
+        return self._choose(self._eligible_loads(pool, tried, version=version))
 
     def choose_limited_runner(
-        self, pool: PoolName, tried: Collection[RunnerKey] = ()
+        self,
+        pool: PoolName,
+        tried: Collection[RunnerKey] = (),
+        version: SoftwareVersion | None = None,
     ) -> RunnerState | None:
         """Return a runner with a limit for which a token is on hand, or None.
 
         The token stands for a start, so that no budget applies. An item there leaves
         the slots of the other runners to online requests.
+
+        :param tried: runner instances that failed the item
+        :param version: the only software version that may run it; ``None`` for any
         """
-        loads = self._eligible_loads(pool, tried, limited=True)
+        loads = self._eligible_loads(pool, tried, limited=True, version=version)
         return self._choose(
             [load for load in loads if load.free > RATE_LIMITED_HEADROOM_SLOTS]
         )
@@ -175,19 +189,32 @@
         )
 
     def _eligible_loads(
-        self, pool: PoolName, tried: Collection[RunnerKey] = (), limited: bool = False
+        self,
+        pool: PoolName,
+        tried: Collection[RunnerKey] = (),
+        limited: bool = False,
+        version: SoftwareVersion | None = None,
     ) -> list[RunnerLoad]:
         """Return the loads of the runners that may receive items.
 
-        There are none while online requests are queued for the pool.
+        There are none that an online request in the queue of the pool could use.
 
         :param limited: whether to return the runners with a limit, or the others
+        :param version: only those of this software version; ``None`` for any
         """
         allocator = self.gateway.allocator
-        if allocator.queues.get(pool):
+        queue = allocator.queues.get(pool)
+        if queue and queue.unversioned:
             return []
-        return [
+        loads = [
             load
-            for load in allocator.open_loads(pool, tried, batch=True)
+            for load in allocator.open_loads(pool, tried, batch=True, version=version)
             if allocator.tokens.is_limited(load.key) == limited
         ]
+        if not queue:
+            return loads
+        return [
+            load
+            for load in loads
+            if not queue.has_waiter_for(allocator.runners[load.key.name].entry.version)
+        ]
