Go on with a stream only at the version that began it

What callers saw: streams whose events come from runners of two software versions in one answer, 7 in play during a release with three versions side by side. In its traced case a v1.2 runner crashes in mid-stream, and 5 ms later the same host sends the rest from v1.

Cause: once a runner has failed, the next attempt took any runner of the pool, whatever the caller had received already. Now the pool, version and attempt of the first bytes that go out are kept as the stream's origin, and each later attempt of the response asks for that version. With no runner of it left to try the response is broken off at once, so that the caller sees that it is incomplete and may take it up or begin anew. Before anything has gone out any version will do. `attempt failed` names the version, `request ended` the `versions` beside `runners`, and a begun response that found no runner ends with the code of the reason instead of RUNNER_FAILED.

Why it works: within a response only the host that serves it chooses runners, and the state of a runner instance never changes its version.

--- a/src/primroseford/gateway/forward.py
+++ b/src/primroseford/gateway/forward.py
@@ -151,6 +151,7 @@
         route=context.route.name,
         organisation=context.organisation.name if context.organisation else None,
         runners=context.runners,
+        versions=context.versions,
         runs=context.runs,
         refusals=context.refusals,
         placed_ms=round(context.placement_seconds * 1000),
@@ -182,18 +183,21 @@
             context.tried_runners,
             prefix_cache_key(context.incoming.prompt),
             context.subjects,
+            context.origin.version if context.origin else None,
         )
         _check_quarantine(gateway, context, runner)
     except PrimrosefordError as error:
         if context.runs:
             error.outcome = Outcome.MAY_HAVE_RUN
-            error.code = ResultCode.RUNNER_FAILED
         if context.response is not None:
             raise ResponseAborted(error) from error
+        if context.runs:
+            error.code = ResultCode.RUNNER_FAILED
         raise
     if not context.runners:
         context.placement_seconds = gateway.clock() - context.started
     context.runners.append(runner.entry.key.name)
+    context.versions.append(runner.entry.version)
     return runner
 
 
@@ -239,6 +243,7 @@
         "attempt failed",
         request_id=context.incoming.request_id,
         runner=runner.entry.key.name,
+        version=runner.entry.version,
         code=error.code.name,
         reason=error.message,
         may_have_run=may_have_run,
--- a/src/primroseford/gateway/request_context.py
+++ b/src/primroseford/gateway/request_context.py
@@ -18,9 +18,11 @@
     from primroseford.gateway.exchange import InactivityTimeout
     from primroseford.gateway.requests import IncomingRequest
     from primroseford.gateway.runners import RunnerKey
+    from primroseford.gateway.stream_origins import StreamOrigin
     from primroseford.gateway.tables import Organisation
     from primroseford.gateway.tables import Route
     from primroseford.ids import PoolName
+    from primroseford.ids import SoftwareVersion
 
 
 @dataclass(eq=False)
@@ -34,6 +36,8 @@
     :param refusals: attempts that certainly did not run
     :param tried_runners: runners that failed or refused an attempt
     :param runners: names of the runners of all attempts
+    :param versions: software versions of these runners
+    :param origin: where the first event that went out came from; ``None`` before it
     :param placement_seconds: time from arrival until the first slot was acquired
     :param first_byte_seconds: time from arrival until the response started
     :param response: response to the caller; ``None`` until its head has been sent
@@ -53,6 +57,8 @@
     refusals: int = 0
     tried_runners: set[RunnerKey] = field(default_factory=set)
     runners: list[str] = field(default_factory=list)
+    versions: list[SoftwareVersion] = field(default_factory=list)
+    origin: StreamOrigin | None = None
     placement_seconds: float = 0.0
     first_byte_seconds: float = 0.0
     response: web.StreamResponse | None = None
