Preempt batch items for streams that wait for one version

What callers would see: a stream that goes on at its version waits for batch items, up to its deadline, though the pool has free slots. Cause: items end for online requests only when the free slots of the pool as a whole run short, and the free slots of other versions are of no use to a stream that needs a full one. If the pool has room, the same rule is now applied to the runners of each version that is waited for. Requests that no version binds change nothing, and without a queue the path is the same.

Evidence: jobs/tests/test_batch_versions.py::test_items_end_for_a_request_whose_version_is_full: two of seven cases failed before, with no item to end; all pass now. With it test_preemption, test_preemption_replay and test_overload: 59 passed.

--- a/src/primroseford/jobs/batch_capacity.py
+++ b/src/primroseford/jobs/batch_capacity.py
@@ -149,12 +149,18 @@
         allocator, random = self.gateway.allocator, self.gateway.random
         loads = [allocator.load(runner) for runner in allocator.usable(pool)]
         shared = [load for load in loads if not load.is_rate_limited]
-        found = [
-            Preemption(
-                frozenset(load.key.name for load in shared),
-                items_to_preempt(shared, random),
-            )
-        ]
+        found = [self._shared_preemption(shared)]
+        queue = allocator.queues.get(pool)
+        if queue and not found[0].count:
+            # The free slots of the pool are of no use to requests for a full version.
+            for version in queue.versions:
+                usable = allocator.usable(pool, version)
+                keys = {runner.entry.key for runner in usable}
+                found.append(
+                    self._shared_preemption(
+                        [load for load in shared if load.key in keys]
+                    )
+                )
         found += [
             Preemption(frozenset({load.key.name}), items_to_preempt_on(load, random))
             for load in loads
@@ -162,6 +168,11 @@
         ]
         return [preemption for preemption in found if preemption.count]
 
+    def _shared_preemption(self, loads: Sequence[RunnerLoad]) -> Preemption:
+        """Return how many items end on runners of which any may free its slots."""
+        names = frozenset(load.key.name for load in loads)
+        return Preemption(names, items_to_preempt(loads, self.gateway.random))
+
     def runners_without_limit(self, pool: PoolName) -> set[RunnerName]:
         """Return the runners on which an item can start without a token."""
         allocator = self.gateway.allocator
--- a/src/primroseford/jobs/tests/test_batch_versions.py
+++ b/src/primroseford/jobs/tests/test_batch_versions.py
@@ -71,3 +71,37 @@
         found = {choose(POOL, keys, version) for _ in range(20)} - {None}
         expected = {KEYS[n] for n in chosen if (KEYS[n] in LIMITED) is limited}
         assert {runner.entry.key for runner in found} == expected
+
+
+@pytest.mark.parametrize(
+    ("waiting", "batch", "preempted"),
+    [
+        ((), (10, 0), {}),
+        (("v1",), (10, 0), {"i-0": 3}),
+        (("v1", "v1", "v2"), (10, 0), {"i-0": 3}),
+        (("v2",), (10, 0), {}),
+        (("v1",), (7, 0), {}),
+        (("v1",), (10, 10), {"i-0": 6, "i-2": 6}),
+        (("v3",), (10, 0), {}),
+    ],
+)
+def test_items_end_for_a_request_whose_version_is_full(
+    capacity, waiting, batch, preempted
+):
+    """Guards against a stream that waits for items while the pool has free slots.
+
+    :param batch: items of this host on the runners without a limit
+    :param preempted: the most that may end, by the runners where they do
+    """
+    allocator = capacity.gateway.allocator
+    queue = allocator.queues[POOL] = SlotQueue()
+    for needed in waiting:
+        queue.push("o", Waiter(None, (), "", (), needed))
+    for number, count in zip((0, 2), batch, strict=True):
+        allocator.runners[f"i-{number}"].batch = count
+    found = {}
+    for runners, count in capacity.preemptions(POOL):
+        assert not found.keys() & runners
+        found |= dict.fromkeys(runners, count)
+    assert found.keys() == preempted.keys()
+    assert all(0 < found[name] <= preempted[name] for name in found)
