Take a stream up only at the version that began it, at any host

What callers saw: streams whose events come from two software versions over two requests of a client.

Cause: a host that gets a request with Last-Event-Id sent it to any runner. The version that began the stream is known to the host that began it only, which may be gone, and the header Resumes was not read.

Fix: a host tells three others, in different failure domains, of a stream's pool and version when it sends the request to a runner. A datagram is there before the runner has read the prompt, and nothing waits for it.

A second attempt before the first event may be at another version: it has a higher number, is told twice, and the highest of all answers counts.

Memory: 12 bytes of key and two names, 30 s after the deadline, 20,000 at most. After a restart of all hosts at once streams go on only where the pool has one version.

--- a/src/primroseford/gateway/forward.py
+++ b/src/primroseford/gateway/forward.py
@@ -22,6 +22,8 @@
 from primroseford.gateway.preemption import waits_for_batch
 from primroseford.gateway.request_context import RequestContext
 from primroseford.gateway.request_context import ResponseAborted
+from primroseford.gateway.resumption import find_origin
+from primroseford.gateway.resumption import record_attempt
 from primroseford.gateway.retry import RetryDecision
 from primroseford.gateway.retry import decide_retry
 from primroseford.gateway.retry import inactivity_timeout
@@ -74,8 +76,9 @@
     deadline = gateway.limit_to_stop(started + timeout)
     subjects = CrashSubjects(incoming, organisation)
     gateway.quarantine.check(subjects.known(gateway.quarantine.has_evidence))
+    origin = await find_origin(gateway, incoming, route)
     await admit(gateway, organisation)
-    pool = choose_pool(route, gateway.random)
+    pool = origin.pool if origin else choose_pool(route, gateway.random)
     context = RequestContext(
         request,
         incoming,
@@ -85,6 +88,7 @@
         pool,
         started,
         deadline,
+        origin=origin,
     )
     end = ResultCode.OK.name
     gateway.open_requests.add(context)
@@ -290,6 +294,8 @@
     def on_event() -> None:
         if not attempt.event_received:
             attempt.event_received = True
+            if context.response is None and len(context.versions) > 1:
+                record_attempt(gateway, context)
             gateway.quarantine.record_served(
                 context.subjects.known(gateway.quarantine.has_evidence)
             )
@@ -382,6 +388,8 @@
     call = RunnerRequest(
         incoming.method, incoming.target, headers, incoming.body, incoming.request_id
     )
+    if context.response is None:
+        record_attempt(gateway, context)
     runner_response = await send_to_runner(
         gateway.session,
         runner.entry,
--- a/src/primroseford/gateway/gen/messages/ttypes.py
+++ b/src/primroseford/gateway/gen/messages/ttypes.py
@@ -1053,6 +1053,122 @@
         return not (self == other)
 
 
+class StreamRecord(object):
+    """
+    Attributes:
+     - stream
+     - pool
+     - version
+     - attempt
+     - ttl_ms
+
+    """
+
+    __slots__ = (
+        'stream',
+        'pool',
+        'version',
+        'attempt',
+        'ttl_ms',
+    )
+
+
+    def __init__(self, stream=None, pool=None, version=None, attempt=None, ttl_ms=None,):
+        self.stream = stream
+        self.pool = pool
+        self.version = version
+        self.attempt = attempt
+        self.ttl_ms = ttl_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.stream = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.pool = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.version = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.attempt = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.ttl_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('StreamRecord')
+        if self.stream is not None:
+            oprot.writeFieldBegin('stream', TType.STRING, 1)
+            oprot.writeBinary(self.stream)
+            oprot.writeFieldEnd()
+        if self.pool is not None:
+            oprot.writeFieldBegin('pool', TType.STRING, 2)
+            oprot.writeString(self.pool.encode('utf-8') if sys.version_info[0] == 2 else self.pool)
+            oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.STRING, 3)
+            oprot.writeString(self.version.encode('utf-8') if sys.version_info[0] == 2 else self.version)
+            oprot.writeFieldEnd()
+        if self.attempt is not None:
+            oprot.writeFieldBegin('attempt', TType.I32, 4)
+            oprot.writeI32(self.attempt)
+            oprot.writeFieldEnd()
+        if self.ttl_ms is not None:
+            oprot.writeFieldBegin('ttl_ms', TType.I32, 5)
+            oprot.writeI32(self.ttl_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class LeavingRunner(object):
     """
     Attributes:
@@ -1635,6 +1751,9 @@
      - token_asks
      - token_grants
      - token_returns
+     - stream_records
+     - stream_asks
+     - stream_answers
 
     """
 
@@ -1645,12 +1764,18 @@
         'token_asks',
         'token_grants',
         'token_returns',
+        'stream_records',
+        'stream_asks',
+        'stream_answers',
     )
 
 
     def __init__(self, relay=None, heartbeats=None, wanted="", token_asks=[
     ], token_grants=[
     ], token_returns=[
+    ], stream_records=[
+    ], stream_asks=[
+    ], stream_answers=[
     ],):
         self.relay = relay
         self.heartbeats = heartbeats
@@ -1667,6 +1792,18 @@
             token_returns = [
             ]
         self.token_returns = token_returns
+        if stream_records is self.thrift_spec[7][4]:
+            stream_records = [
+            ]
+        self.stream_records = stream_records
+        if stream_asks is self.thrift_spec[8][4]:
+            stream_asks = [
+            ]
+        self.stream_asks = stream_asks
+        if stream_answers is self.thrift_spec[9][4]:
+            stream_answers = [
+            ]
+        self.stream_answers = stream_answers
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1730,6 +1867,38 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.LIST:
+                    self.stream_records = []
+                    (_etype104, _size101) = iprot.readListBegin()
+                    for _i105 in range(_size101):
+                        _elem106 = StreamRecord()
+                        _elem106.read(iprot)
+                        self.stream_records.append(_elem106)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.LIST:
+                    self.stream_asks = []
+                    (_etype110, _size107) = iprot.readListBegin()
+                    for _i111 in range(_size107):
+                        _elem112 = iprot.readBinary()
+                        self.stream_asks.append(_elem112)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.LIST:
+                    self.stream_answers = []
+                    (_etype116, _size113) = iprot.readListBegin()
+                    for _i117 in range(_size113):
+                        _elem118 = StreamRecord()
+                        _elem118.read(iprot)
+                        self.stream_answers.append(_elem118)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1747,8 +1916,8 @@
         if self.heartbeats is not None:
             oprot.writeFieldBegin('heartbeats', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.heartbeats))
-            for iter101 in self.heartbeats:
-                oprot.writeBinary(iter101)
+            for iter119 in self.heartbeats:
+                oprot.writeBinary(iter119)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.wanted is not None:
@@ -1758,22 +1927,43 @@
         if self.token_asks is not None:
             oprot.writeFieldBegin('token_asks', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.token_asks))
-            for iter102 in self.token_asks:
-                iter102.write(oprot)
+            for iter120 in self.token_asks:
+                iter120.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.token_grants is not None:
             oprot.writeFieldBegin('token_grants', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.token_grants))
-            for iter103 in self.token_grants:
-                iter103.write(oprot)
+            for iter121 in self.token_grants:
+                iter121.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.token_returns is not None:
             oprot.writeFieldBegin('token_returns', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.token_returns))
-            for iter104 in self.token_returns:
-                iter104.write(oprot)
+            for iter122 in self.token_returns:
+                iter122.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.stream_records is not None:
+            oprot.writeFieldBegin('stream_records', TType.LIST, 7)
+            oprot.writeListBegin(TType.STRUCT, len(self.stream_records))
+            for iter123 in self.stream_records:
+                iter123.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.stream_asks is not None:
+            oprot.writeFieldBegin('stream_asks', TType.LIST, 8)
+            oprot.writeListBegin(TType.STRING, len(self.stream_asks))
+            for iter124 in self.stream_asks:
+                oprot.writeBinary(iter124)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.stream_answers is not None:
+            oprot.writeFieldBegin('stream_answers', TType.LIST, 9)
+            oprot.writeListBegin(TType.STRUCT, len(self.stream_answers))
+            for iter125 in self.stream_answers:
+                iter125.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1878,6 +2068,15 @@
     (5, TType.DOUBLE, 'rate', None, float(0), ),  # 5
     (6, TType.I64, 'granter', None, 0, ),  # 6
 )
+all_structs.append(StreamRecord)
+StreamRecord.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'stream', 'BINARY', None, ),  # 1
+    (2, TType.STRING, 'pool', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'version', 'UTF8', None, ),  # 3
+    (4, TType.I32, 'attempt', None, None, ),  # 4
+    (5, TType.I32, 'ttl_ms', None, None, ),  # 5
+)
 all_structs.append(LeavingRunner)
 LeavingRunner.thrift_spec = (
     None,  # 0
@@ -1933,6 +2132,12 @@
     ], ),  # 5
     (6, TType.LIST, 'token_returns', (TType.STRUCT, [TokenMessage, None], False), [
     ], ),  # 6
+    (7, TType.LIST, 'stream_records', (TType.STRUCT, [StreamRecord, None], False), [
+    ], ),  # 7
+    (8, TType.LIST, 'stream_asks', (TType.STRING, 'BINARY', False), [
+    ], ),  # 8
+    (9, TType.LIST, 'stream_answers', (TType.STRUCT, [StreamRecord, None], False), [
+    ], ),  # 9
 )
 fix_spec(all_structs)
 del all_structs
--- a/src/primroseford/gateway/heartbeat.py
+++ b/src/primroseford/gateway/heartbeat.py
@@ -131,6 +131,7 @@
         gateway.quarantine.announce = self.send
         gateway.request_limiter.announce = self.send
         gateway.request_limiter.send = self.send_bundle_to
+        gateway.streams.send = self.send_bundle_to
 
     async def on_start(self) -> None:
         """Open the sockets for heartbeats and bundles."""
@@ -302,7 +303,7 @@
             self.gateway.allocator.grant()
 
     def receive_bundle(self, data: bytes) -> None:
-        """Handle a bundle: forwarded heartbeats, or a preemption request."""
+        """Handle a bundle: forwarded heartbeats, or messages of its sender."""
         try:
             bundle = decode(Bundle, data)
         except PrimrosefordError as error:
@@ -314,6 +315,9 @@
         if bundle.token_asks or bundle.token_grants or bundle.token_returns:
             self.gateway.request_limiter.receive(bundle)
             return
+        if bundle.stream_records or bundle.stream_asks or bundle.stream_answers:
+            self.gateway.streams.receive(bundle)
+            return
         relay = HostId(bundle.relay or "")
         now = self.gateway.clock()
         accepted: dict[HostId, bytes] = {}
--- a/src/primroseford/gateway/messages.thrift
+++ b/src/primroseford/gateway/messages.thrift
@@ -85,6 +85,18 @@
   2: i64 born
 }
 
+// Pool and software version of the runner that began a stream.
+struct StreamRecord {
+  // Digest of the request id of the caller's attempt that began it.
+  1: binary stream
+  2: string pool
+  // Empty in an answer if the host does not know the stream.
+  3: string version
+  // Number of the attempt within that request; the highest one counts.
+  4: i32 attempt
+  5: i32 ttl_ms
+}
+
 struct Heartbeat {
   1: string host
   2: string incarnation
@@ -135,4 +147,10 @@
   4: list<TokenMessage> token_asks = []
   5: list<TokenMessage> token_grants = []
   6: list<TokenMessage> token_returns = []
+  // Streams that the sender begins, which the receiver remembers for it; streams that the
+  // sender asks for, by their digests; and what it knows of those that the receiver asked
+  // for. Such messages have no heartbeats either.
+  7: list<StreamRecord> stream_records = []
+  8: list<binary> stream_asks = []
+  9: list<StreamRecord> stream_answers = []
 }
--- a/src/primroseford/gateway/rendezvous.py
+++ b/src/primroseford/gateway/rendezvous.py
@@ -25,6 +25,7 @@
     candidates: Iterable[Candidate],
     name_of: Callable[[Candidate], str],
     count: int = 1,
+    cached: bool = True,
 ) -> list[Candidate]:
     """Return the candidates with the largest weights for a key, largest first.
 
@@ -32,9 +33,11 @@
 
     :param name_of: returns the name of a candidate, which is the same on all hosts
     :param count: number of candidates to return
+    :param cached: whether the key is looked up often, so that its weights are cached
     """
+    weigh = weight if cached else weight.__wrapped__
     return nlargest(
-        count, candidates, key=lambda candidate: weight(key, name_of(candidate))
+        count, candidates, key=lambda candidate: weigh(key, name_of(candidate))
     )
 
 
--- a/src/primroseford/gateway/request_context.py
+++ b/src/primroseford/gateway/request_context.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from primroseford.gateway.exchange import MAX_EVENT_BYTES
+from primroseford.gateway.stream_origins import StreamOrigin
 from primroseford.online.events import EventSplitter
 
 if TYPE_CHECKING:
@@ -18,7 +19,6 @@
     from primroseford.gateway.exchange import InactivityTimeout
     from primroseford.gateway.requests import IncomingRequest
     from primroseford.gateway.runners import RunnerKey
-    from primroseford.gateway.stream_origins import StreamOrigin
     from primroseford.gateway.tables import Organisation
     from primroseford.gateway.tables import Route
     from primroseford.ids import PoolName
@@ -67,6 +67,13 @@
         default_factory=lambda: EventSplitter(MAX_EVENT_BYTES)
     )
 
+    @property
+    def current_origin(self) -> StreamOrigin:
+        """Origin of the response, or the one that the current attempt gives it."""
+        if self.origin is not None:
+            return self.origin
+        return StreamOrigin(self.pool, self.versions[-1], len(self.versions))
+
     def limit_deadline(self, deadline: float) -> None:
         """Set an earlier deadline, which the current attempt keeps, too.
 
--- a/src/primroseford/gateway/requests.py
+++ b/src/primroseford/gateway/requests.py
@@ -5,12 +5,13 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from primroseford.ids import RequestId
+
 if TYPE_CHECKING:
     from multidict import CIMultiDict
 
     from primroseford.gateway.affinity import PromptPart
     from primroseford.ids import PromptPartId
-    from primroseford.ids import RequestId
 
 
 @dataclass
@@ -24,6 +25,8 @@
     :param key: API key, if the request has one
     :param timeout: timeout in seconds that the caller set; ``None`` if it set none
     :param last_event: id of the last event received of a stream that is to be resumed
+    :param began_as: id of the request that brought the first event of that stream;
+        empty if the caller does not name it
     :param prompt: parts of the prompt, if the request is for an engine
     """
 
@@ -35,6 +38,7 @@
     key: str | None
     timeout: float | None
     last_event: str | None
+    began_as: RequestId = RequestId("")
     body: bytes = b""
     prompt: tuple[PromptPart, ...] = ()
 
--- a/src/primroseford/gateway/runner_responses.py
+++ b/src/primroseford/gateway/runner_responses.py
@@ -14,7 +14,6 @@
 from primroseford.gateway.exchange import read_bounded
 from primroseford.gateway.request_context import RequestContext
 from primroseford.gateway.request_context import ResponseAborted
-from primroseford.gateway.stream_origins import StreamOrigin
 from primroseford.online.events import EVENT_END_BYTES
 from primroseford.online.events import EVENT_STREAM
 from primroseford.online.events import ends_after_event
@@ -176,10 +175,7 @@
             if gateway.stopping:
                 response.force_close()
             context.response = response
-            if context.origin is None:
-                context.origin = StreamOrigin(
-                    context.pool, context.versions[-1], len(context.versions)
-                )
+            context.origin = context.current_origin
             await response.prepare(context.request)
         if data:
             await context.response.write(data)
--- a/src/primroseford/gateway/slot_allocator.py
+++ b/src/primroseford/gateway/slot_allocator.py
@@ -18,6 +18,7 @@
 from primroseford.gateway.runners import RunnerStage
 from primroseford.gateway.slot_queue import SlotQueue
 from primroseford.gateway.slot_queue import Waiter
+from primroseford.gateway.version_history import VersionHistory
 from primroseford.request_limits.observations import LimitObservations
 from primroseford.request_limits.tokens import RequestTokens
 
@@ -73,6 +74,7 @@
     :ivar changed: whether the load of this host changed since its last heartbeat
     :ivar tokens: tokens on hand for runners that limit their requests
     :ivar leaving: runners that have said that they leave
+    :ivar versions: software versions that the pools have had lately
     :ivar on_waiting: called with a pool when a request begins to wait for a slot
     """
 
@@ -90,6 +92,7 @@
         self.changed = False
         self.tokens = RequestTokens(LimitObservations(), clock)
         self.leaving = LeavingRunners()
+        self.versions = VersionHistory(clock)
         self.on_waiting: Callable[[PoolName], None] = lambda pool: None
 
     @property
@@ -107,6 +110,7 @@
                 known.entry = entry
             else:
                 self.runners[name] = RunnerState(entry)
+        self.versions.update(entries.values())
         keys = [runner.entry.key for runner in self.runners.values()]
         self.leaving.forget(keys, self.clock())
         self.list_ready()
--- a/src/primroseford/gateway/state.py
+++ b/src/primroseford/gateway/state.py
@@ -16,6 +16,7 @@
 from primroseford.gateway.rendezvous import ranked
 from primroseford.gateway.request_limiter import RequestLimiter
 from primroseford.gateway.runners import RunnerList
+from primroseford.gateway.stream_records import StreamRecords
 from primroseford.quarantine.state import Quarantine
 
 if TYPE_CHECKING:
@@ -129,6 +130,7 @@
     :ivar quarantine: prompt parts that crash runners
     :ivar crash_detector: detects such crashes
     :ivar request_limiter: keeps requests within the limits that runners name
+    :ivar streams: pool and software version that began each stream
     :ivar open_requests: online requests in progress
     :ivar busy_connections: callers' connections on which a request is being served
     :ivar confirmed_at: local time of the platform's last confirmation of the tables
@@ -171,6 +173,7 @@
         self.quarantine.on_quarantine = self._refuse_waiting
         self.crash_detector = CrashDetector(self)
         self.request_limiter = RequestLimiter(self)
+        self.streams = StreamRecords(self)
         self.open_requests: set[RequestContext] = set()
         self.busy_connections: set[RequestHandler] = set()
         self.stopping = False
--- a/src/primroseford/gateway/stream_origins.py
+++ b/src/primroseford/gateway/stream_origins.py
@@ -1,22 +1,161 @@
-"""Origins of streams: where the first event that went out to a caller came from."""
+"""Origins of streams: the pool and the software version that began each of them.
+
+A stream goes on only at the software version that began it. A caller may take one up at
+another host, which has to know the origin although the first host may be gone. So each
+host tells some others of the streams that it begins, chosen by rendezvous hashing on
+the stream's id, and asks the hosts so chosen about a stream that it does not know.
+"""
 
 from __future__ import annotations
 
+import hashlib
+from collections import OrderedDict
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
+from typing import NewType
+
+from primroseford.gateway.placement import MAX_DIRECT_HOSTS
+from primroseford.gateway.rendezvous import ranked
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+    from collections.abc import Sequence
+
+    from primroseford.clock import Clock
+    from primroseford.ids import FailureDomainId
+    from primroseford.ids import HostId
     from primroseford.ids import PoolName
+    from primroseford.ids import RequestId
     from primroseford.ids import SoftwareVersion
 
+StreamKey = NewType("StreamKey", bytes)
+"""Digest of the id of the request that brought a stream's first event."""
+
+DIGEST_BYTES = 12
+RETENTION_SECONDS = 30.0
+"""Time after a request's deadline for which the origin of its stream is known."""
+MAX_RETENTION_SECONDS = 3600.0
+MAX_RECORDS = 20_000
+"""Streams whose origins a host knows at most, about 6 MB; the oldest are dropped."""
+HOLDER_DOMAINS = 3
+"""Failure domains in which a host tells another one of a stream that it begins."""
+SPARE_DOMAINS = 1
+"""Further failure domains in which hosts are asked: the choice moves to them when a
+domain has no live host left."""
+ASKED_IN_DOMAIN = 2
+"""Hosts asked in each failure domain: the choice moves to the second when the first is
+lost or another host joins."""
+
 
 @dataclass(frozen=True)
 class StreamOrigin:
-    """Pool and software version that began a stream, which goes on only there.
+    """What began a stream.
 
-    :param attempt: number of the request's attempt whose event went out first, from 1
+    :param version: software version of the runner that made its first event
+    :param attempt: number of the attempt within the request that began it, from 1
     """
 
     pool: PoolName
     version: SoftwareVersion
     attempt: int
+
+
+@dataclass(frozen=True)
+class OriginRecord:
+    """What a host knows of a stream's origin.
+
+    :param expires_at: local time in seconds until which it is known
+    :param is_own: whether this host began the stream, so that it knows all attempts
+    """
+
+    origin: StreamOrigin
+    expires_at: float
+    is_own: bool
+
+
+class StreamOrigins:
+    """Origins that a host knows: of its own streams and of those it holds for others.
+
+    :param clock: local time
+    :ivar records: records by stream, oldest first
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self.clock = clock
+        self.records: OrderedDict[StreamKey, OriginRecord] = OrderedDict()
+
+    def record(
+        self, key: StreamKey, origin: StreamOrigin, seconds: float, is_own: bool
+    ) -> None:
+        """Remember an origin, unless a later attempt of the request is known.
+
+        :param seconds: time for which it is remembered
+        :param is_own: whether this host begins the stream
+        """
+        now = self.clock()
+        known = self.find(key)
+        if known is not None and known.origin.attempt > origin.attempt:
+            return
+        expires_at = now + min(seconds, MAX_RETENTION_SECONDS)
+        self.records[key] = OriginRecord(origin, expires_at, is_own)
+        self.records.move_to_end(key)
+        self._expire(now)
+
+    def find(self, key: StreamKey) -> OriginRecord | None:
+        """Return the record of a stream, or None."""
+        record = self.records.get(key)
+        if record is None or record.expires_at <= self.clock():
+            return None
+        return record
+
+    def _expire(self, now: float) -> None:
+        while self.records:
+            key, record = next(iter(self.records.items()))
+            if record.expires_at > now and len(self.records) <= MAX_RECORDS:
+                return
+            del self.records[key]
+
+
+def stream_key(request_id: RequestId) -> StreamKey:
+    """Return the key of the stream that a request has begun."""
+    digest = hashlib.blake2b(request_id.encode(), digest_size=DIGEST_BYTES)
+    return StreamKey(digest.digest())
+
+
+def choose_holders(
+    key: StreamKey, hosts: Mapping[FailureDomainId, Sequence[HostId]]
+) -> list[HostId]:
+    """Return the hosts to tell of a stream.
+
+    They are in different failure domains if possible, since the hosts of one are lost
+    together.
+
+    :param hosts: live hosts by failure domain, without this one
+    """
+    return _choose(key, hosts, HOLDER_DOMAINS, 1 if len(hosts) > 1 else ASKED_IN_DOMAIN)
+
+
+def choose_asked(
+    key: StreamKey, hosts: Mapping[FailureDomainId, Sequence[HostId]]
+) -> list[HostId]:
+    """Return the hosts to ask about a stream: all of a small fleet.
+
+    :param hosts: live hosts by failure domain, without this one
+    """
+    everyone = [host for members in hosts.values() for host in members]
+    if len(everyone) < MAX_DIRECT_HOSTS:
+        return everyone
+    return _choose(key, hosts, HOLDER_DOMAINS + SPARE_DOMAINS, ASKED_IN_DOMAIN)
+
+
+def _choose(
+    key: StreamKey,
+    hosts: Mapping[FailureDomainId, Sequence[HostId]],
+    domains: int,
+    count: int,
+) -> list[HostId]:
+    name = key.hex()
+    chosen = []
+    for domain in ranked(name, hosts, str, domains, cached=False):
+        chosen += ranked(name, hosts[domain], str, count, cached=False)
+    return chosen
--- /dev/null
+++ b/src/primroseford/gateway/stream_records.py
@@ -0,0 +1,279 @@
+"""Tells other hosts of the streams that this host begins, and asks them for others.
+
+No caller waits for a record: it is sent when the request is sent to a runner, which
+takes longer to read the prompt than a datagram takes to the other hosts.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from dataclasses import field
+from enum import Enum
+from typing import TYPE_CHECKING
+
+import structlog
+
+from primroseford.errors import PrimrosefordError
+from primroseford.errors import ResultCode
+from primroseford.gateway.gen.messages.ttypes import Bundle
+from primroseford.gateway.gen.messages.ttypes import StreamRecord
+from primroseford.gateway.stream_origins import RETENTION_SECONDS
+from primroseford.gateway.stream_origins import StreamKey
+from primroseford.gateway.stream_origins import StreamOrigin
+from primroseford.gateway.stream_origins import StreamOrigins
+from primroseford.gateway.stream_origins import choose_asked
+from primroseford.gateway.stream_origins import choose_holders
+from primroseford.gateway.stream_origins import stream_key
+from primroseford.ids import FailureDomainId
+from primroseford.ids import HostId
+from primroseford.ids import PoolName
+from primroseford.ids import SoftwareVersion
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from primroseford.gateway.state import Gateway
+    from primroseford.gateway.stream_origins import OriginRecord
+    from primroseford.gateway.tables import Route
+    from primroseford.ids import RequestId
+
+ASK_REPEAT_SECONDS = 0.025
+"""Time after which a question is repeated to the hosts that have not answered. Answers
+take a few ms."""
+ASK_SECONDS = 0.15
+"""Time after which hosts that have not answered count as unable to: half of the
+objective for the first event of a stream."""
+COPIES_OF_LATER_ATTEMPTS = 2
+"""Datagrams to each holder about an attempt that follows another one."""
+CONFIRMATION_SECONDS = 3.0
+"""Largest age of the platform's last confirmation at which this host's own list of
+runners shows which versions there are."""
+REFUSED_RETRY_SECONDS = 0.5
+"""Retry-After of a stream that cannot be taken up here: another host may know it."""
+HOSTS_CACHE_SECONDS = 0.25
+"""Time for which the live hosts by failure domain are cached."""
+MAX_QUESTIONS_IN_MESSAGE = 64
+MAX_KEY_BYTES = 64
+MAX_TEXT_LENGTH = 256
+
+log = structlog.get_logger()
+
+
+class OriginSource(Enum):
+    """How a host learnt the origin of a stream."""
+
+    OWN = "own"
+    PEER = "peer"
+    ONLY_VERSION = "only_version"
+
+
+@dataclass
+class Question:
+    """A question to other hosts about one stream.
+
+    :param pending: hosts that have not answered
+    :ivar answered: set when all have answered
+    :ivar found: set when one knows the stream
+    :ivar origin: the answer with the highest attempt so far
+    """
+
+    pending: set[HostId]
+    answered: asyncio.Event = field(default_factory=asyncio.Event)
+    found: asyncio.Event = field(default_factory=asyncio.Event)
+    origin: StreamOrigin | None = None
+
+
+class StreamRecords:
+    """Origins of streams, shared with the other hosts.
+
+    :ivar origins: origins that this host knows
+    :ivar questions: open questions by stream
+    :ivar send: sends messages to another host; set by the heartbeat service
+    """
+
+    def __init__(self, gateway: Gateway) -> None:
+        self.gateway = gateway
+        self.origins = StreamOrigins(gateway.clock)
+        self.questions: dict[StreamKey, Question] = {}
+        self.send: Callable[[HostId, Bundle], None] = lambda host, bundle: None
+        self.hosts: dict[FailureDomainId, list[HostId]] = {}
+        self.hosts_until = float("-inf")
+
+    def begin(
+        self, request_id: RequestId, origin: StreamOrigin, deadline: float
+    ) -> None:
+        """Remember the origin of a stream, here and at other hosts; waits for nothing.
+
+        :param request_id: id of the request that begins the stream
+        :param deadline: local time in seconds until which its caller waits
+        """
+        if not request_id:
+            return
+        key = stream_key(request_id)
+        seconds = deadline - self.gateway.clock() + RETENTION_SECONDS
+        self.origins.record(key, origin, seconds, is_own=True)
+        record = _encode(key, origin, seconds)
+        bundle = Bundle(self.gateway.members.own, [], stream_records=[record])
+        # A holder that missed a later attempt would answer with an earlier one.
+        copies = 1 if origin.attempt <= 1 else COPIES_OF_LATER_ATTEMPTS
+        for host in choose_holders(key, self._live_hosts()):
+            for _ in range(copies):
+                self.send(host, bundle)
+
+    async def find(
+        self, began_as: RequestId, route: Route, request_id: RequestId
+    ) -> StreamOrigin:
+        """Return the origin of a stream that its caller takes up here.
+
+        :param began_as: id of the request that began it; empty if it is not named
+        :param request_id: id of the request that takes it up, for the log
+        :raises PrimrosefordError: STREAM_VERSION_UNKNOWN
+        """
+        started = self.gateway.clock()
+        origin, source = await self._look_up(began_as)
+        if origin is None:
+            origin, source = self._only_version(route), OriginSource.ONLY_VERSION
+        waited = round((self.gateway.clock() - started) * 1000)
+        if origin is None:
+            raise PrimrosefordError(
+                ResultCode.STREAM_VERSION_UNKNOWN,
+                "no host that answers knows the software version that began the "
+                f"stream; asked for {waited} ms",
+                retry_after=self.gateway.allocator.add_jitter(REFUSED_RETRY_SECONDS),
+            )
+        log.info(
+            "stream taken up",
+            request_id=request_id,
+            began_as=began_as,
+            pool=origin.pool,
+            version=origin.version,
+            source=source.value,
+            waited_ms=waited,
+        )
+        return origin
+
+    async def _look_up(
+        self, request_id: RequestId
+    ) -> tuple[StreamOrigin | None, OriginSource]:
+        if not request_id:
+            return None, OriginSource.OWN
+        key = stream_key(request_id)
+        known = self.origins.find(key)
+        if known is not None and known.is_own:
+            return known.origin, OriginSource.OWN
+        return await self._ask(key, known), OriginSource.PEER
+
+    def _only_version(self, route: Route) -> StreamOrigin | None:
+        """Return the origin if the streams of a route can have only one."""
+        gateway = self.gateway
+        is_confirmed = gateway.clock() - gateway.confirmed_at <= CONFIRMATION_SECONDS
+        if not is_confirmed or len(route.pools) != 1:
+            return None
+        ((pool, _),) = route.pools
+        version = gateway.allocator.versions.only_version(pool)
+        return None if version is None else StreamOrigin(pool, version, 0)
+
+    async def _ask(
+        self, key: StreamKey, known: OriginRecord | None
+    ) -> StreamOrigin | None:
+        """Ask other hosts; return the latest attempt that they or this host know."""
+        origin = known.origin if known is not None else None
+        question = self.questions.get(key)
+        if question is None:
+            hosts = choose_asked(key, self._live_hosts())
+            if not hosts:
+                return origin
+            question = self.questions[key] = Question(set(hosts), origin=origin)
+            self._send_question(key, question)
+        try:
+            if not await _wait(question.answered, ASK_REPEAT_SECONDS):
+                if question.origin is None:
+                    self._send_question(key, question)
+                    await _wait(question.found, ASK_SECONDS - ASK_REPEAT_SECONDS)
+        finally:
+            self.questions.pop(key, None)
+        return question.origin
+
+    def _send_question(self, key: StreamKey, question: Question) -> None:
+        bundle = Bundle(self.gateway.members.own, [], stream_asks=[key])
+        for host in question.pending:
+            self.send(host, bundle)
+
+    def _live_hosts(self) -> dict[FailureDomainId, list[HostId]]:
+        """Return the live other hosts by failure domain."""
+        now = self.gateway.clock()
+        if now >= self.hosts_until:
+            self.hosts = {}
+            for peer in self.gateway.members.live(now):
+                domain = FailureDomainId(peer.heartbeat.failure_domain)
+                self.hosts.setdefault(domain, []).append(peer.host)
+            self.hosts_until = now + HOSTS_CACHE_SECONDS
+        return self.hosts
+
+    def receive(self, bundle: Bundle) -> None:
+        """Handle the messages of another host about streams."""
+        host = HostId(bundle.relay or "")
+        for record in bundle.stream_records:
+            self._remember(record)
+        for record in bundle.stream_answers:
+            origin = self._remember(record)
+            self._note_answer(StreamKey(record.stream or b""), host, origin)
+        answers = [
+            self._answer(StreamKey(key))
+            for key in bundle.stream_asks[:MAX_QUESTIONS_IN_MESSAGE]
+        ]
+        if answers:
+            own = self.gateway.members.own
+            self.send(host, Bundle(own, [], stream_answers=answers))
+
+    def _remember(self, record: StreamRecord) -> StreamOrigin | None:
+        """Apply another host's record; return its origin, None if it has none."""
+        key, pool, version = record.stream, record.pool, record.version
+        if not (key and pool and version) or len(key) > MAX_KEY_BYTES:
+            return None
+        if max(len(pool), len(version)) > MAX_TEXT_LENGTH:
+            return None
+        origin = StreamOrigin(
+            PoolName(pool), SoftwareVersion(version), record.attempt or 0
+        )
+        seconds = (record.ttl_ms or 0) / 1000
+        self.origins.record(StreamKey(key), origin, seconds, is_own=False)
+        return origin
+
+    def _note_answer(
+        self, key: StreamKey, host: HostId, origin: StreamOrigin | None
+    ) -> None:
+        question = self.questions.get(key)
+        if question is None or host not in question.pending:
+            return
+        question.pending.discard(host)
+        best = question.origin
+        if origin is not None:
+            if best is None or origin.attempt > best.attempt:
+                question.origin = origin
+            question.found.set()
+        if not question.pending:
+            question.answered.set()
+            question.found.set()
+
+    def _answer(self, key: StreamKey) -> StreamRecord:
+        known = self.origins.find(key)
+        if known is None:
+            return StreamRecord(key, "", "", 0, 0)
+        return _encode(key, known.origin, RETENTION_SECONDS)
+
+
+async def _wait(event: asyncio.Event, seconds: float) -> bool:
+    """Wait for an event; return whether it was set in time."""
+    try:
+        async with asyncio.timeout(seconds):
+            await event.wait()
+    except TimeoutError:
+        return False
+    return True
+
+
+def _encode(key: StreamKey, origin: StreamOrigin, seconds: float) -> StreamRecord:
+    ttl_ms = max(0, round(seconds * 1000))
+    return StreamRecord(key, origin.pool, origin.version, origin.attempt, ttl_ms)
--- /dev/null
+++ b/src/primroseford/gateway/tests/test_stream_origins.py
@@ -0,0 +1,303 @@
+"""What hosts know of the streams that other hosts began."""
+
+from __future__ import annotations
+
+import asyncio
+from random import Random
+from types import SimpleNamespace
+
+import pytest
+
+from primroseford.errors import Outcome
+from primroseford.errors import PrimrosefordError
+from primroseford.errors import ResultCode
+from primroseford.gateway.gen.messages.ttypes import Bundle
+from primroseford.gateway.gen.messages.ttypes import StreamRecord
+from primroseford.gateway.stream_origins import DIGEST_BYTES
+from primroseford.gateway.stream_origins import HOLDER_DOMAINS
+from primroseford.gateway.stream_origins import MAX_RECORDS
+from primroseford.gateway.stream_origins import RETENTION_SECONDS
+from primroseford.gateway.stream_origins import StreamOrigin
+from primroseford.gateway.stream_origins import StreamOrigins
+from primroseford.gateway.stream_origins import choose_asked
+from primroseford.gateway.stream_origins import choose_holders
+from primroseford.gateway.stream_origins import stream_key
+from primroseford.gateway.stream_records import ASK_REPEAT_SECONDS
+from primroseford.gateway.stream_records import ASK_SECONDS
+from primroseford.gateway.stream_records import CONFIRMATION_SECONDS
+from primroseford.gateway.stream_records import StreamRecords
+from primroseford.ids import RequestId
+from primroseford.peer.codec import decode
+from primroseford.peer.codec import encode
+from primroseford.proof.virtual_time import run_in_virtual_time
+
+V1 = StreamOrigin("models", "v1", 1)
+V2 = StreamOrigin("models", "v2", 2)
+ROUTE = SimpleNamespace(pools=(("models", 1.0),))
+LATENCY_SECONDS = 0.0014
+"""One way between failure domains, as on the largest site."""
+
+
+def fleet_domains(hosts: int, domains: int) -> dict[str, list[str]]:
+    """Return host names by failure domain."""
+    names = [f"host-{number}" for number in range(hosts)]
+    return {f"zone-{d}": names[d::domains] for d in range(domains)}
+
+
+class Network:
+    """Hosts that exchange messages about streams in virtual time.
+
+    :param domains: hosts by failure domain
+    :ivar lost: hosts that answer nothing any more
+    :ivar silent: hosts of which the others know that they are lost
+    :ivar loss: share of the messages that are lost
+    :ivar sent: messages sent by each host
+    """
+
+    def __init__(self, domains: dict[str, list[str]], loss: float = 0.0) -> None:
+        self.domains = domains
+        self.lost: set[str] = set()
+        self.silent: set[str] = set()
+        self.loss = loss
+        self.random = Random(7)
+        self.only_version: str | None = None
+        self.confirmed_at = 0.0
+        self.sent: dict[str, int] = {}
+        names = [name for members in domains.values() for name in members]
+        self.hosts = {name: self._create_host(name) for name in names}
+
+    def _create_host(self, name: str) -> StreamRecords:
+        clock = asyncio.get_running_loop().time
+        versions = SimpleNamespace(only_version=lambda pool: self.only_version)
+        allocator = SimpleNamespace(add_jitter=lambda s: s, versions=versions)
+        gateway = SimpleNamespace(
+            clock=clock,
+            members=SimpleNamespace(own=name, live=lambda now: self._live(name)),
+            allocator=allocator,
+            confirmed_at=self.confirmed_at,
+        )
+        records = StreamRecords(gateway)
+        records.send = lambda host, bundle: self._send(name, host, bundle)
+        return records
+
+    def _live(self, own: str) -> list[SimpleNamespace]:
+        return [
+            SimpleNamespace(host=host, heartbeat=SimpleNamespace(failure_domain=domain))
+            for domain, members in self.domains.items()
+            for host in members
+            if host != own and host not in self.silent
+        ]
+
+    def _send(self, sender: str, host: str, bundle: Bundle) -> None:
+        self.sent[sender] = self.sent.get(sender, 0) + 1
+        if sender in self.lost or self.random.random() < self.loss:
+            return
+        data = encode(bundle)
+        loop = asyncio.get_running_loop()
+        loop.call_later(LATENCY_SECONDS, self._deliver, host, data)
+
+    def _deliver(self, host: str, data: bytes) -> None:
+        if host not in self.lost:
+            self.hosts[host].receive(decode(Bundle, data))
+
+
+def begin(network: Network, host: str, request_id: str, origin: StreamOrigin) -> None:
+    """Let a host begin a stream whose caller waits for 5 s."""
+    records = network.hosts[host]
+    deadline = records.gateway.clock() + 5.0
+    records.begin(RequestId(request_id), origin, deadline)
+
+
+async def find(network: Network, host: str, request_id: str):
+    """Return the origin that a host finds, or its error, and the time that it took."""
+    loop = asyncio.get_running_loop()
+    started = loop.time()
+    try:
+        found = await network.hosts[host].find(RequestId(request_id), ROUTE, "")
+    except PrimrosefordError as error:
+        found = error
+    return found, loop.time() - started
+
+
+@pytest.mark.parametrize(
+    ("hosts", "domains", "killed"),
+    [(2, 1, 1), (3, 1, 2), (7, 3, 1), (7, 3, 2), (40, 3, 2), (165, 5, 4)],
+)
+def test_stream_of_a_host_that_is_killed_at_its_first_event(hosts, domains, killed):
+    """Guards against a host that does not know the version of a killed host's stream.
+
+    Further hosts are killed with it, which the others do not know yet.
+    """
+
+    async def play() -> None:
+        by_domain = fleet_domains(hosts, domains)
+        for number in range(20):
+            network = Network(by_domain)
+            names = list(network.hosts)
+            begin(network, names[0], f"r{number}", V1)
+            await asyncio.sleep(2 * LATENCY_SECONDS)
+            network.lost = set(names[:killed])
+            found, seconds = await find(network, names[-1], f"r{number}")
+            assert found == V1
+            assert seconds <= ASK_REPEAT_SECONDS + 4 * LATENCY_SECONDS
+
+    run_in_virtual_time(play())
+
+
+def test_host_waits_for_hosts_that_are_known_to_be_lost():
+    """Guards against a caller that waits for answers which cannot come."""
+
+    async def play() -> None:
+        network = Network(fleet_domains(7, 3))
+        begin(network, "host-0", "r", V1)
+        await asyncio.sleep(1.0)
+        network.lost = network.silent = {"host-0", "host-1"}
+        found, seconds = await find(network, "host-6", "r")
+        assert found == V1 and seconds < 4 * LATENCY_SECONDS
+
+    run_in_virtual_time(play())
+
+
+@pytest.mark.parametrize("loss", [0.1, 0.3])
+def test_lost_messages_give_a_wrong_version(loss):
+    """Guards against the version of an attempt before the one that began the stream.
+
+    The first attempt at v1 brought no event; the second, at v2, began the stream.
+    """
+
+    async def play() -> None:
+        wrong = unknown = 0
+        network = Network(fleet_domains(9, 3), loss)
+        for number in range(200):
+            network.lost = set()
+            begin(network, "host-0", f"r{number}", V1)
+            await asyncio.sleep(0.5)
+            begin(network, "host-0", f"r{number}", V2)
+            await asyncio.sleep(0.05)
+            begin(network, "host-0", f"r{number}", V2)
+            await asyncio.sleep(0.05)
+            network.lost = {"host-0"}
+            found, _ = await find(network, "host-8", f"r{number}")
+            wrong += found == V1
+            unknown += isinstance(found, PrimrosefordError)
+        assert wrong <= 2 and unknown <= 20
+
+    run_in_virtual_time(play())
+
+
+@pytest.mark.parametrize(
+    ("hosts", "lost", "longest"),
+    [(1, 0, 0.0), (7, 0, 3 * LATENCY_SECONDS), (7, 6, ASK_SECONDS + 0.001)],
+)
+def test_unknown_stream_is_refused_late_or_as_run(hosts, lost, longest):
+    """Guards against a guess, a long wait, and a refusal that promises nothing."""
+
+    async def play() -> None:
+        network = Network(fleet_domains(hosts, 3))
+        names = list(network.hosts)
+        network.lost = set(names[1 : 1 + lost])
+        error, seconds = await find(network, names[0], "absent")
+        assert error.code is ResultCode.STREAM_VERSION_UNKNOWN
+        assert (error.http_status, error.outcome) == (503, Outcome.NOT_RUN)
+        assert error.retry_after > 0 and seconds <= longest + 1e-9
+
+    run_in_virtual_time(play())
+
+
+@pytest.mark.parametrize(
+    ("only_version", "confirmed_ago", "pools", "known"),
+    [
+        ("v1", 0.0, (("models", 1.0),), True),
+        (None, 0.0, (("models", 1.0),), False),
+        ("v1", CONFIRMATION_SECONDS + 0.1, (("models", 1.0),), False),
+        ("v1", 0.0, (("models", 1.0), ("other", 1.0)), False),
+    ],
+    ids=["one version", "several versions", "old list", "several pools"],
+)
+@pytest.mark.parametrize("request_id", ["absent", ""])
+def test_stream_goes_on_without_a_record(
+    only_version, confirmed_ago, pools, known, request_id
+):
+    """Guards against refusals where one version has served, and guesses elsewhere."""
+
+    async def play() -> None:
+        network = Network(fleet_domains(3, 3))
+        network.only_version = only_version
+        records = network.hosts["host-0"]
+        records.gateway.confirmed_at = -confirmed_ago
+        route = SimpleNamespace(pools=pools)
+        if known:
+            found = await records.find(RequestId(request_id), route, "")
+            assert (found.pool, found.version) == ("models", "v1")
+            return
+        with pytest.raises(PrimrosefordError):
+            await records.find(RequestId(request_id), route, "")
+
+    run_in_virtual_time(play())
+
+
+def test_record_of_an_earlier_attempt_replaces_a_later_one(clock):
+    """Guards against datagrams that arrive out of order."""
+    origins = StreamOrigins(clock)
+    origins.record(stream_key("r"), V2, 5.0, is_own=False)
+    origins.record(stream_key("r"), V1, 5.0, is_own=False)
+    assert origins.find(stream_key("r")).origin == V2
+
+
+def test_records_are_kept_for_ever(clock):
+    """Guards against memory that grows with the requests of a day."""
+    origins = StreamOrigins(clock)
+    for number in range(MAX_RECORDS + 100):
+        key = stream_key(f"r{number}")
+        origins.record(key, V1, 5.0 + RETENTION_SECONDS, is_own=False)
+    assert len(origins.records) == MAX_RECORDS
+    clock.advance(6.0 + RETENTION_SECONDS)
+    assert origins.find(stream_key(f"r{MAX_RECORDS}")) is None
+    origins.record(stream_key("new"), V1, 5.0, is_own=False)
+    assert len(origins.records) == 1
+
+
+@pytest.mark.parametrize(("hosts", "domains"), [(6, 3), (39, 3), (164, 5), (1499, 21)])
+def test_holders_of_one_failure_domain(hosts, domains):
+    """Guards against holders that are lost together, and hosts that ask others."""
+    by_domain = fleet_domains(hosts, domains)
+    domain_of = {host: d for d, members in by_domain.items() for host in members}
+    told: dict[str, int] = {}
+    for number in range(2000):
+        key = stream_key(RequestId(f"r{number}"))
+        holders = choose_holders(key, by_domain)
+        assert len({domain_of[host] for host in holders}) == HOLDER_DOMAINS
+        for host in holders:
+            told[host] = told.get(host, 0) + 1
+        # The first of the holders is lost, and another host has joined.
+        lost = holders[0]
+        seen = {
+            d: [host for host in members if host != lost] + [f"new-{d}"]
+            for d, members in by_domain.items()
+        }
+        asked = choose_asked(key, seen)
+        assert set(holders[1:]) <= set(asked)
+        assert len(asked) <= max(2 * (HOLDER_DOMAINS + 1), 16)
+    assert max(told.values()) <= 5 + 3 * 2000 * HOLDER_DOMAINS / hosts
+
+
+@pytest.mark.parametrize(
+    "record",
+    [
+        StreamRecord(),
+        StreamRecord(b"", "p", "v1", 1, 1000),
+        StreamRecord(b"k" * 65, "p", "v1", 1, 1000),
+        StreamRecord(b"k", "p" * 257, "v1", 1, 1000),
+        StreamRecord(b"k", "p", "v" * 257, 1, 1000),
+        StreamRecord(b"k", None, "v1", 1, 1000),
+        StreamRecord(b"k", "p", "v1", None, None),
+    ],
+)
+def test_message_with_missing_or_long_fields(clock, record):
+    """Guards against records of other software that end the host or fill its memory."""
+    members = SimpleNamespace(own="host-0", live=lambda now: [])
+    records = StreamRecords(SimpleNamespace(clock=clock, members=members))
+    records.receive(Bundle("host-1", [], stream_records=[record]))
+    records.receive(Bundle("host-1", [], stream_answers=[record]))
+    assert all(len(key) <= 64 for key in records.origins.records)
+    assert len(stream_key(RequestId("x" * 10_000))) == DIGEST_BYTES
--- a/src/primroseford/platform/headers.py
+++ b/src/primroseford/platform/headers.py
@@ -20,6 +20,8 @@
 REQUEST_LIMIT = "Server-Limit"
 LEAVING = "Server-Leaving"
 LAST_EVENT = "Last-Event-Id"
+RESUMES = "Resumes"
+"""Id of the request that brought the first event of the stream to be resumed."""
 WAIT = "Wait-Ms"
 PROMPT_PARTS = "Prompt-Prefix"
 """Despite its name, the header lists all parts of a prompt, not only the prefix; parts
--- a/src/primroseford/platform/ingress.py
+++ b/src/primroseford/platform/ingress.py
@@ -15,6 +15,7 @@
 from primroseford.platform.headers import DEADLINE
 from primroseford.platform.headers import LAST_EVENT
 from primroseford.platform.headers import REQUEST_ID
+from primroseford.platform.headers import RESUMES
 from primroseford.platform.headers import SET_BY_SYSTEM
 from primroseford.platform.headers import end_to_end
 from primroseford.platform.prompts import decode_prompt
@@ -44,6 +45,7 @@
         key=request.headers.get(API_KEY),
         timeout=_allowed_seconds(request),
         last_event=request.headers.get(LAST_EVENT),
+        began_as=RequestId(request.headers.get(RESUMES, "")),
         prompt=decode_prompt(request.headers),
     )
 
