--- a/src/primroseford/gateway/request_context.py
+++ b/src/primroseford/gateway/request_context.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from primroseford.gateway.exchange import MAX_EVENT_BYTES
+from primroseford.gateway.stream_origins import StreamOrigin
 from primroseford.online.events import EventSplitter
 
 if TYPE_CHECKING:
@@ -21,6 +22,7 @@
     from primroseford.gateway.tables import Organisation
     from primroseford.gateway.tables import Route
     from primroseford.ids import PoolName
+    from primroseford.ids import SoftwareVersion
 
 
 @dataclass(eq=False)
@@ -34,6 +36,8 @@
     :param refusals: attempts that certainly did not run
     :param tried_runners: runners that failed or refused an attempt
     :param runners: names of the runners of all attempts
+    :param versions: software versions of these runners
+    :param origin: where the first event that went out came from; ``None`` before it
     :param placement_seconds: time from arrival until the first slot was acquired
     :param first_byte_seconds: time from arrival until the response started
     :param response: response to the caller; ``None`` until its head has been sent
@@ -53,6 +57,8 @@
     refusals: int = 0
     tried_runners: set[RunnerKey] = field(default_factory=set)
     runners: list[str] = field(default_factory=list)
+    versions: list[SoftwareVersion] = field(default_factory=list)
+    origin: StreamOrigin | None = None
     placement_seconds: float = 0.0
     first_byte_seconds: float = 0.0
     response: web.StreamResponse | None = None
@@ -61,6 +67,13 @@
         default_factory=lambda: EventSplitter(MAX_EVENT_BYTES)
     )
 
+    @property
+    def current_origin(self) -> StreamOrigin:
+        """Origin of the response, or the one that the current attempt gives it."""
+        if self.origin is not None:
+            return self.origin
+        return StreamOrigin(self.pool, self.versions[-1], len(self.versions))
+
     def limit_deadline(self, deadline: float) -> None:
         """Set an earlier deadline, which the current attempt keeps, too.
 
--- a/src/primroseford/gateway/runner_responses.py
+++ b/src/primroseford/gateway/runner_responses.py
@@ -175,6 +175,7 @@
             if gateway.stopping:
                 response.force_close()
             context.response = response
+            context.origin = context.current_origin
             await response.prepare(context.request)
         if data:
             await context.response.write(data)
--- a/src/primroseford/jobs/batch_capacity.py
+++ b/src/primroseford/jobs/batch_capacity.py
@@ -30,6 +30,7 @@
     from primroseford.gateway.state import Gateway
     from primroseford.ids import PoolName
     from primroseford.ids import RunnerName
+    from primroseford.ids import SoftwareVersion
     from primroseford.jobs.deadlines import DeadlineEstimator
     from primroseford.jobs.run import ItemRun
 
@@ -110,25 +111,32 @@
         pool: PoolName,
         tried: Collection[RunnerKey] = (),
         trial: bool = False,
+        version: SoftwareVersion | None = None,
     ) -> RunnerState | None:
         """Return a runner with a free slot for an item, or None.
 
+        :param tried: runner instances that failed the item
         :param trial: whether the item is tried despite a quarantine
+        :param version: the only software version that may run it; ``None`` for any
         """
-        return self._choose(self._eligible_loads(pool, tried), trial)
+        return self._choose(self._eligible_loads(pool, tried, version=version), trial)
 
     def choose_limited_runner(
         self,
         pool: PoolName,
         tried: Collection[RunnerKey] = (),
         trial: bool = False,
+        version: SoftwareVersion | None = None,
     ) -> RunnerState | None:
         """Return a runner with a limit for which a token is on hand, or None.
 
         The token stands for a start, so that no budget applies. An item there leaves
         the slots of the other runners to online requests.
+
+        :param tried: runner instances that failed the item
+        :param version: the only software version that may run it; ``None`` for any
         """
-        loads = self._eligible_loads(pool, tried, limited=True)
+        loads = self._eligible_loads(pool, tried, limited=True, version=version)
         return self._choose(
             [load for load in loads if load.free > RATE_LIMITED_HEADROOM_SLOTS], trial
         )
@@ -148,12 +156,18 @@
         allocator, random = self.gateway.allocator, self.gateway.random
         loads = [allocator.load(runner) for runner in allocator.usable(pool)]
         shared = [load for load in loads if not load.is_rate_limited]
-        found = [
-            Preemption(
-                frozenset(load.key.name for load in shared),
-                items_to_preempt(shared, random),
-            )
-        ]
+        found = [self._shared_preemption(shared)]
+        queue = allocator.queues.get(pool)
+        if queue and not found[0].count:
+            # The free slots of the pool are of no use to requests for a full version.
+            for version in queue.versions:
+                usable = allocator.usable(pool, version)
+                keys = {runner.entry.key for runner in usable}
+                found.append(
+                    self._shared_preemption(
+                        [load for load in shared if load.key in keys]
+                    )
+                )
         found += [
             Preemption(frozenset({load.key.name}), items_to_preempt_on(load, random))
             for load in loads
@@ -161,6 +175,11 @@
         ]
         return [preemption for preemption in found if preemption.count]
 
+    def _shared_preemption(self, loads: Sequence[RunnerLoad]) -> Preemption:
+        """Return how many items end on runners of which any may free its slots."""
+        names = frozenset(load.key.name for load in loads)
+        return Preemption(names, items_to_preempt(loads, self.gateway.random))
+
     def runners_without_limit(self, pool: PoolName) -> set[RunnerName]:
         """Return the runners on which an item can start without a token."""
         allocator = self.gateway.allocator
@@ -188,19 +207,32 @@
         )
 
     def _eligible_loads(
-        self, pool: PoolName, tried: Collection[RunnerKey] = (), limited: bool = False
+        self,
+        pool: PoolName,
+        tried: Collection[RunnerKey] = (),
+        limited: bool = False,
+        version: SoftwareVersion | None = None,
     ) -> list[RunnerLoad]:
         """Return the loads of the runners that may receive items.
 
-        There are none while online requests are queued for the pool.
+        There are none that an online request in the queue of the pool could use.
 
         :param limited: whether to return the runners with a limit, or the others
+        :param version: only those of this software version; ``None`` for any
         """
         allocator = self.gateway.allocator
-        if allocator.queues.get(pool):
+        queue = allocator.queues.get(pool)
+        if queue and queue.unversioned:
             return []
-        return [
+        loads = [
             load
-            for load in allocator.open_loads(pool, tried, batch=True)
+            for load in allocator.open_loads(pool, tried, batch=True, version=version)
             if allocator.tokens.is_limited(load.key) == limited
         ]
+        if not queue:
+            return loads
+        return [
+            load
+            for load in loads
+            if not queue.has_waiter_for(allocator.runners[load.key.name].entry.version)
+        ]
--- a/src/primroseford/soak/checks.py
+++ b/src/primroseford/soak/checks.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from collections import defaultdict
 from dataclasses import dataclass
 from dataclasses import field
@@ -16,6 +17,7 @@
 from primroseford.soak.plan import FaultKind
 from primroseford.standins.fleet_runner import PARTIAL_EVENT
 from primroseford.standins.fleet_runner import event
+from primroseford.standins.fleet_runner import event_version
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -44,6 +46,10 @@
     FaultKind.CONFIGURATION,
     FaultKind.KEY_WITHDRAWN,
 )
+TOKEN = "token"
+"""Text of the data of each event."""
+VERSION = re.compile(rb"@(v2|v?$)")
+"""Version in an event, which a broken stream can cut off."""
 WHOLE_STREAM = b"".join(event(number) for number in range(1, EVENTS + 1))
 WHOLE_TEXT = "\n".join(f"token {number}" for number in range(1, EVENTS + 1))
 
@@ -115,6 +121,14 @@
         )
 
 
+def without_versions(events: bytes) -> bytes:
+    """Return events as runners of the default version write them.
+
+    The last event can be incomplete.
+    """
+    return VERSION.sub(b"", events)
+
+
 def check_runs(record: RunRecord) -> list[str]:
     """Return requests that were executed too often or in spite of a rejection."""
     problems = []
@@ -141,13 +155,7 @@
         if sent.signature.removeprefix("sig-") not in names:
             problems.append(f"{_name(sent)} is signed {sent.signature!r}")
         if sent.kind in STREAM_KINDS:
-            # A runner that interrupts a stream has sent part of the next event.
-            events = sent.body.removesuffix(PARTIAL_EVENT)
-            is_whole = sent.body == WHOLE_STREAM
-            is_prefix = (
-                WHOLE_STREAM.startswith(events) or sent.id in sent_to_hostile_runner
-            )
-            valid = is_whole if sent.complete else is_prefix
+            valid = _is_valid_stream(sent, sent_to_hostile_runner)
         else:
             valid = not sent.complete or sent.body.decode() in names
         if not valid:
@@ -155,6 +163,21 @@
     return problems
 
 
+def _is_valid_stream(sent: SentRequest, sent_to_hostile_runner: set[str]) -> bool:
+    """Return whether a stream has the right events, and all if it looks complete."""
+    stream, own = without_versions(sent.stream()), without_versions(sent.body)
+    if any(tried.id in sent_to_hostile_runner for tried in sent.resumed):
+        # A hostile runner decided where the stream is resumed.
+        own = own.removesuffix(PARTIAL_EVENT)
+        valid = WHOLE_STREAM.endswith(own) if sent.complete else own in WHOLE_STREAM
+        return valid or (not sent.complete and sent.id in sent_to_hostile_runner)
+    if sent.complete:
+        return stream == WHOLE_STREAM
+    # A runner that interrupts a stream has sent part of the next event.
+    events = stream.removesuffix(PARTIAL_EVENT)
+    return WHOLE_STREAM.startswith(events) or sent.id in sent_to_hostile_runner
+
+
 def check_deadlines(record: RunRecord) -> list[str]:
     """Return requests whose response ended after the deadline and its tolerance."""
     problems = []
@@ -252,7 +275,11 @@
             item_ids
         ):
             problems.append(f"{job.id} has duplicate or unknown results: {result_ids}")
-        wrong = [r for r in job.results if r["text"] != WHOLE_TEXT]
+        wrong = [
+            result
+            for result in job.results
+            if without_versions(result["text"].encode()) != WHOLE_TEXT.encode()
+        ]
         if job.cancelled_at:
             late = [
                 at for at in execution_times if at > job.cancelled_at + CANCEL_SECONDS
@@ -272,6 +299,27 @@
     return problems
 
 
+def check_versions(record: RunRecord) -> list[str]:
+    """Return streams and texts with events of runners of several software versions."""
+    problems = []
+    sent_to_hostile_runner = record.sent_to_hostile_runner()
+    for sent in record.callers.sent:
+        ids = {sent.id, *(tried.id for tried in sent.resumed)}
+        if sent.kind not in STREAM_KINDS or ids & sent_to_hostile_runner:
+            continue
+        events = (tried.events() for tried in (*sent.resumed, sent))
+        versions = _versions(b"".join(events).decode())
+        if sent.events() and len(versions) > 1:
+            tries = len(sent.resumed) + 1
+            problems.append(f"{_name(sent)}, try {tries}, has events of {versions}")
+    for job in record.callers.jobs:
+        for result in job.results:
+            versions = _versions(result["text"])
+            if result["id"] not in sent_to_hostile_runner and len(versions) > 1:
+                problems.append(f"item {result['id']} has events of {versions}")
+    return problems
+
+
 def check_processes(record: RunRecord) -> list[str]:
     """Return unexpected exits of hosts and tracebacks in their logs."""
     problems = []
@@ -290,10 +338,17 @@
     check_planned_stops,
     check_configuration,
     check_jobs,
+    check_versions,
     check_processes,
 )
 
 
+def _versions(text: str) -> list[str]:
+    """Return the versions of the lines with the data of events."""
+    lines = [line for line in text.split("\n") if TOKEN in line]
+    return sorted({event_version(line) for line in lines})
+
+
 def _is_connect_error(sent: SentRequest) -> bool:
     """Return whether connecting failed, so that the host has not read the request."""
     return aiohttp.ClientConnectorError.__name__ in sent.reason
