Name the argument of the version in the test of batch items' runners

The test asks for the same as before: 5 of its cases failed with the version in the place of the trial, all pass by name.

--- a/src/primroseford/jobs/tests/test_batch_versions.py
+++ b/src/primroseford/jobs/tests/test_batch_versions.py
@@ -68,7 +68,7 @@
     keys = [KEYS[number] for number in tried]
     for limited in (False, True):
         choose = capacity.choose_limited_runner if limited else capacity.choose_runner
-        found = {choose(POOL, keys, version) for _ in range(20)} - {None}
+        found = {choose(POOL, keys, version=version) for _ in range(20)} - {None}
         expected = {KEYS[n] for n in chosen if (KEYS[n] in LIMITED) is limited}
         assert {runner.entry.key for runner in found} == expected
 
