Continue the text of a batch item at the version that began it

Cause: after a run that broke off, the next one took any runner of the pool. It asked with Last-Event-Id whatever version had made the events so far.

Evidence: 'pytest -n 2 src/primroseford/jobs/tests/test_software_versions.py' on: all 10 fail, most with texts of v1 and v2.

Fix: an item keeps the version of the runner that made the first event of its text, and its next runs ask for it. Its text is not listed before it is complete, so the item may also start again from nothing, with its failures, interruptions and tried runners kept. It does so, with a line 'item starts again' that tells how many events were dropped, - when only runners of other versions are ready (checked before the items are ranked, so that the forecast counts all events as to be made); - when runners of its version are ready without room for 3 s while others have room; it waits with the reason 'version_full'; - when each ready runner of its version has failed it or broken it off without a new event, or its runs have ended without one for 3 s. The last rule is new with the constraint: an item used to move on to any runner, and would now be sent to the only runner of its version as long as that is listed, even if it hangs, cannot be reached or fails the item until it is a dead letter (test_version_waits.py). It never starts again if there is no runner of another version to run it. A host that has just started knows no runner and drops nothing.

An item whose version is full no longer marks the pool as full for the others. What a pass over the items has found about room is kept for the pass, so that many waiting items of one version do not look at all runners each.

Ruled out: going on at another version of a pool that names the same text of version but belongs to another route's pool is not prevented; the pool of the text is not kept. 'Weight-Versions' are something else and unchanged.

--- a/src/primroseford/jobs/run.py
+++ b/src/primroseford/jobs/run.py
@@ -43,6 +43,7 @@
     from primroseford.gateway.tables import Route
     from primroseford.ids import PromptPartId
     from primroseford.ids import RunnerName
+    from primroseford.ids import SoftwareVersion
     from primroseford.ids import Version
     from primroseford.jobs.state import Item
     from primroseford.jobs.state import ItemId
@@ -82,8 +83,14 @@
     :param text_bytes: length of the data as a text
     :param last_event: id of the last complete event that has an id
     :param resumable_events: number of events up to that one; the next run resumes there
+    :param version: software version of the runner that made the first of the events;
+        None if there are no events
     :param not_before: local time before which it is not retried, in seconds
     :param tried: runners on which it has failed
+    :param failed_on: runners that broke it off or reported a failure, since its last
+        event
+    :param stalled_since: local time in seconds of the end of the first run since its
+        last event; None if none has ended since
     :param runner: runner of its current or last run
     :param started_at: local time of the start of that run in seconds
     :param events_at_start: number of events at that time
@@ -95,6 +102,8 @@
         the store refused it, in seconds; None if it was not refused
     :param wait_reason: why it has not been started, if it waits
     :param waiting_since: local time since which it waits in seconds; None if it runs
+    :param version_full_since: local time since which only runners of other software
+        versions than that of its text have room, in seconds; None if they have not
     :param wait_logged_at: local time of the last log line about its wait in seconds
     :ivar prompt: parts of the item's prompt
     :ivar shared_parts: ids of the prompt parts that other requests may share
@@ -108,8 +117,11 @@
     text_bytes: int = 0
     last_event: str | None = None
     resumable_events: int = 0
+    version: SoftwareVersion | None = None
     not_before: float = float("-inf")
     tried: set[RunnerKey] = field(default_factory=set)
+    failed_on: set[RunnerKey] = field(default_factory=set)
+    stalled_since: float | None = None
     task: asyncio.Task | None = None
     runner: RunnerName | None = None
     started_at: float = 0.0
@@ -121,6 +133,7 @@
     commit_after: float | None = None
     wait_reason: WaitReason = WaitReason.NOT_SCHEDULED
     waiting_since: float | None = None
+    version_full_since: float | None = None
     wait_logged_at: float = float("-inf")
     prompt: tuple[PromptPart, ...] = field(init=False)
     shared_parts: list[PromptPartId] = field(init=False)
@@ -133,11 +146,21 @@
         """Return the text of a complete item."""
         return "\n".join(self.data)
 
-    def append_events(self, block: bytes) -> None:
+    @property
+    def required_version(self) -> SoftwareVersion | None:
+        """Software version of the runners that can continue the text; None for any."""
+        return self.version if self.resumable_events else None
+
+    def append_events(self, block: bytes, version: SoftwareVersion) -> None:
         """Append complete events.
 
         :param block: events, each ended by an empty line
+        :param version: software version of the runner that made them
         """
+        if not self.data:
+            self.version = version
+        self.stalled_since = None
+        self.failed_on.clear()
         for event in block.decode().replace("\r\n", "\n").split("\n\n"):
             number, lines = parse_event(event)
             if lines is None:
@@ -163,6 +186,7 @@
         """Drop all events, so that the next run starts from the beginning."""
         self.data, self.text_bytes = [], 0
         self.last_event, self.resumable_events = None, 0
+        self.version = self.version_full_since = self.stalled_since = None
 
 
 @dataclass(eq=False)
@@ -343,7 +367,7 @@
                     gateway.quarantine.record_served(item.shared_parts)
                 inactivity.reset()
                 runner.last_byte = gateway.clock()
-                item.append_events(block)
+                item.append_events(block, runner.entry.version)
                 if item.text_bytes > MAX_ITEM_BYTES:
                     item.discard_events()
                     raise may_have_run_error(
--- a/src/primroseford/jobs/scheduler.py
+++ b/src/primroseford/jobs/scheduler.py
@@ -24,6 +24,8 @@
 from primroseford.jobs.run import run_item
 from primroseford.jobs.state import ItemState
 from primroseford.jobs.state import Progress
+from primroseford.jobs.versions import TextVersions
+from primroseford.jobs.versions import record_run_end
 from primroseford.jobs.waiting import WAIT_LOG_INTERVAL_SECONDS
 from primroseford.jobs.waiting import WaitLog
 from primroseford.jobs.waiting import WaitReason
@@ -86,6 +88,7 @@
         self.recorder = JobRecorder(gateway, store, self._finish)
         self.estimator = DeadlineEstimator(gateway, self.runs)
         self.capacity = BatchCapacity(gateway, self.estimator)
+        self.text_versions = TextVersions(gateway, self.capacity)
         self.wait_log = WaitLog(gateway)
         self.wait_logged_at = -math.inf
 
@@ -192,6 +195,7 @@
         """
         capacity, estimator = self.capacity, self.estimator
         now = self.gateway.clock()
+        self.text_versions.renew()
         startable = []
         for run in self.runs.values():
             for index, item in enumerate(run.waiting):
@@ -199,6 +203,9 @@
                     item.waiting_since = now
                 reason = self._find_obstacle(item, now)
                 if reason is None:
+                    if item.required_version is not None:
+                        route = self.route_of(item.job)
+                        self.text_versions.check_ready(item, route, now)
                     startable.append((estimator.rank(item, now), index, run, item))
                 else:
                     item.wait_reason = reason
@@ -215,23 +222,30 @@
                 item.wait_reason = WaitReason.POOL_FULL
                 continue
             self.gateway.request_limiter.ask_for_batch(pool)
-            runner = capacity.choose_limited_runner(pool, item.tried)
-            is_limited = runner is not None
             urgent = 0 <= estimator.slack(item, now) < URGENT_SLACK_SECONDS
-            if not is_limited and not capacity.may_start(pool, item, route.due, urgent):
+            may_start = partial(capacity.may_start, pool, item, route.due, urgent)
+            obstacle = self.text_versions.check_room(item, pool, may_start, now)
+            if obstacle is not None:
+                item.wait_reason = obstacle
+                continue
+            version = item.required_version
+            runner = capacity.choose_limited_runner(pool, item.tried, version=version)
+            is_limited = runner is not None
+            if not is_limited and not may_start():
                 item.wait_reason = WaitReason.NO_START_LEFT
                 # Urgent items may still start in a pool that is full for other items.
                 if urgent:
                     full_pools.add(pool)
                 continue
             if not is_limited:
-                runner = capacity.choose_runner(pool, item.tried)
+                runner = capacity.choose_runner(pool, item.tried, version=version)
             if runner is None and item.tried:
                 item.tried.clear()
-                runner = capacity.choose_runner(pool)
+                runner = capacity.choose_runner(pool, version=version)
             if runner is None:
                 item.wait_reason = WaitReason.POOL_FULL
-                full_pools.add(pool)
+                if version is None:
+                    full_pools.add(pool)
                 continue
             if self._is_held(item):
                 # An item that was started before it is the one that is tried.
@@ -246,13 +260,14 @@
             item.discard_unresumable_events()
             item.started_at, item.events_at_start = now, len(item.data)
             item.runner = runner.entry.key.name
-            item.waiting_since = None
+            item.waiting_since = item.version_full_since = None
             item.starts += 1
             log.info(
                 "item started",
                 item=item.item.id,
                 job=item.job.id,
                 runner=item.runner,
+                version=runner.entry.version,
                 start=item.starts,
             )
             abandon_time = now + max(1.0, self.abandon_at(item, route) - time.time())
@@ -371,6 +386,7 @@
         if run.stopped or item.item.id in run.view.committed:
             return
         if item.result is None:
+            record_run_end(item, key, outcome is RunOutcome.REFUSED, now)
             run.waiting.append(item)
             return
         log.info(
--- a/src/primroseford/jobs/waiting.py
+++ b/src/primroseford/jobs/waiting.py
@@ -40,6 +40,7 @@
     QUARANTINED = "quarantined"
     NO_START_LEFT = "no_start_left"
     POOL_FULL = "pool_full"
+    VERSION_FULL = "version_full"
 
 
 class WaitLog:
