Hand over and store the version of the progress of items

Cause: neither the progress that a leaving host hands over nor that of a checkpoint told the version that made it.

Fix: Progress has a version, and the host that takes over asks for it. Earlier releases read lists of exactly four elements an item, so the versions go in a map of their own beside the list, 'versions', in checkpoints and in hand-overs; earlier releases pass over it. Progress without a version, from such a host, may already be of two; it is kept only if all ready runners of the route's pools are of one version when the job is started here, otherwise the item starts again from nothing ('version_unknown'), with its failures.

The progress of several leaving hosts is chosen for each item as a whole, by its number of events, so that two texts are never joined; and two hosts that run the same item at two versions each write a whole text, of which one is listed. The size of the versions counts against the limit of a checkpoint.

--- a/src/primroseford/jobs/peers.py
+++ b/src/primroseford/jobs/peers.py
@@ -28,6 +28,7 @@
 from primroseford.jobs.state import encode_item
 from primroseford.jobs.state import encode_job
 from primroseford.jobs.state import encode_progress
+from primroseford.jobs.state import encode_progress_versions
 from primroseford.jobs.state import encode_result
 
 if TYPE_CHECKING:
@@ -108,7 +109,10 @@
             content = await self._request([base_url], job, "after=0", "POST")
             if content is not None:
                 _append(view, 0, content, requested_at)
-            received = decode_progress(content["progress"]) if content else {}
+            received: dict[ItemId, Progress] = {}
+            if content is not None:
+                versions = content.get("versions")
+                received = decode_progress(content["progress"], versions)
             for item, done in received.items():
                 if item not in progress or len(done.data) > len(progress[item].data):
                     progress[item] = done
@@ -165,13 +169,16 @@
         number, _, confirm = query.removeprefix("after=").partition("&")
         if view is None or not SEGMENT_NUMBER.fullmatch(number):
             return web.Response(status=404)
-        progress = None
+        handed_over = None
         if request.method == "POST":
-            progress = encode_progress(await hand_over(view.job.id))
+            handed_over = await hand_over(view.job.id)
         elif confirm and view.job.id in views.runs and not view.finished:
             await views.try_to_confirm(view)
         content = _encode(view, int(number), views.gateway.clock())
-        content["progress"] = progress
+        content["progress"] = None
+        if handed_over is not None:
+            content["progress"] = encode_progress(handed_over)
+            content["versions"] = encode_progress_versions(handed_over)
         return web.Response(body=json.dumps(content).encode())
 
     return handle
--- a/src/primroseford/jobs/run.py
+++ b/src/primroseford/jobs/run.py
@@ -175,7 +175,7 @@
         self.data, self.last_event = list(progress.data), progress.last_event
         self.text_bytes = _text_bytes(self.data)
         self.resumable_events = len(self.data)
-        self.failures = progress.failures
+        self.failures, self.version = progress.failures, progress.version
 
     def discard_unresumable_events(self) -> None:
         """Drop the events that the next run will send again."""
@@ -223,7 +223,10 @@
         """Return the progress of the items that have events or failures."""
         return {
             item.item.id: Progress(
-                item.data[: item.resumable_events], item.last_event, item.failures
+                item.data[: item.resumable_events],
+                item.last_event,
+                item.failures,
+                item.required_version,
             )
             for item in [*self.waiting, *self.running]
             if item.data or item.failures
--- a/src/primroseford/jobs/scheduler.py
+++ b/src/primroseford/jobs/scheduler.py
@@ -125,6 +125,7 @@
             item_progress = (progress or {}).get(item.item.id)
             if item_progress is not None:
                 item.restore(item_progress)
+                self.text_versions.check_restored(item, route)
         run = self.runs[job.id] = JobRun(view, waiting)
         run.checkpoint_at = self.gateway.clock()
         run.checkpoint_events = sum(len(item.data) for item in waiting)
--- a/src/primroseford/jobs/state.py
+++ b/src/primroseford/jobs/state.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import base64
-from dataclasses import astuple
 from dataclasses import dataclass
 from dataclasses import field
 from enum import Enum
+from typing import TYPE_CHECKING
 from typing import Any
 from typing import NewType
 
@@ -14,6 +14,9 @@
 from primroseford.ids import OrganisationId
 from primroseford.platform.encoding import encoded_bytes
 
+if TYPE_CHECKING:
+    from primroseford.ids import SoftwareVersion
+
 ItemId = NewType("ItemId", str)
 
 MAX_ESCAPED_TEXT_BYTES = 600_000
@@ -71,11 +74,14 @@
     :param data: data of the events received so far
     :param last_event: id of the last of these events
     :param failures: runs that ended with a failure reported by the runner itself
+    :param version: software version of the runners that made these events; None if
+        there are no events, or if they come from a host that does not tell
     """
 
     data: list[str]
     last_event: str | None
     failures: int
+    version: SoftwareVersion | None = None
 
 
 @dataclass(frozen=True)
@@ -216,10 +222,42 @@
 
 
 def encode_progress(progress: dict[ItemId, Progress]) -> list[list]:
-    """Encode the progress of items for the store and for other hosts."""
-    return [[item, *astuple(done)] for item, done in progress.items()]
+    """Encode the progress of items for the store and for other hosts.
+
+    The software versions are encoded separately, since hosts of earlier releases fail
+    to read longer lists.
+    """
+    return [
+        [item, done.data, done.last_event, done.failures]
+        for item, done in progress.items()
+    ]
+
+
+def encode_progress_versions(
+    progress: dict[ItemId, Progress],
+) -> dict[ItemId, SoftwareVersion]:
+    """Encode the software versions that belong to encoded progress."""
+    return {
+        item: done.version
+        for item, done in progress.items()
+        if done.version is not None
+    }
+
+
+def decode_progress(stored: list[list], versions: Any = None) -> dict[ItemId, Progress]:
+    """Decode the progress of items.
+
+    :param versions: the encoded software versions; None from a host of an earlier
+        release
+    """
+    known = versions if isinstance(versions, dict) else {}
+    return {
+        ItemId(item): Progress(
+            data, last_event, failures, _decode_version(known.get(item))
+        )
+        for item, data, last_event, failures in stored
+    }
 
 
-def decode_progress(stored: list[list]) -> dict[ItemId, Progress]:
-    """Decode the progress of items."""
-    return {ItemId(item[0]): Progress(*item[1:]) for item in stored}
+def _decode_version(version: Any) -> SoftwareVersion | None:
+    return version if isinstance(version, str) and version else None
--- a/src/primroseford/jobs/store.py
+++ b/src/primroseford/jobs/store.py
@@ -22,6 +22,7 @@
 from primroseford.jobs.state import encode_item
 from primroseford.jobs.state import encode_job
 from primroseford.jobs.state import encode_progress
+from primroseford.jobs.state import encode_progress_versions
 from primroseford.jobs.state import encode_result
 from primroseford.platform.encoding import encode_json
 from primroseford.platform.encoding import encoded_bytes
@@ -193,7 +194,10 @@
         :raises PrimrosefordError: VERSION_CONFLICT if another host has stored progress
             since
         """
-        content = {"progress": encode_progress(progress)}
+        content = {
+            "progress": encode_progress(progress),
+            "versions": encode_progress_versions(progress),
+        }
         if version is None:
             try:
                 created = await self.client.create(
@@ -221,7 +225,9 @@
             if error.code is ResultCode.NOT_FOUND:
                 return {}
             raise
-        return decode_progress(checkpoint.spec["progress"])
+        return decode_progress(
+            checkpoint.spec["progress"], checkpoint.spec.get("versions")
+        )
 
     async def mark_finished(self, job: JobId) -> None:
         """Record that every item has a result, so that scans skip the job."""
@@ -353,7 +359,11 @@
         # Avoids encoding texts that cannot fit.
         if size + sum(map(len, done.data)) > MAX_PROGRESS_BYTES:
             continue
-        item_bytes = encoded_bytes(encode_progress({item: done})) + SEPARATOR_BYTES
+        encoded = [
+            encode_progress({item: done}),
+            encode_progress_versions({item: done}),
+        ]
+        item_bytes = encoded_bytes(encoded) + SEPARATOR_BYTES
         if size + item_bytes <= MAX_PROGRESS_BYTES:
             selected[item] = done
             size += item_bytes
--- a/src/primroseford/jobs/tests/test_versions.py
+++ b/src/primroseford/jobs/tests/test_versions.py
@@ -22,6 +22,7 @@
 from primroseford.jobs.versions import DiscardReason
 from primroseford.jobs.versions import TextVersions
 from primroseford.jobs.versions import find_discard_reason
+from primroseford.jobs.versions import sole_version
 from primroseford.jobs.waiting import WaitReason
 from primroseford.standins.fleet_runner import event
 from primroseford.standins.fleet_runner import event_without_id
@@ -72,6 +73,16 @@
     return TextVersions(SimpleNamespace(allocator=allocator), capacity or Capacity())
 
 
+@pytest.mark.parametrize(
+    ("versions", "expected"),
+    [((), None), (("v1",), "v1"), (("v1", "v1"), "v1"), (("v1", "v2"), None)],
+)
+def test_sole_version_of_runners(versions, expected):
+    """Guards against a guess at the version of progress that does not tell it."""
+    entries = [entry(number, version) for number, version in enumerate(versions)]
+    assert sole_version(entries) == expected
+
+
 @pytest.mark.parametrize(
     ("versions", "failed_on", "stalled_seconds", "expected"),
     [
@@ -188,6 +199,18 @@
     assert capacity.calls == 1
 
 
+def test_restored_progress_does_not_tell_its_version():
+    """Guards against progress of an earlier release that goes on at any version."""
+    for versions, expected in [((), None), (("v2",), "v2"), (("v1", "v2"), None)]:
+        item = create_item(events=0)
+        item.restore(Progress(["a", "b"], "2", 1))
+        entries = [entry(number, version) for number, version in enumerate(versions)]
+        create_texts(entries=entries).check_restored(item, ROUTE)
+        assert item.required_version == expected
+        assert item.last_event == ("2" if expected else None)
+        assert item.failures == 1
+
+
 def test_dropped_text_takes_other_counts_with_it(clock):
     """Guards against a bad item that runs for ever, as its failures are forgotten.
 
--- a/src/primroseford/jobs/versions.py
+++ b/src/primroseford/jobs/versions.py
@@ -40,6 +40,13 @@
     VERSION_GONE = "version_gone"
     VERSION_FULL = "version_full"
     VERSION_STALLED = "version_stalled"
+    VERSION_UNKNOWN = "version_unknown"
+
+
+def sole_version(entries: Iterable[RunnerEntry]) -> SoftwareVersion | None:
+    """Return the version of runners that all have the same; None if they differ."""
+    versions = {entry.version for entry in entries}
+    return versions.pop() if len(versions) == 1 else None
 
 
 def find_discard_reason(
@@ -103,6 +110,17 @@
         self.ready.clear()
         self.without_room.clear()
 
+    def check_restored(self, item: ItemRun, route: Route | None) -> None:
+        """Check the progress of another host that may not tell its version.
+
+        Hosts of earlier releases continue a text at any version.
+        """
+        if not item.resumable_events or item.version is not None:
+            return
+        item.version = sole_version(self._ready_entries(route))
+        if item.version is None:
+            self.discard(item, DiscardReason.VERSION_UNKNOWN)
+
     def check_ready(self, item: ItemRun, route: Route | None, now: float) -> None:
         """Drop the text of an item that no runner of its version can continue.
 
