--- a/src/primroseford/jobs/scheduler.py
+++ b/src/primroseford/jobs/scheduler.py
@@ -30,6 +30,8 @@
 from primroseford.jobs.run import run_item
 from primroseford.jobs.state import ItemState
 from primroseford.jobs.state import Progress
+from primroseford.jobs.versions import TextVersions
+from primroseford.jobs.versions import record_run_end
 from primroseford.jobs.waiting import WAIT_LOG_INTERVAL_SECONDS
 from primroseford.jobs.waiting import WaitLog
 from primroseford.jobs.waiting import WaitReason
@@ -94,6 +96,7 @@
         self.estimator = DeadlineEstimator(gateway, self.runs)
         self.isolation = Isolation(gateway.clock)
         self.capacity = BatchCapacity(gateway, self.estimator)
+        self.text_versions = TextVersions(gateway, self.capacity)
         self.wait_log = WaitLog(gateway)
         self.wait_logged_at = -math.inf
         self.stepped_at = gateway.clock()
@@ -153,6 +156,7 @@
             item_progress = (progress or {}).get(item.item.id)
             if item_progress is not None:
                 item.restore(item_progress)
+                self.text_versions.check_restored(item, route)
         run = self.runs[job.id] = JobRun(view, waiting, deadline=deadline)
         run.checkpoint_at = self.gateway.clock()
         run.checkpoint_events = sum(len(item.data) for item in waiting)
@@ -234,6 +238,7 @@
         Each item that is not started gets the reason for its wait.
         """
         now = self.gateway.clock()
+        self.text_versions.renew()
         startable = []
         for run in self.runs.values():
             for index, item in enumerate(run.waiting):
@@ -242,6 +247,7 @@
                 try:
                     reason = self._find_obstacle(item, now)
                     if reason is None:
+                        self._check_text_version(item, now)
                         rank = self.estimator.rank(item, now)
                         startable.append((rank, index, run, item))
                     else:
@@ -279,23 +285,33 @@
         # A trial may crash its runner, which should have little else to do then.
         # Only one host has its turn, so that a trial needs no share of the starts.
         is_trial = item.held
-        runner = capacity.choose_limited_runner(pool, item.tried, is_trial)
-        is_budgeted = runner is None and not is_trial
         urgent = 0 <= estimator.slack(item, now) < URGENT_SLACK_SECONDS
-        if is_budgeted and not capacity.may_start(pool, item, route.due, urgent):
+
+        def may_start() -> bool:
+            return is_trial or capacity.may_start(pool, item, route.due, urgent)
+
+        obstacle = self.text_versions.check_room(item, pool, may_start, now)
+        if obstacle is not None:
+            item.wait_reason = obstacle
+            return
+        version = item.required_version
+        runner = capacity.choose_limited_runner(pool, item.tried, is_trial, version)
+        is_budgeted = runner is None and not is_trial
+        if is_budgeted and not may_start():
             item.wait_reason = WaitReason.NO_START_LEFT
             # Urgent items may still start in a pool that is full for other items.
             if urgent:
                 full_pools.add(pool)
             return
         if runner is None:
-            runner = capacity.choose_runner(pool, item.tried, is_trial)
+            runner = capacity.choose_runner(pool, item.tried, is_trial, version)
         if runner is None and item.tried:
             item.tried.clear()
-            runner = capacity.choose_runner(pool, (), is_trial)
+            runner = capacity.choose_runner(pool, (), is_trial, version)
         if runner is None:
             item.wait_reason = WaitReason.POOL_FULL
-            full_pools.add(pool)
+            if version is None:
+                full_pools.add(pool)
             return
         if is_held(self.gateway.quarantine, item):
             # An item that was started before it is the one that is tried.
@@ -334,16 +350,22 @@
         run.running.add(item)
         item.started_at, item.events_at_start = now, len(item.data)
         item.runner = runner.entry.key.name
-        item.waiting_since = None
+        item.waiting_since = item.version_full_since = None
         item.starts += 1
         log.info(
             "item started",
             item=item.item.id,
             job=item.job.id,
             runner=item.runner,
+            version=runner.entry.version,
             start=item.starts,
         )
 
+    def _check_text_version(self, item: ItemRun, now: float) -> None:
+        """Drop the text of an item that no runner of its version can continue."""
+        if item.required_version is not None:
+            self.text_versions.check_ready(item, self.route_of(item.job), now)
+
     def _find_obstacle(self, item: ItemRun, now: float) -> WaitReason | None:
         """Return why an item may not start, whatever capacity is free; None if it may.
 
@@ -463,6 +485,8 @@
         else:
             item.tried.add(key)
             item.not_before = now + self._retry_delay(item, outcome)
+        if item.result is None:
+            record_run_end(item, key, outcome is RunOutcome.REFUSED, now)
 
     @staticmethod
     def _retry_delay(item: ItemRun, outcome: RunOutcome) -> float:
