Ask for tokens of the version that a waiting request needs

What callers would see: a stream that goes on at its version waits, up to its deadline, for tokens of runners that limit their requests. Cause: a host asks for tokens for as many requests as wait in the pool, at any of its limited runners; the tokens of other versions are of no use to a request that needs one, and those that wait for any version keep the asked runners asked. A host now asks among the runners of each version that is waited for, returns at once the tokens that no waiting request can use, and lets items ask where none waits. Without versions the same runners are asked as before, with the same draws.

Evidence: test_tokens_of_other_versions_are_asked_for, a replay of 1, 7 and 40 hosts in virtual time: with one host and a fifth of the requests bound to the one runner of an old version, that runner got 0 requests in 8 s before, where its limit allows 16.

--- a/src/primroseford/gateway/request_limiter.py
+++ b/src/primroseford/gateway/request_limiter.py
@@ -50,6 +50,7 @@
     from primroseford.gateway.runner_state import RunnerState
     from primroseford.gateway.state import Gateway
     from primroseford.ids import PoolName
+    from primroseford.ids import SoftwareVersion
 
 MIN_ASK_INTERVAL_SECONDS = 0.1
 """Shortest interval at which a waiting host repeats its message to an owner. In a large
@@ -159,13 +160,21 @@
 
     def ask_for_pool(self, pool: PoolName) -> None:
         """Ask for tokens for the online requests that wait for a slot of a pool."""
-        waiting = len(self.allocator.queues.get(pool, ()))
-        if not waiting:
+        queue = self.allocator.queues.get(pool)
+        if not queue:
             return
+        if queue.unversioned:
+            self._ask_for_requests(pool, None, queue.unversioned)
+        for version, waiting in queue.versions.items():
+            self._ask_for_requests(pool, version, waiting)
+
+    def _ask_for_requests(
+        self, pool: PoolName, version: SoftwareVersion | None, waiting: int
+    ) -> None:
         now = self.gateway.clock()
         candidates = {
             runner.entry.key
-            for runner in self.allocator.usable(pool)
+            for runner in self.allocator.usable(pool, version)
             if self.tokens.is_limited(runner.entry.key)
             and runner.full_until <= now
             and runner.load().free > -MAX_RUNNER_QUEUE
@@ -189,13 +198,15 @@
         """Ask for tokens for batch items that wait for a slot of a pool."""
         now = self.gateway.clock()
         asked_at = self.batch_asked_at.get(pool, -math.inf)
-        if self.allocator.queues.get(pool) or now - asked_at < self.ask_interval:
+        queue = self.allocator.queues.get(pool)
+        if queue and queue.unversioned or now - asked_at < self.ask_interval:
             return
         candidates = [
             runner.entry.key
             for runner in self.allocator.usable(pool)
             if self.tokens.is_limited(runner.entry.key)
             and not self.tokens.count(runner.entry.key, batch=True)
+            and not self._is_waiting(runner.entry.key)
             and runner.full_until <= now
             and runner.load().free > RATE_LIMITED_HEADROOM_SLOTS
         ]
@@ -254,8 +265,7 @@
             if ask.count <= 0:
                 del self.asks[key]
         self.allocator.grant()
-        runner = self._runner(key)
-        if runner is None or not self.allocator.queues.get(runner.entry.pool):
+        if not self._is_waiting(key):
             self._return_tokens(key, batch=False)
 
     def _return_tokens(self, key: RunnerKey, batch: bool) -> None:
@@ -357,8 +367,10 @@
             self.owner.open_window(key, self._owned_rate(rate))
 
     def _is_waiting(self, key: RunnerKey) -> bool:
+        """Return whether a request waits that could use a token of a runner."""
         runner = self._runner(key)
-        return runner is not None and bool(self.allocator.queues.get(runner.entry.pool))
+        queue = self.allocator.queues.get(runner.entry.pool) if runner else None
+        return bool(queue) and queue.has_waiter_for(runner.entry.version)
 
     def fill_heartbeat(self, heartbeat: Heartbeat) -> None:
         """Add what responses to this host said to its heartbeat."""
--- a/src/primroseford/gateway/tests/test_request_limit_replay.py
+++ b/src/primroseford/gateway/tests/test_request_limit_replay.py
@@ -60,6 +60,7 @@
 
     :param limit: requests per second that each runner accepts; 0 for no limit
     :param rate: requests per second to all hosts
+    :param old_share: share of them that only the first runner's version may serve
     :ivar sent: times of requests from hosts that must keep the limit, by runner
     :ivar all_sent: times of all requests, by runner
     :ivar told_at: time at which a host passed on a limit, by host and runner
@@ -71,6 +72,7 @@
     limit: float
     rate: float
     seed: int = 1
+    old_share: float = 0.0
     sent: dict[str, list[float]] = field(default_factory=dict)
     all_sent: dict[str, list[float]] = field(default_factory=dict)
     told_at: dict[tuple[str, str], float] = field(default_factory=dict)
@@ -101,7 +103,7 @@
         self.gateway(host).allocator.set_runners(
             {
                 key.name: RunnerEntry(
-                    key, POOL, "", "a", SLOTS, RunnerStage.READY, "v1"
+                    key, POOL, "", "a", SLOTS, RunnerStage.READY, f"v{min(key.born, 1)}"
                 )
                 for key in keys
             }
@@ -129,7 +131,8 @@
         allocator = self.gateway(host).allocator
         queue = allocator.queues.setdefault(POOL, SlotQueue())
         ticket = Ticket(self, host, self.now + PATIENCE_SECONDS)
-        queue.push("", Waiter(ticket, (), "", ()))
+        is_old = self.old_share > 0 and self.random.random() < self.old_share
+        queue.push("", Waiter(ticket, (), "", (), "v0" if is_old else None))
         allocator.grant()
         allocator.on_waiting(POOL)
 
@@ -204,6 +207,29 @@
     assert replay.requests_since(start) >= MIN_USED_SHARE * usable
 
 
+@pytest.mark.parametrize("hosts", [1, 7, 40])
+@pytest.mark.parametrize(
+    ("rate", "old_share", "runners"), [(6.0, 1.0, 1), (60.0, 0.2, 10)]
+)
+def test_tokens_of_other_versions_are_asked_for(hosts, rate, old_share, runners):
+    """Guards against requests that wait for their version, but get other tokens.
+
+    :param runners: runners whose limits must be used
+    """
+    replay = LimitReplay(hosts, 10, 0.0, 60.0)
+    replay.run(2.0)
+    replay.limit = 2.0
+    replay.run(4.0)
+    replay.rate, replay.old_share = rate, old_share
+    replay.run(4.0)
+    start = replay.now
+    replay.run(8.0)
+    assert 0 < replay.most_in_window() <= allowed(2.0)
+    used = sum(at >= start for at in replay.all_sent["r-0"])
+    assert used >= MIN_USED_SHARE * 2.0 * 8.0
+    assert replay.requests_since(start) >= MIN_USED_SHARE * 2.0 * 8.0 * runners
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 def test_limit_is_exceeded_when_token_owners_restart(seed):
     """Guards against owners that grant again what the owner before has granted."""
