Let a stream wait for a runner of its version that is full for a moment

What callers would see: a stream that breaks off, or is refused when it is taken up, although a runner of its version serves. Cause: a runner that refuses a request as full counted as one that has failed it, and a stream has only the runners of its version: one refusal of each ends it. Before versions counted, another runner of the pool served it.

Fix: such a refusal marks the runner as full for 0.1 s, as before, and no longer as tried, where a version is needed; the number of refusals of a request stays bounded (MAX_REFUSALS). The waiting request is woken at the end of that time, which a host without other events would not do.

--- a/src/primroseford/gateway/exchange.py
+++ b/src/primroseford/gateway/exchange.py
@@ -69,6 +69,13 @@
         )
 
 
+def is_full(error: PrimrosefordError) -> bool:
+    """Return whether a runner has refused a request for lack of room."""
+    return error.code is ResultCode.POOL_UNAVAILABLE and not isinstance(
+        error, RunnerReplaced
+    )
+
+
 @dataclass(frozen=True)
 class RunnerRequest:
     """A request as it is sent to one runner.
--- a/src/primroseford/gateway/forward.py
+++ b/src/primroseford/gateway/forward.py
@@ -15,6 +15,7 @@
 from primroseford.gateway.exchange import InactivityTimeout
 from primroseford.gateway.exchange import RunnerAttempt
 from primroseford.gateway.exchange import RunnerRequest
+from primroseford.gateway.exchange import is_full
 from primroseford.gateway.exchange import may_have_run_error
 from primroseford.gateway.exchange import send_to_runner
 from primroseford.gateway.preemption import PREEMPTION_DELAY_SECONDS
@@ -232,7 +233,9 @@
     may_have_run = error.outcome is not Outcome.NOT_RUN
     context.runs += may_have_run
     context.refusals += not may_have_run
-    context.tried_runners.add(runner.entry.key)
+    if context.origin is None or not is_full(error):
+        # A stream has few runners of its version, and a full one has room again soon.
+        context.tried_runners.add(runner.entry.key)
     response_started = context.response is not None
     step = decide_retry(
         context.route, context.runs, context.refusals, may_have_run, response_started
--- a/src/primroseford/gateway/slot_allocator.py
+++ b/src/primroseford/gateway/slot_allocator.py
@@ -414,6 +414,8 @@
     def mark_full(self, runner: RunnerState) -> None:
         """Record that a runner refused a request because it is full."""
         runner.full_until = self.clock() + RUNNER_FULL_SECONDS
+        # Requests that wait for this runner may have no other event that wakes them.
+        asyncio.get_running_loop().call_later(RUNNER_FULL_SECONDS, self.grant)
 
     def apply_heartbeat(self, heartbeat: Heartbeat) -> None:
         """Update the loads that another host reports.
--- a/src/primroseford/gateway/state.py
+++ b/src/primroseford/gateway/state.py
@@ -12,6 +12,7 @@
 from primroseford.errors import ResultCode
 from primroseford.gateway.crash_detector import CrashDetector
 from primroseford.gateway.exchange import RunnerReplaced
+from primroseford.gateway.exchange import is_full
 from primroseford.gateway.quota import Quotas
 from primroseford.gateway.rendezvous import ranked
 from primroseford.gateway.request_limiter import RequestLimiter
@@ -318,5 +319,5 @@
             log.warning("runner has left its address", runner=runner.entry.key.name)
             self.runner_list.remove(runner.entry.key.name)
             self.allocator.set_runners(self.runner_list.entries)
-        elif error.code is ResultCode.POOL_UNAVAILABLE:
+        elif is_full(error):
             self.allocator.mark_full(runner)
--- a/src/primroseford/gateway/tests/test_software_versions.py
+++ b/src/primroseford/gateway/tests/test_software_versions.py
@@ -294,3 +294,25 @@
     await site.until(lambda: "i-3" in allocator.runners)
     names = {runner.entry.key.name for runner in allocator.pool_runners("models")}
     assert names == ({"i-1", "i-2", "i-3"} if usable else {"i-1", "i-3"})
+
+
+async def test_stream_breaks_off_since_a_runner_of_its_version_is_full_for_a_moment(
+    create_versions_site,
+):
+    """Guards against a refusal that counts as a failure of the only runner left."""
+    site = await create_versions_site(("v1", "v1", "v2"), **FIELDS)
+
+    def crash(stream: CallerStream) -> None:
+        begun = serving_runner(site)
+        (other,) = [r for r in site.runners if r.version == "v1" and r is not begun]
+        other.faults.refuse = True
+        asyncio.get_running_loop().call_later(0.05, setattr, other.faults, "refuse", 0)
+        begun.crash()
+
+    load_runners(site, "v2")
+    async with asyncio.timeout(AT_ONCE_SECONDS):
+        stream = await read_stream(
+            site.session, host_urls(site), "/pick/x", "s", 1, at_event(2, crash)
+        )
+    assert_whole(stream)
+    assert stream.versions == ["v1"]
