--- a/src/primroseford/gateway/tests/test_stream_origins.py
+++ b/src/primroseford/gateway/tests/test_stream_origins.py
@@ -301,3 +301,43 @@
     records.receive(Bundle("host-1", [], stream_answers=[record]))
     assert all(len(key) <= 64 for key in records.origins.records)
     assert len(stream_key(RequestId("x" * 10_000))) == DIGEST_BYTES
+
+
+def share_found(hosts: int, domains: int, lost_share: float, known: bool) -> float:
+    """Return the share of streams whose origin is found after hosts were killed.
+
+    :param lost_share: share of the hosts that are killed, the one that began the stream
+        among them; another share of the same size of those left is killed after that
+    :param known: whether the hosts know which others are lost
+    """
+    random = Random(7)
+    found = 0
+    streams = 300
+    for number in range(streams):
+        key = stream_key(RequestId(f"r{number}"))
+        by_domain = fleet_domains(hosts, domains)
+        names = [host for members in by_domain.values() for host in members]
+        owner = names[0]
+        others = {d: [h for h in m if h != owner] for d, m in by_domain.items()}
+        holders = choose_holders(key, others)
+        lost = {owner}
+        for _ in range(2):
+            left = [name for name in names if name not in lost]
+            lost.update(random.sample(left, round(lost_share * hosts)))
+        asker = random.choice([name for name in names if name not in lost])
+        hidden = lost | {asker} if known else {asker}
+        seen = {d: [h for h in m if h not in hidden] for d, m in by_domain.items()}
+        seen = {domain: members for domain, members in seen.items() if members}
+        asked = {asker, *choose_asked(key, seen)}
+        found += bool(set(holders) & asked - lost)
+    return found / streams
+
+
+@pytest.mark.parametrize("known", [True, False])
+@pytest.mark.parametrize("lost_share", [0.1, 0.3])
+@pytest.mark.parametrize(("hosts", "domains"), [(7, 3), (40, 3), (165, 5), (1500, 21)])
+def test_few_streams_go_on_after_hosts_are_killed_in_series(
+    hosts, domains, lost_share, known
+):
+    """Guards against a share below half of that of new streams, all of which begin."""
+    assert share_found(hosts, domains, lost_share, known) >= 0.5
