Show that the hosts' own interface joins no two versions

The new test lets both engines lose their own streams and know all others, and cuts the stream after its third event: it ends with an error event and holds the events of one engine, on repeatable routes and others.

Ruled out by the code: retries and hedged attempts (nothing has been passed on, or one attempt writes), and items (not streamed, one answer to one attempt, start again after preemption and takeover).

--- a/src/primroseford/online/tests/test_relay.py
+++ b/src/primroseford/online/tests/test_relay.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+from collections import OrderedDict
 
 import aiohttp
 import pytest
@@ -12,6 +13,7 @@
 
 from primroseford.online.events import EventSplitter
 from primroseford.online.tests.conftest import until
+from primroseford.standins.engine_state import Generation
 from primroseford.standins.serving import serve
 
 FAULTS = [
@@ -99,6 +101,31 @@
     assert tokens == [f"t{n} " for n in range(len(tokens))]
 
 
+class StreamsOfOthers(OrderedDict):
+    """Streams of an engine that has lost its own and knows those of all others."""
+
+    def get(self, request_id: str) -> Generation | None:
+        """Return the stream of another engine."""
+        if request_id in self:
+            return None
+        return Generation([f"other{number} " for number in range(9)], 9)
+
+
+@pytest.mark.parametrize("repeatable", [False, True])
+async def test_stream_goes_on_only_at_the_engine_that_began_it(rig, repeatable):
+    """Guards against a stream with events of two software versions."""
+    await rig.start(2, route={"repeatable": repeatable})
+    for engine in rig.engines:
+        engine.state.generations = StreamsOfOthers()
+        engine.faults.cut_after_tokens, engine.faults.cuts = 3, 1
+    async with rig.post(stream=True, max_tokens=9) as answer:
+        events = await events_of(answer)
+    assert tokens_of(events) == [f"t{number} " for number in range(3)]
+    assert events[-1].startswith("event: error\n") and '"code": 4004' in events[-1]
+    assert rig.metrics.by_name["stream_resumes_total"]._value.get() == 1
+    assert sum(len(engine.state.seen_headers) for engine in rig.engines) == 1
+
+
 async def test_late_response_is_not_returned_for_the_next_request(rig):
     """Guards against a response that arrives after its request timed out."""
     await rig.start(route={"timeout_seconds": 0.2})
