Add one version a stream and a host for each item to the invariants

I14: a stream or an item's text holds events of one software version. I15: each accepted item has a running host that is bound to start it.

The test of the page named I1 to I13 only, so it failed with the new rows ("Left contains 2 more items, first extra item: 'I14'"). It names I1 to I15 now, and is stricter: the list of invariants and the list of tests must have the same rows. Both were tried: a misnamed test and a missing row of tests fail it.

--- a/src/primroseford/tests/test_design_page.py
+++ b/src/primroseford/tests/test_design_page.py
@@ -23,4 +23,6 @@
 
 def test_every_invariant_has_a_row():
     """Guards against an invariant that the page lists without a test."""
-    assert [name for name, _ in ROWS] == [f"I{n}" for n in range(1, 14)]
+    listed = re.findall(r"^\| (I\d+) \| [^`]", PAGE.read_text(), re.M)
+    assert listed == [f"I{n}" for n in range(1, 16)]
+    assert [name for name, _ in ROWS] == listed
