Take streams up in an outage of the platform

What callers would see: in an outage of the platform's store, after 3 s, every stream that is taken up without a record is refused, although its pool has had one version all along. Cause: this host's runner list counted as current only within 3 s of the platform's last confirmation. Now it counts for 10 s, if no live host reports a newer list: while nobody reaches the platform no runner can register, and a host that is cut off alone hears of the newer list from its peers.

Evidence: the cases 'outage of the platform' of test_stream_goes_on_without_a_record failed before (2 of 14). Not changed: where a live host knows a newer list, or after 10 s, the request is refused.

--- a/src/primroseford/gateway/stream_records.py
+++ b/src/primroseford/gateway/stream_records.py
@@ -49,6 +49,9 @@
 CONFIRMATION_SECONDS = 3.0
 """Largest age of the platform's last confirmation at which this host's own list of
 runners shows which versions there are."""
+OUTAGE_SECONDS = 10.0
+"""The same while no live host reports a newer list, as in an outage of the platform, in
+which no runner can register."""
 REFUSED_RETRY_SECONDS = 0.5
 """Retry-After of a stream that cannot be taken up here: another host may know it."""
 HOSTS_CACHE_SECONDS = 0.25
@@ -166,14 +169,24 @@
 
     def _only_version(self, route: Route) -> StreamOrigin | None:
         """Return the origin if the streams of a route can have only one."""
-        gateway = self.gateway
-        is_confirmed = gateway.clock() - gateway.confirmed_at <= CONFIRMATION_SECONDS
-        if not is_confirmed or len(route.pools) != 1:
+        if not self._is_list_current() or len(route.pools) != 1:
             return None
         ((pool, _),) = route.pools
-        version = gateway.allocator.versions.only_version(pool)
+        version = self.gateway.allocator.versions.only_version(pool)
         return None if version is None else StreamOrigin(pool, version, 0)
 
+    def _is_list_current(self) -> bool:
+        """Return whether this host's list has all versions that may have served."""
+        gateway = self.gateway
+        now = gateway.clock()
+        age = now - gateway.confirmed_at
+        if age <= CONFIRMATION_SECONDS:
+            return True
+        return age <= OUTAGE_SECONDS and all(
+            peer.heartbeat.runner_list <= gateway.runner_list_version
+            for peer in gateway.members.live(now)
+        )
+
     async def _ask(
         self, key: StreamKey, known: OriginRecord | None
     ) -> StreamOrigin | None:
