Send no event id of a batch item's own to a runner

What callers would see: a batch item whose own headers name Last-Event-Id 2 is listed as complete with the events from 3 on (a trial with stand-ins: 3 of 5 events). Cause: only hop-by-hop headers of an item were dropped; a host names the event itself when a text goes on. Found while the places were listed at which a stream or text goes on.

Evidence: test_item_names_an_event_of_its_own failed in its three cases; passes now. An item without such headers is sent as before.

--- a/src/primroseford/platform/headers.py
+++ b/src/primroseford/platform/headers.py
@@ -47,6 +47,10 @@
 )
 
 
+RESUMPTION = frozenset(name.lower() for name in (LAST_EVENT, RESUMES))
+"""Headers that a host sends for a batch item itself, when the item's text goes on."""
+
+
 def end_to_end(headers: Mapping[str, str], dropped: frozenset[str]) -> CIMultiDict[str]:
     """Return the end-to-end headers of a message, without the hop-by-hop ones.
 
--- a/src/primroseford/platform/runner_calls.py
+++ b/src/primroseford/platform/runner_calls.py
@@ -16,6 +16,7 @@
 from primroseford.platform.headers import ORGANISATION
 from primroseford.platform.headers import REQUEST_ID
 from primroseford.platform.headers import REQUEST_LIMIT
+from primroseford.platform.headers import RESUMPTION
 from primroseford.platform.headers import RUNNER
 from primroseford.platform.headers import SIGNATURE
 from primroseford.platform.headers import end_to_end
@@ -64,7 +65,7 @@
     :param host: host name of the item's route
     :param item: id of the item
     """
-    kept = end_to_end(CIMultiDict(headers), frozenset())
+    kept = end_to_end(CIMultiDict(headers), RESUMPTION)
     kept["Host"] = host
     kept[REQUEST_ID] = item
     return kept
