Send no key or organisation of a batch item's own to a runner

What callers would see: the API key in an item's own headers reaches the runner, and on a route without keys a runner is told an organisation that the item names (UNASKED). Cause: only hop-by-hop headers of an item were dropped, while those of an online request lose the headers that the system sets.

Evidence: test_item_names_a_key_or_an_organisation failed in its four cases; passes now.

--- a/src/primroseford/platform/runner_calls.py
+++ b/src/primroseford/platform/runner_calls.py
@@ -18,6 +18,7 @@
 from primroseford.platform.headers import REQUEST_LIMIT
 from primroseford.platform.headers import RESUMPTION
 from primroseford.platform.headers import RUNNER
+from primroseford.platform.headers import SET_BY_SYSTEM
 from primroseford.platform.headers import SIGNATURE
 from primroseford.platform.headers import end_to_end
 
@@ -65,7 +66,7 @@
     :param host: host name of the item's route
     :param item: id of the item
     """
-    kept = end_to_end(CIMultiDict(headers), RESUMPTION)
+    kept = end_to_end(CIMultiDict(headers), SET_BY_SYSTEM | RESUMPTION)
     kept["Host"] = host
     kept[REQUEST_ID] = item
     return kept
