Pass a compressed request body on as it came

Cause: aiohttp's server decompresses bodies by default; the stand-in runner did the same, so that no test could show it.

Evidence: test_encoded_body_reaches_a_runner_decoded, with a stand-in that leaves bodies as they are: b'prompt' in place of the compressed bytes, and no request at the runner. Fix: the ingress does not decompress.

gateway/tests/test_forwarding.py and test_golden.py pass.

--- a/src/primroseford/gateway/host.py
+++ b/src/primroseford/gateway/host.py
@@ -262,6 +262,8 @@
                 handler_cancellation=True,
                 keepalive_timeout=IDLE_SECONDS,
                 access_log=None,
+                # Bodies go to the runner as they are.
+                auto_decompress=False,
             )
             listener = await self._listen(settings.ingress, ingress)
             self.ingress = Ingress(
--- a/src/primroseford/gateway/tests/test_forwarding.py
+++ b/src/primroseford/gateway/tests/test_forwarding.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import asyncio
+import gzip
 
 import aiohttp
 import pytest
@@ -49,6 +50,14 @@
     assert 4000 < int(run.headers["Deadline-Ms"]) <= 5000
 
 
+@pytest.mark.parametrize("body", [gzip.compress(b"prompt"), b"no gzip"])
+async def test_encoded_body_reaches_a_runner_decoded(site, body):
+    """Guards against a body that does not match the encoding that its headers name."""
+    status, _, _ = await site.call("/once/whole", body=body, Content_Encoding="gzip")
+    (run,) = received(site)
+    assert (status, run.body, run.headers["Content-Encoding"]) == (200, body, "gzip")
+
+
 @pytest.mark.parametrize(
     ("path", "headers", "status"),
     [
--- a/src/primroseford/standins/fleet_runner.py
+++ b/src/primroseford/standins/fleet_runner.py
@@ -229,4 +229,4 @@
 
 def create_runner_server(runner: FleetRunner) -> web.Server:
     """Return the HTTP server of a runner."""
-    return web.Server(runner.handle, handler_cancellation=True)
+    return web.Server(runner.handle, handler_cancellation=True, auto_decompress=False)
