Try an item with several quarantined parts in the turn of one of them

What callers would see: an item of whose prompt two parts are quarantined waits for ever (LOST). Cause: its host had to have the turn of both parts at once, and each part has an order of its own; after a common trial both are due at the same moment.

Fix: the part that is first by its id decides, so that all hosts with such items agree. A host that holds items with the other part alone may try that one in the same turn.

--- a/src/primroseford/gateway/tests/test_trial_turns.py
+++ b/src/primroseford/gateway/tests/test_trial_turns.py
@@ -16,6 +16,7 @@
 from primroseford.quarantine.state import QuarantineRecord
 
 PART = "shared"
+OTHER_PART = "document"
 STEP_SECONDS = 0.02
 HEARING_SECONDS = 5.0
 """Time until hosts that have just started know of each other."""
@@ -119,6 +120,38 @@
     assert len(replay.trials) == 1
 
 
+class PairReplay(TrialReplay):
+    """Hosts whose waiting items all have the same two quarantined parts.
+
+    Both trials are due at the same time, as after a common trial.
+    """
+
+    def __init__(self, hosts: int, holders: int, seed: int) -> None:
+        super().__init__(hosts, holders, 0.0, seed)
+        for name in self.fleet.names:
+            record = QuarantineRecord(OTHER_PART, 1, self.due, TRIAL_SECONDS)
+            self.quarantine(name).apply(record)
+
+    def _offer(self, name: str) -> None:
+        parts = [PART, OTHER_PART]
+        gateway = self.fleet.services[name].gateway
+        gateway.trial_turns.hold(set(parts) if name in self.holders else ())
+        if name in self.holders and gateway.quarantine.blocking_record(parts) is None:
+            gateway.quarantine.begin_trial(parts)
+            self.trials.append((self.fleet.clock(), name))
+
+
+@pytest.mark.parametrize(("hosts", "holders"), [(3, 1), (3, 3), (9, 4), (9, 9)])
+@pytest.mark.parametrize("seed", range(2))
+def test_item_with_two_quarantined_parts_waits_for_turns_that_never_meet(
+    hosts, holders, seed
+):
+    """Guards against an item that nobody tries (LOST), or that several try (BUDGET)."""
+    replay = PairReplay(hosts, holders, seed)
+    replay.run(replay.due - replay.fleet.clock() + 2 * TURN_SECONDS)
+    assert len(replay.trials) == 1
+
+
 def test_hosts_of_which_some_never_have_a_turn():
     """Guards against a host that alone has a request to try and no turn for it."""
     holders, hosts = ["a", "b"], ["a", "b", "c", "d"]
--- a/src/primroseford/quarantine/state.py
+++ b/src/primroseford/quarantine/state.py
@@ -127,13 +127,19 @@
         if not self.records:
             return None
         now = self.clock()
+        due = []
         for part in parts:
             record = self.records.get(part)
             if record is None or record.lifted:
                 continue
-            if now < record.trial_at or not self.is_responsible(part):
+            if now < record.trial_at:
                 return record
-        return None
+            due.append(record)
+        # The turns of several parts may never fall to one host at the same time.
+        first = min(due, key=lambda record: record.part, default=None)
+        if first is None or self.is_responsible(first.part):
+            return None
+        return first
 
     def check(self, parts: Sequence[PromptPartId]) -> None:
         """Refuse a request with a quarantined part, unless it may be tried.
