Show cancellations that one scanner alone looks for

What callers would see (UNASKED): the items of a job whose end was acknowledged go on to start, if the host that acknowledged it was lost before its heartbeat was heard.

Cause: JobService._scan_cancellations runs on the first host in the order of scanners only. If its calls for cancellations fail, or it does not know the job, no other host looks, the one that runs the job included; a failing scan does not count as a stalled step.

Not fixed here: tests only.

--- /dev/null
+++ b/src/primroseford/jobs/tests/test_cancellation_scans.py
@@ -0,0 +1,47 @@
+"""Which host looks for cancellations that no heartbeat has reported."""
+
+from __future__ import annotations
+
+import pytest
+
+from primroseford.ids import JobId
+from primroseford.jobs.service import JobService
+from primroseford.jobs.tests.test_ownership import create_view
+from primroseford.jobs.tests.test_scan_order import PEERS
+from primroseford.jobs.tests.test_scan_order import STEP_SECONDS
+from primroseford.jobs.tests.test_scan_order import ScanningHost
+
+MAX_SCAN_TURNS_SECONDS = 30.0
+"""Generous bound on the turns of all hosts, each much longer than the limit."""
+
+
+@pytest.mark.parametrize(
+    "beat",
+    [{"jobs_stalled": True}, {"reaches_store": False}, {"job_scan_age_ms": 0}, {}],
+)
+async def test_cancelled_job_runs_on_while_the_first_scanner_finds_nothing(clock, beat):
+    """Guards against items that start after their job has ended (UNASKED).
+
+    The heartbeats of the hosts that are preferred as scanners go on. They find no
+    cancellation: their calls fail, or they do not know the job.
+    """
+    host = ScanningHost(clock)
+    service = JobService(host.gateway, host.store, None, None, 120.0, 1.0)
+    service.ownership = host.ownership
+    service.scheduler.runs = host.scheduler.runs
+    service.scheduler.stop_job = host.stop_job
+    service.views = host.views
+    host.gateway.allocator = host.gateway
+
+    async def cancelled_jobs() -> set[JobId]:
+        return {JobId("mine")}
+
+    host.store.cancelled_jobs = cancelled_jobs
+    host.start_job(create_view("mine"), {})
+    end = clock() + MAX_SCAN_TURNS_SECONDS
+    while "mine" in host.scheduler.runs and clock() < end:
+        for name in PEERS:
+            host.report(host=name, beat={"reaches_store": True} | beat)
+        await service._scan_cancellations()
+        clock.advance(STEP_SECONDS)
+    assert "mine" not in host.scheduler.runs
