Let a host without a configuration run no jobs

Cause: a host that has no configuration, or not the list of runners, took jobs over like any other. It starts no item (no_configuration), and its heartbeats claimed the job, so that no other host took it over, and nothing gave its items up.

Evidence: pytest -n 2 jobs/tests/test_owner_without_means.py failed at [False] of the test without a configuration: host-2 took job0 over, and its three items still waited for the reason no_configuration after 24 s.

Why it works: Gateway.configured names the condition, which `ready` had. Without it a host takes nothing over, and does not report its runs as running, so that the others take over what it has. Field 28 tells them not to wait for it in their order. It also makes no scan of all jobs: the others would rely on that scan, and only the scanner knows the jobs that it finds. A host that gets its configuration later does all of this again. With none at any host, jobs wait.

Tests: the test of the review waited at [False] until the job ran at the host without a configuration, which is the fault itself. It now waits for the other host, and checks in addition that the first one never started the job; [True] waits as before. The fake gateways, which had neither a configuration nor runners, are configured, since they stand for hosts that run jobs.

--- a/src/primroseford/gateway/heartbeat.py
+++ b/src/primroseford/gateway/heartbeat.py
@@ -71,7 +71,10 @@
         """Return the numbers of waiting items that can be in time, and of late ones."""
 
     def is_stalled(self) -> bool:
-        """Return whether this host can neither run jobs nor take them over."""
+        """Return whether this host can neither run jobs nor take them over.
+
+        It stands still, or has no configuration.
+        """
 
     def scan_age(self) -> float | None:
         """Return the age in seconds of the newest scan of all jobs, if made here."""
--- a/src/primroseford/gateway/messages.thrift
+++ b/src/primroseford/gateway/messages.thrift
@@ -139,8 +139,9 @@
   26: list<LeavingRunner> leaving_runners = []
   // Whether the host has started so lately that it does not know which tokens it has used.
   27: bool has_just_started = 0
-  // Whether the host's job service stands still, so that it takes no jobs over; hosts of a
-  // software version without this field do not tell.
+  // Whether the host cannot run jobs, so that it takes none over: its job service stands
+  // still, or it has no configuration. Hosts of a software version without this field do
+  // not tell.
   28: bool jobs_stalled = 0
   // Age of the newest complete scan of all stored jobs by this host, unless it knows of a
   // newer one by another host.
--- a/src/primroseford/gateway/state.py
+++ b/src/primroseford/gateway/state.py
@@ -201,7 +201,12 @@
     @property
     def ready(self) -> bool:
         """Whether the load balancer may send requests to this host."""
-        return not self.stopping and self.tables is not None and self.runners_known
+        return not self.stopping and self.configured
+
+    @property
+    def configured(self) -> bool:
+        """Whether this host knows a configuration and the runners."""
+        return self.tables is not None and self.runners_known
 
     def begin_stop(self, end: float) -> None:
         """Begin a planned stop.
@@ -238,7 +243,7 @@
 
         :raises PrimrosefordError: PLATFORM_UNAVAILABLE if none is known yet
         """
-        if self.tables is None or not self.runners_known:
+        if not self.configured:
             raise PrimrosefordError(
                 ResultCode.PLATFORM_UNAVAILABLE,
                 "this host has no configuration yet",
--- a/src/primroseford/jobs/ownership.py
+++ b/src/primroseford/jobs/ownership.py
@@ -142,7 +142,13 @@
         return now - self.advanced_at > RECONCILE_STALL_SECONDS
 
     def _is_scan_due(self, now: float) -> bool:
-        """Return whether this host must scan all stored jobs now."""
+        """Return whether this host must scan all stored jobs now.
+
+        Without a configuration it cannot take over the jobs that it finds, and the
+        others would rely on its scan.
+        """
+        if not self.gateway.configured:
+            return False
         since_scan = now - self.scanned_at
         if not self.first_scan_done:
             return since_scan >= FIRST_SCAN_DELAY_SECONDS
@@ -306,6 +312,8 @@
                     raise
 
     def _should_take_over(self, job: JobId, since: float, now: float) -> bool:
+        if not self.gateway.configured:
+            return False
         members = self.gateway.members
         grace = 0.0 if members.leaving_with(job, now) else ORPHAN_GRACE_SECONDS
         if now - since < grace:
--- a/src/primroseford/jobs/scheduler.py
+++ b/src/primroseford/jobs/scheduler.py
@@ -100,16 +100,16 @@
         self.was_stalled = False
 
     def is_stalled(self, now: float) -> bool:
-        """Return whether the scheduler stands still.
+        """Return whether the scheduler starts no items: it stands still or must wait.
 
         :param now: local time in seconds
         """
-        return now - self.stepped_at > STALL_SECONDS
+        return not self.gateway.configured or now - self.stepped_at > STALL_SECONDS
 
     def reported_jobs(self) -> dict[JobId, JobReport]:
         """Return the reports of the jobs that this host runs or stopped recently.
 
-        A scheduler that stands still runs no jobs.
+        A scheduler that starts no items runs no jobs.
         """
         now = self.gateway.clock()
         stalled = bool(self.runs) and self.is_stalled(now)
@@ -119,6 +119,7 @@
                 "scheduler stands still" if stalled else "scheduler runs again",
                 jobs=len(self.runs),
                 seconds=round(now - self.stepped_at, 1),
+                configured=self.gateway.configured,
             )
         self.recently_stopped = {
             job: entry for job, entry in self.recently_stopped.items() if entry[1] > now
--- a/src/primroseford/jobs/service.py
+++ b/src/primroseford/jobs/service.py
@@ -161,7 +161,10 @@
         return self.scheduler.estimator.waiting_items()
 
     def is_stalled(self) -> bool:
-        """Return whether this host can neither run jobs nor take them over."""
+        """Return whether this host can neither run jobs nor take them over.
+
+        It stands still, or has no configuration.
+        """
         now = self.gateway.clock()
         return self.scheduler.is_stalled(now) or self.ownership.is_stalled(now)
 
--- a/src/primroseford/jobs/tests/test_owner_without_means.py
+++ b/src/primroseford/jobs/tests/test_owner_without_means.py
@@ -36,6 +36,19 @@
     )
 
 
+def record_starts(scheduler) -> list[str]:
+    """Return the list of the jobs that a scheduler starts from now on."""
+    started = []
+    start_job = scheduler.start_job
+
+    def record(view, *progress) -> None:
+        started.append(view.job.id)
+        start_job(view, *progress)
+
+    scheduler.start_job = record
+    return started
+
+
 @pytest.mark.parametrize("readable", [True, False])
 async def test_job_is_kept_by_a_host_without_a_configuration(site, readable):
     """Guards against open items of a job that a host takes over and cannot run (LOST).
@@ -57,14 +70,18 @@
     await site.until(lambda: len(members.live(started.clock())) == 2)
     assert other.gateway.ready and started.gateway.ready == readable
     job = job_preferred_by(started, [other, started])
+    started_jobs = record_starts(service(started).scheduler)
     assert await submit(site, job) == 202
     await site.until(lambda: sum(runner.open for runner in site.runners) == 3)
     await site.until(lambda: job in started.gateway.members.known_jobs())
     for host_service in owner.services:
         await host_service.stop()
-    await site.until(lambda: job in service(started).scheduler.runs)
+    taker = started if readable else other
+    await site.until(lambda: job in service(taker).scheduler.runs)
     results = await read_all(site, job, host=1)
     assert len({result["id"] for result in results}) == 3
+    if not readable:
+        assert started_jobs == [] and job not in service(started).scheduler.runs
 
 
 @pytest.mark.parametrize("is_cut", [False, True])
--- a/src/primroseford/jobs/tests/test_ownership.py
+++ b/src/primroseford/jobs/tests/test_ownership.py
@@ -66,7 +66,10 @@
     """
     store = CountingStore()
     gateway = SimpleNamespace(
-        clock=clock, stopping=False, members=Members(HostId("host-1"))
+        clock=clock,
+        stopping=False,
+        members=Members(HostId("host-1")),
+        configured=True,
     )
     views = SimpleNamespace(views={})
     scheduler = SimpleNamespace(runs={})
@@ -103,7 +106,11 @@
         self.hanging: set[str] = set()
         self.cancelled: set[str] = set()
         self.gateway = SimpleNamespace(
-            clock=clock, stopping=False, members=Members(HostId("host-1")), tables=None
+            clock=clock,
+            stopping=False,
+            members=Members(HostId("host-1")),
+            tables=None,
+            configured=True,
         )
         self.store = SimpleNamespace(
             list_jobs=self.list_jobs,
@@ -349,3 +356,24 @@
     clock.advance(STALL_SECONDS + 0.1)
     await host.reconcile()
     assert service.is_stalled()
+
+
+async def test_host_without_a_configuration_takes_jobs_over(clock, host):
+    """Guards against open items of a job whose host can start none (LOST).
+
+    A scan of this host would keep the others from finding the jobs that it finds.
+    """
+    scans = []
+    host.store.list_jobs = lambda: scans.append(clock()) or host.list_jobs()
+    host.gateway.configured = False
+    host.gateway.members.orphaned.add(JobId("job1"))
+    for _ in range(100):
+        await host.reconcile()
+        clock.advance(0.25)
+    assert not host.started and not scans
+    assert host.ownership.scan_age(clock()) is None
+    host.gateway.configured = True
+    for _ in range(8):
+        await host.reconcile()
+        clock.advance(0.25)
+    assert host.started == ["job1"] and scans
--- a/src/primroseford/jobs/tests/test_ownership_machine.py
+++ b/src/primroseford/jobs/tests/test_ownership_machine.py
@@ -153,6 +153,7 @@
             clock=clock,
             stopping=False,
             tables=None,
+            configured=True,
             members=Members(HostId(name)),
             metrics=GatewayMetrics(Metrics()),
             allocator=SimpleNamespace(changed=False),
--- a/src/primroseford/jobs/tests/test_stalled_service.py
+++ b/src/primroseford/jobs/tests/test_stalled_service.py
@@ -33,6 +33,7 @@
         members=members,
         metrics=GatewayMetrics(Metrics()),
         tables=None,
+        configured=True,
         quarantine=quarantine,
         trial_turns=TrialTurns(members, quarantine, clock),
     )
@@ -84,3 +85,15 @@
     service.scheduler.reschedule()
     service.scheduler.runs[JOB] = run
     assert service.reported_jobs().keys() == {JOB}
+
+
+@pytest.mark.parametrize("configured", [False, True])
+def test_host_without_a_configuration_claims_its_jobs(clock, configured):
+    """Guards against jobs of a host that starts no item: no other takes them over."""
+    service = create_service(clock)
+    service.gateway.configured = configured
+    assert service.is_stalled() is not configured
+    assert service.reported_jobs().keys() == ({JOB} if configured else set())
+    service.gateway.configured = True
+    assert not service.is_stalled()
+    assert service.reported_jobs().keys() == {JOB}
--- a/src/primroseford/jobs/tests/test_waiting.py
+++ b/src/primroseford/jobs/tests/test_waiting.py
@@ -123,7 +123,7 @@
     """
     members = Members(HostId("host-1"))
     members.orphaned.add(JobId("job1"))
-    gateway = create_gateway(clock, stopping=False, members=members)
+    gateway = create_gateway(clock, configured=True, stopping=False, members=members)
     views = SimpleNamespace(views={}, get=lambda job: None)
     scheduler = SimpleNamespace(runs={})
     ownership = JobOwnership(gateway, None, None, views, scheduler, 120.0)
