Hand on the jobs of pools that only other hosts reach

Cause: a host reported its jobs as running whatever became of their items, so that no other host took them over.

Evidence: pytest -n 2 jobs/tests/test_owner_without_means.py failed at [True] of the test with the host that reaches no runner.

Why it works: jobs/reach.py decides for each pool. Heartbeats then do not report these jobs as running, and another host takes them over in its turn; the first one stops its run when it sees that, and does not take the job back while the decision holds. Until then it goes on. The host that took the job over in vain suspects all runners too: if none reaches any, a job passes each host once at most and stays.

Ruled out: the loss of some runners of a pool changes nothing. Not covered: a job of a route with several pools is handed on only if all of them are lost; a host that reaches no runner of a pool may take over a job of it that it does not know, and hands it on at once.

--- a/src/primroseford/jobs/ownership.py
+++ b/src/primroseford/jobs/ownership.py
@@ -201,7 +201,9 @@
             others = self.gateway.members.running(job, now)
             if others:
                 own = self.gateway.members.own
-                if preferred_host(job, [own, *others]) != own:
+                if self.scheduler.hands_on(run.view.job):
+                    self.scheduler.stop_job(run, "another host may reach its runners")
+                elif preferred_host(job, [own, *others]) != own:
                     self.scheduler.stop_job(run, "another host runs it")
 
     async def _read_duplicates(self) -> None:
@@ -314,6 +316,9 @@
     def _should_take_over(self, job: JobId, since: float, now: float) -> bool:
         if not self.gateway.configured:
             return False
+        view = self.views.get(job)
+        if view is not None and self.scheduler.hands_on(view.job):
+            return False
         members = self.gateway.members
         grace = 0.0 if members.leaving_with(job, now) else ORPHAN_GRACE_SECONDS
         if now - since < grace:
--- a/src/primroseford/jobs/scheduler.py
+++ b/src/primroseford/jobs/scheduler.py
@@ -23,6 +23,7 @@
 from primroseford.jobs.isolation import Isolation
 from primroseford.jobs.preemption import preempt_items
 from primroseford.jobs.preemption import preempt_late_items
+from primroseford.jobs.reach import RunnerReach
 from primroseford.jobs.recorder import JobRecorder
 from primroseford.jobs.run import ItemRun
 from primroseford.jobs.run import JobRun
@@ -94,6 +95,7 @@
         self.estimator = DeadlineEstimator(gateway, self.runs)
         self.isolation = Isolation(gateway.clock)
         self.capacity = BatchCapacity(gateway, self.estimator)
+        self.reach = RunnerReach(gateway)
         self.wait_log = WaitLog(gateway)
         self.wait_logged_at = -math.inf
         self.stepped_at = gateway.clock()
@@ -130,7 +132,23 @@
         }
         if stalled:
             return reports
-        return reports | {job: run.view.report() for job, run in self.runs.items()}
+        return reports | {
+            job: run.view.report()
+            for job, run in self.runs.items()
+            if not self.hands_on(run.view.job)
+        }
+
+    def hands_on(self, job: Job) -> bool:
+        """Return whether only other hosts may reach the runners of a job.
+
+        This host runs it until one of them does, but does not report it as running.
+        """
+        if not self.reach.handed_on:
+            return False
+        route = self.route_of(job)
+        if route is None:
+            return False
+        return all(pool in self.reach.handed_on for pool, _ in route.pools)
 
     def start_job(
         self, view: JobView, progress: dict[ItemId, Progress] | None = None
@@ -215,6 +233,8 @@
         self.gateway.metrics.uncommitted_items.set(
             sum(len(run.finished) for run in self.runs.values())
         )
+        with self.isolation.step("reach"):
+            self._update_reach()
         if self.runs:
             with self.isolation.step("preempt_items"):
                 preempt_items(self)
@@ -229,6 +249,14 @@
         self.gateway.trial_turns.hold(held_parts(quarantine, self.runs.values()))
         self.wait_log.write(self.runs.values())
 
+    def _update_reach(self) -> None:
+        routes = [self.route_of(run.view.job) for run in self.runs.values()]
+        before = self.reach.handed_on
+        self.reach.update(pool for r in routes if r for pool, _ in r.pools)
+        if self.reach.handed_on != before:
+            self.gateway.allocator.changed = True
+            log.warning("pools not reached", pools=sorted(self.reach.handed_on))
+
     def start_items(self) -> None:
         """Start waiting items in order of rank while slots are free.
 
--- a/src/primroseford/jobs/tests/test_owner_without_means.py
+++ b/src/primroseford/jobs/tests/test_owner_without_means.py
@@ -98,3 +98,29 @@
     finally:
         owner.gateway.session = session
     assert len({result["id"] for result in results}) == 3
+
+
+async def test_job_stays_at_a_host_that_reaches_no_runner(site):
+    """Guards against a job that is kept from a host that reaches runners again.
+
+    Both hosts are cut off. One of them keeps the job until the other one is not.
+    """
+    await join(site)
+    sessions = [host.gateway.session for host in site.hosts]
+    schedulers = [service(host).scheduler for host in site.hosts]
+    starts = [record_starts(scheduler) for scheduler in schedulers]
+    for host in site.hosts:
+        host.gateway.session = UnreachableSession()
+    try:
+        assert await submit(site, "job1") == 202
+        await site.until(lambda: starts[1])
+        await site.until(lambda: sum("job1" in s.runs for s in schedulers) == 1)
+        assert starts == [["job1"], ["job1"]]
+        other = 0 if "job1" in schedulers[1].runs else 1
+        site.hosts[other].gateway.session = sessions[other]
+        results = await read_all(site, "job1", host=1)
+    finally:
+        for host, session in zip(site.hosts, sessions, strict=True):
+            host.gateway.session = session
+    assert len({result["id"] for result in results}) == 3
+    assert starts[other] == ["job1", "job1"] and starts[1 - other] == ["job1"]
--- a/src/primroseford/jobs/tests/test_ownership.py
+++ b/src/primroseford/jobs/tests/test_ownership.py
@@ -125,6 +125,7 @@
             runs={},
             start_job=self.start_job,
             stop_job=self.stop_job,
+            hands_on=lambda _: False,
             report_stopped=lambda view: self.reported.append(view.job.id),
         )
         peers = SimpleNamespace(take_over=self.load_progress)
