Give each host that runs jobs a turn to look for cancellations

Cause: only the first host in the order of scanners looked for cancellations that no heartbeat reported. If its calls failed, or it did not know the job, nobody else looked as long as its heartbeats went on.

Evidence: pytest -n 2 jobs/tests/test_cancellation_scans.py failed for a first scanner that works and finds nothing (beat2, beat3).

Why it works: a host that runs jobs scans too, in the order of the scan of jobs: each host before it adds 10 s to its interval. It relies on no other host's scan, so it learns of the end of its job even if the others find nothing. The first host in the order still scans every 2 s, whether it runs jobs or not. Heartbeats do not tell when cancellations were last scanned, so the turns come also while the first scanner finds them all; by calculation, not measurement, this costs about ln(N) / 10 calls per second in a fleet of N hosts that all run jobs, beside the 0.5 of today. A host without a configuration does not scan: it runs no job, and the others leave it out of the order.

Ruled out: the age of the last scan of cancellations in heartbeats, as for the scan of jobs. It needs a new field, and a scan by a host that does not know the job would still end the wait of the host that runs it.

Run: jobs/tests/test_cancellation_scans.py, test_ownership.py, test_scan_order.py, test_jobs.py, test_ownership_machine.py with -n 2, -k "cancel or scan or orphan or machine": 29 passed.

--- a/src/primroseford/jobs/ownership.py
+++ b/src/primroseford/jobs/ownership.py
@@ -221,10 +221,16 @@
                 if run.view.finished and not run.stopped:
                     self.scheduler.stop_job(run, "another host finished it")
 
-    def is_scanner(self, now: float) -> bool:
-        """Return whether this host is the first one to scan."""
-        hosts = self.gateway.members.scanners(self.reaches_store(), now)
-        return preferred_host(SCANNER_ROLE, hosts) == self.gateway.members.own
+    def scanner_rank(self, now: float) -> int | None:
+        """Return how many hosts scan before this one; None if it does not scan.
+
+        :param now: local time in seconds
+        """
+        members = self.gateway.members
+        scanners = members.scanners(self.reaches_store(), now)
+        if not self.gateway.configured or members.own not in scanners:
+            return None
+        return host_rank(SCANNER_ROLE, members.own, scanners)
 
     async def scan(self) -> None:
         """Scan all stored jobs for orphans and for jobs past their retention.
--- a/src/primroseford/jobs/service.py
+++ b/src/primroseford/jobs/service.py
@@ -48,6 +48,10 @@
 CANCELLATION_SCAN_SECONDS = 2.0
 """Interval at which one host of the fleet scans for cancellations that no heartbeat
 reported: two thirds of the time in which a cancellation must take effect."""
+CANCELLATION_TURN_SECONDS = 10.0
+"""Time without a scan of its own by which a host that runs jobs waits longer for each
+host before it in the order of scanners: those may find nothing, and do not tell. All
+turns of N hosts cost ln(N) / 10 calls per second."""
 
 log = structlog.get_logger()
 
@@ -99,7 +103,7 @@
             reaches_store,
         )
         self.cancellations: dict[JobId, float] = {}
-        self.cancellations_scanned_at = 0.0
+        self.cancellations_scanned_at = gateway.clock()
 
     @Service.task
     async def schedule(self) -> None:
@@ -128,13 +132,27 @@
 
     async def _scan_cancellations(self) -> None:
         now = self.gateway.clock()
-        running = self.gateway.members.known_jobs() | self.scheduler.runs.keys()
-        due = now - self.cancellations_scanned_at >= CANCELLATION_SCAN_SECONDS
-        if due and running and self.ownership.is_scanner(now):
+        if self._is_cancellation_scan_due(now):
             self.cancellations_scanned_at = now
+            running = self.gateway.members.known_jobs() | self.scheduler.runs.keys()
             for job in await self.store.cancelled_jobs() & running:
                 self.cancel_job(job)
 
+    def _is_cancellation_scan_due(self, now: float) -> bool:
+        """Return whether this host must look for cancellations now."""
+        rank = self.ownership.scanner_rank(now)
+        if rank is None:
+            return False
+        runs = self.scheduler.runs
+        if rank > 0 and not runs:
+            # The turns begin with the first job.
+            self.cancellations_scanned_at = now
+            return False
+        if not runs and not self.gateway.members.known_jobs():
+            return False
+        interval = CANCELLATION_SCAN_SECONDS + rank * CANCELLATION_TURN_SECONDS
+        return now - self.cancellations_scanned_at >= interval
+
     async def on_stop(self) -> None:
         """Stop all items; other hosts take over the jobs."""
         for run in list(self.scheduler.runs.values()):
--- a/src/primroseford/jobs/tests/test_cancellation_scans.py
+++ b/src/primroseford/jobs/tests/test_cancellation_scans.py
@@ -5,6 +5,8 @@
 import pytest
 
 from primroseford.ids import JobId
+from primroseford.jobs.service import CANCELLATION_SCAN_SECONDS
+from primroseford.jobs.service import CANCELLATION_TURN_SECONDS
 from primroseford.jobs.service import JobService
 from primroseford.jobs.tests.test_ownership import create_view
 from primroseford.jobs.tests.test_scan_order import PEERS
@@ -45,3 +47,33 @@
         await service._scan_cancellations()
         clock.advance(STEP_SECONDS)
     assert "mine" not in host.scheduler.runs
+
+
+@pytest.mark.parametrize(
+    ("runs", "configured", "scans"),
+    [(True, True, 5), (False, True, 0), (True, False, 0)],
+)
+async def test_cancellations_are_scanned_by_each_host(clock, runs, configured, scans):
+    """Guards against a call of each host every 2 s: the last one waits for its turn."""
+    host = ScanningHost(clock)
+    service = JobService(host.gateway, host.store, None, None, 120.0, 1.0)
+    service.ownership = host.ownership
+    service.scheduler.runs = host.scheduler.runs
+    host.gateway.configured = configured
+    calls = []
+
+    async def cancelled_jobs() -> set[JobId]:
+        calls.append(clock())
+        return set()
+
+    host.store.cancelled_jobs = cancelled_jobs
+    if runs:
+        host.start_job(create_view("mine"), {})
+    interval = CANCELLATION_SCAN_SECONDS + len(PEERS) * CANCELLATION_TURN_SECONDS
+    end = clock() + 5 * interval + 2.0
+    while clock() < end:
+        for name in PEERS:
+            host.report(host=name, beat={"reaches_store": True})
+        await service._scan_cancellations()
+        clock.advance(STEP_SECONDS)
+    assert len(calls) == scans
