--- a/src/primroseford/jobs/ownership.py
+++ b/src/primroseford/jobs/ownership.py
@@ -142,7 +142,13 @@
         return now - self.advanced_at > RECONCILE_STALL_SECONDS
 
     def _is_scan_due(self, now: float) -> bool:
-        """Return whether this host must scan all stored jobs now."""
+        """Return whether this host must scan all stored jobs now.
+
+        Without a configuration it cannot take over the jobs that it finds, and the
+        others would rely on its scan.
+        """
+        if not self.gateway.configured:
+            return False
         since_scan = now - self.scanned_at
         if not self.first_scan_done:
             return since_scan >= FIRST_SCAN_DELAY_SECONDS
@@ -195,7 +201,9 @@
             others = self.gateway.members.running(job, now)
             if others:
                 own = self.gateway.members.own
-                if preferred_host(job, [own, *others]) != own:
+                if self.scheduler.hands_on(run.view.job):
+                    self.scheduler.stop_job(run, "another host may reach its runners")
+                elif preferred_host(job, [own, *others]) != own:
                     self.scheduler.stop_job(run, "another host runs it")
 
     async def _read_duplicates(self) -> None:
@@ -213,10 +221,16 @@
                 if run.view.finished and not run.stopped:
                     self.scheduler.stop_job(run, "another host finished it")
 
-    def is_scanner(self, now: float) -> bool:
-        """Return whether this host is the first one to scan."""
-        hosts = self.gateway.members.scanners(self.reaches_store(), now)
-        return preferred_host(SCANNER_ROLE, hosts) == self.gateway.members.own
+    def scanner_rank(self, now: float) -> int | None:
+        """Return how many hosts scan before this one; None if it does not scan.
+
+        :param now: local time in seconds
+        """
+        members = self.gateway.members
+        scanners = members.scanners(self.reaches_store(), now)
+        if not self.gateway.configured or members.own not in scanners:
+            return None
+        return host_rank(SCANNER_ROLE, members.own, scanners)
 
     async def scan(self) -> None:
         """Scan all stored jobs for orphans and for jobs past their retention.
@@ -306,6 +320,11 @@
                     raise
 
     def _should_take_over(self, job: JobId, since: float, now: float) -> bool:
+        if not self.gateway.configured:
+            return False
+        view = self.views.get(job)
+        if view is not None and self.scheduler.hands_on(view.job):
+            return False
         members = self.gateway.members
         grace = 0.0 if members.leaving_with(job, now) else ORPHAN_GRACE_SECONDS
         if now - since < grace:
