Ignore objects among the result segments that are not named like one

What callers would see: reads at the end of a job's results that nothing confirms any more, so that each costs calls to the store.

Cause: the watch of the result segments took every object's name apart. A foreign name ended its task with a ValueError, and the service with it.

Evidence: pytest -n 2 jobs/tests/test_results_watch.py with the new test and without the fix: 5 failed, 6 passed; the log says "[^ResultsWatch]: Crashed reason=ValueError".

Why it works: an object with such a name is no segment; it is logged and ignored. With the fix: 11 passed.

--- a/src/primroseford/jobs/results_watch.py
+++ b/src/primroseford/jobs/results_watch.py
@@ -58,6 +58,8 @@
 page with the store's version."""
 MAX_RESPONSE_BYTES = 4096
 """Longest status of a job's segments: three numbers."""
+MAX_NAME_LENGTH = 100
+"""Maximum length of an object's name in the log."""
 REQUEST_TIMEOUT_SECONDS = 0.3
 """Timeout for a response of the host that runs the watch, which takes a few ms."""
 
@@ -178,8 +180,13 @@
             call_started_at, has_events = self.clock(), False
 
     def count_segment(self, event: WatchEvent) -> None:
-        """Count the segment of an event."""
-        job, number = split_segment_name(event.object.name)
+        """Count the segment of an event; an object of another name is ignored."""
+        name = event.object.name
+        try:
+            job, number = split_segment_name(name)
+        except ValueError:
+            log.info("segment name not readable", name=name[:MAX_NAME_LENGTH])
+            return
         if event.type is EventType.DELETED:
             self.segments.pop(job, None)
         else:
--- a/src/primroseford/jobs/tests/test_results_watch.py
+++ b/src/primroseford/jobs/tests/test_results_watch.py
@@ -90,3 +90,14 @@
     """Guards against a read that fails because another host is unreachable."""
     read = create_segment_status_reader(session, watch, lambda: "http://127.0.0.1:9")
     assert await read(JOB) is None
+
+
+@pytest.mark.parametrize("name", ["foreign", "job1.", "job1.x", ".", "job1.1.x"])
+async def test_watch_ends_at_a_foreign_name(client, watch, eventually, name):
+    """Guards against reads that no watch confirms, since one object ended it."""
+    await eventually(lambda: watch.status(JOB) is not None)
+    await client.create(SEGMENTS, name, {"results": []})
+    await create_segment(client, 0)
+    created_at = boottime()
+    await eventually(lambda: watch.status(JOB).confirmed_at > created_at)
+    assert watch.status(JOB).segments == 1
