--- a/src/primroseford/gateway/requests.py
+++ b/src/primroseford/gateway/requests.py
@@ -25,9 +25,9 @@
     :param key: API key, if the request has one
     :param timeout: timeout in seconds that the caller set; ``None`` if it set none
     :param last_event: id of the last event received of a stream that is to be resumed
+    :param prompt: parts of the prompt, if the request is for an engine
     :param began_as: id of the request that brought the first event of that stream;
         empty if the caller does not name it
-    :param prompt: parts of the prompt, if the request is for an engine
     """
 
     request_id: RequestId
@@ -38,9 +38,9 @@
     key: str | None
     timeout: float | None
     last_event: str | None
-    began_as: RequestId = RequestId("")
     body: bytes = b""
     prompt: tuple[PromptPart, ...] = ()
+    began_as: RequestId = RequestId("")
 
     @property
     def shared_parts(self) -> list[PromptPartId]:
