--- a/src/primroseford/proof/resuming_caller.py
+++ b/src/primroseford/proof/resuming_caller.py
@@ -136,7 +136,8 @@
 def broken_stream(count: int, began: str, version: str = "v1") -> CallerStream:
     """Return a stream that broke after some events.
 
-    :param began: value of ``Resumes`` when it is resumed; empty to omit the header
+    :param began: id of the request that it names as its begin when it is resumed;
+        empty to name none
     """
     token = versioned_token("token", version)
     blocks = [event(number, token) for number in range(1, count + 1)]
