Log when a runner that answers a probe started

Whether a stream went on at a runner that had started again, or had begun there, could not be told from the logs: a host knows a new process only by its entry.

A probe of an engine now also asks for its report and logs the start beside the one that is listed; `runner entry` logs it, too. No decision uses it. The stand-ins of runners have a report.

--- a/src/primroseford/gateway/platform_watcher.py
+++ b/src/primroseford/gateway/platform_watcher.py
@@ -303,6 +303,7 @@
                 stage=entry.stage.value if entry else None,
                 pool=entry.pool if entry else None,
                 version=entry.version if entry else None,
+                born=entry.key.born if entry else None,
                 revision=delta.version,
             )
         gateway = self.gateway
--- a/src/primroseford/gateway/watchdog.py
+++ b/src/primroseford/gateway/watchdog.py
@@ -12,6 +12,7 @@
 
 from primroseford.gateway.periodic import run_periodically
 from primroseford.gateway.retry import ANSWER_SILENCE_LATENCIES
+from primroseford.gateway.runner_starts import ask_start
 
 if TYPE_CHECKING:
     from primroseford.gateway.runner_state import RunnerState
@@ -81,7 +82,7 @@
         path = pool.health_path if pool else "/health"
         url = URL(f"http://{runner.entry.address}{path}", encoded=True)
         timeout = aiohttp.ClientTimeout(total=PROBE_SECONDS)
-        name = runner.entry.key.name
+        name, listed = runner.entry.key
         while (
             self.gateway.allocator.runners.get(name) is runner and not self.should_stop
         ):
@@ -93,10 +94,18 @@
             try:
                 async with self.gateway.session.get(url, timeout=timeout) as answer:
                     status = answer.status
+                is_engine = pool is None or pool.is_engine
+                born = await self._ask_start(runner) if is_engine else None
             except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
                 log.info("probe failed", runner=name, reason=repr(error))
                 self.gateway.suspect(runner, "probe")
                 continue
-            log.info("probe answered", runner=name, status=status)
+            log.info(
+                "probe answered", runner=name, status=status, born=born, listed=listed
+            )
             self.gateway.allocator.clear_suspicion(runner)
             return
+
+    async def _ask_start(self, runner: RunnerState) -> int | None:
+        timeout = aiohttp.ClientTimeout(total=PROBE_SECONDS)
+        return await ask_start(self.gateway.session, runner.entry, timeout)
--- a/src/primroseford/platform/runner_calls.py
+++ b/src/primroseford/platform/runner_calls.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import re
 from typing import TYPE_CHECKING
 
@@ -21,10 +22,14 @@
 from primroseford.platform.headers import SET_BY_SYSTEM
 from primroseford.platform.headers import SIGNATURE
 from primroseford.platform.headers import end_to_end
+from primroseford.platform.objects import DECODING_ERRORS
 
 if TYPE_CHECKING:
     import aiohttp
 
+REPORT_PATH = "/report"
+"""Path at which an engine reports on itself."""
+REPORT_STATUS = 200
 MISDIRECTED_STATUS = 421
 """Status of a runner that now has the target's address and did not run the request."""
 ITEM_INVALID_STATUS = 422
@@ -110,6 +115,19 @@
     return RunnerNotice(invalid_limit=invalid, leaving=leaving)
 
 
+def decode_start(body: bytes) -> int | None:
+    """Return the start of a runner from its report.
+
+    :param body: body of the response
+    :returns: Unix time in milliseconds; ``None`` if the report does not tell it
+    """
+    try:
+        born = json.loads(body)["born"]
+    except DECODING_ERRORS:
+        return None
+    return born if type(born) is int and born > 0 else None
+
+
 def is_signed(response: aiohttp.ClientResponse) -> bool:
     """Return whether the response was created by a runner."""
     return SIGNATURE in response.headers
--- a/src/primroseford/proof/site.py
+++ b/src/primroseford/proof/site.py
@@ -87,14 +87,39 @@
         await self._serve_runner(runner, stored["spec"]["born"] + 1)
         return runner
 
+    async def restart_unlisted(self, name: str, **fields: Any) -> FleetRunner:
+        """Crash a runner and start another under its name, at its address.
+
+        Its entry stays that of the old one, as until a runner's first heartbeat.
+
+        :returns: the new runner, which replaces the old one in ``runners``
+        """
+        number = [runner.name for runner in self.runners].index(name)
+        old = self.runners[number]
+        port = old.server.sockets[0].getsockname()[1]
+        old.crash()
+        runner = self.runners[number] = FleetRunner(name, born=old.born + 1, **fields)
+        await self._listen(runner, port)
+        return runner
+
+    def register(self, runner: FleetRunner) -> None:
+        """Write the entry of a running runner."""
+        port = runner.server.sockets[0].getsockname()[1]
+        address = f"127.0.0.1:{port}"
+        entry = runner_entry(address, version=runner.version, born=runner.born)
+        self.put("servers", runner.name, entry)
+
     async def _serve_runner(self, runner: FleetRunner, born: int) -> None:
+        runner.born = born
+        await self._listen(runner, 0)
+        self.register(runner)
+
+    async def _listen(self, runner: FleetRunner, port: int) -> None:
         loop = asyncio.get_running_loop()
-        server = await loop.create_server(create_runner_server(runner), "127.0.0.1", 0)
-        runner.server = server
-        self.servers.append(server)
-        port = server.sockets[0].getsockname()[1]
-        entry = runner_entry(f"127.0.0.1:{port}", version=runner.version, born=born)
-        self.put("servers", runner.name, entry)
+        runner.server = await loop.create_server(
+            create_runner_server(runner), "127.0.0.1", port
+        )
+        self.servers.append(runner.server)
 
     def remove_runner(self, runner: FleetRunner) -> None:
         """Crash a runner and remove its entry from the runner list."""
--- a/src/primroseford/soak/fleet.py
+++ b/src/primroseford/soak/fleet.py
@@ -86,7 +86,10 @@
     async def start(self) -> None:
         """Start a new instance of the runner."""
         version = software_version(self.seed, self.name, len(self.runs))
-        runner = FleetRunner(self.name, EVENTS, EVENT_SECONDS, version=version)
+        born = FIRST_START_MS + len(self.runs) + 1
+        runner = FleetRunner(
+            self.name, EVENTS, EVENT_SECONDS, version=version, born=born
+        )
         self.runs.append(runner)
         loop = asyncio.get_running_loop()
         self.server = await loop.create_server(
@@ -295,7 +298,7 @@
     def _register(self, runner: SoakRunner, state: str = "ready") -> None:
         changes = {
             "state": state,
-            "born": FIRST_START_MS + len(runner.runs),
+            "born": runner.runs[-1].born,
             "version": runner.runs[-1].version,
         }
         entry = runner_entry(runner.proxy.address, **changes)
--- a/src/primroseford/standins/fleet_runner.py
+++ b/src/primroseford/standins/fleet_runner.py
@@ -91,6 +91,8 @@
     :param token: text that precedes the number in the data of each event
     :param version: version of the runner's software, which the data of each event names
         unless it is the default one
+    :param born: Unix time of its start in milliseconds, as its report tells; ``None``
+        if it has no report
     """
 
     name: str
@@ -104,6 +106,7 @@
     transports: set[asyncio.Transport] = field(default_factory=set)
     token: str = "token"
     version: str = DEFAULT_VERSION
+    born: int | None = None
 
     def crash(self) -> None:
         """Reset all connections and stop listening, as a killed process does."""
@@ -118,6 +121,8 @@
         """Handle one request."""
         if request.raw_path == "/health":
             return web.Response(headers={"Instance-Id": self.name})
+        if request.raw_path == "/report":
+            return await self._report()
         body = await request.read()
         faults = self.faults
         if faults.other_runner:
@@ -151,6 +156,13 @@
             self.open -= 1
             self.transports.discard(transport)
 
+    async def _report(self) -> web.Response:
+        if self.faults.silent:
+            await asyncio.sleep(3600)
+        if self.born is None:
+            return web.Response(status=404)
+        return web.json_response({"stage": "both", "models": [], "born": self.born})
+
     async def _respond(
         self, request: web.BaseRequest, request_id: str
     ) -> web.StreamResponse:
