Show streams of two versions at runners that restart unlisted

Runners of the soak register up to a heartbeat after they start, as the platform's do; before, they registered at once, so that the time in which a new process serves under the entry of the old one was only that of a watch. The delays come from the seed and leave its plan as it was.

--- /dev/null
+++ b/src/primroseford/gateway/tests/test_unlisted_restarts.py
@@ -0,0 +1,134 @@
+"""Runners that serve as a new process before their entries say so."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from primroseford.gateway.tests.test_software_versions import FIELDS
+from primroseford.gateway.tests.test_software_versions import assert_whole
+from primroseford.gateway.tests.test_software_versions import at_event
+from primroseford.gateway.tests.test_software_versions import host_urls
+from primroseford.gateway.tests.test_software_versions import serving_runner
+from primroseford.jobs.tests.test_jobs import read_all
+from primroseford.jobs.tests.test_jobs import submit
+from primroseford.jobs.tests.test_software_versions import item_with_events
+from primroseford.proof.resuming_caller import read_stream
+from primroseford.standins.fleet_runner import event_version
+
+SLOTS = 4
+
+
+def load_runner(site, name: str, slots: int = SLOTS) -> None:
+    """Reserve slots on a runner at all hosts, so that they prefer the others."""
+    for host in site.hosts:
+        host.gateway.allocator.runners[name].online += slots
+
+
+def names(site) -> list[str]:
+    """Return the names of the runners in their order."""
+    return [runner.name for runner in site.runners]
+
+
+@pytest.mark.parametrize("others", [(), ("v1",)], ids=["alone", "with another"])
+async def test_stream_goes_on_at_a_runner_that_came_back_as_another_version(
+    create_versions_site, others
+):
+    """Guards against events of two versions while the entry is that of the old one."""
+    site = await create_versions_site(("v1", "v1", *others), **FIELDS)
+    for name in names(site)[1:]:
+        load_runner(site, name)
+    if others:
+        load_runner(site, "i-3")
+    back = await site.restart_unlisted("i-2", version="v2", **FIELDS)
+
+    stream = await read_stream(
+        site.session,
+        host_urls(site),
+        "/pick/x",
+        "s",
+        1,
+        at_event(2, lambda _: site.runners[0].crash()),
+    )
+    assert stream.versions == ["v1"] and not back.received
+    assert stream.complete == bool(others)
+
+
+@pytest.mark.parametrize("seen_by", ["this host", "another host"])
+async def test_stream_that_began_at_an_unlisted_restart_goes_on_at_its_old_version(
+    create_versions_site, seen_by
+):
+    """Guards against a wrong record of the version that began a stream.
+
+    A stream breaks off when the runner crashes, so that one host knows of it.
+    """
+    count = 1 if seen_by == "this host" else 2
+    site = await create_versions_site(("v1", "v1"), count, **FIELDS)
+    urls = host_urls(site)
+    load_runner(site, "i-2")
+
+    tasks: list = []
+
+    def restart(_) -> None:
+        tasks.append(
+            asyncio.create_task(site.restart_unlisted("i-1", version="v2", **FIELDS))
+        )
+
+    before = await read_stream(
+        site.session, urls[:1], "/pick/x", "a", 1, at_event(2, restart)
+    )
+    assert before.versions == ["v1"]
+    back = await tasks[0]
+    back.faults.cut_after, back.faults.cuts = 3, 1
+    stream = await read_stream(site.session, urls[-1:], "/pick/x", "s", 1)
+    assert len(stream.versions) == 1
+    if stream.complete:
+        assert_whole(stream)
+
+
+async def test_resumed_stream_of_an_unlisted_restart_goes_on_at_its_old_version(
+    create_versions_site,
+):
+    """Guards against a caller who is sent to another version than the first one.
+
+    The host that began the stream is killed while its runner is not listed yet.
+    """
+    site = await create_versions_site(("v1", "v1"), 2, **FIELDS)
+    urls = host_urls(site)
+    load_runner(site, "i-2")
+    begun = asyncio.create_task(read_stream(site.session, urls[:1], "/pick/x", "a", 1))
+    await site.until(lambda: any(runner.open for runner in site.runners))
+    assert serving_runner(site).name == "i-1"
+    await site.restart_unlisted("i-1", version="v2", **FIELDS)
+    await begun
+    tasks: list = []
+
+    def kill(stream) -> None:
+        if not tasks:
+            runners = site.hosts[1].gateway.allocator.runners
+            runners["i-1"].online, runners["i-2"].online = SLOTS + 3, 0
+            tasks.append(site.create_kill(0))
+
+    stream = await read_stream(
+        site.session, [urls[0], urls[1], urls[1]], "/pick/x", "s", 3, kill
+    )
+    await tasks[0]
+    assert len(stream.versions) == 1
+
+
+async def test_text_goes_on_at_a_runner_that_came_back_as_another_version(
+    create_versions_site,
+):
+    """Guards against the text of a batch item with lines of two versions."""
+    site = await create_versions_site(("v1", "v1"), events=100, event_seconds=0.02)
+    load_runner(site, "i-2")
+    assert await submit(site, "job1", count=1) == 202
+    _, runner = await item_with_events(site)
+    assert runner.name == "i-1"
+    await site.restart_unlisted("i-2", version="v2", events=100, event_seconds=0.02)
+    load_runner(site, "i-2", -SLOTS)
+    runner.crash()
+    (result,) = await read_all(site, "job1")
+    lines = result["text"].split("\n")
+    assert len({event_version(line) for line in lines}) == 1 and len(lines) == 100
--- a/src/primroseford/soak/fleet.py
+++ b/src/primroseford/soak/fleet.py
@@ -16,6 +16,7 @@
 from primroseford.proof.site import HOST_PORTS
 from primroseford.soak.plan import FaultKind
 from primroseford.soak.plan import LinkFault
+from primroseford.soak.plan import registration_delay
 from primroseford.soak.plan import software_version
 from primroseford.soak.processes import HostProcess
 from primroseford.soak.proxy import Proxy
@@ -228,6 +229,8 @@
             runner = self.runners[fault.target]
             await runner.start()
             runner.proxy.set_fault(LinkFault.NONE)
+            delay = registration_delay(self.seed, runner.name, len(runner.runs))
+            await asyncio.sleep(delay)
             self._register(runner)
         elif kind is FaultKind.RUNNER_DRAINED:
             self._register(self.runners[fault.target])
--- a/src/primroseford/soak/plan.py
+++ b/src/primroseford/soak/plan.py
@@ -63,6 +63,8 @@
 
 SOFTWARE_VERSIONS = ("v1", "v2")
 """Versions of the runners' software."""
+HEARTBEAT_SECONDS = 1.2
+"""Interval of the heartbeats of runners (``heartbeat_ms`` of the sites)."""
 LINK_KINDS = (FaultKind.STORE_LINK, FaultKind.RUNNER_LINK)
 RUNNER_KINDS = tuple(kind for kind in FaultKind if kind.name.startswith("RUNNER_"))
 HOSTILE_RESPONSE_FAULTS = tuple(
@@ -143,6 +145,16 @@
     return Random(f"version {seed} {runner} {start}").choice(SOFTWARE_VERSIONS)
 
 
+def registration_delay(seed: int, runner: str, start: int) -> float:
+    """Return the time from a runner's start until it registers, in seconds.
+
+    A runner writes its entry at its heartbeats. The delay depends neither on the other
+    runners nor on the faults, which keep the plan of their seed.
+    """
+    random = Random(f"registration {seed} {runner} {start}")
+    return random.uniform(0, HEARTBEAT_SECONDS)
+
+
 def _plan_hostile(seed: int, seconds: float, runners: int) -> list[PlannedFault]:
     """Return the faults with hostile runners.
 
