Tell a runner's process from the one before it by its start

What callers saw: streams with events of two software versions (ORDER), after a runner came back as another version under its name and address.

Cause: a host knew a process only by its entry, which the new one writes at its first heartbeat, or later while the store is away. Until then streams of the old version went on at the new process, and streams that began at it were recorded with the old version and went on there.

Fix: an engine's report tells the start of the process that answers. - After an exchange that broke off, and before a runner that counted as failed is used again, the host asks for it. A different start replaces the entry's and gives the runner a version of its own, which no other runner has, until its entry comes; the host tells the others in its heartbeats. - What depends on a version is not sent on trust: a stream or text that goes on, or that begins at a runner which anybody suspects, first has the start checked. A runner that answers without telling its start is used as before.

--- a/src/primroseford/gateway/crash_detector.py
+++ b/src/primroseford/gateway/crash_detector.py
@@ -13,7 +13,7 @@
 import structlog
 
 from primroseford.errors import Outcome
-from primroseford.errors import ResultCode
+from primroseford.gateway.exchange import INTERRUPTED_CODES
 from primroseford.gateway.exchange import AttemptStage
 
 if TYPE_CHECKING:
@@ -31,7 +31,6 @@
 the other, and its other exchanges break off within a few ms."""
 CHECK_TIMEOUT_SECONDS = 0.15
 """Timeout for opening a connection to a runner, which takes about 4 ms."""
-INTERRUPTED_CODES = frozenset({ResultCode.RUNNER_FAILED, ResultCode.STREAM_TRUNCATED})
 INCOMPLETE_STAGES = frozenset({AttemptStage.SENT, AttemptStage.STARTED})
 
 log = structlog.get_logger()
--- a/src/primroseford/gateway/exchange.py
+++ b/src/primroseford/gateway/exchange.py
@@ -46,6 +46,8 @@
 """Longest event of a stream; an event carries some hundred tokens at most. Twenty
 streams that each buffer such an event use an eighth of the memory limit for them."""
 EXCHANGE_ERRORS = (aiohttp.ClientError, OSError, ValueError)
+INTERRUPTED_CODES = frozenset({ResultCode.RUNNER_FAILED, ResultCode.STREAM_TRUNCATED})
+"""Codes of exchanges that broke off after the request was sent."""
 
 
 ERROR_DESCRIPTIONS = (
@@ -69,10 +71,29 @@
         )
 
 
+class RunnerRestarted(PrimrosefordError):
+    """The runner has started again; nothing was sent to the new instance."""
+
+    def __init__(self) -> None:
+        super().__init__(
+            ResultCode.POOL_UNAVAILABLE, "the runner has started again unregistered"
+        )
+
+
 def is_full(error: PrimrosefordError) -> bool:
     """Return whether a runner has refused a request for lack of room."""
     return error.code is ResultCode.POOL_UNAVAILABLE and not isinstance(
-        error, RunnerReplaced
+        error, RunnerReplaced | RunnerRestarted
+    )
+
+
+def is_interruption(error: PrimrosefordError) -> bool:
+    """Return whether an exchange broke off in a way in which a process may have ended.
+
+    An invalid request or response is no sign of that.
+    """
+    return error.code in INTERRUPTED_CODES and not isinstance(
+        error.__cause__, ValueError
     )
 
 
--- a/src/primroseford/gateway/forward.py
+++ b/src/primroseford/gateway/forward.py
@@ -30,6 +30,7 @@
 from primroseford.gateway.retry import inactivity_timeout
 from primroseford.gateway.runner_responses import relay_response
 from primroseford.gateway.runner_responses import relay_stream
+from primroseford.gateway.runner_starts import ensure_same_instance
 from primroseford.gateway.tables import RouteKind
 from primroseford.gateway.tables import choose_pool
 from primroseford.platform.runner_calls import is_signed
@@ -380,6 +381,8 @@
     on_event: Callable[[], None],
 ) -> web.StreamResponse:
     incoming = context.incoming
+    if context.route.kind is RouteKind.STREAMING and context.route.resumable:
+        await ensure_same_instance(gateway, runner, context.origin is not None)
     last_event = context.splitter.last_event_id() if context.response else None
     headers = runner_headers(
         incoming.headers,
--- a/src/primroseford/gateway/gen/messages/ttypes.py
+++ b/src/primroseford/gateway/gen/messages/ttypes.py
@@ -1077,32 +1077,23 @@
         return not (self == other)
 
 
-class StreamRecord(object):
+class LeavingRunner(object):
     """
     Attributes:
-     - stream
-     - pool
-     - version
-     - attempt
-     - ttl_ms
+     - runner
+     - born
 
     """
 
     __slots__ = (
-        'stream',
-        'pool',
-        'version',
-        'attempt',
-        'ttl_ms',
+        'runner',
+        'born',
     )
 
 
-    def __init__(self, stream=None, pool=None, version=None, attempt=None, ttl_ms=None,):
-        self.stream = stream
-        self.pool = pool
-        self.version = version
-        self.attempt = attempt
-        self.ttl_ms = ttl_ms
+    def __init__(self, runner=None, born=None,):
+        self.runner = runner
+        self.born = born
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1115,27 +1106,12 @@
                 break
             if fid == 1:
                 if ftype == TType.STRING:
-                    self.stream = iprot.readBinary()
+                    self.runner = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
-                if ftype == TType.STRING:
-                    self.pool = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 3:
-                if ftype == TType.STRING:
-                    self.version = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 4:
-                if ftype == TType.I32:
-                    self.attempt = iprot.readI32()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 5:
-                if ftype == TType.I32:
-                    self.ttl_ms = iprot.readI32()
+                if ftype == TType.I64:
+                    self.born = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             else:
@@ -1147,26 +1123,14 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('StreamRecord')
-        if self.stream is not None:
-            oprot.writeFieldBegin('stream', TType.STRING, 1)
-            oprot.writeBinary(self.stream)
-            oprot.writeFieldEnd()
-        if self.pool is not None:
-            oprot.writeFieldBegin('pool', TType.STRING, 2)
-            oprot.writeString(self.pool.encode('utf-8') if sys.version_info[0] == 2 else self.pool)
-            oprot.writeFieldEnd()
-        if self.version is not None:
-            oprot.writeFieldBegin('version', TType.STRING, 3)
-            oprot.writeString(self.version.encode('utf-8') if sys.version_info[0] == 2 else self.version)
-            oprot.writeFieldEnd()
-        if self.attempt is not None:
-            oprot.writeFieldBegin('attempt', TType.I32, 4)
-            oprot.writeI32(self.attempt)
+        oprot.writeStructBegin('LeavingRunner')
+        if self.runner is not None:
+            oprot.writeFieldBegin('runner', TType.STRING, 1)
+            oprot.writeString(self.runner.encode('utf-8') if sys.version_info[0] == 2 else self.runner)
             oprot.writeFieldEnd()
-        if self.ttl_ms is not None:
-            oprot.writeFieldBegin('ttl_ms', TType.I32, 5)
-            oprot.writeI32(self.ttl_ms)
+        if self.born is not None:
+            oprot.writeFieldBegin('born', TType.I64, 2)
+            oprot.writeI64(self.born)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -1193,22 +1157,25 @@
         return not (self == other)
 
 
-class LeavingRunner(object):
+class RestartedRunner(object):
     """
     Attributes:
      - runner
+     - listed
      - born
 
     """
 
     __slots__ = (
         'runner',
+        'listed',
         'born',
     )
 
 
-    def __init__(self, runner=None, born=None,):
+    def __init__(self, runner=None, listed=None, born=None,):
         self.runner = runner
+        self.listed = listed
         self.born = born
 
     def read(self, iprot):
@@ -1226,6 +1193,11 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
+                if ftype == TType.I64:
+                    self.listed = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
                 if ftype == TType.I64:
                     self.born = iprot.readI64()
                 else:
@@ -1239,13 +1211,17 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('LeavingRunner')
+        oprot.writeStructBegin('RestartedRunner')
         if self.runner is not None:
             oprot.writeFieldBegin('runner', TType.STRING, 1)
             oprot.writeString(self.runner.encode('utf-8') if sys.version_info[0] == 2 else self.runner)
             oprot.writeFieldEnd()
+        if self.listed is not None:
+            oprot.writeFieldBegin('listed', TType.I64, 2)
+            oprot.writeI64(self.listed)
+            oprot.writeFieldEnd()
         if self.born is not None:
-            oprot.writeFieldBegin('born', TType.I64, 2)
+            oprot.writeFieldBegin('born', TType.I64, 3)
             oprot.writeI64(self.born)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1273,6 +1249,122 @@
         return not (self == other)
 
 
+class StreamRecord(object):
+    """
+    Attributes:
+     - stream
+     - pool
+     - version
+     - attempt
+     - ttl_ms
+
+    """
+
+    __slots__ = (
+        'stream',
+        'pool',
+        'version',
+        'attempt',
+        'ttl_ms',
+    )
+
+
+    def __init__(self, stream=None, pool=None, version=None, attempt=None, ttl_ms=None,):
+        self.stream = stream
+        self.pool = pool
+        self.version = version
+        self.attempt = attempt
+        self.ttl_ms = ttl_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.stream = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.pool = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.version = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.attempt = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.ttl_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('StreamRecord')
+        if self.stream is not None:
+            oprot.writeFieldBegin('stream', TType.STRING, 1)
+            oprot.writeBinary(self.stream)
+            oprot.writeFieldEnd()
+        if self.pool is not None:
+            oprot.writeFieldBegin('pool', TType.STRING, 2)
+            oprot.writeString(self.pool.encode('utf-8') if sys.version_info[0] == 2 else self.pool)
+            oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.STRING, 3)
+            oprot.writeString(self.version.encode('utf-8') if sys.version_info[0] == 2 else self.version)
+            oprot.writeFieldEnd()
+        if self.attempt is not None:
+            oprot.writeFieldBegin('attempt', TType.I32, 4)
+            oprot.writeI32(self.attempt)
+            oprot.writeFieldEnd()
+        if self.ttl_ms is not None:
+            oprot.writeFieldBegin('ttl_ms', TType.I32, 5)
+            oprot.writeI32(self.ttl_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Heartbeat(object):
     """
     Attributes:
@@ -1306,6 +1398,7 @@
      - jobs_stalled
      - job_scan_age_ms
      - held_parts
+     - restarted_runners
 
     """
 
@@ -1340,6 +1433,7 @@
         'jobs_stalled',
         'job_scan_age_ms',
         'held_parts',
+        'restarted_runners',
     )
 
 
@@ -1350,6 +1444,7 @@
     ], owns_request_tokens=False, token_uses=[
     ], leaving_runners=[
     ], has_just_started=False, jobs_stalled=False, job_scan_age_ms=2147483647, held_parts=[
+    ], restarted_runners=[
     ],):
         self.host = host
         self.incarnation = incarnation
@@ -1402,6 +1497,10 @@
             held_parts = [
             ]
         self.held_parts = held_parts
+        if restarted_runners is self.thrift_spec[31][4]:
+            restarted_runners = [
+            ]
+        self.restarted_runners = restarted_runners
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1626,6 +1725,17 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 31:
+                if ftype == TType.LIST:
+                    self.restarted_runners = []
+                    (_etype76, _size73) = iprot.readListBegin()
+                    for _i77 in range(_size73):
+                        _elem78 = RestartedRunner()
+                        _elem78.read(iprot)
+                        self.restarted_runners.append(_elem78)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1671,22 +1781,22 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter73 in self.loads:
-                iter73.write(oprot)
+            for iter79 in self.loads:
+                iter79.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.spending is not None:
             oprot.writeFieldBegin('spending', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.spending))
-            for iter74 in self.spending:
-                iter74.write(oprot)
+            for iter80 in self.spending:
+                iter80.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.jobs is not None:
             oprot.writeFieldBegin('jobs', TType.LIST, 11)
             oprot.writeListBegin(TType.STRUCT, len(self.jobs))
-            for iter75 in self.jobs:
-                iter75.write(oprot)
+            for iter81 in self.jobs:
+                iter81.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.reaches_store is not None:
@@ -1700,8 +1810,8 @@
         if self.ended_jobs is not None:
             oprot.writeFieldBegin('ended_jobs', TType.LIST, 14)
             oprot.writeListBegin(TType.STRING, len(self.ended_jobs))
-            for iter76 in self.ended_jobs:
-                oprot.writeString(iter76.encode('utf-8') if sys.version_info[0] == 2 else iter76)
+            for iter82 in self.ended_jobs:
+                oprot.writeString(iter82.encode('utf-8') if sys.version_info[0] == 2 else iter82)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.confirmed_ms_ago is not None:
@@ -1727,29 +1837,29 @@
         if self.crashes is not None:
             oprot.writeFieldBegin('crashes', TType.LIST, 20)
             oprot.writeListBegin(TType.STRUCT, len(self.crashes))
-            for iter77 in self.crashes:
-                iter77.write(oprot)
+            for iter83 in self.crashes:
+                iter83.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.served is not None:
             oprot.writeFieldBegin('served', TType.LIST, 21)
             oprot.writeListBegin(TType.STRUCT, len(self.served))
-            for iter78 in self.served:
-                iter78.write(oprot)
+            for iter84 in self.served:
+                iter84.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.quarantined is not None:
             oprot.writeFieldBegin('quarantined', TType.LIST, 22)
             oprot.writeListBegin(TType.STRUCT, len(self.quarantined))
-            for iter79 in self.quarantined:
-                iter79.write(oprot)
+            for iter85 in self.quarantined:
+                iter85.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.limits is not None:
             oprot.writeFieldBegin('limits', TType.LIST, 23)
             oprot.writeListBegin(TType.STRUCT, len(self.limits))
-            for iter80 in self.limits:
-                iter80.write(oprot)
+            for iter86 in self.limits:
+                iter86.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.owns_request_tokens is not None:
@@ -1759,15 +1869,15 @@
         if self.token_uses is not None:
             oprot.writeFieldBegin('token_uses', TType.LIST, 25)
             oprot.writeListBegin(TType.STRUCT, len(self.token_uses))
-            for iter81 in self.token_uses:
-                iter81.write(oprot)
+            for iter87 in self.token_uses:
+                iter87.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.leaving_runners is not None:
             oprot.writeFieldBegin('leaving_runners', TType.LIST, 26)
             oprot.writeListBegin(TType.STRUCT, len(self.leaving_runners))
-            for iter82 in self.leaving_runners:
-                iter82.write(oprot)
+            for iter88 in self.leaving_runners:
+                iter88.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.has_just_started is not None:
@@ -1785,8 +1895,15 @@
         if self.held_parts is not None:
             oprot.writeFieldBegin('held_parts', TType.LIST, 30)
             oprot.writeListBegin(TType.STRING, len(self.held_parts))
-            for iter83 in self.held_parts:
-                oprot.writeString(iter83.encode('utf-8') if sys.version_info[0] == 2 else iter83)
+            for iter89 in self.held_parts:
+                oprot.writeString(iter89.encode('utf-8') if sys.version_info[0] == 2 else iter89)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.restarted_runners is not None:
+            oprot.writeFieldBegin('restarted_runners', TType.LIST, 31)
+            oprot.writeListBegin(TType.STRUCT, len(self.restarted_runners))
+            for iter90 in self.restarted_runners:
+                iter90.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1894,10 +2011,10 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.heartbeats = []
-                    (_etype87, _size84) = iprot.readListBegin()
-                    for _i88 in range(_size84):
-                        _elem89 = iprot.readBinary()
-                        self.heartbeats.append(_elem89)
+                    (_etype94, _size91) = iprot.readListBegin()
+                    for _i95 in range(_size91):
+                        _elem96 = iprot.readBinary()
+                        self.heartbeats.append(_elem96)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1909,65 +2026,65 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.token_asks = []
-                    (_etype93, _size90) = iprot.readListBegin()
-                    for _i94 in range(_size90):
-                        _elem95 = TokenMessage()
-                        _elem95.read(iprot)
-                        self.token_asks.append(_elem95)
+                    (_etype100, _size97) = iprot.readListBegin()
+                    for _i101 in range(_size97):
+                        _elem102 = TokenMessage()
+                        _elem102.read(iprot)
+                        self.token_asks.append(_elem102)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.token_grants = []
-                    (_etype99, _size96) = iprot.readListBegin()
-                    for _i100 in range(_size96):
-                        _elem101 = TokenMessage()
-                        _elem101.read(iprot)
-                        self.token_grants.append(_elem101)
+                    (_etype106, _size103) = iprot.readListBegin()
+                    for _i107 in range(_size103):
+                        _elem108 = TokenMessage()
+                        _elem108.read(iprot)
+                        self.token_grants.append(_elem108)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.token_returns = []
-                    (_etype105, _size102) = iprot.readListBegin()
-                    for _i106 in range(_size102):
-                        _elem107 = TokenMessage()
-                        _elem107.read(iprot)
-                        self.token_returns.append(_elem107)
+                    (_etype112, _size109) = iprot.readListBegin()
+                    for _i113 in range(_size109):
+                        _elem114 = TokenMessage()
+                        _elem114.read(iprot)
+                        self.token_returns.append(_elem114)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.stream_records = []
-                    (_etype104, _size101) = iprot.readListBegin()
-                    for _i105 in range(_size101):
-                        _elem106 = StreamRecord()
-                        _elem106.read(iprot)
-                        self.stream_records.append(_elem106)
+                    (_etype118, _size115) = iprot.readListBegin()
+                    for _i119 in range(_size115):
+                        _elem120 = StreamRecord()
+                        _elem120.read(iprot)
+                        self.stream_records.append(_elem120)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.stream_asks = []
-                    (_etype110, _size107) = iprot.readListBegin()
-                    for _i111 in range(_size107):
-                        _elem112 = iprot.readBinary()
-                        self.stream_asks.append(_elem112)
+                    (_etype124, _size121) = iprot.readListBegin()
+                    for _i125 in range(_size121):
+                        _elem126 = iprot.readBinary()
+                        self.stream_asks.append(_elem126)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.stream_answers = []
-                    (_etype116, _size113) = iprot.readListBegin()
-                    for _i117 in range(_size113):
-                        _elem118 = StreamRecord()
-                        _elem118.read(iprot)
-                        self.stream_answers.append(_elem118)
+                    (_etype130, _size127) = iprot.readListBegin()
+                    for _i131 in range(_size127):
+                        _elem132 = StreamRecord()
+                        _elem132.read(iprot)
+                        self.stream_answers.append(_elem132)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1988,8 +2105,8 @@
         if self.heartbeats is not None:
             oprot.writeFieldBegin('heartbeats', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.heartbeats))
-            for iter119 in self.heartbeats:
-                oprot.writeBinary(iter119)
+            for iter133 in self.heartbeats:
+                oprot.writeBinary(iter133)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.wanted is not None:
@@ -1999,43 +2116,43 @@
         if self.token_asks is not None:
             oprot.writeFieldBegin('token_asks', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.token_asks))
-            for iter120 in self.token_asks:
-                iter120.write(oprot)
+            for iter134 in self.token_asks:
+                iter134.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.token_grants is not None:
             oprot.writeFieldBegin('token_grants', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.token_grants))
-            for iter121 in self.token_grants:
-                iter121.write(oprot)
+            for iter135 in self.token_grants:
+                iter135.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.token_returns is not None:
             oprot.writeFieldBegin('token_returns', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.token_returns))
-            for iter122 in self.token_returns:
-                iter122.write(oprot)
+            for iter136 in self.token_returns:
+                iter136.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.stream_records is not None:
             oprot.writeFieldBegin('stream_records', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.stream_records))
-            for iter123 in self.stream_records:
-                iter123.write(oprot)
+            for iter137 in self.stream_records:
+                iter137.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.stream_asks is not None:
             oprot.writeFieldBegin('stream_asks', TType.LIST, 8)
             oprot.writeListBegin(TType.STRING, len(self.stream_asks))
-            for iter124 in self.stream_asks:
-                oprot.writeBinary(iter124)
+            for iter138 in self.stream_asks:
+                oprot.writeBinary(iter138)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.stream_answers is not None:
             oprot.writeFieldBegin('stream_answers', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.stream_answers))
-            for iter125 in self.stream_answers:
-                iter125.write(oprot)
+            for iter139 in self.stream_answers:
+                iter139.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2142,6 +2259,19 @@
     (5, TType.DOUBLE, 'rate', None, float(0), ),  # 5
     (6, TType.I64, 'granter', None, 0, ),  # 6
 )
+all_structs.append(LeavingRunner)
+LeavingRunner.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'runner', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'born', None, None, ),  # 2
+)
+all_structs.append(RestartedRunner)
+RestartedRunner.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'runner', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'listed', None, None, ),  # 2
+    (3, TType.I64, 'born', None, None, ),  # 3
+)
 all_structs.append(StreamRecord)
 StreamRecord.thrift_spec = (
     None,  # 0
@@ -2151,12 +2281,6 @@
     (4, TType.I32, 'attempt', None, None, ),  # 4
     (5, TType.I32, 'ttl_ms', None, None, ),  # 5
 )
-all_structs.append(LeavingRunner)
-LeavingRunner.thrift_spec = (
-    None,  # 0
-    (1, TType.STRING, 'runner', 'UTF8', None, ),  # 1
-    (2, TType.I64, 'born', None, None, ),  # 2
-)
 all_structs.append(Heartbeat)
 Heartbeat.thrift_spec = (
     None,  # 0
@@ -2197,6 +2321,8 @@
     (29, TType.I32, 'job_scan_age_ms', None, 2147483647, ),  # 29
     (30, TType.LIST, 'held_parts', (TType.STRING, 'UTF8', False), [
     ], ),  # 30
+    (31, TType.LIST, 'restarted_runners', (TType.STRUCT, [RestartedRunner, None], False), [
+    ], ),  # 31
 )
 all_structs.append(Bundle)
 Bundle.thrift_spec = (
--- a/src/primroseford/gateway/heartbeat.py
+++ b/src/primroseford/gateway/heartbeat.py
@@ -27,6 +27,8 @@
 from primroseford.gateway.relay import RELAY_SECONDS
 from primroseford.gateway.relay import Relay
 from primroseford.gateway.relay import split_bundle
+from primroseford.gateway.runner_starts import received_restarts
+from primroseford.gateway.runner_starts import reported_restarts
 from primroseford.ids import HostId
 from primroseford.ids import JobId
 from primroseford.ids import OrganisationId
@@ -288,6 +290,7 @@
         gateway.request_limiter.fill_heartbeat(heartbeat)
         leaving = gateway.allocator.leaving
         heartbeat.leaving_runners = leaving.reports(gateway.clock())
+        heartbeat.restarted_runners = reported_restarts(gateway.runner_list)
         return heartbeat
 
     def _loads(self) -> list[RunnerLoad]:
@@ -361,6 +364,8 @@
         gateway.allocator.apply_heartbeat(heartbeat)
         apply_heartbeat(gateway.quarantine, heartbeat)
         gateway.request_limiter.apply_heartbeat(heartbeat)
+        for restart in received_restarts(heartbeat):
+            gateway.note_restart(restart, seen_by=host)
         for key in reported_runners(heartbeat):
             runner = gateway.allocator.runners.get(key.name)
             if runner is not None and runner.entry.key == key:
--- a/src/primroseford/gateway/messages.thrift
+++ b/src/primroseford/gateway/messages.thrift
@@ -90,6 +90,14 @@
   2: i64 born
 }
 
+// A runner that serves as another instance than its entry in the runner list describes.
+struct RestartedRunner {
+  1: string runner
+  // Start of the instance in the entry, and of the one that serves.
+  2: i64 listed
+  3: i64 born
+}
+
 // Pool and software version of the runner that began a stream.
 struct StreamRecord {
   // Digest of the request id of the caller's attempt that began it.
@@ -148,6 +156,7 @@
   29: i32 job_scan_age_ms = 2147483647
   // Quarantined prompt parts of the host's waiting batch items.
   30: list<string> held_parts = []
+  31: list<RestartedRunner> restarted_runners = []
 }
 
 // Heartbeats that the relay of a failure domain forwards, encoded by their senders.
--- a/src/primroseford/gateway/runner_state.py
+++ b/src/primroseford/gateway/runner_state.py
@@ -51,6 +51,13 @@
         """Return whether an entry is of this instance, which has one version only."""
         return self.entry.key == entry.key and self.entry.version == entry.version
 
+    def is_suspected(self, now: float) -> bool:
+        """Return whether this host or another one suspects that it has failed.
+
+        :param now: local time in seconds
+        """
+        return self.suspect_until > now or bool(self.suspected_by)
+
     def load(self) -> RunnerLoad:
         """Return the load on the runner from all hosts."""
         entry = self.entry
--- a/src/primroseford/gateway/runners.py
+++ b/src/primroseford/gateway/runners.py
@@ -5,17 +5,19 @@
 import math
 from dataclasses import dataclass
 from dataclasses import field
+from dataclasses import replace
 from enum import Enum
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
+from primroseford.ids import SoftwareVersion
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
     from primroseford.ids import FailureDomainId
     from primroseford.ids import PoolName
     from primroseford.ids import RunnerName
-    from primroseford.ids import SoftwareVersion
 
 REREGISTRATION_SECONDS = 2.0
 """Time after a platform outage within which live runners register again, as the
@@ -40,6 +42,26 @@
     born: int
 
 
+class RunnerRestart(NamedTuple):
+    """A runner that serves as another instance than its entry describes.
+
+    :param listed: start of the instance in the runner list, in Unix milliseconds
+    :param born: start that the runner itself tells
+    """
+
+    name: RunnerName
+    listed: int
+    born: int
+
+
+def unlisted_version(key: RunnerKey) -> SoftwareVersion:
+    """Return what stands for the software version of an instance without an entry.
+
+    It differs from that of every other instance: what it begins goes on nowhere else.
+    """
+    return SoftwareVersion(f"unlisted {key.name} {key.born}")
+
+
 @dataclass(frozen=True)
 class RunnerEntry:
     """Entry of the runner list.
@@ -55,6 +77,13 @@
     stage: RunnerStage
     version: SoftwareVersion
 
+    def has_version(self, version: SoftwareVersion) -> bool:
+        """Return whether the instance can continue what a version has begun.
+
+        It can also continue what it began itself before its entry was known.
+        """
+        return version in (self.version, unlisted_version(self.key))
+
 
 @dataclass
 class RunnerList:
@@ -65,11 +94,13 @@
     :param retained_until: local time in seconds until which a missing runner is still
         used
     :param outage_ended_at: local time at which the last outage of the platform ended
+    :param restarts: runners that have started again and not registered since
     """
 
     entries: dict[RunnerName, RunnerEntry] = field(default_factory=dict)
     retained_until: dict[RunnerName, float] = field(default_factory=dict)
     outage_ended_at: float = -math.inf
+    restarts: dict[RunnerName, RunnerRestart] = field(default_factory=dict)
 
     def update(
         self, changed: Iterable[RunnerEntry], removed: Iterable[RunnerName], now: float
@@ -86,8 +117,14 @@
         :param now: local time in seconds
         """
         for entry in changed:
-            self.entries[entry.key.name] = entry
-            self.retained_until.pop(entry.key.name, None)
+            name, born = entry.key
+            self.retained_until.pop(name, None)
+            restart = self.restarts.get(name)
+            if restart is not None and restart.listed == born:
+                # A late change by the instance before.
+                continue
+            self.restarts.pop(name, None)
+            self.entries[name] = entry
         until = self.outage_ended_at + REREGISTRATION_SECONDS
         for name in removed:
             entry = self.entries.get(name)
@@ -98,6 +135,23 @@
             else:
                 self.remove(name)
 
+    def record_restart(self, restart: RunnerRestart) -> bool:
+        """Record that a runner serves as an instance that has not registered yet.
+
+        :returns: whether this is new; it is not if its entry has changed meanwhile
+        """
+        entry = self.entries.get(restart.name)
+        if entry is None or entry.key.born != restart.listed:
+            return False
+        key = RunnerKey(restart.name, restart.born)
+        self.entries[restart.name] = replace(
+            entry, key=key, version=unlisted_version(key)
+        )
+        previous = self.restarts.get(restart.name)
+        listed = restart.listed if previous is None else previous.listed
+        self.restarts[restart.name] = restart._replace(listed=listed)
+        return True
+
     def record_outage_end(self, now: float) -> None:
         """Record that the platform is reachable again after an outage.
 
@@ -119,3 +173,4 @@
         """Remove a runner until the list contains it again."""
         self.entries.pop(name, None)
         self.retained_until.pop(name, None)
+        self.restarts.pop(name, None)
--- a/src/primroseford/gateway/slot_allocator.py
+++ b/src/primroseford/gateway/slot_allocator.py
@@ -135,7 +135,7 @@
         ready = self.ready.get(pool, [])
         if version is None:
             return ready
-        return [runner for runner in ready if runner.entry.version == version]
+        return [runner for runner in ready if runner.entry.has_version(version)]
 
     def usable(
         self, pool: PoolName, version: SoftwareVersion | None = None
--- a/src/primroseford/gateway/state.py
+++ b/src/primroseford/gateway/state.py
@@ -13,6 +13,7 @@
 from primroseford.gateway.crash_detector import CrashDetector
 from primroseford.gateway.exchange import RunnerReplaced
 from primroseford.gateway.exchange import is_full
+from primroseford.gateway.exchange import is_interruption
 from primroseford.gateway.quota import Quotas
 from primroseford.gateway.rendezvous import ranked
 from primroseford.gateway.request_limiter import RequestLimiter
@@ -35,9 +36,11 @@
     from primroseford.gateway.request_context import RequestContext
     from primroseford.gateway.runner_state import RunnerState
     from primroseford.gateway.runners import RunnerKey
+    from primroseford.gateway.runners import RunnerRestart
     from primroseford.gateway.slot_allocator import SlotAllocator
     from primroseford.gateway.tables import Tables
     from primroseford.ids import HostId
+    from primroseford.ids import PoolName
     from primroseford.ids import PromptPartId
     from primroseford.metrics import Metrics
 
@@ -61,8 +64,8 @@
 log = structlog.get_logger()
 
 
-def _ignore_preemption_request(runner: RunnerState) -> None:
-    """Do nothing, until the heartbeat service sets its callback."""
+def _ignore(runner: RunnerState) -> None:
+    """Do nothing, until a service sets its callback."""
 
 
 class GatewayMetrics:
@@ -93,6 +96,10 @@
         self.quarantined = metrics.gauge(
             "gateway_quarantined_parts", "Prompt parts that are quarantined"
         )
+        self.restarts = metrics.counter(
+            "gateway_runner_restarts_total",
+            "Runners that served as a new instance before their entries said so",
+        )
         self.limited_runners = metrics.gauge(
             "gateway_limited_runners", "Runners that limit the requests they accept"
         )
@@ -128,6 +135,7 @@
     :ivar runners_known: whether the runner list has been received
     :ivar on_heartbeat: called with each heartbeat of another host
     :ivar request_preemption: requests the preemption of a batch item on a runner
+    :ivar probe_interrupted: asks a runner at once whether it has started again
     :ivar tables: configuration in force; ``None`` until the first one is received
     :ivar quarantine: prompt parts that crash runners
     :ivar trial_turns: turns of this host to try them
@@ -163,9 +171,8 @@
         self.runners_known = False
         self.runner_list_version = 0
         self.on_heartbeat: Callable[[Heartbeat], None] | None = None
-        self.request_preemption: Callable[[RunnerState], None] = (
-            _ignore_preemption_request
-        )
+        self.request_preemption: Callable[[RunnerState], None] = _ignore
+        self.probe_interrupted: Callable[[RunnerState], None] = _ignore
         self.quotas = Quotas(clock())
         self.quarantine = Quarantine(clock)
         self.trial_turns = TrialTurns(members, self.quarantine, clock)
@@ -316,10 +323,40 @@
             seen_by=seen_by or self.members.own,
         )
 
+    def is_engine(self, pool: PoolName) -> bool:
+        """Return whether the runners of a pool are model engines."""
+        known = self.tables.pools.get(pool) if self.tables else None
+        return known is None or known.is_engine
+
+    def note_restart(
+        self, restart: RunnerRestart, seen_by: HostId | None = None
+    ) -> None:
+        """Stop using what is known of a runner that has started again.
+
+        :param seen_by: the host that asked the runner, if it is another one
+        """
+        if not self.runner_list.record_restart(restart):
+            return
+        self.metrics.restarts.inc()
+        log.warning(
+            "runner has started again",
+            runner=restart.name,
+            listed=restart.listed,
+            born=restart.born,
+            seen_by=seen_by or self.members.own,
+        )
+        self.allocator.set_runners(self.runner_list.entries)
+        # Tells the other hosts with the next heartbeat.
+        self.allocator.changed = True
+
     def note_failure(self, runner: RunnerState, error: PrimrosefordError) -> None:
         """Update the state of a runner after a failed attempt."""
         if error.code is ResultCode.RUNNER_UNREACHABLE:
             self.suspect(runner, "unreachable")
+        elif is_interruption(error) and self.is_engine(runner.entry.pool):
+            # Another process may serve under the runner's name.
+            self.suspect(runner, "interrupted")
+            self.probe_interrupted(runner)
         elif isinstance(error, RunnerReplaced):
             log.warning("runner has left its address", runner=runner.entry.key.name)
             self.runner_list.remove(runner.entry.key.name)
--- a/src/primroseford/gateway/tests/test_unlisted_restarts.py
+++ b/src/primroseford/gateway/tests/test_unlisted_restarts.py
@@ -6,18 +6,27 @@
 
 import pytest
 
+from primroseford.gateway.runners import RunnerEntry
+from primroseford.gateway.runners import RunnerKey
+from primroseford.gateway.runners import RunnerList
+from primroseford.gateway.runners import RunnerRestart
+from primroseford.gateway.runners import RunnerStage
+from primroseford.gateway.runners import unlisted_version
 from primroseford.gateway.tests.test_software_versions import FIELDS
 from primroseford.gateway.tests.test_software_versions import assert_whole
 from primroseford.gateway.tests.test_software_versions import at_event
 from primroseford.gateway.tests.test_software_versions import host_urls
 from primroseford.gateway.tests.test_software_versions import serving_runner
+from primroseford.gateway.version_history import VersionHistory
 from primroseford.jobs.tests.test_jobs import read_all
 from primroseford.jobs.tests.test_jobs import submit
 from primroseford.jobs.tests.test_software_versions import item_with_events
+from primroseford.platform.runner_calls import decode_start
 from primroseford.proof.resuming_caller import read_stream
 from primroseford.standins.fleet_runner import event_version
 
 SLOTS = 4
+STAGE = RunnerStage.READY
 
 
 def load_runner(site, name: str, slots: int = SLOTS) -> None:
@@ -132,3 +141,113 @@
     (result,) = await read_all(site, "job1")
     lines = result["text"].split("\n")
     assert len({event_version(line) for line in lines}) == 1 and len(lines) == 100
+
+
+def entry(born: int, version: str = "v1") -> RunnerEntry:
+    """Return an entry of the runner ``i-1``."""
+    return RunnerEntry(
+        RunnerKey("i-1", born), "models", "10.0.0.1:80", "a", 8, STAGE, version
+    )
+
+
+def replay(steps) -> RunnerList:
+    """Return the list after steps: an entry, a restart or the name of a removal."""
+    found = RunnerList()
+    for step in steps:
+        if isinstance(step, RunnerRestart):
+            found.record_restart(step)
+        elif isinstance(step, RunnerEntry):
+            found.update([step], [], 0.0)
+        else:
+            found.update([], [step], 0.0)
+    return found
+
+
+@pytest.mark.parametrize(
+    ("steps", "version"),
+    [
+        ([entry(10)], "v1"),
+        ([entry(10), RunnerRestart("i-1", 10, 20)], "unlisted i-1 20"),
+        ([entry(10), RunnerRestart("i-1", 10, 20), entry(20, "v2")], "v2"),
+        ([entry(10), RunnerRestart("i-1", 10, 20), entry(10)], "unlisted i-1 20"),
+        ([entry(10), RunnerRestart("i-1", 9, 20)], "v1"),
+        ([entry(20, "v2"), RunnerRestart("i-1", 10, 20)], "v2"),
+        (
+            [entry(10), RunnerRestart("i-1", 10, 20), RunnerRestart("i-1", 20, 30)],
+            "unlisted i-1 30",
+        ),
+        (
+            [
+                entry(10),
+                RunnerRestart("i-1", 10, 20),
+                RunnerRestart("i-1", 20, 30),
+                entry(10),
+            ],
+            "unlisted i-1 30",
+        ),
+        ([entry(10), RunnerRestart("i-1", 10, 5), entry(5, "v2")], "v2"),
+        ([entry(10), RunnerRestart("i-1", 10, 20), "i-1"], None),
+        ([entry(10), RunnerRestart("i-1", 10, 20), "i-1", entry(20, "v2")], "v2"),
+        ([RunnerRestart("i-1", 10, 20)], None),
+    ],
+    ids=[
+        "listed",
+        "restarted",
+        "registered",
+        "late change of the old one",
+        "report of an older entry",
+        "report after the entry",
+        "twice",
+        "twice, late change",
+        "clock of the runner set back",
+        "removed",
+        "removed and registered",
+        "unknown",
+    ],
+)
+def test_list_has_the_version_of_an_instance_before(steps, version):
+    """Guards against a version that is not that of the process which serves."""
+    found = replay(steps).entries.get("i-1")
+    assert (found.version if found else None) == version
+    assert (version or "").startswith("unlisted") == bool(replay(steps).restarts)
+
+
+@pytest.mark.parametrize(
+    ("version", "expected"),
+    [("v2", True), ("v1", False), (unlisted_version(RunnerKey("i-1", 20)), True)],
+)
+def test_stream_that_began_before_the_registration_ends(version, expected):
+    """Guards against a stream without a runner, whose own runner has registered."""
+    assert entry(20, "v2").has_version(version) == expected
+
+
+def test_registration_counts_as_another_version(clock):
+    """Guards against refusals for want of a known version after a restart."""
+    history = VersionHistory(clock, lambda: 1e6)
+    for change in (entry(1), replay([entry(1), RunnerRestart("i-1", 1, 2)])):
+        is_list = isinstance(change, RunnerList)
+        history.update(change.entries.values() if is_list else [change])
+    assert history.only_version("models") is None
+    history.update([entry(2)])
+    assert history.only_version("models") == "v1"
+
+
+@pytest.mark.parametrize(
+    ("body", "start"),
+    [
+        (b'{"stage":"both","born":1783237666594}', 1783237666594),
+        (b'{"stage":"both"}', None),
+        (b'{"born":"1783237666594"}', None),
+        (b'{"born":1783237666594.0}', None),
+        (b'{"born":true}', None),
+        (b'{"born":0}', None),
+        (b'{"born":-1}', None),
+        (b"[]", None),
+        (b"[" * 100_000, None),
+        (b"\xff\xfe", None),
+        (b"", None),
+    ],
+)
+def test_report_that_tells_no_start_is_used(body, start):
+    """Guards against a start that the runner has not told."""
+    assert decode_start(body) == start
--- a/src/primroseford/gateway/version_history.py
+++ b/src/primroseford/gateway/version_history.py
@@ -51,7 +51,9 @@
             self.entries.setdefault(entry.pool, []).append(entry)
         for pool, versions in before.items():
             for version in versions - self._listed(pool):
-                self.left_at.setdefault(pool, {})[version] = now
+                entries = self.entries.get(pool, ())
+                if not any(entry.has_version(version) for entry in entries):
+                    self.left_at.setdefault(pool, {})[version] = now
 
     def _left_lately(self, pool: PoolName, now: float) -> dict[SoftwareVersion, float]:
         left = self.left_at.get(pool, {})
--- a/src/primroseford/gateway/watchdog.py
+++ b/src/primroseford/gateway/watchdog.py
@@ -12,7 +12,7 @@
 
 from primroseford.gateway.periodic import run_periodically
 from primroseford.gateway.retry import ANSWER_SILENCE_LATENCIES
-from primroseford.gateway.runner_starts import ask_start
+from primroseford.gateway.runner_starts import check_start
 
 if TYPE_CHECKING:
     from primroseford.gateway.runner_state import RunnerState
@@ -40,6 +40,7 @@
         super().__init__()
         self.gateway = gateway
         self.probing: set[str] = set()
+        gateway.probe_interrupted = self.probe_interrupted
 
     @Service.task
     async def watch(self) -> None:
@@ -54,18 +55,14 @@
             if self.is_silent(runner, now):
                 self.gateway.suspect(runner, "silent")
             if runner.suspect_until > now and name not in self.probing:
-                self.probing.add(name)
-                task = asyncio.create_task(self.probe(runner))
-                task.add_done_callback(lambda _, name=name: self.probing.discard(name))
+                self._start_probe(runner)
 
     def is_silent(self, runner: RunnerState, now: float) -> bool:
         """Return whether a runner has sent no data on any exchange within its limit."""
         if not runner.waiting:
             return False
         last_activity = max(runner.last_byte, min(runner.waiting.values()))
-        tables = self.gateway.tables
-        pool = tables.pools.get(runner.entry.pool) if tables else None
-        if pool is None or pool.is_engine:
+        if self.gateway.is_engine(runner.entry.pool):
             first = self.gateway.allocator.first_event_seconds.get(
                 runner.entry.pool, 0.0
             )
@@ -75,37 +72,60 @@
             limit = max(SERVICE_SILENCE_SECONDS, usual)
         return now - last_activity > limit
 
-    async def probe(self, runner: RunnerState) -> None:
-        """Probe a failed runner until it answers or is removed."""
-        tables = self.gateway.tables
-        pool = tables.pools.get(runner.entry.pool) if tables else None
-        path = pool.health_path if pool else "/health"
-        url = URL(f"http://{runner.entry.address}{path}", encoded=True)
-        timeout = aiohttp.ClientTimeout(total=PROBE_SECONDS)
+    def probe_interrupted(self, runner: RunnerState) -> None:
+        """Ask a runner at once whether it has started again."""
+        name = runner.entry.key.name
+        if name not in self.probing:
+            self._start_probe(runner, is_interrupted=True)
+
+    def _start_probe(self, runner: RunnerState, is_interrupted: bool = False) -> None:
+        name = runner.entry.key.name
+        self.probing.add(name)
+        task = asyncio.create_task(self.probe(runner, is_interrupted))
+        task.add_done_callback(lambda _: self.probing.discard(name))
+
+    async def probe(self, runner: RunnerState, is_interrupted: bool = False) -> None:
+        """Probe a failed runner until it answers or is removed.
+
+        :param is_interrupted: whether it may still be up; it is then only asked whether
+            it is the same instance, and at once
+        """
         name, listed = runner.entry.key
         while (
             self.gateway.allocator.runners.get(name) is runner and not self.should_stop
         ):
-            await asyncio.sleep(PROBE_SECONDS)
+            if not is_interrupted:
+                await asyncio.sleep(PROBE_SECONDS)
             if runner.suspect_until <= self.gateway.clock():
                 return
             if not self.gateway.request_limiter.may_probe(runner):
+                is_interrupted = False
                 continue
             try:
-                async with self.gateway.session.get(url, timeout=timeout) as answer:
-                    status = answer.status
-                is_engine = pool is None or pool.is_engine
-                born = await self._ask_start(runner) if is_engine else None
+                status = None if is_interrupted else await self._check_health(runner)
+                is_engine = self.gateway.is_engine(runner.entry.pool)
+                is_same = not is_engine or await check_start(self.gateway, runner)
             except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
                 log.info("probe failed", runner=name, reason=repr(error))
                 self.gateway.suspect(runner, "probe")
+                is_interrupted = False
                 continue
             log.info(
-                "probe answered", runner=name, status=status, born=born, listed=listed
+                "probe answered",
+                runner=name,
+                status=status,
+                listed=listed,
+                same_instance=is_same,
             )
             self.gateway.allocator.clear_suspicion(runner)
             return
 
-    async def _ask_start(self, runner: RunnerState) -> int | None:
+    async def _check_health(self, runner: RunnerState) -> int:
+        """Return the status of a runner's health response."""
+        tables = self.gateway.tables
+        pool = tables.pools.get(runner.entry.pool) if tables else None
+        path = pool.health_path if pool else "/health"
+        url = URL(f"http://{runner.entry.address}{path}", encoded=True)
         timeout = aiohttp.ClientTimeout(total=PROBE_SECONDS)
-        return await ask_start(self.gateway.session, runner.entry, timeout)
+        async with self.gateway.session.get(url, timeout=timeout) as answer:
+            return answer.status
--- a/src/primroseford/jobs/run.py
+++ b/src/primroseford/jobs/run.py
@@ -25,6 +25,7 @@
 from primroseford.gateway.exchange import may_have_run_error
 from primroseford.gateway.exchange import read_bounded
 from primroseford.gateway.exchange import send_to_runner
+from primroseford.gateway.runner_starts import ensure_same_instance
 from primroseford.jobs.state import Progress
 from primroseford.jobs.waiting import WaitReason
 from primroseford.jobs.waiting import missing_items
@@ -347,6 +348,7 @@
     attempt: RunnerAttempt,
     until: float,
 ) -> RunOutcome:
+    await ensure_same_instance(gateway, runner, item.last_event is not None)
     headers = runner_headers(
         item_headers(item.item.headers, route.host, item.item.id),
         runner.entry.key.name,
