Tell other hosts of restarts that this host has listed

What callers could see: a stream of two versions through a host whose watch of the runner list returns nothing for a second or two, while a runner has started again and registered. The host lists the old instance, and its peers told of a restart only until they had the new entry themselves.

Now each host tells for 10 s of every instance that another one has replaced under its name, and as long as the new one has not registered. A report counts only at a host that still lists the instance it names, so that reports out of order change nothing.

Evidence: decision tests; a host that has listed the new entry told nothing before. Runners that come back under new names, as in a release, add nothing to the heartbeats.

--- a/src/primroseford/gateway/heartbeat.py
+++ b/src/primroseford/gateway/heartbeat.py
@@ -290,7 +290,9 @@
         gateway.request_limiter.fill_heartbeat(heartbeat)
         leaving = gateway.allocator.leaving
         heartbeat.leaving_runners = leaving.reports(gateway.clock())
-        heartbeat.restarted_runners = reported_restarts(gateway.runner_list)
+        heartbeat.restarted_runners = reported_restarts(
+            gateway.runner_list, gateway.clock()
+        )
         return heartbeat
 
     def _loads(self) -> list[RunnerLoad]:
--- a/src/primroseford/gateway/messages.thrift
+++ b/src/primroseford/gateway/messages.thrift
@@ -90,10 +90,10 @@
   2: i64 born
 }
 
-// A runner that serves as another instance than its entry in the runner list describes.
+// A runner that has started again, whose entry the receiver may not know.
 struct RestartedRunner {
   1: string runner
-  // Start of the instance in the entry, and of the one that serves.
+  // Start of the instance before, and of the one that serves.
   2: i64 listed
   3: i64 born
 }
--- a/src/primroseford/gateway/runner_starts.py
+++ b/src/primroseford/gateway/runner_starts.py
@@ -91,9 +91,12 @@
         raise RunnerRestarted()
 
 
-def reported_restarts(runner_list: RunnerList) -> list[RestartedRunner]:
-    """Return the runners for a heartbeat that have started again unregistered."""
-    restarts = list(runner_list.restarts.values())[-MAX_REPORTED_RESTARTS:]
+def reported_restarts(runner_list: RunnerList, now: float) -> list[RestartedRunner]:
+    """Return the runners for a heartbeat that have started again lately.
+
+    :param now: local time in seconds
+    """
+    restarts = runner_list.restarts(now)[-MAX_REPORTED_RESTARTS:]
     return [RestartedRunner(*restart) for restart in restarts]
 
 
--- a/src/primroseford/gateway/runners.py
+++ b/src/primroseford/gateway/runners.py
@@ -19,6 +19,9 @@
     from primroseford.ids import PoolName
     from primroseford.ids import RunnerName
 
+RESTART_REPORT_SECONDS = 10.0
+"""Time for which other hosts are told that a runner has started again, after its new
+entry is known here. A host whose watch returns nothing lists the runners within 2 s."""
 REREGISTRATION_SECONDS = 2.0
 """Time after a platform outage within which live runners register again, as the
 platform specifies for its runner list."""
@@ -77,6 +80,11 @@
     stage: RunnerStage
     version: SoftwareVersion
 
+    @property
+    def is_unlisted(self) -> bool:
+        """Whether the instance has not registered, so that its version is unknown."""
+        return self.version == unlisted_version(self.key)
+
     def has_version(self, version: SoftwareVersion) -> bool:
         """Return whether the instance can continue what a version has begun.
 
@@ -94,13 +102,14 @@
     :param retained_until: local time in seconds until which a missing runner is still
         used
     :param outage_ended_at: local time at which the last outage of the platform ended
-    :param restarts: runners that have started again and not registered since
+    :param superseded: instances that another one has replaced under their name, with
+        the local time in seconds
     """
 
     entries: dict[RunnerName, RunnerEntry] = field(default_factory=dict)
     retained_until: dict[RunnerName, float] = field(default_factory=dict)
     outage_ended_at: float = -math.inf
-    restarts: dict[RunnerName, RunnerRestart] = field(default_factory=dict)
+    superseded: dict[RunnerKey, float] = field(default_factory=dict)
 
     def update(
         self, changed: Iterable[RunnerEntry], removed: Iterable[RunnerName], now: float
@@ -117,13 +126,14 @@
         :param now: local time in seconds
         """
         for entry in changed:
-            name, born = entry.key
+            name = entry.key.name
             self.retained_until.pop(name, None)
-            restart = self.restarts.get(name)
-            if restart is not None and restart.listed == born:
-                # A late change by the instance before.
-                continue
-            self.restarts.pop(name, None)
+            known = self.entries.get(name)
+            if known is not None and known.key != entry.key:
+                if entry.key in self.superseded:
+                    # A late change by the instance before.
+                    continue
+                self.superseded[known.key] = now
             self.entries[name] = entry
         until = self.outage_ended_at + REREGISTRATION_SECONDS
         for name in removed:
@@ -135,23 +145,38 @@
             else:
                 self.remove(name)
 
-    def record_restart(self, restart: RunnerRestart) -> bool:
+    def record_restart(self, restart: RunnerRestart, now: float) -> bool:
         """Record that a runner serves as an instance that has not registered yet.
 
+        :param now: local time in seconds
         :returns: whether this is new; it is not if its entry has changed meanwhile
         """
         entry = self.entries.get(restart.name)
         if entry is None or entry.key.born != restart.listed:
             return False
         key = RunnerKey(restart.name, restart.born)
+        self.superseded[entry.key] = now
         self.entries[restart.name] = replace(
             entry, key=key, version=unlisted_version(key)
         )
-        previous = self.restarts.get(restart.name)
-        listed = restart.listed if previous is None else previous.listed
-        self.restarts[restart.name] = restart._replace(listed=listed)
         return True
 
+    def restarts(self, now: float) -> list[RunnerRestart]:
+        """Return the restarts that other hosts may not know.
+
+        :param now: local time in seconds
+        """
+        found = []
+        for key, at in list(self.superseded.items()):
+            entry = self.entries.get(key.name)
+            if entry is None or (
+                now - at > RESTART_REPORT_SECONDS and not entry.is_unlisted
+            ):
+                del self.superseded[key]
+            else:
+                found.append(RunnerRestart(key.name, key.born, entry.key.born))
+        return found
+
     def record_outage_end(self, now: float) -> None:
         """Record that the platform is reachable again after an outage.
 
@@ -173,4 +198,3 @@
         """Remove a runner until the list contains it again."""
         self.entries.pop(name, None)
         self.retained_until.pop(name, None)
-        self.restarts.pop(name, None)
--- a/src/primroseford/gateway/state.py
+++ b/src/primroseford/gateway/state.py
@@ -335,7 +335,7 @@
 
         :param seen_by: the host that asked the runner, if it is another one
         """
-        if not self.runner_list.record_restart(restart):
+        if not self.runner_list.record_restart(restart, self.clock()):
             return
         self.metrics.restarts.inc()
         log.warning(
--- a/src/primroseford/gateway/tests/test_unlisted_restarts.py
+++ b/src/primroseford/gateway/tests/test_unlisted_restarts.py
@@ -155,7 +155,7 @@
     found = RunnerList()
     for step in steps:
         if isinstance(step, RunnerRestart):
-            found.record_restart(step)
+            found.record_restart(step, 0.0)
         elif isinstance(step, RunnerEntry):
             found.update([step], [], 0.0)
         else:
@@ -209,7 +209,53 @@
     """Guards against a version that is not that of the process which serves."""
     found = replay(steps).entries.get("i-1")
     assert (found.version if found else None) == version
-    assert (version or "").startswith("unlisted") == bool(replay(steps).restarts)
+    assert (version or "").startswith("unlisted") == bool(found and found.is_unlisted)
+
+
+FOLLOWS = {
+    "restart": [entry(10), RunnerRestart("i-1", 10, 20)],
+    "registration": [entry(10), entry(20, "v2")],
+    "restart and registration": [
+        entry(10),
+        RunnerRestart("i-1", 10, 20),
+        entry(20, "v2"),
+    ],
+    "two restarts": [
+        entry(10),
+        RunnerRestart("i-1", 10, 15),
+        RunnerRestart("i-1", 15, 20),
+    ],
+    "two registrations": [entry(10), entry(15, "v3"), entry(20, "v2")],
+}
+"""What the host that tells of a restart has seen, by name."""
+
+
+@pytest.mark.parametrize("steps", FOLLOWS.values(), ids=FOLLOWS)
+@pytest.mark.parametrize(
+    ("known", "born"),
+    [
+        ([entry(10)], 20),
+        ([entry(20, "v2")], 20),
+        ([entry(30, "v4")], 30),
+        ([entry(10), RunnerRestart("i-1", 10, 30)], 30),
+    ],
+    ids=["old entry", "new entry", "newer entry", "newer restart"],
+)
+def test_host_with_an_old_list_is_told_of_a_restart(steps, known, born):
+    """Guards against the version before at a host whose watch returns nothing."""
+    told = replay(known)
+    for restart in replay(steps).restarts(5.0):
+        told.record_restart(restart, 5.0)
+    assert told.entries["i-1"].key.born == born
+    assert told.entries["i-1"].version != "v1"
+
+
+def test_restart_is_told_until_others_have_listed_it():
+    """Guards against heartbeats that grow with each restart."""
+    registered, unlisted = replay(FOLLOWS["registration"]), replay(FOLLOWS["restart"])
+    assert registered.restarts(9.0) and unlisted.restarts(9.0)
+    assert not registered.restarts(11.0) and not registered.superseded
+    assert unlisted.restarts(1000.0)
 
 
 @pytest.mark.parametrize(
