Ask a failed runner for its start even if it answers before

What callers could see: a stream of two versions. A runner had refused connections and came back as another version; a request that needs no version was answered by the new process, which ended the suspicion, so that the probe that asks for the start was given up and the next stream was recorded with the old version.

Found by reading again. Whether a runner may have started again is now kept apart from whether it counts as failed: only a report that tells the listed start ends it, and other hosts are told until then.

Evidence: test_answer_of_an_unlisted_restart_stands_for_its_old_version fails without the change ("2 == len(['v2', 'v1'])").

--- a/src/primroseford/gateway/heartbeat.py
+++ b/src/primroseford/gateway/heartbeat.py
@@ -297,11 +297,12 @@
 
     def _loads(self) -> list[RunnerLoad]:
         now = self.gateway.clock()
-        return [
-            RunnerLoad(name, runner.online, runner.batch, runner.suspect_until > now)
-            for name, runner in self.gateway.allocator.runners.items()
-            if runner.online or runner.batch or runner.suspect_until > now
-        ]
+        loads = []
+        for name, runner in self.gateway.allocator.runners.items():
+            suspected = runner.suspect_until > now or runner.may_have_restarted
+            if runner.online or runner.batch or suspected:
+                loads.append(RunnerLoad(name, runner.online, runner.batch, suspected))
+        return loads
 
     def _spending(self) -> list[Spending]:
         now = self.gateway.clock()
--- a/src/primroseford/gateway/runner_starts.py
+++ b/src/primroseford/gateway/runner_starts.py
@@ -61,6 +61,7 @@
             born = decode_start(await read_limited(response, MAX_REPORT_BYTES))
     # An entry without a start says nothing about the instance.
     if born is None or not entry.key.born or born == entry.key.born:
+        runner.may_have_restarted = False
         return True
     gateway.note_restart(RunnerRestart(entry.key.name, entry.key.born, born))
     return False
@@ -72,14 +73,14 @@
     """Check the instance of a runner before a request that depends on its version.
 
     A request that begins a stream or a text needs the check only at a runner that may
-    have failed.
+    have started again, or that another host suspects.
 
     :param continues: whether the request goes on with what a version has begun
     :raises PrimrosefordError: RUNNER_UNREACHABLE or RunnerRestarted, as not run
     """
     if not gateway.is_engine(runner.entry.pool):
         return
-    if not continues and not runner.is_suspected(gateway.clock()):
+    if not (continues or runner.may_have_restarted or runner.suspected_by):
         return
     try:
         is_same = await check_start(gateway, runner)
--- a/src/primroseford/gateway/runner_state.py
+++ b/src/primroseford/gateway/runner_state.py
@@ -30,6 +30,8 @@
     :param waiting: local time of the last data on each own exchange, by token
     :param last_byte: local time of the last data on any own exchange
     :param latency: EWMA of the response time in seconds; 0 is unknown
+    :param may_have_restarted: whether it has failed in a way in which its process may
+        have ended, and has not been asked for its start since
     :param notice: what it said about itself in its last response
     """
 
@@ -45,19 +47,13 @@
     waiting: dict[int, float] = field(default_factory=dict)
     last_byte: float = -math.inf
     latency: float = 0.0
+    may_have_restarted: bool = False
     notice: RunnerNotice = RunnerNotice()
 
     def is_instance_of(self, entry: RunnerEntry) -> bool:
         """Return whether an entry is of this instance, which has one version only."""
         return self.entry.key == entry.key and self.entry.version == entry.version
 
-    def is_suspected(self, now: float) -> bool:
-        """Return whether this host or another one suspects that it has failed.
-
-        :param now: local time in seconds
-        """
-        return self.suspect_until > now or bool(self.suspected_by)
-
     def load(self) -> RunnerLoad:
         """Return the load on the runner from all hosts."""
         entry = self.entry
--- a/src/primroseford/gateway/state.py
+++ b/src/primroseford/gateway/state.py
@@ -280,6 +280,8 @@
 
     def suspect(self, runner: RunnerState, why: str) -> None:
         """Exclude a runner from online requests until it answers or the time ends."""
+        # An answer ends the suspicion, but may be that of a new process.
+        runner.may_have_restarted = self.is_engine(runner.entry.pool)
         if self.allocator.suspect(runner):
             self.metrics.suspicions.labels(why).inc()
             log.warning(
--- a/src/primroseford/gateway/tests/test_unlisted_restarts.py
+++ b/src/primroseford/gateway/tests/test_unlisted_restarts.py
@@ -126,6 +126,31 @@
     assert len(stream.versions) == 1
 
 
+async def test_answer_of_an_unlisted_restart_stands_for_its_old_version(
+    create_versions_site,
+):
+    """Guards against a record of the old version once the new process has answered.
+
+    A request that needs no version is answered before the runner has been probed.
+    """
+    site = await create_versions_site(("v1", "v1"), **FIELDS)
+    urls = host_urls(site)
+    allocator = site.hosts[0].gateway.allocator
+    load_runner(site, "i-2")
+    site.runners[0].crash()
+    assert (await site.call("/ping/whole", "first"))[0] == 200
+    assert allocator.runners["i-1"].suspect_until > site.hosts[0].clock()
+    back = await site.restart_unlisted("i-1", version="v2", **FIELDS)
+    # Nothing else is left, so that the request goes to the suspected runner.
+    allocator.suspect(allocator.runners["i-2"])
+    assert (await site.call("/ping/whole", "second"))[0] == 200
+    assert [run.request_id for run in back.received] == ["second"]
+    allocator.clear_suspicion(allocator.runners["i-2"])
+    back.faults.cut_after, back.faults.cuts = 3, 1
+    stream = await read_stream(site.session, urls, "/pick/x", "s", 1)
+    assert len(stream.versions) == 1
+
+
 async def test_text_goes_on_at_a_runner_that_came_back_as_another_version(
     create_versions_site,
 ):
--- a/src/primroseford/gateway/watchdog.py
+++ b/src/primroseford/gateway/watchdog.py
@@ -54,8 +54,9 @@
         for name, runner in list(self.gateway.allocator.runners.items()):
             if self.is_silent(runner, now):
                 self.gateway.suspect(runner, "silent")
-            if runner.suspect_until > now and name not in self.probing:
-                self._start_probe(runner)
+            is_failed = runner.suspect_until > now
+            if (is_failed or runner.may_have_restarted) and name not in self.probing:
+                self._start_probe(runner, after=PROBE_SECONDS if is_failed else 0.0)
 
     def is_silent(self, runner: RunnerState, now: float) -> bool:
         """Return whether a runner has sent no data on any exchange within its limit."""
@@ -74,41 +75,42 @@
 
     def probe_interrupted(self, runner: RunnerState) -> None:
         """Ask a runner at once whether it has started again."""
-        name = runner.entry.key.name
-        if name not in self.probing:
-            self._start_probe(runner, is_interrupted=True)
+        if runner.entry.key.name not in self.probing:
+            self._start_probe(runner, after=0.0)
 
-    def _start_probe(self, runner: RunnerState, is_interrupted: bool = False) -> None:
+    def _start_probe(self, runner: RunnerState, after: float) -> None:
         name = runner.entry.key.name
         self.probing.add(name)
-        task = asyncio.create_task(self.probe(runner, is_interrupted))
+        task = asyncio.create_task(self.probe(runner, after))
         task.add_done_callback(lambda _: self.probing.discard(name))
 
-    async def probe(self, runner: RunnerState, is_interrupted: bool = False) -> None:
+    async def probe(self, runner: RunnerState, after: float = PROBE_SECONDS) -> None:
         """Probe a failed runner until it answers or is removed.
 
-        :param is_interrupted: whether it may still be up; it is then only asked whether
-            it is the same instance, and at once
+        A runner that has answered meanwhile is only asked whether it is the same
+        instance, and so is one that is probed at once.
+
+        :param after: time until the first probe in seconds
         """
         name, listed = runner.entry.key
         while (
             self.gateway.allocator.runners.get(name) is runner and not self.should_stop
         ):
-            if not is_interrupted:
-                await asyncio.sleep(PROBE_SECONDS)
-            if runner.suspect_until <= self.gateway.clock():
+            await asyncio.sleep(after)
+            is_failed = runner.suspect_until > self.gateway.clock()
+            if not (is_failed or runner.may_have_restarted):
                 return
+            needs_health = is_failed and after > 0
+            after = PROBE_SECONDS
             if not self.gateway.request_limiter.may_probe(runner):
-                is_interrupted = False
                 continue
             try:
-                status = None if is_interrupted else await self._check_health(runner)
+                status = await self._check_health(runner) if needs_health else None
                 is_engine = self.gateway.is_engine(runner.entry.pool)
                 is_same = not is_engine or await check_start(self.gateway, runner)
             except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
                 log.info("probe failed", runner=name, reason=repr(error))
                 self.gateway.suspect(runner, "probe")
-                is_interrupted = False
                 continue
             log.info(
                 "probe answered",
--- a/src/primroseford/proof/site.py
+++ b/src/primroseford/proof/site.py
@@ -96,7 +96,8 @@
         """
         number = [runner.name for runner in self.runners].index(name)
         old = self.runners[number]
-        port = old.server.sockets[0].getsockname()[1]
+        stored = self.platform.state.objects["servers"][name]
+        port = int(stored["spec"]["address"].rsplit(":", 1)[1])
         old.crash()
         runner = self.runners[number] = FleetRunner(name, born=old.born + 1, **fields)
         await self._listen(runner, port)
