Open connections to runners in one place

No change of behaviour. The crash detector opened a connection of its own beside the session's; both now use one function, which another way to a runner can replace.

--- a/src/primroseford/gateway/crash_detector.py
+++ b/src/primroseford/gateway/crash_detector.py
@@ -98,11 +98,10 @@
         key = runner.entry.key
         if self.gateway.allocator.runners.get(key.name) is not runner:
             return False
-        host, port = runner.entry.address.rsplit(":", 1)
         try:
             async with asyncio.timeout(CHECK_TIMEOUT_SECONDS):
-                _, writer = await asyncio.open_connection(host, int(port))
+                connection = await self.gateway.connect_runner(runner)
         except (OSError, TimeoutError):
             return False
-        writer.close()
+        connection.close()
         return True
--- a/src/primroseford/gateway/exchange.py
+++ b/src/primroseford/gateway/exchange.py
@@ -11,12 +11,12 @@
 import aiohttp
 from yarl import URL
 
-from primroseford.bounded_http import BoundedConnector
 from primroseford.bounded_http import ResponseTooLong
 from primroseford.bounded_http import iterate_limited
 from primroseford.errors import Outcome
 from primroseford.errors import PrimrosefordError
 from primroseford.errors import ResultCode
+from primroseford.gateway.runner_connector import RunnerConnector
 from primroseford.online.exchange import CURRENT_ATTEMPT
 from primroseford.online.exchange import Attempt
 from primroseford.online.exchange import SendTrackingRequest
@@ -189,7 +189,7 @@
     packets, or on which the response to another request is still outstanding.
     """
     session = aiohttp.ClientSession(
-        connector=BoundedConnector(),
+        connector=RunnerConnector(),
         cookie_jar=aiohttp.DummyCookieJar(),
         auto_decompress=False,
         skip_auto_headers=("User-Agent", "Content-Type", "Accept", "Accept-Encoding"),
--- a/src/primroseford/gateway/state.py
+++ b/src/primroseford/gateway/state.py
@@ -25,6 +25,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
     from random import Random
+    from socket import socket
 
     import aiohttp
     from aiohttp.web_protocol import RequestHandler
@@ -272,6 +273,13 @@
             retry_after=self.allocator.add_jitter(0.5),
         )
 
+    async def connect_runner(self, runner: RunnerState) -> socket:
+        """Return a socket that is connected to a runner.
+
+        :raises OSError: if there is no connection
+        """
+        return await self.session.connector.open_socket(runner.entry.address)
+
     def track_exchange(self, runner: RunnerState) -> int:
         """Register an exchange that waits for a runner and return its token."""
         token = next(self.tokens)
