Reach runners through other hosts when a host has lost its own links

Cause: the only way from a host to a runner was a direct connection. The class is that of the store's path before it (gateway/store_path.py): a duty with one path, of which other hosts have a sound one.

Fix: a connection to a runner that is refused, or not established in 60 ms, is opened through another host, which is asked with CONNECT at the TCP port of its heartbeats and passes bytes on unread. All decisions, retries, versions and limits stay at the first host, and nothing has been sent when the way is chosen, so no request can run twice for it. Hosts that suspect the runner or reach it through others only (told in heartbeats) are not asked, those that have just failed to connect are asked last; a tunnel never leads on through a third host, only to listed runners, and is bounded in number and buffers. Every 0.5 s one such runner is tried directly, and all of them once one answers. A host that stops serves its tunnels to the end and opens no new ones. A response without a length is incomplete through a tunnel, since the loss of the other host looks like its end. The check for crashed runners goes the same ways, so that a cut is no evidence against a prompt.

--- a/src/primroseford/bounded_http.py
+++ b/src/primroseford/bounded_http.py
@@ -50,6 +50,8 @@
 
     The following describe the exchange in progress.
 
+    :ivar needs_framing: whether a response without a length is incomplete even if the
+        connection ends without an error
     :ivar head_received: whether the head of the final response has been received
     :ivar tail: last bytes received, which may be the start of the end of a head
     :ivar received_bytes: bytes received since the end of the head
@@ -59,6 +61,7 @@
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         super().__init__(loop)
+        self.needs_framing = False
         self._begin_exchange()
 
     def _begin_exchange(self) -> None:
@@ -169,7 +172,8 @@
     def connection_lost(self, exc: BaseException | None) -> None:
         """Handle the close; after a reset a response without length is incomplete."""
         payload = self._payload
-        if exc is not None and payload is not None and not payload.is_eof():
+        is_open = payload is not None and not payload.is_eof()
+        if is_open and (exc is not None or self.needs_framing):
             payload.set_exception(aiohttp.ClientPayloadError("the connection was lost"))
         super().connection_lost(exc)
 
--- a/src/primroseford/gateway/crash_detector.py
+++ b/src/primroseford/gateway/crash_detector.py
@@ -13,6 +13,7 @@
 import structlog
 
 from primroseford.errors import Outcome
+from primroseford.gateway.exchange import CONNECT_SECONDS
 from primroseford.gateway.exchange import INTERRUPTED_CODES
 from primroseford.gateway.exchange import AttemptStage
 
@@ -29,8 +30,6 @@
 CHECK_DELAY_SECONDS = 0.02
 """Delay before a runner is checked: a process that ends closes its sockets one after
 the other, and its other exchanges break off within a few ms."""
-CHECK_TIMEOUT_SECONDS = 0.15
-"""Timeout for opening a connection to a runner, which takes about 4 ms."""
 INCOMPLETE_STAGES = frozenset({AttemptStage.SENT, AttemptStage.STARTED})
 
 log = structlog.get_logger()
@@ -99,9 +98,9 @@
         if self.gateway.allocator.runners.get(key.name) is not runner:
             return False
         try:
-            async with asyncio.timeout(CHECK_TIMEOUT_SECONDS):
-                connection = await self.gateway.connect_runner(runner)
+            async with asyncio.timeout(CONNECT_SECONDS):
+                opened = await self.gateway.paths.open(runner.entry.address)
         except (OSError, TimeoutError):
             return False
-        connection.close()
+        opened.socket.close()
         return True
--- a/src/primroseford/gateway/exchange.py
+++ b/src/primroseford/gateway/exchange.py
@@ -34,9 +34,8 @@
     from primroseford.gateway.notices import RunnerNotice
     from primroseford.gateway.runners import RunnerEntry
 
-CONNECT_SECONDS = 0.15
-"""Timeout for opening a connection, which takes about 4 ms. A lost SYN packet or a
-runner that is powered off delays the request by this once."""
+CONNECT_SECONDS = 0.3
+"""Timeout for opening a connection by any way; each way has shorter ones."""
 READ_BUFFER_BYTES = 64 * 1024
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
 """Longest response body of a runner. It equals the largest request body that a host
--- a/src/primroseford/gateway/gen/messages/ttypes.py
+++ b/src/primroseford/gateway/gen/messages/ttypes.py
@@ -23,6 +23,7 @@
      - online
      - batch
      - suspected
+     - indirect
 
     """
 
@@ -31,14 +32,16 @@
         'online',
         'batch',
         'suspected',
+        'indirect',
     )
 
 
-    def __init__(self, runner=None, online=None, batch=None, suspected=None,):
+    def __init__(self, runner=None, online=None, batch=None, suspected=None, indirect=False,):
         self.runner = runner
         self.online = online
         self.batch = batch
         self.suspected = suspected
+        self.indirect = indirect
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -69,6 +72,11 @@
                     self.suspected = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.BOOL:
+                    self.indirect = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -95,6 +103,10 @@
             oprot.writeFieldBegin('suspected', TType.BOOL, 4)
             oprot.writeBool(self.suspected)
             oprot.writeFieldEnd()
+        if self.indirect is not None:
+            oprot.writeFieldBegin('indirect', TType.BOOL, 5)
+            oprot.writeBool(self.indirect)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2185,6 +2197,7 @@
     (2, TType.I32, 'online', None, None, ),  # 2
     (3, TType.I32, 'batch', None, None, ),  # 3
     (4, TType.BOOL, 'suspected', None, None, ),  # 4
+    (5, TType.BOOL, 'indirect', None, False, ),  # 5
 )
 all_structs.append(Spending)
 Spending.thrift_spec = (
--- a/src/primroseford/gateway/heartbeat.py
+++ b/src/primroseford/gateway/heartbeat.py
@@ -300,8 +300,12 @@
         loads = []
         for name, runner in self.gateway.allocator.runners.items():
             suspected = runner.suspect_until > now or runner.may_have_restarted
-            if runner.online or runner.batch or suspected:
-                loads.append(RunnerLoad(name, runner.online, runner.batch, suspected))
+            indirect = runner.entry.address in self.gateway.paths.indirect
+            if runner.online or runner.batch or suspected or indirect:
+                load = RunnerLoad(name, runner.online, runner.batch, suspected)
+                # Default values are not sent.
+                load.indirect = indirect or None
+                loads.append(load)
         return loads
 
     def _spending(self) -> list[Spending]:
--- a/src/primroseford/gateway/host.py
+++ b/src/primroseford/gateway/host.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import uuid
+from contextlib import suppress
 from random import Random
 from typing import TYPE_CHECKING
 
@@ -34,11 +35,13 @@
 from primroseford.gateway.registration import Registration
 from primroseford.gateway.request_limiter import RequestLimiterService
 from primroseford.gateway.retirement import RetirementService
+from primroseford.gateway.runner_paths import RunnerPathService
 from primroseford.gateway.slot_allocator import SlotAllocator
 from primroseford.gateway.state import Gateway
 from primroseford.gateway.state import GatewayMetrics
 from primroseford.gateway.store_path import StorePath
 from primroseford.gateway.store_path import create_relay_handler
+from primroseford.gateway.tunnel import TunnelServer
 from primroseford.gateway.watchdog import Watchdog
 from primroseford.ids import Incarnation
 from primroseford.jobs.api import JobApi
@@ -59,6 +62,8 @@
 from primroseford.platform.transport import create_session
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from primroseford.clock import Clock
     from primroseford.platform.client import PlatformClient
     from primroseford.platform.settings import NodeSettings
@@ -99,6 +104,7 @@
         self.sessions: list[aiohttp.ClientSession] = []
         self.gateway: Gateway | None = None
         self.watcher: PlatformWatcher | None = None
+        self.tunnels: TunnelServer | None = None
 
     async def on_start(self) -> None:
         """Start the services and open the sockets."""
@@ -116,6 +122,13 @@
             random,
             GatewayMetrics(self.metrics),
         )
+        runner_session.connector.open = gateway.paths.open
+        self.tunnels = TunnelServer(
+            lambda address: gateway.paths.connect(address),
+            gateway.paths.is_listed,
+            lambda: gateway.stopping,
+            gateway.metrics.tunnels,
+        )
         store_path = StorePath(
             settings.platform,
             store_session,
@@ -221,6 +234,7 @@
             self.watcher,
             Registration(gateway, client, incarnation, address),
             Watchdog(gateway),
+            RunnerPathService(gateway.paths),
             QuarantineStore(gateway, client),
             RequestLimiterService(gateway.request_limiter),
             RetirementService(gateway, client),
@@ -252,6 +266,8 @@
         server = web.Server(handle, request_factory=_create_request, access_log=None)
         calls_address = f"{settings.ip}:{settings.peer_port + CALLS_PORT_OFFSET}"
         await self._listen(calls_address, server)
+        heartbeat_address = f"{settings.ip}:{settings.peer_port}"
+        await self._listen(heartbeat_address, self.tunnels.create_protocol)
         if settings.readiness is not None:
             handler = create_readiness_handler(gateway)
             await self._listen(settings.readiness, web.Server(handler))
@@ -270,8 +286,13 @@
                 ingress, listener, gateway.busy_connections, self.clock
             )
 
-    async def _listen(self, address: str, server: web.Server) -> asyncio.Server:
-        """Listen on an address and return the listener, which is closed on stop."""
+    async def _listen(
+        self, address: str, server: Callable[[], asyncio.Protocol]
+    ) -> asyncio.Server:
+        """Listen on an address and return the listener, which is closed on stop.
+
+        :param server: returns the protocol of a new connection
+        """
         host, port = address.rsplit(":", 1)
         loop = asyncio.get_running_loop()
         listener = await loop.create_server(server, host, int(port), backlog=512)
@@ -300,6 +321,9 @@
         await asyncio.sleep(min(BALANCER_SECONDS, max(0.0, end - self.clock())))
         if self.ingress is not None:
             await self.ingress.close(end)
+        with suppress(TimeoutError):
+            async with asyncio.timeout(end - self.clock()):
+                await self.tunnels.unused.wait()
         log.info("host drained", open_requests=len(self.gateway.open_requests))
 
     async def on_stop(self) -> None:
--- a/src/primroseford/gateway/messages.thrift
+++ b/src/primroseford/gateway/messages.thrift
@@ -5,6 +5,8 @@
   2: i32 online
   3: i32 batch
   4: bool suspected
+  // Whether the host reaches it through other hosts only.
+  5: bool indirect = 0
 }
 
 struct Spending {
--- a/src/primroseford/gateway/runner_connector.py
+++ b/src/primroseford/gateway/runner_connector.py
@@ -5,6 +5,7 @@
 import asyncio
 import socket
 from typing import TYPE_CHECKING
+from typing import NamedTuple
 
 import aiohttp
 
@@ -16,7 +17,17 @@
 
     from aiohttp.client_proto import ResponseHandler
 
-    Connect = Callable[[str], Awaitable[socket.socket]]
+    Connect = Callable[[str], Awaitable["RunnerConnection"]]
+
+
+class RunnerConnection(NamedTuple):
+    """Connected socket.
+
+    :param is_tunnel: whether another host passes the bytes on
+    """
+
+    socket: socket.socket
+    is_tunnel: bool = False
 
 
 async def connect_directly(address: str) -> socket.socket:
@@ -37,15 +48,23 @@
     return connection
 
 
+async def open_directly(address: str) -> RunnerConnection:
+    """Return a direct connection to an address.
+
+    :raises OSError: if there is none
+    """
+    return RunnerConnection(await connect_directly(address))
+
+
 class RunnerConnector(BoundedConnector):
     """Opens a connection for each exchange with a runner.
 
-    :ivar open_socket: returns a socket that is connected to a runner's address
+    :ivar open: returns a connection to a runner's address
     """
 
     def __init__(self) -> None:
         super().__init__()
-        self.open_socket: Connect = connect_directly
+        self.open: Connect = open_directly
 
     async def _create_connection(
         self,
@@ -55,12 +74,14 @@
     ) -> ResponseHandler:
         address = f"{req.url.raw_host}:{req.url.port}"
         try:
-            connection = await self.open_socket(address)
+            connection = await self.open(address)
             _, protocol = await self._loop.create_connection(
-                self._factory, sock=connection
+                self._factory, sock=connection.socket
             )
         except TimeoutError:
             raise
         except OSError as error:
             raise aiohttp.ClientConnectorError(req.connection_key, error) from error
+        # The other host may be lost, which closes the connection without a reset.
+        protocol.needs_framing = connection.is_tunnel
         return protocol
--- a/src/primroseford/gateway/runner_state.py
+++ b/src/primroseford/gateway/runner_state.py
@@ -27,6 +27,7 @@
     :param suspect_until: local time in seconds until which it counts as failed
     :param full_until: local time until which it counts as full
     :param suspected_by: hosts that report it as failed
+    :param indirect_by: hosts that report that they reach it through other hosts only
     :param waiting: local time of the last data on each own exchange, by token
     :param last_byte: local time of the last data on any own exchange
     :param latency: EWMA of the response time in seconds; 0 is unknown
@@ -44,6 +45,7 @@
     suspect_until: float = -math.inf
     full_until: float = -math.inf
     suspected_by: set[HostId] = field(default_factory=set)
+    indirect_by: set[HostId] = field(default_factory=set)
     waiting: dict[int, float] = field(default_factory=dict)
     last_byte: float = -math.inf
     latency: float = 0.0
--- a/src/primroseford/gateway/slot_allocator.py
+++ b/src/primroseford/gateway/slot_allocator.py
@@ -434,6 +434,10 @@
                 runner.suspected_by.add(host)
             else:
                 runner.suspected_by.discard(host)
+            if report.indirect:
+                runner.indirect_by.add(host)
+            else:
+                runner.indirect_by.discard(host)
         for name in self.reported_runners.get(host, set()) - reported:
             self._remove_load(host, name)
         self.reported_runners[host] = reported
@@ -450,6 +454,7 @@
         if runner is not None:
             runner.remove_peer_load(host)
             runner.suspected_by.discard(host)
+            runner.indirect_by.discard(host)
 
     def waiting(self) -> int:
         """Return how many online requests are queued on this host."""
--- a/src/primroseford/gateway/state.py
+++ b/src/primroseford/gateway/state.py
@@ -17,6 +17,7 @@
 from primroseford.gateway.quota import Quotas
 from primroseford.gateway.rendezvous import ranked
 from primroseford.gateway.request_limiter import RequestLimiter
+from primroseford.gateway.runner_paths import RunnerPaths
 from primroseford.gateway.runners import RunnerList
 from primroseford.gateway.stream_records import StreamRecords
 from primroseford.gateway.trial_turns import TrialTurns
@@ -25,7 +26,6 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
     from random import Random
-    from socket import socket
 
     import aiohttp
     from aiohttp.web_protocol import RequestHandler
@@ -101,6 +101,11 @@
             "gateway_runner_restarts_total",
             "Runners that served as a new instance before their entries said so",
         )
+        self.tunnels = metrics.counter(
+            "gateway_tunnels_total",
+            "Requests of other hosts to be connected to a runner, by status",
+            ("status",),
+        )
         self.limited_runners = metrics.gauge(
             "gateway_limited_runners", "Runners that limit the requests they accept"
         )
@@ -142,6 +147,7 @@
     :ivar trial_turns: turns of this host to try them
     :ivar crash_detector: detects such crashes
     :ivar request_limiter: keeps requests within the limits that runners name
+    :ivar paths: ways to the runners
     :ivar streams: pool and software version that began each stream
     :ivar open_requests: online requests in progress
     :ivar busy_connections: callers' connections on which a request is being served
@@ -187,6 +193,7 @@
         self.crash_detector = CrashDetector(self)
         self.request_limiter = RequestLimiter(self)
         self.streams = StreamRecords(self)
+        self.paths = RunnerPaths(self)
         self.open_requests: set[RequestContext] = set()
         self.busy_connections: set[RequestHandler] = set()
         self.stopping = False
@@ -273,13 +280,6 @@
             retry_after=self.allocator.add_jitter(0.5),
         )
 
-    async def connect_runner(self, runner: RunnerState) -> socket:
-        """Return a socket that is connected to a runner.
-
-        :raises OSError: if there is no connection
-        """
-        return await self.session.connector.open_socket(runner.entry.address)
-
     def track_exchange(self, runner: RunnerState) -> int:
         """Register an exchange that waits for a runner and return its token."""
         token = next(self.tokens)
