Wait no longer than before for a runner that answers on no way

What callers could see: a request to a runner that is powered off, but not suspected yet, waited up to 0.3 s instead of 0.15 s, since two hosts were asked for a tunnel one after the other.

Runners are found by their address in a table instead of by a search of all.

--- a/src/primroseford/gateway/runner_paths.py
+++ b/src/primroseford/gateway/runner_paths.py
@@ -35,9 +35,9 @@
 """Time after which a direct connection, which takes about 4 ms, is not waited for
 alone."""
 CONNECT_SECONDS = 0.15
-"""Timeout of a connection without another way. A lost SYN packet or a runner that is
-powered off delays the request by this once."""
-TUNNEL_SECONDS = 0.12
+"""Timeout of a connection by any way, unless the runner refuses the direct one. One that
+is powered off delays a request by this once."""
+TUNNEL_SECONDS = 0.08
 """Timeout of a tunnel: that of the other host's connection, and a round trip to it."""
 TUNNEL_ATTEMPTS = 2
 """Hosts that are asked for a tunnel; one of them may have lost its links, too."""
@@ -104,7 +104,8 @@
                 return RunnerConnection(await self.connect(address))
         except TimeoutError:
             ways = [self._open_directly(address), self._open_tunnel(address)]
-            opened = await open_first(ways)
+            async with asyncio.timeout(CONNECT_SECONDS - DIRECT_SECONDS):
+                opened = await open_first(ways)
             reason = "timed out"
         except OSError as error:
             reason = error.strerror or repr(error)
@@ -117,8 +118,7 @@
         return opened
 
     async def _open_directly(self, address: str) -> RunnerConnection:
-        async with asyncio.timeout(CONNECT_SECONDS - DIRECT_SECONDS):
-            return RunnerConnection(await self.connect(address))
+        return RunnerConnection(await self.connect(address))
 
     async def _open_tunnel(self, address: str) -> RunnerConnection:
         """Return a tunnel through the first host that has a connection.
@@ -143,7 +143,7 @@
 
     def _hosts(self, address: str) -> list[HostId]:
         now = self.gateway.clock()
-        runner = self._runner_at(address)
+        runner = self.gateway.allocator.runners_by_address.get(address)
         if runner is None:
             return []
         peers = [
@@ -154,13 +154,9 @@
         refused = [host for host, until in self.refused.items() if until > now]
         return choose_hosts(runner, peers, self.gateway.random, refused)
 
-    def _runner_at(self, address: str) -> RunnerState | None:
-        runners = self.gateway.allocator.runners.values()
-        return next((r for r in runners if r.entry.address == address), None)
-
     def is_listed(self, address: str) -> bool:
         """Return whether an address is that of a listed runner."""
-        return self._runner_at(address) is not None
+        return address in self.gateway.allocator.runners_by_address
 
     def _use_indirectly(self, address: str, reason: str) -> None:
         if address in self.indirect:
--- a/src/primroseford/gateway/slot_allocator.py
+++ b/src/primroseford/gateway/slot_allocator.py
@@ -66,6 +66,7 @@
 
     :param domain: failure domain of this host
     :param clock: local time
+    :ivar runners_by_address: listed runners by their addresses
     :ivar ready: runners that accept new requests, by pool
     :ivar peer_waiting: number of online requests queued at each other host
     :ivar reported_runners: runners in the last load report of each other host
@@ -83,6 +84,7 @@
         self.clock = clock
         self.random = random
         self.runners: dict[RunnerName, RunnerState] = {}
+        self.runners_by_address: dict[str, RunnerState] = {}
         self.ready: dict[PoolName, list[RunnerState]] = {}
         self.queues: dict[PoolName, SlotQueue] = {}
         self.peer_waiting: dict[HostId, int] = {}
@@ -110,6 +112,9 @@
                 known.entry = entry
             else:
                 self.runners[name] = RunnerState(entry)
+        self.runners_by_address = {
+            runner.entry.address: runner for runner in self.runners.values()
+        }
         self.versions.update(entries.values())
         keys = [runner.entry.key for runner in self.runners.values()]
         self.leaving.forget(keys, self.clock())
