--- a/src/primroseford/gateway/runner_paths.py
+++ b/src/primroseford/gateway/runner_paths.py
@@ -35,8 +35,8 @@
 """Time after which a direct connection, which takes about 4 ms, is not waited for
 alone."""
 CONNECT_SECONDS = 0.15
-"""Timeout of a connection by any way, unless the runner refuses the direct one. One that
-is powered off delays a request by this once."""
+"""Timeout of a connection by any way, unless a runner refuses the direct one. A runner
+that is off delays a request by this once."""
 TUNNEL_SECONDS = 0.08
 """Timeout of a tunnel: that of the other host's connection, and a round trip to it."""
 TUNNEL_ATTEMPTS = 2
