Log a failed tunnel as such

A runner that was reached through other hosts, none of which connected this one any more, was logged as reached directly before it was tried so.

--- a/src/primroseford/gateway/runner_paths.py
+++ b/src/primroseford/gateway/runner_paths.py
@@ -98,7 +98,8 @@
             try:
                 return await self._open_tunnel(address)
             except OSError as error:
-                self._use_directly(address, f"no tunnel: {error}")
+                log.info("no tunnel opened", address=address, reason=repr(error))
+                self._set_indirect(address, False)
         try:
             async with asyncio.timeout(DIRECT_SECONDS):
                 return RunnerConnection(await self.connect(address))
@@ -113,8 +114,11 @@
                 opened = await self._open_tunnel(address)
             except OSError:
                 raise error from None
-        if opened.is_tunnel:
-            self._use_indirectly(address, reason)
+        if opened.is_tunnel and address not in self.indirect:
+            self._set_indirect(address, True)
+            log.warning(
+                "runner reached through other hosts", address=address, why=reason
+            )
         return opened
 
     async def _open_directly(self, address: str) -> RunnerConnection:
@@ -158,20 +162,13 @@
         """Return whether an address is that of a listed runner."""
         return address in self.gateway.allocator.runners_by_address
 
-    def _use_indirectly(self, address: str, reason: str) -> None:
-        if address in self.indirect:
-            return
-        self.indirect.add(address)
+    def _set_indirect(self, address: str, is_indirect: bool) -> None:
+        if is_indirect:
+            self.indirect.add(address)
+        else:
+            self.indirect.discard(address)
         # Tells the other hosts with the next heartbeat.
         self.gateway.allocator.changed = True
-        log.warning("runner reached through other hosts", address=address, why=reason)
-
-    def _use_directly(self, address: str, reason: str) -> None:
-        if address not in self.indirect:
-            return
-        self.indirect.discard(address)
-        self.gateway.allocator.changed = True
-        log.info("runner reached directly", address=address, why=reason)
 
     async def check_direct(self) -> None:
         """Check one runner that is reached through other hosts, then all if it works.
@@ -193,7 +190,9 @@
         except OSError:
             return False
         connection.close()
-        self._use_directly(address, "connected")
+        if address in self.indirect:
+            self._set_indirect(address, False)
+            log.info("runner reached directly", address=address)
         return True
 
 
