Close a runner's connection if its tunnel is given up at once

Found by reading: a host that closes its connection while the one to the runner is being handed to its protocol could leave the latter open, where it may hold a slot of the runner. It was not seen: the new test passes without the change, too, since the loop closes what it was about to hand over in the orders that the test produces. An error of that step now is a refusal (502).

--- a/src/primroseford/gateway/tests/test_runner_paths.py
+++ b/src/primroseford/gateway/tests/test_runner_paths.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 from random import Random
 
 import pytest
 
 from primroseford.gateway.members import Peer
+from primroseford.gateway.runner_connector import connect_directly
 from primroseford.gateway.runner_paths import choose_hosts
 from primroseford.gateway.runner_state import RunnerState
 from primroseford.gateway.runners import RunnerEntry
@@ -240,6 +242,30 @@
     writer.close()
 
 
+@pytest.mark.parametrize("seconds", [0.0, 0.001, 0.01])
+async def test_connection_to_a_runner_outlives_a_tunnel_that_is_given_up(site, seconds):
+    """Guards against slots of runners that are taken by connections of nobody."""
+    host = (await add_hosts(site, 1))[0]
+    runner = next(iter(host.gateway.allocator.runners.values()))
+    opened: list = []
+
+    async def connect(address: str):
+        await asyncio.sleep(seconds)
+        opened.append(await connect_directly(address))
+        return opened[-1]
+
+    host.gateway.paths.connect = connect
+    ends = (host.settings.ip, site.port)
+    for number in range(20):
+        _, writer = await asyncio.open_connection(*ends)
+        writer.write(f"CONNECT {runner.entry.address} HTTP/1.1\r\n\r\n".encode())
+        await asyncio.sleep(number * 0.0005)
+        writer.transport.abort()
+    await site.until(lambda: not host.tunnels.tunnels)
+    gc.collect()
+    await site.until(lambda: all(connection.fileno() < 0 for connection in opened))
+
+
 async def test_tunnel_is_opened_by_a_host_that_stops(site):
     """Guards against tunnels through a host that will be gone."""
     host = (await add_hosts(site, 1))[0]
--- a/src/primroseford/gateway/tunnel.py
+++ b/src/primroseford/gateway/tunnel.py
@@ -240,14 +240,19 @@
 
     async def _connect(self, entrance: TunnelEntrance, address: str) -> int:
         loop = asyncio.get_running_loop()
+        runner_end = TunnelEnd(entrance)
         try:
             async with asyncio.timeout(CONNECT_SECONDS):
                 connection = await self.connect(address)
+            await loop.create_connection(lambda: runner_end, sock=connection)
         except TimeoutError:
             return 504
         except OSError:
             return 502
-        _, entrance.other = await loop.create_connection(
-            lambda: TunnelEnd(entrance), sock=connection
-        )
+        except asyncio.CancelledError:
+            # The other host has closed its connection meanwhile.
+            if runner_end.transport is not None:
+                runner_end.transport.abort()
+            raise
+        entrance.other = runner_end
         return 200
