Check the first event of a stream that its caller takes up

What callers saw: a stream whose event ids went back (ORDER). A caller took a stream up after event 4 and got events 1 to 16, with the response complete.

Cause: a faulty runner began again at event 1 although it was asked with Last-Event-Id. A host checks the first event after each runner change within a response, but for the first runner of a response it took the stream to begin there, whatever the caller had named.

Fix: the check has the caller's last event as its start. A repeat counts as a broken attempt, as within a response; the next runner is asked, or the response ends without an event.

--- a/src/primroseford/gateway/forward.py
+++ b/src/primroseford/gateway/forward.py
@@ -12,6 +12,7 @@
 from primroseford.errors import ResultCode
 from primroseford.gateway.affinity import prefix_cache_key
 from primroseford.gateway.crash_subjects import CrashSubjects
+from primroseford.gateway.exchange import MAX_EVENT_BYTES
 from primroseford.gateway.exchange import InactivityTimeout
 from primroseford.gateway.exchange import RunnerAttempt
 from primroseford.gateway.exchange import RunnerRequest
@@ -33,6 +34,7 @@
 from primroseford.gateway.runner_starts import ensure_same_instance
 from primroseford.gateway.tables import RouteKind
 from primroseford.gateway.tables import choose_pool
+from primroseford.online.events import EventSplitter
 from primroseford.platform.runner_calls import is_signed
 from primroseford.platform.runner_calls import runner_headers
 
@@ -91,6 +93,9 @@
         started,
         deadline,
         origin=origin,
+        splitter=EventSplitter(
+            MAX_EVENT_BYTES, incoming.last_event if origin else None
+        ),
     )
     end = ResultCode.OK.name
     gateway.open_requests.add(context)
--- a/src/primroseford/gateway/tests/test_software_versions.py
+++ b/src/primroseford/gateway/tests/test_software_versions.py
@@ -316,3 +316,21 @@
         )
     assert_whole(stream)
     assert stream.versions == ["v1"]
+
+
+@pytest.mark.parametrize("faulty", [1, 2])
+async def test_taken_up_stream_begins_again_at_a_faulty_runner(
+    create_versions_site, faulty
+):
+    """Guards against events that a caller gets twice, as ids that go back."""
+    site = await create_versions_site(("v1", "v1"), **FIELDS)
+    for runner in site.runners[:faulty]:
+        runner.faults.from_start = True
+    site.hosts[0].gateway.allocator.runners["i-2"].online += 2
+    stream = broken_stream(4, "s.0")
+    await send_try(site.session, host_urls(site)[0], "/pick/x", "s.1", stream)
+    assert len(site.runners[0].received) == 1
+    if faulty == 1:
+        assert_whole(stream)
+    else:
+        assert event_ids(stream) == [1, 2, 3, 4] and not stream.complete
--- a/src/primroseford/online/events.py
+++ b/src/primroseford/online/events.py
@@ -31,6 +31,7 @@
     :param max_event_bytes: size limit of an event
     :param resumed_after: id of the event after which the runner resumes the stream;
         none if the stream is not resumed, or once its first event was checked
+    :ivar taken_up_after: the same for the first runner of a response
     :ivar last_block_with_id: last block of complete events that contains an event id
     :ivar data_after_id: whether a later block has data but no event id
     """
@@ -41,7 +42,7 @@
         resumed_after: str | None = None,
     ) -> None:
         self.max_event_bytes = max_event_bytes
-        self.resumed_after = resumed_after
+        self.resumed_after = self.taken_up_after = resumed_after
         self.pending = b""
         self.last_block_with_id = b""
         self.data_after_id = False
@@ -79,7 +80,8 @@
     def restart(self) -> None:
         """Discard the partial event before the stream is resumed."""
         self.pending = b""
-        self.resumed_after = self.last_event_id()
+        known = self.last_event_id()
+        self.resumed_after = self.taken_up_after if known is None else known
 
     def _check_resumed_events(self, complete: bytes) -> None:
         """Check the first event with data or an id of a resumed stream.
--- a/src/primroseford/standins/fleet_runner.py
+++ b/src/primroseford/standins/fleet_runner.py
@@ -43,6 +43,7 @@
     :param deadly_body: body of a request on which the runner crashes before it responds
     :param request_limit: value of the ``Server-Limit`` header in responses; empty for
         none
+    :param from_start: begin each stream at its first event, whatever was asked
     :param leaving: value of the ``Server-Leaving`` header in responses; empty for none
     """
 
@@ -59,6 +60,7 @@
     deadly_part: str = ""
     deadly_body: bytes = b""
     request_limit: str = ""
+    from_start: bool = False
     leaving: str = ""
 
 
@@ -189,6 +191,8 @@
             self.crash()
             return response
         first = int(request.headers.get("Last-Event-Id", "0")) + 1
+        if faults.from_start:
+            first = 1
         event_limit = faults.cut_after
         if event_limit is not None:
             faults.cuts -= 1
