--- a/src/primroseford/gateway/crash_detector.py
+++ b/src/primroseford/gateway/crash_detector.py
@@ -13,7 +13,7 @@
 import structlog
 
 from primroseford.errors import Outcome
-from primroseford.gateway.exchange import CONNECT_SECONDS
+from primroseford.gateway.exchange import CONNECTION_SECONDS
 from primroseford.gateway.exchange import INTERRUPTED_CODES
 from primroseford.gateway.exchange import AttemptStage
 
@@ -98,7 +98,7 @@
         if self.gateway.allocator.runners.get(key.name) is not runner:
             return False
         try:
-            async with asyncio.timeout(CONNECT_SECONDS):
+            async with asyncio.timeout(CONNECTION_SECONDS):
                 opened = await self.gateway.paths.open(runner.entry.address)
         except (OSError, TimeoutError):
             return False
--- a/src/primroseford/gateway/exchange.py
+++ b/src/primroseford/gateway/exchange.py
@@ -34,7 +34,7 @@
     from primroseford.gateway.notices import RunnerNotice
     from primroseford.gateway.runners import RunnerEntry
 
-CONNECT_SECONDS = 0.3
+CONNECTION_SECONDS = 0.3
 """Timeout for opening a connection by any way; each way has shorter ones."""
 READ_BUFFER_BYTES = 64 * 1024
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
@@ -193,7 +193,7 @@
         auto_decompress=False,
         skip_auto_headers=("User-Agent", "Content-Type", "Accept", "Accept-Encoding"),
         timeout=aiohttp.ClientTimeout(
-            total=None, connect=CONNECT_SECONDS, sock_read=None
+            total=None, connect=CONNECTION_SECONDS, sock_read=None
         ),
         request_class=SendTrackingRequest,
         read_bufsize=READ_BUFFER_BYTES,
--- a/src/primroseford/gateway/tunnel.py
+++ b/src/primroseford/gateway/tunnel.py
@@ -26,7 +26,7 @@
 """Longest head of a request for a tunnel, or of its response."""
 HEAD_SECONDS = 1.0
 """Time for which the head of a request for a tunnel is awaited."""
-CONNECT_SECONDS = 0.06
+RUNNER_CONNECT_SECONDS = 0.06
 """Timeout of the connection to the runner, which takes about 4 ms."""
 MAX_TUNNELS = 256
 """Tunnels through one host, with two connections each; its memory limit allows for
@@ -242,7 +242,7 @@
         loop = asyncio.get_running_loop()
         runner_end = TunnelEnd(entrance)
         try:
-            async with asyncio.timeout(CONNECT_SECONDS):
+            async with asyncio.timeout(RUNNER_CONNECT_SECONDS):
                 connection = await self.connect(address)
             await loop.create_connection(lambda: runner_end, sock=connection)
         except TimeoutError:
