Show a restart that no host has noticed, as a known fault

Found by reading again: a runner that restarts while no host has an exchange with it, and serves before its entry comes, has the streams that begin there recorded with the old version.

--- a/src/primroseford/gateway/tests/test_unlisted_restarts.py
+++ b/src/primroseford/gateway/tests/test_unlisted_restarts.py
@@ -126,6 +126,18 @@
     assert len(stream.versions) == 1
 
 
+async def test_stream_that_began_at_an_unnoticed_restart_goes_on_at_its_old_version(
+    create_versions_site,
+):
+    """Guards against a wrong record where no exchange showed the restart."""
+    site = await create_versions_site(("v1", "v1"), **FIELDS)
+    load_runner(site, "i-2")
+    back = await site.restart_unlisted("i-1", version="v2", **FIELDS)
+    back.faults.cut_after, back.faults.cuts = 3, 1
+    stream = await read_stream(site.session, host_urls(site), "/pick/x", "s", 1)
+    assert len(stream.versions) == 1
+
+
 async def test_answer_of_an_unlisted_restart_stands_for_its_old_version(
     create_versions_site,
 ):
