Log what a host knows when a stream is taken up

"stream taken up" did not say how old the host's list of runners is, how many hosts were asked and answered, or of which attempt a record is, so that the hypotheses of the timeline could not be told apart: an old list (source only_version, with list_age_ms and list_revision) against a record of an earlier attempt (source peer, with attempt). A refusal for want of a version had no line of its own; it is "stream not taken up", with the same fields. No decision changes.

The tests of stream origins and software versions pass as before.

--- a/src/primroseford/gateway/platform_watcher.py
+++ b/src/primroseford/gateway/platform_watcher.py
@@ -230,6 +230,8 @@
         :param good: whether the platform answered
         """
         reachable = self.runners.reachable
+        if good:
+            self.gateway.runner_list_confirmed_at = self.gateway.clock()
         if good and not reachable:
             self.gateway.runner_list.record_outage_end(self.gateway.clock())
             log.info("platform reachable")
--- a/src/primroseford/gateway/state.py
+++ b/src/primroseford/gateway/state.py
@@ -138,6 +138,8 @@
     :param clock: local time
     :param session: HTTP session for runners
     :ivar runner_list_version: version of the newest known change of the runner list
+    :ivar runner_list_confirmed_at: local time of the platform's last answer to this
+        host's calls for the runner list
     :ivar runners_known: whether the runner list has been received
     :ivar on_heartbeat: called with each heartbeat of another host
     :ivar request_preemption: requests the preemption of a batch item on a runner
@@ -177,6 +179,7 @@
         self.runner_list = RunnerList()
         self.runners_known = False
         self.runner_list_version = 0
+        self.runner_list_confirmed_at = -math.inf
         self.on_heartbeat: Callable[[Heartbeat], None] | None = None
         self.request_preemption: Callable[[RunnerState], None] = _ignore
         self.probe_interrupted: Callable[[RunnerState], None] = _ignore
--- a/src/primroseford/gateway/stream_records.py
+++ b/src/primroseford/gateway/stream_records.py
@@ -7,8 +7,10 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from dataclasses import dataclass
 from dataclasses import field
+from dataclasses import replace
 from enum import Enum
 from typing import TYPE_CHECKING
 
@@ -71,16 +73,33 @@
     ONLY_VERSION = "only_version"
 
 
+@dataclass(frozen=True)
+class Lookup:
+    """What a host has found out about a stream.
+
+    :param origin: origin of the stream; ``None`` if no host that answers knows it
+    :param asked: number of other hosts that were asked
+    :param answered: number of those that answered
+    """
+
+    origin: StreamOrigin | None
+    source: OriginSource
+    asked: int = 0
+    answered: int = 0
+
+
 @dataclass
 class Question:
     """A question to other hosts about one stream.
 
+    :param asked: number of hosts that were asked
     :param pending: hosts that have not answered
     :ivar answered: set when all have answered
     :ivar found: set when one knows the stream
     :ivar origin: the answer with the highest attempt so far
     """
 
+    asked: int
     pending: set[HostId]
     answered: asyncio.Event = field(default_factory=asyncio.Event)
     found: asyncio.Event = field(default_factory=asyncio.Event)
@@ -134,38 +153,53 @@
         :raises PrimrosefordError: STREAM_VERSION_UNKNOWN
         """
         started = self.gateway.clock()
-        origin, source = await self._look_up(began_as)
-        if origin is None:
-            origin, source = self._only_version(route), OriginSource.ONLY_VERSION
+        found = await self._look_up(began_as)
+        if found.origin is None:
+            found = replace(
+                found,
+                origin=self._only_version(route),
+                source=OriginSource.ONLY_VERSION,
+            )
         waited = round((self.gateway.clock() - started) * 1000)
-        if origin is None:
+        self._log_lookup(found, began_as, request_id, waited)
+        if found.origin is None:
             raise PrimrosefordError(
                 ResultCode.STREAM_VERSION_UNKNOWN,
                 "no host that answers knows the software version that began the "
                 f"stream; asked for {waited} ms",
                 retry_after=self.gateway.allocator.add_jitter(REFUSED_RETRY_SECONDS),
             )
+        return found.origin
+
+    def _log_lookup(
+        self, found: Lookup, began_as: RequestId, request_id: RequestId, waited_ms: int
+    ) -> None:
+        gateway = self.gateway
+        origin = found.origin
+        list_age = gateway.clock() - gateway.runner_list_confirmed_at
         log.info(
-            "stream taken up",
+            "stream not taken up" if origin is None else "stream taken up",
             request_id=request_id,
             began_as=began_as,
-            pool=origin.pool,
-            version=origin.version,
-            source=source.value,
-            waited_ms=waited,
+            pool=origin.pool if origin else None,
+            version=origin.version if origin else None,
+            attempt=origin.attempt if origin else None,
+            source=found.source.value,
+            asked=found.asked,
+            answered=found.answered,
+            list_revision=gateway.runner_list_version,
+            list_age_ms=None if math.isinf(list_age) else round(list_age * 1000),
+            waited_ms=waited_ms,
         )
-        return origin
 
-    async def _look_up(
-        self, request_id: RequestId
-    ) -> tuple[StreamOrigin | None, OriginSource]:
+    async def _look_up(self, request_id: RequestId) -> Lookup:
         if not request_id:
-            return None, OriginSource.OWN
+            return Lookup(None, OriginSource.OWN)
         key = stream_key(request_id)
         known = self.origins.find(key)
         if known is not None and known.is_own:
-            return known.origin, OriginSource.OWN
-        return await self._ask(key, known), OriginSource.PEER
+            return Lookup(known.origin, OriginSource.OWN)
+        return await self._ask(key, known)
 
     def _only_version(self, route: Route) -> StreamOrigin | None:
         """Return the origin if the streams of a route can have only one."""
@@ -187,17 +221,16 @@
             for peer in gateway.members.live(now)
         )
 
-    async def _ask(
-        self, key: StreamKey, known: OriginRecord | None
-    ) -> StreamOrigin | None:
+    async def _ask(self, key: StreamKey, known: OriginRecord | None) -> Lookup:
         """Ask other hosts; return the latest attempt that they or this host know."""
         origin = known.origin if known is not None else None
         question = self.questions.get(key)
         if question is None:
             hosts = choose_asked(key, self._live_hosts())
             if not hosts:
-                return origin
-            question = self.questions[key] = Question(set(hosts), origin=origin)
+                return Lookup(origin, OriginSource.PEER)
+            question = Question(len(hosts), set(hosts), origin=origin)
+            self.questions[key] = question
             self._send_question(key, question)
         try:
             if not await _wait(question.answered, ASK_REPEAT_SECONDS):
@@ -206,7 +239,8 @@
                     await _wait(question.found, ASK_SECONDS - ASK_REPEAT_SECONDS)
         finally:
             self.questions.pop(key, None)
-        return question.origin
+        answered = question.asked - len(question.pending)
+        return Lookup(question.origin, OriginSource.PEER, question.asked, answered)
 
     def _send_question(self, key: StreamKey, question: Question) -> None:
         bundle = Bundle(self.gateway.members.own, [], stream_asks=[key])
--- a/src/primroseford/gateway/tests/test_stream_origins.py
+++ b/src/primroseford/gateway/tests/test_stream_origins.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from random import Random
 from types import SimpleNamespace
 
@@ -78,6 +79,7 @@
             allocator=allocator,
             confirmed_at=self.confirmed_at,
             runner_list_version=5,
+            runner_list_confirmed_at=-math.inf,
         )
         records = StreamRecords(gateway)
         records.send = lambda host, bundle: self._send(name, host, bundle)
