Show streams that a host out of step continues at another version

Three hosts in one process; the last one is cut off from the store and the others (for 0, 1.5 and 4 s), or just back from such a cut, while two runners of v2 join. A stream that began at v2 breaks as its host is killed, and is taken up at the last host: it goes on at v1 in all ten cases, with source only_version. In the eleventh the last host knows the record of an attempt at v1 that brought no event, and goes on at v1 although the second attempt, at v2, began the stream.

--- a/src/primroseford/proof/site.py
+++ b/src/primroseford/proof/site.py
@@ -36,6 +36,28 @@
 WAIT_SECONDS = 20.0
 HOST_PORTS = 2
 """Number of consecutive ports for traffic between hosts; the second is for bundles."""
+UNANSWERED_SECONDS = 60.0
+"""Delay of the store's responses to a host that is cut off, longer than any test."""
+
+
+class FilteredTransport:
+    """Datagram transport that drops datagrams to some addresses.
+
+    :param blocked: IP addresses to which nothing is sent
+    """
+
+    def __init__(self, transport: asyncio.DatagramTransport, blocked: set[str]) -> None:
+        self.transport = transport
+        self.blocked = blocked
+
+    def sendto(self, data: bytes, address: tuple[str, int]) -> None:
+        """Send a datagram, unless its address is blocked."""
+        if address[0] not in self.blocked:
+            self.transport.sendto(data, address)
+
+    def __getattr__(self, name: str) -> Any:
+        """Return an attribute of the wrapped transport."""
+        return getattr(self.transport, name)
 
 
 @dataclass
@@ -218,6 +240,33 @@
         for service in reversed(host.services):
             await service.stop()
 
+    def cut_off(self, number: int, view: Any) -> None:
+        """Cut a host off from the other hosts and from the store, without a reset.
+
+        :param view: the view of the store that this host uses
+        """
+        view.faults.hold_watches = True
+        view.faults.delay_seconds = UNANSWERED_SECONDS
+        own = own_address(number)
+        for other, host in enumerate(self.hosts):
+            blocked = {own}
+            if other == number:
+                blocked = {own_address(n) for n in range(len(self.hosts))}
+            for service in host.services:
+                if isinstance(service, HeartbeatService):
+                    service.transport = FilteredTransport(service.transport, blocked)
+                    service.bundles = FilteredTransport(service.bundles, blocked)
+
+    def reconnect(self, view: Any) -> None:
+        """End the cut of :meth:`cut_off`."""
+        view.faults.hold_watches = False
+        view.faults.delay_seconds = 0.0
+        for host in self.hosts:
+            for service in host.services:
+                if isinstance(service, HeartbeatService):
+                    service.transport = service.transport.transport
+                    service.bundles = service.bundles.transport
+
     async def stop(self) -> None:
         """Stop all hosts and runners."""
         for host in self.hosts:
