Continue a stream without a record only by a list that is current

What callers saw: during a release, streams that had begun at runners of the new version went on at the old one, at a host that was cut off from the others or had stood still.

Cause: a host that finds no record of a stream continues it at the only version that it has listed for 15 s. Its list counted as current by the age of the configuration, which the heartbeats of other hosts renew; for 3 s in any case, and for 10 s if no live host reports a newer list. A host without live peers hears of none.

Now such a host first reads the list from the platform; all streams that are waiting share a call, whose request is later than theirs. Without a response in 0.1 s, or with a second version, the stream is refused at once as not run (3010). A stream began after its runner had registered, so that this list has its version, unless it has left meanwhile.

In an outage of the platform, streams that no host knows are now refused from its first moment, not after 10 s.

--- a/src/primroseford/gateway/platform_watcher.py
+++ b/src/primroseford/gateway/platform_watcher.py
@@ -123,6 +123,7 @@
         self.reported_version = Version(0)
         self.reported_at: float | None = None
         gateway.on_heartbeat = self.compare_versions
+        gateway.refresh_runner_list = self.runners.refresh
 
     def watch_duration(self) -> float:
         """Return the duration of the next watch call in seconds."""
--- a/src/primroseford/gateway/state.py
+++ b/src/primroseford/gateway/state.py
@@ -24,6 +24,7 @@
 from primroseford.quarantine.state import Quarantine
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable
     from collections.abc import Callable
     from random import Random
 
@@ -69,6 +70,13 @@
     """Do nothing, until a service sets its callback."""
 
 
+async def _is_unavailable() -> None:
+    """Report that the platform cannot be called, until a service sets its callback."""
+    raise PrimrosefordError(
+        ResultCode.PLATFORM_UNAVAILABLE, "the platform watcher has not been started"
+    )
+
+
 class GatewayMetrics:
     """Counters and histograms of a host."""
 
@@ -140,6 +148,8 @@
     :ivar runner_list_version: version of the newest known change of the runner list
     :ivar runner_list_confirmed_at: local time of the platform's last answer to this
         host's calls for the runner list
+    :ivar refresh_runner_list: applies all changes of the runner list that the platform
+        had made before the call; set by the platform watcher
     :ivar runners_known: whether the runner list has been received
     :ivar on_heartbeat: called with each heartbeat of another host
     :ivar request_preemption: requests the preemption of a batch item on a runner
@@ -180,6 +190,7 @@
         self.runners_known = False
         self.runner_list_version = 0
         self.runner_list_confirmed_at = -math.inf
+        self.refresh_runner_list: Callable[[], Awaitable[None]] = _is_unavailable
         self.on_heartbeat: Callable[[Heartbeat], None] | None = None
         self.request_preemption: Callable[[RunnerState], None] = _ignore
         self.probe_interrupted: Callable[[RunnerState], None] = _ignore
--- a/src/primroseford/gateway/stream_records.py
+++ b/src/primroseford/gateway/stream_records.py
@@ -48,12 +48,9 @@
 objective for the first event of a stream."""
 COPIES_OF_LATER_ATTEMPTS = 2
 """Datagrams to each holder about an attempt that follows another one."""
-CONFIRMATION_SECONDS = 3.0
-"""Largest age of the platform's last confirmation at which this host's own list of
-runners shows which versions there are."""
-OUTAGE_SECONDS = 10.0
-"""The same while no live host reports a newer list, as in an outage of the platform, in
-which no runner can register."""
+LIST_SECONDS = 0.1
+"""Time for which a caller waits for the platform's list of runners, which takes some
+ms."""
 REFUSED_RETRY_SECONDS = 0.5
 """Retry-After of a stream that cannot be taken up here: another host may know it."""
 HOSTS_CACHE_SECONDS = 0.25
@@ -157,7 +154,7 @@
         if found.origin is None:
             found = replace(
                 found,
-                origin=self._only_version(route),
+                origin=await self._only_version(route),
                 source=OriginSource.ONLY_VERSION,
             )
         waited = round((self.gateway.clock() - started) * 1000)
@@ -201,25 +198,33 @@
             return Lookup(known.origin, OriginSource.OWN)
         return await self._ask(key, known)
 
-    def _only_version(self, route: Route) -> StreamOrigin | None:
-        """Return the origin if the streams of a route can have only one."""
-        if not self._is_list_current() or len(route.pools) != 1:
+    async def _only_version(self, route: Route) -> StreamOrigin | None:
+        """Return the origin if the streams of a route can have only one.
+
+        The list of a host that was cut off or stood still may lack the versions that
+        have joined since, so that the platform is asked first.
+        """
+        if len(route.pools) != 1:
             return None
         ((pool, _),) = route.pools
-        version = self.gateway.allocator.versions.only_version(pool)
+        only_version = self.gateway.allocator.versions.only_version
+        if only_version(pool) is None or not await self._refresh_runner_list():
+            return None
+        version = only_version(pool)
         return None if version is None else StreamOrigin(pool, version, 0)
 
-    def _is_list_current(self) -> bool:
-        """Return whether this host's list has all versions that may have served."""
-        gateway = self.gateway
-        now = gateway.clock()
-        age = now - gateway.confirmed_at
-        if age <= CONFIRMATION_SECONDS:
-            return True
-        return age <= OUTAGE_SECONDS and all(
-            peer.heartbeat.runner_list <= gateway.runner_list_version
-            for peer in gateway.members.live(now)
-        )
+    async def _refresh_runner_list(self) -> bool:
+        """Return whether the list of runners now has all earlier changes."""
+        try:
+            async with asyncio.timeout(LIST_SECONDS):
+                await self.gateway.refresh_runner_list()
+        except TimeoutError:
+            log.warning("runner list not refreshed", reason="no response in time")
+            return False
+        except PrimrosefordError as error:
+            log.warning("runner list not refreshed", reason=error.message)
+            return False
+        return True
 
     async def _ask(self, key: StreamKey, known: OriginRecord | None) -> Lookup:
         """Ask other hosts; return the latest attempt that they or this host know."""
--- a/src/primroseford/platform/reflector.py
+++ b/src/primroseford/platform/reflector.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 from typing import TYPE_CHECKING
 
@@ -56,6 +57,7 @@
     :ivar reachable: whether the service answered the last call
     :ivar behind_since: time since which the view is known to lack changes, if it is
     :ivar confirmed_at: local time at which the service last confirmed the view
+    :ivar listed_at: local time at which the last list was requested
     """
 
     def __init__(
@@ -88,6 +90,8 @@
         self.fraction = fraction
         self.view = View()
         self.confirmed_at: float | None = None
+        self.listed_at = -math.inf
+        self.refreshing = asyncio.Lock()
         self.failures = 0
         self.on_result = on_result
         self.reachable = False
@@ -154,10 +158,25 @@
         self.restart_requested = True
         self.watch_task.cancel()
 
+    async def refresh(self) -> None:
+        """Apply the changes that the service had made before this call.
+
+        A watch may deliver them later, or not at all if its connection is broken. Calls
+        at the same time share a list.
+
+        :raises PrimrosefordError: CALLS_LIMITED, or PLATFORM_UNAVAILABLE
+        """
+        called_at = self.clock()
+        async with self.refreshing:
+            if self.listed_at < called_at:
+                await self._list()
+
     async def _list(self) -> None:
+        requested_at = self.clock()
         listed = await self.client.list(
             self.kind, purpose=self.purpose, priority=Priority.READ
         )
+        self.listed_at = max(self.listed_at, requested_at)
         self._record_call_result(True)
         delta = apply_list(self.view, listed)
         if delta is None:
--- a/src/primroseford/platform/tests/test_reflector.py
+++ b/src/primroseford/platform/tests/test_reflector.py
@@ -1,7 +1,10 @@
 from __future__ import annotations
 
+import asyncio
+
 import pytest
 
+from primroseford.errors import PrimrosefordError
 from primroseford.ids import Version
 from primroseford.platform.objects import EventType
 from primroseford.platform.objects import ObjectList
@@ -62,6 +65,44 @@
     assert set(view.objects) == {"b", "c"}
 
 
+async def test_refresh_returns_without_the_latest_changes(
+    platform, reflector, eventually
+):
+    """Guards against a decision on an old view while the watch delivers nothing."""
+    store(platform, "a")
+    await reflector.start()
+    await eventually(lambda: set(reflector.view.objects) == {"a"})
+    platform.faults.hold_watches = True
+    store(platform, "b")
+    await reflector.refresh()
+    assert set(reflector.view.objects) == {"a", "b"}
+    # The list of the first of these calls may be older than the change.
+    lists = platform.state.calls["GET", "pools"]
+    calls = [asyncio.create_task(reflector.refresh())]
+    await eventually(lambda: platform.state.calls["GET", "pools"] > lists)
+    store(platform, "c")
+    calls += [asyncio.create_task(reflector.refresh()) for _ in range(10)]
+    await asyncio.gather(*calls)
+    assert set(reflector.view.objects) == {"a", "b", "c"}
+    # One for the first call, one for the next one, one for those made meanwhile.
+    assert platform.state.calls["GET", "pools"] <= lists + 3
+
+
+async def test_refresh_without_an_answer_counts_as_done(platform, reflector):
+    """Guards against a view that counts as current although no list was received."""
+    store(platform, "a")
+    await reflector.start()
+    await reflector.refresh()
+    platform.faults.down = True
+    store(platform, "b")
+    for _ in range(2):
+        with pytest.raises(PrimrosefordError):
+            await reflector.refresh()
+    platform.faults.down = False
+    await reflector.refresh()
+    assert set(reflector.view.objects) == {"a", "b"}
+
+
 async def test_follows_changes(platform, reflector, deltas, eventually):
     """Guards against missed changes and deletions without faults."""
     store(platform, "a")
