Tell other hosts of a stream when its first event goes out

What callers could see: a stream that began at v2 goes on at v1, at a host that is out of step. The host had been told of a first attempt at v1, which brought no event, and missed that the second one, at v2, began the stream: records were sent with each attempt's request, and the last one counted.

Now a record is sent once, before the first event is written to the caller. From then on nothing changes the origin, so that no record contradicts another, and a host that has one need not ask. Hosts of earlier releases still tell of attempts; the new field "begun" tells the two apart, and a record without it is checked with other hosts as before. A question that nobody has answered is repeated every 25 ms instead of once, since each record now has one datagram to a holder.

--- a/src/primroseford/gateway/forward.py
+++ b/src/primroseford/gateway/forward.py
@@ -25,7 +25,6 @@
 from primroseford.gateway.request_context import RequestContext
 from primroseford.gateway.request_context import ResponseAborted
 from primroseford.gateway.resumption import find_origin
-from primroseford.gateway.resumption import record_attempt
 from primroseford.gateway.retry import RetryDecision
 from primroseford.gateway.retry import decide_retry
 from primroseford.gateway.retry import inactivity_timeout
@@ -303,8 +302,6 @@
     def on_event() -> None:
         if not attempt.event_received:
             attempt.event_received = True
-            if context.response is None and len(context.versions) > 1:
-                record_attempt(gateway, context)
             gateway.quarantine.record_served(
                 context.subjects.known(gateway.quarantine.has_evidence)
             )
@@ -399,8 +396,6 @@
     call = RunnerRequest(
         incoming.method, incoming.target, headers, incoming.body, incoming.request_id
     )
-    if context.response is None:
-        record_attempt(gateway, context)
     runner_response = await send_to_runner(
         gateway.session,
         runner.entry,
--- a/src/primroseford/gateway/gen/messages/ttypes.py
+++ b/src/primroseford/gateway/gen/messages/ttypes.py
@@ -1269,6 +1269,7 @@
      - version
      - attempt
      - ttl_ms
+     - begun
 
     """
 
@@ -1278,15 +1279,17 @@
         'version',
         'attempt',
         'ttl_ms',
+        'begun',
     )
 
 
-    def __init__(self, stream=None, pool=None, version=None, attempt=None, ttl_ms=None,):
+    def __init__(self, stream=None, pool=None, version=None, attempt=None, ttl_ms=None, begun=None,):
         self.stream = stream
         self.pool = pool
         self.version = version
         self.attempt = attempt
         self.ttl_ms = ttl_ms
+        self.begun = begun
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1322,6 +1325,11 @@
                     self.ttl_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.BOOL:
+                    self.begun = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1352,6 +1360,10 @@
             oprot.writeFieldBegin('ttl_ms', TType.I32, 5)
             oprot.writeI32(self.ttl_ms)
             oprot.writeFieldEnd()
+        if self.begun is not None:
+            oprot.writeFieldBegin('begun', TType.BOOL, 6)
+            oprot.writeBool(self.begun)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2293,6 +2305,7 @@
     (3, TType.STRING, 'version', 'UTF8', None, ),  # 3
     (4, TType.I32, 'attempt', None, None, ),  # 4
     (5, TType.I32, 'ttl_ms', None, None, ),  # 5
+    (6, TType.BOOL, 'begun', None, None, ),  # 6
 )
 all_structs.append(Heartbeat)
 Heartbeat.thrift_spec = (
--- a/src/primroseford/gateway/messages.thrift
+++ b/src/primroseford/gateway/messages.thrift
@@ -110,6 +110,9 @@
   // Number of the attempt within that request; the highest one counts.
   4: i32 attempt
   5: i32 ttl_ms
+  // Whether the attempt has brought the stream's first event, so that no later one can
+  // replace it. Hosts of earlier releases tell of attempts before that.
+  6: bool begun
 }
 
 struct Heartbeat {
--- a/src/primroseford/gateway/resumption.py
+++ b/src/primroseford/gateway/resumption.py
@@ -54,8 +54,8 @@
     return incoming.request_id
 
 
-def record_attempt(gateway: Gateway, context: RequestContext) -> None:
-    """Let other hosts know at which version the current attempt begins a stream."""
+def record_origin(gateway: Gateway, context: RequestContext) -> None:
+    """Let other hosts know at which version a stream begins, at its first event."""
     if context.route.kind is RouteKind.STREAMING and context.route.resumable:
         gateway.streams.begin(
             stream_id(context), context.current_origin, context.deadline
--- a/src/primroseford/gateway/runner_responses.py
+++ b/src/primroseford/gateway/runner_responses.py
@@ -14,6 +14,7 @@
 from primroseford.gateway.exchange import read_bounded
 from primroseford.gateway.request_context import RequestContext
 from primroseford.gateway.request_context import ResponseAborted
+from primroseford.gateway.resumption import record_origin
 from primroseford.online.events import EVENT_END_BYTES
 from primroseford.online.events import EVENT_STREAM
 from primroseford.online.events import ends_after_event
@@ -128,6 +129,8 @@
                         runner, runner.last_byte - sent_at
                     )
             data = events if resumable else chunk
+            if events and context.response is None:
+                record_origin(gateway, context)
             if data:
                 await _write_chunk(gateway, context, runner_response, data)
     except EXCHANGE_ERRORS as error:
--- a/src/primroseford/gateway/stream_origins.py
+++ b/src/primroseford/gateway/stream_origins.py
@@ -53,11 +53,20 @@
 
     :param version: software version of the runner that made its first event
     :param attempt: number of the attempt within the request that began it, from 1
+    :param begun: whether the attempt has brought the first event. Hosts of earlier
+        releases tell of attempts before that, which a later one may replace.
     """
 
     pool: PoolName
     version: SoftwareVersion
     attempt: int
+    begun: bool = True
+
+    def replaces(self, known: StreamOrigin | None) -> bool:
+        """Return whether this origin is at least as certain as a known one."""
+        if known is None:
+            return True
+        return (self.begun, self.attempt) >= (known.begun, known.attempt)
 
 
 @dataclass(frozen=True)
@@ -65,7 +74,7 @@
     """What a host knows of a stream's origin.
 
     :param expires_at: local time in seconds until which it is known
-    :param is_own: whether this host began the stream, so that it knows all attempts
+    :param is_own: whether the stream began at this host
     """
 
     origin: StreamOrigin
@@ -87,14 +96,14 @@
     def record(
         self, key: StreamKey, origin: StreamOrigin, seconds: float, is_own: bool
     ) -> None:
-        """Remember an origin, unless a later attempt of the request is known.
+        """Remember an origin, unless a later one of the same request is known.
 
         :param seconds: time for which it is remembered
-        :param is_own: whether this host begins the stream
+        :param is_own: whether the stream began at this host
         """
         now = self.clock()
         known = self.find(key)
-        if known is not None and known.origin.attempt > origin.attempt:
+        if known is not None and not origin.replaces(known.origin):
             return
         expires_at = now + min(seconds, MAX_RETENTION_SECONDS)
         self.records[key] = OriginRecord(origin, expires_at, is_own)
--- a/src/primroseford/gateway/stream_records.py
+++ b/src/primroseford/gateway/stream_records.py
@@ -1,7 +1,7 @@
 """Tells other hosts of the streams that this host begins, and asks them for others.
 
-No caller waits for a record: it is sent when the request is sent to a runner, which
-takes longer to read the prompt than a datagram takes to the other hosts.
+A record is sent just before the first event goes out. Until then another attempt, at
+another version, may replace the one in progress; after that nothing changes the origin.
 """
 
 from __future__ import annotations
@@ -41,13 +41,11 @@
     from primroseford.ids import RequestId
 
 ASK_REPEAT_SECONDS = 0.025
-"""Time after which a question is repeated to the hosts that have not answered. Answers
+"""Interval at which a question is repeated to the hosts that have not answered. Answers
 take a few ms."""
 ASK_SECONDS = 0.15
 """Time after which hosts that have not answered count as unable to: half of the
 objective for the first event of a stream."""
-COPIES_OF_LATER_ATTEMPTS = 2
-"""Datagrams to each holder about an attempt that follows another one."""
 LIST_SECONDS = 0.1
 """Time for which a caller waits for the platform's list of runners, which takes some
 ms."""
@@ -91,15 +89,13 @@
 
     :param asked: number of hosts that were asked
     :param pending: hosts that have not answered
-    :ivar answered: set when all have answered
-    :ivar found: set when one knows the stream
-    :ivar origin: the answer with the highest attempt so far
+    :ivar answered: set when no further answer can change the result
+    :ivar origin: the latest origin of the answers so far
     """
 
     asked: int
     pending: set[HostId]
     answered: asyncio.Event = field(default_factory=asyncio.Event)
-    found: asyncio.Event = field(default_factory=asyncio.Event)
     origin: StreamOrigin | None = None
 
 
@@ -134,11 +130,8 @@
         self.origins.record(key, origin, seconds, is_own=True)
         record = _encode(key, origin, seconds)
         bundle = Bundle(self.gateway.members.own, [], stream_records=[record])
-        # A holder that missed a later attempt would answer with an earlier one.
-        copies = 1 if origin.attempt <= 1 else COPIES_OF_LATER_ATTEMPTS
         for host in choose_holders(key, self._live_hosts()):
-            for _ in range(copies):
-                self.send(host, bundle)
+            self.send(host, bundle)
 
     async def find(
         self, began_as: RequestId, route: Route, request_id: RequestId
@@ -194,8 +187,9 @@
             return Lookup(None, OriginSource.OWN)
         key = stream_key(request_id)
         known = self.origins.find(key)
-        if known is not None and known.is_own:
-            return Lookup(known.origin, OriginSource.OWN)
+        if known is not None and known.origin.begun:
+            source = OriginSource.OWN if known.is_own else OriginSource.PEER
+            return Lookup(known.origin, source)
         return await self._ask(key, known)
 
     async def _only_version(self, route: Route) -> StreamOrigin | None:
@@ -227,7 +221,7 @@
         return True
 
     async def _ask(self, key: StreamKey, known: OriginRecord | None) -> Lookup:
-        """Ask other hosts; return the latest attempt that they or this host know."""
+        """Ask other hosts; return the latest origin that they or this host know."""
         origin = known.origin if known is not None else None
         question = self.questions.get(key)
         if question is None:
@@ -237,11 +231,12 @@
             question = Question(len(hosts), set(hosts), origin=origin)
             self.questions[key] = question
             self._send_question(key, question)
+        until = self.gateway.clock() + ASK_SECONDS
         try:
-            if not await _wait(question.answered, ASK_REPEAT_SECONDS):
-                if question.origin is None:
-                    self._send_question(key, question)
-                    await _wait(question.found, ASK_SECONDS - ASK_REPEAT_SECONDS)
+            while not await _wait(question.answered, ASK_REPEAT_SECONDS):
+                if question.origin is not None or self.gateway.clock() >= until:
+                    break
+                self._send_question(key, question)
         finally:
             self.questions.pop(key, None)
         answered = question.asked - len(question.pending)
@@ -287,7 +282,10 @@
         if max(len(pool), len(version)) > MAX_TEXT_LENGTH:
             return None
         origin = StreamOrigin(
-            PoolName(pool), SoftwareVersion(version), record.attempt or 0
+            PoolName(pool),
+            SoftwareVersion(version),
+            record.attempt or 0,
+            bool(record.begun),
         )
         seconds = (record.ttl_ms or 0) / 1000
         self.origins.record(StreamKey(key), origin, seconds, is_own=False)
@@ -300,19 +298,16 @@
         if question is None or host not in question.pending:
             return
         question.pending.discard(host)
-        best = question.origin
         if origin is not None:
-            if best is None or origin.attempt > best.attempt:
+            if origin.replaces(question.origin):
                 question.origin = origin
-            question.found.set()
-        if not question.pending:
+        if not question.pending or origin is not None and origin.begun:
             question.answered.set()
-            question.found.set()
 
     def _answer(self, key: StreamKey) -> StreamRecord:
         known = self.origins.find(key)
         if known is None:
-            return StreamRecord(key, "", "", 0, 0)
+            return StreamRecord(key, "", "", 0, 0, False)
         return _encode(key, known.origin, RETENTION_SECONDS)
 
 
@@ -328,4 +323,6 @@
 
 def _encode(key: StreamKey, origin: StreamOrigin, seconds: float) -> StreamRecord:
     ttl_ms = max(0, round(seconds * 1000))
-    return StreamRecord(key, origin.pool, origin.version, origin.attempt, ttl_ms)
+    return StreamRecord(
+        key, origin.pool, origin.version, origin.attempt, ttl_ms, origin.begun
+    )
--- a/src/primroseford/gateway/tests/test_out_of_step_hosts.py
+++ b/src/primroseford/gateway/tests/test_out_of_step_hosts.py
@@ -115,6 +115,7 @@
     await site.until(lambda: site.runners[0].received or site.runners[1].received)
     await asyncio.sleep(0.05)
     site.cut_off(OUT_OF_STEP, view)
+    load_runners(site, "v1", 3)
     for runner in site.runners[:2]:
         runner.faults.silent = False
         for transport in list(runner.transports):
