Take up a stream at a host that has just come back

What callers saw: a host that was cut off or stood still, and is back, refused their streams although runners of the streams' version served.

Cause: the host asked live hosts only, and no other counts as live until its next heartbeat; and where it learnt a version that its list of runners lacks, it refused the stream at once (3009), without asking for the list.

Now it asks the hosts that it knows if none is live, and reads the list from the platform if its own has no runner of the stream's version; if that fails the stream is refused as before.

Failed before, pass now: test_host_that_is_back_refuses_a_stream_that_it _could_serve (0.5, 1.5 and 4 s of cut), test_host_that_is_back_asks _nobody.

--- a/src/primroseford/gateway/stream_records.py
+++ b/src/primroseford/gateway/stream_records.py
@@ -34,7 +34,9 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Iterable
 
+    from primroseford.gateway.members import Peer
     from primroseford.gateway.state import Gateway
     from primroseford.gateway.stream_origins import OriginRecord
     from primroseford.gateway.tables import Route
@@ -150,6 +152,9 @@
                 origin=await self._only_version(route),
                 source=OriginSource.ONLY_VERSION,
             )
+        elif not self._has_runner(found.origin):
+            # Runners that have joined since this host was last in touch.
+            await self._refresh_runner_list()
         waited = round((self.gateway.clock() - started) * 1000)
         self._log_lookup(found, began_as, request_id, waited)
         if found.origin is None:
@@ -192,6 +197,10 @@
             return Lookup(known.origin, source)
         return await self._ask(key, known)
 
+    def _has_runner(self, origin: StreamOrigin) -> bool:
+        runners = self.gateway.allocator.pool_runners(origin.pool)
+        return any(runner.entry.has_version(origin.version) for runner in runners)
+
     async def _only_version(self, route: Route) -> StreamOrigin | None:
         """Return the origin if the streams of a route can have only one.
 
@@ -225,7 +234,7 @@
         origin = known.origin if known is not None else None
         question = self.questions.get(key)
         if question is None:
-            hosts = choose_asked(key, self._live_hosts())
+            hosts = choose_asked(key, self._live_hosts() or self._known_hosts())
             if not hosts:
                 return Lookup(origin, OriginSource.PEER)
             question = Question(len(hosts), set(hosts), origin=origin)
@@ -251,13 +260,18 @@
         """Return the live other hosts by failure domain."""
         now = self.gateway.clock()
         if now >= self.hosts_until:
-            self.hosts = {}
-            for peer in self.gateway.members.live(now):
-                domain = FailureDomainId(peer.heartbeat.failure_domain)
-                self.hosts.setdefault(domain, []).append(peer.host)
+            self.hosts = _by_domain(self.gateway.members.live(now))
             self.hosts_until = now + HOSTS_CACHE_SECONDS
         return self.hosts
 
+    def _known_hosts(self) -> dict[FailureDomainId, list[HostId]]:
+        """Return the silent other hosts by failure domain.
+
+        After a cut or a pause of this host they may answer before their heartbeats
+        come.
+        """
+        return _by_domain(self.gateway.members.silent(self.gateway.clock()))
+
     def receive(self, bundle: Bundle) -> None:
         """Handle the messages of another host about streams."""
         host = HostId(bundle.relay or "")
@@ -311,6 +325,14 @@
         return _encode(key, known.origin, RETENTION_SECONDS)
 
 
+def _by_domain(peers: Iterable[Peer]) -> dict[FailureDomainId, list[HostId]]:
+    hosts: dict[FailureDomainId, list[HostId]] = {}
+    for peer in peers:
+        domain = FailureDomainId(peer.heartbeat.failure_domain)
+        hosts.setdefault(domain, []).append(peer.host)
+    return hosts
+
+
 async def _wait(event: asyncio.Event, seconds: float) -> bool:
     """Wait for an event; return whether it was set in time."""
     try:
--- a/src/primroseford/gateway/tests/test_out_of_step_hosts.py
+++ b/src/primroseford/gateway/tests/test_out_of_step_hosts.py
@@ -12,6 +12,7 @@
 from primroseford.gateway.tests.test_software_versions import at_event
 from primroseford.gateway.tests.test_software_versions import host_urls
 from primroseford.gateway.tests.test_software_versions import load_runners
+from primroseford.proof.resuming_caller import CallerStream
 from primroseford.proof.resuming_caller import read_stream
 from primroseford.proof.resuming_caller import send_try
 
@@ -40,6 +41,21 @@
     load_runners(site, "v1")
 
 
+async def read_killed_stream(site) -> CallerStream:
+    """Begin a stream of v2 at the first host, and kill the host at its second event."""
+    tasks: list[asyncio.Task] = []
+
+    def kill(_) -> None:
+        tasks.append(site.create_kill(0))
+
+    stream = await read_stream(
+        site.session, host_urls(site)[:1], "/pick/x", "s", 1, at_event(2, kill)
+    )
+    await tasks[0]
+    assert stream.versions == ["v2"] and not stream.complete
+    return stream
+
+
 @pytest.mark.parametrize("names_begin", [True, False], ids=["begin named", "not named"])
 @pytest.mark.parametrize(
     ("cut_seconds", "is_back"),
@@ -64,23 +80,15 @@
     site.cut_off(OUT_OF_STEP, view)
     await add_new_version(site)
     await asyncio.sleep(cut_seconds)
-    tasks: list[asyncio.Task] = []
-
-    def kill(_) -> None:
-        tasks.append(site.create_kill(0))
-
-    urls = host_urls(site)
-    stream = await read_stream(
-        site.session, urls[:1], "/pick/x", "s", 1, at_event(2, kill)
-    )
-    await tasks[0]
-    assert stream.versions == ["v2"] and not stream.complete
+    stream = await read_killed_stream(site)
     if not names_begin:
         stream.began = ""
     if is_back:
         site.reconnect(view)
     async with asyncio.timeout(AT_ONCE_SECONDS):
-        await send_try(site.session, urls[OUT_OF_STEP], "/pick/x", "s.1", stream)
+        await send_try(
+            site.session, host_urls(site)[OUT_OF_STEP], "/pick/x", "s.1", stream
+        )
     assert stream.versions == ["v2"]
     if stream.statuses[-1] == 200:
         assert_whole(stream)
@@ -88,6 +96,24 @@
         assert stream.statuses[-1] == 503 and float(stream.retry_after) > 0
 
 
+@pytest.mark.parametrize("cut_seconds", [0.5, 1.5, 4.0])
+async def test_host_that_is_back_refuses_a_stream_that_it_could_serve(
+    create_versions_site, cut_seconds
+):
+    """Guards against a refusal for want of runners that the others have listed."""
+    site, view = await create_site(create_versions_site)
+    site.cut_off(OUT_OF_STEP, view)
+    await add_new_version(site)
+    await asyncio.sleep(cut_seconds)
+    stream = await read_killed_stream(site)
+    site.reconnect(view)
+    async with asyncio.timeout(AT_ONCE_SECONDS):
+        await send_try(
+            site.session, host_urls(site)[OUT_OF_STEP], "/pick/x", "s.1", stream
+        )
+    assert_whole(stream)
+
+
 async def test_host_out_of_step_knows_an_earlier_attempt_only(create_versions_site):
     """Guards against the version of an attempt that did not begin the stream.
 
@@ -103,15 +129,7 @@
         allocator.runners[name].online += 2
     for runner in site.runners[:2]:
         runner.faults.silent = True
-    tasks: list[asyncio.Task] = []
-
-    def kill(_) -> None:
-        tasks.append(site.create_kill(0))
-
-    urls = host_urls(site)
-    begun = asyncio.create_task(
-        read_stream(site.session, urls[:1], "/pick/x", "s", 1, at_event(2, kill))
-    )
+    begun = asyncio.create_task(read_killed_stream(site))
     await site.until(lambda: site.runners[0].received or site.runners[1].received)
     await asyncio.sleep(0.05)
     site.cut_off(OUT_OF_STEP, view)
@@ -121,8 +139,8 @@
         for transport in list(runner.transports):
             transport.abort()
     stream = await begun
-    await tasks[0]
-    assert stream.versions == ["v2"] and not stream.complete
     async with asyncio.timeout(AT_ONCE_SECONDS):
-        await send_try(site.session, urls[OUT_OF_STEP], "/pick/x", "s.1", stream)
+        await send_try(
+            site.session, host_urls(site)[OUT_OF_STEP], "/pick/x", "s.1", stream
+        )
     assert stream.versions == ["v2"]
--- a/src/primroseford/gateway/tests/test_stream_origins.py
+++ b/src/primroseford/gateway/tests/test_stream_origins.py
@@ -70,19 +70,29 @@
     def _create_host(self, name: str) -> StreamRecords:
         clock = asyncio.get_running_loop().time
         versions = SimpleNamespace(only_version=lambda pool: self.only_version)
-        allocator = SimpleNamespace(add_jitter=lambda s: s, versions=versions)
+        allocator = SimpleNamespace(
+            add_jitter=lambda s: s, versions=versions, pool_runners=lambda pool: []
+        )
         gateway = SimpleNamespace(
             clock=clock,
-            members=SimpleNamespace(own=name, live=lambda now: self._live(name)),
+            members=SimpleNamespace(
+                own=name,
+                live=lambda now: self._peers(name, is_silent=False),
+                silent=lambda now: self._peers(name, is_silent=True),
+            ),
             allocator=allocator,
             runner_list_version=5,
             runner_list_confirmed_at=-math.inf,
+            refresh_runner_list=self._refresh,
         )
         records = StreamRecords(gateway)
         records.send = lambda host, bundle: self._send(name, host, bundle)
         return records
 
-    def _live(self, own: str) -> list[SimpleNamespace]:
+    async def _refresh(self) -> None:
+        """Return at once, as the store does without changes."""
+
+    def _peers(self, own: str, is_silent: bool) -> list[SimpleNamespace]:
         return [
             SimpleNamespace(
                 host=host,
@@ -90,7 +100,7 @@
             )
             for domain, members in self.domains.items()
             for host in members
-            if host != own and host not in self.silent
+            if host != own and (host in self.silent) is is_silent
         ]
 
     def _send(self, sender: str, host: str, bundle: Bundle) -> None:
@@ -168,6 +178,23 @@
 before its first event and two at it."""
 
 
+def test_host_that_is_back_asks_nobody():
+    """Guards against a refusal while no heartbeat has come yet after a cut or pause."""
+
+    async def play() -> None:
+        network = Network(fleet_domains(7, 3))
+        begin(network, "host-0", "r", V1)
+        await asyncio.sleep(2 * LATENCY_SECONDS)
+        asking = network.hosts["host-6"]
+        asking.origins.records.clear()
+        network.silent = set(network.hosts)
+        network.lost = {"host-0"}
+        found, seconds = await find(network, "host-6", "r")
+        assert found == V1 and seconds < 4 * LATENCY_SECONDS
+
+    run_in_virtual_time(play())
+
+
 @pytest.mark.parametrize("loss", [0.1, 0.3])
 @pytest.mark.parametrize(
     ("attempts", "wrong_most"),
