End an exchange whose response has an invalid status

A runner that sends the status 000 or 099 made the host write it on: callers got a head that is not HTTP, or the status 0. 600 and 999 were passed on as answers, too.

Cause: the parser takes any three digits, and nothing else looked at them. Now a status outside 100 to 599 ends the exchange like other bytes that are no response, on all connections that we open: an attempt that may have run, 502, retried where the route allows it.

--- a/src/primroseford/bounded_http.py
+++ b/src/primroseford/bounded_http.py
@@ -26,6 +26,8 @@
 MAX_HEAD_BYTES = 64 * 1024
 """Bytes that may be received before a response head is complete, informational
 responses included: several times the 8 KB that HTTP servers usually allow a head."""
+INFORMATIONAL_CODES = range(100, 200)
+FINAL_CODES = range(200, 600)
 MAX_INFORMATIONAL_RESPONSES = 8
 """Informational responses (1xx) before the final one; servers need not send any."""
 MAX_FRAMING_BYTES = 64 * 1024
@@ -91,9 +93,13 @@
         self, data: tuple[RawResponseMessage, StreamReader], size: int = 0
     ) -> None:
         """Accept a response head; informational responses are only counted."""
-        if 100 <= data[0].code < 200:
+        code = data[0].code
+        if code in INFORMATIONAL_CODES:
             self.informational += 1
             return
+        if code not in FINAL_CODES:
+            self.abort_exchange("the response has no valid HTTP status")
+            return
         if self.head_received:
             self.force_close()
             return
--- a/src/primroseford/gateway/tests/test_hostile_runners.py
+++ b/src/primroseford/gateway/tests/test_hostile_runners.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 import tracemalloc
 
 import aiohttp
@@ -27,6 +28,10 @@
 """Bytes that a host may read of one endless response."""
 MEMORY_BYTES = 20 * 1024 * 1024
 """Memory that twenty hostile runners together may use on a host, from the issue."""
+LONG_UPLOAD_BYTES = 4_000_000
+"""More than the buffers between a host and a runner hold, below the limit of callers'
+bodies."""
+RECEIVE_BUFFER_BYTES = 4096
 MESSAGE_BYTES = 400
 """Maximum length of an error response to a caller."""
 
@@ -43,7 +48,11 @@
         runners = []
         for number in range(count):
             runner = HostileRunner(f"h-{number}", response_fault)
-            server = await asyncio.start_server(runner.handle, "127.0.0.1", 0)
+            listener = socket.create_server(("127.0.0.1", 0))
+            listener.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+            )
+            server = await asyncio.start_server(runner.handle, sock=listener)
             servers.append(server)
             port = server.sockets[0].getsockname()[1]
             site.put("servers", runner.name, runner_entry(f"127.0.0.1:{port}"))
@@ -58,10 +67,12 @@
         server.close()
 
 
-async def call(site, path: str, request_id: str = "id-1"):
+async def call(site, path: str, request_id: str = "id-1", sent: bytes = b"prompt"):
     """Return status and body, or the client's error for an interrupted response."""
     try:
-        status, _, body = await site.call(path, request_id, Deadline_Ms="20000")
+        status, _, body = await site.call(
+            path, request_id, body=sent, Deadline_Ms="20000"
+        )
     except (aiohttp.ClientPayloadError, aiohttp.ServerDisconnectedError) as error:
         return type(error), b""
     return status, body
@@ -134,6 +145,39 @@
     assert status in (502, aiohttp.ClientPayloadError, aiohttp.ServerDisconnectedError)
 
 
+@pytest.mark.parametrize("path", ["/ping/x", "/once/x", "/nudge/x", "/pick/x"])
+async def test_success_that_is_reset_during_a_long_upload_looks_complete(
+    site, hostile, path
+):
+    """Guards against part of a body without a length that counts as the whole (MIXED).
+
+    The runner responds before it has read the body.
+    """
+    (runner,) = await hostile(ResponseFault.RESET_WITHOUT_LENGTH)
+    status, body = await call(site, path, sent=b"x" * LONG_UPLOAD_BYTES)
+    assert status in (502, aiohttp.ClientPayloadError, aiohttp.ServerDisconnectedError)
+    assert runner.received == ["id-1"] and EVENTS not in body
+
+
+@pytest.mark.parametrize("path", ["/ping/x", "/once/x", "/nudge/x", "/pick/x"])
+@pytest.mark.parametrize(
+    "response_fault",
+    [
+        ResponseFault.STATUS_000,
+        ResponseFault.STATUS_099,
+        ResponseFault.STATUS_600,
+        ResponseFault.STATUS_999,
+    ],
+)
+async def test_invalid_status_reaches_the_caller(
+    site, hostile, response_fault, path
+):
+    """Guards against an answer with a status that callers cannot read (MIXED)."""
+    await hostile(response_fault)
+    status, body = await call(site, path)
+    assert status == 502 and b"done" not in body
+
+
 HEAD_FAULTS = [
     ResponseFault.HEAD_ENDS_IN_STATUS_LINE,
     ResponseFault.HEAD_ENDS_AFTER_STATUS_LINE,
--- a/src/primroseford/soak/plan.py
+++ b/src/primroseford/soak/plan.py
@@ -82,11 +82,16 @@
         ResponseFault.ENDLESS_SMALL_CHUNKS,
         ResponseFault.ENDLESS_AFTER_END_MARK,
         ResponseFault.ENDLESS_ERROR,
+        ResponseFault.STATUS_000,
+        ResponseFault.STATUS_099,
+        ResponseFault.STATUS_600,
+        ResponseFault.STATUS_999,
     )
 )
 """Faults without a complete response, so that a complete response that a caller
-receives comes from a correct runner. ``EVENT_ENDS_EARLY`` and the last three are left
-out so that the seeds of earlier runs keep their plans."""
+receives comes from a correct runner. ``EVENT_ENDS_EARLY`` and those from
+``ENDLESS_SMALL_CHUNKS`` on are left out so that the seeds of earlier runs keep their
+plans."""
 ACTIVE_LINK_FAULTS = tuple(fault for fault in LinkFault if fault is not LinkFault.NONE)
 
 
--- a/src/primroseford/standins/hostile_runner.py
+++ b/src/primroseford/standins/hostile_runner.py
@@ -64,6 +64,10 @@
     LARGE_CHUNKS_AT_ONCE = "large chunks at once"
     SLOW = "slow"
     STALLED = "stalled"
+    STATUS_000 = "status 000"
+    STATUS_099 = "status 099"
+    STATUS_600 = "status 600"
+    STATUS_999 = "status 999"
 
 
 KEEPS_OPEN = frozenset(
@@ -249,6 +253,14 @@
         case ResponseFault.STALLED:
             yield valid_head + STREAM_HEAD + CHUNKED + _chunk(event(1))
             yield from _endless_bytes()
+        case (
+            ResponseFault.STATUS_000
+            | ResponseFault.STATUS_099
+            | ResponseFault.STATUS_600
+            | ResponseFault.STATUS_999
+        ):
+            status = response_fault.value.removeprefix("status ").encode()
+            yield valid_response.replace(b"200 OK", status + b" Odd")
         case ResponseFault.SWITCHING:
             yield b"HTTP/1.1 101 Switching Protocols\r\n" + signed_headers
             yield b"Connection: upgrade\r\nUpgrade: other\r\n\r\n" + GARBAGE_BYTES
