Notice software versions that came and went while a host was out of step

What callers could see: a stream of a version that joined and left while a host was cut off or stood still goes on there at the only version that the host's list has had; the list is current, and its history is not.

Cause: after a silence a host lists again, which shows no entry that was added and removed meanwhile; the history of versions went on as if the host had seen all changes.

Now the reflector records a gap where it lists after more than 2 s without an answer. For 15 s, the life of a stream, a pool then does not count as one of a single version. A refresh for a stream without a record reads the events since the view before it lists, so that nothing is missed at a host whose open watch has merely been quiet; only if that history is gone it counts as a gap.

Failed before: test_host_out_of_step_misses_a_version_that_has_left (2.5 and 6 s of cut). Hosts that know records are not affected.

Ruled out: to count any list after a silence as a gap, since an idle watch lasts up to 29 s in a large fleet.

--- a/src/primroseford/gateway/platform_watcher.py
+++ b/src/primroseford/gateway/platform_watcher.py
@@ -321,6 +321,7 @@
             # Such an entry has not expired, so it is not kept after an outage.
             gateway.runner_list.remove(name)
         gateway.runners_known = True
+        gateway.allocator.versions.gap_at = self.runners.gap_at
         gateway.allocator.set_runners(gateway.runner_list.entries)
 
     @Service.task
--- a/src/primroseford/gateway/tests/test_hostile_runners.py
+++ b/src/primroseford/gateway/tests/test_hostile_runners.py
@@ -169,9 +169,7 @@
         ResponseFault.STATUS_999,
     ],
 )
-async def test_invalid_status_reaches_the_caller(
-    site, hostile, response_fault, path
-):
+async def test_invalid_status_reaches_the_caller(site, hostile, response_fault, path):
     """Guards against an answer with a status that callers cannot read (MIXED)."""
     await hostile(response_fault)
     status, body = await call(site, path)
--- a/src/primroseford/gateway/tests/test_out_of_step_hosts.py
+++ b/src/primroseford/gateway/tests/test_out_of_step_hosts.py
@@ -114,6 +114,30 @@
     assert_whole(stream)
 
 
+@pytest.mark.parametrize("cut_seconds", [2.5, 6.0])
+async def test_host_out_of_step_misses_a_version_that_has_left(
+    create_versions_site, cut_seconds
+):
+    """Guards against a stream of a version that came and went while the host was cut.
+
+    The caller does not name the request that began it.
+    """
+    site, view = await create_site(create_versions_site)
+    site.cut_off(OUT_OF_STEP, view)
+    await add_new_version(site)
+    stream = await read_killed_stream(site)
+    stream.began = ""
+    for runner in site.runners[2:]:
+        site.remove_runner(runner)
+    await asyncio.sleep(cut_seconds)
+    site.reconnect(view)
+    async with asyncio.timeout(AT_ONCE_SECONDS):
+        await send_try(
+            site.session, host_urls(site)[OUT_OF_STEP], "/pick/x", "s.1", stream
+        )
+    assert stream.statuses[-1] == 503 and stream.versions == ["v2"]
+
+
 async def test_host_out_of_step_knows_an_earlier_attempt_only(create_versions_site):
     """Guards against the version of an attempt that did not begin the stream.
 
--- a/src/primroseford/gateway/tests/test_version_history.py
+++ b/src/primroseford/gateway/tests/test_version_history.py
@@ -72,3 +72,22 @@
         clock.advance(seconds)
         history.update(entries)
     assert history.only_version("models") == only
+
+
+@pytest.mark.parametrize(
+    ("seconds_since_gap", "only"),
+    [
+        (0.0, None),
+        (STREAM_LIFETIME_SECONDS - 0.1, None),
+        (STREAM_LIFETIME_SECONDS, "v1"),
+    ],
+)
+def test_pool_counts_as_one_version_after_a_gap(clock, seconds_since_gap, only):
+    """Guards against a version that came and went while the host was out of step."""
+    history = VersionHistory(clock, lambda: UNIX_TIME)
+    history.update(runners("v1"))
+    clock.advance(100.0)
+    history.gap_at = clock()
+    history.update(runners("v1"))
+    clock.advance(seconds_since_gap)
+    assert history.only_version("models") == only
--- a/src/primroseford/gateway/version_history.py
+++ b/src/primroseford/gateway/version_history.py
@@ -29,6 +29,8 @@
     :ivar entries: runners of the newest list by pool
     :ivar left_at: local time at which a version left a pool's list, in seconds
     :ivar known_since: local time of the first list in seconds
+    :ivar gap_at: local time in seconds of the last list before which versions may have
+        come and gone
     """
 
     def __init__(
@@ -39,6 +41,7 @@
         self.entries: dict[PoolName, list[RunnerEntry]] = {}
         self.left_at: dict[PoolName, dict[SoftwareVersion, float]] = {}
         self.known_since = math.inf
+        self.gap_at = -math.inf
 
     def update(self, entries: Iterable[RunnerEntry]) -> None:
         """Apply a new list of runners."""
@@ -74,6 +77,8 @@
         versions = self._listed(pool) | self._left_lately(pool, now).keys()
         if len(versions) != 1 or not entries:
             return None
+        if now - self.gap_at < STREAM_LIFETIME_SECONDS:
+            return None
         if now - self.known_since < STREAM_LIFETIME_SECONDS:
             started_before = (self.unix_time() - STREAM_LIFETIME_SECONDS) * MILLISECONDS
             if any(entry.key.born > started_before for entry in entries):
--- a/src/primroseford/platform/reflector.py
+++ b/src/primroseford/platform/reflector.py
@@ -19,6 +19,7 @@
 from primroseford.platform.view import View
 from primroseford.platform.view import apply_event
 from primroseford.platform.view import apply_list
+from primroseford.platform.view import is_equal
 from primroseford.platform.writes import backoff_delay
 
 if TYPE_CHECKING:
@@ -35,6 +36,10 @@
 """Age of the last list after which the next event or bookmark ends the watch. A watch
 can skip events without notice; only a list shows the skipped changes."""
 
+MAX_UNSEEN_SECONDS = 2.0
+"""Time without an answer in which no object comes and goes. The entry of a runner that
+falls silent remains for three of its heartbeat intervals."""
+
 log = structlog.get_logger()
 
 
@@ -58,6 +63,8 @@
     :ivar behind_since: time since which the view is known to lack changes, if it is
     :ivar confirmed_at: local time at which the service last confirmed the view
     :ivar listed_at: local time at which the last list was requested
+    :ivar gap_at: local time of the last list before which changes may have been missed
+        that no list shows, such as an object that came and went
     """
 
     def __init__(
@@ -91,6 +98,7 @@
         self.view = View()
         self.confirmed_at: float | None = None
         self.listed_at = -math.inf
+        self.gap_at = -math.inf
         self.refreshing = asyncio.Lock()
         self.failures = 0
         self.on_result = on_result
@@ -169,15 +177,56 @@
         called_at = self.clock()
         async with self.refreshing:
             if self.listed_at < called_at:
-                await self._list()
+                await self._list(await self._apply_events())
+
+    async def _apply_events(self) -> bool:
+        """Apply the events since the view, which also show what came and went.
+
+        :returns: whether nothing can have been missed
+        """
+        if not self.is_silent():
+            return True
+        events = self.client.watch(
+            self.kind,
+            self.view.version,
+            purpose=self.purpose,
+            priority=Priority.READ,
+            wait_seconds=lambda: 0.0,
+        )
+        try:
+            async for event in events:
+                delta = apply_event(self.view, event)
+                if delta is not None:
+                    self._publish(delta)
+                if event.type is EventType.BOOKMARK:
+                    return True
+        except PrimrosefordError as error:
+            if error.code is not ResultCode.WATCH_EXPIRED:
+                raise
+        finally:
+            await events.aclose()
+        return False
 
-    async def _list(self) -> None:
+    def is_silent(self) -> bool:
+        """Return whether changes may have been missed since the last answer."""
+        seen_at = self.confirmed_at
+        return seen_at is None or self.clock() - seen_at > MAX_UNSEEN_SECONDS
+
+    async def _list(self, has_events: bool = False) -> None:
+        """Apply a list.
+
+        :param has_events: whether all events before the list have been applied, or will
+            be by the open watch
+        """
         requested_at = self.clock()
         listed = await self.client.list(
             self.kind, purpose=self.purpose, priority=Priority.READ
         )
         self.listed_at = max(self.listed_at, requested_at)
         self._record_call_result(True)
+        if has_events and is_equal(self.view, listed):
+            return
+        has_gap = self.view.version > 0 and self.is_silent()
         delta = apply_list(self.view, listed)
         if delta is None:
             log.warning(
@@ -187,6 +236,8 @@
                 version=self.view.version,
             )
             return
+        if has_gap:
+            self.gap_at = self.clock()
         self._publish(delta)
 
     async def watch_once(self) -> None:
--- a/src/primroseford/platform/tests/test_reflector.py
+++ b/src/primroseford/platform/tests/test_reflector.py
@@ -10,6 +10,7 @@
 from primroseford.platform.objects import ObjectList
 from primroseford.platform.objects import PlatformObject
 from primroseford.platform.objects import WatchEvent
+from primroseford.platform.reflector import MAX_UNSEEN_SECONDS
 from primroseford.platform.reflector import create_reflector
 from primroseford.platform.view import View
 from primroseford.platform.view import apply_event
@@ -103,6 +104,45 @@
     assert set(reflector.view.objects) == {"a", "b"}
 
 
+@pytest.mark.parametrize(
+    ("silent_seconds", "is_gap"),
+    [(0.0, False), (MAX_UNSEEN_SECONDS, False), (MAX_UNSEEN_SECONDS + 0.1, True)],
+)
+async def test_list_after_a_silence_hides_objects_that_came_and_went(
+    platform, client, clock, deltas, silent_seconds, is_gap
+):
+    """Guards against a history that counts as whole after a cut or a pause."""
+    store(platform, "a")
+    reflector = create_reflector(
+        client, "pools", deltas.append, purpose="test", clock=clock
+    )
+    await reflector._list()
+    clock.advance(silent_seconds)
+    store(platform, "b")
+    await reflector._list()
+    assert (reflector.gap_at == clock()) == is_gap
+
+
+@pytest.mark.parametrize("is_history_gone", [False, True])
+async def test_refresh_after_a_silence_hides_objects_that_came_and_went(
+    platform, client, clock, deltas, is_history_gone
+):
+    """Guards against a refreshed view whose history lacks a change."""
+    store(platform, "a")
+    reflector = create_reflector(
+        client, "pools", deltas.append, purpose="test", clock=clock
+    )
+    await reflector._list()
+    clock.advance(MAX_UNSEEN_SECONDS + 0.1)
+    store(platform, "b")
+    remove(platform, "b")
+    platform.faults.expire_watches = int(is_history_gone)
+    await reflector.refresh()
+    names = [event.object.name for delta in deltas for event in delta.events]
+    assert names == (["a"] if is_history_gone else ["a", "b", "b"])
+    assert (reflector.gap_at == clock()) == is_history_gone
+
+
 async def test_follows_changes(platform, reflector, deltas, eventually):
     """Guards against missed changes and deletions without faults."""
     store(platform, "a")
--- a/src/primroseford/platform/view.py
+++ b/src/primroseford/platform/view.py
@@ -64,6 +64,12 @@
     return ObjectList(Version(content["version"]), tuple(items))
 
 
+def is_equal(view: View, listed: ObjectList) -> bool:
+    """Return whether a list has the objects of a view in the same versions."""
+    versions = {item.name: item.version for item in view.objects.values()}
+    return versions == {item.name: item.version for item in listed.items}
+
+
 def apply_list(view: View, listed: ObjectList) -> Delta | None:
     """Update a view to the state of a list.
 
