Start texts again whose software version is not told

Cause, the same as for streams, found by reading: progress without a version was kept if the pool had had one version, by a list whose age nobody checked. A text is not listed before it is whole, so that it can start again at the cost of its tokens; a list need not be asked for.

Progress that tells its version, as of all releases since, goes on as before.

test_restored_progress_does_not_tell_its_version and test_job_of_an _earlier_release_is_taken_over are stricter now: such progress is never continued; before, it was in a pool of one version (their single-version cases fail without the change). test_sole_version_of_runners goes with its function.

--- a/src/primroseford/jobs/scheduler.py
+++ b/src/primroseford/jobs/scheduler.py
@@ -175,7 +175,7 @@
             item_progress = (progress or {}).get(item.item.id)
             if item_progress is not None:
                 item.restore(item_progress)
-                self.text_versions.check_restored(item, route)
+                self.text_versions.check_restored(item)
         run = self.runs[job.id] = JobRun(view, waiting, deadline=deadline)
         run.checkpoint_at = self.gateway.clock()
         run.checkpoint_events = sum(len(item.data) for item in waiting)
--- a/src/primroseford/jobs/tests/test_progress_versions.py
+++ b/src/primroseford/jobs/tests/test_progress_versions.py
@@ -162,10 +162,7 @@
 async def test_job_of_an_earlier_release_is_taken_over(
     create_versions_site, monkeypatch, versions, cause
 ):
-    """Guards against progress without a version that goes on at another one.
-
-    It is only resumed where all runners are of one version.
-    """
+    """Guards against progress without a version that goes on at another one."""
     monkeypatch.setattr(recorder, "CHECKPOINT_INTERVAL_SECONDS", 0.1)
     monkeypatch.setattr(recorder, "CHECKPOINT_EVENTS", 10)
     for module in (peers_module, store_module):
@@ -182,8 +179,7 @@
         site.hosts[0].gateway.stopping = True
     (result,) = await read_all(site, "job1", host=1)
     assert_whole(result)
-    is_resumed = "Last-Event-Id" in runs_of(site, "it0")[-1].headers
-    assert is_resumed == (len(set(versions)) == 1)
+    assert "Last-Event-Id" not in runs_of(site, "it0")[-1].headers
 
 
 async def test_two_hosts_run_an_item_at_two_versions(create_versions_site, monkeypatch):
--- a/src/primroseford/jobs/tests/test_versions.py
+++ b/src/primroseford/jobs/tests/test_versions.py
@@ -23,7 +23,6 @@
 from primroseford.jobs.versions import DiscardReason
 from primroseford.jobs.versions import TextVersions
 from primroseford.jobs.versions import find_discard_reason
-from primroseford.jobs.versions import sole_version
 from primroseford.jobs.waiting import WaitReason
 from primroseford.metrics import Metrics
 from primroseford.standins.fleet_runner import event
@@ -68,27 +67,13 @@
         return next((v for v in versions if version in (None, v)), None)
 
 
-def create_texts(capacity=None, entries=(), only_version=None) -> TextVersions:
-    """Return the decisions of a host that knows these ready runners.
-
-    :param only_version: the only version that the pool has had lately, if there is one
-    """
+def create_texts(capacity=None, entries=()) -> TextVersions:
+    """Return the decisions of a host that knows these ready runners."""
     runners = [SimpleNamespace(entry=known) for known in entries]
-    history = SimpleNamespace(only_version=lambda pool: only_version)
-    allocator = SimpleNamespace(pool_runners=lambda pool: runners, versions=history)
+    allocator = SimpleNamespace(pool_runners=lambda pool: runners)
     return TextVersions(SimpleNamespace(allocator=allocator), capacity or Capacity())
 
 
-@pytest.mark.parametrize(
-    ("versions", "expected"),
-    [((), None), (("v1",), "v1"), (("v1", "v1"), "v1"), (("v1", "v2"), None)],
-)
-def test_sole_version_of_runners(versions, expected):
-    """Guards against a guess at the version of progress that does not tell it."""
-    entries = [entry(number, version) for number, version in enumerate(versions)]
-    assert sole_version(entries) == expected
-
-
 @pytest.mark.parametrize(
     ("versions", "failed_on", "stalled_seconds", "expected"),
     [
@@ -205,22 +190,21 @@
     assert capacity.calls == 1
 
 
-def test_restored_progress_does_not_tell_its_version():
-    """Guards against progress of an earlier release that goes on at any version."""
-    for versions, only_version, expected in [
-        ((), None, None),
-        (("v2",), "v2", "v2"),
-        (("v2",), None, None),
-        (("v1", "v2"), None, None),
-    ]:
-        item = create_item(events=0)
-        item.restore(Progress(["a", "b"], "2", 1))
-        entries = [entry(number, version) for number, version in enumerate(versions)]
-        texts = create_texts(entries=entries, only_version=only_version)
-        texts.check_restored(item, ROUTE)
-        assert item.required_version == expected
-        assert item.last_event == ("2" if expected else None)
-        assert item.failures == 1
+@pytest.mark.parametrize("version", [None, "v1"])
+@pytest.mark.parametrize("versions", [(), ("v1",), ("v2",), ("v1", "v2")])
+def test_restored_progress_does_not_tell_its_version(versions, version):
+    """Guards against progress of an earlier release that goes on at any version.
+
+    The host may not have heard of the version that made it, whatever it lists.
+    """
+    item = create_item(events=0)
+    item.restore(Progress(["a", "b"], "2", 1, version))
+    entries = [entry(number, name) for number, name in enumerate(versions)]
+    texts = create_texts(entries=entries)
+    texts.check_restored(item)
+    assert item.required_version == version
+    assert item.last_event == ("2" if version else None)
+    assert item.failures == 1
 
 
 def test_dropped_text_takes_other_counts_with_it(clock):
--- a/src/primroseford/jobs/versions.py
+++ b/src/primroseford/jobs/versions.py
@@ -43,12 +43,6 @@
     VERSION_UNKNOWN = "version_unknown"
 
 
-def sole_version(entries: Iterable[RunnerEntry]) -> SoftwareVersion | None:
-    """Return the version of runners that all have the same; None if they differ."""
-    versions = {entry.version for entry in entries}
-    return versions.pop() if len(versions) == 1 else None
-
-
 def find_discard_reason(
     version: SoftwareVersion,
     entries: Iterable[RunnerEntry],
@@ -110,26 +104,15 @@
         self.ready.clear()
         self.without_room.clear()
 
-    def check_restored(self, item: ItemRun, route: Route | None) -> None:
-        """Check the progress of another host that may not tell its version.
+    def check_restored(self, item: ItemRun) -> None:
+        """Drop the progress of another host that does not tell its version.
 
-        Hosts of earlier releases continue a text at any version.
+        Hosts of earlier releases continue a text at any version, and the versions that
+        this host lists need not be all that have served.
         """
-        if not item.resumable_events or item.version is not None:
-            return
-        item.version = self._only_version(route)
-        if item.version is None:
+        if item.resumable_events and item.version is None:
             self.discard(item, DiscardReason.VERSION_UNKNOWN)
 
-    def _only_version(self, route: Route | None) -> SoftwareVersion | None:
-        """Return the version of all texts of a route, if it has had only one lately."""
-        version = sole_version(self._ready_entries(route))
-        if version is None:
-            return None
-        history = self.gateway.allocator.versions
-        known = all(history.only_version(pool) == version for pool, _ in route.pools)
-        return version if known else None
-
     def check_ready(self, item: ItemRun, route: Route | None, now: float) -> None:
         """Drop the text of an item that no runner of its version can continue.
 
