Play a release with a host out of step in separate processes

The soak did not find streams that go on at the version from before a release: its runners are of two versions from the start, so that no host counts a pool as one of a single version, and its callers avoid a host that does not answer.

--- a/src/primroseford/soak/fleet.py
+++ b/src/primroseford/soak/fleet.py
@@ -73,6 +73,7 @@
     :ivar hostile: hostile runners that temporarily replaced this one
     :ivar address: listening address of the current instance
     :ivar seed: seed of the run, which decides the versions of the instances
+    :ivar version: version of all instances; empty to let the seed decide
     """
 
     name: str
@@ -83,10 +84,12 @@
     hostile_server: asyncio.Server | None = None
     address: tuple[str, int] = ("", 0)
     seed: int = 0
+    version: str = ""
 
     async def start(self) -> None:
         """Start a new instance of the runner."""
-        version = software_version(self.seed, self.name, len(self.runs))
+        start = len(self.runs)
+        version = self.version or software_version(self.seed, self.name, start)
         born = FIRST_START_MS + len(self.runs) + 1
         runner = FleetRunner(
             self.name, EVENTS, EVENT_SECONDS, version=version, born=born
@@ -144,20 +147,18 @@
     stops: set[asyncio.Task] = field(default_factory=set)
     seed: int = 0
 
-    async def start(self, hosts: int, runners: int) -> None:
-        """Start the stand-ins, the proxies and the hosts."""
+    async def start(self, hosts: int, runners: int, version: str = "") -> None:
+        """Start the stand-ins, the proxies and the hosts.
+
+        :param version: software version of the runners; empty to let the seed decide
+        """
         self.served = await serve(create_platform_application(self.platform))
         store = self.served.url.removeprefix("http://").split(":")
         for _ in range(3):
             self.versions.keys[f"key-{len(self.versions.keys)}"] = None
         self.write_configuration()
-        for number in range(runners):
-            proxy = Proxy(("", 0))
-            runner = SoakRunner(f"runner-{number}", proxy, seed=self.seed)
-            await runner.start()
-            await proxy.start()
-            self.runners.append(runner)
-            self._register(runner)
+        for _ in range(runners):
+            await self.add_runner(version)
         port = next_ports(HOST_PORTS)
         for number in range(hosts):
             link = Proxy((store[0], int(store[1])))
@@ -175,6 +176,19 @@
             self.hosts.append(host)
             await host.start()
 
+    async def add_runner(self, version: str = "") -> None:
+        """Start and register a runner.
+
+        :param version: version of its software; empty to let the seed decide
+        """
+        proxy = Proxy(("", 0))
+        name = f"runner-{len(self.runners)}"
+        runner = SoakRunner(name, proxy, seed=self.seed, version=version)
+        await runner.start()
+        await proxy.start()
+        self.runners.append(runner)
+        self._register(runner)
+
     def write_configuration(self) -> None:
         """Write the configuration as an operator does."""
         versions = self.versions
