Ask a runner for its start where no other host would tell of a restart

What callers could see: a stream with events of two versions that began at a host which was cut off from the others, at a runner that had come back under its name and address as another version. The host recorded the stream with the version of the old entry, and continued it at a runner of that version.

A host whose others are all silent hears neither them nor, if it is cut off from the store too, of the new entry.

Now such a host asks each runner before a resumable stream or a text begins there, which costs a round trip while the cut lasts.

Ruled out: to ask while any host is silent, since single hosts are lost all the time.

--- a/src/primroseford/gateway/members.py
+++ b/src/primroseford/gateway/members.py
@@ -163,6 +163,18 @@
             if peer.heartbeat is not None and now - peer.heard_at > silence
         ]
 
+    def is_cut_off(self, now: float) -> bool:
+        """Return whether there are other hosts, and all are silent."""
+        silence = self.silence
+        has_others = False
+        for peer in self.peers.values():
+            if peer.heartbeat is None or peer.heartbeat.leaving:
+                continue
+            if now - peer.heard_at <= silence:
+                return False
+            has_others = True
+        return has_others
+
     def remove_lost(self, now: float) -> None:
         """Remove peers without a heartbeat for ``PEER_RETENTION_SECONDS``."""
         for host, peer in list(self.peers.items()):
--- a/src/primroseford/gateway/runner_starts.py
+++ b/src/primroseford/gateway/runner_starts.py
@@ -73,14 +73,15 @@
     """Check the instance of a runner before a request that depends on its version.
 
     A request that begins a stream or a text needs the check only at a runner that may
-    have started again, or that another host suspects.
+    have started again, or that another host suspects, or if no other host would tell.
 
     :param continues: whether the request goes on with what a version has begun
     :raises PrimrosefordError: RUNNER_UNREACHABLE or RunnerRestarted, as not run
     """
     if not gateway.is_engine(runner.entry.pool):
         return
-    if not (continues or runner.may_have_restarted or runner.suspected_by):
+    is_doubtful = runner.may_have_restarted or runner.suspected_by
+    if not (continues or is_doubtful or gateway.members.is_cut_off(gateway.clock())):
         return
     try:
         is_same = await check_start(gateway, runner)
--- a/src/primroseford/gateway/tests/test_out_of_step_hosts.py
+++ b/src/primroseford/gateway/tests/test_out_of_step_hosts.py
@@ -168,3 +168,24 @@
             site.session, host_urls(site)[OUT_OF_STEP], "/pick/x", "s.1", stream
         )
     assert stream.versions == ["v2"]
+
+
+async def test_host_out_of_step_begins_a_stream_at_a_runner_that_came_back(
+    create_versions_site,
+):
+    """Guards against a stream that is recorded with the version of an old entry.
+
+    The runner has registered as another version, and breaks the stream off.
+    """
+    site, view = await create_site(create_versions_site)
+    site.cut_off(OUT_OF_STEP, view)
+    back = await site.restart_unlisted("i-1", version="v2", **FIELDS)
+    site.register(back)
+    gateway = site.hosts[OUT_OF_STEP].gateway
+    await site.until(lambda: not gateway.members.live(gateway.clock()))
+    gateway.allocator.runners["i-2"].online += 2
+    back.faults.cut_after, back.faults.cuts = 3, 1
+    url = host_urls(site)[OUT_OF_STEP]
+    async with asyncio.timeout(AT_ONCE_SECONDS):
+        stream = await read_stream(site.session, [url], "/pick/x", "s", 1)
+    assert len(stream.versions) == 1
