--- a/src/primroseford/gateway/stream_records.py
+++ b/src/primroseford/gateway/stream_records.py
@@ -48,9 +48,9 @@
 ASK_SECONDS = 0.15
 """Time after which hosts that have not answered count as unable to: half of the
 objective for the first event of a stream."""
-LIST_SECONDS = 0.1
-"""Time for which a caller waits for the platform's list of runners, which takes some
-ms."""
+REFRESH_SECONDS = 0.1
+"""Time for which a caller waits for the platform's list of runners. The platform
+responds within some ms."""
 REFUSED_RETRY_SECONDS = 0.5
 """Retry-After of a stream that cannot be taken up here: another host may know it."""
 HOSTS_CACHE_SECONDS = 0.25
@@ -219,7 +219,7 @@
     async def _refresh_runner_list(self) -> bool:
         """Return whether the list of runners now has all earlier changes."""
         try:
-            async with asyncio.timeout(LIST_SECONDS):
+            async with asyncio.timeout(REFRESH_SECONDS):
                 await self.gateway.refresh_runner_list()
         except TimeoutError:
             log.warning("runner list not refreshed", reason="no response in time")
@@ -234,7 +234,7 @@
         origin = known.origin if known is not None else None
         question = self.questions.get(key)
         if question is None:
-            hosts = choose_asked(key, self._live_hosts() or self._known_hosts())
+            hosts = choose_asked(key, self._live_hosts() or self._silent_hosts())
             if not hosts:
                 return Lookup(origin, OriginSource.PEER)
             question = Question(len(hosts), set(hosts), origin=origin)
@@ -264,7 +264,7 @@
             self.hosts_until = now + HOSTS_CACHE_SECONDS
         return self.hosts
 
-    def _known_hosts(self) -> dict[FailureDomainId, list[HostId]]:
+    def _silent_hosts(self) -> dict[FailureDomainId, list[HostId]]:
         """Return the silent other hosts by failure domain.
 
         After a cut or a pause of this host they may answer before their heartbeats
@@ -312,10 +312,10 @@
         if question is None or host not in question.pending:
             return
         question.pending.discard(host)
-        if origin is not None:
-            if origin.replaces(question.origin):
-                question.origin = origin
-        if not question.pending or origin is not None and origin.begun:
+        if origin is not None and origin.replaces(question.origin):
+            question.origin = origin
+        is_final = origin is not None and origin.begun
+        if is_final or not question.pending:
             question.answered.set()
 
     def _answer(self, key: StreamKey) -> StreamRecord:
--- a/src/primroseford/gateway/tests/test_stream_origins.py
+++ b/src/primroseford/gateway/tests/test_stream_origins.py
@@ -26,7 +26,7 @@
 from primroseford.gateway.stream_origins import stream_key
 from primroseford.gateway.stream_records import ASK_REPEAT_SECONDS
 from primroseford.gateway.stream_records import ASK_SECONDS
-from primroseford.gateway.stream_records import LIST_SECONDS
+from primroseford.gateway.stream_records import REFRESH_SECONDS
 from primroseford.gateway.stream_records import StreamRecords
 from primroseford.ids import RequestId
 from primroseford.peer.codec import decode
@@ -307,7 +307,7 @@
     ("only_version", "listed", "store_seconds", "pools", "known"),
     [
         ("v1", "v1", 0.005, ONE_POOL, True),
-        ("v1", "v1", LIST_SECONDS - 0.001, ONE_POOL, True),
+        ("v1", "v1", REFRESH_SECONDS - 0.001, ONE_POOL, True),
         ("v1", None, 0.005, ONE_POOL, False),
         (None, None, 0.005, ONE_POOL, False),
         ("v1", "v1", UNANSWERED_SECONDS, ONE_POOL, False),
@@ -357,7 +357,7 @@
                 await records.find(RequestId(request_id), route, "")
             assert caught.value.code is ResultCode.STREAM_VERSION_UNKNOWN
             assert caught.value.outcome is Outcome.NOT_RUN
-        longest = 3 * LATENCY_SECONDS + LIST_SECONDS
+        longest = 3 * LATENCY_SECONDS + REFRESH_SECONDS
         assert loop.time() - started <= longest + 1e-9
 
     run_in_virtual_time(play())
