--- a/src/primroseford/gateway/gen/messages/ttypes.py
+++ b/src/primroseford/gateway/gen/messages/ttypes.py
@@ -138,6 +138,7 @@
      - organisation
      - admitted
      - fresh
+     - asked
 
     """
 
@@ -145,13 +146,15 @@
         'organisation',
         'admitted',
         'fresh',
+        'asked',
     )
 
 
-    def __init__(self, organisation=None, admitted=None, fresh=None,):
+    def __init__(self, organisation=None, admitted=None, fresh=None, asked=0,):
         self.organisation = organisation
         self.admitted = admitted
         self.fresh = fresh
+        self.asked = asked
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -177,6 +180,11 @@
                     self.fresh = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.asked = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -199,6 +207,10 @@
             oprot.writeFieldBegin('fresh', TType.I32, 3)
             oprot.writeI32(self.fresh)
             oprot.writeFieldEnd()
+        if self.asked is not None:
+            oprot.writeFieldBegin('asked', TType.I64, 4)
+            oprot.writeI64(self.asked)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1389,6 +1401,446 @@
         return not (self == other)
 
 
+class ColdRunner(object):
+    """
+    Attributes:
+     - runner
+     - born
+     - left_ms
+
+    """
+
+    __slots__ = (
+        'runner',
+        'born',
+        'left_ms',
+    )
+
+
+    def __init__(self, runner=None, born=None, left_ms=None,):
+        self.runner = runner
+        self.born = born
+        self.left_ms = left_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.runner = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.born = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.left_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ColdRunner')
+        if self.runner is not None:
+            oprot.writeFieldBegin('runner', TType.STRING, 1)
+            oprot.writeString(self.runner.encode('utf-8') if sys.version_info[0] == 2 else self.runner)
+            oprot.writeFieldEnd()
+        if self.born is not None:
+            oprot.writeFieldBegin('born', TType.I64, 2)
+            oprot.writeI64(self.born)
+            oprot.writeFieldEnd()
+        if self.left_ms is not None:
+            oprot.writeFieldBegin('left_ms', TType.I32, 3)
+            oprot.writeI32(self.left_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RunnerAnswers(object):
+    """
+    Attributes:
+     - runner
+     - born
+     - in_time
+     - slow
+     - failed
+
+    """
+
+    __slots__ = (
+        'runner',
+        'born',
+        'in_time',
+        'slow',
+        'failed',
+    )
+
+
+    def __init__(self, runner=None, born=None, in_time=None, slow=None, failed=None,):
+        self.runner = runner
+        self.born = born
+        self.in_time = in_time
+        self.slow = slow
+        self.failed = failed
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.runner = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.born = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.in_time = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.slow = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.failed = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RunnerAnswers')
+        if self.runner is not None:
+            oprot.writeFieldBegin('runner', TType.STRING, 1)
+            oprot.writeString(self.runner.encode('utf-8') if sys.version_info[0] == 2 else self.runner)
+            oprot.writeFieldEnd()
+        if self.born is not None:
+            oprot.writeFieldBegin('born', TType.I64, 2)
+            oprot.writeI64(self.born)
+            oprot.writeFieldEnd()
+        if self.in_time is not None:
+            oprot.writeFieldBegin('in_time', TType.I64, 3)
+            oprot.writeI64(self.in_time)
+            oprot.writeFieldEnd()
+        if self.slow is not None:
+            oprot.writeFieldBegin('slow', TType.I64, 4)
+            oprot.writeI64(self.slow)
+            oprot.writeFieldEnd()
+        if self.failed is not None:
+            oprot.writeFieldBegin('failed', TType.I64, 5)
+            oprot.writeI64(self.failed)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RunnerPace(object):
+    """
+    Attributes:
+     - runner
+     - born
+     - limit
+     - age_ms
+
+    """
+
+    __slots__ = (
+        'runner',
+        'born',
+        'limit',
+        'age_ms',
+    )
+
+
+    def __init__(self, runner=None, born=None, limit=None, age_ms=None,):
+        self.runner = runner
+        self.born = born
+        self.limit = limit
+        self.age_ms = age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.runner = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.born = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.DOUBLE:
+                    self.limit = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RunnerPace')
+        if self.runner is not None:
+            oprot.writeFieldBegin('runner', TType.STRING, 1)
+            oprot.writeString(self.runner.encode('utf-8') if sys.version_info[0] == 2 else self.runner)
+            oprot.writeFieldEnd()
+        if self.born is not None:
+            oprot.writeFieldBegin('born', TType.I64, 2)
+            oprot.writeI64(self.born)
+            oprot.writeFieldEnd()
+        if self.limit is not None:
+            oprot.writeFieldBegin('limit', TType.DOUBLE, 3)
+            oprot.writeDouble(self.limit)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 4)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RunnerSpeed(object):
+    """
+    Attributes:
+     - runner
+     - born
+     - speed
+     - responses
+     - slowness
+     - slowness_age_ms
+
+    """
+
+    __slots__ = (
+        'runner',
+        'born',
+        'speed',
+        'responses',
+        'slowness',
+        'slowness_age_ms',
+    )
+
+
+    def __init__(self, runner=None, born=None, speed=None, responses=None, slowness=None, slowness_age_ms=None,):
+        self.runner = runner
+        self.born = born
+        self.speed = speed
+        self.responses = responses
+        self.slowness = slowness
+        self.slowness_age_ms = slowness_age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.runner = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.born = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.speed = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.responses = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.slowness = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.slowness_age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RunnerSpeed')
+        if self.runner is not None:
+            oprot.writeFieldBegin('runner', TType.STRING, 1)
+            oprot.writeString(self.runner.encode('utf-8') if sys.version_info[0] == 2 else self.runner)
+            oprot.writeFieldEnd()
+        if self.born is not None:
+            oprot.writeFieldBegin('born', TType.I64, 2)
+            oprot.writeI64(self.born)
+            oprot.writeFieldEnd()
+        if self.speed is not None:
+            oprot.writeFieldBegin('speed', TType.I32, 3)
+            oprot.writeI32(self.speed)
+            oprot.writeFieldEnd()
+        if self.responses is not None:
+            oprot.writeFieldBegin('responses', TType.I32, 4)
+            oprot.writeI32(self.responses)
+            oprot.writeFieldEnd()
+        if self.slowness is not None:
+            oprot.writeFieldBegin('slowness', TType.I32, 5)
+            oprot.writeI32(self.slowness)
+            oprot.writeFieldEnd()
+        if self.slowness_age_ms is not None:
+            oprot.writeFieldBegin('slowness_age_ms', TType.I32, 6)
+            oprot.writeI32(self.slowness_age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Heartbeat(object):
     """
     Attributes:
@@ -1423,6 +1875,12 @@
      - job_scan_age_ms
      - held_parts
      - restarted_runners
+     - evacuated_domains
+     - evacuations_revision
+     - cold_runners
+     - runner_answers
+     - paces
+     - speeds
 
     """
 
@@ -1458,6 +1916,12 @@
         'job_scan_age_ms',
         'held_parts',
         'restarted_runners',
+        'evacuated_domains',
+        'evacuations_revision',
+        'cold_runners',
+        'runner_answers',
+        'paces',
+        'speeds',
     )
 
 
@@ -1469,6 +1933,11 @@
     ], leaving_runners=[
     ], has_just_started=False, jobs_stalled=False, job_scan_age_ms=2147483647, held_parts=[
     ], restarted_runners=[
+    ], evacuated_domains=[
+    ], evacuations_revision=0, cold_runners=[
+    ], runner_answers=[
+    ], paces=[
+    ], speeds=[
     ],):
         self.host = host
         self.incarnation = incarnation
@@ -1525,6 +1994,27 @@
             restarted_runners = [
             ]
         self.restarted_runners = restarted_runners
+        if evacuated_domains is self.thrift_spec[32][4]:
+            evacuated_domains = [
+            ]
+        self.evacuated_domains = evacuated_domains
+        self.evacuations_revision = evacuations_revision
+        if cold_runners is self.thrift_spec[34][4]:
+            cold_runners = [
+            ]
+        self.cold_runners = cold_runners
+        if runner_answers is self.thrift_spec[35][4]:
+            runner_answers = [
+            ]
+        self.runner_answers = runner_answers
+        if paces is self.thrift_spec[36][4]:
+            paces = [
+            ]
+        self.paces = paces
+        if speeds is self.thrift_spec[37][4]:
+            speeds = [
+            ]
+        self.speeds = speeds
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1760,6 +2250,65 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 32:
+                if ftype == TType.LIST:
+                    self.evacuated_domains = []
+                    (_etype82, _size79) = iprot.readListBegin()
+                    for _i83 in range(_size79):
+                        _elem84 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.evacuated_domains.append(_elem84)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 33:
+                if ftype == TType.I64:
+                    self.evacuations_revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 34:
+                if ftype == TType.LIST:
+                    self.cold_runners = []
+                    (_etype88, _size85) = iprot.readListBegin()
+                    for _i89 in range(_size85):
+                        _elem90 = ColdRunner()
+                        _elem90.read(iprot)
+                        self.cold_runners.append(_elem90)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 35:
+                if ftype == TType.LIST:
+                    self.runner_answers = []
+                    (_etype94, _size91) = iprot.readListBegin()
+                    for _i95 in range(_size91):
+                        _elem96 = RunnerAnswers()
+                        _elem96.read(iprot)
+                        self.runner_answers.append(_elem96)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 36:
+                if ftype == TType.LIST:
+                    self.paces = []
+                    (_etype100, _size97) = iprot.readListBegin()
+                    for _i101 in range(_size97):
+                        _elem102 = RunnerPace()
+                        _elem102.read(iprot)
+                        self.paces.append(_elem102)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 37:
+                if ftype == TType.LIST:
+                    self.speeds = []
+                    (_etype106, _size103) = iprot.readListBegin()
+                    for _i107 in range(_size103):
+                        _elem108 = RunnerSpeed()
+                        _elem108.read(iprot)
+                        self.speeds.append(_elem108)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1805,22 +2354,22 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter79 in self.loads:
-                iter79.write(oprot)
+            for iter109 in self.loads:
+                iter109.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.spending is not None:
             oprot.writeFieldBegin('spending', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.spending))
-            for iter80 in self.spending:
-                iter80.write(oprot)
+            for iter110 in self.spending:
+                iter110.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.jobs is not None:
             oprot.writeFieldBegin('jobs', TType.LIST, 11)
             oprot.writeListBegin(TType.STRUCT, len(self.jobs))
-            for iter81 in self.jobs:
-                iter81.write(oprot)
+            for iter111 in self.jobs:
+                iter111.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.reaches_store is not None:
@@ -1834,8 +2383,8 @@
         if self.ended_jobs is not None:
             oprot.writeFieldBegin('ended_jobs', TType.LIST, 14)
             oprot.writeListBegin(TType.STRING, len(self.ended_jobs))
-            for iter82 in self.ended_jobs:
-                oprot.writeString(iter82.encode('utf-8') if sys.version_info[0] == 2 else iter82)
+            for iter112 in self.ended_jobs:
+                oprot.writeString(iter112.encode('utf-8') if sys.version_info[0] == 2 else iter112)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.confirmed_ms_ago is not None:
@@ -1861,29 +2410,29 @@
         if self.crashes is not None:
             oprot.writeFieldBegin('crashes', TType.LIST, 20)
             oprot.writeListBegin(TType.STRUCT, len(self.crashes))
-            for iter83 in self.crashes:
-                iter83.write(oprot)
+            for iter113 in self.crashes:
+                iter113.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.served is not None:
             oprot.writeFieldBegin('served', TType.LIST, 21)
             oprot.writeListBegin(TType.STRUCT, len(self.served))
-            for iter84 in self.served:
-                iter84.write(oprot)
+            for iter114 in self.served:
+                iter114.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.quarantined is not None:
             oprot.writeFieldBegin('quarantined', TType.LIST, 22)
             oprot.writeListBegin(TType.STRUCT, len(self.quarantined))
-            for iter85 in self.quarantined:
-                iter85.write(oprot)
+            for iter115 in self.quarantined:
+                iter115.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.limits is not None:
             oprot.writeFieldBegin('limits', TType.LIST, 23)
             oprot.writeListBegin(TType.STRUCT, len(self.limits))
-            for iter86 in self.limits:
-                iter86.write(oprot)
+            for iter116 in self.limits:
+                iter116.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.owns_request_tokens is not None:
@@ -1893,15 +2442,15 @@
         if self.token_uses is not None:
             oprot.writeFieldBegin('token_uses', TType.LIST, 25)
             oprot.writeListBegin(TType.STRUCT, len(self.token_uses))
-            for iter87 in self.token_uses:
-                iter87.write(oprot)
+            for iter117 in self.token_uses:
+                iter117.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.leaving_runners is not None:
             oprot.writeFieldBegin('leaving_runners', TType.LIST, 26)
             oprot.writeListBegin(TType.STRUCT, len(self.leaving_runners))
-            for iter88 in self.leaving_runners:
-                iter88.write(oprot)
+            for iter118 in self.leaving_runners:
+                iter118.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.has_just_started is not None:
@@ -1919,15 +2468,54 @@
         if self.held_parts is not None:
             oprot.writeFieldBegin('held_parts', TType.LIST, 30)
             oprot.writeListBegin(TType.STRING, len(self.held_parts))
-            for iter89 in self.held_parts:
-                oprot.writeString(iter89.encode('utf-8') if sys.version_info[0] == 2 else iter89)
+            for iter119 in self.held_parts:
+                oprot.writeString(iter119.encode('utf-8') if sys.version_info[0] == 2 else iter119)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.restarted_runners is not None:
             oprot.writeFieldBegin('restarted_runners', TType.LIST, 31)
             oprot.writeListBegin(TType.STRUCT, len(self.restarted_runners))
-            for iter90 in self.restarted_runners:
-                iter90.write(oprot)
+            for iter120 in self.restarted_runners:
+                iter120.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.evacuated_domains is not None:
+            oprot.writeFieldBegin('evacuated_domains', TType.LIST, 32)
+            oprot.writeListBegin(TType.STRING, len(self.evacuated_domains))
+            for iter121 in self.evacuated_domains:
+                oprot.writeString(iter121.encode('utf-8') if sys.version_info[0] == 2 else iter121)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.evacuations_revision is not None:
+            oprot.writeFieldBegin('evacuations_revision', TType.I64, 33)
+            oprot.writeI64(self.evacuations_revision)
+            oprot.writeFieldEnd()
+        if self.cold_runners is not None:
+            oprot.writeFieldBegin('cold_runners', TType.LIST, 34)
+            oprot.writeListBegin(TType.STRUCT, len(self.cold_runners))
+            for iter122 in self.cold_runners:
+                iter122.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.runner_answers is not None:
+            oprot.writeFieldBegin('runner_answers', TType.LIST, 35)
+            oprot.writeListBegin(TType.STRUCT, len(self.runner_answers))
+            for iter123 in self.runner_answers:
+                iter123.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.paces is not None:
+            oprot.writeFieldBegin('paces', TType.LIST, 36)
+            oprot.writeListBegin(TType.STRUCT, len(self.paces))
+            for iter124 in self.paces:
+                iter124.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.speeds is not None:
+            oprot.writeFieldBegin('speeds', TType.LIST, 37)
+            oprot.writeListBegin(TType.STRUCT, len(self.speeds))
+            for iter125 in self.speeds:
+                iter125.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2035,10 +2623,10 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.heartbeats = []
-                    (_etype94, _size91) = iprot.readListBegin()
-                    for _i95 in range(_size91):
-                        _elem96 = iprot.readBinary()
-                        self.heartbeats.append(_elem96)
+                    (_etype129, _size126) = iprot.readListBegin()
+                    for _i130 in range(_size126):
+                        _elem131 = iprot.readBinary()
+                        self.heartbeats.append(_elem131)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2050,65 +2638,65 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.token_asks = []
-                    (_etype100, _size97) = iprot.readListBegin()
-                    for _i101 in range(_size97):
-                        _elem102 = TokenMessage()
-                        _elem102.read(iprot)
-                        self.token_asks.append(_elem102)
+                    (_etype135, _size132) = iprot.readListBegin()
+                    for _i136 in range(_size132):
+                        _elem137 = TokenMessage()
+                        _elem137.read(iprot)
+                        self.token_asks.append(_elem137)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.token_grants = []
-                    (_etype106, _size103) = iprot.readListBegin()
-                    for _i107 in range(_size103):
-                        _elem108 = TokenMessage()
-                        _elem108.read(iprot)
-                        self.token_grants.append(_elem108)
+                    (_etype141, _size138) = iprot.readListBegin()
+                    for _i142 in range(_size138):
+                        _elem143 = TokenMessage()
+                        _elem143.read(iprot)
+                        self.token_grants.append(_elem143)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.token_returns = []
-                    (_etype112, _size109) = iprot.readListBegin()
-                    for _i113 in range(_size109):
-                        _elem114 = TokenMessage()
-                        _elem114.read(iprot)
-                        self.token_returns.append(_elem114)
+                    (_etype147, _size144) = iprot.readListBegin()
+                    for _i148 in range(_size144):
+                        _elem149 = TokenMessage()
+                        _elem149.read(iprot)
+                        self.token_returns.append(_elem149)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.stream_records = []
-                    (_etype118, _size115) = iprot.readListBegin()
-                    for _i119 in range(_size115):
-                        _elem120 = StreamRecord()
-                        _elem120.read(iprot)
-                        self.stream_records.append(_elem120)
+                    (_etype153, _size150) = iprot.readListBegin()
+                    for _i154 in range(_size150):
+                        _elem155 = StreamRecord()
+                        _elem155.read(iprot)
+                        self.stream_records.append(_elem155)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.stream_asks = []
-                    (_etype124, _size121) = iprot.readListBegin()
-                    for _i125 in range(_size121):
-                        _elem126 = iprot.readBinary()
-                        self.stream_asks.append(_elem126)
+                    (_etype159, _size156) = iprot.readListBegin()
+                    for _i160 in range(_size156):
+                        _elem161 = iprot.readBinary()
+                        self.stream_asks.append(_elem161)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.stream_answers = []
-                    (_etype130, _size127) = iprot.readListBegin()
-                    for _i131 in range(_size127):
-                        _elem132 = StreamRecord()
-                        _elem132.read(iprot)
-                        self.stream_answers.append(_elem132)
+                    (_etype165, _size162) = iprot.readListBegin()
+                    for _i166 in range(_size162):
+                        _elem167 = StreamRecord()
+                        _elem167.read(iprot)
+                        self.stream_answers.append(_elem167)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2129,8 +2717,8 @@
         if self.heartbeats is not None:
             oprot.writeFieldBegin('heartbeats', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.heartbeats))
-            for iter133 in self.heartbeats:
-                oprot.writeBinary(iter133)
+            for iter168 in self.heartbeats:
+                oprot.writeBinary(iter168)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.wanted is not None:
@@ -2140,43 +2728,43 @@
         if self.token_asks is not None:
             oprot.writeFieldBegin('token_asks', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.token_asks))
-            for iter134 in self.token_asks:
-                iter134.write(oprot)
+            for iter169 in self.token_asks:
+                iter169.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.token_grants is not None:
             oprot.writeFieldBegin('token_grants', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.token_grants))
-            for iter135 in self.token_grants:
-                iter135.write(oprot)
+            for iter170 in self.token_grants:
+                iter170.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.token_returns is not None:
             oprot.writeFieldBegin('token_returns', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.token_returns))
-            for iter136 in self.token_returns:
-                iter136.write(oprot)
+            for iter171 in self.token_returns:
+                iter171.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.stream_records is not None:
             oprot.writeFieldBegin('stream_records', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.stream_records))
-            for iter137 in self.stream_records:
-                iter137.write(oprot)
+            for iter172 in self.stream_records:
+                iter172.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.stream_asks is not None:
             oprot.writeFieldBegin('stream_asks', TType.LIST, 8)
             oprot.writeListBegin(TType.STRING, len(self.stream_asks))
-            for iter138 in self.stream_asks:
-                oprot.writeBinary(iter138)
+            for iter173 in self.stream_asks:
+                oprot.writeBinary(iter173)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.stream_answers is not None:
             oprot.writeFieldBegin('stream_answers', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.stream_answers))
-            for iter139 in self.stream_answers:
-                iter139.write(oprot)
+            for iter174 in self.stream_answers:
+                iter174.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2217,6 +2805,7 @@
     (1, TType.STRING, 'organisation', 'UTF8', None, ),  # 1
     (2, TType.I64, 'admitted', None, None, ),  # 2
     (3, TType.I32, 'fresh', None, None, ),  # 3
+    (4, TType.I64, 'asked', None, 0, ),  # 4
 )
 all_structs.append(JobProgress)
 JobProgress.thrift_spec = (
@@ -2307,6 +2896,40 @@
     (5, TType.I32, 'ttl_ms', None, None, ),  # 5
     (6, TType.BOOL, 'begun', None, None, ),  # 6
 )
+all_structs.append(ColdRunner)
+ColdRunner.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'runner', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'born', None, None, ),  # 2
+    (3, TType.I32, 'left_ms', None, None, ),  # 3
+)
+all_structs.append(RunnerAnswers)
+RunnerAnswers.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'runner', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'born', None, None, ),  # 2
+    (3, TType.I64, 'in_time', None, None, ),  # 3
+    (4, TType.I64, 'slow', None, None, ),  # 4
+    (5, TType.I64, 'failed', None, None, ),  # 5
+)
+all_structs.append(RunnerPace)
+RunnerPace.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'runner', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'born', None, None, ),  # 2
+    (3, TType.DOUBLE, 'limit', None, None, ),  # 3
+    (4, TType.I32, 'age_ms', None, None, ),  # 4
+)
+all_structs.append(RunnerSpeed)
+RunnerSpeed.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'runner', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'born', None, None, ),  # 2
+    (3, TType.I32, 'speed', None, None, ),  # 3
+    (4, TType.I32, 'responses', None, None, ),  # 4
+    (5, TType.I32, 'slowness', None, None, ),  # 5
+    (6, TType.I32, 'slowness_age_ms', None, None, ),  # 6
+)
 all_structs.append(Heartbeat)
 Heartbeat.thrift_spec = (
     None,  # 0
@@ -2349,6 +2972,17 @@
     ], ),  # 30
     (31, TType.LIST, 'restarted_runners', (TType.STRUCT, [RestartedRunner, None], False), [
     ], ),  # 31
+    (32, TType.LIST, 'evacuated_domains', (TType.STRING, 'UTF8', False), [
+    ], ),  # 32
+    (33, TType.I64, 'evacuations_revision', None, 0, ),  # 33
+    (34, TType.LIST, 'cold_runners', (TType.STRUCT, [ColdRunner, None], False), [
+    ], ),  # 34
+    (35, TType.LIST, 'runner_answers', (TType.STRUCT, [RunnerAnswers, None], False), [
+    ], ),  # 35
+    (36, TType.LIST, 'paces', (TType.STRUCT, [RunnerPace, None], False), [
+    ], ),  # 36
+    (37, TType.LIST, 'speeds', (TType.STRUCT, [RunnerSpeed, None], False), [
+    ], ),  # 37
 )
 all_structs.append(Bundle)
 Bundle.thrift_spec = (
--- a/src/primroseford/gateway/messages.thrift
+++ b/src/primroseford/gateway/messages.thrift
@@ -13,6 +13,9 @@
   1: string organisation
   2: i64 admitted
   3: i32 fresh
+  // Requests that asked for a token since the start of the host, refused ones included;
+  // 0 if its software version does not tell.
+  4: i64 asked = 0
 }
 
 struct JobProgress {
@@ -115,6 +118,44 @@
   6: bool begun
 }
 
+// A runner that tolerates few requests a second, since it has started lately.
+struct ColdRunner {
+  1: string runner
+  2: i64 born
+  3: i32 left_ms
+}
+
+// Responses of a runner to the host since the host's start, by what they say of its load.
+struct RunnerAnswers {
+  1: string runner
+  2: i64 born
+  3: i64 in_time
+  4: i64 slow
+  // Failures and refusals.
+  5: i64 failed
+}
+
+// Requests that a runner may have in flight from all hosts together, as its owner sets it.
+struct RunnerPace {
+  1: string runner
+  2: i64 born
+  3: double limit
+  4: i32 age_ms
+}
+
+// Speed of a runner as the host has measured it, in hundredths of the usual one.
+struct RunnerSpeed {
+  1: string runner
+  2: i64 born
+  3: i32 speed
+  // Number of responses behind it.
+  4: i32 responses
+  // Time that work takes there at the moment, in hundredths of the usual one; 0 if the
+  // runner has not told it.
+  5: i32 slowness
+  6: i32 slowness_age_ms
+}
+
 struct Heartbeat {
   1: string host
   2: string incarnation
@@ -162,6 +203,14 @@
   // Quarantined prompt parts of the host's waiting batch items.
   30: list<string> held_parts = []
   31: list<RestartedRunner> restarted_runners = []
+  // Failure domains that get no new work, and the revision of the store at which the
+  // operator's list was so; 0 if the host does not know it.
+  32: list<string> evacuated_domains = []
+  33: i64 evacuations_revision = 0
+  34: list<ColdRunner> cold_runners = []
+  35: list<RunnerAnswers> runner_answers = []
+  36: list<RunnerPace> paces = []
+  37: list<RunnerSpeed> speeds = []
 }
 
 // Heartbeats that the relay of a failure domain forwards, encoded by their senders.
