--- a/src/primroseford/gateway/evacuations.py
+++ b/src/primroseford/gateway/evacuations.py
@@ -15,7 +15,7 @@
     from primroseford.gateway.gen.messages.ttypes import Heartbeat
 
 MAX_REPORTED_DOMAINS = 40
-"""Failure domains in one heartbeat, which must fit a datagram. The largest plan has 21."""
+"""Failure domains in one heartbeat, which must fit a datagram; the plan has 21."""
 
 
 class EvacuationChange(NamedTuple):
