Report files that cannot be parsed without traceback or excerpt

Cause: check ended with a traceback or exit code 1 for YAML with an invalid value under an explicit tag, for deep nesting and for names with half a surrogate pair. The parser's message repeated a line of the file, which may hold a key. Output escapes surrogates.

--- a/src/primroseford/cli/base.py
+++ b/src/primroseford/cli/base.py
@@ -110,8 +110,12 @@
         return int(Exit.USAGE if usage.startswith("--") else exit_for(error))
 
     def write_plain(self, text: str, to_error: bool = False) -> None:
-        """Print a line without cleo's markup, which a name could contain."""
+        """Print a line without cleo's markup, which a name could contain.
+
+        Halves of surrogate pairs, which JSON and file names can have, are escaped.
+        """
         output = self.io.error_output if to_error else self.io.output
+        text = text.encode("utf-8", "backslashreplace").decode()
         output.write(text.replace("<", "\\<"), new_line=True)
 
     def required_option(self, name: str) -> str:
--- a/src/primroseford/cli/tests/test_cli.py
+++ b/src/primroseford/cli/tests/test_cli.py
@@ -139,6 +139,25 @@
         assert field in fields
 
 
+@pytest.mark.parametrize(
+    "content",
+    [
+        'a: !!int ""',
+        "a: !!timestamp x",
+        "a: " + "[" * 5_000,
+        'kind: Route\nname: "\\ud800"',
+        "kind: [key-of-caroni",
+    ],
+)
+async def test_check_reports_unparseable_files(tmp_path, content):
+    """Guards against tracebacks, and against excerpts of files that may hold keys."""
+    (tmp_path / "a.yaml").write_text(content)
+    code, output, error = await run(f"check {tmp_path}")
+    assert (code, error) == (Exit.INVALID, "")
+    assert output and "key-of-caroni" not in output
+    output.encode()
+
+
 async def test_apply_waits_and_lists_unconfirmed_hosts(platform, monkeypatch):
     """Guards against a wait that ends before the edit is in force on all hosts."""
     stand_in, url = platform
