Check the platform's configuration before it is sent

Cause: operators had no way to check a configuration before hosts read it; check knew only the product's own tables.

--- a/src/primroseford/cli/exits.py
+++ b/src/primroseford/cli/exits.py
@@ -14,7 +14,7 @@
     :cvar OK: 0, success; for ``diff``, no differences
     :cvar FAILED: 1, failed for a reason without its own exit code
     :cvar USAGE: 2, invalid arguments, or an address or key is missing
-    :cvar INVALID: 3, the tables or settings are not valid
+    :cvar INVALID: 3, the tables, settings or configuration are not valid
     :cvar CONFLICT: 4, a concurrent edit of another operator was written first
     :cvar UNAVAILABLE: 5, the platform's service or a host does not respond
     :cvar REFUSED: 6, the key is missing, withdrawn or not authorised
--- a/src/primroseford/cli/render.py
+++ b/src/primroseford/cli/render.py
@@ -12,6 +12,7 @@
     from primroseford.configuration.apply import FieldChange
     from primroseford.configuration.apply import Step
     from primroseford.configuration.apply import StepOutcome
+    from primroseford.platform.configuration_difference import Difference
     from primroseford.platform.objects import PlatformObject
 
 RESULT_TEXTS = {
@@ -46,6 +47,22 @@
     }
 
 
+def difference_lines(difference: Difference) -> list[str]:
+    """Return the text output of a difference between two configurations."""
+    title = f"{difference.kind.value} {difference.part} {difference.name}".rstrip()
+    return [title, *change_lines(difference.changes)]
+
+
+def difference_body(difference: Difference) -> dict[str, Any]:
+    """Return the JSON output of a difference between two configurations."""
+    return {
+        "kind": difference.kind.value,
+        "part": difference.part,
+        "name": difference.name,
+        "changes": _change_bodies(difference.changes),
+    }
+
+
 def outcome_lines(outcome: StepOutcome) -> list[str]:
     """Return the text output of an executed write."""
     step = outcome.step
--- a/src/primroseford/configuration/check.py
+++ b/src/primroseford/configuration/check.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass
 from dataclasses import field
+from enum import Enum
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -30,6 +31,17 @@
 }
 
 
+class Severity(Enum):
+    """Whether a problem prevents that the checked document is used.
+
+    :cvar ERROR: the document must not be used
+    :cvar WARNING: the document works, but hardly as intended
+    """
+
+    ERROR = "error"
+    WARNING = "warning"
+
+
 @dataclass(frozen=True)
 class Problem:
     """One problem in the tables.
@@ -44,9 +56,12 @@
     field: str
     message: str
     hint: str = ""
+    severity: Severity = Severity.ERROR
 
     def __str__(self) -> str:
         text = f"[{int(self.code)}] {self.field}: {self.message}"
+        if self.severity is Severity.WARNING:
+            text = f"Warning {text}"
         return f"{text} Hint: {self.hint}" if self.hint else text
 
 
--- a/src/primroseford/platform/configuration.py
+++ b/src/primroseford/platform/configuration.py
@@ -49,13 +49,13 @@
     if "tenants" in spec:
         keys = {}
         for tenant in spec["tenants"]:
-            organisation = _decode_organisation(tenant)
+            organisation = decode_organisation(tenant)
             organisations[organisation.name] = organisation
             for key in tenant.get("api_keys", ()):
                 keys[key] = organisation.name
     return Tables(
         Version(int(spec["version"])),
-        tuple(_decode_route(route) for route in spec["routes"]),
+        tuple(decode_route(route) for route in spec["routes"]),
         pools,
         organisations,
         keys,
@@ -63,7 +63,11 @@
     )
 
 
-def _decode_route(route: JsonObject) -> Route:
+def decode_route(route: JsonObject) -> Route:
+    """Decode a route.
+
+    :raises Exception: one of ``DECODING_ERRORS`` if the route is malformed
+    """
     # A route has either weighted ``backends`` or a single ``service``.
     split = route.get("backends") or [{"service": route["service"], "weight": 1}]
     pools = tuple((PoolName(p["service"]), float(p["weight"])) for p in split)
@@ -95,7 +99,11 @@
     )
 
 
-def _decode_organisation(tenant: JsonObject) -> Organisation:
+def decode_organisation(tenant: JsonObject) -> Organisation:
+    """Decode an organisation.
+
+    :raises Exception: one of ``DECODING_ERRORS`` if the organisation is malformed
+    """
     priority = tenant.get("priority")
     return Organisation(
         OrganisationId(tenant["name"]),
--- a/src/primroseford/platform/tests/test_fuzz.py
+++ b/src/primroseford/platform/tests/test_fuzz.py
@@ -13,7 +13,10 @@
 from hypothesis import strategies as st
 from multidict import CIMultiDict
 
+from primroseford.cli.render import difference_body
+from primroseford.cli.render import difference_lines
 from primroseford.errors import PrimrosefordError
+from primroseford.errors import ResultCode
 from primroseford.gateway.affinity import prefix_cache_key
 from primroseford.gateway.gen.messages.ttypes import Bundle
 from primroseford.gateway.gen.messages.ttypes import Heartbeat
@@ -24,6 +27,10 @@
 from primroseford.peer.codec import encode
 from primroseford.platform.client import PlatformClient
 from primroseford.platform.configuration import decode_tables
+from primroseford.platform.configuration_check import check_configuration
+from primroseford.platform.configuration_check import is_configuration
+from primroseford.platform.configuration_check import read_configuration
+from primroseford.platform.configuration_difference import diff_configurations
 from primroseford.platform.headers import PROMPT_PARTS
 from primroseford.platform.job_calls import decode_job_call
 from primroseford.platform.job_calls import decode_submission
@@ -264,3 +271,25 @@
     body = LIST_RESPONSE | {"has_more": True}
     with pytest.raises(PrimrosefordError):
         await PlatformClient(FixedTransport(body)).list("kind")
+
+
+DOCUMENTS = (
+    mutated(configuration())
+    | mutated({"metadata": {"name": "main"}, "spec": configuration()})
+    | VALUES
+)
+
+
+@given(DOCUMENTS, DOCUMENTS)
+def test_fuzz_configuration_check(document, in_force):
+    """Guards against a document that the check can't report on."""
+    document, in_force = read_configuration(document), read_configuration(in_force)
+    is_configuration(document)
+    problems = check_configuration(document, "f", in_force)
+    # MALFORMED means that the decoder rejects what the check of the fields accepts.
+    assert all(p.code is not ResultCode.MALFORMED for p in problems)
+    differences = diff_configurations(in_force, document)
+    bodies = [difference_body(difference) for difference in differences]
+    text = json.dumps(bodies, allow_nan=False) + "".join(map(str, problems))
+    text += "".join(line for d in differences for line in difference_lines(d))
+    assert text.isprintable()
