Keep the requests to cold runners within their limit

Cause: no code read cold times. Checks of cold runners count as well: only the owner makes them, and others rely on its result. A runner is cold by its entry, its health response, its start, a suspicion, the end of an evacuation or a report of another host. With cold_per_s 0 nothing is limited.

--- a/src/primroseford/gateway/heartbeat.py
+++ b/src/primroseford/gateway/heartbeat.py
@@ -289,6 +289,7 @@
         heartbeat.held_parts = gateway.trial_turns.reported()
         gateway.request_limiter.fill_heartbeat(heartbeat)
         gateway.evacuations.fill_heartbeat(heartbeat)
+        gateway.cold.fill_heartbeat(heartbeat)
         leaving = gateway.allocator.leaving
         heartbeat.leaving_runners = leaving.reports(gateway.clock())
         heartbeat.restarted_runners = reported_restarts(
@@ -300,7 +301,8 @@
         now = self.gateway.clock()
         loads = []
         for name, runner in self.gateway.allocator.runners.items():
-            suspected = runner.suspect_until > now or runner.may_have_restarted
+            in_doubt = runner.may_have_restarted and self.gateway.cold.checks(runner)
+            suspected = runner.suspect_until > now or in_doubt
             indirect = runner.entry.address in self.gateway.paths.indirect
             if runner.online or runner.batch or suspected or indirect:
                 load = RunnerLoad(name, runner.online, runner.batch, suspected)
@@ -369,6 +371,8 @@
             log.info("host sends heartbeats again", peer=host)
         elif previous is None:
             log.info("host joined", peer=host, address=heartbeat.address)
+        # Compares the suspicions with those of the heartbeat before.
+        gateway.cold.apply_heartbeat(heartbeat)
         gateway.allocator.apply_heartbeat(heartbeat)
         apply_heartbeat(gateway.quarantine, heartbeat)
         gateway.request_limiter.apply_heartbeat(heartbeat)
--- a/src/primroseford/gateway/host.py
+++ b/src/primroseford/gateway/host.py
@@ -123,6 +123,8 @@
             random,
             GatewayMetrics(self.metrics),
         )
+        gateway.cold.excess = settings.cold_excess
+        gateway.cold.slack = settings.cold_slack
         runner_session.connector.open = gateway.paths.open
         self.tunnels = TunnelServer(
             lambda address: gateway.paths.connect(address),
--- a/src/primroseford/gateway/platform_watcher.py
+++ b/src/primroseford/gateway/platform_watcher.py
@@ -279,6 +279,7 @@
             if gateway.tables and tables.version <= gateway.tables.version:
                 continue
             gateway.tables = tables
+            gateway.cold.configure(tables.pools)
             log.info(
                 "configuration in force",
                 version=tables.version,
--- a/src/primroseford/gateway/request_limiter.py
+++ b/src/primroseford/gateway/request_limiter.py
@@ -51,6 +51,7 @@
     from primroseford.gateway.state import Gateway
     from primroseford.ids import PoolName
     from primroseford.ids import SoftwareVersion
+    from primroseford.request_limits.bounds import TokenBound
 
 MIN_ASK_INTERVAL_SECONDS = 0.1
 """Shortest interval at which a waiting host repeats its message to an owner. In a large
@@ -66,6 +67,9 @@
 MAX_GRANTER_ID = 2**62
 MAX_TOKENS = 1000
 """Largest number of tokens in one message."""
+COLD_RATE = 0.0
+"""Rate in messages for the tokens of a cold runner that names no limit. An owner of an
+earlier release grants none."""
 
 log = structlog.get_logger()
 
@@ -117,7 +121,7 @@
             self._log_change(key, self.gateway.members.own)
             if is_new or notice.request_limit is None:
                 self.announce()
-            self._apply_change(runner)
+            self.end_limit(key)
 
     def _log_change(self, key: RunnerKey, host: HostId) -> None:
         rate = self.limits.rate(key)
@@ -131,10 +135,9 @@
             sum(known.rate is not None for known in self.limits.newest.values())
         )
 
-    def _apply_change(self, runner: RunnerState) -> None:
-        """Let waiting requests use a runner that has ended its limit."""
-        key = runner.entry.key
-        if self.limits.rate(key) is None:
+    def end_limit(self, key: RunnerKey) -> None:
+        """Let waiting requests use a runner if it has no limit any more."""
+        if not self.tokens.is_limited(key):
             self.asks.pop(key, None)
             self.tokens.take_all(key)
             self.tokens.take_all(key, batch=True)
@@ -145,18 +148,25 @@
         """Interval in seconds at which messages to an owner are repeated."""
         return max(MIN_ASK_INTERVAL_SECONDS, self.gateway.members.interval)
 
-    def _count_others(self, runner: RunnerKey) -> int:
-        """Return how many tokens of other owners all hosts report to have used."""
-        own_uses = self.tokens.count_used(runner)
+    def _count_others(self, runner: RunnerKey, seconds: float) -> int:
+        """Return how many tokens of other owners all hosts report to have used.
+
+        :param seconds: length of the window
+        """
+        own_uses = self.tokens.count_used(runner, seconds)
         own_uses.pop(self.granter, None)
         now = self.gateway.clock()
-        peers = self.peer_uses.count_others(runner, self.granter, now)
+        peers = self.peer_uses.count_others(runner, self.granter, now, seconds)
         return own_uses.total() + peers
 
-    def _owned_rate(self, rate: float) -> float:
-        """Return the part of a limit that this side of a network partition may use."""
+    def _bounds(self, key: RunnerKey, rate: float | None) -> tuple[TokenBound, ...]:
+        """Return the bounds that this side of a network partition may use.
+
+        :param rate: limit that the runner names, in requests per second
+        """
         quotas = self.gateway.quotas
-        return rate * (1 - quotas.silent / max(1, quotas.hosts))
+        share = 1 - quotas.silent / max(1, quotas.hosts)
+        return self.tokens.bounds(key, rate, share)
 
     def ask_for_pool(self, pool: PoolName) -> None:
         """Ask for tokens for the online requests that wait for a slot of a pool."""
@@ -223,22 +233,22 @@
         if self.ownership.is_owner(key):
             self._serve(key, owner, count, batch, rate)
             return
-        message = TokenMessage(key.name, key.born, count, batch, rate)
+        message = TokenMessage(key.name, key.born, count, batch, rate or COLD_RATE)
         self.send(owner, Bundle(self.gateway.members.own, [], token_asks=[message]))
 
     def _serve(
-        self, key: RunnerKey, host: HostId, count: int, batch: bool, rate: float
+        self, key: RunnerKey, host: HostId, count: int, batch: bool, rate: float | None
     ) -> None:
         """Grant tokens as the owner of a runner."""
-        if not self.ownership.may_grant():
-            return
         now = self.gateway.clock()
-        rate = self._owned_rate(rate)
+        bounds = self._bounds(key, rate)
+        if not bounds or not self.ownership.may_grant():
+            return
         if batch:
-            grants = self.owner.ask_for_batch(key, host, rate, now)
+            grants = self.owner.ask_for_batch(key, host, bounds, now)
         else:
             until = now + WAIT_INTERVALS * self.ask_interval
-            grants = self.owner.ask(key, host, count, rate, now, until)
+            grants = self.owner.ask(key, host, count, bounds, now, until)
         self._deliver(grants, batch)
 
     def _deliver(self, grants: Iterable[Grant], batch: bool = False) -> None:
@@ -291,10 +301,14 @@
             key = self._listed_key(message)
             if key is None or not self.ownership.is_owner(key):
                 continue
-            rate = message.rate
-            if rate is None or not 0 < rate < math.inf:
+            rate = message.rate or COLD_RATE
+            if rate == COLD_RATE:
+                if not self.gateway.cold.note_ask(key, host):
+                    continue
+                rate = self.limits.rate(key)
+            elif not 0 < rate < math.inf:
                 continue
-            if key not in self.limits.newest:
+            elif key not in self.limits.newest:
                 # The asking host's response has not been reported to this host yet.
                 self.limits.merge(key, rate, self.gateway.clock() - END_MARGIN_SECONDS)
             self._serve(key, host, _bounded(message), bool(message.batch), rate)
@@ -319,23 +333,47 @@
             return None
         return key
 
-    def may_probe(self, runner: RunnerState) -> bool:
-        """Return whether this host may send a health check to a runner now.
+    def may_probe(self, runner: RunnerState, requests: int = 1) -> bool:
+        """Return whether this host may send health checks to a runner now.
 
         Only the owner checks a runner with a limit, and counts the check.
+
+        :param requests: number of requests that a check consists of; all of them count
+            at a cold runner
         """
         key = runner.entry.key
-        rate = self.limits.rate(key)
-        if rate is None:
+        if not self.tokens.is_limited(key):
             return True
         if not self.ownership.is_owner(key) or not self.ownership.may_grant():
             return False
         now = self.gateway.clock()
-        return self.owner.take_spare(key, self._owned_rate(rate), now)
+        bounds = self._bounds(key, self.limits.rate(key))
+        count = requests if self.tokens.is_cold(key) else 1
+        return self.owner.take_spare(key, bounds, now, count)
+
+    def take_check(self, runner: RunnerState, continues: bool) -> bool:
+        """Use a token for the report of a cold runner; return whether it may be asked.
+
+        :param continues: whether the request goes on with what a version has begun,
+            and may find no other runner of it; it needs no token, and is counted
+        """
+        key = runner.entry.key
+        if not self.tokens.is_cold(key):
+            return True
+        if not self.tokens.count(key) and self.may_probe(runner):
+            self.tokens.add(key, 1, self.granter)
+        if self.tokens.count(key):
+            self.tokens.spend(key)
+        elif continues:
+            self.tokens.charge(key)
+        else:
+            return False
+        return True
 
     def step(self) -> None:
         """Grant due tokens, repeat messages, and return unused tokens."""
-        if not self.limits.newest and not self.owner.windows:
+        self.gateway.cold.step()
+        if not self._limited() and not self.owner.windows:
             return
         now = self.gateway.clock()
         self.peer_uses.forget(now)
@@ -353,18 +391,23 @@
 
     def _open_windows(self, now: float) -> None:
         """Keep a window for each runner with a limit that this host owns."""
-        self.ownership.forget(self.limits.newest.keys())
+        limited = self._limited()
+        self.ownership.forget(limited)
         owned = {
-            key: known.rate
-            for key, known in self.limits.newest.items()
-            if known.rate is not None and self.ownership.is_owner(key)
+            key
+            for key in limited
+            if self.tokens.is_limited(key) and self.ownership.is_owner(key)
         }
-        for key in self.owner.windows.keys() - owned.keys():
+        for key in self.owner.windows.keys() - owned:
             self.owner.leave(key, now)
         if not self.ownership.may_grant():
             return
-        for key, rate in owned.items():
-            self.owner.open_window(key, self._owned_rate(rate))
+        for key in owned:
+            self.owner.open_window(key, self._bounds(key, self.limits.rate(key)))
+
+    def _limited(self) -> set[RunnerKey]:
+        """Return the runners that may have a limit of any kind."""
+        return self.limits.newest.keys() | self.tokens.cold.periods.keys()
 
     def _is_waiting(self, key: RunnerKey) -> bool:
         """Return whether a request waits that could use a token of a runner."""
@@ -388,7 +431,9 @@
         heartbeat.token_uses = [
             TokenUse(key.name, key.born, count, granter)
             for key in list(self.tokens.used)
-            for granter, count in self.tokens.count_used(key).items()
+            for granter, count in self.tokens.count_used(
+                key, self.tokens.reported_seconds(key)
+            ).items()
         ]
 
     def apply_heartbeat(self, heartbeat: Heartbeat) -> None:
@@ -411,7 +456,7 @@
             age = max(0, limit.age_ms or 0) / 1000
             if self.limits.merge(key, rate or None, now - age):
                 self._log_change(key, HostId(heartbeat.host))
-                self._apply_change(runner)
+                self.end_limit(key)
 
 
 class RequestLimiterService(Service):
--- a/src/primroseford/gateway/runner_starts.py
+++ b/src/primroseford/gateway/runner_starts.py
@@ -76,13 +76,21 @@
     have started again, or that another host suspects, or if no other host would tell.
 
     :param continues: whether the request goes on with what a version has begun
-    :raises PrimrosefordError: RUNNER_UNREACHABLE or RunnerRestarted, as not run
+    :raises PrimrosefordError: RUNNER_UNREACHABLE, POOL_UNAVAILABLE or RunnerRestarted,
+        as not run
     """
     if not gateway.is_engine(runner.entry.pool):
         return
-    is_doubtful = runner.may_have_restarted or runner.suspected_by
+    may_have_restarted = runner.may_have_restarted and not gateway.cold.is_vouched(
+        runner
+    )
+    is_doubtful = may_have_restarted or runner.suspected_by
     if not (continues or is_doubtful or gateway.members.is_cut_off(gateway.clock())):
         return
+    if not gateway.request_limiter.take_check(runner, continues):
+        raise PrimrosefordError(
+            ResultCode.POOL_UNAVAILABLE, "the cold runner cannot be asked for its start"
+        )
     try:
         is_same = await check_start(gateway, runner)
     except (*EXCHANGE_ERRORS, TimeoutError) as error:
--- a/src/primroseford/gateway/runners.py
+++ b/src/primroseford/gateway/runners.py
@@ -70,6 +70,7 @@
     """Entry of the runner list.
 
     :param slots: requests that the runner processes concurrently
+    :param cold_seconds: time for which it stays cold after the entry was written
     """
 
     key: RunnerKey
@@ -79,6 +80,7 @@
     slots: int
     stage: RunnerStage
     version: SoftwareVersion
+    cold_seconds: float = 0.0
 
     @property
     def is_unlisted(self) -> bool:
--- a/src/primroseford/gateway/slot_allocator.py
+++ b/src/primroseford/gateway/slot_allocator.py
@@ -79,6 +79,7 @@
     :ivar evacuated: failure domains whose runners get no new work
     :ivar versions: software versions that the pools have had lately
     :ivar on_waiting: called with a pool when a request begins to wait for a slot
+    :ivar on_entries: called with a list of runners before it replaces the known one
     """
 
     def __init__(self, domain: FailureDomainId, clock: Clock, random: Random) -> None:
@@ -99,6 +100,9 @@
         self.evacuated = Evacuations()
         self.versions = VersionHistory(clock)
         self.on_waiting: Callable[[PoolName], None] = lambda pool: None
+        self.on_entries: Callable[[dict[RunnerName, RunnerEntry]], None] = (
+            lambda entries: None
+        )
 
     @property
     def hosts(self) -> int:
@@ -107,6 +111,7 @@
 
     def set_runners(self, entries: dict[RunnerName, RunnerEntry]) -> None:
         """Replace the list of runners; a restarted runner loses its previous state."""
+        self.on_entries(entries)
         for name in [n for n in self.runners if n not in entries]:
             del self.runners[name]
         for name, entry in entries.items():
@@ -197,7 +202,7 @@
     def load(self, runner: RunnerState) -> RunnerLoad:
         """Return the load of a runner, with the effect of its request limit."""
         load = runner.load()
-        rate = self.tokens.limits.rate(runner.entry.key)
+        rate = self.tokens.rate(runner.entry.key)
         if rate is None:
             return load
         seconds = self.service_seconds.get(runner.entry.pool, SERVICE_SECONDS)
--- a/src/primroseford/gateway/state.py
+++ b/src/primroseford/gateway/state.py
@@ -10,6 +10,7 @@
 
 from primroseford.errors import PrimrosefordError
 from primroseford.errors import ResultCode
+from primroseford.gateway.cold_watch import ColdWatch
 from primroseford.gateway.crash_detector import CrashDetector
 from primroseford.gateway.exchange import RunnerReplaced
 from primroseford.gateway.exchange import is_full
@@ -121,6 +122,10 @@
         self.limited_runners = metrics.gauge(
             "gateway_limited_runners", "Runners that limit the requests they accept"
         )
+        self.cold_runners = metrics.gauge(
+            "gateway_cold_runners",
+            "Runners that are cold, so that they get few requests",
+        )
         self.tokens = metrics.counter(
             "gateway_request_tokens_total",
             "Tokens for requests to such runners, by what became of them",
@@ -163,7 +168,8 @@
     :ivar quarantine: prompt parts that crash runners
     :ivar trial_turns: turns of this host to try them
     :ivar crash_detector: detects such crashes
-    :ivar request_limiter: keeps requests within the limits that runners name
+    :ivar request_limiter: keeps requests within the limits of the runners
+    :ivar cold: cold runners
     :ivar paths: ways to the runners
     :ivar streams: pool and software version that began each stream
     :ivar open_requests: online requests in progress
@@ -212,6 +218,7 @@
         self.quarantine.on_quarantine = self._refuse_waiting
         self.crash_detector = CrashDetector(self)
         self.request_limiter = RequestLimiter(self)
+        self.cold = ColdWatch(self)
         self.streams = StreamRecords(self)
         self.paths = RunnerPaths(self)
         self.open_requests: set[RequestContext] = set()
@@ -315,6 +322,7 @@
             log.warning(
                 "runner counts as failed", runner=runner.entry.key.name, why=why
             )
+        self.cold.note_suspicion(runner)
 
     def note_notice(self, runner: RunnerState, notice: RunnerNotice) -> None:
         """Apply what a runner said about itself; log it if it has changed."""
@@ -363,6 +371,7 @@
         if change is None:
             return
         self.metrics.evacuated_domains.set(len(self.evacuations.since))
+        self.cold.note_evacuation_ends(change.ended)
         allocator = self.allocator
         allocator.list_ready()
         # Tells the other hosts with the next heartbeat.
--- a/src/primroseford/gateway/tables.py
+++ b/src/primroseford/gateway/tables.py
@@ -76,11 +76,16 @@
 
     :param is_engine: whether the runners are model engines
     :param health_path: path of their health check
+    :param cold_seconds: time for which a runner is cold after it starts
+    :param cold_rate: requests per second that it tolerates then; 0 if the runners have
+        no cold period
     """
 
     name: PoolName
     is_engine: bool
     health_path: str
+    cold_seconds: float = 0.0
+    cold_rate: float = 0.0
 
 
 @dataclass(frozen=True)
--- a/src/primroseford/gateway/token_ownership.py
+++ b/src/primroseford/gateway/token_ownership.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from primroseford.gateway.rendezvous import ranked
-from primroseford.request_limits.owner import WINDOW_SECONDS
+from primroseford.request_limits.bounds import WINDOW_SECONDS
 
 if TYPE_CHECKING:
     from collections.abc import Collection
--- a/src/primroseford/gateway/watchdog.py
+++ b/src/primroseford/gateway/watchdog.py
@@ -13,6 +13,7 @@
 from primroseford.gateway.periodic import run_periodically
 from primroseford.gateway.retry import ANSWER_SILENCE_LATENCIES
 from primroseford.gateway.runner_starts import check_start
+from primroseford.platform.runner_calls import decode_cold_seconds
 
 if TYPE_CHECKING:
     from primroseford.gateway.runner_state import RunnerState
@@ -106,13 +107,16 @@
                 return
             if runner.entry.failure_domain in self.gateway.evacuations:
                 return
-            needs_health = is_failed and after > 0
+            # A cold runner states its remaining time in its health response.
+            is_cold = self.gateway.allocator.tokens.is_cold(runner.entry.key)
+            needs_health = (is_failed or is_cold) and after > 0
             after = PROBE_SECONDS
-            if not self.gateway.request_limiter.may_probe(runner):
+            is_engine = self.gateway.is_engine(runner.entry.pool)
+            requests = needs_health + is_engine
+            if not self.gateway.request_limiter.may_probe(runner, requests):
                 continue
             try:
                 status = await self._check_health(runner) if needs_health else None
-                is_engine = self.gateway.is_engine(runner.entry.pool)
                 is_same = not is_engine or await check_start(self.gateway, runner)
             except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
                 log.info("probe failed", runner=name, reason=repr(error))
@@ -136,4 +140,5 @@
         url = URL(f"http://{runner.entry.address}{path}", encoded=True)
         timeout = aiohttp.ClientTimeout(total=PROBE_SECONDS)
         async with self.gateway.session.get(url, timeout=timeout) as answer:
+            self.gateway.cold.note_statement(runner, decode_cold_seconds(answer))
             return answer.status
--- a/src/primroseford/platform/configuration.py
+++ b/src/primroseford/platform/configuration.py
@@ -18,12 +18,15 @@
 from primroseford.ids import RouteName
 from primroseford.ids import Version
 from primroseford.platform.objects import DECODING_ERRORS
+from primroseford.request_limits.cold_runners import MAX_COLD_SECONDS
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
 CONFIGURATION_KIND = "config"
 CONFIGURATION_NAME = "main"
+MAX_COLD_RATE = 1e6
+"""Largest rate of a cold runner in requests per second."""
 
 JsonObject = dict[str, Any]
 
@@ -92,9 +95,22 @@
         PoolName(service["name"]),
         bool(service.get("engine")),
         service.get("health_path", "/health"),
+        _decode_bounded(service.get("cold_start_s"), MAX_COLD_SECONDS),
+        _decode_bounded(service.get("cold_per_s"), MAX_COLD_RATE),
     )
 
 
+def _decode_bounded(value: Any, largest: float) -> float:
+    """Return an optional number; 0 if it is absent.
+
+    :raises ValueError: if it is not a number from 0 to the largest one
+    """
+    number = float(value or 0)
+    if not 0 <= number <= largest:
+        raise ValueError("a number of a service is out of range")
+    return number
+
+
 def _decode_organisation(tenant: JsonObject) -> Organisation:
     priority = tenant.get("priority")
     return Organisation(
--- a/src/primroseford/platform/runner_calls.py
+++ b/src/primroseford/platform/runner_calls.py
@@ -10,6 +10,7 @@
 
 from primroseford.gateway.notices import RunnerNotice
 from primroseford.platform.headers import ANSWERING_RUNNER
+from primroseford.platform.headers import COLD_LEFT
 from primroseford.platform.headers import DEADLINE
 from primroseford.platform.headers import LAST_EVENT
 from primroseford.platform.headers import LEAVING
@@ -34,6 +35,7 @@
 """Status of a runner that now has the target's address and did not run the request."""
 ITEM_INVALID_STATUS = 422
 """Status for a batch item that can never succeed."""
+MILLISECONDS_PATTERN = re.compile(r"[0-9]{1,9}")
 RATE_PATTERN = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?|\.[0-9]{1,9}")
 MAX_LOGGED_VALUE_LENGTH = 40
 LEAVING_VALUE = "1"
@@ -115,6 +117,15 @@
     return RunnerNotice(invalid_limit=invalid, leaving=leaving)
 
 
+def decode_cold_seconds(response: aiohttp.ClientResponse) -> float | None:
+    """Return for how long a runner stays cold, from its health response.
+
+    :returns: time in seconds; ``None`` if the response does not state it
+    """
+    text = response.headers.get(COLD_LEFT, "").strip()
+    return int(text) / 1000 if MILLISECONDS_PATTERN.fullmatch(text) else None
+
+
 def decode_start(body: bytes) -> int | None:
     """Return the start of a runner from its report.
 
--- a/src/primroseford/platform/runner_list.py
+++ b/src/primroseford/platform/runner_list.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import math
 import re
 from typing import TYPE_CHECKING
+from typing import Any
 
 from primroseford.gateway.runners import RunnerEntry
 from primroseford.gateway.runners import RunnerKey
@@ -20,6 +22,7 @@
 RUNNER_KIND = "servers"
 """The platform calls runners ``servers``."""
 MAX_SLOTS = 100_000
+MAX_COLD_MS = 600_000
 MAX_BORN = 2**63 - 1
 MAX_PORT = 65_535
 MAX_TEXT_LENGTH = 256
@@ -62,6 +65,17 @@
             slots,
             RunnerStage(spec["state"]),
             SoftwareVersion(version),
+            _decode_cold_seconds(spec.get("cold_left_ms")),
         )
     except DECODING_ERRORS:
         return None
+
+
+def _decode_cold_seconds(value: Any) -> float:
+    """Return for how long a runner stays cold; 0 if the value is no such time.
+
+    The runner can be used without it.
+    """
+    if type(value) not in (int, float) or not 0 <= value < math.inf:
+        return 0.0
+    return min(value, MAX_COLD_MS) / 1000
--- a/src/primroseford/platform/settings.py
+++ b/src/primroseford/platform/settings.py
@@ -35,6 +35,9 @@
         (``link_mbps``)
     :param evacuation_seconds: time in which an evacuation of a failure domain must be
         in force (``evacuate_ms``); none if the deployment has no evacuations
+    :param cold_excess: factor by which a cold runner tolerates more requests than its
+        service states
+    :param cold_slack: number of requests in a second that it tolerates beyond that
     """
 
     host: HostId
@@ -49,6 +52,8 @@
     settle_seconds: float
     link_bytes: float
     evacuation_seconds: float | None = None
+    cold_excess: float = 1.0
+    cold_slack: float = 0.0
 
 
 def load_node_settings(path: str) -> NodeSettings:
@@ -88,6 +93,8 @@
         settle_seconds=_read_number(content, "bounds.settle_ms") / 1000,
         link_bytes=_read_number(content, "limits.link_mbps") * 1e6 / 8,
         evacuation_seconds=_read_optional_ms(content, "bounds", "evacuate_ms"),
+        cold_excess=_read_optional(content, "bounds", "cold_excess", 1.0),
+        cold_slack=_read_optional(content, "bounds", "cold_slack", 0.0),
     )
 
 
@@ -109,6 +116,13 @@
     return _read_number(content, f"{section}.{name}") / 1000
 
 
+def _read_optional(content: Any, section: str, name: str, default: float) -> float:
+    """Return a setting, or its default if it is absent."""
+    if name not in _read_field(content, section, dict):
+        return default
+    return _read_number(content, f"{section}.{name}")
+
+
 def _read_number(content: Any, path: str) -> float:
     return float(_read_field(content, path, (int, float)))
 
--- a/src/primroseford/platform/tests/test_decoding.py
+++ b/src/primroseford/platform/tests/test_decoding.py
@@ -41,6 +41,17 @@
     assert decode_node_settings(content).evacuation_seconds == seconds
 
 
+@pytest.mark.parametrize(
+    ("bounds", "excess", "slack"),
+    [({}, 1.0, 0.0), ({"cold_excess": 1.5, "cold_slack": 5}, 1.5, 5.0)],
+)
+def test_bounds_of_cold_runners_follow_from_the_settings(bounds, excess, slack):
+    """Guards against a deployment without these settings that does not start."""
+    content = SETTINGS | {"bounds": SETTINGS["bounds"] | bounds}
+    settings = decode_node_settings(content)
+    assert (settings.cold_excess, settings.cold_slack) == (excess, slack)
+
+
 def test_settings():
     """Guards against settings that are decoded incorrectly."""
     settings = decode_node_settings(SETTINGS)
--- a/src/primroseford/request_limits/owner.py
+++ b/src/primroseford/request_limits/owner.py
@@ -10,27 +10,23 @@
 from collections import deque
 from dataclasses import dataclass
 from dataclasses import field
+from functools import partial
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
+from primroseford.request_limits.bounds import WINDOW_SECONDS
+
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Sequence
 
     from primroseford.gateway.runners import RunnerKey
     from primroseford.ids import HostId
+    from primroseford.request_limits.bounds import TokenBound
+
+    CountOthers = Callable[[float], int]
+    """Returns how many tokens of other owners were used in the last seconds."""
 
-WINDOW_SECONDS = 4.3
-"""Window in which tokens are counted. The platform counts requests in 4 s; a token may
-be used some tenths of a second after it was granted."""
-WINDOW_RATE_SECONDS = 5.0
-WINDOW_REQUESTS = 3.0
-"""Tokens in a window, as seconds of the limit and a number of requests. The platform
-tolerates 6 s of the limit and 5 requests; half of that tolerance is left for hosts that
-disagree on the owner."""
-MIN_RATE = 0.2
-"""Lowest limit in requests per second that is obeyed. Only a response tells that a
-limit has changed, so while requests wait a runner gets one from time to time whatever
-it names."""
 BATCH_RESERVE = 0.5
 """Part of a window that batch leaves for online requests."""
 
@@ -58,37 +54,35 @@
 class TokenWindow:
     """Tokens of one runner in the last seconds, and the hosts that wait for more.
 
-    :param rate: limit of the runner in requests per second
-    :param granted: local times of the tokens in the window, oldest first
+    :param bounds: bounds on its tokens, one for each kind of limit that it has
+    :param granted: local times of the tokens in the longest window, oldest first
     """
 
-    rate: float
+    bounds: Sequence[TokenBound]
     granted: deque[float] = field(default_factory=deque)
     waiting: OrderedDict[HostId, Waiting] = field(default_factory=OrderedDict)
 
-    @property
-    def size(self) -> float:
-        """Largest number of tokens in the window."""
-        return self.rate * WINDOW_RATE_SECONDS + WINDOW_REQUESTS
-
     def expire(self, now: float) -> None:
-        """Drop the grants that are out of the window.
+        """Drop the grants that are out of the longest window.
 
         :param now: local time in seconds
         """
         while self.granted and now - self.granted[0] >= WINDOW_SECONDS:
             self.granted.popleft()
 
-    def take(self, now: float, others: int, reserve: float = 0.0) -> bool:
-        """Take a token if the window allows it.
+    def take(self, now: float, count_others: CountOthers, reserve: float = 0.0) -> bool:
+        """Take a token if all bounds allow it.
 
         :param now: local time in seconds
-        :param others: used tokens that other owners have granted
+        :param count_others: counts used tokens that other owners have granted
         :param reserve: part of the window to be left, from 0 to 1
         """
         self.expire(now)
-        if len(self.granted) + others + 1 > self.size * (1 - reserve):
-            return False
+        for bound in self.bounds:
+            granted = sum(now - at < bound.seconds for at in self.granted)
+            taken = granted + count_others(bound.seconds)
+            if taken + 1 > bound.size * (1 - reserve):
+                return False
         self.granted.append(now)
         return True
 
@@ -97,11 +91,11 @@
         for _ in range(min(count, len(self.granted))):
             self.granted.pop()
 
-    def grant(self, now: float, others: int) -> list[HostId]:
+    def grant(self, now: float, count_others: CountOthers) -> list[HostId]:
         """Take tokens for the hosts that wait; return a host for each token.
 
         :param now: local time in seconds
-        :param others: used tokens that other owners have granted
+        :param count_others: counts used tokens that other owners have granted
         """
         hosts = []
         while self.waiting:
@@ -109,7 +103,7 @@
             if waiting.expires_at <= now or waiting.count <= 0:
                 del self.waiting[host]
                 continue
-            if not self.take(now, others):
+            if not self.take(now, count_others):
                 break
             hosts.append(host)
             waiting.count -= 1
@@ -121,11 +115,11 @@
     """Windows of the runners whose tokens this host grants.
 
     :param count_others: returns how many tokens of a runner all hosts have used in the
-        last window that other owners have granted
+        last seconds that other owners have granted
     :ivar windows: windows by runner instance
     """
 
-    def __init__(self, count_others: Callable[[RunnerKey], int]) -> None:
+    def __init__(self, count_others: Callable[[RunnerKey, float], int]) -> None:
         self.count_others = count_others
         self.windows: dict[RunnerKey, TokenWindow] = {}
 
@@ -134,18 +128,18 @@
         runner: RunnerKey,
         host: HostId,
         count: int,
-        rate: float,
+        bounds: Sequence[TokenBound],
         now: float,
         until: float,
     ) -> list[Grant]:
         """Set how many tokens a host waits for, and return the grants due now.
 
         :param count: tokens that the host waits for in all
-        :param rate: limit of the runner in requests per second
+        :param bounds: bounds on the tokens of the runner
         :param now: local time in seconds
         :param until: local time after which the host no longer waits
         """
-        window = self.open_window(runner, rate)
+        window = self.open_window(runner, bounds)
         known = window.waiting.get(host)
         if known is None:
             window.waiting[host] = Waiting(count, until)
@@ -156,33 +150,45 @@
     def _grant(self, runner: RunnerKey, window: TokenWindow, now: float) -> list[Grant]:
         if not window.waiting:
             return []
-        others = self.count_others(runner)
-        return [Grant(runner, host, 1) for host in window.grant(now, others)]
+        count_others = partial(self.count_others, runner)
+        return [Grant(runner, host, 1) for host in window.grant(now, count_others)]
 
     def ask_for_batch(
-        self, runner: RunnerKey, host: HostId, rate: float, now: float
+        self, runner: RunnerKey, host: HostId, bounds: Sequence[TokenBound], now: float
     ) -> list[Grant]:
         """Grant a token for batch if online requests do not need it.
 
-        :param rate: limit of the runner in requests per second
+        :param bounds: bounds on the tokens of the runner
         :param now: local time in seconds
         """
-        taken = self.take_spare(runner, rate, now)
+        taken = self.take_spare(runner, bounds, now)
         return [Grant(runner, host, 1)] if taken else []
 
-    def take_spare(self, runner: RunnerKey, rate: float, now: float) -> bool:
-        """Take a token that online requests do not need, if there is one.
+    def take_spare(
+        self,
+        runner: RunnerKey,
+        bounds: Sequence[TokenBound],
+        now: float,
+        count: int = 1,
+    ) -> bool:
+        """Take tokens that online requests do not need, if there are enough.
 
-        :param rate: limit of the runner in requests per second
+        :param bounds: bounds on the tokens of the runner
         :param now: local time in seconds
         """
-        window = self.open_window(runner, rate)
+        window = self.open_window(runner, bounds)
         is_wanted = any(
             waiting.count > 0 and waiting.expires_at > now
             for waiting in window.waiting.values()
         )
-        others = self.count_others(runner)
-        return not is_wanted and window.take(now, others, BATCH_RESERVE)
+        if is_wanted:
+            return False
+        count_others = partial(self.count_others, runner)
+        for taken in range(count):
+            if not window.take(now, count_others, BATCH_RESERVE):
+                window.put_back(taken)
+                return False
+        return True
 
     def put_back(self, runner: RunnerKey, count: int, now: float) -> list[Grant]:
         """Put unused tokens back, and return the grants due now.
@@ -220,14 +226,15 @@
         if not window.granted:
             del self.windows[runner]
 
-    def open_window(self, runner: RunnerKey, rate: float) -> TokenWindow:
-        """Return the window of a runner at its present limit.
+    def open_window(
+        self, runner: RunnerKey, bounds: Sequence[TokenBound]
+    ) -> TokenWindow:
+        """Return the window of a runner with its present bounds.
 
-        :param rate: limit of the runner in requests per second
+        :param bounds: bounds on the tokens of the runner
         """
-        rate = max(rate, MIN_RATE)
         window = self.windows.get(runner)
         if window is None:
-            window = self.windows[runner] = TokenWindow(rate)
-        window.rate = rate
+            window = self.windows[runner] = TokenWindow(bounds)
+        window.bounds = bounds
         return window
--- a/src/primroseford/request_limits/peer_uses.py
+++ b/src/primroseford/request_limits/peer_uses.py
@@ -9,7 +9,7 @@
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
-from primroseford.request_limits.owner import WINDOW_SECONDS
+from primroseford.request_limits.bounds import WINDOW_SECONDS
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -67,18 +67,25 @@
         for runner, counts in uses.items():
             self.by_runner.setdefault(runner, {})[process] = UseReport(counts, now)
 
-    def count_others(self, runner: RunnerKey, granter: GranterId, now: float) -> int:
+    def count_others(
+        self,
+        runner: RunnerKey,
+        granter: GranterId,
+        now: float,
+        seconds: float = WINDOW_SECONDS,
+    ) -> int:
         """Return how many tokens were used that another granter has granted.
 
         The last report of a process that has ended counts until its tokens are out of
         the window.
 
         :param now: local time in seconds
+        :param seconds: length of the window in which the reports have counted
         """
         return sum(
             count
             for report in self.by_runner.get(runner, {}).values()
-            if now - report.heard_at < WINDOW_SECONDS
+            if now - report.heard_at < seconds
             for other, count in report.counts.items()
             if other != granter
         )
--- a/src/primroseford/request_limits/tokens.py
+++ b/src/primroseford/request_limits/tokens.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter
 from collections import deque
 from dataclasses import dataclass
@@ -10,7 +11,12 @@
 from typing import NamedTuple
 
 from primroseford.ids import GranterId
-from primroseford.request_limits.owner import WINDOW_SECONDS
+from primroseford.request_limits.bounds import COLD_WINDOW_SECONDS
+from primroseford.request_limits.bounds import WINDOW_SECONDS
+from primroseford.request_limits.bounds import TokenBound
+from primroseford.request_limits.bounds import cold_bound
+from primroseford.request_limits.bounds import rate_bound
+from primroseford.request_limits.cold_runners import ColdRunners
 
 if TYPE_CHECKING:
     from primroseford.clock import Clock
@@ -50,18 +56,54 @@
 
     :param limits: the known limits
     :param clock: local time
-    :ivar used: tokens that were used in the last window, by runner
+    :param cold: the runners that are cold
+    :ivar used: tokens that were used in the longest window, by runner
     """
 
     limits: LimitObservations
     clock: Clock
+    cold: ColdRunners = field(default_factory=ColdRunners)
     online: dict[RunnerKey, HeldTokens] = field(default_factory=dict)
     batch: dict[RunnerKey, HeldTokens] = field(default_factory=dict)
     used: dict[RunnerKey, deque[UsedToken]] = field(default_factory=dict)
 
     def is_limited(self, runner: RunnerKey) -> bool:
-        """Return whether a runner names a limit."""
-        return self.limits.rate(runner) is not None
+        """Return whether a runner names a limit or is cold."""
+        return self.limits.rate(runner) is not None or self.is_cold(runner)
+
+    def is_cold(self, runner: RunnerKey) -> bool:
+        """Return whether a runner is cold."""
+        return self.cold.limit(runner, self.clock()) is not None
+
+    def rate(self, runner: RunnerKey) -> float | None:
+        """Return how many requests per second a runner accepts; ``None`` for any."""
+        rate = self.limits.rate(runner)
+        cold = self.cold.limit(runner, self.clock())
+        if cold is None:
+            return rate
+        bound = cold_bound(cold)
+        return min(bound.size / bound.seconds, rate or math.inf)
+
+    def bounds(
+        self, runner: RunnerKey, rate: float | None, share: float
+    ) -> tuple[TokenBound, ...]:
+        """Return the bounds on the tokens of a runner, one for each kind of limit.
+
+        :param rate: limit that the runner names, in requests per second
+        :param share: part of the limits that this host may grant, from 0 to 1
+        """
+        bounds = () if rate is None else (rate_bound(rate, share),)
+        cold = self.cold.limit(runner, self.clock())
+        return bounds if cold is None else (*bounds, cold_bound(cold, share))
+
+    def reported_seconds(self, runner: RunnerKey) -> float:
+        """Return the length of the window in which used tokens are reported.
+
+        If a cold runner names a limit as well, the longer window counts.
+        """
+        if self.limits.rate(runner) is None and self.is_cold(runner):
+            return COLD_WINDOW_SECONDS
+        return WINDOW_SECONDS
 
     def may_send(self, runner: RunnerKey, batch: bool = False) -> bool:
         """Return whether a request may be sent to a runner now."""
@@ -80,14 +122,27 @@
             used = UsedToken(self.clock(), held.granter)
             self.used.setdefault(runner, deque()).append(used)
 
+    def charge(self, runner: RunnerKey) -> None:
+        """Count a request for which there is no token, such as one for a report.
+
+        Owners count it as a token that another one has granted.
+        """
+        used = UsedToken(self.clock(), UNKNOWN_GRANTER)
+        self.used.setdefault(runner, deque()).append(used)
+
     def restore(self, runner: RunnerKey, batch: bool = False) -> None:
         """Restore a token of a request that was not sent."""
         used = self.used.get(runner)
         if used and self.is_limited(runner):
             self.add(runner, 1, used.pop().granter, batch)
 
-    def count_used(self, runner: RunnerKey) -> Counter[GranterId]:
-        """Return the number of tokens used in the last window, by granter."""
+    def count_used(
+        self, runner: RunnerKey, seconds: float = WINDOW_SECONDS
+    ) -> Counter[GranterId]:
+        """Return the number of tokens used in the last seconds, by granter.
+
+        :param seconds: length of the window
+        """
         used = self.used.get(runner)
         if not used:
             return Counter()
@@ -95,7 +150,8 @@
             used.popleft()
         if not used:
             del self.used[runner]
-        return Counter(token.granter for token in used)
+        now = self.clock()
+        return Counter(token.granter for token in used if now - token.at < seconds)
 
     def add(
         self, runner: RunnerKey, count: int, granter: GranterId, batch: bool = False
--- a/src/primroseford/standins/fleet_runner.py
+++ b/src/primroseford/standins/fleet_runner.py
@@ -87,6 +87,7 @@
     :param events: number of events in a stream
     :param received: requests that the runner executed
     :param checks: number of health checks and requests for its report
+    :param cold_ms: remaining cold time that its health responses state, if they do
     :param on_crash: called when the runner has crashed
     :ivar server: listening socket of the runner
     :ivar open: number of requests in progress
@@ -104,6 +105,7 @@
     faults: RunnerFaults = field(default_factory=RunnerFaults)
     received: list[ReceivedRequest] = field(default_factory=list)
     checks: int = 0
+    cold_ms: int | None = None
     on_crash: Callable[[FleetRunner], None] | None = None
     server: asyncio.Server | None = None
     open: int = 0
@@ -126,7 +128,10 @@
         if request.raw_path in ("/health", "/report"):
             self.checks += 1
         if request.raw_path == "/health":
-            return web.Response(headers={"Instance-Id": self.name})
+            headers = {"Instance-Id": self.name}
+            if self.cold_ms is not None:
+                headers["Cold-Ms"] = str(self.cold_ms)
+            return web.Response(headers=headers)
         if request.raw_path == "/report":
             return await self._report()
         body = await request.read()
