Bound the rate of an organisation in large fleets by shares of its demand

Cause: reports of admissions are 0.4 s old at 62 hosts. Change: in fleets of more than 16 hosts a host admits the fraction of the requests for which there are tokens, by the demand that all hosts report, and at most its own share. Smaller fleets decide as before. What heartbeats tell of organisations is in a module of its own.

--- a/src/primroseford/gateway/heartbeat.py
+++ b/src/primroseford/gateway/heartbeat.py
@@ -17,7 +17,6 @@
 from primroseford.gateway.gen.messages.ttypes import Heartbeat
 from primroseford.gateway.gen.messages.ttypes import JobProgress
 from primroseford.gateway.gen.messages.ttypes import RunnerLoad
-from primroseford.gateway.gen.messages.ttypes import Spending
 from primroseford.gateway.leaving_runners import reported_runners
 from primroseford.gateway.members import MAX_AGE_MS
 from primroseford.gateway.periodic import run_periodically
@@ -29,9 +28,10 @@
 from primroseford.gateway.relay import split_bundle
 from primroseford.gateway.runner_starts import received_restarts
 from primroseford.gateway.runner_starts import reported_restarts
+from primroseford.gateway.spending_reports import SpendingReports
+from primroseford.gateway.spending_reports import report_lag
 from primroseford.ids import HostId
 from primroseford.ids import JobId
-from primroseford.ids import OrganisationId
 from primroseford.ids import RunnerName
 from primroseford.peer.codec import decode
 from primroseford.peer.codec import encode
@@ -48,8 +48,6 @@
 
 IDLE_HEARTBEAT_SECONDS = 0.3
 """Heartbeat interval of a host whose state does not change."""
-SPENDING_REPORT_SECONDS = 3.0
-"""Time for which heartbeats report an organisation's count after its last change."""
 SILENT_HOST_RESERVE_SECONDS = 30.0
 """Time for which a silent host's share of the rate limits stays reserved. It is longer
 than network partitions between hosts usually last."""
@@ -133,7 +131,7 @@
         self.transport: asyncio.DatagramTransport | None = None
         self.bundles: asyncio.DatagramTransport | None = None
         self.relay = Relay(gateway.members, domain, link)
-        self.reported_admissions: dict[OrganisationId, tuple[int, float]] = {}
+        self.spending = SpendingReports(gateway)
         self.last_jobs: dict[JobId, JobReport] = {}
         self.lost_hosts: set[HostId] = set()
         self.sent_at = 0.0
@@ -260,7 +258,7 @@
             tables.version if tables else 0,
             gateway.allocator.waiting(),
             self._loads(),
-            self._spending(),
+            self.spending.recent(),
             [
                 JobProgress(
                     job,
@@ -309,18 +307,6 @@
                 loads.append(load)
         return loads
 
-    def _spending(self) -> list[Spending]:
-        now = self.gateway.clock()
-        spending = []
-        for name, count in self.gateway.quotas.admitted.items():
-            last, since = self.reported_admissions.get(name, (0, now))
-            if count != last:
-                since = now
-                self.reported_admissions[name] = (count, now)
-            if now - since < SPENDING_REPORT_SECONDS:
-                spending.append(Spending(name, count, count - last))
-        return spending
-
     def receive_direct(self, data: bytes) -> None:
         """Handle a heartbeat that was sent directly by its host."""
         heartbeat = self.receive(data)
@@ -381,7 +367,7 @@
             runner = gateway.allocator.runners.get(key.name)
             if runner is not None and runner.entry.key == key:
                 gateway.note_leaving(key, host)
-        self._apply_spending(heartbeat, previous is None)
+        self.spending.apply(heartbeat, previous is None)
         for job in heartbeat.ended_jobs:
             self.jobs.apply_cancellation(JobId(job))
         self._apply_confirmation(heartbeat)
@@ -400,29 +386,6 @@
             confirmed_at = gateway.clock() - heartbeat.confirmed_ms_ago / 1000
             gateway.confirmed_at = max(gateway.confirmed_at, confirmed_at)
 
-    def _apply_spending(self, heartbeat: Heartbeat, is_new: bool) -> None:
-        gateway = self.gateway
-        if gateway.tables is None:
-            return
-        host, now = HostId(heartbeat.host), gateway.clock()
-        known = gateway.members.peers[host].spending
-        if is_new:
-            known.clear()
-        for spending in heartbeat.spending:
-            name = OrganisationId(spending.organisation)
-            # In the first report of a host or organisation only the fresh admissions
-            # count: the buckets have already recovered from earlier ones.
-            count = spending.admitted - known.get(
-                name, spending.admitted - spending.fresh
-            )
-            known[name] = spending.admitted
-            if not count:
-                # Counts are reported for some time after their last change.
-                continue
-            organisation = gateway.tables.organisations.get(name)
-            if organisation is not None:
-                gateway.quotas.deduct_peer_admissions(organisation, host, count, now)
-
     def watch_peers(self) -> None:
         """Detect silent hosts, and reserve their share of the rate limits."""
         gateway = self.gateway
@@ -444,6 +407,7 @@
             if not peer.heartbeat.leaving
             and now - peer.heard_at < SILENT_HOST_RESERVE_SECONDS
         ]
+        gateway.quotas.report_lag = report_lag(gateway.members.interval)
         gateway.quotas.silent = len(counted)
         gateway.quotas.hosts = 1 + live + len(counted)
         gateway.members.remove_lost(now)
--- a/src/primroseford/gateway/members.py
+++ b/src/primroseford/gateway/members.py
@@ -39,6 +39,7 @@
     :param heard_at: local time of its last heartbeat in seconds
     :param heartbeat: its last one; ``None`` if only the platform's store lists it
     :param spending: requests that it admitted since its start, by organisation
+    :param asked: requests that came to it since its start, by organisation
     """
 
     host: HostId
@@ -46,6 +47,7 @@
     heard_at: float
     heartbeat: Heartbeat | None = None
     spending: dict[str, int] = field(default_factory=dict)
+    asked: dict[str, int] = field(default_factory=dict)
 
 
 @dataclass
--- a/src/primroseford/gateway/tests/test_heartbeat.py
+++ b/src/primroseford/gateway/tests/test_heartbeat.py
@@ -5,6 +5,7 @@
 import pytest
 
 from primroseford.gateway.platform_watcher import PlatformWatcher
+from primroseford.gateway.spending_reports import ReportedSpending
 from primroseford.peer.codec import encode
 from primroseford.standins.fleet_objects import KEY
 from primroseford.standins.fleet_objects import configuration
@@ -31,7 +32,8 @@
     for number in range(30):
         assert (await site.call("/once/whole", f"id-{number}"))[0] == 200
     site.hosts[0].gateway.quotas.admitted["caroni"] = 100_000
-    site.hosts[0].services[0].reported_admissions["caroni"] = (100_000, 0.0)
+    reported = ReportedSpending(100_000, 100_000, 0.0)
+    site.hosts[0].services[0].spending.reported["caroni"] = reported
     if restarted:
         site.hosts[0].services[0].incarnation = "anew"
     await site.add_host()
--- a/src/primroseford/proof/quota_simulation.py
+++ b/src/primroseford/proof/quota_simulation.py
@@ -4,11 +4,14 @@
 
 from dataclasses import dataclass
 from dataclasses import field
+from random import Random
+from typing import NamedTuple
 
 from primroseford.gateway.quota import Quotas
 from primroseford.gateway.tables import Organisation
 
 RATE, BURST = 22.0, 22.0
+SEED = 7
 WINDOW_SECONDS = 5.0
 STEP_SECONDS = 0.01
 """Duration of a step of the simulation."""
@@ -33,6 +36,18 @@
     tokens: float = 0.0
 
 
+@dataclass(frozen=True)
+class Quiet:
+    """Load before a surge.
+
+    :param request_rate: requests per second over all hosts
+    :param until: time at which the surge begins, in seconds
+    """
+
+    request_rate: float
+    until: float
+
+
 @dataclass
 class Outcome:
     """Decisions of all hosts.
@@ -45,12 +60,21 @@
     refused: list[float] = field(default_factory=list)
 
 
+class Counts(NamedTuple):
+    """Counts that a host reports since its start."""
+
+    admitted: int = 0
+    asked: int = 0
+
+
 def simulate_quotas(
     hosts: int,
     request_rate: float,
     lag: float,
     partition: range = range(0),
     restart: Restart | None = None,
+    rate: float = RATE,
+    quiet: Quiet | None = None,
 ) -> Outcome:
     """Return the decisions of all hosts in 30 s.
 
@@ -58,16 +82,18 @@
     :param lag: interval at which hosts exchange their counts, in seconds
     :param partition: steps during which a network partition isolates the first host
     :param restart: restart of all hosts during the simulation
+    :param rate: rate and burst of the organisation in requests per second
+    :param quiet: load before the surge, if it does not begin at once
     """
-    caroni = Organisation("caroni", RATE, BURST)
-    quotas, reported = _create_quotas(hosts, 0.0)
+    caroni = Organisation("caroni", rate, rate)
+    quotas, reported = _create_quotas(hosts, 0.0, lag)
     outcome, pending, deferred = Outcome(), 0.0, 0.0
     for step in range(STEP_COUNT):
         now = START_SECONDS + step * STEP_SECONDS
         since = now - restart.at if restart is not None else -1.0
         if restart is not None and 0 <= since < restart.down:
             deferred += request_rate * STEP_SECONDS
-            quotas, reported = _create_quotas(hosts, restart.at + restart.down)
+            quotas, reported = _create_quotas(hosts, restart.at + restart.down, lag)
             for quota in quotas:
                 quota.refill(caroni, now).level = restart.tokens
             continue
@@ -85,7 +111,8 @@
         quotas[0].silent = hosts - 1 if partitioned else 0
         if step % round(lag / STEP_SECONDS) == 0:
             _exchange_counts(quotas, reported, caroni, now, partitioned)
-        pending += request_rate * STEP_SECONDS
+        is_quiet = quiet is not None and now < quiet.until
+        pending += (quiet.request_rate if is_quiet else request_rate) * STEP_SECONDS
         if deferred and since < restart.down + RECONNECT_SECONDS:
             pending += deferred * STEP_SECONDS / RECONNECT_SECONDS
         while pending >= 1:
@@ -96,31 +123,42 @@
     return outcome
 
 
-def _create_quotas(hosts: int, started: float) -> tuple[list[Quotas], list[list[int]]]:
+def _create_quotas(
+    hosts: int, started: float, lag: float
+) -> tuple[list[Quotas], list[list[Counts]]]:
     """Return the quotas of starting hosts, and the counts reported between them.
 
-    ``reported[reader][writer]`` is the last count of the writer that the reader has.
+    ``reported[reader][writer]`` are the last counts of the writer that the reader has.
     """
-    quotas = [Quotas(started) for _ in range(hosts)]
-    for quota in quotas:
-        quota.hosts = hosts
-    return quotas, [[0] * hosts for _ in range(hosts)]
+    quotas = [
+        Quotas(started, hosts=hosts, report_lag=lag, random=Random(SEED + number))
+        for number in range(hosts)
+    ]
+    return quotas, [[Counts()] * hosts for _ in range(hosts)]
 
 
 def _restart_host(
-    quotas: list[Quotas], reported: list[list[int]], number: int, now: float
+    quotas: list[Quotas], reported: list[list[Counts]], number: int, now: float
 ) -> None:
     """Restart one host; it is not charged for earlier admissions of the others."""
-    quotas[number] = Quotas(now)
-    quotas[number].hosts = len(quotas)
+    quotas[number] = Quotas(
+        now,
+        hosts=len(quotas),
+        report_lag=quotas[number].report_lag,
+        random=Random(SEED + number),
+    )
     for other, quota in enumerate(quotas):
-        reported[other][number] = 0
-        reported[number][other] = quota.admitted.get("caroni", 0)
+        reported[other][number] = Counts()
+        reported[number][other] = _counts(quota)
+
+
+def _counts(quota: Quotas) -> Counts:
+    return Counts(quota.admitted.get("caroni", 0), quota.asked.get("caroni", 0))
 
 
 def _exchange_counts(
     quotas: list[Quotas],
-    reported: list[list[int]],
+    reported: list[list[Counts]],
     organisation: Organisation,
     now: float,
     partitioned: bool,
@@ -129,9 +167,10 @@
         for writer, other in enumerate(quotas):
             if reader == writer or (partitioned and 0 in (reader, writer)):
                 continue
-            count = other.admitted.get(organisation.name, 0)
-            increase = count - reported[reader][writer]
-            reported[reader][writer] = count
+            counts, last = _counts(other), reported[reader][writer]
+            reported[reader][writer] = counts
+            quota.note_peer_demand(organisation, counts.asked - last.asked, now)
+            increase = counts.admitted - last.admitted
             quota.deduct_peer_admissions(organisation, f"h{writer}", increase, now)
 
 
