Decode the load that runners report in their responses

Hosts ignored Server-Load, so that they did not know which pools report how slow their runners are at the moment. The adapter decodes it into ReportedLoad, bounded: a value that is malformed counts as no report, a slowness outside 20 to 1,000 hundredths as no slowness. The load does not pass through RunnerNotice, whose changes are logged. A pool whose runner has sent a valid fourth figure is listed in SlotAllocator.slowness_pools; nothing else depends on it yet. The separator of the figures is not specified, so commas, spaces, semicolons and slashes are accepted.

--- a/src/primroseford/gateway/exchange.py
+++ b/src/primroseford/gateway/exchange.py
@@ -20,6 +20,7 @@
 from primroseford.online.exchange import CURRENT_ATTEMPT
 from primroseford.online.exchange import Attempt
 from primroseford.online.exchange import SendTrackingRequest
+from primroseford.platform.runner_calls import decode_load
 from primroseford.platform.runner_calls import decode_notice
 from primroseford.platform.runner_calls import did_not_run
 from primroseford.platform.runner_calls import matches_request_id
@@ -31,6 +32,7 @@
 
     from multidict import CIMultiDict
 
+    from primroseford.gateway.notices import ReportedLoad
     from primroseford.gateway.notices import RunnerNotice
     from primroseford.gateway.runners import RunnerEntry
 
@@ -209,11 +211,13 @@
     call: RunnerRequest,
     attempt: RunnerAttempt,
     on_notice: Callable[[RunnerNotice], None],
+    on_load: Callable[[ReportedLoad], None],
 ) -> aiohttp.ClientResponse:
     """Send a request and return the runner's response after checking its head.
 
     :param attempt: records how far the attempt gets
     :param on_notice: called with what the runner says about itself in its response
+    :param on_load: called with the load that it reports there, if it does
     :raises PrimrosefordError: RUNNER_UNREACHABLE, RUNNER_FAILED, ANSWER_MISMATCHED,
         or POOL_UNAVAILABLE if the runner reports that it did not run the request
     """
@@ -245,15 +249,25 @@
         if names_other_runner(response, entry.key.name):
             raise RunnerReplaced()
         on_notice(decode_notice(response))
+        _pass_load(response, on_load)
         raise PrimrosefordError(
             ResultCode.POOL_UNAVAILABLE,
             f"the runner refused the request with status {response.status}",
         )
     attempt.head_received = True
     on_notice(decode_notice(response))
+    _pass_load(response, on_load)
     return response
 
 
+def _pass_load(
+    response: aiohttp.ClientResponse, on_load: Callable[[ReportedLoad], None]
+) -> None:
+    load = decode_load(response)
+    if load is not None:
+        on_load(load)
+
+
 async def read_bounded(
     response: aiohttp.ClientResponse, limit: int = MAX_ANSWER_BYTES
 ) -> AsyncIterator[bytes]:
--- a/src/primroseford/gateway/notices.py
+++ b/src/primroseford/gateway/notices.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from typing import NamedTuple
 
 
 @dataclass(frozen=True)
@@ -18,3 +19,21 @@
     request_limit: float | None = None
     invalid_limit: str = ""
     leaving: bool = False
+
+
+class ReportedLoad(NamedTuple):
+    """Load that a runner reports in one response.
+
+    It is no part of :class:`RunnerNotice`, whose changes are logged.
+
+    :param running: requests in its slots
+    :param waiting: requests in its own queue
+    :param slots: requests that it processes concurrently
+    :param slowness: time that work takes there at the moment, in hundredths of the
+        usual time; ``None`` if it does not tell
+    """
+
+    running: int
+    waiting: int
+    slots: int
+    slowness: int | None = None
--- a/src/primroseford/gateway/slot_allocator.py
+++ b/src/primroseford/gateway/slot_allocator.py
@@ -78,6 +78,7 @@
     :ivar leaving: runners that have said that they leave
     :ivar evacuated: failure domains whose runners get no new work
     :ivar versions: software versions that the pools have had lately
+    :ivar slowness_pools: pools of which a runner has reported its slowness
     :ivar on_waiting: called with a pool when a request begins to wait for a slot
     """
 
@@ -98,6 +99,7 @@
         self.leaving = LeavingRunners()
         self.evacuated = Evacuations()
         self.versions = VersionHistory(clock)
+        self.slowness_pools: set[PoolName] = set()
         self.on_waiting: Callable[[PoolName], None] = lambda pool: None
 
     @property
@@ -413,6 +415,16 @@
         mean = self.first_event_seconds.get(pool, seconds)
         self.first_event_seconds[pool] = mean + FIRST_EVENT_WEIGHT * (seconds - mean)
 
+    def note_slowness(self, runner: RunnerState, slowness: int) -> bool:
+        """Record how slow a runner is at the moment.
+
+        :param slowness: time that work takes there, in hundredths of the usual time
+        :returns: whether it is the first such report of its pool
+        """
+        is_first = runner.entry.pool not in self.slowness_pools
+        self.slowness_pools.add(runner.entry.pool)
+        return is_first
+
     def suspect(self, runner: RunnerState) -> bool:
         """Exclude a runner from online requests for ``SUSPECT_SECONDS``.
 
--- a/src/primroseford/gateway/state.py
+++ b/src/primroseford/gateway/state.py
@@ -35,6 +35,7 @@
     from primroseford.gateway.evacuations import EvacuationChange
     from primroseford.gateway.gen.messages.ttypes import Heartbeat
     from primroseford.gateway.members import Members
+    from primroseford.gateway.notices import ReportedLoad
     from primroseford.gateway.notices import RunnerNotice
     from primroseford.gateway.request_context import RequestContext
     from primroseford.gateway.runner_state import RunnerState
@@ -332,6 +333,17 @@
             leaving=notice.leaving or None,
         )
 
+    def note_load(self, runner: RunnerState, load: ReportedLoad) -> None:
+        """Apply the load that a runner reported in a response."""
+        if load.slowness is None or not self.is_engine(runner.entry.pool):
+            return
+        if self.allocator.note_slowness(runner, load.slowness):
+            log.info(
+                "pool reports slowness",
+                pool=runner.entry.pool,
+                runner=runner.entry.key.name,
+            )
+
     def note_leaving(self, key: RunnerKey, seen_by: HostId | None = None) -> None:
         """Send a runner no new requests, since it has said that it leaves.
 
--- a/src/primroseford/gateway/watchdog.py
+++ b/src/primroseford/gateway/watchdog.py
@@ -13,6 +13,7 @@
 from primroseford.gateway.periodic import run_periodically
 from primroseford.gateway.retry import ANSWER_SILENCE_LATENCIES
 from primroseford.gateway.runner_starts import check_start
+from primroseford.platform.runner_calls import decode_load
 
 if TYPE_CHECKING:
     from primroseford.gateway.runner_state import RunnerState
@@ -136,4 +137,7 @@
         url = URL(f"http://{runner.entry.address}{path}", encoded=True)
         timeout = aiohttp.ClientTimeout(total=PROBE_SECONDS)
         async with self.gateway.session.get(url, timeout=timeout) as answer:
+            load = decode_load(answer)
+            if load is not None:
+                self.gateway.note_load(runner, load)
             return answer.status
--- a/src/primroseford/jobs/run.py
+++ b/src/primroseford/jobs/run.py
@@ -366,6 +366,7 @@
         call,
         attempt,
         lambda notice: gateway.note_notice(runner, notice),
+        lambda load: gateway.note_load(runner, load),
     )
     try:
         inactivity.reset()
--- a/src/primroseford/platform/runner_calls.py
+++ b/src/primroseford/platform/runner_calls.py
@@ -8,6 +8,7 @@
 
 from multidict import CIMultiDict
 
+from primroseford.gateway.notices import ReportedLoad
 from primroseford.gateway.notices import RunnerNotice
 from primroseford.platform.headers import ANSWERING_RUNNER
 from primroseford.platform.headers import DEADLINE
@@ -15,6 +16,7 @@
 from primroseford.platform.headers import LEAVING
 from primroseford.platform.headers import NOT_RUN
 from primroseford.platform.headers import ORGANISATION
+from primroseford.platform.headers import REPORTED_LOAD
 from primroseford.platform.headers import REQUEST_ID
 from primroseford.platform.headers import REQUEST_LIMIT
 from primroseford.platform.headers import RESUMPTION
@@ -36,6 +38,15 @@
 """Status for a batch item that can never succeed."""
 RATE_PATTERN = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?|\.[0-9]{1,9}")
 MAX_LOGGED_VALUE_LENGTH = 40
+LOAD_PATTERN = re.compile(
+    r"\s*([0-9]{1,5})[\s,;/]+([0-9]{1,5})[\s,;/]+([0-9]{1,5})"
+    r"(?:[\s,;/]+([0-9]{1,5}))?\s*"
+)
+MAX_LOAD_LENGTH = 40
+"""Longest value that is parsed: four figures of five digits and their separators."""
+MIN_SLOWNESS, MAX_SLOWNESS = 20, 1000
+"""Slowness that a runner may report, in hundredths. Beyond five times faster or ten
+times slower than usual the figure says nothing that a placement could rely on."""
 LEAVING_VALUE = "1"
 
 
@@ -115,6 +126,27 @@
     return RunnerNotice(invalid_limit=invalid, leaving=leaving)
 
 
+def decode_load(response: aiohttp.ClientResponse) -> ReportedLoad | None:
+    """Return the load that a runner reports in the head of a response.
+
+    :returns: ``None`` if there is no valid report; a load without slowness if only
+        that figure is missing or out of bounds
+    """
+    values = response.headers.getall(REPORTED_LOAD, ())
+    if len(values) != 1 or len(values[0]) > MAX_LOAD_LENGTH:
+        return None
+    match = LOAD_PATTERN.fullmatch(values[0])
+    if match is None:
+        return None
+    running, waiting, slots, slowness = match.groups()
+    if not int(slots):
+        return None
+    known = None if slowness is None else int(slowness)
+    if known is not None and not MIN_SLOWNESS <= known <= MAX_SLOWNESS:
+        known = None
+    return ReportedLoad(int(running), int(waiting), int(slots), known)
+
+
 def decode_start(body: bytes) -> int | None:
     """Return the start of a runner from its report.
 
--- a/src/primroseford/standins/fleet_runner.py
+++ b/src/primroseford/standins/fleet_runner.py
@@ -45,6 +45,8 @@
         none
     :param from_start: begin each stream at its first event, whatever was asked
     :param leaving: value of the ``Server-Leaving`` header in responses; empty for none
+    :param load: value of the ``Server-Load`` header, also in health responses; empty
+        for none
     """
 
     refuse: bool = False
@@ -62,6 +64,7 @@
     request_limit: str = ""
     from_start: bool = False
     leaving: str = ""
+    load: str = ""
 
 
 @dataclass
@@ -126,7 +129,10 @@
         if request.raw_path in ("/health", "/report"):
             self.checks += 1
         if request.raw_path == "/health":
-            return web.Response(headers={"Instance-Id": self.name})
+            headers = {"Instance-Id": self.name}
+            if self.faults.load:
+                headers["Server-Load"] = self.faults.load
+            return web.Response(headers=headers)
         if request.raw_path == "/report":
             return await self._report()
         body = await request.read()
@@ -180,6 +186,8 @@
             headers["Server-Limit"] = faults.request_limit
         if faults.leaving:
             headers["Server-Leaving"] = faults.leaving
+        if faults.load:
+            headers["Server-Load"] = faults.load
         if faults.status != 200:
             return web.Response(status=faults.status, headers=headers, body=b"failed")
         if faults.error_page:
