Learn how fast the runners of a pool work

No host knew that some runners are slower than others. The model in runner_speed/ keeps a lasting speed for each runner instance, from the times between the events of responses relative to the pool and the load level, and the momentary slowness that the runner reports, which fades within 600 ms. Hosts exchange both in heartbeats, at most 40 runners in each. The model's error is a histogram and a log line every 60 s. Only pools whose runners report their slowness are measured; placement does not use the speeds yet.

--- a/src/primroseford/gateway/heartbeat.py
+++ b/src/primroseford/gateway/heartbeat.py
@@ -289,6 +289,7 @@
         heartbeat.held_parts = gateway.trial_turns.reported()
         gateway.request_limiter.fill_heartbeat(heartbeat)
         gateway.evacuations.fill_heartbeat(heartbeat)
+        gateway.speeds.fill_heartbeat(heartbeat)
         leaving = gateway.allocator.leaving
         heartbeat.leaving_runners = leaving.reports(gateway.clock())
         heartbeat.restarted_runners = reported_restarts(
@@ -372,6 +373,7 @@
         gateway.allocator.apply_heartbeat(heartbeat)
         apply_heartbeat(gateway.quarantine, heartbeat)
         gateway.request_limiter.apply_heartbeat(heartbeat)
+        gateway.speeds.apply_heartbeat(heartbeat, host)
         gateway.note_evacuations(
             gateway.evacuations.apply_heartbeat(heartbeat, gateway.clock()), host
         )
@@ -432,6 +434,7 @@
             if peer.host not in self.lost_hosts:
                 self.lost_hosts.add(peer.host)
                 gateway.allocator.remove_host(peer.host)
+                gateway.speeds.remove_host(peer.host)
                 log.warning(
                     "host sends no heartbeats",
                     peer=peer.host,
--- a/src/primroseford/gateway/runner_responses.py
+++ b/src/primroseford/gateway/runner_responses.py
@@ -17,8 +17,10 @@
 from primroseford.gateway.resumption import record_origin
 from primroseford.online.events import EVENT_END_BYTES
 from primroseford.online.events import EVENT_STREAM
+from primroseford.online.events import count_events
 from primroseford.online.events import ends_after_event
 from primroseford.platform.runner_calls import response_headers
+from primroseford.runner_speed.pool import ResponseTimes
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -117,6 +119,8 @@
     splitter.restart()
     sent_at = context.started + context.placement_seconds
     resumable = context.route.resumable
+    times = ResponseTimes()
+    is_measured = gateway.speeds.covers(runner)
     try:
         async for chunk in read_bounded(runner_response):
             events = splitter.feed(chunk)
@@ -124,10 +128,13 @@
                 inactivity.reset()
                 on_event()
                 runner.last_byte = gateway.clock()
+                if is_measured:
+                    times.note(count_events(events), runner.last_byte)
                 if context.response is None and len(context.runners) == 1:
-                    gateway.allocator.note_first_event(
-                        runner, runner.last_byte - sent_at
-                    )
+                    seconds = runner.last_byte - sent_at
+                    gateway.allocator.note_first_event(runner, seconds)
+                    if is_measured:
+                        gateway.speeds.note_first_event(runner, seconds)
             data = events if resumable else chunk
             if events and context.response is None:
                 record_origin(gateway, context)
@@ -142,6 +149,7 @@
         raise may_have_run_error(
             ResultCode.STREAM_TRUNCATED, "the stream ended inside an event"
         )
+    gateway.speeds.note_response(runner, times)
     return await _finish(gateway, context, runner_response, b"")
 
 
--- a/src/primroseford/gateway/runner_state.py
+++ b/src/primroseford/gateway/runner_state.py
@@ -9,6 +9,7 @@
 
 from primroseford.gateway.notices import RunnerNotice
 from primroseford.gateway.placement import RunnerLoad
+from primroseford.runner_speed.speed import RunnerSpeed
 
 if TYPE_CHECKING:
     from primroseford.gateway.runners import RunnerEntry
@@ -34,6 +35,7 @@
     :param may_have_restarted: whether it has failed in a way in which its process may
         have ended, and has not been asked for its start since
     :param notice: what it said about itself in its last response
+    :param speed: how fast it works
     """
 
     entry: RunnerEntry
@@ -51,6 +53,7 @@
     latency: float = 0.0
     may_have_restarted: bool = False
     notice: RunnerNotice = RunnerNotice()
+    speed: RunnerSpeed = field(default_factory=RunnerSpeed)
 
     def is_instance_of(self, entry: RunnerEntry) -> bool:
         """Return whether an entry is of this instance, which has one version only."""
--- a/src/primroseford/gateway/slot_allocator.py
+++ b/src/primroseford/gateway/slot_allocator.py
@@ -421,6 +421,7 @@
         :param slowness: time that work takes there, in hundredths of the usual time
         :returns: whether it is the first such report of its pool
         """
+        runner.speed.note_slowness(slowness, self.clock())
         is_first = runner.entry.pool not in self.slowness_pools
         self.slowness_pools.add(runner.entry.pool)
         return is_first
--- a/src/primroseford/gateway/state.py
+++ b/src/primroseford/gateway/state.py
@@ -18,6 +18,7 @@
 from primroseford.gateway.rendezvous import ranked
 from primroseford.gateway.request_limiter import RequestLimiter
 from primroseford.gateway.runner_paths import RunnerPaths
+from primroseford.gateway.runner_speeds import RunnerSpeeds
 from primroseford.gateway.runners import RunnerList
 from primroseford.gateway.stream_records import StreamRecords
 from primroseford.gateway.trial_turns import TrialTurns
@@ -114,6 +115,15 @@
         self.evacuated_domains = metrics.gauge(
             "gateway_evacuated_domains", "Failure domains that get no new work"
         )
+        self.speed_errors = metrics.histogram(
+            "gateway_event_time_ratio",
+            "Time between the events of responses as a multiple of the expected one",
+        )
+        self.first_events = metrics.histogram(
+            "gateway_first_event_seconds",
+            "Time from sending to the first event in pools that report slowness",
+            ("speed",),
+        )
         self.tunnels = metrics.counter(
             "gateway_tunnels_total",
             "Requests of other hosts to be connected to a runner, by status",
@@ -162,6 +172,7 @@
     :ivar evacuations: failure domains that get no new work
     :ivar tables: configuration in force; ``None`` until the first one is received
     :ivar quarantine: prompt parts that crash runners
+    :ivar speeds: how fast the runners work
     :ivar trial_turns: turns of this host to try them
     :ivar crash_detector: detects such crashes
     :ivar request_limiter: keeps requests within the limits that runners name
@@ -203,6 +214,7 @@
         self.evacuations = allocator.evacuated
         self.quotas = Quotas(clock())
         self.quarantine = Quarantine(clock)
+        self.speeds = RunnerSpeeds(self)
         self.trial_turns = TrialTurns(members, self.quarantine, clock)
         self.quarantine.is_responsible = self.trial_turns.is_own
         self.quarantine.is_keeper = lambda part: self._is_ranked(part, 1)
--- a/src/primroseford/gateway/tests/test_runner_speed.py
+++ b/src/primroseford/gateway/tests/test_runner_speed.py
@@ -2,9 +2,19 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import pytest
 
+from primroseford.gateway.gen.messages.ttypes import Heartbeat
+from primroseford.gateway.gen.messages.ttypes import RunnerSpeed as SpeedMessage
 from primroseford.gateway.notices import RunnerNotice
+from primroseford.gateway.runners import RunnerKey
+from primroseford.gateway.runners import RunnerRestart
+from primroseford.ids import HostId
+from primroseford.ids import RunnerName
+from primroseford.peer.codec import encode
+from primroseford.runner_speed.reports import MAX_REPORTED_SPEEDS
 
 ENGINE_PATH = "/nudge/x"
 
@@ -37,3 +47,74 @@
             runner.faults.load = f"{number}, 0, 8, {100 + number}"
         assert (await site.call(ENGINE_PATH, f"id-{number}"))[0] == 200
         assert all(state.notice == RunnerNotice() for state in states)
+
+
+async def test_other_hosts_learn_speeds_and_slowness(site):
+    """Guards against hosts that know only runners that they have used."""
+    other = await site.add_host()
+    for number in range(6):
+        for runner in site.runners:
+            runner.faults.load = "1, 0, 8, 250"
+        assert (await site.call(ENGINE_PATH, f"id-{number}"))[0] == 200
+    states = other.gateway.allocator.runners
+    await site.until(lambda: any(state.speed.peers for state in states.values()))
+    allocator = other.gateway.allocator
+    assert allocator.slowness_pools == {states["i-1"].entry.pool}
+    assert any(state.speed.slowness == 2.5 for state in states.values())
+    other.gateway.speeds.remove_host(site.hosts[0].gateway.members.own)
+    assert not any(state.speed.peers for state in states.values())
+
+
+async def test_restarted_runner_keeps_its_speed(site):
+    """Guards against the speed of a former process under the same name."""
+    gateway = site.hosts[0].gateway
+    runner = gateway.allocator.runners["i-1"]
+    runner.speed.note_speed(-1.0, 8.0)
+    born = runner.entry.key.born
+    gateway.note_restart(RunnerRestart(RunnerName("i-1"), born, born + 1000))
+    assert gateway.allocator.runners["i-1"].speed.lasting == 1.0
+
+
+@pytest.mark.parametrize(
+    ("speed", "responses", "slowness", "age_ms", "born_offset", "is_used"),
+    [
+        (50, 10, 0, 0, 0, True),
+        (50, 10, 250, 100, 0, True),
+        (None, None, None, None, 0, False),
+        (0, 10, 0, 0, 0, False),
+        (50, -1, 0, 0, 0, False),
+        (50, 10, 5000, 0, 0, False),
+        (50, 10, 250, -5, 0, False),
+        (50, 10, 0, 0, 1, False),
+    ],
+)
+async def test_invalid_report_of_a_peer_is_used(
+    site, speed, responses, slowness, age_ms, born_offset, is_used
+):
+    """Guards against reports out of bounds, or on another instance of the runner."""
+    gateway = site.hosts[0].gateway
+    runner = gateway.allocator.runners["i-1"]
+    born = runner.entry.key.born + born_offset
+    message = SpeedMessage("i-1", born, speed, responses, slowness, age_ms)
+    heartbeat = Heartbeat(host="host-9", speeds=[message])
+    gateway.speeds.apply_heartbeat(heartbeat, HostId("host-9"))
+    assert (runner.speed.lasting < 1.0) == is_used
+    gateway.speeds.apply_heartbeat(Heartbeat(host="host-9"), HostId("host-9"))
+
+
+async def test_heartbeat_with_most_speeds_fits_a_datagram(site):
+    """Guards against heartbeats that are too long to be sent."""
+    gateway = site.hosts[0].gateway
+    entry = gateway.allocator.runners["i-1"].entry
+    entries = {
+        name: replace(entry, key=RunnerKey(name, entry.key.born))
+        for name in (RunnerName(f"runner-{number:04}") for number in range(200))
+    }
+    gateway.allocator.set_runners(entries)
+    gateway.allocator.slowness_pools.add(entry.pool)
+    for runner in gateway.allocator.runners.values():
+        runner.speed.note_speed(0.1, 8.0)
+        runner.speed.note_slowness(250, gateway.clock())
+    heartbeat = site.hosts[0].services[0].heartbeat()
+    assert len(heartbeat.speeds) == MAX_REPORTED_SPEEDS
+    assert len(encode(heartbeat)) < 4000
--- a/src/primroseford/gateway/tests/test_uneven_replay.py
+++ b/src/primroseford/gateway/tests/test_uneven_replay.py
@@ -19,6 +19,11 @@
 from primroseford.gateway.tests.uneven_fleet import Fleet
 from primroseford.gateway.tests.uneven_fleet import Policy
 from primroseford.gateway.tests.uneven_fleet import Result
+from primroseford.runner_speed.pool import PoolTimes
+from primroseford.runner_speed.pool import ResponseTimes
+from primroseford.runner_speed.reports import choose_reported
+from primroseford.runner_speed.reports import create_report
+from primroseford.runner_speed.speed import RunnerSpeed
 
 if TYPE_CHECKING:
     from primroseford.gateway.placement import RunnerLoad
@@ -103,6 +108,53 @@
         return loads.index(best)
 
 
+class MeasuredSpeeds(KnownSpeeds):
+    """Placement by what the hosts measure and tell each other."""
+
+    def __init__(self, hosts: int) -> None:
+        super().__init__(momentary=True)
+        self.pools = [PoolTimes() for _ in range(hosts)]
+        self.speeds = [[RunnerSpeed() for _ in range(RUNNERS)] for _ in range(hosts)]
+        self.reports = 0
+
+    def note_head(self, fleet, host, number):
+        """Handle the report of a runner in the head of a response."""
+        slowness = round(100 * fleet.engines[number].slowness)
+        self.speeds[host][number].note_slowness(slowness, fleet.now)
+
+    def note_end(self, fleet, work, number):
+        """Handle the end of a response."""
+        times = ResponseTimes(work.first, work.last_event, work.events - 1)
+        speed = self.speeds[work.host][number]
+        in_flight = fleet.engines[number].in_flight + 1
+        self.pools[work.host].measure(speed, times, in_flight, SLOTS)
+
+    def report(self, fleet, host):
+        """Return what a host reports on speeds in a heartbeat."""
+        speeds = self.speeds[host]
+        numbers = {id(speed): n for n, speed in enumerate(speeds)}
+        chosen = choose_reported(speeds, fleet.now)
+        self.reports += len(chosen)
+        return [
+            (numbers[id(speed)], create_report(speed, fleet.now)) for speed in chosen
+        ]
+
+    def apply(self, fleet, host, sender, report):
+        """Apply the report of another host."""
+        for number, entry in report:
+            assert entry.is_valid
+            entry.apply(self.speeds[host][number], str(sender), fleet.now)
+
+    def time_factor(self, fleet, number):
+        """Return the time that work takes on a runner, relative to the usual one."""
+        return self.speeds[self.host][number].time_factor(fleet.now)
+
+    def choose(self, fleet, host, loads, work):
+        """Return the number of the runner; ``None`` if the work must wait."""
+        self.host = host
+        return super().choose(fleet, host, loads, work)
+
+
 class AllKnowing(Policy):
     """Placement by the true loads, speeds and slowness of this moment."""
 
@@ -124,17 +176,18 @@
 
 
 POLICIES = {
-    "free slots": FreeSlots,
-    "lasting speed": lambda: KnownSpeeds(momentary=False),
-    "lasting and momentary speed": lambda: KnownSpeeds(momentary=True),
-    "all known": AllKnowing,
+    "free slots": lambda hosts: FreeSlots(),
+    "lasting speed": lambda hosts: KnownSpeeds(momentary=False),
+    "lasting and momentary speed": lambda hosts: KnownSpeeds(momentary=True),
+    "measured": MeasuredSpeeds,
+    "all known": lambda hosts: AllKnowing(),
 }
 
 
 @cache
 def replay(hosts: int, policy: str) -> Result:
     """Return what the callers get with a policy; printed for the design note."""
-    result = Fleet(hosts, POLICIES[policy](), RATE, seed=5).run(SECONDS)
+    result = Fleet(hosts, POLICIES[policy](hosts), RATE, seed=5).run(SECONDS)
     values = zip(result._fields, result, strict=True)
     print(hosts, policy, " ".join(f"{name}={value:.3f}" for name, value in values))
     return result
@@ -144,7 +197,7 @@
 def test_fewer_requests_are_late_if_speeds_count(hosts, ratio):
     """Guards against requests that wait at slow runners while fast ones have slots."""
     before = replay(hosts, "free slots")
-    after = replay(hosts, "lasting and momentary speed")
+    after = replay(hosts, "measured")
     bound = replay(hosts, "all known")
     assert after.late <= ratio * before.late
     assert bound.late <= after.late
--- a/src/primroseford/jobs/run.py
+++ b/src/primroseford/jobs/run.py
@@ -30,11 +30,13 @@
 from primroseford.jobs.waiting import WaitReason
 from primroseford.jobs.waiting import missing_items
 from primroseford.online.events import EventSplitter
+from primroseford.online.events import count_events
 from primroseford.platform.prompts import decode_prompt
 from primroseford.platform.runner_calls import ITEM_INVALID_STATUS
 from primroseford.platform.runner_calls import is_signed
 from primroseford.platform.runner_calls import item_headers
 from primroseford.platform.runner_calls import runner_headers
+from primroseford.runner_speed.pool import ResponseTimes
 
 if TYPE_CHECKING:
     import aiohttp
@@ -404,6 +406,8 @@
     attempt: RunnerAttempt,
 ) -> None:
     splitter = EventSplitter(MAX_EVENT_BYTES, item.last_event)
+    times = ResponseTimes()
+    is_measured = gateway.speeds.covers(runner)
     try:
         async for chunk in read_bounded(response, MAX_ITEM_BYTES):
             block = splitter.feed(chunk)
@@ -413,6 +417,8 @@
                     gateway.quarantine.record_served(item.shared_parts)
                 inactivity.reset()
                 runner.last_byte = gateway.clock()
+                if is_measured:
+                    times.note(count_events(block), runner.last_byte)
                 item.append_events(block, runner.entry.version)
                 if item.text_bytes > MAX_ITEM_BYTES:
                     item.discard_events()
@@ -429,3 +435,4 @@
         raise may_have_run_error(
             ResultCode.STREAM_TRUNCATED, "the stream ended within an event"
         )
+    gateway.speeds.note_response(runner, times)
--- a/src/primroseford/online/events.py
+++ b/src/primroseford/online/events.py
@@ -156,3 +156,8 @@
 def error_event(error: PrimrosefordError) -> bytes:
     """Return the error event that ends a stream which cannot be completed."""
     return f"event: error\ndata: {json.dumps(error_body(error))}\n\n".encode()
+
+
+def count_events(events: bytes) -> int:
+    """Return the number of events in a block of complete events, at least 1."""
+    return max(1, events.count(b"\n\n") + events.count(b"\n\r\n"))
--- /dev/null
+++ b/src/primroseford/runner_speed/tests/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the runners' request limits."""
+
+from __future__ import annotations
