Place requests by the expected times of the runners

Pools whose runners report their slowness were placed by free slots alone: a quarter of the runners, at 0.55 of the usual speed, got as much as the others. Hosts now sample runners in proportion to speed times free slots, the more evenly the older the load reports are, and with up to 16 hosts the expected time to the first event decides between two. Batch items are spread likewise by lasting speed, but go to runners fast enough for their deadline. The limits for silent runners grow with what a slow runner is expected to take, up to 2.25 times. Affinity to large shared parts is unchanged. Other pools are placed as before.

--- a/src/primroseford/gateway/forward.py
+++ b/src/primroseford/gateway/forward.py
@@ -290,10 +290,10 @@
 ) -> web.StreamResponse:
     started = gateway.clock()
     loop = asyncio.get_running_loop()
-    inactivity = InactivityTimeout(
-        loop.time() + context.deadline - started,
-        inactivity_timeout(context.route, context.runs, runner.latency),
-    )
+    limit = inactivity_timeout(context.route, context.runs, runner.latency)
+    if limit is not None:
+        limit *= gateway.speeds.silence_factor(runner)
+    inactivity = InactivityTimeout(loop.time() + context.deadline - started, limit)
     context.inactivity = inactivity
     duration: float | None = None
     token = gateway.track_exchange(runner)
--- a/src/primroseford/gateway/runner_speeds.py
+++ b/src/primroseford/gateway/runner_speeds.py
@@ -30,6 +30,13 @@
 SLOW_RUNNER_SPEED = 0.8
 """Lasting speed below which a runner counts as slow in the metrics."""
 
+SLOWNESS_MEMORY_SECONDS = 2.0
+"""Time for which the reported slowness extends the limits for silent runners. Without
+data there is no newer report, so that it must outlast the limits themselves."""
+MAX_SILENCE_FACTOR = 2.25
+"""Largest factor of these limits. With it a stream is resumed after 1.8 s, before its
+caller disconnects after 2 s."""
+
 log = structlog.get_logger()
 
 
@@ -70,6 +77,20 @@
         if ratio is not None:
             self._note_error(pool, ratio)
 
+    def silence_factor(self, runner: RunnerState) -> float:
+        """Return the factor by which a runner may be silent longer than a usual one.
+
+        A slow runner gets less work by its speed; it must not count as failed. While it
+        reads a large prompt, its other streams have pauses in proportion to its speed.
+        """
+        if not self.covers(runner):
+            return 1.0
+        speed = runner.speed
+        factor = 1.0 / speed.lasting
+        if self.gateway.clock() - speed.slowness_at < SLOWNESS_MEMORY_SECONDS:
+            factor *= speed.slowness
+        return min(MAX_SILENCE_FACTOR, max(1.0, factor))
+
     def note_first_event(self, runner: RunnerState, seconds: float) -> None:
         """Record the time from the sending of a request to its first event."""
         label = speed_class(runner)
--- a/src/primroseford/gateway/slot_allocator.py
+++ b/src/primroseford/gateway/slot_allocator.py
@@ -4,6 +4,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
@@ -19,6 +20,7 @@
 from primroseford.gateway.runners import RunnerStage
 from primroseford.gateway.slot_queue import SlotQueue
 from primroseford.gateway.slot_queue import Waiter
+from primroseford.gateway.speed_placement import choose_by_speed
 from primroseford.gateway.version_history import VersionHistory
 from primroseford.request_limits.observations import LimitObservations
 from primroseford.request_limits.tokens import RequestTokens
@@ -27,6 +29,7 @@
     from collections.abc import Callable
     from collections.abc import Collection
     from collections.abc import Container
+    from collections.abc import Sequence
     from random import Random
 
     from primroseford.clock import Clock
@@ -52,6 +55,9 @@
 more than fails together in one failure domain or release, and allows two of five."""
 FIRST_EVENT_WEIGHT = 0.1
 """Weight of one request in the EWMA of the time to the first event."""
+FIRST_EVENT_SECONDS = 0.05
+"""Initial estimate of the time to the first event at a runner with a free slot: the
+decoding of an event of 11 tokens and the reading of 450 prompt tokens."""
 SERVICE_SECONDS = 0.7
 """Initial estimate of the time that an online request occupies a slot: a stream of 34
 events at intervals of 21 ms, as in the workloads."""
@@ -213,16 +219,57 @@
         version: SoftwareVersion | None = None,
     ) -> RunnerState | None:
         loads = self.open_loads(pool, tried, version=version)
-        sampled = sample_runners(loads, self.hosts, self.random)
-        best = choose_runner(sampled, self.domain, self.random)
-        if best is None and len(sampled) < len(loads):
-            best = choose_runner(loads, self.domain, self.random)
+        if pool in self.slowness_pools:
+            best = self.choose_by_speed(pool, loads)
+        else:
+            sampled = sample_runners(loads, self.hosts, self.random)
+            best = choose_runner(sampled, self.domain, self.random)
+            if best is None and len(sampled) < len(loads):
+                best = choose_runner(loads, self.domain, self.random)
         if best is None:
             return None
         if prefix_key:
             best = choose_cached_runner(prefix_key, loads, best) or best
         return self.runners[best.key.name]
 
+    def choose_by_speed(
+        self,
+        pool: PoolName,
+        loads: Sequence[RunnerLoad],
+        batch: bool = False,
+        max_factor: float = math.inf,
+    ) -> RunnerLoad | None:
+        """Return the runner with the best expected times for a request or item.
+
+        An item outlasts the momentary slowness of a runner, so that only the lasting
+        speeds count for it.
+
+        :param loads: loads of the candidate runners
+        :param batch: whether the work is a batch item
+        :param max_factor: largest time factor with which an item ends in time; slower
+            runners are used if there are no others
+        """
+        now = self.clock()
+        speeds = [self.runners[load.key.name].speed for load in loads]
+        if batch:
+            factors = [1.0 / speed.lasting for speed in speeds]
+            if max(factors, default=0.0) > max_factor >= min(factors):
+                fast = [n for n, factor in enumerate(factors) if factor <= max_factor]
+                best = self.choose_by_speed(pool, [loads[n] for n in fast], batch)
+                if best is not None:
+                    return best
+        else:
+            factors = [speed.time_factor(now) for speed in speeds]
+        return choose_by_speed(
+            loads,
+            factors,
+            self.hosts,
+            self.first_event_seconds.get(pool, FIRST_EVENT_SECONDS),
+            self.service_seconds.get(pool, SERVICE_SECONDS),
+            self.random,
+            batch,
+        )
+
     async def acquire(
         self,
         pool: PoolName,
--- a/src/primroseford/gateway/state.py
+++ b/src/primroseford/gateway/state.py
@@ -124,6 +124,10 @@
             "Time from sending to the first event in pools that report slowness",
             ("speed",),
         )
+        self.needless_waits = metrics.counter(
+            "gateway_needless_waits_total",
+            "Responses of runners with a queue while others of the pool had free slots",
+        )
         self.tunnels = metrics.counter(
             "gateway_tunnels_total",
             "Requests of other hosts to be connected to a runner, by status",
@@ -349,6 +353,10 @@
         """Apply the load that a runner reported in a response."""
         if load.slowness is None or not self.is_engine(runner.entry.pool):
             return
+        if load.waiting and any(
+            other.load().free > 0 for other in self.allocator.usable(runner.entry.pool)
+        ):
+            self.metrics.needless_waits.inc()
         if self.allocator.note_slowness(runner, load.slowness):
             log.info(
                 "pool reports slowness",
--- a/src/primroseford/gateway/watchdog.py
+++ b/src/primroseford/gateway/watchdog.py
@@ -71,6 +71,7 @@
                 runner.entry.pool, 0.0
             )
             limit = max(ENGINE_SILENCE_SECONDS, FIRST_EVENT_MULTIPLE * first)
+            limit *= self.gateway.speeds.silence_factor(runner)
         else:
             usual = runner.latency * ANSWER_SILENCE_LATENCIES
             limit = max(SERVICE_SILENCE_SECONDS, usual)
--- a/src/primroseford/jobs/batch_capacity.py
+++ b/src/primroseford/jobs/batch_capacity.py
@@ -112,14 +112,17 @@
         tried: Collection[RunnerKey] = (),
         trial: bool = False,
         version: SoftwareVersion | None = None,
+        max_factor: float = math.inf,
     ) -> RunnerState | None:
         """Return a runner with a free slot for an item, or None.
 
         :param tried: runner instances that failed the item
         :param trial: whether the item is tried despite a quarantine
         :param version: the only software version that may run it; ``None`` for any
+        :param max_factor: largest time factor of a runner with which it ends in time
         """
-        return self._choose(self._eligible_loads(pool, tried, version=version), trial)
+        loads = self._eligible_loads(pool, tried, version=version)
+        return self._choose(pool, loads, trial, max_factor)
 
     def choose_limited_runner(
         self,
@@ -137,16 +140,23 @@
         :param version: the only software version that may run it; ``None`` for any
         """
         loads = self._eligible_loads(pool, tried, limited=True, version=version)
-        return self._choose(
-            [load for load in loads if load.free > RATE_LIMITED_HEADROOM_SLOTS], trial
-        )
+        loads = [load for load in loads if load.free > RATE_LIMITED_HEADROOM_SLOTS]
+        return self._choose(pool, loads, trial)
 
-    def _choose(self, loads: Sequence[RunnerLoad], trial: bool) -> RunnerState | None:
+    def _choose(
+        self,
+        pool: PoolName,
+        loads: Sequence[RunnerLoad],
+        trial: bool,
+        max_factor: float = math.inf,
+    ) -> RunnerState | None:
         allocator = self.gateway.allocator
         if not loads:
             return None
         if trial:
             best = trial_runner(loads)
+        elif pool in allocator.slowness_pools:
+            best = allocator.choose_by_speed(pool, loads, True, max_factor)
         else:
             best = batch_runner(loads, self.gateway.random, allocator.hosts)
         return None if best is None else allocator.runners[best.key.name]
--- a/src/primroseford/jobs/deadlines.py
+++ b/src/primroseford/jobs/deadlines.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
+from primroseford.jobs.forecast import PREEMPTION_FACTOR
 from primroseford.jobs.forecast import Forecast
 from primroseford.jobs.forecast import needed_slots
 from primroseford.jobs.forecast import rank
@@ -38,6 +40,19 @@
         """
         return self.forecast(item).slack(len(item.data), item.deadline - now)
 
+    def max_time_factor(self, item: ItemRun, now: float) -> float:
+        """Return the largest time factor of a runner with which an item is in time.
+
+        It is infinite for an item that is late in any case.
+
+        :param now: local time in seconds
+        """
+        slack = self.slack(item, now)
+        if slack < 0:
+            return math.inf
+        remaining = self.forecast(item).remaining_seconds(len(item.data))
+        return 1 + slack / (PREEMPTION_FACTOR * remaining)
+
     def rank(self, item: ItemRun, now: float) -> tuple[int, float]:
         """Return the sort key of an item; the lowest starts first.
 
--- a/src/primroseford/jobs/run.py
+++ b/src/primroseford/jobs/run.py
@@ -303,7 +303,8 @@
     """
     started = gateway.clock()
     inactivity = InactivityTimeout(
-        asyncio.get_running_loop().time() + until - started, ITEM_IDLE_TIMEOUT_SECONDS
+        asyncio.get_running_loop().time() + until - started,
+        ITEM_IDLE_TIMEOUT_SECONDS * gateway.speeds.silence_factor(runner),
     )
     attempt = RunnerAttempt()
     token = gateway.track_exchange(runner)
--- a/src/primroseford/jobs/scheduler.py
+++ b/src/primroseford/jobs/scheduler.py
@@ -333,7 +333,13 @@
                 full_pools.add(pool)
             return
         if runner is None:
-            runner = capacity.choose_runner(pool, item.tried, is_trial, version)
+            runner = capacity.choose_runner(
+                pool,
+                item.tried,
+                is_trial,
+                version,
+                estimator.max_time_factor(item, now),
+            )
         if runner is None and item.tried:
             item.tried.clear()
             runner = capacity.choose_runner(pool, (), is_trial, version)
