--- a/src/primroseford/gateway/heartbeat.py
+++ b/src/primroseford/gateway/heartbeat.py
@@ -288,6 +288,7 @@
         gateway.request_limiter.fill_heartbeat(heartbeat)
         gateway.evacuations.fill_heartbeat(heartbeat)
         gateway.cold.fill_heartbeat(heartbeat)
+        gateway.speeds.fill_heartbeat(heartbeat)
         leaving = gateway.allocator.leaving
         heartbeat.leaving_runners = leaving.reports(gateway.clock())
         heartbeat.restarted_runners = reported_restarts(
@@ -362,6 +363,7 @@
         gateway.allocator.apply_heartbeat(heartbeat)
         apply_heartbeat(gateway.quarantine, heartbeat)
         gateway.request_limiter.apply_heartbeat(heartbeat)
+        gateway.speeds.apply_heartbeat(heartbeat, host)
         gateway.note_evacuations(
             gateway.evacuations.apply_heartbeat(heartbeat, gateway.clock()), host
         )
@@ -399,6 +401,7 @@
             if peer.host not in self.lost_hosts:
                 self.lost_hosts.add(peer.host)
                 gateway.allocator.remove_host(peer.host)
+                gateway.speeds.remove_host(peer.host)
                 log.warning(
                     "host sends no heartbeats",
                     peer=peer.host,
--- a/src/primroseford/gateway/state.py
+++ b/src/primroseford/gateway/state.py
@@ -19,6 +19,7 @@
 from primroseford.gateway.rendezvous import ranked
 from primroseford.gateway.request_limiter import RequestLimiter
 from primroseford.gateway.runner_paths import RunnerPaths
+from primroseford.gateway.runner_speeds import RunnerSpeeds
 from primroseford.gateway.runners import RunnerList
 from primroseford.gateway.stream_records import StreamRecords
 from primroseford.gateway.trial_turns import TrialTurns
@@ -36,6 +37,7 @@
     from primroseford.gateway.evacuations import EvacuationChange
     from primroseford.gateway.gen.messages.ttypes import Heartbeat
     from primroseford.gateway.members import Members
+    from primroseford.gateway.notices import ReportedLoad
     from primroseford.gateway.notices import RunnerNotice
     from primroseford.gateway.request_context import RequestContext
     from primroseford.gateway.runner_state import RunnerState
@@ -114,6 +116,19 @@
         self.evacuated_domains = metrics.gauge(
             "gateway_evacuated_domains", "Failure domains that get no new work"
         )
+        self.speed_errors = metrics.histogram(
+            "gateway_event_time_ratio",
+            "Time between the events of responses as a multiple of the expected one",
+        )
+        self.first_events = metrics.histogram(
+            "gateway_first_event_seconds",
+            "Time from sending to the first event in pools that report slowness",
+            ("speed",),
+        )
+        self.needless_waits = metrics.counter(
+            "gateway_needless_waits_total",
+            "Responses of runners with a queue while others of the pool had free slots",
+        )
         self.tunnels = metrics.counter(
             "gateway_tunnels_total",
             "Requests of other hosts to be connected to a runner, by status",
@@ -166,6 +181,7 @@
     :ivar evacuations: failure domains that get no new work
     :ivar tables: configuration in force; ``None`` until the first one is received
     :ivar quarantine: prompt parts that crash runners
+    :ivar speeds: how fast the runners work
     :ivar trial_turns: turns of this host to try them
     :ivar crash_detector: detects such crashes
     :ivar request_limiter: keeps requests within the limits of the runners
@@ -208,6 +224,7 @@
         self.evacuations = allocator.evacuated
         self.quotas = Quotas(clock())
         self.quarantine = Quarantine(clock)
+        self.speeds = RunnerSpeeds(self)
         self.trial_turns = TrialTurns(members, self.quarantine, clock)
         self.quarantine.is_responsible = self.trial_turns.is_own
         self.quarantine.is_keeper = lambda part: self._is_ranked(part, 1)
@@ -340,6 +357,21 @@
             leaving=notice.leaving or None,
         )
 
+    def note_load(self, runner: RunnerState, load: ReportedLoad) -> None:
+        """Apply the load that a runner reported in a response."""
+        if load.slowness is None or not self.is_engine(runner.entry.pool):
+            return
+        if load.waiting and any(
+            other.load().free > 0 for other in self.allocator.usable(runner.entry.pool)
+        ):
+            self.metrics.needless_waits.inc()
+        if self.allocator.note_slowness(runner, load.slowness):
+            log.info(
+                "pool reports slowness",
+                pool=runner.entry.pool,
+                runner=runner.entry.key.name,
+            )
+
     def note_leaving(self, key: RunnerKey, seen_by: HostId | None = None) -> None:
         """Send a runner no new requests, since it has said that it leaves.
 
--- a/src/primroseford/gateway/watchdog.py
+++ b/src/primroseford/gateway/watchdog.py
@@ -14,6 +14,7 @@
 from primroseford.gateway.retry import ANSWER_SILENCE_LATENCIES
 from primroseford.gateway.runner_starts import check_start
 from primroseford.platform.runner_calls import decode_cold_seconds
+from primroseford.platform.runner_calls import decode_load
 
 if TYPE_CHECKING:
     from primroseford.gateway.runner_state import RunnerState
@@ -71,6 +72,7 @@
                 runner.entry.pool, 0.0
             )
             limit = max(ENGINE_SILENCE_SECONDS, FIRST_EVENT_MULTIPLE * first)
+            limit *= self.gateway.speeds.silence_factor(runner)
         else:
             usual = runner.latency * ANSWER_SILENCE_LATENCIES
             limit = max(SERVICE_SILENCE_SECONDS, usual)
@@ -141,4 +143,7 @@
         timeout = aiohttp.ClientTimeout(total=PROBE_SECONDS)
         async with self.gateway.session.get(url, timeout=timeout) as answer:
             self.gateway.cold.note_statement(runner, decode_cold_seconds(answer))
+            load = decode_load(answer)
+            if load is not None:
+                self.gateway.note_load(runner, load)
             return answer.status
--- a/src/primroseford/standins/fleet_runner.py
+++ b/src/primroseford/standins/fleet_runner.py
@@ -45,6 +45,8 @@
         none
     :param from_start: begin each stream at its first event, whatever was asked
     :param leaving: value of the ``Server-Leaving`` header in responses; empty for none
+    :param load: value of the ``Server-Load`` header, also in health responses; empty
+        for none
     """
 
     refuse: bool = False
@@ -62,6 +64,7 @@
     request_limit: str = ""
     from_start: bool = False
     leaving: str = ""
+    load: str = ""
 
 
 @dataclass
@@ -131,6 +134,8 @@
             headers = {"Instance-Id": self.name}
             if self.cold_ms is not None:
                 headers["Cold-Ms"] = str(self.cold_ms)
+            if self.faults.load:
+                headers["Server-Load"] = self.faults.load
             return web.Response(headers=headers)
         if request.raw_path == "/report":
             return await self._report()
@@ -185,6 +190,8 @@
             headers["Server-Limit"] = faults.request_limit
         if faults.leaving:
             headers["Server-Leaving"] = faults.leaving
+        if faults.load:
+            headers["Server-Load"] = faults.load
         if faults.status != 200:
             return web.Response(status=faults.status, headers=headers, body=b"failed")
         if faults.error_page:
