Ask runners for their reports where callers compete for them

Cause: in deployments whose settings have the contract of competing callers the runners do not report their slowness, and their health checks may wait for a slot; placement there knows loads that are 0.4 s old. Change: the contract switches the same probes on, by the engines' reports, which need no slot.

--- a/src/primroseford/gateway/host.py
+++ b/src/primroseford/gateway/host.py
@@ -123,6 +123,7 @@
             random,
             GatewayMetrics(self.metrics),
         )
+        gateway.allocator.reads_reports = settings.callers_compete
         runner_session.connector.open = gateway.paths.open
         self.tunnels = TunnelServer(
             lambda address: gateway.paths.connect(address),
--- a/src/primroseford/gateway/load_probes.py
+++ b/src/primroseford/gateway/load_probes.py
@@ -2,8 +2,9 @@
 
 In a large fleet the loads that hosts report to each other are some tenths of a second
 old, as long as a request takes a slot. In a surge a request then waits at a full runner
-while others have free slots. Runners that report how slow they are answer health checks
-at once, so that the load of a few candidates is known within some milliseconds.
+while others have free slots. The load of a few candidates is known within some
+milliseconds: runners that report how slow they are answer health checks at once, and
+engines answer requests for their reports without a slot.
 """
 
 from __future__ import annotations
@@ -15,11 +16,15 @@
 import structlog
 from yarl import URL
 
+from primroseford.bounded_http import read_limited
 from primroseford.gateway.exchange import EXCHANGE_ERRORS
 from primroseford.gateway.placement import best_probed
 from primroseford.gateway.placement import needs_probes
 from primroseford.gateway.placement import probe_candidates
+from primroseford.gateway.runner_starts import MAX_REPORT_BYTES
+from primroseford.platform.runner_calls import REPORT_PATH
 from primroseford.platform.runner_calls import decode_load
+from primroseford.platform.runner_calls import decode_report_load
 
 if TYPE_CHECKING:
     from primroseford.gateway.notices import ReportedLoad
@@ -27,6 +32,7 @@
     from primroseford.gateway.runner_state import RunnerState
     from primroseford.gateway.runners import RunnerKey
     from primroseford.gateway.state import Gateway
+    from primroseford.ids import PoolName
 
 TIMEOUT_SECONDS = 0.03
 """Longest wait for the loads: a tenth of the shortest objective for the first event.
@@ -46,7 +52,7 @@
     """
     allocator = gateway.allocator
     pool, key = runner.entry.pool, runner.entry.key
-    if pool not in allocator.slowness_pools or context.origin or context.response:
+    if context.origin or context.response or not _can_probe(gateway, pool):
         return runner
     if allocator.tokens.is_limited(key) or not needs_probes(
         allocator.load(runner), allocator.hosts
@@ -74,6 +80,13 @@
     return other
 
 
+def _can_probe(gateway: Gateway, pool: PoolName) -> bool:
+    allocator = gateway.allocator
+    return pool in allocator.slowness_pools or (
+        allocator.reads_reports and gateway.is_engine(pool)
+    )
+
+
 async def _probe_all(
     gateway: Gateway, runners: list[RunnerState]
 ) -> dict[RunnerKey, ReportedLoad | None]:
@@ -86,14 +99,17 @@
 
 
 async def _probe(gateway: Gateway, runner: RunnerState) -> ReportedLoad | None:
-    tables = gateway.tables
-    pool = tables.pools.get(runner.entry.pool) if tables else None
-    path = pool.health_path if pool else "/health"
-    url = URL(f"http://{runner.entry.address}{path}", encoded=True)
+    entry = runner.entry
+    is_health = entry.pool in gateway.allocator.slowness_pools
+    path = gateway.health_path(entry.pool) if is_health else REPORT_PATH
+    url = URL(f"http://{entry.address}{path}", encoded=True)
     timeout = aiohttp.ClientTimeout(total=TIMEOUT_SECONDS)
     try:
         async with gateway.session.get(url, timeout=timeout) as response:
-            return decode_load(response)
+            if is_health:
+                return decode_load(response)
+            body = await read_limited(response, MAX_REPORT_BYTES)
+            return decode_report_load(body, entry.slots)
     except (*EXCHANGE_ERRORS, TimeoutError) as error:
         log.debug("load not read", runner=runner.entry.key.name, reason=repr(error))
         return None
--- a/src/primroseford/gateway/slot_allocator.py
+++ b/src/primroseford/gateway/slot_allocator.py
@@ -78,6 +78,8 @@
     :ivar leaving: runners that have said that they leave
     :ivar evacuated: failure domains whose runners get no new work
     :ivar versions: software versions that the pools have had lately
+    :ivar reads_reports: whether engines are asked for their reports before a request is
+        placed
     :ivar slowness_pools: pools of which a runner has reported its slowness
     :ivar on_waiting: called with a pool when a request begins to wait for a slot
     """
@@ -100,6 +102,7 @@
         self.evacuated = Evacuations()
         self.versions = VersionHistory(clock)
         self.slowness_pools: set[PoolName] = set()
+        self.reads_reports = False
         self.on_waiting: Callable[[PoolName], None] = lambda pool: None
 
     @property
--- a/src/primroseford/gateway/state.py
+++ b/src/primroseford/gateway/state.py
@@ -414,6 +414,11 @@
         known = self.tables.pools.get(pool) if self.tables else None
         return known is None or known.is_engine
 
+    def health_path(self, pool: PoolName) -> str:
+        """Return the path of the health checks of a pool's runners."""
+        known = self.tables.pools.get(pool) if self.tables else None
+        return known.health_path if known else "/health"
+
     def note_restart(
         self, restart: RunnerRestart, seen_by: HostId | None = None
     ) -> None:
--- a/src/primroseford/gateway/tests/test_load_probes.py
+++ b/src/primroseford/gateway/tests/test_load_probes.py
@@ -93,6 +93,24 @@
     assert not any(state.online for state in states)
 
 
+@pytest.mark.parametrize(
+    ("loads", "served_by"),
+    [(("8,3,8", "2,0,8"), "i-2"), (("2,0,8", "8,3,8"), "i-1"), (("", ""), "i-1")],
+)
+async def test_requests_of_competing_callers_wait_beside_free_slots(
+    large_fleet, loads, served_by
+):
+    """Guards against old load reports where runners do not report their slowness."""
+    site = large_fleet
+    allocator = site.hosts[0].gateway.allocator
+    allocator.slowness_pools.clear()
+    allocator.reads_reports = True
+    for runner, load in zip(site.runners, loads, strict=True):
+        runner.faults.load = load
+    assert (await site.call("/nudge/x", "second"))[0] == 200
+    assert [r.name for r in site.runners if r.received] == [served_by]
+
+
 async def test_runner_that_does_not_answer_probes_gets_the_request(large_fleet):
     """Guards against a request that goes to a runner that has stopped responding."""
     site = large_fleet
--- a/src/primroseford/gateway/watchdog.py
+++ b/src/primroseford/gateway/watchdog.py
@@ -131,9 +131,7 @@
 
     async def _check_health(self, runner: RunnerState) -> int:
         """Return the status of a runner's health response."""
-        tables = self.gateway.tables
-        pool = tables.pools.get(runner.entry.pool) if tables else None
-        path = pool.health_path if pool else "/health"
+        path = self.gateway.health_path(runner.entry.pool)
         url = URL(f"http://{runner.entry.address}{path}", encoded=True)
         timeout = aiohttp.ClientTimeout(total=PROBE_SECONDS)
         async with self.gateway.session.get(url, timeout=timeout) as answer:
--- a/src/primroseford/platform/runner_calls.py
+++ b/src/primroseford/platform/runner_calls.py
@@ -37,6 +37,8 @@
 ITEM_INVALID_STATUS = 422
 """Status for a batch item that can never succeed."""
 RATE_PATTERN = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?|\.[0-9]{1,9}")
+MAX_REPORTED_REQUESTS = 100_000
+"""Largest number of requests that a report is believed."""
 MAX_LOGGED_VALUE_LENGTH = 40
 LOAD_PATTERN = re.compile(
     r"\s*([0-9]{1,5})[\s,;/]+([0-9]{1,5})[\s,;/]+([0-9]{1,5})"
@@ -160,6 +162,23 @@
     return born if type(born) is int and born > 0 else None
 
 
+def decode_report_load(body: bytes, slots: int) -> ReportedLoad | None:
+    """Return the load of a runner from its report; ``None`` if it does not tell it.
+
+    :param body: body of the response
+    :param slots: requests that the runner processes concurrently
+    """
+    try:
+        report = json.loads(body)
+        running, waiting = report["in_flight"], report["queue_depth"]
+    except DECODING_ERRORS:
+        return None
+    for count in (running, waiting):
+        if type(count) is not int or not 0 <= count <= MAX_REPORTED_REQUESTS:
+            return None
+    return ReportedLoad(running, waiting, slots)
+
+
 def is_signed(response: aiohttp.ClientResponse) -> bool:
     """Return whether the response was created by a runner."""
     return SIGNATURE in response.headers
--- a/src/primroseford/platform/settings.py
+++ b/src/primroseford/platform/settings.py
@@ -12,6 +12,8 @@
 from primroseford.ids import FailureDomainId
 from primroseford.ids import HostId
 
+COMPETITION_CONTRACT = "pressure"
+"""Contract of deployments whose callers compete for too few runners."""
 PATH_VARIABLE = "PRIMROSEFORD_NODE_FILE"
 """Environment variable that names the settings file."""
 
@@ -35,6 +37,8 @@
         (``link_mbps``)
     :param evacuation_seconds: time in which an evacuation of a failure domain must be
         in force (``evacuate_ms``); none if the deployment has no evacuations
+    :param callers_compete: whether callers often ask for more than runners can serve
+        (``pressure`` among the ``contracts``)
     """
 
     host: HostId
@@ -49,6 +53,7 @@
     settle_seconds: float
     link_bytes: float
     evacuation_seconds: float | None = None
+    callers_compete: bool = False
 
 
 def load_node_settings(path: str) -> NodeSettings:
@@ -88,6 +93,7 @@
         settle_seconds=_read_number(content, "bounds.settle_ms") / 1000,
         link_bytes=_read_number(content, "limits.link_mbps") * 1e6 / 8,
         evacuation_seconds=_read_optional_ms(content, "bounds", "evacuate_ms"),
+        callers_compete=COMPETITION_CONTRACT in (content.get("contracts") or ()),
     )
 
 
--- a/src/primroseford/platform/tests/test_decoding.py
+++ b/src/primroseford/platform/tests/test_decoding.py
@@ -32,6 +32,16 @@
 }
 
 
+@pytest.mark.parametrize(
+    ("contracts", "compete"),
+    [({}, False), ({"contracts": ["base", "quota"]}, False)]
+    + [({"contracts": ["base", "pressure"]}, True), ({"contracts": None}, False)],
+)
+def test_competing_callers_follow_from_the_settings(contracts, compete):
+    """Guards against probes in deployments that have not asked for them."""
+    assert decode_node_settings(SETTINGS | contracts).callers_compete is compete
+
+
 @pytest.mark.parametrize(
     ("bounds", "seconds"), [({}, None), ({"evacuate_ms": 5000}, 5.0)]
 )
--- a/src/primroseford/standins/fleet_runner.py
+++ b/src/primroseford/standins/fleet_runner.py
@@ -173,7 +173,11 @@
             await asyncio.sleep(3600)
         if self.born is None:
             return web.Response(status=404)
-        return web.json_response({"stage": "both", "models": [], "born": self.born})
+        report = {"stage": "both", "models": [], "born": self.born}
+        if self.faults.load:
+            running, waiting = map(int, self.faults.load.split(",")[:2])
+            report |= {"in_flight": running, "queue_depth": waiting}
+        return web.json_response(report)
 
     async def _respond(
         self, request: web.BaseRequest, request_id: str
