--- a/src/primroseford/gateway/host.py
+++ b/src/primroseford/gateway/host.py
@@ -125,6 +125,7 @@
         )
         gateway.cold.excess = settings.cold_excess
         gateway.cold.slack = settings.cold_slack
+        gateway.allocator.reads_reports = settings.callers_compete
         runner_session.connector.open = gateway.paths.open
         self.tunnels = TunnelServer(
             lambda address: gateway.paths.connect(address),
--- a/src/primroseford/gateway/state.py
+++ b/src/primroseford/gateway/state.py
@@ -134,6 +134,10 @@
             "Requests of other hosts to be connected to a runner, by status",
             ("status",),
         )
+        self.probed_placements = metrics.counter(
+            "gateway_probed_placements_total",
+            "Requests that went to another runner by the load that it reported",
+        )
         self.limited_runners = metrics.gauge(
             "gateway_limited_runners", "Runners that limit the requests they accept"
         )
@@ -427,6 +431,11 @@
         known = self.tables.pools.get(pool) if self.tables else None
         return known is None or known.is_engine
 
+    def health_path(self, pool: PoolName) -> str:
+        """Return the path of the health checks of a pool's runners."""
+        known = self.tables.pools.get(pool) if self.tables else None
+        return known.health_path if known else "/health"
+
     def note_restart(
         self, restart: RunnerRestart, seen_by: HostId | None = None
     ) -> None:
--- a/src/primroseford/platform/settings.py
+++ b/src/primroseford/platform/settings.py
@@ -12,6 +12,8 @@
 from primroseford.ids import FailureDomainId
 from primroseford.ids import HostId
 
+COMPETITION_CONTRACT = "pressure"
+"""Contract of deployments whose callers compete for too few runners."""
 PATH_VARIABLE = "PRIMROSEFORD_NODE_FILE"
 """Environment variable that names the settings file."""
 
@@ -38,6 +40,8 @@
     :param cold_excess: factor by which a cold runner tolerates more requests than its
         service states
     :param cold_slack: number of requests in a second that it tolerates beyond that
+    :param callers_compete: whether callers often ask for more than runners can serve
+        (``pressure`` among the ``contracts``)
     """
 
     host: HostId
@@ -54,6 +58,7 @@
     evacuation_seconds: float | None = None
     cold_excess: float = 1.0
     cold_slack: float = 0.0
+    callers_compete: bool = False
 
 
 def load_node_settings(path: str) -> NodeSettings:
@@ -95,6 +100,7 @@
         evacuation_seconds=_read_optional_ms(content, "bounds", "evacuate_ms"),
         cold_excess=_read_optional(content, "bounds", "cold_excess", 1.0),
         cold_slack=_read_optional(content, "bounds", "cold_slack", 0.0),
+        callers_compete=COMPETITION_CONTRACT in (content.get("contracts") or ()),
     )
 
 
