Learn from any report that a pool reports slowness

A host learnt from its peers that a pool reports slowness only while the reported slowness was fresh: 'assert set() == {models}' in test_other_hosts_learn_speeds_and_slowness when the hosts joined after the responses. Needless waits are counted by plain sums instead of the loads of all runners. Tests of the metrics and of the log line are added.

--- a/src/primroseford/gateway/runner_speeds.py
+++ b/src/primroseford/gateway/runner_speeds.py
@@ -70,10 +70,8 @@
             return
         pool = runner.entry.pool
         known = self.pools.setdefault(pool, PoolTimes())
-        in_flight = (
-            runner.online + runner.peer_online + runner.batch + runner.peer_batch
-        )
-        ratio = known.measure(runner.speed, times, in_flight, runner.entry.slots)
+        slots = runner.entry.slots
+        ratio = known.measure(runner.speed, times, runner.in_flight, slots)
         if ratio is not None:
             self._note_error(pool, ratio)
 
@@ -159,7 +157,8 @@
             if not report.is_valid:
                 continue
             report.apply(runner.speed, host, now)
-            if report.slowness and self.gateway.is_engine(runner.entry.pool):
+            # Hosts tell only of pools whose runners report their slowness.
+            if self.gateway.is_engine(runner.entry.pool):
                 allocator.slowness_pools.add(runner.entry.pool)
 
     def remove_host(self, host: HostId) -> None:
--- a/src/primroseford/gateway/runner_state.py
+++ b/src/primroseford/gateway/runner_state.py
@@ -59,6 +59,16 @@
         """Return whether an entry is of this instance, which has one version only."""
         return self.entry.key == entry.key and self.entry.version == entry.version
 
+    @property
+    def in_flight(self) -> int:
+        """Number of requests and items on the runner from all hosts."""
+        return self.online + self.peer_online + self.batch + self.peer_batch
+
+    @property
+    def has_free_slot(self) -> bool:
+        """Whether a request could start at once, as this host knows."""
+        return self.in_flight < self.entry.slots
+
     def load(self) -> RunnerLoad:
         """Return the load on the runner from all hosts."""
         entry = self.entry
--- a/src/primroseford/gateway/state.py
+++ b/src/primroseford/gateway/state.py
@@ -351,16 +351,17 @@
 
     def note_load(self, runner: RunnerState, load: ReportedLoad) -> None:
         """Apply the load that a runner reported in a response."""
-        if load.slowness is None or not self.is_engine(runner.entry.pool):
+        pool = runner.entry.pool
+        if load.slowness is None or not self.is_engine(pool):
             return
         if load.waiting and any(
-            other.load().free > 0 for other in self.allocator.usable(runner.entry.pool)
+            other.has_free_slot for other in self.allocator.pool_runners(pool)
         ):
             self.metrics.needless_waits.inc()
         if self.allocator.note_slowness(runner, load.slowness):
             log.info(
                 "pool reports slowness",
-                pool=runner.entry.pool,
+                pool=pool,
                 runner=runner.entry.key.name,
             )
 
--- a/src/primroseford/gateway/tests/test_runner_speed.py
+++ b/src/primroseford/gateway/tests/test_runner_speed.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 from dataclasses import replace
+from types import SimpleNamespace
 
 import pytest
+from multidict import CIMultiDict
+from structlog.testing import capture_logs
 
 from primroseford.gateway.gen.messages.ttypes import Heartbeat
 from primroseford.gateway.gen.messages.ttypes import RunnerSpeed as SpeedMessage
@@ -14,6 +17,8 @@
 from primroseford.ids import HostId
 from primroseford.ids import RunnerName
 from primroseford.peer.codec import encode
+from primroseford.platform.runner_calls import decode_load
+from primroseford.runner_speed.pool import ResponseTimes
 from primroseford.runner_speed.reports import MAX_REPORTED_SPEEDS
 
 ENGINE_PATH = "/nudge/x"
@@ -52,9 +57,12 @@
 async def test_other_hosts_learn_speeds_and_slowness(site):
     """Guards against hosts that know only runners that they have used."""
     other = await site.add_host()
+    for host in site.hosts:
+        members = host.gateway.members
+        await site.until(lambda m=members, h=host: len(m.live(h.clock())) == 1)
+    for runner in site.runners:
+        runner.faults.load = "1, 0, 8, 250"
     for number in range(6):
-        for runner in site.runners:
-            runner.faults.load = "1, 0, 8, 250"
         assert (await site.call(ENGINE_PATH, f"id-{number}"))[0] == 200
     states = other.gateway.allocator.runners
     await site.until(lambda: any(state.speed.peers for state in states.values()))
@@ -118,3 +126,51 @@
     heartbeat = site.hosts[0].services[0].heartbeat()
     assert len(heartbeat.speeds) == MAX_REPORTED_SPEEDS
     assert len(encode(heartbeat)) < 4000
+
+
+@pytest.mark.parametrize(
+    ("load", "busy", "counted"),
+    [
+        ("8, 1, 8, 100", 0, 1),
+        ("8, 0, 8, 100", 0, 0),
+        ("8, 1, 8, 100", 8, 0),
+        ("8, 1, 8", 0, 0),
+    ],
+)
+async def test_waits_beside_free_slots_are_counted(site, load, busy, counted):
+    """Guards against waits of which operators cannot see that they are needless."""
+    gateway = site.hosts[0].gateway
+    for runner in gateway.allocator.runners.values():
+        runner.peer_online = busy
+    gateway.note_load(
+        gateway.allocator.runners["i-1"],
+        decode_load(SimpleNamespace(headers=CIMultiDict({"Server-Load": load}))),
+    )
+    assert gateway.metrics.needless_waits._value.get() == counted
+
+
+async def test_first_events_are_counted_by_speed(site):
+    """Guards against a metric that does not tell slow runners from others."""
+    gateway = site.hosts[0].gateway
+    for name, lasting in (("i-1", 0.5), ("i-2", 1.1)):
+        gateway.allocator.runners[name].speed.set_peer_speed("host-9", lasting, 40)
+        gateway.speeds.note_first_event(gateway.allocator.runners[name], 0.1)
+    for label in ("slow", "usual"):
+        assert gateway.metrics.first_events.labels(label)._sum.get() == 0.1
+
+
+async def test_error_of_the_model_is_logged_seldom(site):
+    """Guards against a log line for each response, and against none."""
+    gateway = site.hosts[0].gateway
+    runner = gateway.allocator.runners["i-1"]
+    gateway.allocator.slowness_pools.add(runner.entry.pool)
+    now = gateway.clock()
+    gateway.clock = lambda: now
+    with capture_logs() as lines:
+        for _ in range(130):
+            now += 1.0
+            gateway.speeds.note_response(runner, ResponseTimes(0.0, 0.7, 18))
+    logged = [line for line in lines if line["event"] == "runner speeds"]
+    assert len(logged) == 2
+    assert logged[0]["responses"] == 61
+    assert logged[0]["error_factor"] == 1.0
