--- a/src/primroseford/soak/fleet.py
+++ b/src/primroseford/soak/fleet.py
@@ -135,6 +135,7 @@
     """The hosts, runners, proxies and stand-ins of a run.
 
     :param seed: seed of the run
+    :param limits: further entries of the ``limits`` in the hosts' settings
     """
 
     folder: Path
@@ -146,6 +147,7 @@
     served: Served | None = None
     stops: set[asyncio.Task] = field(default_factory=set)
     seed: int = 0
+    limits: dict[str, int] = field(default_factory=dict)
 
     async def start(self, hosts: int, runners: int, version: str = "") -> None:
         """Start the stand-ins, the proxies and the hosts.
@@ -172,6 +174,7 @@
                 next_ports(),
                 next_ports(),
                 port,
+                self.limits,
             )
             self.hosts.append(host)
             await host.start()
--- a/src/primroseford/soak/processes.py
+++ b/src/primroseford/soak/processes.py
@@ -32,6 +32,7 @@
     :param ip: IP address of the host in 127.0.0.0/8
     :param store: address of the store for this host
     :param folder: folder of the host's settings and logs
+    :param limits: further entries of the settings' ``limits``
     :ivar starts: number of starts
     :ivar stop_requested: whether the end of the current process was requested
     :ivar unexpected_exits: descriptions of exits that were not requested
@@ -44,6 +45,7 @@
     ingress_port: int
     readiness_port: int
     peer_port: int
+    limits: dict[str, int] = field(default_factory=dict)
     process: asyncio.subprocess.Process | None = None
     starts: int = 0
     stop_requested: bool = False
@@ -144,7 +146,7 @@
             },
             "port_range": [self.peer_port, self.peer_port + 2],
             "platform": {"address": self.store},
-            "limits": {"link_mbps": LINK_MBPS},
+            "limits": {"link_mbps": LINK_MBPS} | self.limits,
             "bounds": {
                 "grace_s": STOP_SECONDS,
                 "status_s": RETENTION_SECONDS,
--- a/src/primroseford/standins/fleet_runner.py
+++ b/src/primroseford/standins/fleet_runner.py
@@ -249,4 +249,16 @@
 
 def create_runner_server(runner: FleetRunner) -> web.Server:
     """Return the HTTP server of a runner."""
-    return web.Server(runner.handle, handler_cancellation=True, auto_decompress=False)
+    return web.Server(
+        runner.handle,
+        request_factory=_create_request,
+        handler_cancellation=True,
+        auto_decompress=False,
+    )
+
+
+def _create_request(message, payload, protocol, writer, task) -> web.BaseRequest:
+    # A runner accepts what a caller may send; aiohttp's default is a limit of 1 MiB.
+    return web.BaseRequest(
+        message, payload, protocol, writer, task, protocol._loop, client_max_size=0
+    )
