Encode large responses about batch jobs while they are read

A read of an item's body decoded the whole body for each caller, and the connection buffered it once more: 64 callers that do not read an item of 2.9 MB raised the host to 257 MB. A job's body is dropped once its items are decoded.

--- a/src/primroseford/jobs/api.py
+++ b/src/primroseford/jobs/api.py
@@ -14,6 +14,7 @@
 from primroseford.jobs.state import Job
 from primroseford.platform.job_calls import JobVerb
 from primroseford.platform.job_calls import decode_submission
+from primroseford.platform.job_calls import encode_item_body
 from primroseford.platform.job_calls import encode_results
 from primroseford.platform.job_calls import result_bytes
 
@@ -58,6 +59,8 @@
         """
         submitted = time.time()
         job_id, items = decode_submission(incoming)
+        # The items are held as decoded; the body would be another copy of them.
+        incoming.body = b""
         owner = organisation.name if organisation else None
         cached = self.service.views.get(job_id)
         if cached is None:
@@ -118,7 +121,7 @@
         if call.verb is JobVerb.READ_BODY:
             for item in view.job.items:
                 if item.id == call.item:
-                    return web.Response(body=item.decoded_body())
+                    return encode_item_body(item)
             raise _not_found()
         return await self._cancel(view)
 
--- a/src/primroseford/jobs/state.py
+++ b/src/primroseford/jobs/state.py
@@ -15,6 +15,8 @@
 from primroseford.platform.encoding import encoded_bytes
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
+
     from primroseford.ids import SoftwareVersion
 
 ItemId = NewType("ItemId", str)
@@ -23,6 +25,9 @@
 """Size of an encoded text above which it is stored in base64."""
 MAX_CHARACTER_BYTES = 12
 """Largest size of an encoded character: two escapes of six bytes."""
+ENCODED_BLOCK_CHARACTERS = 64 * 1024
+"""Length of a block of an item's body in base64; a multiple of four, so that each block
+can be decoded by itself."""
 BASE64_COMPLETE = "complete:base64"
 """Stored state of a complete item whose text is in base64. Software that does not know
 it fails to read the result instead of returning a wrong text."""
@@ -54,6 +59,16 @@
         """Return the decoded body."""
         return base64.b64decode(self.body)
 
+    @property
+    def decoded_bytes(self) -> int:
+        """Size of the decoded body."""
+        return len(self.body) // 4 * 3 - self.body[-2:].count("=")
+
+    def decoded_blocks(self) -> Iterator[bytes]:
+        """Yield the decoded body in blocks, which need less memory than the whole."""
+        for start in range(0, len(self.body), ENCODED_BLOCK_CHARACTERS):
+            yield base64.b64decode(self.body[start : start + ENCODED_BLOCK_CHARACTERS])
+
 
 @dataclass(frozen=True)
 class ItemResult:
--- a/src/primroseford/platform/job_calls.py
+++ b/src/primroseford/platform/job_calls.py
@@ -23,6 +23,8 @@
 from primroseford.platform.objects import DECODING_ERRORS
 
 if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+    from collections.abc import Iterator
     from collections.abc import Sequence
 
     from primroseford.gateway.requests import IncomingRequest
@@ -34,6 +36,9 @@
 MAX_WAIT_SECONDS = 1.0
 SEPARATOR_BYTES = 2
 """Size of the separator between two results of a response."""
+MAX_WHOLE_RESPONSE_BYTES = 128 * 1024
+"""Size up to which a response is encoded as a whole; larger ones are encoded in pieces
+while they are sent."""
 ID_PATTERN = re.compile(r"[A-Za-z0-9._-]{1,80}")
 
 
@@ -133,7 +138,48 @@
     """
     listed = [_result_fields(result) for result in results]
     body = {"total": total, "next": after + len(listed), "results": listed}
-    return web.Response(body=_encode(body), content_type="application/json")
+    encoded = _encode(body)
+    if len(encoded) <= MAX_WHOLE_RESPONSE_BYTES:
+        return web.Response(body=encoded, content_type="application/json")
+    pieces = _encode_pieces(total, after, results)
+    return _respond_in_pieces(pieces, len(encoded), "application/json")
+
+
+def encode_item_body(item: Item) -> web.Response:
+    """Return the response to a read of an item's body."""
+    if item.decoded_bytes <= MAX_WHOLE_RESPONSE_BYTES:
+        return web.Response(body=item.decoded_body())
+    return _respond_in_pieces(
+        item.decoded_blocks(), item.decoded_bytes, "application/octet-stream"
+    )
+
+
+def _encode_pieces(
+    total: int, after: int, results: Sequence[ItemResult]
+) -> Iterator[bytes]:
+    """Yield the encoded response to a read of results, one result at a time."""
+    head = _encode({"total": total, "next": after + len(results), "results": []})
+    yield head.removesuffix(b"]}")
+    for number, result in enumerate(results):
+        separator = b", " if number else b""
+        yield separator + _encode(_result_fields(result))
+    yield b"]}"
+
+
+def _respond_in_pieces(
+    pieces: Iterator[bytes], size: int, content_type: str
+) -> web.Response:
+    """Return a response whose pieces are made as the caller reads them.
+
+    A caller that does not read holds the memory of one piece instead of the whole.
+    """
+
+    async def iterate() -> AsyncIterator[bytes]:
+        for piece in pieces:
+            yield piece
+
+    headers = {"Content-Length": str(size)}
+    return web.Response(body=iterate(), headers=headers, content_type=content_type)
 
 
 def result_bytes(result: ItemResult) -> int:
