Keep the bodies of callers within a budget of the host's memory

A host read each body to its end before it looked at key, route and length, and held every incomplete one for as long as its caller stayed connected.

Bodies are charged to a budget (gateway/host_memory.py, pure) that follows from limits.memory_mb, 512 MB without the setting. When it is short, incomplete bodies without progress for 1 s give way, the one that has held most for longest first; otherwise the request that asks is refused. A quarter is reserved for requests up to 64 KiB; a single large request is always admitted. A connection buffers 128 KiB of a body instead of 512 KiB, and the rest of a refused one is discarded for 2 s instead of 10 s.

--- a/src/primroseford/gateway/host.py
+++ b/src/primroseford/gateway/host.py
@@ -21,6 +21,7 @@
 from primroseford.gateway.evacuation_watcher import EvacuationWatcher
 from primroseford.gateway.exchange import create_fleet_session
 from primroseford.gateway.heartbeat import HeartbeatService
+from primroseford.gateway.ingress import CallerServer
 from primroseford.gateway.ingress import Ingress
 from primroseford.gateway.members import Members
 from primroseford.gateway.peer_bootstrap import PATH as PEER_BOOTSTRAP_PATH
@@ -122,6 +123,7 @@
             self.clock,
             random,
             GatewayMetrics(self.metrics),
+            settings.memory_mb,
         )
         runner_session.connector.open = gateway.paths.open
         self.tunnels = TunnelServer(
@@ -276,7 +278,7 @@
             handler = create_readiness_handler(gateway)
             await self._listen(settings.readiness, web.Server(handler))
         if settings.ingress is not None:
-            ingress = web.Server(
+            ingress = CallerServer(
                 create_ingress_handler(gateway, jobs),
                 request_factory=_create_request,
                 handler_cancellation=True,
--- /dev/null
+++ b/src/primroseford/gateway/host_memory.py
@@ -0,0 +1,148 @@
+"""Budget of the memory that a host holds for its callers."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import field
+
+MB = 1_000_000
+DEFAULT_MEMORY_MB = 512
+"""Memory of a process whose settings do not state it (``limits.memory_mb``)."""
+PROCESS_BYTES = 80 * MB
+"""Memory that a process needs without any load (59 MB) and for what is not charged:
+buffers of connections, heartbeats, lists, and memory that the allocator retains."""
+MIN_BUDGET_BYTES = 16 * MB
+"""Budget of a process with very little memory: one largest body in transit, and the
+part for small requests."""
+SMALL_BYTES = 64 * 1024
+"""Size up to which a request may use the whole budget; prompts are smaller."""
+LARGE_SHARE = 0.75
+"""Part of the budget that larger requests may use together. The rest is reserved for
+small ones, which are served while large bodies fill their part."""
+STALL_SECONDS = 1.0
+"""Time without progress after which an incomplete body gives way."""
+PROGRESS_BYTES = 64 * 1024
+"""Bytes that must arrive in this time to count as progress. At a lower speed a body of
+4 MiB takes longer than the default timeout of a route, 60 s."""
+
+
+@dataclass(eq=False)
+class Holding:
+    """Memory that is held for one request.
+
+    :param began: local time in seconds at which its first bytes were held
+    :ivar size: charged bytes
+    :ivar evictable: whether the body is incomplete, so that the request may be refused
+    :ivar progress_at: local time of the last progress in seconds
+    :ivar progress_size: size at that time
+    """
+
+    began: float
+    size: int = 0
+    evictable: bool = False
+    progress_at: float = 0.0
+    progress_size: int = 0
+
+    def __post_init__(self) -> None:
+        self.progress_at = self.began
+
+    def is_stalled(self, now: float) -> bool:
+        """Return whether the body makes no progress, or arrives very slowly."""
+        return self.evictable and now - self.progress_at >= STALL_SECONDS
+
+
+@dataclass(frozen=True)
+class MemoryDecision:
+    """Decision on a charge.
+
+    :param admitted: whether the bytes may be held
+    :param evicted: holdings of which nothing is charged any more; their requests must
+        be refused at once
+    """
+
+    admitted: bool
+    evicted: tuple[Holding, ...] = ()
+
+
+@dataclass(eq=False)
+class HostMemory:
+    """The holdings of a host within its budget.
+
+    :param budget: bytes that may be held for all requests together
+    :ivar total: charged bytes
+    :ivar large: charged bytes of holdings above ``SMALL_BYTES``
+    """
+
+    budget: int
+    holdings: set[Holding] = field(default_factory=set)
+    total: int = 0
+    large: int = 0
+
+    def charge(self, holding: Holding, size: int, now: float) -> MemoryDecision:
+        """Charge a holding with a new size, and choose what has to give way for it.
+
+        :param size: bytes that are held in all
+        :param now: local time in seconds
+        """
+        evicted = []
+        while not self._fits(holding, size):
+            victim = self._choose_victim(holding, size, now)
+            if victim is None:
+                return MemoryDecision(False, tuple(evicted))
+            self.release(victim)
+            evicted.append(victim)
+        self._set_size(holding, size)
+        if size - holding.progress_size >= PROGRESS_BYTES:
+            holding.progress_at = now
+            holding.progress_size = size
+        return MemoryDecision(True, tuple(evicted))
+
+    def release(self, holding: Holding) -> None:
+        """Record that nothing is held for a request any more."""
+        self._set_size(holding, 0)
+        self.holdings.discard(holding)
+
+    def _set_size(self, holding: Holding, size: int) -> None:
+        self.holdings.add(holding)
+        self.total += size - holding.size
+        self.large += _large_bytes(size) - _large_bytes(holding.size)
+        holding.size = size
+
+    def _fits(self, holding: Holding, size: int) -> bool:
+        if size <= SMALL_BYTES:
+            return self.total - holding.size + size <= self.budget
+        others = self.large - _large_bytes(holding.size)
+        # A single request is served whatever the budget is.
+        return not others or (
+            others + size <= LARGE_SHARE * self.budget
+            and self.total - holding.size + size <= self.budget
+        )
+
+    def _choose_victim(self, holding: Holding, size: int, now: float) -> Holding | None:
+        """Return the stalled holding that has held most for longest, if there is one.
+
+        A small request needs the room of any other one, a large one that of large ones.
+        """
+        stalled = [
+            other
+            for other in self.holdings
+            if other is not holding
+            and other.is_stalled(now)
+            and (size <= SMALL_BYTES or other.size > SMALL_BYTES)
+        ]
+        return max(
+            stalled, key=lambda other: other.size * (now - other.began), default=None
+        )
+
+
+def _large_bytes(size: int) -> int:
+    return size if size > SMALL_BYTES else 0
+
+
+def create_host_memory(memory_mb: float | None) -> HostMemory:
+    """Return the budget of a process.
+
+    :param memory_mb: memory of the process in MB; ``None`` if it is not known
+    """
+    memory_bytes = int((memory_mb or DEFAULT_MEMORY_MB) * MB)
+    return HostMemory(max(MIN_BUDGET_BYTES, memory_bytes - PROCESS_BYTES))
--- a/src/primroseford/gateway/ingress.py
+++ b/src/primroseford/gateway/ingress.py
@@ -7,10 +7,10 @@
 from dataclasses import field
 from typing import TYPE_CHECKING
 
-if TYPE_CHECKING:
-    from aiohttp import web
-    from aiohttp.web_protocol import RequestHandler
+from aiohttp import web
+from aiohttp.web_protocol import RequestHandler
 
+if TYPE_CHECKING:
     from primroseford.clock import Clock
 
 IDLE_CLOSE_SECONDS = 0.3
@@ -18,6 +18,37 @@
 round trip after which a newly connected caller sends its request."""
 POLL_SECONDS = 0.05
 """Interval of the checks of the remaining connections."""
+READ_BUFFER_BYTES = 64 * 1024
+"""Bytes of a body that a connection buffers before its request reads them; aiohttp
+pauses a connection at twice as many."""
+MAX_READ_BYTES = 64 * 1024
+"""Bytes that are read from a connection at once."""
+LINGER_SECONDS = 2.0
+"""Time for which the rest of a refused body is read and discarded. A connection that is
+closed with unread data is reset, which may cost the caller the response."""
+
+
+class CallerConnection(RequestHandler):
+    """Connection of a caller."""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Limit the size of each read from the new connection."""
+        transport.max_size = MAX_READ_BYTES
+        super().connection_made(transport)
+
+
+class CallerServer(web.Server):
+    """HTTP server of the callers' connections."""
+
+    def __call__(self) -> CallerConnection:
+        """Return the protocol of a new connection."""
+        return CallerConnection(
+            self,
+            loop=self._loop,
+            read_bufsize=READ_BUFFER_BYTES,
+            lingering_time=LINGER_SECONDS,
+            **self._kwargs,
+        )
 
 
 @dataclass
--- a/src/primroseford/gateway/state.py
+++ b/src/primroseford/gateway/state.py
@@ -10,10 +10,12 @@
 
 from primroseford.errors import PrimrosefordError
 from primroseford.errors import ResultCode
+from primroseford.gateway.bodies import Bodies
 from primroseford.gateway.crash_detector import CrashDetector
 from primroseford.gateway.exchange import RunnerReplaced
 from primroseford.gateway.exchange import is_full
 from primroseford.gateway.exchange import is_interruption
+from primroseford.gateway.host_memory import create_host_memory
 from primroseford.gateway.quota import Quotas
 from primroseford.gateway.rendezvous import ranked
 from primroseford.gateway.request_limiter import RequestLimiter
@@ -113,6 +115,9 @@
         self.evacuated_domains = metrics.gauge(
             "gateway_evacuated_domains", "Failure domains that get no new work"
         )
+        self.held_bytes = metrics.gauge(
+            "gateway_held_bytes", "Bytes that are held for callers"
+        )
         self.tunnels = metrics.counter(
             "gateway_tunnels_total",
             "Requests of other hosts to be connected to a runner, by status",
@@ -149,6 +154,8 @@
 
     :param clock: local time
     :param session: HTTP session for runners
+    :param memory_mb: memory of the process in MB; ``None`` if it is not known
+    :ivar bodies: bodies of callers' requests within the memory budget
     :ivar runner_list_version: version of the newest known change of the runner list
     :ivar runner_list_confirmed_at: local time of the platform's last answer to this
         host's calls for the runner list
@@ -182,6 +189,7 @@
         clock: Clock,
         random: Random,
         metrics: GatewayMetrics,
+        memory_mb: float | None = None,
     ) -> None:
         self.members = members
         self.allocator = allocator
@@ -189,6 +197,8 @@
         self.clock = clock
         self.random = random
         self.metrics = metrics
+        memory = create_host_memory(memory_mb)
+        self.bodies = Bodies(memory, clock, metrics.held_bytes)
         self.tables: Tables | None = None
         self.confirmed_at = float("-inf")
         self.runner_list = RunnerList()
--- a/src/primroseford/platform/settings.py
+++ b/src/primroseford/platform/settings.py
@@ -33,6 +33,8 @@
         visible on all hosts (``settle_ms``)
     :param link_bytes: bandwidth of this host's link in bytes per second
         (``link_mbps``)
+    :param memory_mb: memory of the process in MB; a process that uses more is killed;
+        none if it is not stated
     :param evacuation_seconds: time in which an evacuation of a failure domain must be
         in force (``evacuate_ms``); none if the deployment has no evacuations
     """
@@ -49,6 +51,7 @@
     settle_seconds: float
     link_bytes: float
     evacuation_seconds: float | None = None
+    memory_mb: float | None = None
 
 
 def load_node_settings(path: str) -> NodeSettings:
@@ -88,6 +91,7 @@
         settle_seconds=_read_number(content, "bounds.settle_ms") / 1000,
         link_bytes=_read_number(content, "limits.link_mbps") * 1e6 / 8,
         evacuation_seconds=_read_optional_ms(content, "bounds", "evacuate_ms"),
+        memory_mb=_read_optional(content, "limits", "memory_mb"),
     )
 
 
@@ -104,9 +108,15 @@
 
 def _read_optional_ms(content: Any, section: str, name: str) -> float | None:
     """Return a setting in seconds; ``None`` if it is absent."""
+    value = _read_optional(content, section, name)
+    return None if value is None else value / 1000
+
+
+def _read_optional(content: Any, section: str, name: str) -> float | None:
+    """Return a setting; ``None`` if it is absent."""
     if name not in _read_field(content, section, dict):
         return None
-    return _read_number(content, f"{section}.{name}") / 1000
+    return _read_number(content, f"{section}.{name}")
 
 
 def _read_number(content: Any, path: str) -> float:
