Apply the configured limits on heads and idle connections

A head with a field above 8,190 bytes or more than 128 fields was answered 400 although max_header_bytes of the configuration allows 16,384 bytes; the sum of its fields had no limit. The limit of the configuration now applies to new connections, to fields and to the whole head. A head that takes longer than header_timeout_ms ends its connection, and an incomplete body without progress for idle_timeout_ms is refused with 503; without these limits in the configuration nothing is timed. Idle connections stay open for 120 s as before, longer than callers may use them.

The stand-in of a runner accepts heads up to 64 KiB; it answered 400 itself.

--- a/src/primroseford/gateway/bodies.py
+++ b/src/primroseford/gateway/bodies.py
@@ -69,6 +69,10 @@
         if not decision.admitted:
             raise self._refusal()
 
+    def refuse_overdue(self, seconds: float) -> None:
+        """Refuse the requests whose bodies have made no progress for a time."""
+        self._evict(self.memory.overdue(self.clock(), seconds))
+
     def _evict(self, holdings: Sequence[Holding]) -> None:
         for holding in holdings:
             reader = self.readers.pop(holding, None)
--- a/src/primroseford/gateway/host.py
+++ b/src/primroseford/gateway/host.py
@@ -22,6 +22,7 @@
 from primroseford.gateway.exchange import create_fleet_session
 from primroseford.gateway.heartbeat import HeartbeatService
 from primroseford.gateway.ingress import CallerServer
+from primroseford.gateway.ingress import ConnectionTimeouts
 from primroseford.gateway.ingress import Ingress
 from primroseford.gateway.members import Members
 from primroseford.gateway.peer_bootstrap import PATH as PEER_BOOTSTRAP_PATH
@@ -280,6 +281,7 @@
         if settings.ingress is not None:
             ingress = CallerServer(
                 create_ingress_handler(gateway, jobs),
+                gateway.caller_limits,
                 request_factory=_create_request,
                 handler_cancellation=True,
                 keepalive_timeout=IDLE_SECONDS,
@@ -291,6 +293,9 @@
             self.ingress = Ingress(
                 ingress, listener, gateway.busy_connections, self.clock
             )
+            timeouts = ConnectionTimeouts(gateway, ingress)
+            self.services.append(timeouts)
+            await timeouts.start()
 
     async def _listen(
         self, address: str, server: Callable[[], asyncio.Protocol]
--- a/src/primroseford/gateway/host_memory.py
+++ b/src/primroseford/gateway/host_memory.py
@@ -97,6 +97,20 @@
             holding.progress_size = size
         return MemoryDecision(True, tuple(evicted))
 
+    def overdue(self, now: float, seconds: float) -> list[Holding]:
+        """Release the incomplete bodies without progress for a time, and return them.
+
+        :param now: local time in seconds
+        """
+        found = [
+            holding
+            for holding in self.holdings
+            if holding.evictable and now - holding.progress_at >= seconds
+        ]
+        for holding in found:
+            self.release(holding)
+        return found
+
     def release(self, holding: Holding) -> None:
         """Record that nothing is held for a request any more."""
         self._set_size(holding, 0)
--- a/src/primroseford/gateway/state.py
+++ b/src/primroseford/gateway/state.py
@@ -22,6 +22,7 @@
 from primroseford.gateway.runner_paths import RunnerPaths
 from primroseford.gateway.runners import RunnerList
 from primroseford.gateway.stream_records import StreamRecords
+from primroseford.gateway.tables import CallerLimits
 from primroseford.gateway.trial_turns import TrialTurns
 from primroseford.quarantine.state import Quarantine
 
@@ -284,6 +285,10 @@
             )
         return self.stops_at
 
+    def caller_limits(self) -> CallerLimits:
+        """Return the limits on requests in force."""
+        return self.tables.limits if self.tables is not None else CallerLimits()
+
     def current_tables(self) -> Tables:
         """Return the configuration in force.
 
--- a/src/primroseford/gateway/tables.py
+++ b/src/primroseford/gateway/tables.py
@@ -103,9 +103,17 @@
     """Limits on requests.
 
     :param max_body_bytes: largest accepted body
+    :param max_header_bytes: largest accepted head of a request
+    :param header_timeout: seconds from the first byte of a head to its last; 0 is no
+        limit
+    :param idle_timeout: seconds for which a connection may make no progress; 0 is no
+        limit
     """
 
     max_body_bytes: int = 4 * 1024 * 1024
+    max_header_bytes: int = 16 * 1024
+    header_timeout: float = 0.0
+    idle_timeout: float = 0.0
 
 
 @dataclass(frozen=True)
--- a/src/primroseford/gateway/tests/test_host_memory.py
+++ b/src/primroseford/gateway/tests/test_host_memory.py
@@ -137,3 +137,15 @@
         pass
     assert receive(memory, reading(LATER), SMALL_BYTES, LATER)
     assert memory.total <= memory.budget
+
+
+def test_overdue_bodies_are_released():
+    """Guards against incomplete bodies that are held without end in calm."""
+    memory = create_host_memory(160)
+    stalled, active, complete = reading(), reading(), Holding(0.0)
+    for holding in (stalled, active, complete):
+        assert memory.charge(holding, READ_BYTES, 0.0).admitted
+    assert memory.charge(active, 2 * READ_BYTES, 10.0).admitted
+    assert memory.overdue(15.0, 15.0) == [stalled]
+    assert memory.holdings == {active, complete}
+    assert memory.total == 3 * READ_BYTES
--- a/src/primroseford/gateway/tests/test_ingress_limits.py
+++ b/src/primroseford/gateway/tests/test_ingress_limits.py
@@ -13,6 +13,7 @@
 from primroseford.gateway.host_memory import HostMemory
 from primroseford.standins.fleet_objects import HOST
 from primroseford.standins.fleet_objects import KEY
+from primroseford.standins.fleet_objects import configuration
 
 LARGEST_BODY_BYTES = 4 * 1024 * 1024
 WITHHELD_BYTES = 64 * 1024
@@ -120,3 +121,47 @@
     writer.transport.abort()
     await site.until(lambda: not memory.holdings)
     assert memory.total == memory.large == 0
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        pytest.param({"X-Long": "x" * 9000}, id="9,000 bytes"),
+        pytest.param({f"X-{n}": "x" for n in range(130)}, id="130 fields"),
+    ],
+)
+async def test_head_within_the_configured_limit_is_accepted(site, fields):
+    """Guards against 400 for heads that the configuration allows."""
+    assert (await site.call("/ping/whole", **fields))[0] == 200
+
+
+async def test_endless_head_is_cut(site):
+    """Guards against memory for heads above ``max_header_bytes``."""
+    reader, writer = await connect(site)
+    writer.write(head()[:-2])
+    for number in range(100):
+        writer.write(b"X-%d: %s\r\n" % (number, b"x" * 1000))
+    assert await response(reader) == b""
+    writer.close()
+
+
+@pytest.mark.parametrize(
+    ("limits", "sent", "received"),
+    [
+        ({"header_timeout_ms": 1000}, head()[:-2], b""),
+        (
+            {"idle_timeout_ms": 1000},
+            head(Content_Length=str(LARGEST_BODY_BYTES)) + b"x" * SMALL_BYTES,
+            b"HTTP/1.1 503 ",
+        ),
+    ],
+)
+async def test_configured_timeouts_end_connections(site, limits, sent, received):
+    """Guards against connections that slow callers keep without end."""
+    version = site.hosts[0].gateway.tables.version
+    site.put("config", "main", configuration(version + 1, limits=limits))
+    await site.until(lambda: site.hosts[0].gateway.tables.version == version + 1)
+    reader, writer = await connect(site)
+    writer.write(sent)
+    assert (await response(reader)).startswith(received)
+    writer.close()
--- a/src/primroseford/platform/configuration.py
+++ b/src/primroseford/platform/configuration.py
@@ -106,5 +106,10 @@
 
 
 def _decode_limits(limits: JsonObject) -> CallerLimits:
-    largest = limits.get("max_body_bytes")
-    return CallerLimits(int(largest)) if largest else CallerLimits()
+    default = CallerLimits()
+    return CallerLimits(
+        int(limits.get("max_body_bytes") or default.max_body_bytes),
+        int(limits.get("max_header_bytes") or default.max_header_bytes),
+        float(limits.get("header_timeout_ms") or 0) / 1000,
+        float(limits.get("idle_timeout_ms") or 0) / 1000,
+    )
--- a/src/primroseford/standins/fleet_runner.py
+++ b/src/primroseford/standins/fleet_runner.py
@@ -21,6 +21,9 @@
 """Software version whose events do not name it."""
 VERSION_MARK = "@"
 """Character between the text of an event and the version that wrote it."""
+MAX_HEAD_BYTES = 64 * 1024
+MAX_HEADER_FIELDS = 1024
+"""Limits of a runner on the head of a request, above those on callers."""
 
 
 @dataclass
@@ -254,6 +257,8 @@
         request_factory=_create_request,
         handler_cancellation=True,
         auto_decompress=False,
+        max_field_size=MAX_HEAD_BYTES,
+        max_headers=MAX_HEADER_FIELDS,
     )
 
 
