--- a/src/primroseford/gateway/host.py
+++ b/src/primroseford/gateway/host.py
@@ -21,6 +21,8 @@
 from primroseford.gateway.evacuation_watcher import EvacuationWatcher
 from primroseford.gateway.exchange import create_fleet_session
 from primroseford.gateway.heartbeat import HeartbeatService
+from primroseford.gateway.ingress import CallerServer
+from primroseford.gateway.ingress import ConnectionTimeouts
 from primroseford.gateway.ingress import Ingress
 from primroseford.gateway.members import Members
 from primroseford.gateway.peer_bootstrap import PATH as PEER_BOOTSTRAP_PATH
@@ -122,6 +124,7 @@
             self.clock,
             random,
             GatewayMetrics(self.metrics),
+            settings.memory_mb,
         )
         gateway.cold.excess = settings.cold_excess
         gateway.cold.slack = settings.cold_slack
@@ -279,8 +282,9 @@
             handler = create_readiness_handler(gateway)
             await self._listen(settings.readiness, web.Server(handler))
         if settings.ingress is not None:
-            ingress = web.Server(
+            ingress = CallerServer(
                 create_ingress_handler(gateway, jobs),
+                gateway.caller_limits,
                 request_factory=_create_request,
                 handler_cancellation=True,
                 keepalive_timeout=IDLE_SECONDS,
@@ -292,6 +296,9 @@
             self.ingress = Ingress(
                 ingress, listener, gateway.busy_connections, self.clock
             )
+            timeouts = ConnectionTimeouts(gateway, ingress)
+            self.services.append(timeouts)
+            await timeouts.start()
 
     async def _listen(
         self, address: str, server: Callable[[], asyncio.Protocol]
--- a/src/primroseford/gateway/state.py
+++ b/src/primroseford/gateway/state.py
@@ -10,11 +10,13 @@
 
 from primroseford.errors import PrimrosefordError
 from primroseford.errors import ResultCode
+from primroseford.gateway.bodies import Bodies
 from primroseford.gateway.cold_watch import ColdWatch
 from primroseford.gateway.crash_detector import CrashDetector
 from primroseford.gateway.exchange import RunnerReplaced
 from primroseford.gateway.exchange import is_full
 from primroseford.gateway.exchange import is_interruption
+from primroseford.gateway.host_memory import create_host_memory
 from primroseford.gateway.quota import Quotas
 from primroseford.gateway.rendezvous import ranked
 from primroseford.gateway.request_limiter import RequestLimiter
@@ -22,6 +24,7 @@
 from primroseford.gateway.runner_speeds import RunnerSpeeds
 from primroseford.gateway.runners import RunnerList
 from primroseford.gateway.stream_records import StreamRecords
+from primroseford.gateway.tables import CallerLimits
 from primroseford.gateway.trial_turns import TrialTurns
 from primroseford.quarantine.state import Quarantine
 
@@ -129,6 +132,9 @@
             "gateway_needless_waits_total",
             "Responses of runners with a queue while others of the pool had free slots",
         )
+        self.held_bytes = metrics.gauge(
+            "gateway_held_bytes", "Bytes that are held for callers"
+        )
         self.tunnels = metrics.counter(
             "gateway_tunnels_total",
             "Requests of other hosts to be connected to a runner, by status",
@@ -173,6 +179,8 @@
 
     :param clock: local time
     :param session: HTTP session for runners
+    :param memory_mb: memory of the process in MB; ``None`` if it is not known
+    :ivar bodies: bodies of callers' requests within the memory budget
     :ivar runner_list_version: version of the newest known change of the runner list
     :ivar runner_list_confirmed_at: local time of the platform's last answer to this
         host's calls for the runner list
@@ -208,6 +216,7 @@
         clock: Clock,
         random: Random,
         metrics: GatewayMetrics,
+        memory_mb: float | None = None,
     ) -> None:
         self.members = members
         self.allocator = allocator
@@ -215,6 +224,8 @@
         self.clock = clock
         self.random = random
         self.metrics = metrics
+        memory = create_host_memory(memory_mb)
+        self.bodies = Bodies(memory, clock, metrics.held_bytes)
         self.tables: Tables | None = None
         self.confirmed_at = float("-inf")
         self.runner_list = RunnerList()
@@ -302,6 +313,10 @@
             )
         return self.stops_at
 
+    def caller_limits(self) -> CallerLimits:
+        """Return the limits on requests in force."""
+        return self.tables.limits if self.tables is not None else CallerLimits()
+
     def current_tables(self) -> Tables:
         """Return the configuration in force.
 
--- a/src/primroseford/platform/settings.py
+++ b/src/primroseford/platform/settings.py
@@ -35,6 +35,8 @@
         visible on all hosts (``settle_ms``)
     :param link_bytes: bandwidth of this host's link in bytes per second
         (``link_mbps``)
+    :param memory_mb: memory of the process in MB; a process that uses more is killed;
+        none if it is not stated
     :param evacuation_seconds: time in which an evacuation of a failure domain must be
         in force (``evacuate_ms``); none if the deployment has no evacuations
     :param cold_excess: factor by which a cold runner tolerates more requests than its
@@ -59,6 +61,7 @@
     cold_excess: float = 1.0
     cold_slack: float = 0.0
     callers_compete: bool = False
+    memory_mb: float | None = None
 
 
 def load_node_settings(path: str) -> NodeSettings:
@@ -101,6 +104,7 @@
         cold_excess=_read_optional(content, "bounds", "cold_excess", 1.0),
         cold_slack=_read_optional(content, "bounds", "cold_slack", 0.0),
         callers_compete=COMPETITION_CONTRACT in (content.get("contracts") or ()),
+        memory_mb=_read_optional(content, "limits", "memory_mb"),
     )
 
 
@@ -117,12 +121,13 @@
 
 def _read_optional_ms(content: Any, section: str, name: str) -> float | None:
     """Return a setting in seconds; ``None`` if it is absent."""
-    if name not in _read_field(content, section, dict):
-        return None
-    return _read_number(content, f"{section}.{name}") / 1000
+    value = _read_optional(content, section, name)
+    return None if value is None else value / 1000
 
 
-def _read_optional(content: Any, section: str, name: str, default: float) -> float:
+def _read_optional(
+    content: Any, section: str, name: str, default: float | None = None
+) -> float | None:
     """Return a setting, or its default if it is absent."""
     if name not in _read_field(content, section, dict):
         return default
--- a/src/primroseford/standins/fleet_runner.py
+++ b/src/primroseford/standins/fleet_runner.py
@@ -21,6 +21,9 @@
 """Software version whose events do not name it."""
 VERSION_MARK = "@"
 """Character between the text of an event and the version that wrote it."""
+MAX_HEAD_BYTES = 64 * 1024
+MAX_HEADER_FIELDS = 1024
+"""Limits of a runner on the head of a request, above those on callers."""
 
 
 @dataclass
@@ -265,4 +268,18 @@
 
 def create_runner_server(runner: FleetRunner) -> web.Server:
     """Return the HTTP server of a runner."""
-    return web.Server(runner.handle, handler_cancellation=True, auto_decompress=False)
+    return web.Server(
+        runner.handle,
+        request_factory=_create_request,
+        handler_cancellation=True,
+        auto_decompress=False,
+        max_field_size=MAX_HEAD_BYTES,
+        max_headers=MAX_HEADER_FIELDS,
+    )
+
+
+def _create_request(message, payload, protocol, writer, task) -> web.BaseRequest:
+    # A runner accepts what a caller may send; aiohttp's default is a limit of 1 MiB.
+    return web.BaseRequest(
+        message, payload, protocol, writer, task, protocol._loop, client_max_size=0
+    )
