Return the memory of freed bodies to the system

After three times 64 complete bodies of 4 MiB an idle host still had 98 MB (online) and 137 MB (streams) resident: glibc raises the threshold from which allocations get mappings of their own with each one that is freed, so that bodies end in a fragmented heap. The host now fixes the thresholds at its start; without glibc nothing happens.

--- a/src/primroseford/gateway/main.py
+++ b/src/primroseford/gateway/main.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import ctypes
 import gc
 import os
 import signal
 import sys
+from contextlib import suppress
 
 import structlog
 
@@ -17,10 +19,23 @@
 from primroseford.platform.settings import load_node_settings
 
 EXIT_INVALID_SETTINGS = 2
+MALLOPT_OPTIONS = {-3: 128 * 1024, -1: 1024 * 1024}
+"""Options of glibc's ``mallopt``, M_MMAP_THRESHOLD and M_TRIM_THRESHOLD, in bytes. By
+default the threshold for allocations of their own mappings rises with the largest one
+freed, so that freed bodies stay in a fragmented heap: a host retained 98 to 137 MB
+after a crowd of complete bodies instead of 60 to 64 MB."""
 
 log = structlog.get_logger()
 
 
+def configure_allocator() -> None:
+    """Return the memory of freed bodies to the system; no effect without glibc."""
+    with suppress(AttributeError, OSError):
+        mallopt = ctypes.CDLL(None).mallopt
+        for option, value in MALLOPT_OPTIONS.items():
+            mallopt(option, value)
+
+
 async def serve(path: str) -> None:
     """Run a host until SIGTERM or SIGINT.
 
@@ -58,6 +73,7 @@
 
 def main() -> int:
     """Run the program and return its exit code."""
+    configure_allocator()
     configure_logging(stream=sys.stdout)
     path = os.environ.get(PATH_VARIABLE, "")
     try:
