Let the fake tokens of a test answer rates as the real ones do

Cause: since cold runners are limited, the slot allocator asks the tokens for the rate of a runner, no longer the known limits. The fake tokens of test_batch_versions.py had only the latter: 11 of its tests failed with an AttributeError after. Change: the fake answers the same rates under the new name. What the tests expect is unchanged.

--- a/src/primroseford/jobs/tests/test_batch_versions.py
+++ b/src/primroseford/jobs/tests/test_batch_versions.py
@@ -36,7 +36,7 @@
     allocator.tokens = SimpleNamespace(
         is_limited=lambda key: key in LIMITED,
         may_send=lambda key, batch: True,
-        limits=SimpleNamespace(rate=lambda key: 1.0 if key in LIMITED else None),
+        rate=lambda key: 1.0 if key in LIMITED else None,
     )
     gateway = SimpleNamespace(allocator=allocator, random=Random(1))
     return BatchCapacity(gateway, None)
