Let the load of a started or suspected runner follow its responses

A cold limit that only a false suspicion has caused leaves a warm runner at 6 requests per second for 4 s. Change: for pools with a cold time or whose runners report their slowness, the owner of a runner computes a limit on its requests in flight from the responses that all hosts count; all apply it. If a runner states in a health response that it is not cold, its owner tells the others, and what they assumed after a suspicion ends. A warm runner in a pool with cold time gets over 0.7 of the others' load 2 s after a suspicion if it states that it is warm, below 0.4 if it does not.

--- a/src/primroseford/gateway/cold_watch.py
+++ b/src/primroseford/gateway/cold_watch.py
@@ -13,6 +13,7 @@
 from primroseford.ids import HostId
 from primroseford.ids import RunnerName
 from primroseford.request_limits.bounds import ColdLimit
+from primroseford.request_limits.cold_runners import MAX_REPORTED_RUNNERS
 from primroseford.request_limits.cold_runners import ColdCause
 
 if TYPE_CHECKING:
@@ -34,6 +35,9 @@
 VOUCH_INTERVALS = 4
 """Heartbeat intervals after which an owner has heard of a suspicion and the others have
 heard that it suspects the runner as well. Each way takes one, and one more by relay."""
+WARM_REPORT_SECONDS = 2.0
+"""Time for which an owner reports that a runner has stated that it is not cold, unless
+the runner is suspected again. Others apply this after ``VOUCH_INTERVALS`` only."""
 
 log = structlog.get_logger()
 
@@ -45,6 +49,7 @@
     :ivar excess: factor by which the platform tolerates more requests
     :ivar slack: number of requests in a second that it tolerates beyond that
     :ivar has_list: whether this host has read the runner list
+    :ivar warm: local time in seconds at which runners stated that they are not cold
     """
 
     def __init__(
@@ -56,7 +61,7 @@
         self.excess = 1.0
         self.slack = 0.0
         self.has_list = False
-        gateway.allocator.on_entries = self.note_entries
+        self.warm: dict[RunnerKey, float] = {}
 
     def configure(self, pools: Mapping[PoolName, Pool]) -> None:
         """Apply the cold times of a new configuration."""
@@ -106,6 +111,7 @@
 
     def note_suspicion(self, runner: RunnerState) -> None:
         """Note that a runner may have failed: it is cold when it returns."""
+        self.warm.pop(runner.entry.key, None)
         if self._begin(runner.entry, ColdCause.SUSPICION, after=SUSPECT_SECONDS):
             self.gateway.request_limiter.announce()
 
@@ -126,6 +132,9 @@
         if seconds is None or entry.pool not in self.runners.pools:
             return
         now = self.gateway.clock()
+        if seconds <= 0:
+            self.warm[entry.key] = now
+            self.gateway.allocator.changed = True
         if self.runners.note_statement(entry.key, entry.pool, seconds, now):
             self._log_begin(entry.key, ColdCause.HEALTH, self.gateway.members.own)
             self.gateway.request_limiter.announce()
@@ -152,7 +161,8 @@
         after: float = 0.0,
     ) -> bool:
         now = self.gateway.clock()
-        if not self.runners.begin(entry.key, entry.pool, now, seconds, after):
+        assumed = cause is ColdCause.SUSPICION
+        if not self.runners.begin(entry.key, entry.pool, now, seconds, after, assumed):
             return False
         self._log_begin(entry.key, cause, self.gateway.members.own)
         # Tells the other hosts with the next heartbeat.
@@ -176,10 +186,14 @@
 
     def step(self) -> None:
         """Let requests go to the runners that are no longer cold."""
+        now = self.gateway.clock()
+        self.warm = {
+            key: at for key, at in self.warm.items() if now - at < WARM_REPORT_SECONDS
+        }
         if not self.runners.periods:
             return
         listed = {r.entry.key for r in self.gateway.allocator.runners.values()}
-        ended = self.runners.expire(listed, self.gateway.clock())
+        ended = self.runners.expire(listed, now)
         for key in ended:
             log.info("runner is no longer cold", runner=key.name, born=key.born)
             self.gateway.request_limiter.end_limit(key)
@@ -195,11 +209,13 @@
         key = runner.entry.key
         return not limiter.tokens.is_cold(key) or limiter.ownership.is_owner(key)
 
-    def is_vouched(self, runner: RunnerState) -> bool:
+    def is_vouched(self, runner: RunnerState, by: HostId | None = None) -> bool:
         """Return whether the owner of a cold runner has checked its instance.
 
         The owner suspects a cold runner when it hears that this host does, until the
         runner has told its start.
+
+        :param by: the owner, if a message of it is applied
         """
         limiter = self.gateway.request_limiter
         key = runner.entry.key
@@ -207,6 +223,8 @@
             return False
         wait = max(SUSPECT_SECONDS, VOUCH_INTERVALS * self.gateway.members.interval)
         suspected_at = runner.suspect_until - SUSPECT_SECONDS
+        if by not in (None, limiter.ownership.owner_of(key)):
+            return False
         is_suspected = limiter.ownership.owner_of(key) in runner.suspected_by
         return not is_suspected and self.gateway.clock() - suspected_at >= wait
 
@@ -216,6 +234,10 @@
             ColdRunner(key.name, key.born, max(1, round(left * 1000)))
             for key, left in self.runners.reports(self.gateway.clock())
         ]
+        heartbeat.cold_runners += [
+            ColdRunner(key.name, key.born, 0)
+            for key in list(self.warm)[:MAX_REPORTED_RUNNERS]
+        ]
 
     def apply_heartbeat(self, heartbeat: Heartbeat) -> None:
         """Apply the cold runners that another host reports."""
@@ -227,9 +249,13 @@
         for report in heartbeat.cold_runners or ():
             key = RunnerKey(RunnerName(report.runner), report.born)
             known = runners.get(key.name)
-            if known is not None and known.entry.key == key:
-                reports[key] = (report.left_ms or 0) / 1000
+            if known is None or known.entry.key != key:
+                continue
+            if report.left_ms:
+                reports[key] = report.left_ms / 1000
                 pools[key] = known.entry.pool
+            elif self.is_vouched(known, HostId(heartbeat.host)):
+                self.runners.end_assumption(key)
         host = HostId(heartbeat.host)
         now = self.gateway.clock()
         for key in self.runners.replace_reports(host, reports, pools, now):
@@ -244,5 +270,6 @@
                 continue
             is_cold = self.gateway.allocator.tokens.is_cold(runner.entry.key)
             if is_cold and heartbeat.host not in runner.suspected_by:
+                self.warm.pop(runner.entry.key, None)
                 if self.checks(runner) and self.gateway.is_engine(runner.entry.pool):
                     runner.may_have_restarted = True
--- a/src/primroseford/gateway/exchange.py
+++ b/src/primroseford/gateway/exchange.py
@@ -79,6 +79,15 @@
         )
 
 
+class RunnerUnchecked(PrimrosefordError):
+    """A cold runner gets no more checks of its start now; nothing was sent to it."""
+
+    def __init__(self) -> None:
+        super().__init__(
+            ResultCode.POOL_UNAVAILABLE, "the cold runner cannot be asked for its start"
+        )
+
+
 def is_full(error: PrimrosefordError) -> bool:
     """Return whether a runner has refused a request for lack of room."""
     return error.code is ResultCode.POOL_UNAVAILABLE and not isinstance(
--- a/src/primroseford/gateway/forward.py
+++ b/src/primroseford/gateway/forward.py
@@ -302,6 +302,7 @@
     def on_event() -> None:
         if not attempt.event_received:
             attempt.event_received = True
+            gateway.pace.note_answer(runner, gateway.clock() - started)
             gateway.quarantine.record_served(
                 context.subjects.known(gateway.quarantine.has_evidence)
             )
--- a/src/primroseford/gateway/heartbeat.py
+++ b/src/primroseford/gateway/heartbeat.py
@@ -290,6 +290,7 @@
         gateway.request_limiter.fill_heartbeat(heartbeat)
         gateway.evacuations.fill_heartbeat(heartbeat)
         gateway.cold.fill_heartbeat(heartbeat)
+        gateway.pace.fill_heartbeat(heartbeat)
         leaving = gateway.allocator.leaving
         heartbeat.leaving_runners = leaving.reports(gateway.clock())
         heartbeat.restarted_runners = reported_restarts(
@@ -373,6 +374,7 @@
             log.info("host joined", peer=host, address=heartbeat.address)
         # Compares the suspicions with those of the heartbeat before.
         gateway.cold.apply_heartbeat(heartbeat)
+        gateway.pace.apply_heartbeat(heartbeat)
         gateway.allocator.apply_heartbeat(heartbeat)
         apply_heartbeat(gateway.quarantine, heartbeat)
         gateway.request_limiter.apply_heartbeat(heartbeat)
--- a/src/primroseford/gateway/placement.py
+++ b/src/primroseford/gateway/placement.py
@@ -51,6 +51,7 @@
     :param batch: batch items in flight from all hosts
     :param own_batch: batch items in flight from this host
     :param start_limit: requests in flight at the rate that the runner accepts
+    :param limit: requests that may be in flight while the runner is ramping up
     """
 
     key: RunnerKey
@@ -60,12 +61,21 @@
     batch: int
     own_batch: int = 0
     start_limit: float = math.inf
+    limit: float = math.inf
 
     @property
     def free(self) -> int:
         """Number of free slots; negative if requests are queued at the runner."""
         return self.slots - self.online - self.batch
 
+    @property
+    def room(self) -> float:
+        """Number of slots that batch items can use.
+
+        A runner that is ramping up has none left if online requests are at its limit.
+        """
+        return min(self.free, self.limit - MAX_RUNNER_QUEUE - self.online - self.batch)
+
     @property
     def is_rate_limited(self) -> bool:
         """Whether the runner accepts fewer requests than its slots can process."""
@@ -74,7 +84,7 @@
     @property
     def usable_slots(self) -> float:
         """Number of slots that online requests can use."""
-        return min(self.slots, self.start_limit)
+        return min(self.slots, self.start_limit, self.limit)
 
     @property
     def available(self) -> int:
@@ -82,7 +92,10 @@
 
         The requests to a runner with a limit wait for tokens.
         """
-        return 0 if self.is_rate_limited else max(0, self.free + MAX_RUNNER_QUEUE)
+        if self.is_rate_limited:
+            return 0
+        left = min(self.free + MAX_RUNNER_QUEUE, self.limit - self.online - self.batch)
+        return max(0, int(left))
 
 
 def heartbeat_interval(hosts: int) -> float:
@@ -141,8 +154,8 @@
     :param hosts: hosts that place items, this one included
     """
     sampled = sample_runners(loads, hosts, random)
-    best = max(sampled, key=lambda load: (load.free, random.random()))
-    return best if best.free > 0 else None
+    best = max(sampled, key=lambda load: (load.room, random.random()))
+    return best if best.room >= 1 else None
 
 
 def trial_runner(loads: Sequence[RunnerLoad]) -> RunnerLoad | None:
@@ -171,7 +184,7 @@
     :param limit: slots that the batch items of all hosts may use
     """
     slots = sum(load.slots for load in loads)
-    free = sum(max(0, load.free) for load in loads) - HEADROOM * slots
+    free = sum(max(0, load.room) for load in loads) - HEADROOM * slots
     free = min(free, limit - sum(load.batch for load in loads))
     free = max(0.0, free)
     return min(int(free), round_by_chance(free * own_share, random))
--- a/src/primroseford/gateway/platform_watcher.py
+++ b/src/primroseford/gateway/platform_watcher.py
@@ -278,8 +278,7 @@
                 continue
             if gateway.tables and tables.version <= gateway.tables.version:
                 continue
-            gateway.tables = tables
-            gateway.cold.configure(tables.pools)
+            gateway.configure(tables)
             log.info(
                 "configuration in force",
                 version=tables.version,
--- a/src/primroseford/gateway/request_limiter.py
+++ b/src/primroseford/gateway/request_limiter.py
@@ -373,6 +373,7 @@
     def step(self) -> None:
         """Grant due tokens, repeat messages, and return unused tokens."""
         self.gateway.cold.step()
+        self.gateway.pace.step()
         if not self._limited() and not self.owner.windows:
             return
         now = self.gateway.clock()
--- a/src/primroseford/gateway/runner_starts.py
+++ b/src/primroseford/gateway/runner_starts.py
@@ -17,6 +17,7 @@
 from primroseford.errors import ResultCode
 from primroseford.gateway.exchange import EXCHANGE_ERRORS
 from primroseford.gateway.exchange import RunnerRestarted
+from primroseford.gateway.exchange import RunnerUnchecked
 from primroseford.gateway.exchange import describe_error
 from primroseford.gateway.gen.messages.ttypes import RestartedRunner
 from primroseford.gateway.runners import RunnerRestart
@@ -76,7 +77,7 @@
     have started again, or that another host suspects, or if no other host would tell.
 
     :param continues: whether the request goes on with what a version has begun
-    :raises PrimrosefordError: RUNNER_UNREACHABLE, POOL_UNAVAILABLE or RunnerRestarted,
+    :raises PrimrosefordError: RUNNER_UNREACHABLE, RunnerUnchecked or RunnerRestarted,
         as not run
     """
     if not gateway.is_engine(runner.entry.pool):
@@ -88,9 +89,7 @@
     if not (continues or is_doubtful or gateway.members.is_cut_off(gateway.clock())):
         return
     if not gateway.request_limiter.take_check(runner, continues):
-        raise PrimrosefordError(
-            ResultCode.POOL_UNAVAILABLE, "the cold runner cannot be asked for its start"
-        )
+        raise RunnerUnchecked()
     try:
         is_same = await check_start(gateway, runner)
     except (*EXCHANGE_ERRORS, TimeoutError) as error:
--- a/src/primroseford/gateway/runner_state.py
+++ b/src/primroseford/gateway/runner_state.py
@@ -33,6 +33,8 @@
     :param latency: EWMA of the response time in seconds; 0 is unknown
     :param may_have_restarted: whether it has failed in a way in which its process may
         have ended, and has not been asked for its start since
+    :param limit: requests that may be in flight from all hosts; it is finite while the
+        runner is ramping up
     :param notice: what it said about itself in its last response
     """
 
@@ -50,6 +52,7 @@
     last_byte: float = -math.inf
     latency: float = 0.0
     may_have_restarted: bool = False
+    limit: float = math.inf
     notice: RunnerNotice = RunnerNotice()
 
     def is_instance_of(self, entry: RunnerEntry) -> bool:
@@ -66,6 +69,7 @@
             self.online + self.peer_online,
             self.batch + self.peer_batch,
             self.batch,
+            limit=self.limit,
         )
 
     def set_peer_load(self, host: HostId, online: int, batch: int) -> None:
--- a/src/primroseford/gateway/slot_allocator.py
+++ b/src/primroseford/gateway/slot_allocator.py
@@ -79,6 +79,8 @@
     :ivar evacuated: failure domains whose runners get no new work
     :ivar versions: software versions that the pools have had lately
     :ivar on_waiting: called with a pool when a request begins to wait for a slot
+    :ivar slowness_pools: pools whose runners report how long work currently takes
+    :ivar may_use: whether a runner that is ramping up may get one more request
     :ivar on_entries: called with a list of runners before it replaces the known one
     """
 
@@ -103,6 +105,8 @@
         self.on_entries: Callable[[dict[RunnerName, RunnerEntry]], None] = (
             lambda entries: None
         )
+        self.slowness_pools: set[PoolName] = set()
+        self.may_use: Callable[[RunnerState], bool] = lambda runner: True
 
     @property
     def hosts(self) -> int:
@@ -197,6 +201,7 @@
             if runner.full_until <= now
             and runner.entry.key not in tried
             and self.tokens.may_send(runner.entry.key, batch)
+            and self.may_use(runner)
         ]
 
     def load(self, runner: RunnerState) -> RunnerLoad:
--- a/src/primroseford/gateway/state.py
+++ b/src/primroseford/gateway/state.py
@@ -13,8 +13,10 @@
 from primroseford.gateway.cold_watch import ColdWatch
 from primroseford.gateway.crash_detector import CrashDetector
 from primroseford.gateway.exchange import RunnerReplaced
+from primroseford.gateway.exchange import RunnerUnchecked
 from primroseford.gateway.exchange import is_full
 from primroseford.gateway.exchange import is_interruption
+from primroseford.gateway.pace_watch import PaceWatch
 from primroseford.gateway.quota import Quotas
 from primroseford.gateway.rendezvous import ranked
 from primroseford.gateway.request_limiter import RequestLimiter
@@ -39,6 +41,7 @@
     from primroseford.gateway.notices import RunnerNotice
     from primroseford.gateway.request_context import RequestContext
     from primroseford.gateway.runner_state import RunnerState
+    from primroseford.gateway.runners import RunnerEntry
     from primroseford.gateway.runners import RunnerKey
     from primroseford.gateway.runners import RunnerRestart
     from primroseford.gateway.slot_allocator import SlotAllocator
@@ -46,6 +49,7 @@
     from primroseford.ids import HostId
     from primroseford.ids import PoolName
     from primroseford.ids import PromptPartId
+    from primroseford.ids import RunnerName
     from primroseford.metrics import Metrics
 
 MAX_CONFIRMATION_AGE_SECONDS = 7.0
@@ -126,6 +130,9 @@
             "gateway_cold_runners",
             "Runners that are cold, so that they get few requests",
         )
+        self.paced_runners = metrics.gauge(
+            "gateway_paced_runners", "Runners that are ramping up"
+        )
         self.tokens = metrics.counter(
             "gateway_request_tokens_total",
             "Tokens for requests to such runners, by what became of them",
@@ -170,6 +177,7 @@
     :ivar crash_detector: detects such crashes
     :ivar request_limiter: keeps requests within the limits of the runners
     :ivar cold: cold runners
+    :ivar pace: runners that are ramping up
     :ivar paths: ways to the runners
     :ivar streams: pool and software version that began each stream
     :ivar open_requests: online requests in progress
@@ -219,6 +227,8 @@
         self.crash_detector = CrashDetector(self)
         self.request_limiter = RequestLimiter(self)
         self.cold = ColdWatch(self)
+        self.pace = PaceWatch(self)
+        allocator.on_entries = self._note_entries
         self.streams = StreamRecords(self)
         self.paths = RunnerPaths(self)
         self.open_requests: set[RequestContext] = set()
@@ -228,6 +238,21 @@
         self.refuses_late_from = math.inf
         self.tokens = itertools.count()
 
+    def _note_entries(self, entries: dict[RunnerName, RunnerEntry]) -> None:
+        """Note the new runners of a list before it is applied."""
+        self.cold.note_entries(entries)
+        self.pace.note_entries(entries)
+
+    def configure(self, tables: Tables) -> None:
+        """Put a configuration in force."""
+        self.tables = tables
+        self.cold.configure(tables.pools)
+        self.pace.cold_pools = {
+            name: pool.cold_seconds
+            for name, pool in tables.pools.items()
+            if pool.cold_seconds > 0
+        }
+
     def _is_ranked(self, part: PromptPartId, count: int) -> bool:
         """Return whether this host is among the first ones of a rendezvous hash.
 
@@ -323,6 +348,7 @@
                 "runner counts as failed", runner=runner.entry.key.name, why=why
             )
         self.cold.note_suspicion(runner)
+        self.pace.note_suspicion(runner)
 
     def note_notice(self, runner: RunnerState, notice: RunnerNotice) -> None:
         """Apply what a runner said about itself; log it if it has changed."""
@@ -372,6 +398,7 @@
             return
         self.metrics.evacuated_domains.set(len(self.evacuations.since))
         self.cold.note_evacuation_ends(change.ended)
+        self.pace.note_evacuation_ends(change.ended)
         allocator = self.allocator
         allocator.list_ready()
         # Tells the other hosts with the next heartbeat.
@@ -418,6 +445,13 @@
 
     def note_failure(self, runner: RunnerState, error: PrimrosefordError) -> None:
         """Update the state of a runner after a failed attempt."""
+        has_failed = (
+            error.code is ResultCode.RUNNER_UNREACHABLE
+            or is_interruption(error)
+            or is_full(error)
+        )
+        if has_failed and not isinstance(error, RunnerUnchecked):
+            self.pace.note_failure(runner)
         if error.code is ResultCode.RUNNER_UNREACHABLE:
             self.suspect(runner, "unreachable")
         elif is_interruption(error) and self.is_engine(runner.entry.pool):
--- a/src/primroseford/gateway/tests/test_cold_runner_replay.py
+++ b/src/primroseford/gateway/tests/test_cold_runner_replay.py
@@ -46,6 +46,7 @@
     """Hosts and runners of two failure domains, of which one may become cold.
 
     :param is_limited: whether the hosts know that runners can be cold
+    :param states_cold_time: whether health responses state the remaining time
     :ivar arrivals: times of requests and checks that have reached a runner, by name
     :ivar on_way: requests that have not yet reached their runner
     :ivar probes: due health checks of suspected runners
@@ -55,6 +56,7 @@
     """
 
     is_limited: bool = True
+    states_cold_time: bool = True
     arrivals: dict[str, list[float]] = field(default_factory=dict)
     on_way: list[tuple[float, str, object, object]] = field(default_factory=list)
     probes: dict[tuple[str, str], float] = field(default_factory=dict)
@@ -137,14 +139,19 @@
             if due > self.now:
                 continue
             del self.probes[host, name]
-            if not gateway.request_limiter.may_probe(runner, 1 + is_failed):
+            is_cold = gateway.allocator.tokens.is_cold(runner.entry.key)
+            count = 1 + (is_failed or is_cold)
+            if not gateway.request_limiter.may_probe(runner, count):
                 self.probes[host, name] = self.now + PROBE_SECONDS
                 continue
             if self.is_dark(name):
                 gateway.suspect(runner, "probe")
                 continue
-            times = [self.now] * (1 + is_failed)
-            self.arrivals.setdefault(name, []).extend(times)
+            self.arrivals.setdefault(name, []).extend([self.now] * count)
+            if self.states_cold_time:
+                begin = self.cold_from.get(name, -LIMIT.seconds)
+                left = max(0.0, begin + LIMIT.seconds - self.now)
+                gateway.cold.note_statement(runner, left)
             runner.may_have_restarted = False
             gateway.allocator.clear_suspicion(runner)
 
@@ -309,6 +316,32 @@
     assert min(len(times) for times in replay.cold_arrivals()) >= least
 
 
+def suspect_warm_runner(hosts: int, states_cold_time: bool) -> float:
+    """Let one host suspect a warm runner; return its rate as a share of the others'."""
+    replay = ColdReplay(hosts, RUNNERS, 0.0, RATE, states_cold_time=states_cold_time)
+    replay.surge()
+    gateway = replay.gateway(replay._up()[0])
+    gateway.suspect(gateway.allocator.runners["r-1"], "silent")
+    replay.run(2.0)
+    start = replay.now
+    replay.run(1.5)
+    counts = {
+        name: sum(at >= start for at in times)
+        for name, times in replay.arrivals.items()
+    }
+    return counts.pop("r-1") / (sum(counts.values()) / len(counts))
+
+
+@pytest.mark.parametrize("hosts", [8, 64])
+def test_warm_runner_is_limited_after_a_false_suspicion(hosts):
+    """Guards against a warm runner that is left idle although it states that it is.
+
+    Without a statement it has to be taken for cold.
+    """
+    assert suspect_warm_runner(hosts, states_cold_time=False) < 0.4
+    assert suspect_warm_runner(hosts, states_cold_time=True) > 0.7
+
+
 def test_runner_stays_limited_after_its_cold_time():
     """Guards against limits that stay in force when the runners are warm again."""
     replay = play(8, ColdReplay.end_evacuation, leave_alone)
--- a/src/primroseford/gateway/tests/test_cold_runners.py
+++ b/src/primroseford/gateway/tests/test_cold_runners.py
@@ -8,6 +8,8 @@
 
 from primroseford.clock import ManualClock
 from primroseford.gateway.evacuations import EvacuationChange
+from primroseford.gateway.gen.messages.ttypes import ColdRunner
+from primroseford.gateway.gen.messages.ttypes import Heartbeat
 from primroseford.gateway.members import Members
 from primroseford.gateway.runners import RunnerEntry
 from primroseford.gateway.runners import RunnerKey
@@ -16,6 +18,7 @@
 from primroseford.gateway.state import Gateway
 from primroseford.gateway.state import GatewayMetrics
 from primroseford.gateway.tables import Pool
+from primroseford.gateway.token_ownership import START_SECONDS
 from primroseford.metrics import Metrics
 from primroseford.platform.configuration import decode_tables
 from primroseford.platform.objects import PlatformObject
@@ -140,6 +143,59 @@
     assert seconds_left(gateway) == 2.0
 
 
+def test_check_of_a_cold_runner_needs_no_token():
+    """Guards against checks that double the requests to a cold runner.
+
+    A request that may find no other runner of its version is checked and counted.
+    """
+    gateway = create_gateway()
+    suspect(gateway)
+    runner = gateway.allocator.runners["i-1"]
+    limiter = gateway.request_limiter
+    assert not limiter.take_check(runner, continues=False)
+    assert limiter.take_check(runner, continues=True)
+    assert limiter.tokens.count_used(runner.entry.key).total() == 1
+    gateway.clock.advance(START_SECONDS)
+    taken = [limiter.take_check(runner, continues=False) for _ in range(9)]
+    # A window has 4 tokens. Two are left for online requests, and the check that needed
+    # none counts as one.
+    assert taken == [True] + [False] * 8
+
+
+@pytest.mark.parametrize(
+    ("seconds", "is_suspected", "host", "ends"),
+    [
+        (1.0, False, "peer", True),
+        (0.9, False, "peer", False),
+        (1.0, True, "peer", False),
+        (1.0, False, "other", False),
+    ],
+)
+def test_statement_of_another_host_ends_a_newer_suspicion(
+    seconds, is_suspected, host, ends
+):
+    """Guards against a statement from before a crash that ends the cold time after it.
+
+    :param seconds: age of the suspicion
+    :param is_suspected: whether the owner suspects the runner
+    """
+    gateway = create_gateway()
+    suspect(gateway)
+    runner = gateway.allocator.runners["i-1"]
+    gateway.clock.advance(seconds)
+    for name in ("peer", "other"):
+        heartbeat = Heartbeat(name, "1", f"{name}:1", "a", 1, loads=[], jobs=[])
+        heartbeat.owns_request_tokens = name == "peer"
+        gateway.members.receive(heartbeat, gateway.clock())
+    if is_suspected:
+        runner.suspected_by.add("peer")
+    statement = ColdRunner("i-1", OLD, 0)
+    gateway.cold.apply_heartbeat(
+        Heartbeat(host, "1", loads=[], cold_runners=[statement])
+    )
+    assert gateway.allocator.tokens.is_cold(runner.entry.key) is not ends
+
+
 @pytest.mark.parametrize(
     ("fields", "expected"),
     [
--- a/src/primroseford/gateway/watchdog.py
+++ b/src/primroseford/gateway/watchdog.py
@@ -10,6 +10,7 @@
 from mode import Service
 from yarl import URL
 
+from primroseford.gateway.pace_watch import PROBE_SECONDS
 from primroseford.gateway.periodic import run_periodically
 from primroseford.gateway.retry import ANSWER_SILENCE_LATENCIES
 from primroseford.gateway.runner_starts import check_start
@@ -28,8 +29,6 @@
 prompt size and load, so that a busy pool does not count as failed."""
 SERVICE_SILENCE_SECONDS = 0.8
 """The same limit for a plain service, whose responses take up to a few hundred ms."""
-PROBE_SECONDS = 0.5
-"""Interval between probes of a failed runner, and the timeout of a probe."""
 
 log = structlog.get_logger()
 
@@ -59,7 +58,8 @@
                 continue
             is_failed = runner.suspect_until > now
             if (is_failed or runner.may_have_restarted) and name not in self.probing:
-                self._start_probe(runner, after=PROBE_SECONDS if is_failed else 0.0)
+                first = self.gateway.pace.first_probe_seconds(runner)
+                self._start_probe(runner, after=first if is_failed else 0.0)
 
     def is_silent(self, runner: RunnerState, now: float) -> bool:
         """Return whether a runner has sent no data on any exchange within its limit."""
@@ -109,7 +109,7 @@
                 return
             # A cold runner states its remaining time in its health response.
             is_cold = self.gateway.allocator.tokens.is_cold(runner.entry.key)
-            needs_health = (is_failed or is_cold) and after > 0
+            needs_health = is_cold or is_failed and after > 0
             after = PROBE_SECONDS
             is_engine = self.gateway.is_engine(runner.entry.pool)
             requests = needs_health + is_engine
--- a/src/primroseford/jobs/run.py
+++ b/src/primroseford/jobs/run.py
@@ -360,6 +360,7 @@
     call = RunnerRequest(
         "POST", item.item.path, headers, item.item.decoded_body(), item.item.id
     )
+    sent_at = gateway.clock()
     response = await send_to_runner(
         gateway.session,
         runner.entry,
@@ -378,7 +379,9 @@
                 ResultCode.RUNNER_FAILED,
                 f"the runner returned status {response.status}",
             )
-        await _read_events(gateway, item, runner, response, inactivity, attempt)
+        await _read_events(
+            gateway, item, runner, response, inactivity, attempt, sent_at
+        )
         return RunOutcome.COMPLETE
     finally:
         response.close()
@@ -401,6 +404,7 @@
     response: aiohttp.ClientResponse,
     inactivity: InactivityTimeout,
     attempt: RunnerAttempt,
+    sent_at: float,
 ) -> None:
     splitter = EventSplitter(MAX_EVENT_BYTES, item.last_event)
     try:
@@ -409,6 +413,7 @@
             if block:
                 if not attempt.event_received:
                     attempt.event_received = True
+                    gateway.pace.note_answer(runner, gateway.clock() - sent_at)
                     gateway.quarantine.record_served(item.shared_parts)
                 inactivity.reset()
                 runner.last_byte = gateway.clock()
--- a/src/primroseford/request_limits/cold_runners.py
+++ b/src/primroseford/request_limits/cold_runners.py
@@ -54,14 +54,21 @@
 class ColdPeriod:
     """What is known of one cold runner.
 
-    :param own: local time in seconds until which this host takes it for cold
+    :param known: local time in seconds until which it is cold as this host knows it
+    :param assumed: the same after a suspicion, which may have been a false one
     :param peers: the same as other hosts have reported it
     """
 
     limit: ColdLimit
-    own: float = 0.0
+    known: float = 0.0
+    assumed: float = 0.0
     peers: dict[HostId, float] = field(default_factory=dict)
 
+    @property
+    def own(self) -> float:
+        """Local time in seconds until which this host takes the runner for cold."""
+        return max(self.known, self.assumed)
+
     def until(self) -> float:
         """Return the local time in seconds until which the runner is cold."""
         return max(self.own, *self.peers.values()) if self.peers else self.own
@@ -103,12 +110,14 @@
         now: float,
         seconds: float | None = None,
         after: float = 0.0,
+        assumed: bool = False,
     ) -> bool:
         """Take a runner for cold, and return whether it was not cold before.
 
         :param now: local time in seconds
         :param seconds: remaining time; by default the whole time after a start
         :param after: time until the runner may start, in seconds
+        :param assumed: whether it is only suspected to have failed
         """
         limit = self.pools.get(pool)
         if limit is None or seconds is not None and seconds <= 0:
@@ -118,7 +127,10 @@
         is_new = self.limit(runner, now) is None
         period = self.periods.setdefault(runner, ColdPeriod(limit))
         until = now + after + min(seconds, MAX_COLD_SECONDS)
-        period.own = max(period.own, until)
+        if assumed:
+            period.assumed = max(period.assumed, until)
+        else:
+            period.known = max(period.known, until)
         return is_new
 
     def note_statement(
@@ -134,9 +146,14 @@
         """
         period = self.periods.get(runner)
         if period is not None:
-            period.own = 0.0
+            period.known = period.assumed = 0.0
         return self.begin(runner, pool, now, left)
 
+    def end_assumption(self, runner: RunnerKey) -> None:
+        """Stop assuming that a runner is cold, since it has stated that it is not."""
+        if runner in self.periods:
+            self.periods[runner].assumed = 0.0
+
     def replace_reports(
         self,
         host: HostId,
