--- a/src/primroseford/cli/commands/top.py
+++ b/src/primroseford/cli/commands/top.py
@@ -28,7 +28,11 @@
 FETCH_TIMEOUT_SECONDS = 2.0
 """Timeout of a scrape; hosts return their metrics without delay."""
 MAX_INTERVAL_SECONDS = 3600.0
-STATE_GAUGES = (("gateway_evacuated_domains", "evacuated failure domains"),)
+STATE_GAUGES = (
+    ("gateway_evacuated_domains", "evacuated failure domains"),
+    ("gateway_cold_runners", "cold runners"),
+    ("gateway_paced_runners", "runners ramping up"),
+)
 """Gauges of the state of the whole fleet that are shown below the rates if any host has
 another value than 0, and their titles."""
 COLUMN_TITLES = "  req/s  good  p50 ms  p99 ms  refused/s  retries/s  items/s  calls/s"
--- a/src/primroseford/cli/tests/test_top.py
+++ b/src/primroseford/cli/tests/test_top.py
@@ -83,13 +83,19 @@
 
 
 async def test_top_shows_the_state_that_only_one_host_knows():
-    """Guards against an evacuation that operators cannot see."""
+    """Guards against a state of the fleet that operators cannot see."""
     hosts = [CountingHost(), CountingHost()]
     hosts[1].gateway.evacuated_domains.set(2)
+    hosts[0].gateway.cold_runners.set(3)
+    hosts[1].gateway.paced_runners.set(4)
     served = [await _serve_metrics(host.scrape) for host in hosts]
     urls = " ".join(url for url, _ in served)
     _, output, _ = await run(f"top {urls} --seconds {INTERVAL_SECONDS} --count 1")
-    assert output.strip().splitlines()[-1] == "evacuated failure domains: 2"
+    assert output.strip().splitlines()[-3:] == [
+        "evacuated failure domains: 2",
+        "cold runners: 3",
+        "runners ramping up: 4",
+    ]
     for _, server in served:
         await server.stop()
 
