--- a/src/primroseford/cli/commands/top.py
+++ b/src/primroseford/cli/commands/top.py
@@ -31,6 +31,8 @@
 STATE_GAUGES = (
     ("gateway_evacuated_domains", "evacuated failure domains"),
     ("gateway_held_bytes", "bytes held for callers, at most by one host"),
+    ("gateway_cold_runners", "cold runners"),
+    ("gateway_paced_runners", "runners ramping up"),
 )
 """Gauges of the state of the whole fleet that are shown below the rates if any host has
 another value than 0, and their titles."""
--- a/src/primroseford/gateway/speed_placement.py
+++ b/src/primroseford/gateway/speed_placement.py
@@ -87,6 +87,11 @@
     least = 0 if batch else -MAX_RUNNER_QUEUE
     # The property of the load would take a third of the time of this function.
     frees = [load.slots - load.online - load.batch for load in loads]
+    if batch:
+        frees = [
+            min(free, math.floor(load.room)) if load.limit < math.inf else free
+            for load, free in zip(loads, frees, strict=True)
+        ]
     numbers = [number for number, free in enumerate(frees) if free > least]
     if not numbers:
         return None
--- a/src/primroseford/gateway/tests/test_speed_placement.py
+++ b/src/primroseford/gateway/tests/test_speed_placement.py
@@ -211,3 +211,15 @@
     assert not watchdog.is_silent(runner, allocator.clock())
     allocator.clock.advance(0.12 * limit)
     assert watchdog.is_silent(runner, allocator.clock())
+
+
+@pytest.mark.parametrize(
+    ("online", "limit", "has_room"), [(0, 3.0, True), (1, 3.0, False), (1, 4.0, True)]
+)
+def test_item_takes_the_place_of_online_requests_on_a_ramping_runner(
+    online, limit, has_room
+):
+    """Guards against items that use up the limit of a runner that has just started."""
+    load = RunnerLoad(RunnerKey("i-0", 1), "a", SLOTS, online, 0, limit=limit)
+    options = (1, FIRST_SECONDS, SERVICE_SECONDS, Random(1), True)
+    assert (choose_by_speed([load], [1.0], *options) is not None) is has_room
