--- a/src/primroseford/soak/tests/test_host_memory.py
+++ b/src/primroseford/soak/tests/test_host_memory.py
@@ -48,7 +48,7 @@
 QUIET_SECONDS = 3.0
 """Time without progress of a crowd, or change of the host's memory, after which the
 crowd has stalled."""
-PATIENCE_SECONDS = 40.0
+STEP_TIMEOUT_SECONDS = 40.0
 """Time limit of each step; only a host that hangs reaches it."""
 LOCK = Path(tempfile.gettempdir()) / f"primroseford-host-memory-{os.getuid()}.lock"
 
@@ -67,7 +67,7 @@
     fleet = SoakFleet(tmp_path, limits={"memory_mb": MEMORY_MB})
     try:
         await fleet.start(1, 1, version="v1")
-        async with asyncio.timeout(PATIENCE_SECONDS):
+        async with asyncio.timeout(STEP_TIMEOUT_SECONDS):
             while await request(fleet, "/ping/whole") != 200:  # noqa: ASYNC110
                 await asyncio.sleep(0.1)
         yield fleet
@@ -91,7 +91,7 @@
 async def served(fleet: SoakFleet, path: str, body: bytes = b"prompt") -> bool:
     """Return whether a request is served; it is repeated after a refusal."""
     with suppress(TimeoutError):
-        async with asyncio.timeout(PATIENCE_SECONDS):
+        async with asyncio.timeout(STEP_TIMEOUT_SECONDS):
             while fleet.hosts[0].running:
                 if await request(fleet, path, body) == 200:
                     return True
@@ -173,7 +173,7 @@
         What the kernel has accepted from the crowd is read by the host later.
         """
         loop = asyncio.get_running_loop()
-        end = loop.time() + PATIENCE_SECONDS
+        end = loop.time() + STEP_TIMEOUT_SECONDS
         seen, since = None, loop.time()
         while self.host.running and loop.time() < end:
             current = (self.steps, peak_bytes(self.host))
