Take a healthy runner without a stated cold time for warm after a suspicion

After a suspicion a runner counts as cold for 4 s, and the wire's example of a health response has no cold time for a runner that is not cold. Change: a health response with status 200 and without the time ends what was assumed after a suspicion, not a cold time after a start.

--- a/src/primroseford/gateway/cold_watch.py
+++ b/src/primroseford/gateway/cold_watch.py
@@ -139,6 +139,22 @@
             self._log_begin(entry.key, ColdCause.HEALTH, self.gateway.members.own)
             self.gateway.request_limiter.announce()
 
+    def note_health(self, runner: RunnerState, seconds: float | None) -> None:
+        """Apply the health response of a runner that counts itself as healthy.
+
+        A runner that is not cold may leave out the remaining time. That ends only what
+        was assumed after a suspicion, not a cold time that follows from a start.
+
+        :param seconds: remaining time; ``None`` if the response does not state it
+        """
+        if seconds is not None:
+            self.note_statement(runner, seconds)
+        elif runner.entry.pool in self.runners.pools:
+            key = runner.entry.key
+            self.warm[key] = self.gateway.clock()
+            self.gateway.allocator.changed = True
+            self.runners.end_assumption(key)
+
     def note_ask(self, key: RunnerKey, host: HostId) -> bool:
         """Note that another host takes a runner for cold, from its message to an owner.
 
--- a/src/primroseford/gateway/tests/test_cold_runners.py
+++ b/src/primroseford/gateway/tests/test_cold_runners.py
@@ -248,7 +248,9 @@
     await created.stop()
 
 
-@pytest.mark.parametrize(("stated", "is_cold"), [(0, False), (60_000, True)])
+@pytest.mark.parametrize(
+    ("stated", "is_cold"), [(0, False), (None, False), (60_000, True)]
+)
 async def test_statement_in_a_health_response_is_ignored(site, stated, is_cold):
     """Guards against a cold time that is assumed although the runner states another."""
     gateway = site.hosts[0].gateway
--- a/src/primroseford/gateway/watchdog.py
+++ b/src/primroseford/gateway/watchdog.py
@@ -30,6 +30,7 @@
 prompt size and load, so that a busy pool does not count as failed."""
 SERVICE_SILENCE_SECONDS = 0.8
 """The same limit for a plain service, whose responses take up to a few hundred ms."""
+HEALTHY_STATUS = 200
 
 log = structlog.get_logger()
 
@@ -140,7 +141,8 @@
         url = URL(f"http://{runner.entry.address}{path}", encoded=True)
         timeout = aiohttp.ClientTimeout(total=PROBE_SECONDS)
         async with self.gateway.session.get(url, timeout=timeout) as answer:
-            self.gateway.cold.note_statement(runner, decode_cold_seconds(answer))
+            if answer.status == HEALTHY_STATUS:
+                self.gateway.cold.note_health(runner, decode_cold_seconds(answer))
             load = decode_load(answer)
             if load is not None:
                 self.gateway.note_load(runner, load)
