--- a/src/primroseford/gateway/tests/test_cold_runners.py
+++ b/src/primroseford/gateway/tests/test_cold_runners.py
@@ -265,3 +265,15 @@
     else:
         await site.until(lambda: key not in periods)
     assert (await site.call("/ping/whole"))[0] == 200
+
+
+async def test_warm_runner_that_states_no_time_stays_limited(site):
+    """Guards against a false suspicion that limits a healthy runner for a cold time."""
+    gateway = site.hosts[0].gateway
+    pools = gateway.cold.runners.pools
+    # Longer than the test, so that the assumption does not end by itself.
+    pools["models"] = pools["models"]._replace(seconds=600.0)
+    runner = gateway.allocator.runners["i-1"]
+    gateway.suspect(runner, "silent")
+    assert runner.entry.key in gateway.cold.runners.periods
+    await site.until(lambda: runner.entry.key not in gateway.cold.runners.periods)
