Ask other runners for their load only if the chosen one is full or slowed

Change: the chosen runner is asked first; two others only if it has no free slot, is slowed, or does not answer.

--- a/src/primroseford/gateway/load_probes.py
+++ b/src/primroseford/gateway/load_probes.py
@@ -19,6 +19,7 @@
 from primroseford.bounded_http import read_limited
 from primroseford.gateway.exchange import EXCHANGE_ERRORS
 from primroseford.gateway.placement import best_probed
+from primroseford.gateway.placement import is_sufficient
 from primroseford.gateway.placement import needs_probes
 from primroseford.gateway.placement import probe_candidates
 from primroseford.gateway.runner_starts import MAX_REPORT_BYTES
@@ -65,17 +66,20 @@
     loads = allocator.open_loads(pool, context.tried_runners)
     unlimited = [load for load in loads if not is_limited(load.key)]
     others = probe_candidates(unlimited, key, gateway.random)
-    candidates = [runner, *(allocator.runners[load.key.name] for load in others)]
-    if len(candidates) == 1:
+    candidates = [allocator.runners[load.key.name] for load in others]
+    if not candidates:
         return runner
     try:
-        reports = await _probe_all(gateway, candidates)
+        reports = await _probe_all(gateway, [runner])
+        if is_sufficient(reports[key]):
+            return runner
+        reports |= await _probe_all(gateway, candidates)
     except asyncio.CancelledError:
         allocator.release(runner, unused=True)
         raise
     chosen = best_probed(
         reports,
-        {candidate.entry.key: candidate.speed.lasting for candidate in candidates},
+        {other.entry.key: other.speed.lasting for other in (runner, *candidates)},
         key,
         allocator.first_event_seconds.get(pool, FIRST_EVENT_SECONDS),
         allocator.service_seconds.get(pool, SERVICE_SECONDS),
--- a/src/primroseford/gateway/placement.py
+++ b/src/primroseford/gateway/placement.py
@@ -42,6 +42,9 @@
 have taken as many slots since the last load reports."""
 USUAL_SLOWNESS = 100
 """Slowness of a runner without other work on its machine, in hundredths."""
+SUFFICIENT_SLOWNESS = 150
+"""Slowness from which a faster runner is looked for: the first event then takes as much
+longer as a quarter of the time that a request ahead takes."""
 HEADROOM = 0.12
 """Fraction of a pool's slots that batch leaves free, for the online requests that
 arrive at the start of a wave during the 200 ms that preemption takes."""
@@ -174,6 +177,22 @@
     return random.sample(others, min(len(others), PROBED_RUNNERS - 1))
 
 
+def is_sufficient(report: ReportedLoad | None) -> bool:
+    """Return whether a request can start at the chosen runner without delay.
+
+    The others are asked for their loads only if it cannot, since most requests of a
+    surge find a free slot and each probe takes a connection.
+
+    :param report: load that the runner has just reported; ``None`` if it has not
+        answered
+    """
+    return (
+        report is not None
+        and report.running + report.waiting < report.slots
+        and (report.slowness or USUAL_SLOWNESS) < SUFFICIENT_SLOWNESS
+    )
+
+
 def best_probed(
     reports: Mapping[RunnerKey, ReportedLoad | None],
     lasting: Mapping[RunnerKey, float],
--- a/src/primroseford/gateway/tests/test_load_probes.py
+++ b/src/primroseford/gateway/tests/test_load_probes.py
@@ -12,6 +12,7 @@
 from primroseford.gateway.placement import PROBED_RUNNERS
 from primroseford.gateway.placement import RunnerLoad
 from primroseford.gateway.placement import best_probed
+from primroseford.gateway.placement import is_sufficient
 from primroseford.gateway.placement import needs_probes
 from primroseford.gateway.placement import probe_candidates
 from primroseford.gateway.runners import RunnerKey
@@ -45,6 +46,24 @@
     assert best_probed(loads, speeds, CHOSEN, 0.05, 0.7) == best
 
 
+@pytest.mark.parametrize(
+    ("report", "sufficient"),
+    [
+        (None, False),
+        ((7, 0, 8, 100), True),
+        ((8, 0, 8, 100), False),
+        ((4, 4, 8, 100), False),
+        ((0, 0, 8, 149), True),
+        ((0, 0, 8, 150), False),
+        ((7, 0, 8, None), True),
+    ],
+)
+def test_others_are_probed_beside_a_runner_with_a_free_slot(report, sufficient):
+    """Guards against probes of which the result does not matter."""
+    load = report and ReportedLoad(*report)
+    assert is_sufficient(load) is sufficient
+
+
 @pytest.mark.parametrize(
     ("hosts", "online", "needed"),
     [(68, 5, True), (68, 4, False), (MAX_DIRECT_HOSTS, 8, False)],
