Test the memory of a host that accepts large jobs

Accepted jobs stay in the views of a host and are not charged to its memory budget. The test submits 40 jobs of 3.9 MB one after another with limits.memory_mb 160, once with jobs that end and once with jobs that wait.

--- a/src/primroseford/soak/tests/test_host_memory.py
+++ b/src/primroseford/soak/tests/test_host_memory.py
@@ -18,6 +18,7 @@
 import aiohttp
 import pytest
 
+from primroseford.jobs import store
 from primroseford.soak.fleet import SoakFleet
 from primroseford.standins.fleet_objects import HOST
 from primroseford.standins.fleet_objects import KEY
@@ -43,6 +44,8 @@
 SMALL_PIECE_BYTES = 4 * 1024
 ITEM_BYTES = 2_900_000
 """Decoded body of a batch item that slow readers request."""
+JOBS = 40
+"""Jobs that one caller submits; with ``ITEM_BYTES`` each has 3.9 MB in base64."""
 RECEIVE_BUFFER_BYTES = 4 * 1024
 """Receive buffer of a slow reader, so that the kernel holds little for it."""
 QUIET_SECONDS = 3.0
@@ -75,9 +78,11 @@
         await fleet.stop()
 
 
-async def request(fleet: SoakFleet, path: str, body: bytes = b"prompt") -> int:
+async def request(
+    fleet: SoakFleet, path: str, body: bytes = b"prompt", request_id: str = "ordinary"
+) -> int:
     """Send an ordinary request; return the status, or 0 without a response."""
-    headers = {"Host": HOST, "Request-Id": "ordinary", "Api-Key": KEY}
+    headers = {"Host": HOST, "Request-Id": request_id, "Api-Key": KEY}
     try:
         async with aiohttp.ClientSession() as session:
             url = fleet.hosts[0].ingress + path
@@ -88,6 +93,23 @@
         return 0
 
 
+async def submit_job(fleet: SoakFleet, job: str, path: str = "/notes/whole") -> int:
+    """Submit a job of one large item; return the status, or 0 without a response.
+
+    :param path: path of the item; runners answer one that ends with ``whole`` without
+        events, so that it never gets a result
+    """
+    item = {
+        "id": "large",
+        "path": path,
+        "headers": {},
+        "body": base64.b64encode(b"x" * ITEM_BYTES).decode(),
+        "tokens": 10,
+    }
+    body = json.dumps({"items": [item]}).encode()
+    return await request(fleet, "/notes/x", body, job)
+
+
 async def served(fleet: SoakFleet, path: str, body: bytes = b"prompt") -> bool:
     """Return whether a request is served; it is repeated after a refusal."""
     with suppress(TimeoutError):
@@ -289,19 +311,7 @@
 
 async def test_unread_items_stay_within_the_memory_of_the_host(fleet):
     """Guards against a host that holds a copy of an item for each unread response."""
-    item = {
-        "id": "large",
-        "path": "/notes/whole",
-        "headers": {},
-        "body": base64.b64encode(b"x" * ITEM_BYTES).decode(),
-        "tokens": 10,
-    }
-    headers = {"Host": HOST, "Request-Id": "job-1", "Api-Key": KEY}
-    async with aiohttp.ClientSession() as session:
-        url = f"{fleet.hosts[0].ingress}/notes/x"
-        body = json.dumps({"items": [item]}).encode()
-        async with session.post(url, data=body, headers=headers) as response:
-            assert response.status == 202
+    assert await submit_job(fleet, "job-1") == 202
 
     async def connect(crowd: Crowd, number: int) -> None:
         await stop_reading(b"GET /items/job-1?id=large", crowd, number)
@@ -309,6 +319,37 @@
     await check_crowd(fleet, connect)
 
 
+@pytest.mark.parametrize(
+    "path",
+    [pytest.param("/notes/x", id="end"), pytest.param("/notes/whole", id="wait")],
+)
+async def test_accepted_jobs_stay_within_the_memory_of_the_host(fleet, path):
+    """Guards against a host whose memory grows with the jobs that it has accepted.
+
+    Jobs that are refused must not be stored, and those that are accepted must be.
+    """
+    host = fleet.hosts[0]
+    fleet.runners[0].runs[-1].event_seconds = 0.0
+    statuses = {}
+    for number in range(JOBS):
+        statuses[f"job-{number}"] = await submit_job(fleet, f"job-{number}", path)
+    peak, opened = peak_bytes(host), descriptors(host)
+    accepted = {job for job, status in statuses.items() if status == 202}
+    print(f"peak {peak / 1e6:.0f} MB, {opened} descriptors, {len(accepted)} accepted")
+    assert not host.unexpected_exits
+    assert accepted
+    assert set(statuses.values()) <= {202, 429, 503}
+    objects = fleet.platform.state.objects
+    assert set(objects[store.JOBS]) == accepted
+    assert {name.rpartition(".")[0] for name in objects[store.PARTS]} == accepted
+    assert peak < MAX_MEMORY_BYTES
+    assert opened < MAX_DESCRIPTORS
+    assert await served(fleet, "/ping/whole")
+    assert await served(fleet, "/ping/whole", b"x" * LARGEST_BODY_BYTES)
+    assert not host.unexpected_exits
+    assert peak_bytes(host) < MAX_MEMORY_BYTES
+
+
 async def test_largest_request_is_served_without_other_load(fleet):
     """Guards against limits that a single request within the caller's limits meets."""
     host = fleet.hosts[0]
