Count batch jobs in the memory budget of a host

Accepted and cached jobs stayed in memory, limited to 256 by number alone, and a host with 160 MB that accepted large jobs one after another exceeded its memory.

The views of jobs are charged to the budget and may use three eighths of it. Views of jobs that do not run here or have ended are dropped by size, least recently used first, also when a request needs the room; their ids stay known as ended, and heartbeats repeat the last report of a dropped job. A submission that does not fit beside the jobs that run is refused with 503 before the first write to the store. A host without room takes no job over. Checks of results belong to a view, since a job may be dropped and read again while a check is in progress, and a takeover caches the view that it runs.

Tests with stand-ins of a gateway get a budget, and those that set recently_stopped use its new type; no assertion has changed.

--- a/src/primroseford/gateway/bodies.py
+++ b/src/primroseford/gateway/bodies.py
@@ -13,6 +13,7 @@
 from primroseford.gateway.host_memory import Holding
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Sequence
 
     from aiohttp.web_request import BaseRequest
@@ -36,6 +37,8 @@
     :param memory: decides what may be held
     :param gauge: shows the charged bytes
     :ivar readers: the tasks that read incomplete bodies
+    :ivar drop_job: drops a cached job that can be read again, and returns whether there
+        was one
     :ivar short_since: local time of the first refusal of a shortage of memory
     :ivar refused_at: local time of the last one
     :ivar refused: requests refused during the shortage
@@ -45,6 +48,7 @@
         self.memory = memory
         self.clock = clock
         self.readers: dict[Holding, asyncio.Task] = {}
+        self.drop_job: Callable[[], bool] = _has_no_job
         self.short_since: float | None = None
         self.refused_at = 0.0
         self.refused = 0
@@ -64,10 +68,12 @@
         :param size: bytes that are held in all
         :raises PrimrosefordError: HOST_MEMORY_SHORT
         """
+        while self.memory.is_short(holding, size) and self.drop_job():
+            pass
         decision = self.memory.charge(holding, size, self.clock())
         self._evict(decision.evicted)
         if not decision.admitted:
-            raise self._refusal()
+            raise self.refusal()
 
     def refuse_overdue(self, seconds: float) -> None:
         """Refuse the requests whose bodies have made no progress for a time."""
@@ -79,14 +85,16 @@
             if reader is not None:
                 reader.cancel()
 
-    def _refusal(self) -> PrimrosefordError:
+    def refusal(self) -> PrimrosefordError:
+        """Return the error for a request that does not fit, and record the shortage."""
         now = self.clock()
         if self.short_since is None or now - self.refused_at > QUIET_SECONDS:
             log.warning(
                 "memory for callers is short",
                 held_mb=round(self.memory.total / 1e6, 1),
                 budget_mb=round(self.memory.budget / 1e6, 1),
-                requests=len(self.memory.holdings),
+                jobs_mb=round(self.memory.jobs / 1e6, 1),
+                requests=sum(not holding.job for holding in self.memory.holdings),
                 incomplete=len(self.readers),
                 refused_last_time=self.refused,
             )
@@ -118,7 +126,7 @@
         except asyncio.CancelledError:
             evicted = holding not in self.readers
             if evicted and task.uncancel() == 0:
-                raise self._refusal() from None
+                raise self.refusal() from None
             raise
         finally:
             holding.evictable = False
@@ -147,3 +155,7 @@
             raise PrimrosefordError(ResultCode.BODY_TOO_LARGE, "the body is too large")
         if size:
             self.charge(holding, size)
+
+
+def _has_no_job() -> bool:
+    return False
--- a/src/primroseford/gateway/host_memory.py
+++ b/src/primroseford/gateway/host_memory.py
@@ -22,6 +22,9 @@
 LARGE_SHARE = 0.75
 """Part of the budget that larger requests may use together. The rest is reserved for
 small ones, which are served while large bodies fill their part."""
+JOB_SHARE = 0.375
+"""Part of the budget that batch jobs may use together: half of the part for large
+requests, so that bodies in transit always have the other half."""
 STALL_SECONDS = 1.0
 """Time without progress after which an incomplete body gives way."""
 PROGRESS_BYTES = 64 * 1024
@@ -31,9 +34,10 @@
 
 @dataclass(eq=False)
 class Holding:
-    """Memory that is held for one request.
+    """Memory that is held for one request or one batch job.
 
     :param began: local time in seconds at which its first bytes were held
+    :param job: whether it is a job, which stays after the request that submitted it
     :ivar size: charged bytes
     :ivar evictable: whether the body is incomplete, so that the request may be refused
     :ivar progress_at: local time of the last progress in seconds
@@ -41,6 +45,7 @@
     """
 
     began: float
+    job: bool = False
     size: int = 0
     evictable: bool = False
     progress_at: float = 0.0
@@ -73,13 +78,37 @@
 
     :param budget: bytes that may be held for all requests together
     :ivar total: charged bytes
-    :ivar large: charged bytes of holdings above ``SMALL_BYTES``
+    :ivar large: charged bytes of jobs and of requests above ``SMALL_BYTES``
+    :ivar jobs: charged bytes of jobs
     """
 
     budget: int
     holdings: set[Holding] = field(default_factory=set)
     total: int = 0
     large: int = 0
+    jobs: int = 0
+
+    @property
+    def job_budget(self) -> int:
+        """Bytes that all jobs may use together."""
+        return int(JOB_SHARE * self.budget)
+
+    def admits_job(self, kept: int, size: int) -> bool:
+        """Return whether a job may be held beside those that cannot be dropped.
+
+        A single job is admitted whatever the budget is.
+
+        :param kept: charged bytes of the jobs that cannot be dropped
+        :param size: bytes of the job
+        """
+        return not kept or kept + size <= self.job_budget
+
+    def charge_job(self, holding: Holding, size: int) -> None:
+        """Charge a job that is held in any case.
+
+        :param size: bytes that are held in all
+        """
+        self._set_size(holding, size)
 
     def charge(self, holding: Holding, size: int, now: float) -> MemoryDecision:
         """Charge a holding with a new size, and choose what has to give way for it.
@@ -122,18 +151,29 @@
     def _set_size(self, holding: Holding, size: int) -> None:
         self.holdings.add(holding)
         self.total += size - holding.size
-        self.large += _large_bytes(size) - _large_bytes(holding.size)
+        self.large += _large_bytes(holding, size) - _large_bytes(holding, holding.size)
+        if holding.job:
+            self.jobs += size - holding.size
         holding.size = size
 
-    def _fits(self, holding: Holding, size: int) -> bool:
+    def is_short(self, holding: Holding, size: int) -> bool:
+        """Return whether the new size of a request exceeds the budget.
+
+        :param size: bytes that are held in all
+        """
+        others = self.large - _large_bytes(holding, holding.size)
+        total = self.total - holding.size + size
         if size <= SMALL_BYTES:
-            return self.total - holding.size + size <= self.budget
-        others = self.large - _large_bytes(holding.size)
-        # A single request is served whatever the budget is.
-        return not others or (
-            others + size <= LARGE_SHARE * self.budget
-            and self.total - holding.size + size <= self.budget
-        )
+            # Results make jobs grow after they are accepted; what they take beyond the
+            # part for large holdings does not keep small requests out.
+            return total - max(0, others - LARGE_SHARE * self.budget) > self.budget
+        return others + size > LARGE_SHARE * self.budget or total > self.budget
+
+    def _fits(self, holding: Holding, size: int) -> bool:
+        others = self.large - self.jobs - _large_bytes(holding, holding.size)
+        # A single large request is served whatever the budget is.
+        is_single = size > SMALL_BYTES and not others
+        return is_single or not self.is_short(holding, size)
 
     def _choose_victim(self, holding: Holding, size: int, now: float) -> Holding | None:
         """Return the stalled holding that has held most for longest, if there is one.
@@ -152,8 +192,8 @@
         )
 
 
-def _large_bytes(size: int) -> int:
-    return size if size > SMALL_BYTES else 0
+def _large_bytes(holding: Holding, size: int) -> int:
+    return size if holding.job or size > SMALL_BYTES else 0
 
 
 def create_host_memory(memory_mb: float | None) -> HostMemory:
--- a/src/primroseford/jobs/api.py
+++ b/src/primroseford/jobs/api.py
@@ -55,7 +55,8 @@
     ) -> web.Response:
         """Accept a job.
 
-        :raises PrimrosefordError: RATE_LIMITED, or the error of the store's write
+        :raises PrimrosefordError: RATE_LIMITED, HOST_MEMORY_SHORT, or the error of the
+            store's write
         """
         submitted = time.time()
         job_id, items = decode_submission(incoming)
@@ -73,8 +74,11 @@
         """Store a job; the write continues if the caller's deadline passes first.
 
         :param timeout: seconds until the caller's deadline
+        :raises PrimrosefordError: HOST_MEMORY_SHORT before anything is stored, or the
+            error of the write
         """
-        write = asyncio.create_task(self.service.accept(job))
+        reservation = self.service.views.memory.reserve(job)
+        write = asyncio.create_task(self.service.accept(job, reservation))
         self.service.scheduler.recorder.track(write)
         try:
             async with asyncio.timeout(max(0.2, timeout - RESPONSE_MARGIN_SECONDS)):
--- a/src/primroseford/jobs/ownership.py
+++ b/src/primroseford/jobs/ownership.py
@@ -278,8 +278,7 @@
 
     def _is_done(self, job: JobId) -> bool:
         """Return whether a job is known here to be finished or cancelled."""
-        view = self.views.get(job)
-        return job in self.gateway.members.ended or (view is not None and view.ended)
+        return job in self.gateway.members.ended or self.views.is_ended(job)
 
     def update_orphan(self, job: JobId, now: float) -> None:
         """Add a job to the orphans, or remove it if some host runs it or it is done."""
@@ -332,7 +331,10 @@
         rank = host_rank(job, members.own, members.working(now))
         if job in self.scanned:
             rank = min(rank, 1)
-        return now - since >= grace + rank * FALLBACK_TAKEOVER_SECONDS
+        if now - since < grace + rank * FALLBACK_TAKEOVER_SECONDS:
+            return False
+        # Another host in the order, or this one later, takes it over.
+        return self.views.has_room()
 
     async def _take_over(self, job: JobId, now: float) -> None:
         view = await self.views.load_latest(job)
@@ -353,4 +355,5 @@
             listed=len(view.committed),
             items_in_progress=len(progress),
         )
+        self.views.put(view)
         self.scheduler.start_job(view, progress)
--- a/src/primroseford/jobs/scheduler.py
+++ b/src/primroseford/jobs/scheduler.py
@@ -31,6 +31,7 @@
 from primroseford.jobs.run import run_item
 from primroseford.jobs.state import ItemState
 from primroseford.jobs.state import Progress
+from primroseford.jobs.stopped import StoppedJob
 from primroseford.jobs.versions import TextVersions
 from primroseford.jobs.versions import record_run_end
 from primroseford.jobs.waiting import WAIT_LOG_INTERVAL_SECONDS
@@ -82,8 +83,7 @@
 
     :param store: jobs in the platform's store
     :ivar runs: jobs by id
-    :ivar recently_stopped: stopped jobs that heartbeats still report, each with the
-        local time at which reporting ends
+    :ivar recently_stopped: stopped jobs that heartbeats still report
     :ivar stepped_at: local time of the last periodic step in seconds
     :ivar was_stalled: whether the last report found the scheduler standing still
     """
@@ -92,7 +92,7 @@
         self.gateway = gateway
         self.store = store
         self.runs: dict[JobId, JobRun] = {}
-        self.recently_stopped: dict[JobId, tuple[JobView, float]] = {}
+        self.recently_stopped: dict[JobId, StoppedJob] = {}
         self.recorder = JobRecorder(gateway, store, self._finish)
         self.estimator = DeadlineEstimator(gateway, self.runs)
         self.isolation = Isolation(gateway.clock)
@@ -127,11 +127,13 @@
                 configured=self.gateway.configured,
             )
         self.recently_stopped = {
-            job: entry for job, entry in self.recently_stopped.items() if entry[1] > now
+            job: stopped
+            for job, stopped in self.recently_stopped.items()
+            if stopped.until > now
         }
         reports = {
-            job: view.report(stopped=True)
-            for job, (view, _) in self.recently_stopped.items()
+            job: stopped.latest_report()
+            for job, stopped in self.recently_stopped.items()
         }
         if stalled:
             return reports
@@ -221,7 +223,8 @@
     def report_stopped(self, view: JobView) -> None:
         """Report for some time a job that this host does not run, with its results."""
         seconds = FINISHED_REPORT_SECONDS if view.finished else STOPPED_REPORT_SECONDS
-        self.recently_stopped[view.job.id] = (view, self.gateway.clock() + seconds)
+        until = self.gateway.clock() + seconds
+        self.recently_stopped[view.job.id] = StoppedJob(view, until)
 
     def _finish(self, run: JobRun) -> None:
         self.stop_job(run, "finished")
--- a/src/primroseford/jobs/service.py
+++ b/src/primroseford/jobs/service.py
@@ -24,6 +24,7 @@
     from collections.abc import Awaitable
     from collections.abc import Callable
 
+    from primroseford.gateway.host_memory import Holding
     from primroseford.gateway.state import Gateway
     from primroseford.ids import JobId
     from primroseford.ids import RunnerName
@@ -127,6 +128,7 @@
         await run_periodically(self, lambda: RECONCILE_SECONDS, self._reconcile)
 
     async def _reconcile(self) -> None:
+        self.views.memory.update_charges()
         await run_part(self._scan_cancellations, RECONCILE_TIMEOUT_SECONDS)
         await self.ownership.reconcile()
 
@@ -219,9 +221,10 @@
         """Preempt an item on a runner for an online request that waits there."""
         preempt_item(self.scheduler, runner)
 
-    async def accept(self, job: Job) -> None:
+    async def accept(self, job: Job, reservation: Holding) -> None:
         """Store a job and run it here.
 
+        :param reservation: its charge to the memory budget until this host runs it
         :raises PrimrosefordError: PLATFORM_UNAVAILABLE if it is certainly not accepted,
             JOB_OUTCOME_UNKNOWN if it may be accepted
         """
@@ -238,6 +241,8 @@
                 "it is unknown whether the job was accepted",
                 outcome=Outcome.MAY_HAVE_RUN,
             ) from error
+        finally:
+            self.views.memory.release(reservation)
         log.info("job accepted", job=job.id, new=new, items=len(job.items))
         if new:
             view = JobView(job, complete_as_of=complete_as_of)
--- a/src/primroseford/jobs/state.py
+++ b/src/primroseford/jobs/state.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import base64
+import sys
 from dataclasses import dataclass
 from dataclasses import field
 from enum import Enum
@@ -23,6 +24,9 @@
 
 MAX_ESCAPED_TEXT_BYTES = 600_000
 """Size of an encoded text above which it is stored in base64."""
+ITEM_OVERHEAD_BYTES = 2048
+"""Memory of an item, its state in a run and its result without their longest texts;
+1,870 bytes were measured."""
 MAX_CHARACTER_BYTES = 12
 """Largest size of an encoded character: two escapes of six bytes."""
 ENCODED_BLOCK_CHARACTERS = 64 * 1024
@@ -146,6 +150,7 @@
     :param complete_as_of: local time up to which the view holds all committed results
     :param cancelled: whether the caller cancelled the job
     :ivar items: ids of the job's items
+    :ivar held_bytes: memory of the job and its results
     """
 
     job: Job
@@ -155,9 +160,12 @@
     complete_as_of: float = float("-inf")
     cancelled: bool = False
     items: frozenset[ItemId] = field(init=False)
+    held_bytes: int = field(init=False, compare=False)
 
     def __post_init__(self) -> None:
         self.items = frozenset(item.id for item in self.job.items)
+        results = sum(sys.getsizeof(result.text) for result in self.results)
+        self.held_bytes = job_bytes(self.job) + results
 
     def append(self, results: list[ItemResult]) -> None:
         """Append the results of the next segment.
@@ -170,6 +178,7 @@
             if result.id in self.items and result.id not in self.committed:
                 self.results.append(result)
                 self.committed.add(result.id)
+                self.held_bytes += sys.getsizeof(result.text)
         self.segment_ends.append(len(self.results))
 
     @property
@@ -208,6 +217,20 @@
         )
 
 
+def job_bytes(job: Job) -> int:
+    """Return the memory of a job with its items."""
+    return sum(
+        ITEM_OVERHEAD_BYTES
+        + sys.getsizeof(item.body)
+        + sys.getsizeof(item.path)
+        + sum(
+            sys.getsizeof(name) + sys.getsizeof(value)
+            for name, value in item.headers.items()
+        )
+        for item in job.items
+    )
+
+
 def encode_job(job: Job) -> dict[str, Any]:
     """Encode a job for the store, without its items."""
     return {
--- a/src/primroseford/jobs/tests/test_jobs.py
+++ b/src/primroseford/jobs/tests/test_jobs.py
@@ -25,6 +25,7 @@
 from primroseford.jobs.state import ItemState
 from primroseford.jobs.state import JobView
 from primroseford.jobs.state import decode_job
+from primroseford.jobs.stopped import StoppedJob
 from primroseford.jobs.store import CANCELLATIONS
 from primroseford.jobs.store import CHECKPOINTS
 from primroseford.jobs.store import JOBS
@@ -176,7 +177,8 @@
     view = JobView(service(site.hosts[0]).views.views["job1"].job)
     result = ItemResult(ItemId("it0"), ItemState.COMPLETE, TEXT)
     assert await stopping.store.commit(view, [result])
-    stopping.scheduler.recently_stopped["job1"] = (view, site.hosts[1].clock() + 30.0)
+    stopped = StoppedJob(view, site.hosts[1].clock() + 30.0)
+    stopping.scheduler.recently_stopped["job1"] = stopped
     site.hosts[1].gateway.stopping = True
     site.hosts[1].gateway.allocator.changed = True
     await asyncio.sleep(SETTLE_SECONDS - 0.3)
--- a/src/primroseford/jobs/tests/test_ownership.py
+++ b/src/primroseford/jobs/tests/test_ownership.py
@@ -32,6 +32,7 @@
 from primroseford.jobs.state import Item
 from primroseford.jobs.state import Job
 from primroseford.jobs.state import JobView
+from primroseford.jobs.tests.memory import create_bodies
 
 SHORT_TIMEOUT_SECONDS = 0.02
 MAX_RECONCILE_SECONDS = 5.0
@@ -103,11 +104,13 @@
         self.clock = clock
         self.sequence = 0
         self.started: list[str] = []
+        self.has_room = True
         self.hanging: set[str] = set()
         self.cancelled: set[str] = set()
         self.gateway = SimpleNamespace(
             clock=clock,
             stopping=False,
+            bodies=create_bodies(clock),
             members=Members(HostId("host-1")),
             tables=None,
             configured=True,
@@ -118,7 +121,12 @@
             load_progress=self.load_progress,
         )
         self.views = SimpleNamespace(
-            views={}, get=lambda job: None, load_latest=self.read
+            views={},
+            get=lambda job: None,
+            is_ended=lambda job: False,
+            has_room=lambda: self.has_room,
+            put=lambda view: None,
+            load_latest=self.read,
         )
         self.reported: list[str] = []
         self.scheduler = SimpleNamespace(
--- a/src/primroseford/jobs/tests/test_ownership_machine.py
+++ b/src/primroseford/jobs/tests/test_ownership_machine.py
@@ -32,6 +32,7 @@
 from primroseford.jobs.state import Job
 from primroseford.jobs.state import JobView
 from primroseford.jobs.store import FINISHED
+from primroseford.jobs.tests.memory import create_bodies
 from primroseford.jobs.waiting import missing_items
 from primroseford.metrics import Metrics
 
@@ -150,6 +151,7 @@
         self.stops_at: float | None = None
         self.store = Store(shared, clock)
         self.gateway = SimpleNamespace(
+            bodies=create_bodies(clock),
             clock=clock,
             stopping=False,
             tables=None,
@@ -314,7 +316,8 @@
         items = tuple(Item(ItemId(f"it{n}"), "/x", {}, "", 0) for n in range(ITEMS))
         name = JobId(f"job{len(self.jobs)}")
         job = Job(name, None, "vans.example", "/", time.time(), items)
-        self.loop.run_until_complete(process.service.accept(job))
+        reservation = process.service.views.memory.reserve(job)
+        self.loop.run_until_complete(process.service.accept(job, reservation))
 
     @rule(number=hosts, answer_lost=st.booleans())
     def commit(self, number, answer_lost):
--- a/src/primroseford/jobs/tests/test_read_protocol.py
+++ b/src/primroseford/jobs/tests/test_read_protocol.py
@@ -29,6 +29,7 @@
 from primroseford.jobs.state import ItemState
 from primroseford.jobs.state import Job
 from primroseford.jobs.state import JobView
+from primroseford.jobs.tests.memory import create_bodies
 from primroseford.jobs.views import JobViews
 
 SETTLE_SECONDS = 1.0
@@ -117,6 +118,7 @@
                 segments=lambda _: max(self.reported[number].values(), default=0)
             ),
             allocator=SimpleNamespace(add_jitter=lambda seconds: seconds),
+            bodies=create_bodies(self.clock),
         )
 
         async def read_segment_status(_: JobId) -> SegmentStatus | None:
--- a/src/primroseford/jobs/tests/test_stalled_service.py
+++ b/src/primroseford/jobs/tests/test_stalled_service.py
@@ -18,6 +18,7 @@
 from primroseford.jobs.state import Item
 from primroseford.jobs.state import Job
 from primroseford.jobs.state import JobView
+from primroseford.jobs.tests.memory import create_bodies
 from primroseford.metrics import Metrics
 from primroseford.quarantine.state import Quarantine
 
@@ -28,6 +29,7 @@
     """Return a job service that runs one job, of which no task has been started."""
     members, quarantine = Members(HostId("host-1")), Quarantine(clock)
     gateway = SimpleNamespace(
+        bodies=create_bodies(clock),
         clock=clock,
         stopping=False,
         members=members,
--- a/src/primroseford/jobs/tests/test_waiting.py
+++ b/src/primroseford/jobs/tests/test_waiting.py
@@ -124,7 +124,7 @@
     members = Members(HostId("host-1"))
     members.orphaned.add(JobId("job1"))
     gateway = create_gateway(clock, configured=True, stopping=False, members=members)
-    views = SimpleNamespace(views={}, get=lambda job: None)
+    views = SimpleNamespace(views={}, is_ended=lambda job: False)
     scheduler = SimpleNamespace(runs={})
     ownership = JobOwnership(gateway, None, None, views, scheduler, 120.0)
     ownership._should_take_over = lambda *_: False
--- a/src/primroseford/jobs/views.py
+++ b/src/primroseford/jobs/views.py
@@ -26,6 +26,7 @@
 from primroseford.errors import PrimrosefordError
 from primroseford.errors import ResultCode
 from primroseford.ids import JobId
+from primroseford.jobs.job_memory import JobMemory
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
@@ -47,8 +48,6 @@
 left for the transfer of the response to the caller."""
 RETRY_SECONDS = 0.5
 """Retry-After of a read that fails: callers read about twice a second."""
-MAX_VIEWS = 256
-"""Maximum number of cached jobs; the oldest that do not run here are evicted."""
 
 log = structlog.get_logger()
 
@@ -63,8 +62,10 @@
         that watches all new segments
     :param settle_seconds: time after which a result that any host has returned must be
         returned by all
+    :ivar memory: charges the views to the memory budget and drops them
     :ivar views: jobs by id
-    :ivar checks: checks in progress, by job
+    :ivar checks: checks in progress, by the identity of the view; a job that was
+        dropped and read again has another one
     """
 
     def __init__(
@@ -82,8 +83,9 @@
         self.runs = runs
         self.read_segment_status = read_segment_status
         self.settle_seconds = settle_seconds
-        self.checks: dict[JobId, asyncio.Task] = {}
-        self.views: dict[JobId, JobView] = {}
+        self.checks: dict[int, asyncio.Task] = {}
+        self.memory = JobMemory(gateway.bodies, runs)
+        self.views = self.memory.views
 
     def get(self, job: JobId) -> JobView | None:
         """Return the cached view of a job, or None."""
@@ -91,14 +93,30 @@
 
     def cache(self, view: JobView) -> JobView:
         """Cache a view and return the one to use for its job."""
-        cached = self.views.setdefault(view.job.id, view)
+        cached = self.views.get(view.job.id, view)
         cached.cancelled = cached.cancelled or view.cancelled
-        if len(self.views) > MAX_VIEWS:
-            evictable = [j for j, v in self.views.items() if j not in self.runs]
-            for job in evictable[: len(self.views) - MAX_VIEWS]:
-                del self.views[job]
+        self.memory.put(cached)
         return cached
 
+    def put(self, view: JobView) -> None:
+        """Cache a view in place of any other one of its job.
+
+        A job that this host runs must have the view of its run here. The view that was
+        cached before may have been dropped since it was read.
+        """
+        cached = self.views.get(view.job.id, view)
+        view.cancelled = view.cancelled or cached.cancelled
+        self.memory.put(view)
+
+    def has_room(self) -> bool:
+        """Return whether this host has the memory to take a job over."""
+        return self.memory.has_room()
+
+    def is_ended(self, job: JobId) -> bool:
+        """Return whether a job that was read here is known to be ended."""
+        view = self.views.get(job)
+        return job in self.memory.ended if view is None else view.ended
+
     async def read(self, job: JobId) -> JobView:
         """Return a job from the cache, from a host that runs it, or from the store.
 
@@ -106,6 +124,7 @@
         """
         view = self.views.get(job)
         if view is not None:
+            self.memory.touch(job)
             return view
         requested_at = self.gateway.clock()
         try:
@@ -159,17 +178,17 @@
 
         :raises PrimrosefordError: PLATFORM_UNAVAILABLE if that cannot be confirmed
         """
-        job = view.job.id
-        check = self.checks.get(job)
+        key = id(view)
+        check = self.checks.get(key)
         if check is None:
-            check = self.checks[job] = asyncio.create_task(self._check(view))
-            check.add_done_callback(lambda check: self._remove_check(job, check))
+            check = self.checks[key] = asyncio.create_task(self._check(view))
+            check.add_done_callback(lambda check: self._remove_check(key, check))
         await asyncio.shield(check)
         if not view.finished and not self.is_recent_enough(view.complete_as_of):
             raise self.unconfirmed_error()
 
-    def _remove_check(self, job: JobId, check: asyncio.Task) -> None:
-        del self.checks[job]
+    def _remove_check(self, key: int, check: asyncio.Task) -> None:
+        del self.checks[key]
         if not check.cancelled():
             # Retrieves the error, since no caller may be waiting for the check now.
             check.exception()
@@ -238,4 +257,6 @@
                     waiting[job] = view.waiting_tokens()
             elif view.finished or view.cancelled:
                 waiting.pop(job, None)
+        for job in self.memory.ended:
+            waiting.pop(job, None)
         return sum(waiting.values())
