Spare runners without limits the checks of limits when loads are listed

Cause: loads are listed for each request and each grant. Change: if no runner names a limit or is cold the tokens are not asked, and only runners that are ramping up are checked for it.

--- a/src/primroseford/gateway/pace_watch.py
+++ b/src/primroseford/gateway/pace_watch.py
@@ -87,6 +87,7 @@
         self.counts: dict[RunnerKey, Answers] = {}
         self.cold_pools: dict[PoolName, float] = {}
         self.has_list = False
+        self.allocator.ramping = self.ramps.ramps
         self.allocator.may_use = self.may_use
 
     def is_paced(self, pool: PoolName) -> bool:
--- a/src/primroseford/gateway/runner_state.py
+++ b/src/primroseford/gateway/runner_state.py
@@ -82,7 +82,8 @@
             self.online + self.peer_online,
             self.batch + self.peer_batch,
             self.batch,
-            limit=self.limit,
+            math.inf,
+            self.limit,
         )
 
     def set_peer_load(self, host: HostId, online: int, batch: int) -> None:
--- a/src/primroseford/gateway/slot_allocator.py
+++ b/src/primroseford/gateway/slot_allocator.py
@@ -89,6 +89,7 @@
     :ivar slowness_pools: pools of which a runner has reported its slowness
     :ivar on_waiting: called with a pool when a request begins to wait for a slot
     :ivar slowness_pools: pools whose runners report how long work currently takes
+    :ivar ramping: runners that are ramping up
     :ivar may_use: whether a runner that is ramping up may get one more request
     :ivar on_entries: called with a list of runners before it replaces the known one
     """
@@ -117,6 +118,7 @@
             lambda entries: None
         )
         self.slowness_pools: set[PoolName] = set()
+        self.ramping: Collection[RunnerKey] = ()
         self.may_use: Callable[[RunnerState], bool] = lambda runner: True
 
     @property
@@ -205,19 +207,28 @@
         :param batch: whether the work is a batch item
         :param version: only those of this software version; ``None`` for any
         """
-        now = self.clock()
-        return [
-            self.load(runner)
+        now, ramping = self.clock(), self.ramping
+        open_runners = [
+            runner
             for runner in self.usable(pool, version)
             if runner.full_until <= now
             and runner.entry.key not in tried
-            and self.tokens.may_send(runner.entry.key, batch)
-            and self.may_use(runner)
+            and (runner.entry.key not in ramping or self.may_use(runner))
+        ]
+        # Most deployments have no limits, and loads are listed for each request.
+        if not self.tokens.has_limits:
+            return [runner.load() for runner in open_runners]
+        return [
+            self.load(runner)
+            for runner in open_runners
+            if self.tokens.may_send(runner.entry.key, batch)
         ]
 
     def load(self, runner: RunnerState) -> RunnerLoad:
         """Return the load of a runner, with the effect of its request limit."""
         load = runner.load()
+        if not self.tokens.has_limits:
+            return load
         rate = self.tokens.rate(runner.entry.key)
         if rate is None:
             return load
--- a/src/primroseford/jobs/tests/test_batch_versions.py
+++ b/src/primroseford/jobs/tests/test_batch_versions.py
@@ -37,6 +37,7 @@
         is_limited=lambda key: key in LIMITED,
         may_send=lambda key, batch: True,
         rate=lambda key: 1.0 if key in LIMITED else None,
+        has_limits=True,
     )
     gateway = SimpleNamespace(allocator=allocator, random=Random(1))
     return BatchCapacity(gateway, None)
--- a/src/primroseford/request_limits/tokens.py
+++ b/src/primroseford/request_limits/tokens.py
@@ -67,6 +67,11 @@
     batch: dict[RunnerKey, HeldTokens] = field(default_factory=dict)
     used: dict[RunnerKey, deque[UsedToken]] = field(default_factory=dict)
 
+    @property
+    def has_limits(self) -> bool:
+        """Whether any runner names a limit, has named one lately, or is cold."""
+        return bool(self.limits.newest or self.cold.periods)
+
     def is_limited(self, runner: RunnerKey) -> bool:
         """Return whether a runner names a limit or is cold."""
         return self.limits.rate(runner) is not None or self.is_cold(runner)
