Leave pools with a bound on cold runners to that bound alone

Heartbeats of 64 hosts carried the counts of all ramping runners, and surges asked runners for reports without a gain. Change: pools with cold_per_s are neither paced nor probed; hosts that do not confirm watch evacuations with the longest calls; heartbeats without cold runners are not looked through.

--- a/src/primroseford/gateway/cold_watch.py
+++ b/src/primroseford/gateway/cold_watch.py
@@ -259,6 +259,8 @@
         """Apply the cold runners that another host reports."""
         if not self.runners.pools:
             return
+        if not heartbeat.cold_runners and not self.runners.periods:
+            return
         runners = self.gateway.allocator.runners
         reports: dict[RunnerKey, float] = {}
         pools: dict[RunnerKey, PoolName] = {}
--- a/src/primroseford/gateway/evacuation_watcher.py
+++ b/src/primroseford/gateway/evacuation_watcher.py
@@ -6,7 +6,9 @@
 
 from mode import Service
 
+from primroseford.gateway.platform_watcher import CONFIRMING_RUNNERS_WATCH_SECONDS
 from primroseford.gateway.platform_watcher import MAX_BACKOFF_SECONDS
+from primroseford.gateway.platform_watcher import MAX_WATCH_SECONDS
 from primroseford.platform.evacuation import EVACUATION_KIND
 from primroseford.platform.evacuation import decode_evacuated_domains
 from primroseford.platform.reflector import create_reflector
@@ -31,6 +33,7 @@
     ) -> None:
         super().__init__()
         self.gateway = gateway
+        self.watcher = watcher
         gateway.evacuations.followed = True
         self.reflector = create_reflector(
             client,
@@ -39,10 +42,19 @@
             purpose="evacuations",
             clock=gateway.clock,
             backoff_max=MAX_BACKOFF_SECONDS,
-            watch_seconds=watcher.runners_watch_duration,
+            watch_seconds=self.watch_duration,
         )
         watcher.followed.append(self.reflector)
 
+    def watch_duration(self) -> float:
+        """Return the duration of the next watch call in seconds.
+
+        Heartbeats tell the hosts with long calls what the confirming hosts have read.
+        """
+        if self.watcher.is_confirming():
+            return CONFIRMING_RUNNERS_WATCH_SECONDS
+        return MAX_WATCH_SECONDS
+
     async def on_start(self) -> None:
         """Start the watch."""
         await self.reflector.start()
--- a/src/primroseford/gateway/load_probes.py
+++ b/src/primroseford/gateway/load_probes.py
@@ -99,8 +99,7 @@
     allocator = gateway.allocator
     if pool in allocator.slowness_pools:
         return True
-    reads_reports = allocator.reads_reports or pool in allocator.tokens.cold.pools
-    return reads_reports and gateway.is_engine(pool)
+    return allocator.reads_reports and gateway.is_engine(pool)
 
 
 async def _probe_all(
--- a/src/primroseford/gateway/state.py
+++ b/src/primroseford/gateway/state.py
@@ -279,10 +279,12 @@
         """Put a configuration in force."""
         self.tables = tables
         self.cold.configure(tables.pools)
+        # Pools with a bound on requests to cold runners are left to it: the counts of
+        # ramping runners in the heartbeats of 64 hosts cost too much processor time.
         self.pace.cold_pools = {
             name: pool.cold_seconds
             for name, pool in tables.pools.items()
-            if pool.cold_seconds > 0
+            if pool.cold_seconds > 0 and not pool.cold_rate
         }
 
     def _is_ranked(self, part: PromptPartId, count: int) -> bool:
