--- a/src/primroseford/gateway/tests/test_pace.py
+++ b/src/primroseford/gateway/tests/test_pace.py
@@ -175,3 +175,16 @@
         assert (await site.call(path, f"id-{number}"))[0] == 200
     await site.until(lambda: not gateway.pace.ramps.ramps)
     assert gateway.allocator.runners["i-1"].load().limit == math.inf
+
+
+@pytest.mark.parametrize(("cold_per_s", "paced"), [(0.0, True), (8.3, False)])
+async def test_pool_with_a_bound_on_cold_runners_is_paced_as_well(
+    site, cold_per_s, paced
+):
+    """Guards against counts of ramping runners where the bound limits them already."""
+    gateway = site.hosts[0].gateway
+    content = configuration(2)
+    content["services"][0] |= {"cold_start_s": 3.0, "cold_per_s": cold_per_s}
+    site.put("config", "main", content)
+    await site.until(lambda: gateway.tables.version == 2)
+    assert gateway.pace.is_paced("models") is paced
