--- a/review/harness-2/fleet.py
+++ b/review/harness-2/fleet.py
@@ -229,6 +229,7 @@
 
     def __init__(self, name: str, slots: int, events: int, pause: float) -> None:
         self.name, self.slots = name, slots
+        self.version = "v1"
         self.events, self.pause = events, pause
         self.born = int(time.time() * 1000)
         self.runs: list[tuple[str, float, str]] = []
@@ -248,17 +249,34 @@
         )
         self.runner = web.ServerRunner(server, shutdown_timeout=0.1)
         await self.runner.setup()
-        site = web.TCPSite(self.runner, ip, 0)
+        port = int(self.address.rpartition(":")[2] or 0)
+        site = web.TCPSite(self.runner, ip, port)
         await site.start()
         port = site._server.sockets[0].getsockname()[1]
         self.address = f"{ip}:{port}"
 
+    async def crash(self) -> None:
+        """Stop listening and reset all connections, as the end of a process does."""
+        for site in list(self.runner.sites):
+            site._server.close()
+        for connection in list(self.runner.server.connections):
+            if connection.transport is not None:
+                connection.transport.abort()
+        await self.runner.cleanup()
+
+    async def restart(self, version: str) -> None:
+        """Start again at the same address, as another version of the software."""
+        self.version, self.born = version, int(time.time() * 1000)
+        self.queue = asyncio.Semaphore(self.slots)
+        self.waiting = self.running = 0
+        await self.start(self.address.partition(":")[0])
+
     def entry(self, **changes: object) -> dict:
         return {
             "service": "models",
             "address": self.address,
             "zone": "a",
-            "version": "v1",
+            "version": self.version,
             "slots": self.slots,
             "state": "ready",
             "cold_left_ms": 0,
@@ -319,7 +337,8 @@
         first = int(request.headers.get("Last-Event-Id", "0")) + 1
         for number in range(first, self.events + 1):
             await asyncio.sleep(self.pause)
-            await response.write(f"id: {number}\ndata: token {number}\n\n".encode())
+            text = f"id: {number}\ndata: token {number} {self.version}\n\n"
+            await response.write(text.encode())
         await response.write_eof()
         return response
 
