--- a/review/harness-2/fleet.py
+++ b/review/harness-2/fleet.py
@@ -686,6 +686,9 @@
 def main(case, seconds: float = 110.0) -> None:
     """Run a case and exit with its result."""
 
+    # A time limit around the script must not leave its processes behind.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
+
     async def run() -> int:
         async with asyncio.timeout(seconds):
             return await case()
