Log how a host learns of a cancelled job, and each scan for cancellations

The logs have the acknowledgement and the stop, but not which way the stop came (call, heartbeat or scan), nor which host scanned the store when. So they cannot tell a lost heartbeat from a scan that came late, or from a slow call.

Change: 'cancellation learned' with the source and the reporting host, and 'cancellations scanned' with the rank of the scanner, the time since its last scan and the duration of the call. No change of behaviour.

--- a/src/primroseford/gateway/heartbeat.py
+++ b/src/primroseford/gateway/heartbeat.py
@@ -79,8 +79,11 @@
     def scan_age(self) -> float | None:
         """Return the age in seconds of the newest scan of all jobs, if made here."""
 
-    def apply_cancellation(self, job: JobId) -> None:
-        """Stop a job that its caller cancelled at another host."""
+    def apply_cancellation(self, job: JobId, *, reported_by: HostId) -> None:
+        """Stop a job that its caller cancelled at another host.
+
+        :param reported_by: host whose heartbeat reported the cancellation
+        """
 
     def preempt_item(self, runner: RunnerName) -> None:
         """Preempt an item on a runner for an online request that waits there."""
@@ -377,7 +380,7 @@
                 gateway.note_leaving(key, host)
         self.spending.apply(heartbeat, previous is None)
         for job in heartbeat.ended_jobs:
-            self.jobs.apply_cancellation(JobId(job))
+            self.jobs.apply_cancellation(JobId(job), reported_by=host)
         self._apply_confirmation(heartbeat)
         if gateway.on_heartbeat is not None:
             gateway.on_heartbeat(heartbeat)
--- a/src/primroseford/jobs/api.py
+++ b/src/primroseford/jobs/api.py
@@ -11,6 +11,7 @@
 
 from primroseford.errors import PrimrosefordError
 from primroseford.errors import ResultCode
+from primroseford.jobs.service import CancellationSource
 from primroseford.jobs.state import Job
 from primroseford.platform.job_calls import JobVerb
 from primroseford.platform.job_calls import decode_submission
@@ -139,7 +140,7 @@
 
     async def _cancel(self, view: JobView) -> web.Response:
         await self.service.store.cancel(view.job.id)
-        self.service.cancel_job(view.job.id)
+        self.service.cancel_job(view.job.id, CancellationSource.CALLER)
         log.info(
             "job cancelled by its caller", job=view.job.id, listed=len(view.committed)
         )
--- a/src/primroseford/jobs/service.py
+++ b/src/primroseford/jobs/service.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from enum import Enum
 from typing import TYPE_CHECKING
 
 import structlog
@@ -26,6 +27,7 @@
 
     from primroseford.gateway.host_memory import Holding
     from primroseford.gateway.state import Gateway
+    from primroseford.ids import HostId
     from primroseford.ids import JobId
     from primroseford.ids import RunnerName
     from primroseford.jobs.peers import JobPeers
@@ -57,6 +59,14 @@
 log = structlog.get_logger()
 
 
+class CancellationSource(Enum):
+    """How a host learns that a job was cancelled."""
+
+    CALLER = "caller"
+    HEARTBEAT = "heartbeat"
+    SCAN = "scan"
+
+
 class JobService(Service):
     """Accepts, runs, takes over and cancels jobs.
 
@@ -135,10 +145,20 @@
     async def _scan_cancellations(self) -> None:
         now = self.gateway.clock()
         if self._is_cancellation_scan_due(now):
+            seconds_since_last = now - self.cancellations_scanned_at
             self.cancellations_scanned_at = now
             running = self.gateway.members.known_jobs() | self.scheduler.runs.keys()
-            for job in await self.store.cancelled_jobs() & running:
-                self.cancel_job(job)
+            stored = await self.store.cancelled_jobs()
+            log.info(
+                "cancellations scanned",
+                rank=self.ownership.scanner_rank(now),
+                stored=len(stored),
+                known=len(stored & running),
+                seconds_since_last=round(seconds_since_last, 2),
+                seconds=round(self.gateway.clock() - now, 3),
+            )
+            for job in stored & running:
+                self.cancel_job(job, CancellationSource.SCAN)
 
     def _is_cancellation_scan_due(self, now: float) -> bool:
         """Return whether this host must look for cancellations now."""
@@ -197,7 +217,7 @@
         now = self.gateway.clock()
         return [job for job, until in self.cancellations.items() if until > now]
 
-    def cancel_job(self, job: JobId) -> None:
+    def cancel_job(self, job: JobId, source: CancellationSource) -> None:
         """Stop a job whose cancellation is stored, and report it to the other hosts."""
         now = self.gateway.clock()
         self.cancellations = {
@@ -205,16 +225,31 @@
         }
         self.cancellations[job] = now + STOPPED_REPORT_SECONDS
         self.gateway.allocator.changed = True
-        self.apply_cancellation(job)
+        self.apply_cancellation(job, source)
 
-    def apply_cancellation(self, job: JobId) -> None:
-        """Mark a job as cancelled, and stop it if this host runs it."""
+    def apply_cancellation(
+        self,
+        job: JobId,
+        source: CancellationSource = CancellationSource.HEARTBEAT,
+        reported_by: HostId | None = None,
+    ) -> None:
+        """Mark a job as cancelled, and stop it if this host runs it.
+
+        :param source: how this host learned of the cancellation
+        :param reported_by: host whose heartbeat reported it
+        """
         self.gateway.members.note_ended(job)
         view = self.views.get(job)
         if view is not None:
             view.cancelled = True
         run = self.scheduler.runs.get(job)
         if run is not None:
+            log.info(
+                "cancellation learned",
+                job=job,
+                source=source.value,
+                reported_by=reported_by,
+            )
             self.scheduler.stop_job(run, "cancelled by its caller")
 
     def preempt_item(self, runner: RunnerName) -> None:
--- a/src/primroseford/jobs/tests/test_ownership_machine.py
+++ b/src/primroseford/jobs/tests/test_ownership_machine.py
@@ -24,6 +24,7 @@
 from primroseford.ids import HostId
 from primroseford.ids import JobId
 from primroseford.jobs.service import RECONCILE_SECONDS
+from primroseford.jobs.service import CancellationSource
 from primroseford.jobs.service import JobService
 from primroseford.jobs.state import Item
 from primroseford.jobs.state import ItemId
@@ -342,7 +343,7 @@
         if name in self.jobs and process is not None:
             self.jobs[name].cancelled = True
             if heard:
-                process.service.cancel_job(name)
+                process.service.cancel_job(name, CancellationSource.CALLER)
 
     @rule(steps=st.sampled_from([1, 3, 16, 80]))
     def advance(self, steps):
--- a/src/primroseford/proof/heartbeats.py
+++ b/src/primroseford/proof/heartbeats.py
@@ -60,7 +60,7 @@
     def scan_age(self) -> float | None:
         """Return that this host has made no scan."""
 
-    def apply_cancellation(self, job) -> None:
+    def apply_cancellation(self, job, *, reported_by) -> None:
         """Ignore the cancellation of a job."""
 
     def preempt_item(self, runner) -> None:
