Find cancellations apart from the steps that wait for the store

Cause: cancellations were looked for in the step that also looks for orphaned jobs, one after the other. A scan of all jobs that gets no answer holds that step for 10 s, a takeover for 4 s. The bound on a cancellation counted neither.

Why it works: the task waits for nothing but its own scan.

The test of orphans beside a hanging scan of cancellations runs both tasks at once now. test_cancellations_recorded_by_a_lost_host_stop_jobs could pass without any cancellation, as silent runners break off the items within the 3 s: it also requires now that no host runs the jobs.

--- a/src/primroseford/jobs/service.py
+++ b/src/primroseford/jobs/service.py
@@ -124,14 +124,26 @@
 
     @Service.task
     async def reconcile_jobs(self) -> None:
-        """Find orphaned and duplicate jobs, and cancellations by other hosts."""
+        """Find orphaned and duplicate jobs."""
         await run_periodically(self, lambda: RECONCILE_SECONDS, self._reconcile)
 
     async def _reconcile(self) -> None:
         self.views.memory.update_charges()
-        await run_part(self.update_cancellations, RECONCILE_TIMEOUT_SECONDS)
         await self.ownership.reconcile()
 
+    @Service.task
+    async def find_cancellations(self) -> None:
+        """Find cancellations that no heartbeat has reported.
+
+        The steps that find orphaned jobs may wait much longer for the store.
+        """
+        await run_periodically(
+            self, lambda: CANCELLATION_CHECK_SECONDS, self._find_cancellations
+        )
+
+    async def _find_cancellations(self) -> None:
+        await run_part(self.update_cancellations, RECONCILE_TIMEOUT_SECONDS)
+
     async def update_cancellations(self) -> None:
         """Scan for cancellations if that is due, and report those of open jobs.
 
--- a/src/primroseford/jobs/tests/test_jobs.py
+++ b/src/primroseford/jobs/tests/test_jobs.py
@@ -546,11 +546,37 @@
     for host in range(3):
         site.put(CANCELLATIONS, f"job{host}", {})
     async with asyncio.timeout(CANCEL_SECONDS):
+        await site.until(lambda: not any(service(h).scheduler.runs for h in site.hosts))
         await site.until(lambda: sum(r.open for r in site.runners) == 0)
     scans = (time.monotonic() - started) / SCAN_SECONDS + 1
     assert 1 <= calls["GET", CANCELLATIONS] - before <= scans
 
 
+@pytest.mark.parametrize("call", ["list_jobs", "load"])
+async def test_cancellation_waits_for_another_call_that_hangs(site, call):
+    """Guards against items that start after the end of their job (UNASKED).
+
+    The host waits for a scan of all jobs, or for a job that it takes over.
+    """
+    host = site.hosts[0]
+    waiting = asyncio.Event()
+
+    async def hang(*_) -> None:
+        waiting.set()
+        await asyncio.Event().wait()
+
+    for runner in site.runners:
+        runner.faults.silent = True
+    assert await submit(site, "job1") == 202
+    await site.until(lambda: sum(r.open for r in site.runners) == 3)
+    setattr(service(host).store, call, hang)
+    host.gateway.members.orphaned.add(JobId("job2"))
+    await waiting.wait()
+    site.put(CANCELLATIONS, "job1", {})
+    async with asyncio.timeout(CANCEL_SECONDS):
+        await site.until(lambda: "job1" not in service(host).scheduler.runs)
+
+
 @pytest.mark.parametrize(
     ("version", "confirmed_ago", "submitted_ago", "abandoned"),
     [
--- a/src/primroseford/jobs/tests/test_ownership.py
+++ b/src/primroseford/jobs/tests/test_ownership.py
@@ -236,7 +236,7 @@
 
 
 async def test_orphan_waits_for_a_scan_of_cancellations_that_hangs(clock, host):
-    """Guards against the same, since the cancellations are read before each step."""
+    """Guards against the same, while the cancellations are read."""
     service = JobService(host.gateway, host.store, None, None, 120.0, 1.0)
     service.ownership = host.ownership
     host.store.cancelled_jobs = hang
@@ -244,7 +244,7 @@
     clock.advance(DEFAULT_CANCEL_SECONDS + 10.0)
     for _ in range(4):
         async with asyncio.timeout(MAX_RECONCILE_SECONDS):
-            await service._reconcile()
+            await asyncio.gather(service._find_cancellations(), service._reconcile())
         clock.advance(DEFAULT_CANCEL_SECONDS)
     assert host.started == ["job1"]
 
--- a/src/primroseford/jobs/tests/test_ownership_machine.py
+++ b/src/primroseford/jobs/tests/test_ownership_machine.py
@@ -185,6 +185,7 @@
             self.service.scheduler.stepped_at = self.clock()
         if self.reconciles:
             await self.service._reconcile()
+            await self.service._find_cancellations()
 
     async def commit(self, answer_lost: bool) -> None:
         """Commit one item of each job, as the recorder does."""
