--- a/src/primroseford/gateway/tests/test_quarantine_store.py
+++ b/src/primroseford/gateway/tests/test_quarantine_store.py
@@ -3,6 +3,7 @@
 import pytest
 
 from primroseford.gateway import quarantine_store
+from primroseford.gateway.members import preferred_host
 from primroseford.gateway.quarantine_store import QUARANTINE_KIND
 from primroseford.quarantine.state import QuarantineRecord
 
@@ -61,6 +62,37 @@
     assert not stored(quarantined)
 
 
+async def test_quarantine_goes_on_after_the_host_that_read_it_was_lost(quarantined):
+    """Guards against an operator's removal that only a lost host could notice."""
+    site = quarantined
+    hosts = [host.gateway.members.own for host in site.hosts]
+    polling = preferred_host(QUARANTINE_KIND, hosts)
+    part = next(
+        name
+        for name in map("part:{}".format, range(100))
+        if preferred_host(name, hosts) == polling
+    )
+    for host in site.hosts:
+        members = host.gateway.members
+        await site.until(lambda m=members, clock=host.clock: m.live(clock()))
+    others = {*stored(site)}
+    for host in site.hosts:
+        trial_at = host.gateway.clock() + 30.0
+        host.gateway.quarantine.apply(QuarantineRecord(part, 1, trial_at, 30.0))
+    await site.until(lambda: len(stored(site)) == 2)
+    (name,) = stored(site).keys() - others
+    (lost,) = [h for h in site.hosts if h.gateway.members.own == polling]
+    (other,) = [h for h in site.hosts if h is not lost]
+    # The object is removed between two polls of the host that is lost.
+    for service in lost.services:
+        if isinstance(service, quarantine_store.QuarantineStore):
+            service.client = None
+    site.platform.state.delete(QUARANTINE_KIND, name, None)
+    await lost.stop()
+    site.hosts.remove(lost)
+    await site.until(lambda: part not in active(other))
+
+
 async def test_lifted_quarantine_stays_in_the_store(quarantined):
     """Guards against a quarantine that comes back with the next restart."""
     host = quarantined.hosts[0]
--- a/src/primroseford/gateway/tests/test_relay.py
+++ b/src/primroseford/gateway/tests/test_relay.py
@@ -10,6 +10,8 @@
 from primroseford.gateway.relay import RELAY_TIMEOUT_SECONDS
 from primroseford.gateway.relay import bundle_bytes
 from primroseford.gateway.relay import split_bundle
+from primroseford.jobs.cancellations import FALLBACK_SHARE
+from primroseford.platform.settings import DEFAULT_CANCEL_SECONDS
 from primroseford.proof.heartbeats import DOMAINS
 from primroseford.proof.heartbeats import PORT
 from primroseford.proof.heartbeats import STRONG
@@ -34,6 +36,21 @@
     assert fleet.all_peers_live()
 
 
+@pytest.mark.parametrize("hosts", [7, 54, 300])
+def test_heartbeat_sent_at_once_comes_later_than_hosts_wait_for_a_scan(hosts):
+    """Guards against a scan for cancellations by each host of a large fleet."""
+    fleet = HeartbeatFleet(hosts)
+    fleet.run(4.0)
+    for name in (fleet.names[1], min(fleet.relays(), default=fleet.names[0])):
+        service = fleet.services[name]
+        service.send()
+        sent = service.sequence
+        fleet.run(FALLBACK_SHARE * DEFAULT_CANCEL_SECONDS)
+        others = [fleet.services[other] for other in fleet.names if other != name]
+        received = [s.gateway.members.peers[name].heartbeat.sequence for s in others]
+        assert min(received) >= sent
+
+
 @pytest.mark.parametrize("hosts", [5, 16])
 def test_small_fleets_have_no_relays(hosts):
     """Guards against relays where direct heartbeats are faster."""
