Repeat failed scans for cancellations with growing pauses

Cause: since each host that runs jobs scans if no scan is reported, and repeats a scan that fails after 0.45 s. In an outage of the store all of them did so until its end, two calls a second from each, where one host made one in 2 s before.

Change: each further pause is twice as long, up to the interval of the scans (1.5 s). The first one stays, so that one failed call delays an end by 0.45 s only. The first line of a process tells no time since its last scan instead of an infinite one.

Why it is still in time: no end is acknowledged in an outage, and after it a host that runs jobs waits for 1.5 s at most, less than for a scan in the calm (2.35 s).

--- a/src/primroseford/jobs/cancellations.py
+++ b/src/primroseford/jobs/cancellations.py
@@ -31,7 +31,8 @@
 MAX_FALLBACKS = 2
 """Number of hosts in the order for which a host that runs jobs waits."""
 RETRY_SHARE = 0.15
-"""Share of that time after which a failed scan is repeated."""
+"""Share of that time after which a failed scan is repeated. Each further pause is twice
+as long, up to the interval of scans, as all hosts that run jobs scan in an outage."""
 TURN_SECONDS = 10.0
 """Time without a scan of its own by which a host that runs jobs waits longer for each
 host before it in the order of scanners: those may not know of its jobs. All turns of N
@@ -61,6 +62,7 @@
     :ivar stored: jobs whose cancellations the last scan has found
     :ivar scanned_at: time at which the last complete scan began
     :ivar attempted_at: time at which the last scan began, complete or not
+    :ivar incomplete_scans: number of scans that began since the last complete one
     :ivar known_since: time since which some host is known to run jobs, if any does
     :ivar running_since: the same for this host
     """
@@ -71,6 +73,7 @@
         self.reported_until: dict[JobId, float] = {}
         self.stored: Set[JobId] = frozenset()
         self.scanned_at = self.attempted_at = -math.inf
+        self.incomplete_scans = 0
         self.known_since: float | None = None
         self.running_since: float | None = None
 
@@ -90,9 +93,9 @@
         """
         if self.known_since is None:
             return False
-        if now - self.attempted_at < RETRY_SHARE * self.cancel_seconds:
-            return False
         interval = SCAN_INTERVAL_SHARE * self.cancel_seconds
+        if now - self.attempted_at < min(self._retry_seconds(), interval):
+            return False
         if self.running_since is not None:
             own_scan = max(self.scanned_at, self.running_since)
             if now - own_scan >= interval + rank * TURN_SECONDS:
@@ -106,10 +109,22 @@
         fallback = rank * FALLBACK_SHARE * self.cancel_seconds
         return now - newest >= interval + fallback
 
-    def complete_scan(self, stored: Set[JobId], began_at: float) -> None:
-        """Replace the stored cancellations by those that a scan has returned."""
+    def _retry_seconds(self) -> float:
+        """Return the pause after the last scan that did not complete; 0 if it did."""
+        if not self.incomplete_scans:
+            return 0.0
+        return RETRY_SHARE * self.cancel_seconds * 2 ** (self.incomplete_scans - 1)
+
+    def begin_scan(self, now: float) -> None:
+        """Note that a scan begins, which may fail."""
+        self.attempted_at = now
+        self.incomplete_scans += 1
+
+    def complete_scan(self, stored: Set[JobId]) -> None:
+        """Replace the stored cancellations by those that the scan has returned."""
         self.stored = stored
-        self.scanned_at = began_at
+        self.scanned_at = self.attempted_at
+        self.incomplete_scans = 0
 
     def scan_age(self, now: float) -> float | None:
         """Return the age in seconds of the last complete scan by this host."""
--- a/src/primroseford/jobs/service.py
+++ b/src/primroseford/jobs/service.py
@@ -152,7 +152,6 @@
         self.cancellations.observe(bool(self.scheduler.runs), self.gateway.clock())
         if self._is_cancellation_scan_due():
             await self._scan_cancellations()
-            self.announce()
         self._report_stored_cancellations()
 
     def _is_cancellation_scan_due(self) -> bool:
@@ -165,17 +164,20 @@
 
     async def _scan_cancellations(self) -> None:
         cancellations = self.cancellations
-        began_at = cancellations.attempted_at = self.gateway.clock()
+        began_at = self.gateway.clock()
+        age = cancellations.scan_age(began_at)
+        cancellations.begin_scan(began_at)
         stored = await self.store.cancelled_jobs()
+        cancellations.complete_scan(stored)
         log.info(
             "cancellations scanned",
             rank=self.ownership.scanner_rank(began_at),
             stored=len(stored),
-            seconds_since_last=round(began_at - cancellations.scanned_at, 2),
+            seconds_since_last=None if age is None else round(age, 2),
             seconds=round(self.gateway.clock() - began_at, 3),
         )
-        cancellations.complete_scan(stored, began_at)
         self._report_stored_cancellations()
+        self.announce()
 
     def _report_stored_cancellations(self) -> None:
         for job in self.cancellations.unreported(self.gateway.clock()):
--- a/src/primroseford/jobs/tests/test_cancellation_scans.py
+++ b/src/primroseford/jobs/tests/test_cancellation_scans.py
@@ -4,9 +4,12 @@
 
 import pytest
 
+from primroseford.errors import PrimrosefordError
+from primroseford.errors import ResultCode
 from primroseford.ids import JobId
 from primroseford.jobs.cancellations import SCAN_INTERVAL_SHARE
 from primroseford.jobs.cancellations import TURN_SECONDS
+from primroseford.jobs.service import CANCELLATION_CHECK_SECONDS
 from primroseford.jobs.service import JobService
 from primroseford.jobs.tests.test_ownership import create_view
 from primroseford.jobs.tests.test_scan_order import PEERS
@@ -89,3 +92,29 @@
         await service.update_cancellations()
         clock.advance(STEP_SECONDS)
     assert len(calls) == scans
+
+
+@pytest.mark.parametrize(
+    ("outage", "scans"), [(0.4, 1), (0.7, 2), (DEFAULT_CANCEL_SECONDS, 3), (30.0, 20)]
+)
+async def test_scans_that_fail_are_repeated(clock, outage, scans):
+    """Guards against a scan by each host every 0.1 s while the store is away.
+
+    One call that fails must not delay the end of a job beyond its time.
+    """
+    host = ScanningHost(clock)
+    service = JobService(host.gateway, host.store, None, None, 120.0, 1.0)
+    service.ownership = host.ownership
+    service.scheduler.runs = host.scheduler.runs
+    host.start_job(create_view("mine"), {})
+    calls = []
+
+    async def fail() -> set[JobId]:
+        calls.append(clock())
+        raise PrimrosefordError(ResultCode.PLATFORM_UNAVAILABLE, "no response")
+
+    host.store.cancelled_jobs = fail
+    while not calls or clock() - calls[0] < outage:
+        await service._find_cancellations()
+        clock.advance(CANCELLATION_CHECK_SECONDS)
+    assert len(calls) == scans
