Bound the pause between failed scans without computing a large power

Cause: doubles the pause for each failed scan and bounds it afterwards. After 1,024 failures, about 26 minutes of an outage, the power no longer fits a float: each step would end with an OverflowError, and the host would never scan again. Found by reading.

Change: the pause itself is kept, doubled and bounded.

--- a/src/primroseford/jobs/cancellations.py
+++ b/src/primroseford/jobs/cancellations.py
@@ -62,7 +62,7 @@
     :ivar stored: jobs whose cancellations the last scan has found
     :ivar scanned_at: time at which the last complete scan began
     :ivar attempted_at: time at which the last scan began, complete or not
-    :ivar incomplete_scans: number of scans that began since the last complete one
+    :ivar retry_seconds: pause after the last scan if it did not complete; 0 if it did
     :ivar known_since: time since which some host is known to run jobs, if any does
     :ivar running_since: the same for this host
     """
@@ -73,7 +73,7 @@
         self.reported_until: dict[JobId, float] = {}
         self.stored: Set[JobId] = frozenset()
         self.scanned_at = self.attempted_at = -math.inf
-        self.incomplete_scans = 0
+        self.retry_seconds = 0.0
         self.known_since: float | None = None
         self.running_since: float | None = None
 
@@ -93,9 +93,9 @@
         """
         if self.known_since is None:
             return False
-        interval = SCAN_INTERVAL_SHARE * self.cancel_seconds
-        if now - self.attempted_at < min(self._retry_seconds(), interval):
+        if now - self.attempted_at < self.retry_seconds:
             return False
+        interval = SCAN_INTERVAL_SHARE * self.cancel_seconds
         if self.running_since is not None:
             own_scan = max(self.scanned_at, self.running_since)
             if now - own_scan >= interval + rank * TURN_SECONDS:
@@ -109,22 +109,19 @@
         fallback = rank * FALLBACK_SHARE * self.cancel_seconds
         return now - newest >= interval + fallback
 
-    def _retry_seconds(self) -> float:
-        """Return the pause after the last scan that did not complete; 0 if it did."""
-        if not self.incomplete_scans:
-            return 0.0
-        return RETRY_SHARE * self.cancel_seconds * 2 ** (self.incomplete_scans - 1)
-
     def begin_scan(self, now: float) -> None:
         """Note that a scan begins, which may fail."""
         self.attempted_at = now
-        self.incomplete_scans += 1
+        self.retry_seconds = min(
+            max(2 * self.retry_seconds, RETRY_SHARE * self.cancel_seconds),
+            SCAN_INTERVAL_SHARE * self.cancel_seconds,
+        )
 
     def complete_scan(self, stored: Set[JobId]) -> None:
         """Replace the stored cancellations by those that the scan has returned."""
         self.stored = stored
         self.scanned_at = self.attempted_at
-        self.incomplete_scans = 0
+        self.retry_seconds = 0.0
 
     def scan_age(self, now: float) -> float | None:
         """Return the age in seconds of the last complete scan by this host."""
--- a/src/primroseford/jobs/tests/test_cancellation_scans.py
+++ b/src/primroseford/jobs/tests/test_cancellation_scans.py
@@ -6,9 +6,12 @@
 
 from primroseford.errors import PrimrosefordError
 from primroseford.errors import ResultCode
+from primroseford.gateway.members import Members
+from primroseford.ids import HostId
 from primroseford.ids import JobId
 from primroseford.jobs.cancellations import SCAN_INTERVAL_SHARE
 from primroseford.jobs.cancellations import TURN_SECONDS
+from primroseford.jobs.cancellations import JobCancellations
 from primroseford.jobs.service import CANCELLATION_CHECK_SECONDS
 from primroseford.jobs.service import JobService
 from primroseford.jobs.tests.test_ownership import create_view
@@ -118,3 +121,12 @@
         await service._find_cancellations()
         clock.advance(CANCELLATION_CHECK_SECONDS)
     assert len(calls) == scans
+
+
+def test_scans_stop_after_a_long_outage():
+    """Guards against an error of each step once very many scans have failed."""
+    cancellations = JobCancellations(Members(HostId("host-1")), DEFAULT_CANCEL_SECONDS)
+    cancellations.observe(True, 0.0)
+    for _ in range(5_000):
+        cancellations.begin_scan(0.0)
+    assert cancellations.is_scan_due(0, SCAN_INTERVAL_SHARE * DEFAULT_CANCEL_SECONDS)
