Check in the model of the hosts that cancelled jobs stop

The state machine of jobs cancelled them, also where the host that was called was lost or told nobody, but checked open jobs only. After the faults no host whose steps run may run a cancelled job, whatever was taken over, handed over or accepted meanwhile.

--- a/src/primroseford/jobs/tests/test_ownership_machine.py
+++ b/src/primroseford/jobs/tests/test_ownership_machine.py
@@ -399,11 +399,18 @@
             self.restart(0)
         self.advance(round(SETTLE_SECONDS / RECONCILE_SECONDS))
         for job, stored in self.jobs.items():
-            if not stored.cancelled and sum(map(len, stored.segments)) < ITEMS:
+            if stored.cancelled:
+                self.check_cancelled(job)
+            elif sum(map(len, stored.segments)) < ITEMS:
                 self.check_open(job)
         self.loop.close()
         structlog.reset_defaults()
 
+    def check_cancelled(self, job: JobId) -> None:
+        """Assert that no host whose steps run still runs a job."""
+        hosts = [p for p in self.processes.values() if p.reconciles]
+        assert not [p for p in hosts if job in p.runs], f"{job} runs on"
+
     def check_open(self, job: JobId) -> None:
         """Assert that a host whose scheduler works runs a job, with all its items.
 
