Test that the time of a cancellation follows from the settings

cancel_ms of the settings is read since; no test decoded it, nor checked that the wait of a host with jobs follows it (three quarters of it at any place in the order).

--- a/src/primroseford/jobs/tests/test_cancellation_scans.py
+++ b/src/primroseford/jobs/tests/test_cancellation_scans.py
@@ -123,6 +123,16 @@
     assert len(calls) == scans
 
 
+@pytest.mark.parametrize("cancel_seconds", [1.0, DEFAULT_CANCEL_SECONDS, 10.0])
+@pytest.mark.parametrize("rank", [0, 1, 50])
+def test_host_with_jobs_waits_for_a_scan_until_the_bound(cancel_seconds, rank):
+    """Guards against a wait that does not follow the settings, or counts all hosts."""
+    cancellations = JobCancellations(Members(HostId("host-1")), cancel_seconds)
+    cancellations.observe(True, 0.0)
+    assert not cancellations.is_scan_due(rank, 0.4 * cancel_seconds)
+    assert cancellations.is_scan_due(rank, 0.8 * cancel_seconds)
+
+
 def test_scans_stop_after_a_long_outage():
     """Guards against an error of each step once very many scans have failed."""
     cancellations = JobCancellations(Members(HostId("host-1")), DEFAULT_CANCEL_SECONDS)
--- a/src/primroseford/platform/tests/test_decoding.py
+++ b/src/primroseford/platform/tests/test_decoding.py
@@ -62,6 +62,13 @@
     assert (settings.cold_excess, settings.cold_slack) == (excess, slack)
 
 
+@pytest.mark.parametrize(("bounds", "seconds"), [({}, 3.0), ({"cancel_ms": 1500}, 1.5)])
+def test_time_of_a_cancellation_follows_from_the_settings(bounds, seconds):
+    """Guards against a deployment with a shorter time in which items start later."""
+    content = SETTINGS | {"bounds": SETTINGS["bounds"] | bounds}
+    assert decode_node_settings(content).cancel_seconds == seconds
+
+
 def test_settings():
     """Guards against settings that are decoded incorrectly."""
     settings = decode_node_settings(SETTINGS)
