Log what a host goes by when it infers the version of a stream

A stream without a record goes on at the only version of the list of runners, and 'stream taken up' told the list's revision and age, but not for how long the host had followed it, which versions it counts, or how many hosts it knows beside those that it asked.

Change: followed_ms, pool_versions and other_hosts in 'stream taken up' and 'stream not taken up'. A host that has just started shows some ms in followed_ms; one with a history that lacks an entry shows seconds. No decision is changed.

--- a/src/primroseford/gateway/stream_records.py
+++ b/src/primroseford/gateway/stream_records.py
@@ -156,7 +156,7 @@
             # Runners that have joined since this host was last in touch.
             await self._refresh_runner_list()
         waited = round((self.gateway.clock() - started) * 1000)
-        self._log_lookup(found, began_as, request_id, waited)
+        self._log_lookup(found, began_as, request_id, route, waited)
         if found.origin is None:
             raise PrimrosefordError(
                 ResultCode.STREAM_VERSION_UNKNOWN,
@@ -167,11 +167,16 @@
         return found.origin
 
     def _log_lookup(
-        self, found: Lookup, began_as: RequestId, request_id: RequestId, waited_ms: int
+        self,
+        found: Lookup,
+        began_as: RequestId,
+        request_id: RequestId,
+        route: Route,
+        waited_ms: int,
     ) -> None:
         gateway = self.gateway
         origin = found.origin
-        list_age = gateway.clock() - gateway.runner_list_confirmed_at
+        history = gateway.allocator.versions
         log.info(
             "stream not taken up" if origin is None else "stream taken up",
             request_id=request_id,
@@ -182,8 +187,11 @@
             source=found.source.value,
             asked=found.asked,
             answered=found.answered,
+            other_hosts=len(gateway.members.peers),
+            pool_versions=history.seen(route.pools[0][0]) if route.pools else None,
+            followed_ms=_age_ms(gateway.clock() - history.followed_since()),
             list_revision=gateway.runner_list_version,
-            list_age_ms=None if math.isinf(list_age) else round(list_age * 1000),
+            list_age_ms=_age_ms(gateway.clock() - gateway.runner_list_confirmed_at),
             waited_ms=waited_ms,
         )
 
@@ -325,6 +333,11 @@
         return _encode(key, known.origin, RETENTION_SECONDS)
 
 
+def _age_ms(seconds: float) -> int | None:
+    """Return an age in ms; ``None`` for an infinite one."""
+    return None if math.isinf(seconds) else round(seconds * 1000)
+
+
 def _by_domain(peers: Iterable[Peer]) -> dict[FailureDomainId, list[HostId]]:
     hosts: dict[FailureDomainId, list[HostId]] = {}
     for peer in peers:
--- a/src/primroseford/gateway/tests/test_stream_origins.py
+++ b/src/primroseford/gateway/tests/test_stream_origins.py
@@ -69,7 +69,11 @@
 
     def _create_host(self, name: str) -> StreamRecords:
         clock = asyncio.get_running_loop().time
-        versions = SimpleNamespace(only_version=lambda pool: self.only_version)
+        versions = SimpleNamespace(
+            only_version=lambda pool: self.only_version,
+            seen=lambda pool: [self.only_version],
+            followed_since=lambda: 0.0,
+        )
         allocator = SimpleNamespace(
             add_jitter=lambda s: s, versions=versions, pool_runners=lambda pool: []
         )
@@ -77,6 +81,7 @@
             clock=clock,
             members=SimpleNamespace(
                 own=name,
+                peers={},
                 live=lambda now: self._peers(name, is_silent=False),
                 silent=lambda now: self._peers(name, is_silent=True),
             ),
--- a/src/primroseford/gateway/version_history.py
+++ b/src/primroseford/gateway/version_history.py
@@ -65,6 +65,15 @@
     def _listed(self, pool: PoolName) -> set[SoftwareVersion]:
         return {entry.version for entry in self.entries.get(pool, ())}
 
+    def seen(self, pool: PoolName) -> list[SoftwareVersion]:
+        """Return the versions that a pool has or has had lately, in order."""
+        left = self._left_lately(pool, self.clock())
+        return sorted(self._listed(pool) | left.keys())
+
+    def followed_since(self) -> float:
+        """Return the local time in seconds since which no change can be missing."""
+        return max(self.known_since, self.gap_at)
+
     def only_version(self, pool: PoolName) -> SoftwareVersion | None:
         """Return the version at which all streams of a pool began, if there is one.
 
@@ -74,7 +83,7 @@
         """
         now = self.clock()
         entries = self.entries.get(pool, ())
-        versions = self._listed(pool) | self._left_lately(pool, now).keys()
+        versions = self.seen(pool)
         if len(versions) != 1 or not entries:
             return None
         if now - self.gap_at < STREAM_LIFETIME_SECONDS:
