Read the events before each list of the runners

What callers could see: a stream of a version that came and went within two seconds goes on at another one.

Cause: a list that was read less than two seconds after the last answer moved the view of the runners beyond the events of that time, which the watch then left out as old. The history of versions had no gap then, on the premise that no entry comes and goes so fast; a runner that leaves removes its entry at once.

Change: the reflector of the runner list reads the events since its view before each list, after a broken watch too, and notes a gap if it cannot have them all. They get 50 ms: a list is not late because of them (test_relist_when_a_watch_delivers_no_changes fails without this limit). Other reflectors list as before. The events cost one call for each list, of which a host makes few; MAX_UNSEEN_SECONDS goes.

The tests of a silence asserted that a list within two seconds leaves no gap. In their place, any list leaves one unless the events before it were read, after a refresh, a list and a broken watch.

--- a/src/primroseford/gateway/platform_watcher.py
+++ b/src/primroseford/gateway/platform_watcher.py
@@ -117,6 +117,7 @@
             backoff_max=MAX_BACKOFF_SECONDS,
             watch_seconds=self.runners_watch_duration,
             pause_seconds=self.runner_pause,
+            keeps_events=True,
         )
 
         self.followed = [self.tables, self.runners]
--- a/src/primroseford/platform/reflector.py
+++ b/src/primroseford/platform/reflector.py
@@ -26,8 +26,10 @@
     from collections.abc import Callable
 
     from primroseford.clock import Clock
+    from primroseford.ids import Version
     from primroseford.platform.client import PlatformClient
     from primroseford.platform.objects import ObjectList
+    from primroseford.platform.objects import WatchEvent
     from primroseford.platform.view import Delta
 
 BACKOFF_BASE_SECONDS = 0.2
@@ -36,9 +38,9 @@
 """Age of the last list after which the next event or bookmark ends the watch. A watch
 can skip events without notice; only a list shows the skipped changes."""
 
-MAX_UNSEEN_SECONDS = 2.0
-"""Time without an answer in which no object comes and goes. The entry of a runner that
-falls silent remains for three of its heartbeat intervals."""
+EVENTS_SECONDS = 0.05
+"""Time that a list waits for the events before it. The service responds within some
+ms; a list must not be late because it does not."""
 
 log = structlog.get_logger()
 
@@ -59,12 +61,13 @@
     :param watch_seconds: returns how long the next watch call waits for a change
     :param pause_seconds: returns the time between a response with changes and the next
         watch call
+    :param keeps_events: whether the events since the view are read before each list
     :ivar reachable: whether the service answered the last call
     :ivar behind_since: time since which the view is known to lack changes, if it is
     :ivar confirmed_at: local time at which the service last confirmed the view
     :ivar listed_at: local time at which the last list was requested
     :ivar gap_at: local time of the last list before which changes may have been missed
-        that no list shows, such as an object that came and went
+        that no list shows, such as an object that came and went; with ``keeps_events``
     """
 
     def __init__(
@@ -80,8 +83,10 @@
         backoff_max: float = BACKOFF_MAX_SECONDS,
         watch_seconds: Callable[[], float] = lambda: WATCH_WAIT_SECONDS,
         pause_seconds: Callable[[], float] = lambda: 0.0,
+        keeps_events: bool = False,
     ) -> None:
         super().__init__()
+        self.keeps_events = keeps_events
         self.backoff_max = backoff_max
         self.watch_seconds = watch_seconds
         self.pause_seconds = pause_seconds
@@ -121,7 +126,7 @@
         :returns: seconds to wait before the next list
         """
         try:
-            await self._list()
+            await self._list(await self._apply_events())
             self.restart_requested = False
             self.watch_task = asyncio.create_task(self.watch_once())
             await self.watch_task
@@ -182,41 +187,55 @@
     async def _apply_events(self) -> bool:
         """Apply the events since the view, which also show what came and went.
 
-        :returns: whether nothing can have been missed
+        :returns: whether all of them have been applied
         """
-        if not self.is_silent():
-            return True
+        if not self.keeps_events or not self.view.version:
+            return False
+        try:
+            async with asyncio.timeout(EVENTS_SECONDS):
+                events = await self.read_events(self.view.version)
+        except (PrimrosefordError, TimeoutError) as error:
+            log.info("events before a list not read", kind=self.kind, reason=str(error))
+            return False
+        if events is None:
+            return False
+        for event in events:
+            delta = apply_event(self.view, event)
+            if delta is not None:
+                self._publish(delta)
+        return True
+
+    async def read_events(self, since: Version) -> list[WatchEvent] | None:
+        """Return the changes after a version that the service still has.
+
+        :returns: ``None`` if it has discarded some of them
+        :raises PrimrosefordError: CALLS_LIMITED, or PLATFORM_UNAVAILABLE
+        """
+        found = []
         events = self.client.watch(
             self.kind,
-            self.view.version,
+            since,
             purpose=self.purpose,
             priority=Priority.READ,
             wait_seconds=lambda: 0.0,
         )
         try:
             async for event in events:
-                delta = apply_event(self.view, event)
-                if delta is not None:
-                    self._publish(delta)
+                found.append(event)
                 if event.type is EventType.BOOKMARK:
-                    return True
+                    break
         except PrimrosefordError as error:
             if error.code is not ResultCode.WATCH_EXPIRED:
                 raise
+            return None
         finally:
             await events.aclose()
-        return False
-
-    def is_silent(self) -> bool:
-        """Return whether changes may have been missed since the last answer."""
-        seen_at = self.confirmed_at
-        return seen_at is None or self.clock() - seen_at > MAX_UNSEEN_SECONDS
+        return found
 
     async def _list(self, has_events: bool = False) -> None:
         """Apply a list.
 
-        :param has_events: whether all events before the list have been applied, or will
-            be by the open watch
+        :param has_events: whether all events since the view have been applied
         """
         requested_at = self.clock()
         listed = await self.client.list(
@@ -225,8 +244,9 @@
         self.listed_at = max(self.listed_at, requested_at)
         self._record_call_result(True)
         if has_events and is_equal(self.view, listed):
+            self._confirm()
             return
-        has_gap = self.view.version > 0 and self.is_silent()
+        has_gap = self.keeps_events and self.view.version > 0 and not has_events
         delta = apply_list(self.view, listed)
         if delta is None:
             log.warning(
@@ -274,9 +294,12 @@
                 return
 
     def _publish(self, delta: Delta) -> None:
+        self._confirm()
+        self.callback(delta)
+
+    def _confirm(self) -> None:
         self.behind_since = None
         self.confirmed_at = self.clock()
-        self.callback(delta)
 
 
 def create_reflector(
@@ -292,6 +315,7 @@
     backoff_max: float = BACKOFF_MAX_SECONDS,
     watch_seconds: Callable[[], float] = lambda: WATCH_WAIT_SECONDS,
     pause_seconds: Callable[[], float] = lambda: 0.0,
+    keeps_events: bool = False,
 ) -> Reflector:
     """Return a service that watches the objects of one kind.
 
@@ -311,6 +335,8 @@
     :param watch_seconds: returns how long the next watch call waits for a change
     :param pause_seconds: returns the time between a response with changes and the next
         watch call
+    :param keeps_events: whether the events since the view are read before each list,
+        so that the callback also learns of objects that came and went
     """
     return Reflector(
         client,
@@ -324,4 +350,5 @@
         backoff_max,
         watch_seconds,
         pause_seconds,
+        keeps_events,
     )
--- a/src/primroseford/platform/tests/test_reflector.py
+++ b/src/primroseford/platform/tests/test_reflector.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 
 import pytest
 
@@ -10,7 +11,7 @@
 from primroseford.platform.objects import ObjectList
 from primroseford.platform.objects import PlatformObject
 from primroseford.platform.objects import WatchEvent
-from primroseford.platform.reflector import MAX_UNSEEN_SECONDS
+from primroseford.platform.reflector import Reflector
 from primroseford.platform.reflector import create_reflector
 from primroseford.platform.view import View
 from primroseford.platform.view import apply_event
@@ -104,44 +105,75 @@
     assert set(reflector.view.objects) == {"a", "b"}
 
 
+def create_following(client, deltas):
+    """Return a reflector that also reports what came and went between two lists."""
+    return create_reflector(
+        client, "pools", deltas.append, purpose="test", keeps_events=True
+    )
+
+
+async def list_again(reflector) -> None:
+    """List again as after the end of a watch."""
+    await reflector._list(await reflector._apply_events())
+
+
+@pytest.mark.parametrize("is_history_gone", [False, True])
 @pytest.mark.parametrize(
-    ("silent_seconds", "is_gap"),
-    [(0.0, False), (MAX_UNSEEN_SECONDS, False), (MAX_UNSEEN_SECONDS + 0.1, True)],
+    "read", [Reflector.refresh, list_again], ids=["refresh", "list"]
 )
-async def test_list_after_a_silence_hides_objects_that_came_and_went(
-    platform, client, clock, deltas, silent_seconds, is_gap
+async def test_list_hides_objects_that_came_and_went(
+    platform, client, deltas, read, is_history_gone
 ):
-    """Guards against a history that counts as whole after a cut or a pause."""
+    """Guards against a history that counts as whole although a change is missing."""
     store(platform, "a")
-    reflector = create_reflector(
-        client, "pools", deltas.append, purpose="test", clock=clock
-    )
+    reflector = create_following(client, deltas)
     await reflector._list()
-    clock.advance(silent_seconds)
+    assert reflector.gap_at == -math.inf
     store(platform, "b")
-    await reflector._list()
-    assert (reflector.gap_at == clock()) == is_gap
+    remove(platform, "b")
+    platform.faults.expire_watches = int(is_history_gone)
+    await read(reflector)
+    names = [event.object.name for delta in deltas for event in delta.events]
+    assert names == (["a"] if is_history_gone else ["a", "b", "b"])
+    assert (reflector.gap_at > -math.inf) == is_history_gone
 
 
-@pytest.mark.parametrize("is_history_gone", [False, True])
-@pytest.mark.parametrize("silent_seconds", [0.0, MAX_UNSEEN_SECONDS + 0.1])
-async def test_refresh_hides_objects_that_came_and_went(
-    platform, client, clock, deltas, silent_seconds, is_history_gone
+async def test_watch_that_breaks_hides_objects_that_came_and_went(
+    platform, client, deltas, eventually
 ):
-    """Guards against a refreshed view whose history lacks a change."""
+    """Guards against a list after a broken watch that leaves a change out."""
     store(platform, "a")
-    reflector = create_reflector(
-        client, "pools", deltas.append, purpose="test", clock=clock
-    )
-    await reflector._list()
-    clock.advance(silent_seconds)
+    reflector = create_following(client, deltas)
+    await reflector.start()
+    await eventually(lambda: set(reflector.view.objects) == {"a"})
+    platform.faults.hold_watches = True
+    await asyncio.sleep(0)
     store(platform, "b")
     remove(platform, "b")
-    platform.faults.expire_watches = int(is_history_gone)
-    await reflector.refresh()
+    reflector.restart_watch("test")
+    platform.faults.hold_watches = False
+    await eventually(lambda: len(deltas) > 2)
+    await reflector.stop()
     names = [event.object.name for delta in deltas for event in delta.events]
-    assert names == (["a"] if is_history_gone else ["a", "b", "b"])
-    assert (reflector.gap_at == clock()) == is_history_gone
+    assert names == ["a", "b", "b"] and reflector.gap_at == -math.inf
+
+
+@pytest.mark.parametrize(
+    ("since", "names"), [(1, ["b", "b", "c"]), (2, ["b", "c"]), (4, [])]
+)
+async def test_changes_after_a_version_are_incomplete(
+    platform, client, deltas, since, names
+):
+    """Guards against changes that are missing from what the service still has."""
+    for name in ("a", "b"):
+        store(platform, name)
+    remove(platform, "b")
+    store(platform, "c")
+    reflector = create_following(client, deltas)
+    events = await reflector.read_events(Version(since))
+    assert [event.object.name for event in events if event.object] == names
+    platform.faults.expire_watches = 1
+    assert await reflector.read_events(Version(since)) is None
 
 
 async def test_follows_changes(platform, reflector, deltas, eventually):
