Tell all hosts of a small fleet of each stream, and eight of a large one

What callers saw: after most hosts were lost at once, streams that could go on were refused until their callers gave up.

Cause: a stream was known at its own host and at one host in each of three failure domains (two hosts in a fleet of one domain).

Change: all other hosts are told if they are fewer than 16, otherwise two in each of four domains (eight hosts: 2 of 100 have none left). A host that is asked about one asks three in each of five domains, so that two lost holders or two new hosts do not hide the others. The records of a stream are one datagram to each holder, as before: the number is bounded and does not grow with the fleet.

--- a/src/primroseford/gateway/stream_origins.py
+++ b/src/primroseford/gateway/stream_origins.py
@@ -37,14 +37,17 @@
 MAX_RETENTION_SECONDS = 3600.0
 MAX_RECORDS = 20_000
 """Streams whose origins a host knows at most, about 6 MB; the oldest are dropped."""
-HOLDER_DOMAINS = 3
-"""Failure domains in which a host tells another one of a stream that it begins."""
+HOLDER_DOMAINS = 4
+"""Failure domains in which a host of a large fleet tells others of a stream."""
+HOLDERS_IN_DOMAIN = 2
+"""Hosts that are told in each of these domains. If three fifths of the fleet are lost
+at once, one of eight is left in 49 of 50 cases."""
 SPARE_DOMAINS = 1
 """Further failure domains in which hosts are asked: the choice moves to them when a
 domain has no live host left."""
-ASKED_IN_DOMAIN = 2
-"""Hosts asked in each failure domain: the choice moves to the second when the first is
-lost or another host joins."""
+ASKED_IN_DOMAIN = 3
+"""Hosts asked in each failure domain: the choice moves to the next ones when some are
+lost or other hosts join."""
 
 
 @dataclass(frozen=True)
@@ -134,14 +137,15 @@
 def choose_holders(
     key: StreamKey, hosts: Mapping[FailureDomainId, Sequence[HostId]]
 ) -> list[HostId]:
-    """Return the hosts to tell of a stream.
+    """Return the hosts to tell of a stream: all of a small fleet.
 
-    They are in different failure domains if possible, since the hosts of one are lost
-    together.
+    They are in different failure domains if possible, since the hosts of one may be
+    lost together.
 
     :param hosts: live hosts by failure domain, without this one
     """
-    return _choose(key, hosts, HOLDER_DOMAINS, 1 if len(hosts) > 1 else ASKED_IN_DOMAIN)
+    everyone = _all_of_small_fleet(hosts)
+    return everyone or _choose(key, hosts, HOLDER_DOMAINS, HOLDERS_IN_DOMAIN)
 
 
 def choose_asked(
@@ -149,12 +153,20 @@
 ) -> list[HostId]:
     """Return the hosts to ask about a stream: all of a small fleet.
 
-    :param hosts: live hosts by failure domain, without this one
+    :param hosts: other hosts by failure domain, without this one
     """
-    everyone = [host for members in hosts.values() for host in members]
-    if len(everyone) < MAX_DIRECT_HOSTS:
-        return everyone
-    return _choose(key, hosts, HOLDER_DOMAINS + SPARE_DOMAINS, ASKED_IN_DOMAIN)
+    everyone = _all_of_small_fleet(hosts)
+    domains = HOLDER_DOMAINS + SPARE_DOMAINS
+    return everyone or _choose(key, hosts, domains, ASKED_IN_DOMAIN)
+
+
+def _all_of_small_fleet(
+    hosts: Mapping[FailureDomainId, Sequence[HostId]],
+) -> list[HostId]:
+    """Return all hosts if they are few, otherwise none."""
+    if sum(len(members) for members in hosts.values()) >= MAX_DIRECT_HOSTS:
+        return []
+    return [host for members in hosts.values() for host in members]
 
 
 def _choose(
