Ask silent hosts, too, about a stream that nobody live knows

What callers saw: 503 from a host that was just back or had just started, for a stream that another host knew.

Cause: a host asked those that it counted as live, and silent ones only if none was live. After a cut, a pause or a start it has heard some of the others and not yet the rest, or still counts a lost one as live and the survivor as silent.

Change: silent and leaving hosts, and those that only the store's list names, are asked at the same time, chosen alike; hosts that have said that they leave and are silent are not. The answer of any host that knows the stream ends the wait.

--- a/src/primroseford/gateway/members.py
+++ b/src/primroseford/gateway/members.py
@@ -166,6 +166,24 @@
             if peer.heartbeat is not None and now - peer.heard_at > silence
         ]
 
+    def away(self, now: float) -> list[Peer]:
+        """Return the peers that do not count as live but may answer.
+
+        They are leaving, silent, or known from the platform's store only.
+        """
+        live = {peer.host for peer in self.live(now)}
+        silence = self.silence
+        return [
+            peer
+            for peer in self.peers.values()
+            if peer.host not in live
+            and (
+                peer.heartbeat is None
+                or not peer.heartbeat.leaving
+                or now - peer.heard_at <= silence
+            )
+        ]
+
     def is_cut_off(self, now: float) -> bool:
         """Return whether there are other hosts, and all are silent."""
         silence = self.silence
--- a/src/primroseford/gateway/stream_questions.py
+++ b/src/primroseford/gateway/stream_questions.py
@@ -96,7 +96,7 @@
     async def ask(
         self, key: StreamKey, pool: PoolName | None, known: StreamOrigin | None
     ) -> Question:
-        """Ask other hosts, silent ones if none is live, and return their answers.
+        """Ask other hosts, live ones and those that may be, and return their answers.
 
         :param key: key of the stream, or ``UNNAMED``
         :param pool: pool whose versions are asked for; ``None`` for none
@@ -123,8 +123,8 @@
     def _create_question(
         self, name: StreamKey, pool: PoolName | None, known: StreamOrigin | None
     ) -> Question:
-        silent = group_by_domain(self.gateway.members.silent(self.gateway.clock()))
-        hosts = set(choose_asked(name, self.live_hosts() or silent))
+        away = group_by_domain(self.gateway.members.away(self.gateway.clock()))
+        hosts = {*choose_asked(name, self.live_hosts()), *choose_asked(name, away)}
         return Question(pool, len(hosts), hosts, known)
 
     def _send_question(self, key: StreamKey, question: Question) -> None:
--- a/src/primroseford/gateway/tests/test_stream_origins.py
+++ b/src/primroseford/gateway/tests/test_stream_origins.py
@@ -86,7 +86,7 @@
                 own=name,
                 peers={},
                 live=lambda now: self._peers(name, is_silent=False),
-                silent=lambda now: self._peers(name, is_silent=True),
+                away=lambda now: self._peers(name, is_silent=True),
             ),
             allocator=allocator,
             runner_list_version=5,
@@ -220,6 +220,23 @@
     run_in_virtual_time(play())
 
 
+def test_host_that_is_back_asks_live_hosts_only():
+    """Guards against a refusal where a host that knows the stream counts as silent."""
+
+    async def play() -> None:
+        network = Network(fleet_domains(7, 3))
+        begin(network, "host-0", "r", V1)
+        await asyncio.sleep(2 * LATENCY_SECONDS)
+        for name in set(network.hosts) - {"host-5"}:
+            network.hosts[name].origins.records.clear()
+        network.lost = {"host-0"}
+        network.silent = {"host-4", "host-5"}
+        found, seconds = await find(network, "host-6", "r")
+        assert found == V1 and seconds < 4 * LATENCY_SECONDS
+
+    run_in_virtual_time(play())
+
+
 @pytest.mark.parametrize("is_from_earlier_release", [False, True])
 def test_inferred_origin_is_taken_for_a_known_one(is_from_earlier_release):
     """Guards against a host that spreads what it has concluded from its list."""
