Apply the changes of one watch response to the runners together

Change: the events of a response are reported in one delta, in their order, and put in force once; a response without changes puts nothing in force. Several changes of one runner count by the last one. A version that came and went within a response is noted for the history of versions, which would not see it in the list.

The tests of one response fail before.

--- a/src/primroseford/gateway/platform_watcher.py
+++ b/src/primroseford/gateway/platform_watcher.py
@@ -294,20 +294,26 @@
 
     def apply_runners(self, delta: Delta) -> None:
         """Apply changes of the runner list."""
-        present, removed, unusable = [], [], []
+        gateway = self.gateway
+        present, removed, unusable = {}, set(), set()
         for event in delta.events:
             if event.object is None:
                 continue
+            name = event.object.name
             entry = decode_runner(event.object)
+            present.pop(name, None)
+            removed.discard(name)
+            unusable.discard(name)
             if event.type is EventType.DELETED:
-                removed.append(event.object.name)
+                removed.add(name)
             elif entry is None:
-                unusable.append(event.object.name)
+                unusable.add(name)
             else:
-                present.append(entry)
+                present[name] = entry
+                gateway.allocator.versions.note(entry)
             log.info(
                 "runner entry",
-                runner=event.object.name,
+                runner=name,
                 change=event.type.value,
                 stage=entry.stage.value if entry else None,
                 pool=entry.pool if entry else None,
@@ -315,19 +321,20 @@
                 born=entry.key.born if entry else None,
                 revision=delta.version,
             )
-        gateway = self.gateway
         if self.is_platform_silent():
             # These are the first changes after an outage. Entries that are removed in
             # them may belong to live runners.
             gateway.runner_list.record_outage_end(gateway.clock())
+        gateway.allocator.versions.follow(delta.version, self.runners.gap_at)
+        if gateway.runners_known and not delta.events:
+            return
         versions = [event.object.version for event in delta.events if event.object]
         gateway.runner_list_version = max(versions + [gateway.runner_list_version])
-        gateway.runner_list.update(present, removed, gateway.clock())
+        gateway.runner_list.update(present.values(), removed, gateway.clock())
         for name in unusable:
             # Such an entry has not expired, so it is not kept after an outage.
             gateway.runner_list.remove(name)
         gateway.runners_known = True
-        gateway.allocator.versions.follow(delta.version, self.runners.gap_at)
         gateway.allocator.set_runners(gateway.runner_list.entries)
 
     async def read_runner_versions(
--- a/src/primroseford/gateway/tests/test_platform_watcher.py
+++ b/src/primroseford/gateway/tests/test_platform_watcher.py
@@ -287,6 +287,65 @@
     assert ("x" in gateway.runner_list.entries) is kept
 
 
+@pytest.mark.parametrize(
+    ("changes", "listed", "seen"),
+    [
+        (["v1"], "v1", {"v1"}),
+        (["v2", None], None, {"v2"}),
+        (["v2", None, "v1"], "v1", {"v1", "v2"}),
+        (["v1", "odd"], None, {"v1"}),
+        (["odd", "v1"], "v1", {"v1"}),
+        ([None, "v1"], "v1", {"v1"}),
+    ],
+    ids=[
+        "written",
+        "came and went",
+        "came back",
+        "overwritten",
+        "written again",
+        "registered again",
+    ],
+)
+def test_changes_of_one_runner_in_one_response(changes, listed, seen):
+    """Guards against a runner that is lost, and a version that nobody has seen.
+
+    The changes are versions that are written, removals, and an entry of another writer.
+    """
+    watcher = fleet_watcher(3)
+    allocator = watcher.gateway.allocator
+    events = []
+    for number, change in enumerate(changes, 1):
+        fields = {"slots": 0} if change == "odd" else {"version": change or "v1"}
+        entry = runner_entry("127.0.0.1:9", **fields)
+        kind = EventType.MODIFIED if change else EventType.DELETED
+        item = PlatformObject(RUNNER_KIND, "x", Version(number), entry)
+        events.append(WatchEvent(kind, Version(number), item))
+    watcher.apply_runners(Delta(Version(len(changes)), tuple(events)))
+    known = allocator.runners.get("x")
+    assert (known.entry.version if known else None) == listed
+    assert allocator.versions.seen("models") == seen
+
+
+def test_many_changes_in_one_response_are_applied_one_by_one(monkeypatch):
+    """Guards against a time at the start that grows with the square of the runners."""
+    watcher = fleet_watcher(3)
+    applied = []
+    monkeypatch.setattr(watcher.gateway.allocator, "set_runners", applied.append)
+    events = [
+        WatchEvent(
+            EventType.MODIFIED,
+            Version(number),
+            PlatformObject(
+                RUNNER_KIND, f"i-{number}", Version(number), runner_entry("10.0.0.1:9")
+            ),
+        )
+        for number in range(1, 101)
+    ]
+    watcher.apply_runners(Delta(Version(100), tuple(events)))
+    watcher.apply_runners(Delta(Version(101), ()))
+    assert [len(entries) for entries in applied] == [100]
+
+
 async def test_host_that_starts_in_an_outage_serves(site):
     """Guards against a host that restarts in an outage and cannot serve requests.
 
--- a/src/primroseford/gateway/version_history.py
+++ b/src/primroseford/gateway/version_history.py
@@ -67,6 +67,7 @@
         self.followed_from = Version(0)
         self.followed_to = Version(0)
         self.vouched_at: dict[PoolName, float] = {}
+        self.noted: dict[PoolName, set[SoftwareVersion]] = {}
 
     def follow(self, revision: Version, gap_at: float) -> None:
         """Note up to which revision the changes of the list are applied.
@@ -79,11 +80,18 @@
         self.followed_to = revision
         self.gap_at = gap_at
 
+    def note(self, entry: RunnerEntry) -> None:
+        """Note an entry before the list that its change leads to."""
+        self.noted.setdefault(entry.pool, set()).add(entry.version)
+
     def update(self, entries: Iterable[RunnerEntry]) -> None:
         """Apply a new list of runners."""
         now = self.clock()
         self.known_since = min(self.known_since, now)
         before = {pool: self._listed(pool) for pool in self.entries}
+        for pool, versions in self.noted.items():
+            before[pool] = before.get(pool, set()) | versions
+        self.noted = {}
         self.left_at = {pool: self._left_lately(pool, now) for pool in self.left_at}
         self.entries = {}
         for entry in entries:
--- a/src/primroseford/platform/reflector.py
+++ b/src/primroseford/platform/reflector.py
@@ -16,6 +16,7 @@
 from primroseford.platform.client import WATCH_WAIT_SECONDS
 from primroseford.platform.limiter import Priority
 from primroseford.platform.objects import EventType
+from primroseford.platform.view import Delta
 from primroseford.platform.view import View
 from primroseford.platform.view import apply_event
 from primroseford.platform.view import apply_list
@@ -30,7 +31,6 @@
     from primroseford.platform.client import PlatformClient
     from primroseford.platform.objects import ObjectList
     from primroseford.platform.objects import WatchEvent
-    from primroseford.platform.view import Delta
 
 BACKOFF_BASE_SECONDS = 0.2
 BACKOFF_MAX_SECONDS = 10.0
@@ -50,7 +50,8 @@
 
     :param client: client of the platform's service
     :param kind: kind to watch
-    :param callback: called with each delta; versions never decrease
+    :param callback: called with the changes of each response in one delta; versions
+        never decrease
     :param purpose: mechanism under which the calls are counted
     :param clock: local clock
     :param relist_seconds: longest time between two lists
@@ -199,10 +200,7 @@
             return False
         if events is None:
             return False
-        for event in events:
-            delta = apply_event(self.view, event)
-            if delta is not None:
-                self._publish(delta)
+        self._apply(events)
         return True
 
     async def read_events(self, since: Version) -> list[WatchEvent] | None:
@@ -276,23 +274,32 @@
             priority=Priority.READ,
             wait_seconds=self.watch_seconds,
         )
-        changed = False
+        response: list[WatchEvent] = []
         async for event in events:
+            response.append(event)
+            if event.type is not EventType.BOOKMARK:
+                continue
             self.failures = 0
             self._record_call_result(True)
-            delta = apply_event(self.view, event)
-            if delta is not None:
-                self._publish(delta)
-            elif event.version == self.view.version:
-                self.confirmed_at = self.clock()
-            if event.type is EventType.BOOKMARK and changed:
+            self._apply(response)
+            if len(response) > 1:
                 # The pause collects changes in quick succession into one response.
                 await self.sleep(self.pause_seconds())
-            changed = event.type is not EventType.BOOKMARK
+            response = []
             if self.should_stop or self.clock() - listed_at > lifetime:
                 await events.aclose()
                 return
 
+    def _apply(self, response: list[WatchEvent]) -> None:
+        """Apply the events of one response, and report them together."""
+        before = self.view.version
+        deltas = [apply_event(self.view, event) for event in response]
+        if self.view.version > before:
+            changes = [event for delta in deltas if delta for event in delta.events]
+            self._publish(Delta(self.view.version, tuple(changes)))
+        elif response[-1].version == self.view.version:
+            self.confirmed_at = self.clock()
+
     def _publish(self, delta: Delta) -> None:
         self._confirm()
         self.callback(delta)
--- a/src/primroseford/platform/view.py
+++ b/src/primroseford/platform/view.py
@@ -30,7 +30,7 @@
     """Changes that advance a view to a newer version.
 
     :param version: version after the changes
-    :param events: changes of single objects, at most one for each name
+    :param events: changes of single objects in their order; an object may have several
     """
 
     version: Version
