Accept an answer about versions that lacks its list

Found by reading: a message of other software without the field for versions raised a TypeError where datagrams are received, after the rest of the message had been handled. The table of messages with missing or long fields failed for it, and passes.

--- a/src/primroseford/gateway/stream_questions.py
+++ b/src/primroseford/gateway/stream_questions.py
@@ -173,7 +173,7 @@
     """Return what another host knows of the versions of pools."""
     return {
         PoolName(message.pool): VersionEvidence(
-            frozenset(SoftwareVersion(version) for version in message.versions),
+            frozenset(SoftwareVersion(version) for version in message.versions or ()),
             Version(message.followed_to or 0),
             bool(message.whole),
         )
--- a/src/primroseford/gateway/tests/test_stream_origins.py
+++ b/src/primroseford/gateway/tests/test_stream_origins.py
@@ -15,12 +15,14 @@
 from primroseford.errors import PrimrosefordError
 from primroseford.errors import ResultCode
 from primroseford.gateway.gen.messages.ttypes import Bundle
+from primroseford.gateway.gen.messages.ttypes import PoolVersions
 from primroseford.gateway.gen.messages.ttypes import StreamRecord
 from primroseford.gateway.stream_origins import DIGEST_BYTES
 from primroseford.gateway.stream_origins import HOLDER_DOMAINS
 from primroseford.gateway.stream_origins import HOLDERS_IN_DOMAIN
 from primroseford.gateway.stream_origins import MAX_RECORDS
 from primroseford.gateway.stream_origins import RETENTION_SECONDS
+from primroseford.gateway.stream_origins import StreamKey
 from primroseford.gateway.stream_origins import StreamOrigin
 from primroseford.gateway.stream_origins import StreamOrigins
 from primroseford.gateway.stream_origins import choose_asked
@@ -28,6 +30,7 @@
 from primroseford.gateway.stream_origins import stream_key
 from primroseford.gateway.stream_questions import ASK_REPEAT_SECONDS
 from primroseford.gateway.stream_questions import ASK_SECONDS
+from primroseford.gateway.stream_questions import Question
 from primroseford.gateway.stream_records import StreamRecords
 from primroseford.gateway.tests.test_version_history import LONG_SECONDS
 from primroseford.gateway.tests.test_version_history import runners
@@ -568,6 +571,31 @@
     assert len(stream_key(RequestId("x" * 10_000))) == DIGEST_BYTES
 
 
+@pytest.mark.parametrize(
+    ("message", "is_used"),
+    [
+        (PoolVersions("models", ["v1"], 5, True), True),
+        (PoolVersions("models", [], 5, True), True),
+        (PoolVersions("models", None, None, None), True),
+        (PoolVersions(None, ["v1"], 5, True), False),
+        (PoolVersions("", ["v1"], 5, True), False),
+        (PoolVersions("p" * 257, ["v1"], 5, True), False),
+        (PoolVersions("models", ["v" * 257], 5, True), False),
+        (PoolVersions("models", [""], 5, True), False),
+    ],
+)
+def test_answer_about_versions_with_missing_or_long_fields(clock, message, is_used):
+    """Guards against answers of other software that end the host or prove something."""
+    members = SimpleNamespace(own="host-0", live=lambda now: [], away=lambda now: [])
+    records = StreamRecords(SimpleNamespace(clock=clock, members=members))
+    question = Question("models", 1, {"host-1"}, None)
+    records.questions.open[StreamKey(b"pool models")] = question
+    records.receive(Bundle("host-1", [], version_answers=[message]))
+    assert bool(question.evidence) is is_used
+    proves = {e.is_whole and len(e.versions) == 1 for e in question.evidence.values()}
+    assert (True in proves) is (message.versions == ["v1"] and is_used)
+
+
 def share_found(hosts: int, domains: int, lost_share: float, known: bool) -> float:
     """Return the share of streams whose origin is found after hosts were killed.
 
