Keep the history of the runner list when a refresh fails

Change: only the list after a broken watch goes on without the events, with a gap. A refresh that cannot read them fails, its stream is refused, and the view stays as it is, so that the next refresh finds all changes.

Evidence: test_refresh_that_fails_ends_the_history fails before and passes.

--- a/src/primroseford/platform/reflector.py
+++ b/src/primroseford/platform/reflector.py
@@ -127,7 +127,7 @@
         :returns: seconds to wait before the next list
         """
         try:
-            await self._list(await self._apply_events())
+            await self._list(await self._try_events())
             self.restart_requested = False
             self.watch_task = asyncio.create_task(self.watch_once())
             await self.watch_task
@@ -176,7 +176,7 @@
         """Apply the changes that the service had made before this call.
 
         A watch may deliver them later, or not at all if its connection is broken. Calls
-        at the same time share a list.
+        at the same time share a list. One that fails leaves the view as it is.
 
         :raises PrimrosefordError: CALLS_LIMITED, or PLATFORM_UNAVAILABLE
         """
@@ -185,19 +185,27 @@
             if self.listed_at < called_at:
                 await self._list(await self._apply_events())
 
-    async def _apply_events(self) -> bool:
-        """Apply the events since the view, which also show what came and went.
+    async def _try_events(self) -> bool:
+        """Apply the events since the view if the service returns them at once.
 
         :returns: whether all of them have been applied
         """
-        if not self.keeps_events or not self.view.version:
-            return False
         try:
             async with asyncio.timeout(EVENTS_SECONDS):
-                events = await self.read_events(self.view.version)
+                return await self._apply_events()
         except (PrimrosefordError, TimeoutError) as error:
             log.info("events before a list not read", kind=self.kind, reason=str(error))
             return False
+
+    async def _apply_events(self) -> bool:
+        """Apply the events since the view, which also show what came and went.
+
+        :returns: whether the service still had all of them
+        :raises PrimrosefordError: CALLS_LIMITED, or PLATFORM_UNAVAILABLE
+        """
+        if not self.keeps_events or not self.view.version:
+            return False
+        events = await self.read_events(self.view.version)
         if events is None:
             return False
         self._apply(events)
--- a/src/primroseford/platform/tests/test_reflector.py
+++ b/src/primroseford/platform/tests/test_reflector.py
@@ -114,7 +114,7 @@
 
 async def list_again(reflector) -> None:
     """List again as after the end of a watch."""
-    await reflector._list(await reflector._apply_events())
+    await reflector._list(await reflector._try_events())
 
 
 @pytest.mark.parametrize("is_history_gone", [False, True])
@@ -138,6 +138,23 @@
     assert (reflector.gap_at > -math.inf) == is_history_gone
 
 
+async def test_refresh_that_fails_ends_the_history(platform, client, deltas):
+    """Guards against a gap because the service was slow once."""
+    store(platform, "a")
+    reflector = create_following(client, deltas)
+    await reflector._list()
+    store(platform, "b")
+    remove(platform, "b")
+    platform.faults.hold_watches = True
+    with pytest.raises(TimeoutError):
+        async with asyncio.timeout(0.1):
+            await reflector.refresh()
+    platform.faults.hold_watches = False
+    await reflector.refresh()
+    names = [event.object.name for delta in deltas for event in delta.events]
+    assert names == ["a", "b", "b"] and reflector.gap_at == -math.inf
+
+
 async def test_watch_that_breaks_hides_objects_that_came_and_went(
     platform, client, deltas, eventually
 ):
