Revert "Notice the restart of an idle runner by a connection that ends"

What was seen: 27 tests of hostile runners and of evacuated domains fail with it on. New streams are refused (503) at a host that watches a runner whose report is broken or late, since it could not be asked for its start; and a runner is asked for it although its failure domain is evacuated, if its connection ends within a second of that. Callers of a runner that is well but for its report would pay for a rare restart.

--- a/src/primroseford/gateway/host.py
+++ b/src/primroseford/gateway/host.py
@@ -24,7 +24,6 @@
 from primroseford.gateway.ingress import CallerServer
 from primroseford.gateway.ingress import ConnectionTimeouts
 from primroseford.gateway.ingress import Ingress
-from primroseford.gateway.instance_watch import InstanceWatch
 from primroseford.gateway.members import Members
 from primroseford.gateway.peer_bootstrap import PATH as PEER_BOOTSTRAP_PATH
 from primroseford.gateway.peer_bootstrap import create_lists_handler
@@ -246,7 +245,6 @@
             *watchers,
             Registration(gateway, client, incarnation, address),
             Watchdog(gateway),
-            InstanceWatch(gateway),
             RunnerPathService(gateway.paths),
             QuarantineStore(gateway, client),
             RequestLimiterService(gateway.request_limiter),
--- a/src/primroseford/gateway/runner_starts.py
+++ b/src/primroseford/gateway/runner_starts.py
@@ -62,7 +62,7 @@
             born = decode_start(await read_limited(response, MAX_REPORT_BYTES))
     # An entry without a start says nothing about the instance.
     if born is None or not entry.key.born or born == entry.key.born:
-        runner.may_have_restarted = runner.is_unverified = False
+        runner.may_have_restarted = False
         return True
     gateway.note_restart(RunnerRestart(entry.key.name, entry.key.born, born))
     return False
@@ -85,7 +85,7 @@
     may_have_restarted = runner.may_have_restarted and not gateway.cold.is_vouched(
         runner
     )
-    is_doubtful = may_have_restarted or runner.is_unverified or runner.suspected_by
+    is_doubtful = may_have_restarted or runner.suspected_by
     if not (continues or is_doubtful or gateway.members.is_cut_off(gateway.clock())):
         return
     if not gateway.request_limiter.take_check(runner, continues):
--- a/src/primroseford/gateway/runner_state.py
+++ b/src/primroseford/gateway/runner_state.py
@@ -34,8 +34,6 @@
     :param latency: EWMA of the response time in seconds; 0 is unknown
     :param may_have_restarted: whether it has failed in a way in which its process may
         have ended, and has not been asked for its start since
-    :param is_unverified: whether this host watches its process and has not been able to
-        ask it for its start since the watch began or its connection ended
     :param limit: requests that may be in flight from all hosts; it is finite while the
         runner is ramping up
     :param notice: what it said about itself in its last response
@@ -56,7 +54,6 @@
     last_byte: float = -math.inf
     latency: float = 0.0
     may_have_restarted: bool = False
-    is_unverified: bool = False
     limit: float = math.inf
     notice: RunnerNotice = RunnerNotice()
     speed: RunnerSpeed = field(default_factory=RunnerSpeed)
--- a/src/primroseford/gateway/slot_allocator.py
+++ b/src/primroseford/gateway/slot_allocator.py
@@ -92,7 +92,6 @@
     :ivar ramping: runners that are ramping up
     :ivar may_use: whether a runner that is ramping up may get one more request
     :ivar on_entries: called with a list of runners before it replaces the known one
-    :ivar on_listed: called after that, before the new runners get requests
     """
 
     def __init__(self, domain: FailureDomainId, clock: Clock, random: Random) -> None:
@@ -118,7 +117,6 @@
         self.on_entries: Callable[[dict[RunnerName, RunnerEntry]], None] = (
             lambda entries: None
         )
-        self.on_listed: Callable[[], None] = lambda: None
         self.slowness_pools: set[PoolName] = set()
         self.ramping: Collection[RunnerKey] = ()
         self.may_use: Callable[[RunnerState], bool] = lambda runner: True
@@ -145,7 +143,6 @@
         self.versions.update(entries.values())
         keys = [runner.entry.key for runner in self.runners.values()]
         self.leaving.forget(keys, self.clock())
-        self.on_listed()
         self.list_ready()
 
     def list_ready(self) -> None:
--- a/src/primroseford/standins/fleet_runner.py
+++ b/src/primroseford/standins/fleet_runner.py
@@ -96,7 +96,6 @@
     :param cold_ms: remaining cold time that its health responses state, if they do
     :param on_crash: called when the runner has crashed
     :ivar server: listening socket of the runner
-    :ivar web_server: HTTP server with all of its connections
     :ivar open: number of requests in progress
     :ivar transports: connections of the requests in progress
     :param token: text that precedes the number in the data of each event
@@ -115,7 +114,6 @@
     cold_ms: int | None = None
     on_crash: Callable[[FleetRunner], None] | None = None
     server: asyncio.Server | None = None
-    web_server: web.Server | None = None
     open: int = 0
     transports: set[asyncio.Transport] = field(default_factory=set)
     token: str = "token"
@@ -126,9 +124,8 @@
         """Reset all connections and stop listening, as a killed process does."""
         if self.server is not None:
             self.server.close()
-        for connection in self.web_server.connections if self.web_server else ():
-            if connection.transport is not None:
-                connection.transport.abort()
+        for transport in list(self.transports):
+            transport.abort()
         if self.on_crash is not None:
             self.on_crash(self)
 
@@ -271,7 +268,7 @@
 
 def create_runner_server(runner: FleetRunner) -> web.Server:
     """Return the HTTP server of a runner."""
-    runner.web_server = web.Server(
+    return web.Server(
         runner.handle,
         request_factory=_create_request,
         handler_cancellation=True,
@@ -279,7 +276,6 @@
         max_field_size=MAX_HEAD_BYTES,
         max_headers=MAX_HEADER_FIELDS,
     )
-    return runner.web_server
 
 
 def _create_request(message, payload, protocol, writer, task) -> web.BaseRequest:
